--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the agent daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/balancer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Balancer daemon: receives encapsulated packets and forwards them to agents.
--- /dev/null
+++ b/crates/balancer/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the balancer daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/decision/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decision core: events in, actions out.
--- /dev/null
+++ b/crates/fuzzing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stateful fuzzing of the decision core against an oracle.
--- /dev/null
+++ b/crates/goosectl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' command line.
--- /dev/null
+++ b/crates/goosectl/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/loadgen/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiment tool.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Published settings tree and process settings: parsing, checks, versions.
--- /dev/null
+++ b/crates/standins/src/bin/standin-caller.rs
@@ -0,0 +1,3 @@
+//! Stand-in: caller.
+
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/bin/standin-fabric.rs
@@ -0,0 +1,3 @@
+//! Stand-in: fabric.
+
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/bin/standin-platform.rs
@@ -0,0 +1,3 @@
+//! Stand-in: platform.
+
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/bin/standin-upstream.rs
@@ -0,0 +1,3 @@
+//! Stand-in: upstream.
+
+fn main() {}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Structured logs, metrics and the time line of events.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! GUE encapsulation, sealed private data and control messages.
