Define the interfaces of the decision core and the GUE frame

Cause: shells, stand-ins and fuzzing start side by side and need one set of types. Change: keys, view, ranking, messages, router, the agent's events and actions; GUE parse and encode. Before: empty crates. Conclusion: each part can now be built against fixed signatures.

--- /dev/null
+++ b/crates/decision/src/message.rs
@@ -0,0 +1,151 @@
+//! Messages that the agents of one service exchange. All are idempotent: any may be lost,
+//! duplicated, delayed or reordered without harm to an open flow.
+
+use crate::keys::{FlowId, Incarnation, UpstreamId, Version};
+
+/// What a claim wants recorded for an opening.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Claim {
+    /// The opening runs at this upstream and nowhere else.
+    Run(UpstreamId),
+    /// The opening was refused and must never run (a tombstone).
+    Refuse,
+}
+
+/// Identifies one opening: retransmissions share it, a later connection on the same ports does not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Opening {
+    /// Flow that is being opened.
+    pub flow: FlowId,
+    /// Initial sequence number of the caller for TCP, a hash of the payload for UDP.
+    pub nonce: u32,
+}
+
+/// Answer of a witness to a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimAnswer {
+    /// Recorded now, or recorded before with the same content.
+    Granted,
+    /// Another claim came first and stands.
+    Taken(Claim),
+    /// The witness restarted too recently to know what it promised before.
+    Abstained,
+    /// The witness runs newer settings than the claimant, who must catch up and ask again.
+    StaleView,
+}
+
+/// What an agent knows about a flow when asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Knowledge {
+    /// The asked agent holds the flow.
+    Mine,
+    /// The asked agent was told that another one holds it.
+    HeldBy(UpstreamId),
+    /// The asked agent does not hold it and would know if it did.
+    NotMine,
+    /// The asked agent restarted and may hold it without knowing.
+    Unsure,
+}
+
+/// One change of a holder's flow table, or one flow of it when everything is announced again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FlowNote {
+    /// The opening that the flow came from.
+    pub opening: Opening,
+    /// False once the flow has ended.
+    pub open: bool,
+}
+
+/// Load and state of an agent, sent to its peers as heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Life of the sending process.
+    pub incarnation: Incarnation,
+    /// Settings version in force at the sender.
+    pub view: Version,
+    /// Flows that the sender holds.
+    pub open_flows: u32,
+    /// Openings delivered but not yet answered by the caller's next packet.
+    pub unanswered: u32,
+    /// False while draining, shedding, cold or leaving: assign no opening to the sender.
+    pub accepting: bool,
+    /// Share of its weight that a cold upstream takes for now, in percent.
+    pub ramp_percent: u8,
+    /// True once the sender leaves: buckets move to the next rank.
+    pub leaving: bool,
+}
+
+/// A message between two agents of one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Message {
+    /// Asks a witness to record a claim for an opening.
+    ClaimRequest {
+        /// The opening.
+        opening: Opening,
+        /// What is to be recorded.
+        claim: Claim,
+        /// Settings version of the claimant.
+        view: Version,
+    },
+    /// Answers a [`Message::ClaimRequest`].
+    ClaimReply {
+        /// The opening.
+        opening: Opening,
+        /// What was asked for.
+        claim: Claim,
+        /// What the witness says.
+        answer: ClaimAnswer,
+        /// Settings version of the witness.
+        view: Version,
+    },
+    /// Tells the home and the next rank which flows the sender holds.
+    Announce {
+        /// Life of the sender.
+        incarnation: Incarnation,
+        /// Number of this batch, for the acknowledgement.
+        sequence: u64,
+        /// Changes since the last batch.
+        notes: Vec<FlowNote>,
+    },
+    /// Acknowledges an [`Message::Announce`].
+    AnnounceAck {
+        /// Life of the receiver of the batch.
+        incarnation: Incarnation,
+        /// Number of the batch.
+        sequence: u64,
+    },
+    /// Asks whether the receiver knows a flow.
+    Ask {
+        /// The flow.
+        flow: FlowId,
+    },
+    /// Answers an [`Message::Ask`].
+    AskReply {
+        /// The flow.
+        flow: FlowId,
+        /// What the sender knows.
+        knowledge: Knowledge,
+    },
+    /// Asks a peer, after a restart, for all flows that it believes the sender to hold.
+    Relearn {
+        /// New life of the sender.
+        incarnation: Incarnation,
+        /// First flow of the page, zero to begin with.
+        from: FlowId,
+    },
+    /// Answers a [`Message::Relearn`] with one page.
+    RelearnReply {
+        /// Life that asked.
+        incarnation: Incarnation,
+        /// First flow of this page.
+        from: FlowId,
+        /// Openings that the asker holds according to the sender.
+        openings: Vec<Opening>,
+        /// Where the next page begins; `None` after the last.
+        next: Option<FlowId>,
+        /// True if the sender itself has been complete since before the asker restarted.
+        complete: bool,
+    },
+    /// Load and liveness.
+    Heartbeat(Heartbeat),
+}
--- /dev/null
+++ b/crates/decision/src/router/mod.rs
@@ -0,0 +1,66 @@
+//! The balancer's whole decision: which agent gets a packet. Pure function of view and liveness.
+
+use std::sync::Arc;
+
+use crate::keys::{BucketIndex, FlowId, ServiceKey, UpstreamId, UpstreamKey};
+use crate::rank;
+use crate::view::{Endpoint, View};
+
+/// Where a packet goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Service that owns the destination.
+    pub service: ServiceKey,
+    /// Bucket of the flow.
+    pub bucket: BucketIndex,
+    /// Agent that gets the packet.
+    pub home: UpstreamKey,
+}
+
+/// Routes packets by view and suspected agents.
+#[derive(Clone, Debug, Default)]
+pub struct Router {
+    view: Arc<View>,
+    /// Sorted ids of agents that are believed unable to take packets.
+    down: Vec<UpstreamId>,
+}
+
+impl Router {
+    /// A router over `view` that passes over the agents in `down`.
+    ///
+    /// ```
+    /// use decision::router::Router;
+    /// let router = Router::new(Default::default(), vec![]);
+    /// assert!(router.view().services().is_empty());
+    /// ```
+    pub fn new(view: Arc<View>, mut down: Vec<UpstreamId>) -> Self {
+        down.sort_unstable();
+        Self { view, down }
+    }
+
+    /// The view in use.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Finds the service of a packet's destination.
+    pub fn service(&self, endpoint: Endpoint) -> Option<ServiceKey> {
+        self.view.find_endpoint(endpoint)
+    }
+
+    /// The home of a flow: the first rank that is not down, or the first rank if all are.
+    ///
+    /// A suspicion may be false. The agent that gets the packet instead asks its peers, so a
+    /// living flow is found all the same, at the price of one more hop.
+    pub fn route(&self, service: ServiceKey, flow: FlowId) -> Option<Route> {
+        let bucket = rank::bucket_of(flow);
+        let ranking = self.view.service(service).ranking(bucket);
+        let up = ranking.iter().find(|key| !self.is_down(**key));
+        let home = *up.or(ranking.first())?;
+        Some(Route { service, bucket, home })
+    }
+
+    fn is_down(&self, key: UpstreamKey) -> bool {
+        !self.down.is_empty() && self.down.binary_search(&self.view.upstream(key).id).is_ok()
+    }
+}
