Start wire formats, telemetry and the shared shell crate

Cause: the daemons need sealed private data, control messages, logs, time line, HTTP and batched UDP before they can forward anything. Change: wire::{sealed,control,inner,refusal}, telemetry::{log,clock,metrics,timeline}, crate shell with udp, http, signals, fault. blake3 is new: its derive_key mode turns the fleet's master keys into account keys.

--- /dev/null
+++ b/crates/shell/src/http/server.rs
@@ -0,0 +1,86 @@
+//! Serving [`Routes`] by gotham on a thread of its own.
+
+use std::net::{SocketAddr, TcpListener};
+use std::panic::AssertUnwindSafe;
+use std::thread;
+
+use futures_util::future;
+use gotham::handler::HandlerFuture;
+use gotham::helpers::http::Body;
+use gotham::helpers::http::response::create_response;
+use gotham::http_body_util::{BodyExt as _, Limited};
+use gotham::hyper::{StatusCode, Uri};
+use gotham::prelude::*;
+use gotham::router::Router;
+use gotham::router::builder::build_simple_router;
+use gotham::state::State;
+use std::pin::Pin;
+
+use super::routes::{Handler, Method, REQUEST_BYTES_MAX, Reply, Request, Route, Routes};
+use crate::fault::StartFault;
+
+/// Binds `address` and serves `routes` until the process ends.
+///
+/// The socket is bound before this returns, so that a taken port is known at the start.
+pub fn start(address: SocketAddr, routes: Routes) -> Result<(), StartFault> {
+    let listener = TcpListener::bind(address).map_err(|e| StartFault::bind(address, &e))?;
+    listener.set_nonblocking(true).map_err(|e| StartFault::thread(&e))?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .thread_name("http")
+        .enable_all()
+        .build()
+        .map_err(|e| StartFault::thread(&e))?;
+    let serve = move || {
+        runtime.block_on(async move {
+            match tokio::net::TcpListener::from_std(listener) {
+                Ok(listener) => gotham::bind_server(listener, router(routes), future::ok).await,
+                Err(error) => log::error!("cannot serve HTTP: {error}"),
+            }
+        });
+    };
+    let spawned = thread::Builder::new().name("http-accept".into()).spawn(serve);
+    spawned.map(|_| ()).map_err(|e| StartFault::thread(&e))
+}
+
+fn router(routes: Routes) -> Router {
+    build_simple_router(|builder| {
+        for route in routes.routes {
+            let Route { method, path, handler } = route;
+            // A handler that panics leaves its locks poisoned, which every lock of ours tolerates.
+            let handler = AssertUnwindSafe(handler);
+            let new_handler = move || {
+                let handler = handler.0.clone();
+                Ok(move |state: State| answer(state, method, handler))
+            };
+            match method {
+                Method::Get => builder.get(path).to_new_handler(new_handler),
+                Method::Post => builder.post(path).to_new_handler(new_handler),
+            }
+        }
+    })
+}
+
+fn answer(mut state: State, method: Method, handler: Handler) -> Pin<Box<HandlerFuture>> {
+    Box::pin(async move {
+        let query = state.borrow::<Uri>().query().unwrap_or_default().to_owned();
+        let body = match method {
+            Method::Get => Some(Vec::new()),
+            Method::Post => read_body(state.take::<Body>()).await,
+        };
+        let reply = match body {
+            Some(body) => handler(&Request { query, body }),
+            None => Reply::error(413, "body too large or cut off"),
+        };
+        let status = StatusCode::from_u16(reply.status);
+        let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let mime = reply.content_type.parse().unwrap_or(mime::TEXT_PLAIN);
+        let response = create_response(&state, status, mime, reply.body);
+        Ok((state, response))
+    })
+}
+
+async fn read_body(body: Body) -> Option<Vec<u8>> {
+    let collected = Limited::new(body, REQUEST_BYTES_MAX).collect().await.ok()?;
+    Some(collected.to_bytes().to_vec())
+}
--- /dev/null
+++ b/crates/telemetry/src/log.rs
@@ -0,0 +1,35 @@
+//! JSON lines on standard error.
+
+use logforth::append;
+use logforth::diagnostic::StaticDiagnostic;
+use logforth::filter::rustlog::RustLogFilterBuilder;
+use logforth::layout::JsonLayout;
+
+/// What is logged unless the environment variable `RUST_LOG` says otherwise. The HTTP server's own
+/// lines for each request would drown ours.
+const DEFAULT_FILTER: &str = "info,gotham=warn,ureq=warn,ureq_proto=warn";
+
+/// Sends the log of this process to standard error, each line with the name of the instance.
+///
+/// Further fields are given as key and value of the line, such as `account` and `code`. A second
+/// call changes nothing and returns false.
+///
+/// ```
+/// assert!(telemetry::log::start("bal-c1"));
+/// assert!(!telemetry::log::start("bal-c1"));
+/// log::info!(account = "cascadia", version = 7; "settings accepted");
+/// ```
+pub fn start(instance: &str) -> bool {
+    let mut fields = StaticDiagnostic::default();
+    fields.insert("instance", instance);
+    let filter = RustLogFilterBuilder::from_default_env_or(DEFAULT_FILTER).build();
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| {
+            dispatch
+                .filter(filter)
+                .diagnostic(fields)
+                .append(append::Stderr::default().with_layout(JsonLayout::default()))
+        })
+        .try_apply()
+        .is_ok()
+}
--- /dev/null
+++ b/crates/wire/src/control/dto.rs
@@ -0,0 +1,313 @@
+//! Types with serde that mirror the messages of the core.
+
+use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
+use decision::message::{Claim, ClaimAnswer, FlowNote, Heartbeat, Knowledge, Message, Opening};
+use serde::{Deserialize, Deserializer, Serialize};
+
+use super::{NOTES_MAX, OPENINGS_MAX};
+use crate::bounded;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum ClaimDto {
+    Run(u64),
+    Refuse,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct OpeningDto(u64, u32);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum ClaimAnswerDto {
+    Granted,
+    Taken(ClaimDto),
+    Abstained,
+    StaleView,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum KnowledgeDto {
+    Mine,
+    HeldBy(u64),
+    NotMine,
+    Unsure,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct FlowNoteDto(OpeningDto, bool);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct HeartbeatDto {
+    incarnation: u64,
+    view: u64,
+    open_flows: u32,
+    unanswered: u32,
+    accepting: bool,
+    ramp_percent: u8,
+    leaving: bool,
+}
+
+/// A message as it is encoded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MessageDto(Body);
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Body {
+    ClaimRequest {
+        opening: OpeningDto,
+        claim: ClaimDto,
+        view: u64,
+    },
+    ClaimReply {
+        opening: OpeningDto,
+        claim: ClaimDto,
+        answer: ClaimAnswerDto,
+        view: u64,
+    },
+    Announce {
+        incarnation: u64,
+        sequence: u64,
+        #[serde(deserialize_with = "notes")]
+        notes: Vec<FlowNoteDto>,
+    },
+    AnnounceAck {
+        incarnation: u64,
+        sequence: u64,
+    },
+    Ask {
+        flow: u64,
+    },
+    AskReply {
+        flow: u64,
+        knowledge: KnowledgeDto,
+    },
+    Relearn {
+        incarnation: u64,
+        from: u64,
+    },
+    RelearnReply {
+        incarnation: u64,
+        from: u64,
+        #[serde(deserialize_with = "openings")]
+        openings: Vec<OpeningDto>,
+        next: Option<u64>,
+        complete: bool,
+    },
+    Heartbeat(HeartbeatDto),
+}
+
+/// Entries of the list in a message, zero where it has none.
+pub(super) fn list_entries(message: &Message) -> usize {
+    match message {
+        Message::Announce { notes, .. } => notes.len(),
+        Message::RelearnReply { openings, .. } => openings.len(),
+        _ => 0,
+    }
+}
+
+fn notes<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<FlowNoteDto>, D::Error> {
+    bounded::list::<_, _, NOTES_MAX>(deserializer)
+}
+
+fn openings<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<OpeningDto>, D::Error> {
+    bounded::list::<_, _, OPENINGS_MAX>(deserializer)
+}
+
+impl From<Claim> for ClaimDto {
+    fn from(claim: Claim) -> Self {
+        match claim {
+            Claim::Run(upstream) => Self::Run(upstream.0),
+            Claim::Refuse => Self::Refuse,
+        }
+    }
+}
+
+impl From<ClaimDto> for Claim {
+    fn from(claim: ClaimDto) -> Self {
+        match claim {
+            ClaimDto::Run(upstream) => Self::Run(UpstreamId(upstream)),
+            ClaimDto::Refuse => Self::Refuse,
+        }
+    }
+}
+
+impl From<Opening> for OpeningDto {
+    fn from(opening: Opening) -> Self {
+        Self(opening.flow.0, opening.nonce)
+    }
+}
+
+impl From<OpeningDto> for Opening {
+    fn from(OpeningDto(flow, nonce): OpeningDto) -> Self {
+        Self { flow: FlowId(flow), nonce }
+    }
+}
+
+impl From<ClaimAnswer> for ClaimAnswerDto {
+    fn from(answer: ClaimAnswer) -> Self {
+        match answer {
+            ClaimAnswer::Granted => Self::Granted,
+            ClaimAnswer::Taken(claim) => Self::Taken(claim.into()),
+            ClaimAnswer::Abstained => Self::Abstained,
+            ClaimAnswer::StaleView => Self::StaleView,
+        }
+    }
+}
+
+impl From<ClaimAnswerDto> for ClaimAnswer {
+    fn from(answer: ClaimAnswerDto) -> Self {
+        match answer {
+            ClaimAnswerDto::Granted => Self::Granted,
+            ClaimAnswerDto::Taken(claim) => Self::Taken(claim.into()),
+            ClaimAnswerDto::Abstained => Self::Abstained,
+            ClaimAnswerDto::StaleView => Self::StaleView,
+        }
+    }
+}
+
+impl From<Knowledge> for KnowledgeDto {
+    fn from(knowledge: Knowledge) -> Self {
+        match knowledge {
+            Knowledge::Mine => Self::Mine,
+            Knowledge::HeldBy(holder) => Self::HeldBy(holder.0),
+            Knowledge::NotMine => Self::NotMine,
+            Knowledge::Unsure => Self::Unsure,
+        }
+    }
+}
+
+impl From<KnowledgeDto> for Knowledge {
+    fn from(knowledge: KnowledgeDto) -> Self {
+        match knowledge {
+            KnowledgeDto::Mine => Self::Mine,
+            KnowledgeDto::HeldBy(holder) => Self::HeldBy(UpstreamId(holder)),
+            KnowledgeDto::NotMine => Self::NotMine,
+            KnowledgeDto::Unsure => Self::Unsure,
+        }
+    }
+}
+
+impl From<FlowNote> for FlowNoteDto {
+    fn from(note: FlowNote) -> Self {
+        Self(note.opening.into(), note.open)
+    }
+}
+
+impl From<FlowNoteDto> for FlowNote {
+    fn from(FlowNoteDto(opening, open): FlowNoteDto) -> Self {
+        Self { opening: opening.into(), open }
+    }
+}
+
+impl From<Heartbeat> for HeartbeatDto {
+    fn from(heartbeat: Heartbeat) -> Self {
+        Self {
+            incarnation: heartbeat.incarnation.0,
+            view: heartbeat.view.0,
+            open_flows: heartbeat.open_flows,
+            unanswered: heartbeat.unanswered,
+            accepting: heartbeat.accepting,
+            ramp_percent: heartbeat.ramp_percent,
+            leaving: heartbeat.leaving,
+        }
+    }
+}
+
+impl From<HeartbeatDto> for Heartbeat {
+    fn from(heartbeat: HeartbeatDto) -> Self {
+        Self {
+            incarnation: Incarnation(heartbeat.incarnation),
+            view: Version(heartbeat.view),
+            open_flows: heartbeat.open_flows,
+            unanswered: heartbeat.unanswered,
+            accepting: heartbeat.accepting,
+            ramp_percent: heartbeat.ramp_percent,
+            leaving: heartbeat.leaving,
+        }
+    }
+}
+
+impl From<&Message> for MessageDto {
+    fn from(message: &Message) -> Self {
+        Self(match message {
+            Message::ClaimRequest { opening, claim, view } => Body::ClaimRequest {
+                opening: (*opening).into(),
+                claim: (*claim).into(),
+                view: view.0,
+            },
+            Message::ClaimReply { opening, claim, answer, view } => Body::ClaimReply {
+                opening: (*opening).into(),
+                claim: (*claim).into(),
+                answer: (*answer).into(),
+                view: view.0,
+            },
+            Message::Announce { incarnation, sequence, notes } => Body::Announce {
+                incarnation: incarnation.0,
+                sequence: *sequence,
+                notes: notes.iter().map(|note| (*note).into()).collect(),
+            },
+            Message::AnnounceAck { incarnation, sequence } => {
+                Body::AnnounceAck { incarnation: incarnation.0, sequence: *sequence }
+            }
+            Message::Ask { flow } => Body::Ask { flow: flow.0 },
+            Message::AskReply { flow, knowledge } => {
+                Body::AskReply { flow: flow.0, knowledge: (*knowledge).into() }
+            }
+            Message::Relearn { incarnation, from } => {
+                Body::Relearn { incarnation: incarnation.0, from: from.0 }
+            }
+            Message::RelearnReply { incarnation, from, openings, next, complete } => {
+                Body::RelearnReply {
+                    incarnation: incarnation.0,
+                    from: from.0,
+                    openings: openings.iter().map(|opening| (*opening).into()).collect(),
+                    next: next.map(|flow| flow.0),
+                    complete: *complete,
+                }
+            }
+            Message::Heartbeat(heartbeat) => Body::Heartbeat((*heartbeat).into()),
+        })
+    }
+}
+
+impl From<MessageDto> for Message {
+    fn from(MessageDto(body): MessageDto) -> Self {
+        match body {
+            Body::ClaimRequest { opening, claim, view } => Self::ClaimRequest {
+                opening: opening.into(),
+                claim: claim.into(),
+                view: Version(view),
+            },
+            Body::ClaimReply { opening, claim, answer, view } => Self::ClaimReply {
+                opening: opening.into(),
+                claim: claim.into(),
+                answer: answer.into(),
+                view: Version(view),
+            },
+            Body::Announce { incarnation, sequence, notes } => Self::Announce {
+                incarnation: Incarnation(incarnation),
+                sequence,
+                notes: notes.into_iter().map(FlowNote::from).collect(),
+            },
+            Body::AnnounceAck { incarnation, sequence } => {
+                Self::AnnounceAck { incarnation: Incarnation(incarnation), sequence }
+            }
+            Body::Ask { flow } => Self::Ask { flow: FlowId(flow) },
+            Body::AskReply { flow, knowledge } => {
+                Self::AskReply { flow: FlowId(flow), knowledge: knowledge.into() }
+            }
+            Body::Relearn { incarnation, from } => {
+                Self::Relearn { incarnation: Incarnation(incarnation), from: FlowId(from) }
+            }
+            Body::RelearnReply { incarnation, from, openings, next, complete } => {
+                Self::RelearnReply {
+                    incarnation: Incarnation(incarnation),
+                    from: FlowId(from),
+                    openings: openings.into_iter().map(Opening::from).collect(),
+                    next: next.map(FlowId),
+                    complete,
+                }
+            }
+            Body::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/control/mod.rs
@@ -0,0 +1,82 @@
+//! Control messages of the agents as bytes: MessagePack of types that mirror the core's.
+//!
+//! The types of [`dto`] carry serde; the core's stay free of it. Lists are bounded: a decoder
+//! refuses a longer one before it makes room for it.
+
+pub mod dto;
+
+use decision::message::Message;
+
+/// GUE control type of the agents' messages.
+pub const CONTROL_TYPE: u8 = 1;
+/// Largest encoded message. With GUE header, private data and IPv6 it stays below the smallest
+/// MTU of today's clouds (1,460 bytes), so that a message is never fragmented.
+pub const MESSAGE_BYTES_MAX: usize = 1_300;
+/// Longest list of flow notes in one message. A note takes at most 17 bytes.
+pub const NOTES_MAX: usize = 64;
+/// Longest list of openings in one message. An opening takes at most 16 bytes.
+pub const OPENINGS_MAX: usize = 64;
+
+/// A message and the hybrid logical clock of its sender.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Envelope {
+    /// Clock of the sender; orders the time line across processes.
+    pub clock: u64,
+    /// The message.
+    pub message: Message,
+}
+
+/// Why a message could not be encoded or decoded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ControlError {
+    /// More than [`MESSAGE_BYTES_MAX`] bytes.
+    #[error("message of {0} bytes is too large")]
+    TooLarge(usize),
+    /// A list is longer than its bound.
+    #[error("list of {0} entries is too long")]
+    ListTooLong(usize),
+    /// Not a message of this version.
+    #[error("message cannot be decoded")]
+    Malformed,
+}
+
+/// Appends an encoded message to `out`, or leaves `out` as it was.
+///
+/// ```
+/// use decision::{keys::FlowId, message::Message};
+/// use wire::control::{self, Envelope};
+/// let envelope = Envelope { clock: 1, message: Message::Ask { flow: FlowId(7) } };
+/// let mut bytes = Vec::new();
+/// control::encode(&envelope, &mut bytes).unwrap();
+/// assert_eq!(control::decode(&bytes).unwrap(), envelope);
+/// ```
+pub fn encode(envelope: &Envelope, out: &mut Vec<u8>) -> Result<(), ControlError> {
+    let entries = dto::list_entries(&envelope.message);
+    if entries > NOTES_MAX.min(OPENINGS_MAX) {
+        return Err(ControlError::ListTooLong(entries));
+    }
+    let start = out.len();
+    let value = (envelope.clock, dto::MessageDto::from(&envelope.message));
+    rmp_serde::encode::write(out, &value).map_err(|_| ControlError::Malformed)?;
+    let bytes = out.len() - start;
+    if bytes > MESSAGE_BYTES_MAX {
+        out.truncate(start);
+        return Err(ControlError::TooLarge(bytes));
+    }
+    Ok(())
+}
+
+/// Decodes a message; never makes more room than the bounds allow.
+///
+/// ```
+/// use wire::control::{self, ControlError};
+/// assert_eq!(control::decode(b"\xc1"), Err(ControlError::Malformed));
+/// ```
+pub fn decode(bytes: &[u8]) -> Result<Envelope, ControlError> {
+    if bytes.len() > MESSAGE_BYTES_MAX {
+        return Err(ControlError::TooLarge(bytes.len()));
+    }
+    let (clock, message): (u64, dto::MessageDto) =
+        rmp_serde::from_slice(bytes).map_err(|_| ControlError::Malformed)?;
+    Ok(Envelope { clock, message: Message::from(message) })
+}
--- /dev/null
+++ b/crates/wire/src/sealed.rs
@@ -0,0 +1,361 @@
+//! Private data of the hop from balancer to agent and from agent to agent, sealed with a MAC.
+//!
+//! ```text
+//!  0        1        2        3        4        5..8
+//! | format | key id | hops   | passed | covered | zero  |
+//! | account 8 | service 8 | flow 8 | settings version 8 | sender 8 | MAC 16 |
+//! ```
+//!
+//! All numbers are in network byte order; 64 bytes in total.
+//!
+//! **What the MAC covers.** The 48 bytes before it and the first `covered` bytes of the payload.
+//! For a packet that is everything to the end of its transport header: addresses, ports, sequence
+//! number and flags, hence all that a receiver decides by. The caller's bytes after it are not
+//! covered: whoever can change them on the way could also have sent them as caller through the
+//! fabric, and the ends protect them by their own means (TLS). A receiver must check that the
+//! transport header that it parsed ends within [`Header::covered`]. For a control message the
+//! whole body is covered.
+//!
+//! **Replays** are harmless, so there is no window or counter to keep. A replayed packet is a
+//! duplicate, which IP may deliver at any time: an opening meets the entry or the tombstone of its
+//! first copy, a middle packet is discarded by the transport's sequence numbers. Control messages
+//! are idempotent by design. A replay to another agent of the account is a misrouted packet, which
+//! is passed on as any other; an agent of another account has another key.
+//!
+//! **Keys.** Each account has its own key, derived from the fleet's master key, which only
+//! balancers hold. Two key ids may be valid at once, so that keys are rotated without a gap.
+
+use decision::agent::Passed;
+use decision::keys::{AccountId, FlowId, ServiceId, Version};
+use siphasher::sip128::{Hasher128 as _, SipHasher24};
+use std::hash::Hasher as _;
+use zerocopy::byteorder::network_endian::U64;
+use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
+
+/// Length of the private data.
+pub const SEALED_BYTES: usize = size_of::<Layout>();
+/// Bytes of an account's key, of which the first sixteen key the MAC.
+pub const ACCOUNT_KEY_BYTES: usize = 32;
+
+const MAC_BYTES: usize = 16;
+const AUTHENTICATED_BYTES: usize = SEALED_BYTES - MAC_BYTES;
+const _: () = assert!(SEALED_BYTES.is_multiple_of(4));
+const _: () = assert!(SEALED_BYTES <= crate::gue::PRIVATE_BYTES_MAX);
+
+/// Separates this derivation from any other use of the master key.
+const KEY_CONTEXT: &str = "gooseberrysill 2026-12 account key";
+
+/// Format of a sealed packet.
+const FORMAT_PACKET: u8 = 1;
+/// Format of a sealed control message. It differs from a packet's under the MAC, so that neither
+/// can be passed off as the other by flipping the C bit of the GUE header.
+const FORMAT_CONTROL: u8 = 2;
+
+/// Number of an account's key; only the holder of both keys can tell which one is meant.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyId(pub u8);
+
+/// Who sent a sealed frame: the id of an upstream's agent, or a hash of a balancer's name.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SenderId(pub u64);
+
+/// What a sealed frame says about its payload.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Header {
+    /// Agents that handled the packet before.
+    pub hops: u8,
+    /// How it was passed on.
+    pub passed: Passed,
+    /// Owner of the service.
+    pub account: AccountId,
+    /// Service.
+    pub service: ServiceId,
+    /// Flow; zero in control messages.
+    pub flow: FlowId,
+    /// Version of the account's settings at the sender.
+    pub version: Version,
+    /// Sender.
+    pub sender: SenderId,
+}
+
+/// A frame whose MAC is right.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Opened {
+    /// What the sender said.
+    pub header: Header,
+    /// Bytes of the payload that the MAC covers.
+    pub covered: usize,
+}
+
+/// What is sealed, and thereby how much of it the MAC covers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Payload<'a> {
+    /// A packet of a caller and the length of its headers.
+    Packet {
+        /// The packet.
+        bytes: &'a [u8],
+        /// Bytes to the end of its transport header.
+        header_bytes: usize,
+    },
+    /// A control message.
+    Control(&'a [u8]),
+}
+
+/// Why private data was not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SealError {
+    /// Shorter than the layout, or the payload is shorter than what the MAC covers.
+    #[error("private data or payload is truncated")]
+    Truncated,
+    /// A layout that this process does not know.
+    #[error("unknown format {0}")]
+    Format(u8),
+    /// A key that this process does not hold.
+    #[error("unknown key id {0}")]
+    UnknownKey(u8),
+    /// The MAC does not match: forged, of another account, or damaged.
+    #[error("MAC does not match")]
+    BadMac,
+    /// The fields contradict the layout although the MAC is right.
+    #[error("field out of range")]
+    Field,
+    /// The headers of a packet are longer than the MAC can cover.
+    #[error("headers of {0} bytes are too long to be sealed")]
+    HeadersTooLong(usize),
+}
+
+/// An account's key with its number, ready to seal.
+#[derive(Clone, Copy)]
+pub struct AccountKeyring {
+    keys: [Option<MacKey>; KEYS_MAX],
+}
+
+/// Keys of one account that are valid at a time: the old and the new one of a rotation.
+pub const KEYS_MAX: usize = 2;
+
+#[derive(Clone, Copy)]
+struct MacKey {
+    id: KeyId,
+    bytes: [u8; MAC_BYTES],
+}
+
+#[derive(Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct Layout {
+    format: u8,
+    key_id: u8,
+    hops: u8,
+    passed: u8,
+    covered: u8,
+    zero: [u8; 3],
+    account: U64,
+    service: U64,
+    flow: U64,
+    version: U64,
+    sender: U64,
+    mac: [u8; MAC_BYTES],
+}
+
+/// Derives an account's key from a master key, by BLAKE3 in its key derivation mode.
+///
+/// ```
+/// use decision::keys::AccountId;
+/// use wire::sealed::{KeyId, derive_account_key};
+/// let one = derive_account_key(&[7; 32], KeyId(1), AccountId::of("cascadia"));
+/// let other = derive_account_key(&[7; 32], KeyId(1), AccountId::of("bajio"));
+/// assert_ne!(one, other);
+/// ```
+pub fn derive_account_key(
+    master: &[u8; 32],
+    key_id: KeyId,
+    account: AccountId,
+) -> [u8; ACCOUNT_KEY_BYTES] {
+    let mut hasher = blake3::Hasher::new_derive_key(KEY_CONTEXT);
+    hasher.update(master);
+    hasher.update(&[key_id.0]);
+    hasher.update(&account.0.to_be_bytes());
+    *hasher.finalize().as_bytes()
+}
+
+impl std::fmt::Debug for AccountKeyring {
+    /// Prints the ids only: a key in a log is a key lost.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_list().entries(self.keys.iter().flatten().map(|key| key.id)).finish()
+    }
+}
+
+impl AccountKeyring {
+    /// A keyring of the first [`KEYS_MAX`] keys; the first one seals, all of them open.
+    ///
+    /// ```
+    /// use wire::sealed::{AccountKeyring, KeyId};
+    /// assert!(AccountKeyring::new(&[]).is_none());
+    /// assert!(AccountKeyring::new(&[(KeyId(1), [0; 32])]).is_some());
+    /// ```
+    pub fn new(keys: &[(KeyId, [u8; ACCOUNT_KEY_BYTES])]) -> Option<Self> {
+        if keys.is_empty() {
+            return None;
+        }
+        let mut ring = Self { keys: [None; KEYS_MAX] };
+        for (slot, (id, key)) in ring.keys.iter_mut().zip(keys) {
+            let mut bytes = [0; MAC_BYTES];
+            bytes.copy_from_slice(&key[..MAC_BYTES]);
+            *slot = Some(MacKey { id: *id, bytes });
+        }
+        Some(ring)
+    }
+
+    /// Derives the keyring of an account from master keys.
+    ///
+    /// ```
+    /// use decision::keys::AccountId;
+    /// use wire::sealed::{AccountKeyring, KeyId};
+    /// let masters = [(KeyId(1), [7; 32])];
+    /// assert!(AccountKeyring::derive(&masters, AccountId::of("cascadia")).is_some());
+    /// ```
+    pub fn derive(masters: &[(KeyId, [u8; 32])], account: AccountId) -> Option<Self> {
+        let mut keys = [(KeyId(0), [0; ACCOUNT_KEY_BYTES]); KEYS_MAX];
+        let count = masters.len().min(KEYS_MAX);
+        for (key, (id, master)) in keys.iter_mut().zip(masters) {
+            *key = (*id, derive_account_key(master, *id, account));
+        }
+        Self::new(&keys[..count])
+    }
+
+    /// Writes the private data for `payload` into `out`.
+    ///
+    /// Errors: [`SealError::HeadersTooLong`] for a packet with more than 255 bytes of headers,
+    /// [`SealError::Truncated`] for one that is shorter than its headers.
+    ///
+    /// ```
+    /// use decision::{agent::Passed, keys::*};
+    /// use wire::sealed::*;
+    /// let ring = AccountKeyring::new(&[(KeyId(1), [9; 32])]).unwrap();
+    /// let header = Header {
+    ///     hops: 0,
+    ///     passed: Passed::Fresh,
+    ///     account: AccountId(1),
+    ///     service: ServiceId(2),
+    ///     flow: FlowId(3),
+    ///     version: Version(4),
+    ///     sender: SenderId(5),
+    /// };
+    /// let mut private = [0; SEALED_BYTES];
+    /// let payload = Payload::Control(b"body");
+    /// ring.seal(&header, payload, &mut private).unwrap();
+    /// assert_eq!(ring.open(&private, payload).unwrap().header, header);
+    /// assert_eq!(ring.open(&private, Payload::Control(b"Body")), Err(SealError::BadMac));
+    /// ```
+    pub fn seal(
+        &self,
+        header: &Header,
+        payload: Payload<'_>,
+        out: &mut [u8; SEALED_BYTES],
+    ) -> Result<(), SealError> {
+        let key = self.keys.iter().flatten().next().ok_or(SealError::UnknownKey(0))?;
+        let (format, covered) = match payload {
+            Payload::Packet { header_bytes, .. } => {
+                let covered = u8::try_from(header_bytes);
+                (FORMAT_PACKET, covered.map_err(|_| SealError::HeadersTooLong(header_bytes))?)
+            }
+            Payload::Control(_) => (FORMAT_CONTROL, 0),
+        };
+        let mut layout = Layout {
+            format,
+            key_id: key.id.0,
+            hops: header.hops,
+            passed: passed_to_byte(header.passed),
+            covered,
+            zero: [0; 3],
+            account: header.account.0.into(),
+            service: header.service.0.into(),
+            flow: header.flow.0.into(),
+            version: header.version.0.into(),
+            sender: header.sender.0.into(),
+            mac: [0; MAC_BYTES],
+        };
+        layout.mac = mac(key, &layout, covered_bytes(payload, covered)?);
+        out.copy_from_slice(layout.as_bytes());
+        Ok(())
+    }
+
+    /// Checks private data that came with `payload`; `header_bytes` of a packet is ignored.
+    ///
+    /// Errors: see [`SealError`].
+    pub fn open(&self, private: &[u8], payload: Payload<'_>) -> Result<Opened, SealError> {
+        let layout = Layout::ref_from_bytes(private).map_err(|_| SealError::Truncated)?;
+        let expected = match payload {
+            Payload::Packet { .. } => FORMAT_PACKET,
+            Payload::Control(_) => FORMAT_CONTROL,
+        };
+        if layout.format != expected {
+            return Err(SealError::Format(layout.format));
+        }
+        let key = self.find(layout.key_id)?;
+        let covered = covered_bytes(payload, layout.covered)?;
+        if !equal_in_constant_time(&mac(key, layout, covered), &layout.mac) {
+            return Err(SealError::BadMac);
+        }
+        let passed = passed_from_byte(layout.passed).ok_or(SealError::Field)?;
+        Ok(Opened { header: header_of(layout, passed), covered: covered.len() })
+    }
+
+    fn find(&self, id: u8) -> Result<&MacKey, SealError> {
+        let found = self.keys.iter().flatten().find(|key| key.id.0 == id);
+        found.ok_or(SealError::UnknownKey(id))
+    }
+}
+
+fn header_of(layout: &Layout, passed: Passed) -> Header {
+    Header {
+        hops: layout.hops,
+        passed,
+        account: AccountId(layout.account.get()),
+        service: ServiceId(layout.service.get()),
+        flow: FlowId(layout.flow.get()),
+        version: Version(layout.version.get()),
+        sender: SenderId(layout.sender.get()),
+    }
+}
+
+fn covered_bytes(payload: Payload<'_>, covered: u8) -> Result<&[u8], SealError> {
+    match payload {
+        Payload::Packet { bytes, .. } => {
+            bytes.get(..usize::from(covered)).ok_or(SealError::Truncated)
+        }
+        Payload::Control(body) => Ok(body),
+    }
+}
+
+fn mac(key: &MacKey, layout: &Layout, covered: &[u8]) -> [u8; MAC_BYTES] {
+    let mut hasher = SipHasher24::new_with_key(&key.bytes);
+    hasher.write(&layout.as_bytes()[..AUTHENTICATED_BYTES]);
+    hasher.write(covered);
+    hasher.finish128().as_bytes()
+}
+
+/// Compares without branching on content: an early return would tell a forger by its timing how
+/// many bytes of a guessed MAC are right.
+fn equal_in_constant_time(one: &[u8; MAC_BYTES], other: &[u8; MAC_BYTES]) -> bool {
+    let difference = u128::from_ne_bytes(*one) ^ u128::from_ne_bytes(*other);
+    std::hint::black_box(difference) == 0
+}
+
+fn passed_to_byte(passed: Passed) -> u8 {
+    match passed {
+        Passed::Fresh => 0,
+        Passed::Redirected => 1,
+        Passed::Assigned => 2,
+        Passed::Adopt => 3,
+    }
+}
+
+fn passed_from_byte(byte: u8) -> Option<Passed> {
+    match byte {
+        0 => Some(Passed::Fresh),
+        1 => Some(Passed::Redirected),
+        2 => Some(Passed::Assigned),
+        3 => Some(Passed::Adopt),
+        _ => None,
+    }
+}
