--- /dev/null
+++ b/crates/agent/src/counters.rs
@@ -0,0 +1,142 @@
+//! What an agent counts. The data thread counts for itself and adds up once per batch.
+
+use decision::agent::Reason;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use settings::{Code, codes};
+use telemetry::metrics::Metrics;
+
+/// Counters without labels, in the order of [`PLAIN`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Count {
+    /// Datagrams that arrived.
+    Received,
+    /// Packets handed to the upstream.
+    Delivered,
+    /// Packets passed on to other agents.
+    PassedOn,
+    /// Packets that were held until a verdict.
+    Held,
+    /// Refusals sent to callers.
+    Refused,
+    /// Control messages that arrived.
+    MessagesReceived,
+    /// Control messages sent.
+    MessagesSent,
+    /// Bytes of control messages sent.
+    MessageBytesSent,
+}
+
+const PLAIN: [(Count, &str, &str); 8] = [
+    (Count::Received, "packets_received", "Datagrams that arrived"),
+    (Count::Delivered, "packets_delivered", "Packets handed to the upstream"),
+    (Count::PassedOn, "packets_passed_on", "Packets passed on to other agents"),
+    (Count::Held, "packets_held", "Packets that waited for a verdict"),
+    (Count::Refused, "packets_refused", "Refusals sent to callers"),
+    (Count::MessagesReceived, "control_messages_received", "Control messages that arrived"),
+    (Count::MessagesSent, "control_messages_sent", "Control messages sent"),
+    (Count::MessageBytesSent, "control_sent_bytes", "Bytes of control messages sent"),
+];
+
+/// Codes under which packets are dropped or refused, sorted.
+const CODES: [Code; 20] = [
+    Code(Reason::WrongService as u16),
+    Code(Reason::AllFull as u16),
+    Code(Reason::InDoubt as u16),
+    Code(Reason::Tombstone as u16),
+    Code(Reason::UnknownFlow as u16),
+    Code(Reason::HolderSilent as u16),
+    Code(Reason::TooManyHops as u16),
+    Code(Reason::Overload as u16),
+    Code(Reason::Duplicate as u16),
+    Code(Reason::StaleView as u16),
+    codes::MALFORMED,
+    codes::FRAGMENT,
+    codes::NO_SERVICE,
+    codes::BAD_MAC,
+    codes::UNKNOWN_KEY,
+    codes::FOREIGN_ACCOUNT,
+    codes::NO_AGENT,
+    codes::SEND_FAILED,
+    codes::PACKET_TOO_LARGE,
+    codes::UNSUPPORTED_PROTOCOL,
+];
+
+/// Counts of the data thread since it last added them up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    plain: [u64; PLAIN.len()],
+    coded: [u64; CODES.len()],
+}
+
+/// Counters of the process. Clones share them.
+#[derive(Clone, Debug)]
+pub struct Counters {
+    plain: [Counter; PLAIN.len()],
+    coded: [Counter; CODES.len()],
+    /// Flows that the agent holds.
+    pub open_flows: Gauge,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
+impl Counts {
+    /// Adds to a plain counter.
+    pub fn add(&mut self, count: Count, amount: u64) {
+        self.plain[count as usize] += amount;
+    }
+
+    /// Counts a packet dropped or refused under a code.
+    pub fn coded(&mut self, code: Code) {
+        if let Ok(index) = CODES.binary_search(&code) {
+            self.coded[index] += 1;
+        }
+    }
+}
+
+impl Counters {
+    /// Registers the counters.
+    ///
+    /// ```
+    /// let metrics = telemetry::metrics::Metrics::default();
+    /// let counters = agent::counters::Counters::new(&metrics);
+    /// assert_eq!(counters.list()[0], ("packets_received", 0));
+    /// ```
+    pub fn new(metrics: &Metrics) -> Self {
+        let family: Family<ReasonLabel, Counter> = Family::default();
+        let coded =
+            CODES.map(|code| family.get_or_create(&ReasonLabel { reason: code.name() }).clone());
+        metrics.with_registry(|registry| {
+            registry.register("packets_dropped", "Packets dropped or refused, by reason", family);
+        });
+        Self {
+            plain: PLAIN.map(|(_, name, help)| metrics.counter(name, help)),
+            coded,
+            open_flows: metrics.gauge("flows_open", "Flows held for the upstream"),
+        }
+    }
+
+    /// Adds what the data thread has counted and sets its counts to zero.
+    pub fn add(&self, counts: &mut Counts) {
+        let counters = self.plain.iter().chain(&self.coded);
+        for (counter, count) in counters.zip(counts.plain.iter().chain(&counts.coded)) {
+            if *count > 0 {
+                counter.inc_by(*count);
+            }
+        }
+        *counts = Counts::default();
+    }
+
+    /// Names and values for `/status`.
+    pub fn list(&self) -> Vec<(&'static str, u64)> {
+        let plain = PLAIN.iter().zip(&self.plain).map(|((_, name, _), c)| (*name, c.get()));
+        let coded = CODES.iter().zip(&self.coded).map(|(code, c)| (code.name(), c.get()));
+        let flows = ("flows_open", self.open_flows.get().max(0) as u64);
+        plain.chain(coded).chain([flows]).collect()
+    }
+}
--- /dev/null
+++ b/crates/agent/src/plane/mod.rs
@@ -0,0 +1,217 @@
+//! The data thread: it alone owns the decision core, so that no lock stands on the packet path.
+
+mod carry;
+mod notes;
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc;
+use std::time::Duration;
+
+use decision::agent::{Action, Agent, Event, Packet, TICK_MS, Verdict};
+use decision::keys::{ServiceKey, UpstreamId, Version};
+use decision::time::Millis;
+use decision::view::{View, WhenInDoubt};
+use settings::{Code, codes};
+use shell::boottime;
+use shell::settings_sync::Store;
+use shell::udp::{self, PayloadRef, Receiver, Sender};
+use telemetry::clock::Timestamp;
+use telemetry::timeline::Timeline;
+use wire::gue;
+use wire::sealed::{AccountKeyring, SEALED_BYTES};
+
+use crate::counters::{Count, Counters, Counts};
+use crate::gate::{self, Admitted, Identity};
+use crate::hold::{Held, HoldTable};
+
+pub(crate) use carry::Addresses;
+
+/// Longest wait for a datagram. Half a tick, so that ticks are never late by more than that.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(TICK_MS / 2);
+
+/// What the data thread is given.
+pub(crate) struct PlaneConfig {
+    pub(crate) socket: UdpSocket,
+    pub(crate) addresses: Addresses,
+    pub(crate) identity: Identity,
+    pub(crate) upstream: UpstreamId,
+    pub(crate) account: Arc<str>,
+    pub(crate) keyring: AccountKeyring,
+    pub(crate) store: Arc<Store>,
+    pub(crate) timeline: Arc<Timeline>,
+    pub(crate) counters: Counters,
+    /// Asks another thread to fetch at least this version of the account.
+    pub(crate) fetch: mpsc::Sender<Version>,
+    pub(crate) end: Arc<AtomicBool>,
+}
+
+/// The data thread's state.
+pub(crate) struct Plane {
+    config: PlaneConfig,
+    agent: Agent,
+    view: Arc<View>,
+    generation: u64,
+    events: mpsc::Receiver<Event>,
+    held: HoldTable,
+    actions: Vec<Action>,
+    counts: Counts,
+    scratch: Vec<u8>,
+    body: Vec<u8>,
+    last_tick: Millis,
+}
+
+/// Binds the data socket; unlike a balancer's it is not shared.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
+    udp::bind(address, false, RECEIVE_TIMEOUT)
+}
+
+impl Plane {
+    pub(crate) fn new(
+        config: PlaneConfig,
+        agent: Agent,
+        view: Arc<View>,
+        generation: u64,
+        events: mpsc::Receiver<Event>,
+    ) -> Self {
+        Self {
+            config,
+            agent,
+            view,
+            generation,
+            events,
+            held: HoldTable::default(),
+            actions: Vec::new(),
+            counts: Counts::default(),
+            scratch: Vec::new(),
+            body: Vec::new(),
+            last_tick: Millis(0),
+        }
+    }
+
+    /// Serves until told to end.
+    pub(crate) fn run(mut self) {
+        let mut receiver = Receiver::default();
+        let mut sender = Sender::default();
+        while !self.config.end.load(Ordering::Relaxed) {
+            if let Err(error) = receiver.receive(&self.config.socket) {
+                log::error!("receive failed: {error}");
+                std::thread::sleep(RECEIVE_TIMEOUT);
+            }
+            let now = boottime::now();
+            self.take_events(now);
+            for (slot, datagram) in receiver.datagrams().enumerate() {
+                self.counts.add(Count::Received, 1);
+                self.datagram(now, slot, datagram, &mut sender);
+                self.run_actions();
+            }
+            let failed = sender.flush(&self.config.socket, &receiver);
+            (0..failed).for_each(|_| self.counts.coded(codes::SEND_FAILED));
+            self.tick(now);
+            self.config.counters.add(&mut self.counts);
+            self.config.counters.open_flows.set(self.agent.open_flows() as i64);
+        }
+    }
+
+    /// Events of the other threads, and newer settings.
+    fn take_events(&mut self, now: Millis) {
+        let generation = self.config.store.generation();
+        if generation != self.generation {
+            self.generation = generation;
+            self.view = self.config.store.view();
+            self.agent.handle(now, Event::View(self.view.clone()), &mut self.actions);
+        }
+        while let Ok(event) = self.events.try_recv() {
+            self.agent.handle(now, event, &mut self.actions);
+        }
+        self.run_actions();
+    }
+
+    fn tick(&mut self, now: Millis) {
+        if now.since(self.last_tick) < TICK_MS {
+            return;
+        }
+        self.last_tick = now;
+        self.agent.handle(now, Event::Tick, &mut self.actions);
+        self.run_actions();
+    }
+
+    fn datagram(&mut self, now: Millis, slot: usize, datagram: &[u8], sender: &mut Sender) {
+        let config = &self.config;
+        match gate::check(&config.identity, &config.keyring, &self.view, datagram) {
+            Err(code) => self.counts.coded(code),
+            Ok(Admitted::Message { header, envelope }) => {
+                self.counts.add(Count::MessagesReceived, 1);
+                self.config.timeline.clock().observe(Timestamp(envelope.clock));
+                let from = UpstreamId(header.sender.0);
+                let event = Event::Message { from, message: envelope.message };
+                self.agent.handle(now, event, &mut self.actions);
+            }
+            Ok(Admitted::Packet { content, header, inner, bytes }) => {
+                let packet = Packet {
+                    service: header.service,
+                    flow: header.flow,
+                    kind: inner.kind(gate::datagram_nonce(self.when_in_doubt())),
+                    view: header.version,
+                    hops: header.hops,
+                    passed: header.passed,
+                };
+                let verdict = self.agent.packet(now, &packet, &mut self.actions);
+                if verdict == Verdict::Deliver {
+                    let start = gue::HEADER_BYTES + SEALED_BYTES;
+                    let prefix = udp::Prefix::new(gue::header(content, 0), &[]);
+                    let payload = PayloadRef { slot, start };
+                    sender.queue(&prefix, payload, self.config.addresses.upstream);
+                    self.counts.add(Count::Delivered, 1);
+                    return;
+                }
+                self.carry_out(verdict, content, &header, bytes);
+            }
+        }
+    }
+
+    /// Does what the core asked for. Actions may lead to no further ones.
+    fn run_actions(&mut self) {
+        if self.actions.is_empty() {
+            return;
+        }
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send_message(to, message),
+            Action::Resolve { hold, verdict } => {
+                if let Some(Held { content, header, bytes }) = self.held.take(hold) {
+                    self.carry_out(verdict, content, &header, &bytes);
+                }
+            }
+            Action::FetchSettings { at_least } => {
+                // The fetching thread lives as long as the process.
+                let _ = self.config.fetch.send(at_least);
+            }
+            Action::Note(note) => {
+                notes::record(&self.config.timeline, &self.config.account, note);
+            }
+        }
+    }
+
+    fn drop_packet(&mut self, code: Code) {
+        self.counts.coded(code);
+    }
+
+    fn own_service(&self) -> Option<ServiceKey> {
+        self.view.find_service(self.config.identity.service)
+    }
+
+    fn when_in_doubt(&self) -> WhenInDoubt {
+        let service = self.own_service().map(|key| self.view.service(key));
+        service.map_or(WhenInDoubt::Refuse, |service| service.spec.when_in_doubt)
+    }
+}
--- /dev/null
+++ b/crates/agent/src/run.rs
@@ -0,0 +1,297 @@
+//! Life of the process: start with the newest settings, serve, hand over, end.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use decision::agent::{Agent, AgentConfig, Event, UpstreamReport};
+use decision::keys::{AccountId, Incarnation, ServiceId, UpstreamId, Version};
+use settings::codes;
+use settings::process::agent::AgentSettings;
+use shell::fault::StartFault;
+use shell::settings_sync::instances::Instances;
+use shell::settings_sync::peers::PeerReader;
+use shell::settings_sync::platform::Reader;
+use shell::settings_sync::{Scope, Store};
+use shell::signals::Shutdown;
+use shell::status::Shown;
+use shell::{boottime, http};
+use telemetry::clock;
+use telemetry::metrics::Metrics;
+use telemetry::timeline::{Fields, Timeline};
+use wire::sealed::{AccountKeyring, KeyId};
+
+use crate::counters::Counters;
+use crate::gate::Identity;
+use crate::plane::{self, Addresses, Plane, PlaneConfig};
+use crate::status::StatusReader;
+
+/// Events kept for the time line: about a minute of openings at today's rates.
+const TIMELINE_EVENTS: usize = 16_384;
+/// How often the start looks for settings, and the end for the grace time.
+const POLL: Duration = Duration::from_millis(20);
+/// An upstream that started less than this ago and holds no flow can have none of an earlier life
+/// of this agent.
+const FRESH_UPSTREAM_MS: u64 = 2_000;
+
+struct Process {
+    settings: AgentSettings,
+    store: Arc<Store>,
+    timeline: Arc<Timeline>,
+    metrics: Arc<Metrics>,
+    counters: Counters,
+    shutdown: Shutdown,
+    /// True once the data thread serves.
+    serving: Arc<AtomicBool>,
+}
+
+/// Runs an agent until it is told to shut down.
+///
+/// Errors: a [`StartFault`] if an address is taken, a key is missing or a thread cannot be started;
+/// nothing has been served then.
+pub fn run(settings: AgentSettings) -> Result<(), StartFault> {
+    telemetry::log::start(&settings.instance);
+    let metrics = Arc::new(Metrics::default());
+    let timeline = Arc::new(Timeline::new(settings.instance.clone(), TIMELINE_EVENTS));
+    let scope = Scope::Account(settings.account.clone());
+    let process = Process {
+        store: Arc::new(Store::new(scope, timeline.clone())),
+        counters: Counters::new(&metrics),
+        shutdown: Shutdown::on_signal().map_err(|e| StartFault::thread(&e))?,
+        serving: Arc::default(),
+        timeline,
+        metrics,
+        settings,
+    };
+    let address = process.settings.data_address;
+    let socket = plane::bind(address).map_err(|e| StartFault::bind(address, &e))?;
+    let routes = crate::http::routes(&process.shown(), &process.counters);
+    http::start(process.settings.control_address, routes)?;
+    process.serve(socket)
+}
+
+impl Process {
+    fn serve(&self, socket: std::net::UdpSocket) -> Result<(), StartFault> {
+        let keyring = self.keyring()?;
+        let status = StatusReader::new(self.settings.upstream_status_address);
+        let (fetch, wanted) = mpsc::channel();
+        self.start_readers(wanted)?;
+        if !self.wait_for_settings() {
+            return Ok(());
+        }
+        let (events, inbox) = mpsc::channel();
+        let end = Arc::new(AtomicBool::new(false));
+        let config = PlaneConfig {
+            socket,
+            addresses: Addresses {
+                upstream: self.settings.upstream_address,
+                gateway: self.settings.gateway_address,
+            },
+            identity: self.identity(),
+            upstream: self.upstream(),
+            account: self.settings.account.clone(),
+            keyring,
+            store: self.store.clone(),
+            timeline: self.timeline.clone(),
+            counters: self.counters.clone(),
+            fetch,
+            end: end.clone(),
+        };
+        let data = self.start_plane(config, inbox, status.read())?;
+        self.start_status(status, events.clone())?;
+        self.wait_for_shutdown();
+        self.hand_over(&events);
+        end.store(true, Ordering::Relaxed);
+        // A data thread that panicked has already said so; the shutdown goes on.
+        let _ = data.join();
+        log::info!("stopped");
+        Ok(())
+    }
+
+    fn keyring(&self) -> Result<AccountKeyring, StartFault> {
+        let keys: Vec<(KeyId, [u8; 32])> =
+            self.settings.keys.iter().map(|key| (KeyId(key.id), key.secret)).collect();
+        let missing = || StartFault::new(codes::KEY_MISSING, "no key in the settings file");
+        AccountKeyring::new(&keys).ok_or_else(missing)
+    }
+
+    fn start_readers(&self, wanted: mpsc::Receiver<Version>) -> Result<(), StartFault> {
+        let platform = self.settings.platform_address;
+        let instances: Arc<Instances> = Arc::default();
+        let reader = Reader::new(platform, self.store.clone(), instances);
+        let peers = PeerReader::new(self.store.clone(), self.candidates());
+        let (fetcher, fetch_peers) = (reader.clone(), peers.clone());
+        let (shutdown, peer_shutdown) = (self.shutdown.clone(), self.shutdown.clone());
+        spawn("platform", move || reader.run(&shutdown))?;
+        spawn("peers", move || {
+            peers.compare_all();
+            peers.run(&peer_shutdown);
+        })?;
+        let (store, account) = (self.store.clone(), self.settings.account.clone());
+        spawn("fetch", move || fetch_wanted(&wanted, &store, &account, &fetcher, &fetch_peers))?;
+        Ok(())
+    }
+
+    /// Peers to ask: those of the settings file and the agents of the own service.
+    fn candidates(&self) -> Arc<dyn Fn() -> Vec<std::net::SocketAddr> + Send + Sync> {
+        let (store, service) = (self.store.clone(), self.identity().service);
+        let (configured, own) = (self.settings.peers.clone(), self.settings.control_address);
+        Arc::new(move || {
+            let view = store.view();
+            let mut peers = configured.clone();
+            if let Some(key) = view.find_service(service) {
+                let keys = view.service(key).upstream_keys();
+                peers.extend(keys.map(|key| view.upstream(key).spec.control_address));
+            }
+            peers.retain(|peer| *peer != own);
+            peers
+        })
+    }
+
+    /// Waits until the settings are current and name this upstream; false if told to shut down.
+    fn wait_for_settings(&self) -> bool {
+        let mut said = false;
+        while !self.shutdown.is_requested() {
+            let known = self.is_in_settings();
+            if known && self.store.is_current() {
+                return true;
+            }
+            if self.store.is_current() && !said {
+                let code = codes::NOT_IN_SETTINGS;
+                log::warn!(code = code.0; "{code}: the published settings do not name this upstream");
+                said = true;
+            }
+            thread::sleep(POLL);
+        }
+        false
+    }
+
+    fn is_in_settings(&self) -> bool {
+        let view = self.store.view();
+        let service = view.find_service(self.identity().service);
+        service.is_some_and(|key| view.find_upstream(key, self.upstream()).is_some())
+    }
+
+    fn start_plane(
+        &self,
+        config: PlaneConfig,
+        inbox: mpsc::Receiver<Event>,
+        report: Option<UpstreamReport>,
+    ) -> Result<JoinHandle<()>, StartFault> {
+        // Read before the view: a change in between is then taken in a second time, not missed.
+        let generation = self.store.generation();
+        let view = self.store.view();
+        let agent_config = AgentConfig {
+            upstream: config.upstream,
+            service: config.identity.service,
+            incarnation: Incarnation(clock::wall_ms()),
+            may_have_past: may_have_past(report),
+            seed: rand::random(),
+        };
+        let agent = Agent::new(agent_config, view.clone(), boottime::now());
+        let plane = Plane::new(config, agent, view, generation, inbox);
+        let handle = spawn("data", move || plane.run())?;
+        self.timeline.record(self.settings.account.clone(), "started", Fields::default());
+        self.serving.store(true, Ordering::Release);
+        log::info!("started");
+        Ok(handle)
+    }
+
+    fn start_status(
+        &self,
+        status: StatusReader,
+        events: mpsc::Sender<Event>,
+    ) -> Result<(), StartFault> {
+        let shutdown = self.shutdown.clone();
+        let report = move |report| {
+            // The data thread outlives this one but for the last moments of the process.
+            let _ = events.send(Event::Upstream(report));
+        };
+        spawn("upstream-status", move || status.run(&shutdown, report)).map(|_| ())
+    }
+
+    fn wait_for_shutdown(&self) {
+        while !self.shutdown.is_requested() {
+            thread::sleep(POLL);
+        }
+    }
+
+    /// Keeps serving while redirects are handed over, for the grace time at most.
+    fn hand_over(&self, events: &mpsc::Sender<Event>) {
+        self.timeline.record(self.settings.account.clone(), "leaving", Fields::default());
+        log::info!("shutting down");
+        let _ = events.send(Event::Leave);
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_millis(self.settings.shutdown_grace_ms) {
+            thread::sleep(POLL);
+        }
+    }
+
+    fn shown(&self) -> Shown {
+        let (serving, shutdown) = (self.serving.clone(), self.shutdown.clone());
+        let (store, counters) = (self.store.clone(), self.counters.clone());
+        let is_ready = move || {
+            serving.load(Ordering::Acquire) && store.is_current() && !shutdown.is_requested()
+        };
+        Shown {
+            instance: self.settings.instance.clone(),
+            kind: "agent",
+            store: self.store.clone(),
+            metrics: self.metrics.clone(),
+            timeline: self.timeline.clone(),
+            is_ready: Arc::new(is_ready),
+            counters: Arc::new(move || counters.list()),
+        }
+    }
+
+    fn identity(&self) -> Identity {
+        Identity {
+            account: AccountId::of(&self.settings.account),
+            service: ServiceId::of(&self.settings.account, &self.settings.service),
+        }
+    }
+
+    fn upstream(&self) -> UpstreamId {
+        let settings = &self.settings;
+        UpstreamId::of(&settings.account, &settings.service, &settings.upstream)
+    }
+}
+
+/// Whether the upstream may hold flows that an earlier life of this agent admitted.
+///
+/// Taking an old upstream for a new one would break its flows, so only an answer that says both
+/// that the upstream has just started and that it holds nothing counts as new.
+fn may_have_past(report: Option<UpstreamReport>) -> bool {
+    !report.is_some_and(|report| {
+        report.open_flows == 0 && report.age_ms.is_some_and(|age| age < FRESH_UPSTREAM_MS)
+    })
+}
+
+/// Fetches settings that a peer's packet showed to be newer, from peers first: the platform may be
+/// down, and its reads are scarce.
+fn fetch_wanted(
+    wanted: &mpsc::Receiver<Version>,
+    store: &Store,
+    account: &str,
+    platform: &Reader,
+    peers: &PeerReader,
+) {
+    let in_force = || {
+        let versions = store.versions();
+        let found = versions.iter().find(|(name, _)| **name == *account);
+        found.map_or(Version(0), |(_, version)| *version)
+    };
+    while let Ok(at_least) = wanted.recv() {
+        if in_force() < at_least {
+            peers.compare_all();
+        }
+        if in_force() < at_least {
+            platform.fetch(account);
+        }
+    }
+}
+
+fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, StartFault> {
+    thread::Builder::new().name(name.into()).spawn(body).map_err(|e| StartFault::thread(&e))
+}
--- /dev/null
+++ b/crates/balancer/src/counters.rs
@@ -0,0 +1,141 @@
+//! What a balancer counts. Threads count for themselves and add up once per batch.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use settings::{Code, codes};
+use telemetry::metrics::Metrics;
+
+/// Why a packet was not forwarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dropped {
+    /// Not GUE, or the packet inside contradicts itself.
+    Malformed,
+    /// A fragment.
+    Fragment,
+    /// Neither TCP nor UDP, or not a packet at all.
+    UnsupportedProtocol,
+    /// Longer headers than can be sealed.
+    TooLarge,
+    /// No service has this address, port and protocol.
+    NoService,
+    /// The service has no agent, or the balancer no key for its account.
+    NoAgent,
+    /// The kernel did not take it.
+    SendFailed,
+}
+
+/// All reasons in the order of their counters.
+const REASONS: [Dropped; 7] = [
+    Dropped::Malformed,
+    Dropped::Fragment,
+    Dropped::UnsupportedProtocol,
+    Dropped::TooLarge,
+    Dropped::NoService,
+    Dropped::NoAgent,
+    Dropped::SendFailed,
+];
+
+/// Counts of one thread since it last added them up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Datagrams that arrived.
+    pub received: u64,
+    /// Packets that were sent on.
+    pub forwarded: u64,
+    /// Packets that were not, by reason.
+    dropped: [u64; REASONS.len()],
+}
+
+/// Counters of the process. Clones share them.
+#[derive(Clone, Debug)]
+pub struct Counters {
+    received: Counter,
+    forwarded: Counter,
+    dropped: [Counter; REASONS.len()],
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
+impl Dropped {
+    /// The result code of this reason.
+    ///
+    /// ```
+    /// use balancer::counters::Dropped;
+    /// assert_eq!(Dropped::NoService.code().name(), "no_service");
+    /// ```
+    pub fn code(self) -> Code {
+        match self {
+            Self::Malformed => codes::MALFORMED,
+            Self::Fragment => codes::FRAGMENT,
+            Self::UnsupportedProtocol => codes::UNSUPPORTED_PROTOCOL,
+            Self::TooLarge => codes::PACKET_TOO_LARGE,
+            Self::NoService => codes::NO_SERVICE,
+            Self::NoAgent => codes::NO_AGENT,
+            Self::SendFailed => codes::SEND_FAILED,
+        }
+    }
+}
+
+impl Counts {
+    /// Counts packets that were not forwarded.
+    pub fn drop(&mut self, reason: Dropped, packets: u64) {
+        self.dropped[reason as usize] += packets;
+    }
+}
+
+impl Counters {
+    /// Registers the counters.
+    ///
+    /// ```
+    /// let metrics = telemetry::metrics::Metrics::default();
+    /// let counters = balancer::counters::Counters::new(&metrics);
+    /// assert_eq!(counters.list()[0], ("packets_received_total", 0));
+    /// ```
+    pub fn new(metrics: &Metrics) -> Self {
+        let family: Family<ReasonLabel, Counter> = Family::default();
+        let dropped = REASONS.map(|reason| {
+            let label = ReasonLabel { reason: reason.code().name() };
+            family.get_or_create(&label).clone()
+        });
+        metrics.with_registry(|registry| {
+            registry.register("packets_dropped", "Packets not forwarded, by reason", family);
+        });
+        Self {
+            received: metrics.counter("packets_received", "Datagrams that arrived"),
+            forwarded: metrics.counter("packets_forwarded", "Packets sent to agents"),
+            dropped,
+        }
+    }
+
+    /// Adds what a thread has counted and sets its counts to zero.
+    pub fn add(&self, counts: &mut Counts) {
+        self.received.inc_by(counts.received);
+        self.forwarded.inc_by(counts.forwarded);
+        for (counter, count) in self.dropped.iter().zip(counts.dropped) {
+            if count > 0 {
+                counter.inc_by(count);
+            }
+        }
+        *counts = Counts::default();
+    }
+
+    /// Datagrams that arrived since the start.
+    pub fn received(&self) -> u64 {
+        self.received.get()
+    }
+
+    /// Names and values for `/status`.
+    pub fn list(&self) -> Vec<(&'static str, u64)> {
+        let mut list = vec![
+            ("packets_received_total", self.received.get()),
+            ("packets_forwarded_total", self.forwarded.get()),
+        ];
+        let dropped = REASONS.iter().zip(&self.dropped);
+        list.extend(dropped.map(|(reason, counter)| (reason.code().name(), counter.get())));
+        list
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/liveness.rs
@@ -0,0 +1,53 @@
+//! Which agents are believed unable to take packets.
+
+use std::sync::Arc;
+
+use decision::keys::UpstreamId;
+use decision::view::View;
+use shell::settings_sync::instances::{Instance, Kind};
+
+/// Follows the platform's list of instances.
+#[derive(Debug, Default)]
+pub struct Liveness {
+    /// Agents that some list has named, sorted.
+    seen: Vec<UpstreamId>,
+}
+
+impl Liveness {
+    /// Agents of `view` that an earlier list named and this one does not.
+    ///
+    /// The list lags, so an agent that no list has named yet is taken as alive: it may have
+    /// started a moment ago, and while all balancers send its buckets to it they agree on the home.
+    /// An empty list says nothing: a platform that has lost its list must not take down the fleet.
+    ///
+    /// ```
+    /// use balancer::liveness::Liveness;
+    /// assert!(Liveness::default().down(&Default::default(), &[]).is_empty());
+    /// ```
+    pub fn down(&mut self, view: &View, list: &[Instance]) -> Vec<UpstreamId> {
+        let mut listed: Vec<UpstreamId> = list.iter().filter_map(upstream_of).collect();
+        if listed.is_empty() {
+            return Vec::new();
+        }
+        listed.sort_unstable();
+        let known = |id: UpstreamId| {
+            let service = |key| view.find_upstream(key, id).is_some();
+            (0..view.services().len() as u32).map(decision::keys::ServiceKey).any(service)
+        };
+        let missing = |id: &UpstreamId| listed.binary_search(id).is_err();
+        let down = self.seen.iter().copied().filter(|id| missing(id) && known(*id)).collect();
+        self.seen.extend(listed.iter().copied());
+        self.seen.sort_unstable();
+        self.seen.dedup();
+        down
+    }
+}
+
+fn upstream_of(instance: &Instance) -> Option<UpstreamId> {
+    if instance.kind != Kind::Agent {
+        return None;
+    }
+    let name = |name: &Option<Arc<str>>| name.clone();
+    let (account, service) = (name(&instance.account)?, name(&instance.service)?);
+    Some(UpstreamId::of(&account, &service, &name(&instance.upstream)?))
+}
--- /dev/null
+++ b/crates/balancer/src/worker.rs
@@ -0,0 +1,77 @@
+//! A receiving thread: batch in, batch out, nothing else.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use shell::udp::{self, PayloadRef, Receiver, Sender};
+
+use crate::counters::{Counters, Counts, Dropped};
+use crate::forward::{self, Identity};
+use crate::snapshot::{Published, Subscription};
+
+/// How often an idle thread looks whether it should end.
+const IDLE_CHECK: Duration = Duration::from_millis(100);
+
+/// One receiving thread.
+pub(crate) struct Worker {
+    pub(crate) socket: UdpSocket,
+    pub(crate) identity: Identity,
+    pub(crate) published: Arc<Published>,
+    pub(crate) counters: Counters,
+    pub(crate) end: Arc<AtomicBool>,
+}
+
+/// Binds one of the sockets that share the data address.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
+    udp::bind(address, true, IDLE_CHECK)
+}
+
+impl Worker {
+    /// Forwards until told to end.
+    pub(crate) fn run(self) {
+        let mut receiver = Receiver::default();
+        let mut sender = Sender::default();
+        let mut subscription = Subscription::new(self.published.clone());
+        let mut counts = Counts::default();
+        while !self.end.load(Ordering::Relaxed) {
+            match receiver.receive(&self.socket) {
+                Ok(0) => continue,
+                Ok(received) => counts.received += received as u64,
+                Err(error) => {
+                    log::error!("receive failed: {error}");
+                    std::thread::sleep(IDLE_CHECK);
+                    continue;
+                }
+            }
+            subscription.refresh();
+            self.forward_batch(&receiver, &mut sender, &subscription, &mut counts);
+            self.counters.add(&mut counts);
+        }
+    }
+
+    fn forward_batch(
+        &self,
+        receiver: &Receiver,
+        sender: &mut Sender,
+        subscription: &Subscription,
+        counts: &mut Counts,
+    ) {
+        let snapshot = subscription.snapshot();
+        for (slot, datagram) in receiver.datagrams().enumerate() {
+            match forward::forward(snapshot, &self.identity, datagram) {
+                Ok(forwarded) => {
+                    let payload = PayloadRef { slot, start: forwarded.payload_start };
+                    sender.queue(&forwarded.prefix, payload, forwarded.to);
+                    counts.forwarded += 1;
+                }
+                Err(reason) => counts.drop(reason, 1),
+            }
+        }
+        let failed = sender.flush(&self.socket, receiver) as u64;
+        counts.forwarded -= failed;
+        counts.drop(Dropped::SendFailed, failed);
+    }
+}
--- a/crates/shell/src/http/server.rs
+++ b/crates/shell/src/http/server.rs
@@ -2,6 +2,8 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
+use std::sync::Arc;
 use std::thread;
 
 use futures_util::future;
@@ -14,7 +16,6 @@
 use gotham::router::Router;
 use gotham::router::builder::build_simple_router;
 use gotham::state::State;
-use std::pin::Pin;
 
 use super::routes::{Handler, Method, REQUEST_BYTES_MAX, Reply, Request, Route, Routes};
 use crate::fault::StartFault;
@@ -50,7 +51,7 @@
             // A handler that panics leaves its locks poisoned, which every lock of ours tolerates.
             let handler = AssertUnwindSafe(handler);
             let new_handler = move || {
-                let handler = handler.0.clone();
+                let handler = Arc::clone(&handler);
                 Ok(move |state: State| answer(state, method, handler))
             };
             match method {
--- /dev/null
+++ b/crates/shell/src/process.rs
@@ -0,0 +1,105 @@
+//! The start of a daemon: command line, settings file, exit code.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use settings::{Fault, codes};
+
+use crate::fault::StartFault;
+
+/// What a program says about itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Program {
+    /// Name of the binary.
+    pub name: &'static str,
+    /// Version.
+    pub version: &'static str,
+    /// Text of `--help`.
+    pub help: &'static str,
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Run with this settings file.
+    Run(PathBuf),
+    /// Print the help.
+    Help,
+    /// Print the version.
+    Version,
+}
+
+/// Parses the command line, reads the settings file and runs the daemon.
+///
+/// A [`StartFault`] becomes one line on standard error and exit code 1, or 2 where the command line
+/// is at fault.
+pub fn main<S>(
+    program: &Program,
+    parse_settings: fn(&str) -> Result<S, Fault>,
+    run: fn(S) -> Result<(), StartFault>,
+) -> ExitCode {
+    let result = match parse_arguments(std::env::args_os().skip(1)) {
+        Ok(Command::Help) => {
+            print!("{}", program.help);
+            Ok(())
+        }
+        Ok(Command::Version) => {
+            println!("{} {}", program.name, program.version);
+            Ok(())
+        }
+        Ok(Command::Run(path)) => load(&path, parse_settings).and_then(run),
+        Err(fault) => Err(fault),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("{}: {fault}", program.name);
+            ExitCode::from(if fault.code == codes::BAD_ARGUMENTS { 2 } else { 1 })
+        }
+    }
+}
+
+/// Parses the arguments after the program's name.
+///
+/// ```
+/// use shell::process::{Command, parse_arguments};
+/// let command = parse_arguments(["--settings", "balancer.yaml"]).unwrap();
+/// assert_eq!(command, Command::Run("balancer.yaml".into()));
+/// ```
+pub fn parse_arguments<A>(arguments: A) -> Result<Command, StartFault>
+where
+    A: IntoIterator,
+    A::Item: Into<std::ffi::OsString>,
+    A::IntoIter: 'static,
+{
+    let bad = |error: lexopt::Error| StartFault::new(codes::BAD_ARGUMENTS, error);
+    let mut parser = lexopt::Parser::from_args(arguments);
+    let mut path = None;
+    while let Some(argument) = parser.next().map_err(bad)? {
+        match argument {
+            lexopt::Arg::Long("settings") => path = Some(parser.value().map_err(bad)?.into()),
+            lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => return Ok(Command::Help),
+            lexopt::Arg::Long("version") | lexopt::Arg::Short('V') => return Ok(Command::Version),
+            other => return Err(bad(other.unexpected())),
+        }
+    }
+    let missing = || StartFault::new(codes::BAD_ARGUMENTS, "--settings FILE is missing");
+    path.map(Command::Run).ok_or_else(missing)
+}
+
+/// Reads and checks a settings file.
+///
+/// Errors: [`codes::SETTINGS_UNREADABLE`], [`codes::KEY_MISSING`] where the fault lies in the keys,
+/// [`codes::SETTINGS_REFUSED`] otherwise.
+pub fn load<S>(path: &Path, parse: fn(&str) -> Result<S, Fault>) -> Result<S, StartFault> {
+    let shown = path.display();
+    let yaml = fs::read_to_string(path).map_err(|error| {
+        StartFault::new(codes::SETTINGS_UNREADABLE, format_args!("cannot read {shown}: {error}"))
+    })?;
+    parse(&yaml).map_err(|fault| {
+        let in_keys = fault.path.starts_with("keys") || fault.path.starts_with("flow_key");
+        let code = if in_keys { codes::KEY_MISSING } else { codes::SETTINGS_REFUSED };
+        StartFault::new(code, format_args!("{shown}: {fault}"))
+    })
+}
--- /dev/null
+++ b/crates/shell/src/settings_sync/instances.rs
@@ -0,0 +1,90 @@
+//! The platform's list of instances: a hint that lags.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use serde::Deserialize;
+
+/// Kind of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A balancer.
+    Balancer,
+    /// An agent.
+    Agent,
+}
+
+/// State of an instance as the platform believes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// Running.
+    Live,
+    /// Shutting down.
+    Leaving,
+}
+
+/// One entry of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Instance {
+    /// Name.
+    pub name: Arc<str>,
+    /// Kind.
+    pub kind: Kind,
+    /// Account of an agent.
+    pub account: Option<Arc<str>>,
+    /// Service of an agent.
+    pub service: Option<Arc<str>>,
+    /// Upstream of an agent.
+    pub upstream: Option<Arc<str>>,
+    /// Where it takes packets.
+    pub data_address: SocketAddr,
+    /// Where its HTTP endpoint listens.
+    pub control_address: SocketAddr,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Region.
+    pub region: Arc<str>,
+    /// State.
+    pub state: State,
+}
+
+/// The answer of `GET /v1/instances`.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct InstanceList {
+    /// All instances in any order.
+    pub instances: Vec<Instance>,
+}
+
+/// The latest list that was heard; shared by the threads of a process.
+#[derive(Debug, Default)]
+pub struct Instances {
+    list: Mutex<Arc<Vec<Instance>>>,
+}
+
+impl Instances {
+    /// The latest list, empty before the first one was heard.
+    ///
+    /// ```
+    /// assert!(shell::settings_sync::instances::Instances::default().list().is_empty());
+    /// ```
+    pub fn list(&self) -> Arc<Vec<Instance>> {
+        self.lock().clone()
+    }
+
+    /// Replaces the list.
+    pub fn replace(&self, list: InstanceList) {
+        *self.lock() = Arc::new(list.instances);
+    }
+
+    /// Control addresses of all instances of a kind.
+    pub fn control_addresses(&self, kind: Kind) -> Vec<SocketAddr> {
+        let list = self.list();
+        list.iter().filter(|entry| entry.kind == kind).map(|entry| entry.control_address).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Arc<Vec<Instance>>> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/shell/src/settings_sync/peers.rs
@@ -0,0 +1,108 @@
+//! Comparing settings with other instances.
+//!
+//! Every few seconds a process asks a random peer for its digest (account and version) and fetches
+//! what is newer there. A change thus reaches everybody in a few rounds without the platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use settings::codes;
+use wire::exchange::{self, Digest, Document};
+
+use super::{Source, Store};
+use crate::http::client::{Client, ClientError};
+use crate::signals::Shutdown;
+
+/// Mean pause between two comparisons once the settings are current.
+const INTERVAL: Duration = Duration::from_millis(2_000);
+/// Pause while they are not: the process cannot serve before.
+const STARTING_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest wait for a peer, which may be paused.
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Gives the peers that may be asked now.
+pub type Candidates = Arc<dyn Fn() -> Vec<SocketAddr> + Send + Sync>;
+
+/// Compares settings with peers for one process.
+#[derive(Clone)]
+pub struct PeerReader {
+    client: Client,
+    store: Arc<Store>,
+    candidates: Candidates,
+}
+
+#[derive(Debug, thiserror::Error)]
+enum PeerError {
+    #[error(transparent)]
+    Client(#[from] ClientError),
+    #[error(transparent)]
+    Decode(#[from] exchange::ExchangeError),
+}
+
+impl PeerReader {
+    /// A reader that feeds `store` from the peers that `candidates` names.
+    pub fn new(store: Arc<Store>, candidates: Candidates) -> Self {
+        Self { client: Client::new(TIMEOUT), store, candidates }
+    }
+
+    /// Compares with one random peer at a time until the shutdown.
+    pub fn run(&self, shutdown: &Shutdown) {
+        while !shutdown.is_requested() {
+            let peers = (self.candidates)();
+            if !peers.is_empty() {
+                let peer = peers[rand::random_range(0..peers.len())];
+                self.compare_or_log(peer);
+            }
+            let current = self.store.is_current();
+            let interval = if current { INTERVAL } else { STARTING_INTERVAL };
+            thread::sleep(interval.mul_f64(rand::random_range(0.5..1.5)));
+        }
+    }
+
+    /// Compares with every peer at once, each in a thread, and waits for all of them.
+    pub fn compare_all(&self) {
+        thread::scope(|scope| {
+            for peer in (self.candidates)() {
+                scope.spawn(move || self.compare_or_log(peer));
+            }
+        });
+    }
+
+    fn compare_or_log(&self, peer: SocketAddr) {
+        if let Err(error) = self.compare(peer) {
+            let code = codes::PEER_UNREACHABLE;
+            log::debug!(code = code.0; "{code}: peer {peer}: {error}");
+        }
+    }
+
+    /// Fetches what is newer at `peer`. If the peer's own settings are current, ours are then.
+    fn compare(&self, peer: SocketAddr) -> Result<(), PeerError> {
+        let body = self.client.get(peer, "/v1/settings/digest")?;
+        let digest: Digest = exchange::decode(&body)?;
+        let own_root = self.store.root().map_or(0, |(version, _)| version.0);
+        if digest.root_version > own_root {
+            let document = self.fetch(peer, "/v1/settings/root".into())?;
+            self.store.offer_root(&document.yaml, Source::Peer);
+        }
+        let own = self.store.versions();
+        for entry in &digest.accounts {
+            let found = own.binary_search_by(|(name, _)| (**name).cmp(&entry.account));
+            let own_version = found.map_or(0, |index| own[index].1.0);
+            if entry.version > own_version && self.store.scope().contains(&entry.account) {
+                let path = format!("/v1/settings/subtree?account={}", entry.account);
+                let document = self.fetch(peer, path)?;
+                self.store.offer_account(&entry.account, &document.yaml, Source::Peer);
+            }
+        }
+        if digest.current {
+            self.store.mark_current();
+        }
+        Ok(())
+    }
+
+    fn fetch(&self, peer: SocketAddr, path: String) -> Result<Document, PeerError> {
+        Ok(exchange::decode(&self.client.get(peer, &path)?)?)
+    }
+}
--- /dev/null
+++ b/crates/shell/src/settings_sync/platform.rs
@@ -0,0 +1,164 @@
+//! Reading the platform's configuration service: a long poll, then the documents that changed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde::Deserialize;
+use settings::codes;
+
+use super::instances::{InstanceList, Instances};
+use super::{Source, Store};
+use crate::backoff::Backoff;
+use crate::http::client::{Client, ClientError};
+use crate::signals::Shutdown;
+
+/// How long the platform may hold a watch. Each call counts against the read budget, however long
+/// it waits.
+const WATCH_WAIT_MS: u64 = 10_000;
+/// Time for the answer beyond the wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Pause between reads of the instance list, which lags by seconds anyway.
+const LIST_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Name of the root in the answer of a watch.
+const ROOT: &str = "root";
+
+/// Reads the platform for one process.
+#[derive(Clone)]
+pub struct Reader {
+    client: Client,
+    watcher: Client,
+    address: SocketAddr,
+    store: Arc<Store>,
+    instances: Arc<Instances>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WatchReply {
+    index: u64,
+    changed: Vec<String>,
+}
+
+/// Why a pass over the platform's documents was not completed.
+#[derive(Debug, thiserror::Error)]
+enum ReadError {
+    #[error(transparent)]
+    Client(#[from] ClientError),
+    #[error("answer cannot be decoded")]
+    Decode,
+}
+
+impl Reader {
+    /// A reader of the platform at `address` that feeds `store` and `instances`.
+    pub fn new(address: SocketAddr, store: Arc<Store>, instances: Arc<Instances>) -> Self {
+        let wait = Duration::from_millis(WATCH_WAIT_MS);
+        let client = Client::new(ANSWER_TIMEOUT);
+        let watcher = Client::new(wait + ANSWER_TIMEOUT);
+        Self { client, watcher, address, store, instances }
+    }
+
+    /// Watches until the shutdown.
+    pub fn run(&self, shutdown: &Shutdown) {
+        let mut backoff = Backoff::default();
+        let mut index = 0;
+        while !shutdown.is_requested() {
+            match self.watch(index) {
+                Ok(next) => {
+                    index = next;
+                    backoff.reset();
+                    self.store.mark_current();
+                }
+                Err(error) => {
+                    log_unreachable(self.address, &error);
+                    thread::sleep(backoff.next(retry_after(&error)));
+                }
+            }
+        }
+    }
+
+    /// Reads the list of instances at intervals until the shutdown.
+    pub fn run_list(&self, shutdown: &Shutdown) {
+        let mut backoff = Backoff::default();
+        while !shutdown.is_requested() {
+            let started = Instant::now();
+            let pause = match self.read_list() {
+                Ok(list) => {
+                    self.instances.replace(list);
+                    backoff.reset();
+                    LIST_INTERVAL.saturating_sub(started.elapsed())
+                }
+                Err(error) => backoff.next(retry_after(&error)).max(LIST_INTERVAL),
+            };
+            thread::sleep(pause);
+        }
+    }
+
+    /// Fetches one account (and the root if its subtree needs a newer one) at once.
+    pub fn fetch(&self, account: &str) {
+        if let Err(error) = self.read_account(account) {
+            log_unreachable(self.address, &error);
+        }
+    }
+
+    /// One long poll and the documents that it names. The index moves on only after all of them
+    /// were read: a document missed by a failed read would otherwise never be fetched.
+    fn watch(&self, after: u64) -> Result<u64, ReadError> {
+        let path = format!("/v1/watch?after={after}&wait_ms={WATCH_WAIT_MS}");
+        let body = self.watcher.get(self.address, &path)?;
+        let reply: WatchReply = serde_json::from_slice(&body).map_err(|_| ReadError::Decode)?;
+        if reply.changed.iter().any(|name| name == ROOT) {
+            self.read_root()?;
+        }
+        for name in reply.changed.iter().filter(|name| *name != ROOT) {
+            if self.store.scope().contains(name) {
+                self.read_account(name)?;
+            }
+        }
+        Ok(reply.index)
+    }
+
+    fn read_root(&self) -> Result<(), ReadError> {
+        let yaml = text(self.client.get(self.address, "/v1/root")?)?;
+        self.store.offer_root(&yaml, Source::Platform);
+        Ok(())
+    }
+
+    fn read_account(&self, name: &str) -> Result<(), ReadError> {
+        match self.client.get(self.address, &format!("/v1/accounts/{name}")) {
+            Ok(body) => {
+                self.store.offer_account(name, &text(body)?, Source::Platform);
+                Ok(())
+            }
+            // The account was withdrawn between the watch and the read.
+            Err(ClientError::Status(404)) => Ok(()),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    fn read_list(&self) -> Result<InstanceList, ReadError> {
+        let body = self.client.get(self.address, "/v1/instances")?;
+        serde_json::from_slice(&body).map_err(|_| ReadError::Decode)
+    }
+}
+
+fn text(body: Vec<u8>) -> Result<String, ReadError> {
+    String::from_utf8(body).map_err(|_| ReadError::Decode)
+}
+
+fn retry_after(error: &ReadError) -> Duration {
+    match error {
+        ReadError::Client(ClientError::Busy { retry_after_ms, .. }) => {
+            Duration::from_millis(*retry_after_ms)
+        }
+        _ => Duration::ZERO,
+    }
+}
+
+fn log_unreachable(address: SocketAddr, error: &ReadError) {
+    let code = match error {
+        ReadError::Client(ClientError::Busy { status: 429, .. }) => codes::OVER_READ_BUDGET,
+        _ => codes::PLATFORM_UNREACHABLE,
+    };
+    log::warn!(code = code.0; "{code}: platform {address}: {error}");
+}
--- /dev/null
+++ b/crates/shell/src/settings_sync/store.rs
@@ -0,0 +1,197 @@
+//! The settings in force in this process, shared by all its threads.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use decision::keys::Version;
+use decision::view::View;
+use settings::{Book, Outcome, codes};
+use telemetry::timeline::{Fields, Timeline, Value};
+
+/// Which accounts a process keeps.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// All: a balancer.
+    All,
+    /// One: an agent.
+    Account(Arc<str>),
+}
+
+/// Where a document came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The platform's configuration service.
+    Platform,
+    /// Another instance.
+    Peer,
+}
+
+/// Settings in force. Readers on the packet path look at [`Store::generation`] only.
+#[derive(Debug)]
+pub struct Store {
+    scope: Scope,
+    timeline: Arc<Timeline>,
+    state: Mutex<State>,
+    view: Mutex<Arc<View>>,
+    generation: AtomicU64,
+    current: AtomicBool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    book: Book,
+    /// Subtrees that wait for a newer root, sorted by account.
+    deferred: Vec<(Arc<str>, Arc<str>)>,
+}
+
+impl Scope {
+    /// Whether an account is kept.
+    pub fn contains(&self, account: &str) -> bool {
+        match self {
+            Self::All => true,
+            Self::Account(own) => **own == *account,
+        }
+    }
+}
+
+impl Source {
+    fn word(self) -> &'static str {
+        match self {
+            Self::Platform => "platform",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+impl Store {
+    /// An empty store that notes what it accepts in `timeline`.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use shell::settings_sync::{Scope, Store};
+    /// let timeline = Arc::new(telemetry::timeline::Timeline::new("bal-c1".into(), 8));
+    /// let store = Store::new(Scope::All, timeline);
+    /// assert_eq!(store.generation(), 0);
+    /// ```
+    pub fn new(scope: Scope, timeline: Arc<Timeline>) -> Self {
+        Self {
+            scope,
+            timeline,
+            state: Mutex::default(),
+            view: Mutex::default(),
+            generation: AtomicU64::new(0),
+            current: AtomicBool::new(false),
+        }
+    }
+
+    /// Accounts that this process keeps.
+    pub fn scope(&self) -> &Scope {
+        &self.scope
+    }
+
+    /// Number that grows with each change of the view.
+    pub fn generation(&self) -> u64 {
+        self.generation.load(Ordering::Acquire)
+    }
+
+    /// The view in force.
+    pub fn view(&self) -> Arc<View> {
+        lock(&self.view).clone()
+    }
+
+    /// Whether the settings are known to be current enough: a source that was itself current has
+    /// been read completely.
+    pub fn is_current(&self) -> bool {
+        self.current.load(Ordering::Acquire)
+    }
+
+    /// Notes that a current source has been read completely.
+    pub fn mark_current(&self) {
+        self.current.store(true, Ordering::Release);
+    }
+
+    /// Versions in force, sorted by account.
+    pub fn versions(&self) -> Vec<(Arc<str>, Version)> {
+        lock(&self.state).book.versions()
+    }
+
+    /// Version and text of the root in force.
+    pub fn root(&self) -> Option<(Version, Arc<str>)> {
+        lock(&self.state).book.root()
+    }
+
+    /// Version and text of an account's subtree in force.
+    pub fn subtree(&self, account: &str) -> Option<(Version, Arc<str>)> {
+        lock(&self.state).book.subtree(account)
+    }
+
+    /// Takes in a root and tries the subtrees that waited for it.
+    pub fn offer_root(&self, yaml: &str, source: Source) -> Outcome {
+        let mut state = lock(&self.state);
+        let outcome = state.book.accept_root(yaml);
+        self.report("", &outcome, source);
+        if !matches!(outcome, Outcome::Accepted(_)) {
+            return outcome;
+        }
+        for (account, yaml) in std::mem::take(&mut state.deferred) {
+            self.accept(&mut state, account, &yaml, source);
+        }
+        self.publish(&state);
+        outcome
+    }
+
+    /// Takes in an account's subtree; one outside the scope is ignored.
+    pub fn offer_account(&self, account: &str, yaml: &str, source: Source) -> Option<Outcome> {
+        if !self.scope.contains(account) {
+            return None;
+        }
+        let mut state = lock(&self.state);
+        let outcome = self.accept(&mut state, account.into(), yaml, source);
+        if matches!(outcome, Outcome::Accepted(_)) {
+            self.publish(&state);
+        }
+        Some(outcome)
+    }
+
+    fn accept(&self, state: &mut State, account: Arc<str>, yaml: &str, source: Source) -> Outcome {
+        let outcome = state.book.accept_account(&account, yaml);
+        self.report(&account, &outcome, source);
+        if matches!(outcome, Outcome::Deferred(_)) {
+            let found = state.deferred.binary_search_by(|(name, _)| name.cmp(&account));
+            match found {
+                Ok(index) => state.deferred[index].1 = yaml.into(),
+                Err(index) => state.deferred.insert(index, (account, yaml.into())),
+            }
+        }
+        outcome
+    }
+
+    fn publish(&self, state: &State) {
+        *lock(&self.view) = state.book.view();
+        self.generation.fetch_add(1, Ordering::Release);
+    }
+
+    fn report(&self, account: &str, outcome: &Outcome, source: Source) {
+        match outcome {
+            Outcome::Accepted(version) => {
+                log::info!(account, version = version.0, source = source.word(); "settings accepted");
+                let fields = Fields::default().with("version", Value::Number(version.0));
+                let fields = fields.with("source", Value::Word(source.word()));
+                self.timeline.record(account, "settings_accepted", fields);
+            }
+            Outcome::Refused(faults) => {
+                let first = faults.first().map(ToString::to_string).unwrap_or_default();
+                let code = codes::SETTINGS_REJECTED;
+                log::warn!(account, code = code.0, source = source.word(); "settings refused: {first}");
+                let fields = Fields::default().with("fault", Value::Text(first.into()));
+                self.timeline.record(account, "settings_refused", fields);
+            }
+            Outcome::Older(_) | Outcome::Unchanged(_) | Outcome::Deferred(_) => {}
+        }
+    }
+}
+
+/// A thread that panicked while it held a lock left whole values behind.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/shell/src/status.rs
@@ -0,0 +1,108 @@
+//! The routes that every daemon has: health, readiness, metrics, status and time line.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+use serde::ser::{SerializeMap, Serializer};
+use telemetry::clock::Timestamp;
+use telemetry::metrics::{self, Metrics};
+use telemetry::timeline::Timeline;
+
+use crate::http::routes::{Reply, Request, Routes};
+use crate::settings_sync::Store;
+
+/// The answer of `/status`.
+#[derive(Clone, Debug, Serialize)]
+pub struct Status {
+    /// Name of the instance.
+    pub instance: Arc<str>,
+    /// `balancer` or `agent`.
+    pub kind: &'static str,
+    /// As `/readyz`.
+    pub ready: bool,
+    /// Versions in force.
+    pub settings: Vec<AccountVersion>,
+    /// Counters by name.
+    #[serde(serialize_with = "as_map")]
+    pub counters: Vec<(&'static str, u64)>,
+}
+
+/// One account's version in force.
+#[derive(Clone, Debug, Serialize)]
+pub struct AccountVersion {
+    /// Name of the account.
+    pub account: Arc<str>,
+    /// Version.
+    pub version: u64,
+}
+
+/// What the common routes show.
+#[derive(Clone)]
+pub struct Shown {
+    /// Name of the instance.
+    pub instance: Arc<str>,
+    /// `balancer` or `agent`.
+    pub kind: &'static str,
+    /// Settings in force.
+    pub store: Arc<Store>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    /// Time line.
+    pub timeline: Arc<Timeline>,
+    /// Whether the process may be sent work.
+    pub is_ready: Arc<dyn Fn() -> bool + Send + Sync>,
+    /// Counters by name.
+    pub counters: Arc<dyn Fn() -> Vec<(&'static str, u64)> + Send + Sync>,
+}
+
+/// Adds the common routes to an endpoint.
+pub fn routes(routes: Routes, shown: &Shown) -> Routes {
+    let (is_ready, metrics) = (shown.is_ready.clone(), shown.metrics.clone());
+    let (timeline, shown) = (shown.timeline.clone(), shown.clone());
+    routes
+        .get("/healthz", |_| Reply::text("ok\n"))
+        .get("/readyz", move |_| readiness(is_ready()))
+        .get("/metrics", move |_| render(&metrics))
+        .get("/status", move |_| Reply::json(&status(&shown)))
+        .get("/timeline", move |request| events(&timeline, request))
+}
+
+fn readiness(ready: bool) -> Reply {
+    if ready { Reply::text("ready\n") } else { Reply::error(503, "not ready\n") }
+}
+
+fn render(metrics: &Metrics) -> Reply {
+    match metrics.render() {
+        Ok(text) => Reply { content_type: metrics::CONTENT_TYPE, ..Reply::text(text) },
+        Err(error) => Reply::error(500, error.to_string()),
+    }
+}
+
+fn status(shown: &Shown) -> Status {
+    let entry = |(account, version): (Arc<str>, decision::keys::Version)| AccountVersion {
+        account,
+        version: version.0,
+    };
+    Status {
+        instance: shown.instance.clone(),
+        kind: shown.kind,
+        ready: (shown.is_ready)(),
+        settings: shown.store.versions().into_iter().map(entry).collect(),
+        counters: (shown.counters)(),
+    }
+}
+
+fn events(timeline: &Timeline, request: &Request) -> Reply {
+    Reply::json(&timeline.after(Timestamp(request.number("after"))))
+}
+
+fn as_map<S: Serializer>(
+    counters: &[(&'static str, u64)],
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    let mut map = serializer.serialize_map(Some(counters.len()))?;
+    for (name, value) in counters {
+        map.serialize_entry(name, value)?;
+    }
+    map.end()
+}
--- a/crates/telemetry/src/clock.rs
+++ b/crates/telemetry/src/clock.rs
@@ -61,9 +61,8 @@
     pub fn now_at(&self, wall_ms: u64) -> Timestamp {
         let wall = Timestamp::from_wall_ms(wall_ms).0;
         let next = |last: u64| wall.max(last + 1);
-        let update = self
-            .last
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |last| Some(next(last)));
+        let update =
+            self.last.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |last| Some(next(last)));
         Timestamp(update.map_or(wall, next))
     }
 
