Spread settings versions and membership by rumour and digest

Cause: 11,600 nodes can't all read a service that answers 2,000 reads a second, and nobody may be elected. Change: decision::spread (rumours to 3 peers for 2 rounds, digests every 2 s, two readers a zone by rendezvous, deltas of text) and its messages in MessagePack. Before: no node learns of a change. After: 17 tests; 1,600 nodes in one process hold a version within the 7 s (35 rounds) the test allows, also with 10 of 100 nodes dead.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod message;
 pub mod rank;
 pub mod router;
+pub mod spread;
 pub mod time;
 pub mod view;
--- /dev/null
+++ b/crates/decision/src/spread/facts.rs
@@ -0,0 +1,162 @@
+//! The table of facts that spreading keeps equal on all nodes, and its digest.
+
+use std::hash::Hasher as _;
+
+use siphasher::sip::SipHasher13;
+
+use crate::keys::{AccountId, ServiceId, UpstreamId, Version};
+
+/// Stands for the root document, which has a version like an account's subtree.
+pub const ROOT: AccountId = AccountId(0);
+/// Shares into which the facts are hashed for a comparison. One change makes one share differ, so
+/// that about 1/16 of the table is sent and not all of it.
+pub const SHARES: usize = 16;
+
+/// Whether an agent is up, as seen by its peers at one of its heartbeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Service of the agent.
+    pub service: ServiceId,
+    /// The agent, named by its upstream.
+    pub upstream: UpstreamId,
+    /// Number of the last heartbeat that the observer had from the agent. It grows through all
+    /// lives of an agent, so *down since 7* is refuted by anybody who has heard heartbeat 8.
+    pub beat: u64,
+    /// False if no further heartbeat came.
+    pub up: bool,
+}
+
+/// One fact.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// A settings version is in force at the sender.
+    Settings {
+        /// Account, or [`ROOT`].
+        account: AccountId,
+        /// Version.
+        version: Version,
+    },
+    /// An agent failed or came back.
+    Member(Member),
+}
+
+impl Notice {
+    /// True if one of the two replaces the other.
+    pub fn same_subject(&self, other: &Notice) -> bool {
+        match (self, other) {
+            (Notice::Settings { account: a, .. }, Notice::Settings { account: b, .. }) => a == b,
+            (Notice::Member(a), Notice::Member(b)) => a.upstream == b.upstream,
+            _ => false,
+        }
+    }
+}
+
+/// Hash of each share of a node's facts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Digest {
+    /// One hash for each share.
+    pub shares: [u64; SHARES],
+    /// Milliseconds since the configuration service confirmed the sender's versions.
+    pub confirmed_age_ms: u64,
+}
+
+/// Versions in force and agents whose state has changed, each sorted by id.
+#[derive(Clone, Debug, Default)]
+pub struct Facts {
+    versions: Vec<(AccountId, Version)>,
+    members: Vec<Member>,
+}
+
+impl Facts {
+    /// Takes in a fact; true if it is news.
+    pub(super) fn learn(&mut self, notice: Notice) -> bool {
+        match notice {
+            Notice::Settings { account, version } => self.learn_version(account, version),
+            Notice::Member(member) => self.learn_member(member),
+        }
+    }
+
+    /// The version of an account.
+    pub fn version(&self, account: AccountId) -> Option<Version> {
+        let index = self.versions.binary_search_by_key(&account, |entry| entry.0).ok()?;
+        Some(self.versions[index].1)
+    }
+
+    /// Sorted ids of the agents that are down.
+    pub fn down(&self) -> Vec<UpstreamId> {
+        self.members.iter().filter(|member| !member.up).map(|member| member.upstream).collect()
+    }
+
+    /// The hash of each share.
+    pub(super) fn digest(&self, confirmed_age_ms: u64) -> Digest {
+        let mut shares = [0u64; SHARES];
+        for notice in self.notices() {
+            // Addition commutes, so the order in which facts were learned does not matter.
+            let share = &mut shares[share_of(&notice)];
+            *share = share.wrapping_add(hash_of(&notice));
+        }
+        Digest { shares, confirmed_age_ms }
+    }
+
+    /// All facts in the shares that differ from `other`.
+    pub(super) fn differences(&self, other: &Digest) -> Vec<Notice> {
+        let own = self.digest(0);
+        let differs = |notice: &Notice| {
+            let share = share_of(notice);
+            own.shares[share] != other.shares[share]
+        };
+        self.notices().filter(differs).collect()
+    }
+
+    fn notices(&self) -> impl Iterator<Item = Notice> + '_ {
+        let settings =
+            self.versions.iter().map(|&(account, version)| Notice::Settings { account, version });
+        settings.chain(self.members.iter().copied().map(Notice::Member))
+    }
+
+    fn learn_version(&mut self, account: AccountId, version: Version) -> bool {
+        match self.versions.binary_search_by_key(&account, |entry| entry.0) {
+            Ok(index) if self.versions[index].1 >= version => return false,
+            Ok(index) => self.versions[index].1 = version,
+            Err(index) => self.versions.insert(index, (account, version)),
+        }
+        true
+    }
+
+    /// The later heartbeat wins; at the same heartbeat, *down* wins, since it was said later.
+    fn learn_member(&mut self, member: Member) -> bool {
+        let order = |member: &Member| (member.beat, !member.up);
+        match self.members.binary_search_by_key(&member.upstream, |known| known.upstream) {
+            Ok(index) if order(&self.members[index]) >= order(&member) => return false,
+            Ok(index) => self.members[index] = member,
+            // An agent that was never down needs no entry.
+            Err(_) if member.up => return false,
+            Err(index) => self.members.insert(index, member),
+        }
+        true
+    }
+}
+
+fn share_of(notice: &Notice) -> usize {
+    let id = match notice {
+        Notice::Settings { account, .. } => account.0,
+        Notice::Member(member) => member.upstream.0,
+    };
+    id as usize % SHARES
+}
+
+fn hash_of(notice: &Notice) -> u64 {
+    let mut hasher = SipHasher13::new();
+    match notice {
+        Notice::Settings { account, version } => {
+            hasher.write_u64(account.0);
+            hasher.write_u64(version.0);
+        }
+        Notice::Member(member) => {
+            hasher.write_u64(member.upstream.0);
+            hasher.write_u64(member.beat);
+            hasher.write_u8(u8::from(member.up));
+        }
+    }
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/decision/src/spread/mod.rs
@@ -0,0 +1,370 @@
+//! Spreading settings versions and membership changes among the balancers.
+//!
+//! Two mechanisms share one table of facts. *Rumours* carry a change once to a few random peers, so
+//! that it is everywhere within a logarithmic number of rounds. *Digests* compare the whole table
+//! with one random peer from time to time, so that what a rumour missed is found as well. Contents
+//! of settings are not carried here: a notice names a version, and who lacks it fetches it.
+//!
+//! Nobody is elected. Who watches the configuration service follows from the instance list by
+//! rendezvous; two lists that differ give a few readers too many or too few, and digests cover both.
+
+mod delta;
+mod facts;
+mod peers;
+#[cfg(test)]
+mod tests;
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64;
+
+pub use delta::Delta;
+pub use facts::{Digest, Facts, Member, Notice, ROOT, SHARES};
+pub use peers::{NodeId, Peer, Peers, READERS_PER_ZONE};
+
+use crate::keys::{AccountId, UpstreamId, Version};
+use crate::time::Millis;
+
+/// Peers that get each rumour in a round. With three, a rumour that is forwarded for
+/// [`RUMOUR_ROUNDS`] rounds misses a peer with a probability below one in a thousand, and the
+/// bytes grow with the fan-out: see `docs/CAPACITY.md`.
+pub const RUMOUR_FANOUT: usize = 3;
+/// Rounds in which a node passes on a rumour after it has heard it for the first time.
+pub const RUMOUR_ROUNDS: u8 = 2;
+/// Time between two rounds. Ten rounds are enough for 1,600 nodes and take 2 s of the 7 s allowed.
+pub const ROUND_MS: u64 = 200;
+/// Notices in one message. Keeps a node below 10 KB/s even while a whole zone is reported: 16
+/// notices of about 27 bytes to three peers in each round are 6.5 KB/s before headers.
+pub const NOTICES_PER_MESSAGE: usize = 16;
+/// Time between two digest comparisons that a node starts.
+pub const DIGEST_MS: u64 = 2_000;
+/// A node that no peer has confirmed for this long reads the configuration service itself, reader or
+/// not. 11,600 nodes that all do so are 97 reads a second of the 2,000 allowed.
+pub const FALLBACK_READ_MS: u64 = 120_000;
+/// Time a peer gets to deliver a version before the configuration service is asked for it.
+pub const PEER_FETCH_MS: u64 = 1_000;
+
+/// Messages between the nodes that spread.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SpreadMessage {
+    /// News for the receiver.
+    Notices(Vec<Notice>),
+    /// Start of a comparison.
+    Compare(Digest),
+    /// Answer to a comparison: all facts in the shares that differ, and whether the sender of this
+    /// answer wants the receiver's facts in return.
+    Differences {
+        /// Facts of the shares that differ.
+        notices: Vec<Notice>,
+        /// Digest of the answering node, set if it wants an answer in turn.
+        digest: Option<Digest>,
+    },
+}
+
+/// What happened to a spreading node.
+#[derive(Clone, Debug)]
+pub enum SpreadEvent {
+    /// The platform's instance list has changed.
+    Peers(Vec<Peer>),
+    /// A version is in force here, wherever it came from.
+    Installed {
+        /// Account, or [`ROOT`].
+        account: AccountId,
+        /// Version now in force.
+        version: Version,
+    },
+    /// The configuration service has confirmed the versions in force here.
+    Confirmed,
+    /// An agent was seen to fail or to be back.
+    Observed(Member),
+    /// A peer's message.
+    Message {
+        /// Sender.
+        from: NodeId,
+        /// The message.
+        message: SpreadMessage,
+    },
+    /// Time has passed; due at least every [`ROUND_MS`].
+    Tick,
+}
+
+/// What the shell must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SpreadAction {
+    /// Send a message to a peer.
+    Send {
+        /// Receiver.
+        to: NodeId,
+        /// The message.
+        message: SpreadMessage,
+    },
+    /// Get a version of an account from a peer that has it.
+    FetchFromPeer {
+        /// Account, or [`ROOT`].
+        account: AccountId,
+        /// Version wanted, or a later one.
+        version: Version,
+        /// Who has it.
+        from: NodeId,
+    },
+    /// Get the newest version of an account from the configuration service.
+    FetchFromService {
+        /// Account, or [`ROOT`].
+        account: AccountId,
+    },
+    /// The set of agents believed down has changed.
+    MembersChanged,
+}
+
+/// A version that somebody has and this node lacks.
+#[derive(Clone, Copy, Debug)]
+struct Wanted {
+    account: AccountId,
+    version: Version,
+    asked: Millis,
+}
+
+/// A fact that still has to be passed on.
+#[derive(Clone, Copy, Debug)]
+struct Rumour {
+    notice: Notice,
+    rounds_left: u8,
+}
+
+/// State of a spreading node.
+#[derive(Debug)]
+pub struct Spread {
+    peers: Peers,
+    facts: Facts,
+    rumours: Vec<Rumour>,
+    wanted: Vec<Wanted>,
+    confirmed: Millis,
+    next_round: Millis,
+    next_digest: Millis,
+    random: Pcg64,
+}
+
+impl Spread {
+    /// A node that knows nothing yet.
+    ///
+    /// ```
+    /// use decision::{spread::{NodeId, Peer, Spread}, time::Millis};
+    /// let me = Peer { id: NodeId::of("bal-1"), zone: "pnw-a".into() };
+    /// assert!(Spread::new(me, 7, Millis(0)).down().is_empty());
+    /// ```
+    pub fn new(own: Peer, seed: u64, now: Millis) -> Self {
+        Self {
+            peers: Peers::new(own),
+            facts: Facts::default(),
+            rumours: Vec::new(),
+            wanted: Vec::new(),
+            confirmed: now,
+            next_round: now,
+            next_digest: now,
+            random: Pcg64::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes in an event and appends what must be done about it.
+    pub fn handle(&mut self, now: Millis, event: SpreadEvent, out: &mut Vec<SpreadAction>) {
+        match event {
+            SpreadEvent::Peers(list) => self.peers.replace(list),
+            SpreadEvent::Installed { account, version } => self.installed(account, version),
+            SpreadEvent::Confirmed => self.confirmed = now,
+            SpreadEvent::Observed(member) => self.learn(now, None, Notice::Member(member), out),
+            SpreadEvent::Message { from, message } => self.message(now, from, message, out),
+            SpreadEvent::Tick => self.tick(now, out),
+        }
+    }
+
+    /// True if this node is to watch the configuration service.
+    pub fn is_reader(&self) -> bool {
+        self.peers.is_reader()
+    }
+
+    /// Sorted ids of the agents believed down.
+    pub fn down(&self) -> Vec<UpstreamId> {
+        self.facts.down()
+    }
+
+    /// Milliseconds since the configuration service, or a peer that had asked it, confirmed the
+    /// versions in force here.
+    pub fn confirmed_age_ms(&self, now: Millis) -> u64 {
+        now.since(self.confirmed)
+    }
+
+    /// Version in force here.
+    pub fn version(&self, account: AccountId) -> Option<Version> {
+        self.facts.version(account)
+    }
+
+    fn installed(&mut self, account: AccountId, version: Version) {
+        let notice = Notice::Settings { account, version };
+        if self.facts.learn(notice) {
+            self.wanted.retain(|wanted| wanted.account != account || wanted.version > version);
+            self.start_rumour(notice);
+        }
+    }
+
+    fn message(
+        &mut self,
+        now: Millis,
+        from: NodeId,
+        message: SpreadMessage,
+        out: &mut Vec<SpreadAction>,
+    ) {
+        match message {
+            SpreadMessage::Notices(notices) => self.learn_all(now, from, &notices, out),
+            SpreadMessage::Compare(digest) => self.compare(now, from, &digest, out),
+            SpreadMessage::Differences { notices, digest } => {
+                self.learn_all(now, from, &notices, out);
+                if let Some(digest) = digest {
+                    let notices = self.facts.differences(&digest);
+                    let reply = SpreadMessage::Differences { notices, digest: None };
+                    out.push(SpreadAction::Send { to: from, message: reply });
+                }
+            }
+        }
+    }
+
+    fn learn_all(
+        &mut self,
+        now: Millis,
+        from: NodeId,
+        notices: &[Notice],
+        out: &mut Vec<SpreadAction>,
+    ) {
+        for notice in notices {
+            self.learn(now, Some(from), *notice, out);
+        }
+    }
+
+    /// Settings count as known only once they are in force here, so a notice of them is turned into
+    /// a fetch; a membership change takes effect by itself.
+    fn learn(
+        &mut self,
+        now: Millis,
+        from: Option<NodeId>,
+        notice: Notice,
+        out: &mut Vec<SpreadAction>,
+    ) {
+        match notice {
+            Notice::Settings { account, version } => {
+                if let Some(from) = from {
+                    self.want(now, account, version, from, out);
+                }
+            }
+            Notice::Member(_) => {
+                if self.facts.learn(notice) {
+                    self.start_rumour(notice);
+                    out.push(SpreadAction::MembersChanged);
+                }
+            }
+        }
+    }
+
+    fn want(
+        &mut self,
+        now: Millis,
+        account: AccountId,
+        version: Version,
+        from: NodeId,
+        out: &mut Vec<SpreadAction>,
+    ) {
+        if self.facts.version(account).is_some_and(|known| known >= version) {
+            return;
+        }
+        match self.wanted.iter_mut().find(|wanted| wanted.account == account) {
+            Some(wanted) if wanted.version >= version => return,
+            Some(wanted) => *wanted = Wanted { account, version, asked: now },
+            None => self.wanted.push(Wanted { account, version, asked: now }),
+        }
+        out.push(SpreadAction::FetchFromPeer { account, version, from });
+    }
+
+    fn compare(&mut self, now: Millis, from: NodeId, digest: &Digest, out: &mut Vec<SpreadAction>) {
+        let own = self.facts.digest(self.confirmed_age_ms(now));
+        if own.shares == digest.shares {
+            self.confirm_by_peer(now, digest.confirmed_age_ms);
+            return;
+        }
+        let notices = self.facts.differences(digest);
+        let message = SpreadMessage::Differences { notices, digest: Some(own) };
+        out.push(SpreadAction::Send { to: from, message });
+    }
+
+    /// A peer with the same facts passes on its confirmation, never a younger one than it has.
+    fn confirm_by_peer(&mut self, now: Millis, age_ms: u64) {
+        self.confirmed = self.confirmed.max(Millis(now.0.saturating_sub(age_ms)));
+    }
+
+    fn tick(&mut self, now: Millis, out: &mut Vec<SpreadAction>) {
+        if now >= self.next_round {
+            self.next_round = now.after(ROUND_MS);
+            self.round(out);
+        }
+        if now >= self.next_digest {
+            // Half to one and a half periods: nodes that started together do not stay in step.
+            let period_ms = self.random.random_range(DIGEST_MS / 2..DIGEST_MS * 3 / 2);
+            self.next_digest = now.after(period_ms);
+            self.start_comparison(now, out);
+        }
+        self.escalate_fetches(now, out);
+        self.fall_back(now, out);
+    }
+
+    fn round(&mut self, out: &mut Vec<SpreadAction>) {
+        if self.rumours.is_empty() {
+            return;
+        }
+        let count = self.rumours.len().min(NOTICES_PER_MESSAGE);
+        let notices: Vec<Notice> =
+            self.rumours[..count].iter().map(|rumour| rumour.notice).collect();
+        for to in self.peers.sample(RUMOUR_FANOUT, &mut self.random) {
+            let message = SpreadMessage::Notices(notices.clone());
+            out.push(SpreadAction::Send { to, message });
+        }
+        self.age_rumours(count);
+    }
+
+    /// Sent rumours go to the back of the queue, so that none starves, and end after their rounds.
+    fn age_rumours(&mut self, count: usize) {
+        for rumour in &mut self.rumours[..count] {
+            rumour.rounds_left -= 1;
+        }
+        self.rumours.rotate_left(count);
+        self.rumours.retain(|rumour| rumour.rounds_left > 0);
+    }
+
+    fn start_rumour(&mut self, notice: Notice) {
+        self.rumours.retain(|rumour| !rumour.notice.same_subject(&notice));
+        self.rumours.push(Rumour { notice, rounds_left: RUMOUR_ROUNDS });
+    }
+
+    fn start_comparison(&mut self, now: Millis, out: &mut Vec<SpreadAction>) {
+        let digest = self.facts.digest(self.confirmed_age_ms(now));
+        for to in self.peers.sample(1, &mut self.random) {
+            let message = SpreadMessage::Compare(digest.clone());
+            out.push(SpreadAction::Send { to, message });
+        }
+    }
+
+    /// A peer may die between its notice and our fetch. The configuration service, or the next
+    /// comparison, then delivers the version: nothing waits for one peer.
+    fn escalate_fetches(&mut self, now: Millis, out: &mut Vec<SpreadAction>) {
+        for wanted in &mut self.wanted {
+            if now.since(wanted.asked) >= PEER_FETCH_MS {
+                wanted.asked = now;
+                out.push(SpreadAction::FetchFromService { account: wanted.account });
+            }
+        }
+    }
+
+    fn fall_back(&mut self, now: Millis, out: &mut Vec<SpreadAction>) {
+        if self.confirmed_age_ms(now) < FALLBACK_READ_MS {
+            return;
+        }
+        // Counted as if confirmed, so that a service that is down gets one read for each period.
+        self.confirmed = now;
+        out.push(SpreadAction::FetchFromService { account: ROOT });
+    }
+}
--- /dev/null
+++ b/crates/decision/src/spread/tests.rs
@@ -0,0 +1,190 @@
+//! Spreading among many nodes in one process; only messages are passed, time is a number.
+
+use proptest::prelude::*;
+use rstest::rstest;
+
+use super::*;
+use crate::keys::ServiceId;
+
+/// Nodes, the versions that each could serve, and messages under way.
+struct Fleet {
+    nodes: Vec<Spread>,
+    ids: Vec<NodeId>,
+    dead: Vec<usize>,
+    now: Millis,
+    service_reads: usize,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let list: Vec<Peer> = (0..count)
+            .map(|n| Peer { id: NodeId(n as u64), zone: format!("zone-{}", n % 3).into() })
+            .collect();
+        let mut nodes: Vec<Spread> =
+            list.iter().map(|peer| Spread::new(peer.clone(), peer.id.0, Millis(0))).collect();
+        for node in &mut nodes {
+            node.handle(Millis(0), SpreadEvent::Peers(list.clone()), &mut Vec::new());
+        }
+        let ids = list.iter().map(|peer| peer.id).collect();
+        Self { nodes, ids, dead: Vec::new(), now: Millis(0), service_reads: 0 }
+    }
+
+    fn install(&mut self, node: usize, version: u64) {
+        let event = SpreadEvent::Installed { account: AccountId(9), version: Version(version) };
+        self.nodes[node].handle(self.now, event, &mut Vec::new());
+    }
+
+    fn step(&mut self) {
+        self.now = self.now.after(ROUND_MS);
+        for index in 0..self.nodes.len() {
+            self.dispatch(index, SpreadEvent::Tick);
+        }
+    }
+
+    fn dispatch(&mut self, index: usize, event: SpreadEvent) {
+        let mut actions = Vec::new();
+        self.nodes[index].handle(self.now, event, &mut actions);
+        for action in actions {
+            self.perform(index, action);
+        }
+    }
+
+    fn perform(&mut self, index: usize, action: SpreadAction) {
+        let from = self.ids[index];
+        match action {
+            SpreadAction::Send { to, message } if !self.dead.contains(&(to.0 as usize)) => {
+                self.dispatch(to.0 as usize, SpreadEvent::Message { from, message });
+            }
+            SpreadAction::FetchFromPeer { account, version, from } => {
+                let holder = from.0 as usize;
+                let has = self.nodes[holder].version(account) >= Some(version);
+                if has && !self.dead.contains(&holder) {
+                    self.dispatch(index, SpreadEvent::Installed { account, version });
+                }
+            }
+            SpreadAction::FetchFromService { .. } => self.service_reads += 1,
+            _ => {}
+        }
+    }
+
+    fn rounds_until_all_have(&mut self, version: u64) -> u64 {
+        for round in 1..100 {
+            self.step();
+            let live = (0..self.nodes.len()).filter(|index| !self.dead.contains(index));
+            let has =
+                |index: usize| self.nodes[index].version(AccountId(9)) == Some(Version(version));
+            if live.clone().all(has) {
+                return round;
+            }
+        }
+        panic!("not everywhere after 100 rounds");
+    }
+}
+
+/// A team publishes a version that one reader sees. The caller of any balancer meets the new version
+/// within the 7 s that the users allow, although rumours may miss a node and some nodes are dead.
+#[rstest]
+#[case::today(6, &[])]
+#[case::hundred(100, &[])]
+#[case::hundred_with_dead(100, &[7, 8, 9, 10, 11, 12, 13, 14, 15, 16])]
+#[case::target_balancers(1_600, &[])]
+fn installed_reaches_everyone(#[case] count: usize, #[case] dead: &[usize]) {
+    let mut fleet = Fleet::new(count);
+    fleet.dead = dead.to_vec();
+    fleet.install(0, 5);
+    let rounds = fleet.rounds_until_all_have(5);
+    assert!(rounds * ROUND_MS <= 7_000, "{rounds} rounds");
+}
+
+/// A node reads an old copy from a stale configuration service after the fleet has moved on. Nobody,
+/// itself included, goes back.
+#[test]
+fn installed_older_version_never_wins() {
+    let mut fleet = Fleet::new(10);
+    fleet.install(0, 7);
+    fleet.rounds_until_all_have(7);
+    fleet.install(3, 6);
+    fleet.step();
+    assert!(fleet.nodes.iter().all(|node| node.version(AccountId(9)) == Some(Version(7))));
+}
+
+/// The peer that announced a version dies before it is fetched. The settings still arrive, since the
+/// configuration service is asked after a while.
+#[test]
+fn want_silent_peer_asks_service() {
+    let mut node = Spread::new(Peer { id: NodeId(1), zone: "a".into() }, 1, Millis(0));
+    let notice = Notice::Settings { account: AccountId(9), version: Version(2) };
+    let message = SpreadMessage::Notices(vec![notice]);
+    let mut out = Vec::new();
+    node.handle(Millis(0), SpreadEvent::Message { from: NodeId(2), message }, &mut out);
+    let (account, version) = (AccountId(9), Version(2));
+    assert_eq!(out, [SpreadAction::FetchFromPeer { account, version, from: NodeId(2) }]);
+    out.clear();
+    node.handle(Millis(PEER_FETCH_MS), SpreadEvent::Tick, &mut out);
+    assert_eq!(out, [SpreadAction::FetchFromService { account }]);
+}
+
+/// An agent is paused and reported down, then wakes. Whoever hears a later heartbeat refutes the
+/// report, in whatever order the two notices arrive, so its upstream gets its packets again.
+#[rstest]
+#[case::down(&[(5, false)], true)]
+#[case::refuted(&[(5, false), (6, true)], false)]
+#[case::late_report(&[(5, false), (6, true), (5, false)], false)]
+#[case::never_down(&[(6, true)], false)]
+#[case::down_again(&[(5, false), (6, true), (6, false)], true)]
+fn learn_member_order(#[case] notices: &[(u64, bool)], #[case] down: bool) {
+    let mut node = Spread::new(Peer { id: NodeId(1), zone: "a".into() }, 1, Millis(0));
+    for &(beat, up) in notices {
+        let member = Member { service: ServiceId(1), upstream: UpstreamId(4), beat, up };
+        node.handle(Millis(0), SpreadEvent::Observed(member), &mut Vec::new());
+    }
+    assert_eq!(!node.down().is_empty(), down);
+}
+
+/// A zone fails at once. No node sends more than its round allows, whatever the number of notices.
+#[test]
+fn round_zone_loss_stays_bounded() {
+    let mut fleet = Fleet::new(50);
+    for n in 0..600 {
+        let member = Member { service: ServiceId(1), upstream: UpstreamId(n), beat: 1, up: false };
+        fleet.nodes[0].handle(Millis(0), SpreadEvent::Observed(member), &mut Vec::new());
+    }
+    let mut out = Vec::new();
+    fleet.nodes[0].round(&mut out);
+    let sent: usize = out.iter().map(notices_in).sum();
+    assert_eq!(sent, RUMOUR_FANOUT * NOTICES_PER_MESSAGE);
+}
+
+fn notices_in(action: &SpreadAction) -> usize {
+    match action {
+        SpreadAction::Send { message: SpreadMessage::Notices(notices), .. } => notices.len(),
+        _ => 0,
+    }
+}
+
+/// Settings stay current although nobody is elected: each zone has its readers, few enough for the
+/// read budget of the configuration service.
+#[rstest]
+#[case::one_zone(1, 1)]
+#[case::small(6, 2)]
+#[case::large(90, 2)]
+fn is_reader_count_per_zone(#[case] count: usize, #[case] expected: usize) {
+    let fleet = Fleet::new(count);
+    let readers = fleet.nodes.iter().step_by(3).filter(|node| node.is_reader()).count();
+    assert_eq!(readers, expected);
+}
+
+proptest! {
+    #[test]
+    fn delta_roundtrip(old in ".{0,40}", new in ".{0,40}") {
+        let delta = Delta::between(Version(1), &old, &new);
+        prop_assert_eq!(delta.apply(&old), Some(new));
+    }
+
+    #[test]
+    fn delta_apply_any_numbers(old in ".{0,20}", prefix: usize, suffix: usize) {
+        let delta =
+            Delta { base: Version(1), prefix_bytes: prefix, suffix_bytes: suffix, middle: "m".into() };
+        let _ = delta.apply(&old);
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,3 +2,4 @@
 //! control messages. Wire types stay here; the core sees only its own types.
 
 pub mod gue;
+pub mod spread;
