--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod inner;
 pub mod refusal;
 pub mod sealed;
+pub mod spread;
