Bind answers to the question and the life that asked

Cause: with delays of any length, a late AskReply to an older question could deny a flow that has been opened since, and a claim granted to an earlier life of a holder could be used by the later one, which cannot know what ran.

Change: Ask and AskReply carry a question number, AskReply the sender's settings version; ClaimRequest and ClaimReply carry the claimant's life; FlowNote carries the age of the flow, so that of two holders that announce one flow the later opening wins.

Conclusion: interfaces settled before the state machine is written; no behaviour yet.

--- /dev/null
+++ b/crates/decision/src/agent/limits.rs
@@ -0,0 +1,138 @@
+//! Bounds and periods of the agent, each with its reason.
+
+/// Agents that may pass a packet on. Home by an old view, home, holder by hint, holder: four.
+pub const MAX_HOPS: u8 = 4;
+
+/// Entries of the flow table, closing flows included. Fifty thousand open flows are the design
+/// size; the rest is room for closing ones. About 6 MB.
+pub const MAX_FLOWS: usize = 131_072;
+
+/// Redirects kept as home or second rank: twice a full flow table, as each flow is told to two.
+pub const MAX_REDIRECTS: usize = 262_144;
+
+/// Claims kept at a time: 2,000 openings a second for [`CLAIM_TTL_MS`].
+pub const MAX_CLAIMS: usize = 262_144;
+
+/// Claims that wait for witnesses at a time, each with one held packet.
+pub const MAX_PENDING_CLAIMS: usize = 1_024;
+
+/// Lookups that wait for answers at a time.
+pub const MAX_LOOKUPS: usize = 1_024;
+
+/// Packets held for one lookup; a sender's first flight after a pause is rarely longer.
+pub const MAX_HELD_PER_LOOKUP: usize = 4;
+
+/// Lookups begun in a second, so that spoofed packets of unknown flows cost peers a bounded rate.
+pub const LOOKUPS_PER_SECOND: u64 = 1_000;
+
+/// Peers remembered, listed or not.
+pub const MAX_PEERS: usize = 256;
+
+/// How long a claim is remembered and a restarted witness abstains. It must exceed the longest
+/// time for which copies of one opening exist: a Linux caller sends its last SYN after 63 s.
+pub const CLAIM_TTL_MS: u64 = 120_000;
+
+/// How long a home waits for former homes where the service admits when in doubt: many times the
+/// round trip of 3 ms, and well under the caller's first retransmission after 1 s.
+pub const WITNESS_WAIT_MS: u64 = 200;
+
+/// How long a claimant waits for a majority, and then again for a majority to refuse.
+pub const QUORUM_WAIT_MS: u64 = 300;
+
+/// How long answers to a question about an unknown flow are awaited.
+pub const LOOKUP_WAIT_MS: u64 = 250;
+
+/// After this time an unanswered claim or question is sent again, in case it was lost.
+pub const RESEND_MS: u64 = 80;
+
+/// How long the agents that may have admitted for a bucket before are asked: SYN copies sent on
+/// the caller's first three timeouts (1, 3 and 7 s) fall within it.
+pub const FORMER_HOME_MS: u64 = 10_000;
+
+/// Least period of heartbeats.
+pub const MIN_HEARTBEAT_MS: u64 = 500;
+
+/// Period of heartbeats per peer: the sum over all peers stays under 40 messages a second.
+pub const HEARTBEAT_MS_PER_PEER: u64 = 25;
+
+/// Heartbeats that may be missed before a peer is suspected; two may be lost by chance.
+pub const MISSED_HEARTBEATS: u64 = 3;
+
+/// A gap between two ticks that counts as a pause: peers may have stood in meanwhile.
+pub const PAUSE_MS: u64 = 1_000;
+
+/// Period of announcements to one peer, and of their repetition.
+pub const ANNOUNCE_MS: u64 = 250;
+
+/// Period of repetition towards a suspected peer.
+pub const ANNOUNCE_SUSPECTED_MS: u64 = 2_000;
+
+/// Flow notes in one announcement: 22 bytes each, so that a datagram stays under 1,200 bytes.
+pub const NOTES_PER_ANNOUNCE: usize = 48;
+
+/// Notes waiting for one peer; beyond this all flows are announced again once it answers.
+pub const MAX_OUTBOX: usize = 16_384;
+
+/// Period in which every open flow is announced again, in case that a home lost it unnoticed.
+pub const REFRESH_MS: u64 = 600_000;
+
+/// Life of a redirect without refresh: three lost refreshes.
+pub const REDIRECT_TTL_MS: u64 = 1_800_000;
+
+/// Openings in one page for a restarted agent: 15 bytes each, under 1,200 bytes together.
+pub const OPENINGS_PER_PAGE: usize = 72;
+
+/// After this time a page is asked for again.
+pub const RELEARN_RETRY_MS: u64 = 200;
+
+/// A peer that started this long before an agent restarted has been told that agent's flows.
+pub const RESYNC_MS: u64 = 5_000;
+
+/// After relearning, how long the agent may still hold flows that its earlier life had not yet
+/// announced when it died. Callers of such flows have sent again several times by then.
+pub const DOUBT_MS: u64 = 60_000;
+
+/// Longest time for which a restarted agent stays unsure because peers never answer.
+pub const UNSURE_MAX_MS: u64 = 1_800_000;
+
+/// How long a retired, silent peer must still be heard out about unknown flows.
+pub const RETIRED_SILENT_MS: u64 = 60_000;
+
+/// Open flows idle for longer are given up. Feeds of hours stay.
+pub const IDLE_MS: u64 = 86_400_000;
+
+/// Datagram flows idle for longer are given up; there is no FIN to wait for.
+pub const DATAGRAM_IDLE_MS: u64 = 300_000;
+
+/// A handshake that the caller has not completed by now never will: an upstream's SYN-ACK
+/// is sent for the last time after 31 s on Linux and given up after 63 s.
+pub const UNANSWERED_MS: u64 = 90_000;
+
+/// A one-datagram request counts as load for this long.
+pub const DATAGRAM_UNANSWERED_MS: u64 = 10_000;
+
+/// After the caller's FIN the upstream may still be sending its answer; each acknowledgement
+/// starts this time anew.
+pub const FINISH_LINGER_MS: u64 = 600_000;
+
+/// After the caller's RST only stray packets follow.
+pub const RESET_LINGER_MS: u64 = 60_000;
+
+/// Period in which idle flows are looked for, a scan of the whole table.
+pub const SWEEP_MS: u64 = 30_000;
+
+/// Time in which a cold upstream's share grows from [`RAMP_START_PERCENT`] to all.
+pub const RAMP_MS: u64 = 10_000;
+
+/// Share of its weight that a cold upstream begins with.
+pub const RAMP_START_PERCENT: u64 = 10;
+
+/// Openings without a sign of life from their callers that make an upstream count as sick,
+/// whatever it reports, after [`SICK_MS`] without any progress.
+pub const SICK_UNANSWERED: usize = 8;
+
+/// See [`SICK_UNANSWERED`]; also how long progress outweighs a report of bad health.
+pub const SICK_MS: u64 = 3_000;
+
+/// Least time between two requests for the same settings.
+pub const FETCH_RETRY_MS: u64 = 500;
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -52,8 +52,11 @@
 pub struct FlowNote {
     /// The opening that the flow came from.
     pub opening: Opening,
-    /// False once the flow has ended.
+    /// False once the flow is closing or has ended.
     pub open: bool,
+    /// Milliseconds since the sender's upstream took the flow, when the note was sent. Where two
+    /// holders announce one flow with different nonces, the later opening is the living one.
+    pub age_ms: u32,
 }
 
 /// Load and state of an agent, sent to its peers as heartbeat.
@@ -86,6 +89,9 @@
         claim: Claim,
         /// Settings version of the claimant.
         view: Version,
+        /// Life of the claimant. A later life of a holder must not use what an earlier one was
+        /// granted: the earlier one may have run the opening.
+        incarnation: Incarnation,
     },
     /// Answers a [`Message::ClaimRequest`].
     ClaimReply {
@@ -97,6 +103,8 @@
         answer: ClaimAnswer,
         /// Settings version of the witness.
         view: Version,
+        /// Life of the claimant that asked.
+        incarnation: Incarnation,
     },
     /// Tells the home and the next rank which flows the sender holds.
     Announce {
@@ -118,13 +126,19 @@
     Ask {
         /// The flow.
         flow: FlowId,
+        /// Number of the question, so that a late answer to an older one is not taken for new.
+        question: u64,
     },
     /// Answers an [`Message::Ask`].
     AskReply {
         /// The flow.
         flow: FlowId,
+        /// Number of the question.
+        question: u64,
         /// What the sender knows.
         knowledge: Knowledge,
+        /// Settings version of the sender: in a newer one there may be holders not yet asked.
+        view: Version,
     },
     /// Asks a peer, after a restart, for all flows that it believes the sender to hold.
     Relearn {
