Follow the core's message fields and the settings book's lazy view

Cause: core binds answers to question and life; the book builds its view on demand. Change: control DTOs carry age_ms, incarnation, question and view; the store builds a single account's view ahead and leaves the fleet's to the publishing thread, so that neither the agent's data thread nor a balancer's receiving threads wait for a build. One list bound of 128 replaces two of 64, which were below the core's 72 openings a page.

--- a/crates/shell/src/settings_sync/store.rs
+++ b/crates/shell/src/settings_sync/store.rs
@@ -31,19 +31,14 @@
 pub struct Store {
     scope: Scope,
     timeline: Arc<Timeline>,
-    state: Mutex<State>,
+    book: Mutex<Book>,
+    /// Built ahead for a single account, so that an agent's data thread never waits for a build or
+    /// for a document that is being parsed.
     view: Mutex<Arc<View>>,
     generation: AtomicU64,
     current: AtomicBool,
 }
 
-#[derive(Debug, Default)]
-struct State {
-    book: Book,
-    /// Subtrees that wait for a newer root, sorted by account.
-    deferred: Vec<(Arc<str>, Arc<str>)>,
-}
-
 impl Scope {
     /// Whether an account is kept.
     pub fn contains(&self, account: &str) -> bool {
@@ -77,7 +72,7 @@
         Self {
             scope,
             timeline,
-            state: Mutex::default(),
+            book: Mutex::default(),
             view: Mutex::default(),
             generation: AtomicU64::new(0),
             current: AtomicBool::new(false),
@@ -94,9 +89,13 @@
         self.generation.load(Ordering::Acquire)
     }
 
-    /// The view in force.
+    /// The view in force. Where all accounts are kept, the first call after a change builds it,
+    /// which takes long with thousands of services.
     pub fn view(&self) -> Arc<View> {
-        lock(&self.view).clone()
+        match self.scope {
+            Scope::All => lock(&self.book).view(),
+            Scope::Account(_) => lock(&self.view).clone(),
+        }
     }
 
     /// Whether the settings are known to be current enough: a source that was itself current has
@@ -112,31 +111,31 @@
 
     /// Versions in force, sorted by account.
     pub fn versions(&self) -> Vec<(Arc<str>, Version)> {
-        lock(&self.state).book.versions()
+        lock(&self.book).versions()
     }
 
     /// Version and text of the root in force.
     pub fn root(&self) -> Option<(Version, Arc<str>)> {
-        lock(&self.state).book.root()
+        lock(&self.book).root()
     }
 
     /// Version and text of an account's subtree in force.
     pub fn subtree(&self, account: &str) -> Option<(Version, Arc<str>)> {
-        lock(&self.state).book.subtree(account)
+        lock(&self.book).subtree(account)
     }
 
-    /// Takes in a root and tries the subtrees that waited for it.
+    /// Takes in a root; subtrees that waited for it may come into force with it.
     pub fn offer_root(&self, yaml: &str, source: Source) -> Outcome {
-        let mut state = lock(&self.state);
-        let outcome = state.book.accept_root(yaml);
+        let mut book = lock(&self.book);
+        let before = book.versions();
+        let outcome = book.accept_root(yaml);
         self.report("", &outcome, source);
-        if !matches!(outcome, Outcome::Accepted(_)) {
-            return outcome;
-        }
-        for (account, yaml) in std::mem::take(&mut state.deferred) {
-            self.accept(&mut state, account, &yaml, source);
+        for (account, version) in book.versions() {
+            if !before.contains(&(account.clone(), version)) {
+                self.report(&account, &Outcome::Accepted(version), source);
+            }
         }
-        self.publish(&state);
+        self.publish(&book, &outcome);
         outcome
     }
 
@@ -145,29 +144,20 @@
         if !self.scope.contains(account) {
             return None;
         }
-        let mut state = lock(&self.state);
-        let outcome = self.accept(&mut state, account.into(), yaml, source);
-        if matches!(outcome, Outcome::Accepted(_)) {
-            self.publish(&state);
-        }
+        let mut book = lock(&self.book);
+        let outcome = book.accept_account(account, yaml);
+        self.report(account, &outcome, source);
+        self.publish(&book, &outcome);
         Some(outcome)
     }
 
-    fn accept(&self, state: &mut State, account: Arc<str>, yaml: &str, source: Source) -> Outcome {
-        let outcome = state.book.accept_account(&account, yaml);
-        self.report(&account, &outcome, source);
-        if matches!(outcome, Outcome::Deferred(_)) {
-            let found = state.deferred.binary_search_by(|(name, _)| name.cmp(&account));
-            match found {
-                Ok(index) => state.deferred[index].1 = yaml.into(),
-                Err(index) => state.deferred.insert(index, (account, yaml.into())),
-            }
+    fn publish(&self, book: &Book, outcome: &Outcome) {
+        if !matches!(outcome, Outcome::Accepted(_)) {
+            return;
+        }
+        if matches!(self.scope, Scope::Account(_)) {
+            *lock(&self.view) = book.view();
         }
-        outcome
-    }
-
-    fn publish(&self, state: &State) {
-        *lock(&self.view) = state.book.view();
         self.generation.fetch_add(1, Ordering::Release);
     }
 
--- a/crates/wire/src/control/dto.rs
+++ b/crates/wire/src/control/dto.rs
@@ -4,7 +4,7 @@
 use decision::message::{Claim, ClaimAnswer, FlowNote, Heartbeat, Knowledge, Message, Opening};
 use serde::{Deserialize, Deserializer, Serialize};
 
-use super::{NOTES_MAX, OPENINGS_MAX};
+use super::LIST_MAX;
 use crate::bounded;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,7 +33,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct FlowNoteDto(OpeningDto, bool);
+struct FlowNoteDto(OpeningDto, bool, u32);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct HeartbeatDto {
@@ -56,12 +56,14 @@
         opening: OpeningDto,
         claim: ClaimDto,
         view: u64,
+        incarnation: u64,
     },
     ClaimReply {
         opening: OpeningDto,
         claim: ClaimDto,
         answer: ClaimAnswerDto,
         view: u64,
+        incarnation: u64,
     },
     Announce {
         incarnation: u64,
@@ -75,10 +77,13 @@
     },
     Ask {
         flow: u64,
+        question: u64,
     },
     AskReply {
         flow: u64,
+        question: u64,
         knowledge: KnowledgeDto,
+        view: u64,
     },
     Relearn {
         incarnation: u64,
@@ -105,11 +110,11 @@
 }
 
 fn notes<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<FlowNoteDto>, D::Error> {
-    bounded::list::<_, _, NOTES_MAX>(deserializer)
+    bounded::list::<_, _, LIST_MAX>(deserializer)
 }
 
 fn openings<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<OpeningDto>, D::Error> {
-    bounded::list::<_, _, OPENINGS_MAX>(deserializer)
+    bounded::list::<_, _, LIST_MAX>(deserializer)
 }
 
 impl From<Claim> for ClaimDto {
@@ -188,13 +193,13 @@
 
 impl From<FlowNote> for FlowNoteDto {
     fn from(note: FlowNote) -> Self {
-        Self(note.opening.into(), note.open)
+        Self(note.opening.into(), note.open, note.age_ms)
     }
 }
 
 impl From<FlowNoteDto> for FlowNote {
-    fn from(FlowNoteDto(opening, open): FlowNoteDto) -> Self {
-        Self { opening: opening.into(), open }
+    fn from(FlowNoteDto(opening, open, age_ms): FlowNoteDto) -> Self {
+        Self { opening: opening.into(), open, age_ms }
     }
 }
 
@@ -229,16 +234,18 @@
 impl From<&Message> for MessageDto {
     fn from(message: &Message) -> Self {
         Self(match message {
-            Message::ClaimRequest { opening, claim, view } => Body::ClaimRequest {
+            Message::ClaimRequest { opening, claim, view, incarnation } => Body::ClaimRequest {
                 opening: (*opening).into(),
                 claim: (*claim).into(),
                 view: view.0,
+                incarnation: incarnation.0,
             },
-            Message::ClaimReply { opening, claim, answer, view } => Body::ClaimReply {
+            Message::ClaimReply { opening, claim, answer, view, incarnation } => Body::ClaimReply {
                 opening: (*opening).into(),
                 claim: (*claim).into(),
                 answer: (*answer).into(),
                 view: view.0,
+                incarnation: incarnation.0,
             },
             Message::Announce { incarnation, sequence, notes } => Body::Announce {
                 incarnation: incarnation.0,
@@ -248,10 +255,13 @@
             Message::AnnounceAck { incarnation, sequence } => {
                 Body::AnnounceAck { incarnation: incarnation.0, sequence: *sequence }
             }
-            Message::Ask { flow } => Body::Ask { flow: flow.0 },
-            Message::AskReply { flow, knowledge } => {
-                Body::AskReply { flow: flow.0, knowledge: (*knowledge).into() }
-            }
+            Message::Ask { flow, question } => Body::Ask { flow: flow.0, question: *question },
+            Message::AskReply { flow, question, knowledge, view } => Body::AskReply {
+                flow: flow.0,
+                question: *question,
+                knowledge: (*knowledge).into(),
+                view: view.0,
+            },
             Message::Relearn { incarnation, from } => {
                 Body::Relearn { incarnation: incarnation.0, from: from.0 }
             }
@@ -272,16 +282,18 @@
 impl From<MessageDto> for Message {
     fn from(MessageDto(body): MessageDto) -> Self {
         match body {
-            Body::ClaimRequest { opening, claim, view } => Self::ClaimRequest {
+            Body::ClaimRequest { opening, claim, view, incarnation } => Self::ClaimRequest {
                 opening: opening.into(),
                 claim: claim.into(),
                 view: Version(view),
+                incarnation: Incarnation(incarnation),
             },
-            Body::ClaimReply { opening, claim, answer, view } => Self::ClaimReply {
+            Body::ClaimReply { opening, claim, answer, view, incarnation } => Self::ClaimReply {
                 opening: opening.into(),
                 claim: claim.into(),
                 answer: answer.into(),
                 view: Version(view),
+                incarnation: Incarnation(incarnation),
             },
             Body::Announce { incarnation, sequence, notes } => Self::Announce {
                 incarnation: Incarnation(incarnation),
@@ -291,10 +303,13 @@
             Body::AnnounceAck { incarnation, sequence } => {
                 Self::AnnounceAck { incarnation: Incarnation(incarnation), sequence }
             }
-            Body::Ask { flow } => Self::Ask { flow: FlowId(flow) },
-            Body::AskReply { flow, knowledge } => {
-                Self::AskReply { flow: FlowId(flow), knowledge: knowledge.into() }
-            }
+            Body::Ask { flow, question } => Self::Ask { flow: FlowId(flow), question },
+            Body::AskReply { flow, question, knowledge, view } => Self::AskReply {
+                flow: FlowId(flow),
+                question,
+                knowledge: knowledge.into(),
+                view: Version(view),
+            },
             Body::Relearn { incarnation, from } => {
                 Self::Relearn { incarnation: Incarnation(incarnation), from: FlowId(from) }
             }
--- a/crates/wire/src/control/mod.rs
+++ b/crates/wire/src/control/mod.rs
@@ -12,10 +12,8 @@
 /// Largest encoded message. With GUE header, private data and IPv6 it stays below the smallest
 /// MTU of today's clouds (1,460 bytes), so that a message is never fragmented.
 pub const MESSAGE_BYTES_MAX: usize = 1_300;
-/// Longest list of flow notes in one message. A note takes at most 17 bytes.
-pub const NOTES_MAX: usize = 64;
-/// Longest list of openings in one message. An opening takes at most 16 bytes.
-pub const OPENINGS_MAX: usize = 64;
+/// Longest list in one message; the core sends at most 48 notes and 72 openings.
+pub const LIST_MAX: usize = 128;
 
 /// A message and the hybrid logical clock of its sender.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,14 +43,14 @@
 /// ```
 /// use decision::{keys::FlowId, message::Message};
 /// use wire::control::{self, Envelope};
-/// let envelope = Envelope { clock: 1, message: Message::Ask { flow: FlowId(7) } };
+/// let envelope = Envelope { clock: 1, message: Message::Ask { flow: FlowId(7), question: 1 } };
 /// let mut bytes = Vec::new();
 /// control::encode(&envelope, &mut bytes).unwrap();
 /// assert_eq!(control::decode(&bytes).unwrap(), envelope);
 /// ```
 pub fn encode(envelope: &Envelope, out: &mut Vec<u8>) -> Result<(), ControlError> {
     let entries = dto::list_entries(&envelope.message);
-    if entries > NOTES_MAX.min(OPENINGS_MAX) {
+    if entries > LIST_MAX {
         return Err(ControlError::ListTooLong(entries));
     }
     let start = out.len();
