--- /dev/null
+++ b/crates/wire/tests/control.rs
@@ -0,0 +1,133 @@
+//! Contract of the control messages.
+
+mod common;
+
+use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
+use decision::message::{Claim, ClaimAnswer, FlowNote, Heartbeat, Knowledge, Message, Opening};
+use proptest::prelude::*;
+use rstest::rstest;
+use wire::control::{ControlError, Envelope, LIST_MAX, MESSAGE_BYTES_MAX, decode, encode};
+
+const OPENING: Opening = Opening { flow: FlowId(u64::MAX), nonce: u32::MAX };
+const VIEW: Version = Version(7);
+const LIFE: Incarnation = Incarnation(u64::MAX);
+
+fn note() -> FlowNote {
+    FlowNote { opening: OPENING, open: true, age_ms: u32::MAX }
+}
+
+fn announce(notes: usize) -> Message {
+    Message::Announce { incarnation: LIFE, sequence: u64::MAX, notes: vec![note(); notes] }
+}
+
+fn page(openings: usize) -> Message {
+    let (from, next) = (FlowId(1), Some(FlowId(u64::MAX)));
+    let openings = vec![OPENING; openings];
+    Message::RelearnReply { incarnation: LIFE, from, openings, next, complete: true }
+}
+
+fn claim_reply(answer: ClaimAnswer) -> Message {
+    let claim = Claim::Run(UpstreamId(3));
+    Message::ClaimReply { opening: OPENING, claim, answer, view: VIEW, incarnation: LIFE }
+}
+
+fn ask_reply(knowledge: Knowledge) -> Message {
+    Message::AskReply { flow: FlowId(4), question: 5, knowledge, view: VIEW }
+}
+
+fn heartbeat() -> Message {
+    Message::Heartbeat(Heartbeat {
+        incarnation: LIFE,
+        view: VIEW,
+        open_flows: 1,
+        unanswered: 2,
+        accepting: true,
+        ramp_percent: 30,
+        leaving: false,
+    })
+}
+
+#[rstest]
+#[case::claim(Message::ClaimRequest {
+    opening: OPENING, claim: Claim::Refuse, view: VIEW, incarnation: LIFE,
+})]
+#[case::granted(claim_reply(ClaimAnswer::Granted))]
+#[case::taken(claim_reply(ClaimAnswer::Taken(Claim::Run(UpstreamId(9)))))]
+#[case::taken_by_refusal(claim_reply(ClaimAnswer::Taken(Claim::Refuse)))]
+#[case::abstained(claim_reply(ClaimAnswer::Abstained))]
+#[case::stale_view(claim_reply(ClaimAnswer::StaleView))]
+#[case::announce(announce(2))]
+#[case::announce_ack(Message::AnnounceAck { incarnation: LIFE, sequence: 8 })]
+#[case::ask(Message::Ask { flow: FlowId(4), question: 5 })]
+#[case::mine(ask_reply(Knowledge::Mine))]
+#[case::held_by(ask_reply(Knowledge::HeldBy(UpstreamId(6))))]
+#[case::not_mine(ask_reply(Knowledge::NotMine))]
+#[case::unsure(ask_reply(Knowledge::Unsure))]
+#[case::relearn(Message::Relearn { incarnation: LIFE, from: FlowId(3) })]
+#[case::page(page(2))]
+#[case::heartbeat(heartbeat())]
+fn decode_own_encoding(#[case] message: Message) {
+    let envelope = Envelope { clock: u64::MAX, message };
+    let mut bytes = Vec::new();
+    encode(&envelope, &mut bytes).unwrap();
+    assert_eq!(decode(&bytes).unwrap(), envelope);
+}
+
+/// The largest messages of the core, with the largest numbers, fit one datagram.
+#[rstest]
+#[case::announce(announce(decision::agent::limits::NOTES_PER_ANNOUNCE))]
+#[case::page(page(decision::agent::limits::OPENINGS_PER_PAGE))]
+fn encode_largest_message(#[case] message: Message) {
+    let mut bytes = Vec::new();
+    encode(&Envelope { clock: u64::MAX, message }, &mut bytes).unwrap();
+    assert!(bytes.len() <= 1_200, "{} bytes", bytes.len());
+}
+
+#[rstest]
+#[case::list(announce(LIST_MAX + 1), ControlError::ListTooLong(LIST_MAX + 1))]
+#[case::bytes(page(LIST_MAX), ControlError::TooLarge(1_960))]
+fn encode_refused(#[case] message: Message, #[case] expected: ControlError) {
+    let mut bytes = b"before".to_vec();
+    assert_eq!(encode(&Envelope { clock: 1, message }, &mut bytes), Err(expected));
+    assert_eq!(bytes, b"before");
+}
+
+/// Agents of two releases talk to each other while the fleet is replaced.
+#[test]
+fn encode_golden_vector() {
+    let message = Message::Ask { flow: FlowId(258), question: 5 };
+    let mut bytes = Vec::new();
+    encode(&Envelope { clock: 1, message }, &mut bytes).unwrap();
+    assert_eq!(bytes, [0x92, 0x01, 0x81, 0xa3, b'A', b's', b'k', 0x92, 0xcd, 0x01, 0x02, 0x05]);
+}
+
+/// A list that claims four thousand million entries is refused by that number alone.
+#[rstest]
+#[case::not_message_pack(b"\xc1".to_vec(), ControlError::Malformed)]
+#[case::empty(vec![], ControlError::Malformed)]
+#[case::too_large(vec![0; MESSAGE_BYTES_MAX + 1], ControlError::TooLarge(MESSAGE_BYTES_MAX + 1))]
+#[case::endless_list(
+    b"\x92\x01\x81\xa8Announce\x93\x01\x01\xdd\xff\xff\xff\xff".to_vec(),
+    ControlError::Malformed,
+)]
+fn decode_refused(#[case] bytes: Vec<u8>, #[case] expected: ControlError) {
+    assert_eq!(decode(&bytes), Err(expected));
+}
+
+proptest! {
+    #![proptest_config(common::fixed_seed())]
+
+    #[test]
+    fn decode_any_bytes(bytes: Vec<u8>) {
+        let _ = decode(&bytes);
+    }
+
+    #[test]
+    fn decode_damaged_message(offset: prop::sample::Index, value: u8) {
+        let mut bytes = Vec::new();
+        encode(&Envelope { clock: 1, message: announce(3) }, &mut bytes).unwrap();
+        let offset = offset.index(bytes.len());
+        bytes[offset] = value;
+        let _ = decode(&bytes);
+    }
+}
