--- /dev/null
+++ b/crates/decision/src/agent/claimant.rs
@@ -0,0 +1,273 @@
+//! Claims of this agent: asking witnesses, counting what they say, acting on the outcome.
+
+use super::claims::Stage;
+use super::mutant::mutated;
+use super::pending::{Attempt, PendingClaim};
+use super::quorum::{Tally, Vote};
+use super::{Action, Agent, Note, Reason, Verdict, limits};
+use crate::keys::{Incarnation, UpstreamId, Version};
+use crate::message::{Claim, ClaimAnswer, Message, Opening};
+use crate::time::Millis;
+
+/// Who has to record a claim.
+#[derive(Clone, Debug)]
+pub(super) enum Witnesses {
+    /// These agents, if they answer in time.
+    Former(Vec<UpstreamId>),
+    /// A majority of every membership.
+    Quorum,
+}
+
+/// A witness's answer, as received.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Reply {
+    pub(super) opening: Opening,
+    pub(super) claim: Claim,
+    pub(super) answer: ClaimAnswer,
+    pub(super) view: Version,
+    pub(super) incarnation: Incarnation,
+}
+
+impl Agent {
+    /// Records the claim here, asks the witnesses, and holds the packet until they have answered.
+    pub(super) fn start_claim(
+        &mut self,
+        now: Millis,
+        attempt: Attempt,
+        witnesses: Witnesses,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let Attempt { opening, claim, .. } = attempt;
+        let life = self.config.incarnation;
+        let room = self.pending.len() < limits::MAX_PENDING_CLAIMS;
+        if !room || !self.claims.put(now, opening, claim, life, Stage::Pending) {
+            return Verdict::Drop(Reason::Overload);
+        }
+        let quorum = matches!(witnesses, Witnesses::Quorum);
+        let asked = match witnesses {
+            Witnesses::Former(asked) => asked,
+            Witnesses::Quorum => self.settings.cuts.witnesses(),
+        };
+        let wait_ms = if quorum { limits::QUORUM_WAIT_MS } else { limits::WITNESS_WAIT_MS };
+        let mut pending = PendingClaim {
+            attempt,
+            hold: self.new_hold(),
+            quorum,
+            votes: asked.into_iter().map(|id| (id, None)).collect(),
+            deadline: now.after(wait_ms),
+            resend_at: now.after(limits::RESEND_MS),
+        };
+        self.vote_myself(now, &mut pending);
+        self.request(&pending, out);
+        if let Some(verdict) = self.settle(now, &mut pending, out) {
+            return verdict;
+        }
+        let hold = pending.hold;
+        self.pending.insert(opening, pending);
+        Verdict::Hold(hold)
+    }
+
+    /// A witness has answered. An answer after the deadline is not counted: a claimant that was
+    /// paused may hold a grant that its witness has forgotten.
+    pub(super) fn claim_answered(
+        &mut self,
+        now: Millis,
+        from: UpstreamId,
+        reply: Reply,
+        out: &mut Vec<Action>,
+    ) {
+        self.saw_version(now, reply.view, out);
+        if reply.incarnation != self.config.incarnation {
+            return;
+        }
+        let Some(mut pending) = self.pending.remove(reply.opening) else { return };
+        if pending.attempt.claim == reply.claim && now < pending.deadline {
+            self.count(from, reply.answer, &mut pending);
+        }
+        self.settle_or_keep(now, pending, out);
+    }
+
+    /// Ends claims whose time is over and repeats the requests of the others.
+    pub(super) fn tend_claims(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let due: Vec<Opening> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| now >= pending.deadline || now >= pending.resend_at)
+            .map(|(opening, _)| opening)
+            .collect();
+        for opening in due {
+            let Some(mut pending) = self.pending.remove(opening) else { continue };
+            if now < pending.deadline {
+                pending.resend_at = now.after(limits::RESEND_MS);
+                self.request(&pending, out);
+            }
+            self.settle_or_keep(now, pending, out);
+        }
+    }
+
+    /// Newer settings: their members are asked as well, and votes given before still stand.
+    pub(super) fn recount_pending(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let openings: Vec<Opening> = self.pending.iter().map(|(opening, _)| opening).collect();
+        for opening in openings {
+            let Some(mut pending) = self.pending.remove(opening) else { continue };
+            if pending.quorum {
+                let old = std::mem::take(&mut pending.votes);
+                let vote_of =
+                    |id| old.iter().find(|(known, _)| *known == id).and_then(|(_, vote)| *vote);
+                let asked = self.settings.cuts.witnesses();
+                pending.votes = asked.into_iter().map(|id| (id, vote_of(id))).collect();
+                self.vote_myself(now, &mut pending);
+                self.request(&pending, out);
+            }
+            self.settle_or_keep(now, pending, out);
+        }
+    }
+
+    /// Resolves a waiting claim with one that another claimant has put in force.
+    pub(super) fn yield_to(
+        &mut self,
+        now: Millis,
+        opening: Opening,
+        claim: Claim,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.pending.remove(opening) else { return };
+        let attempt = Attempt { claim, refusal: Reason::Tombstone, ..pending.attempt };
+        let verdict = self.decide_early(now, attempt, out);
+        out.push(Action::Resolve { hold: pending.hold, verdict });
+    }
+
+    fn count(&mut self, from: UpstreamId, answer: ClaimAnswer, pending: &mut PendingClaim) {
+        match answer {
+            ClaimAnswer::Granted => pending.vote(from, Vote::Granted),
+            ClaimAnswer::Taken(claim) => pending.vote(from, Vote::Other(claim)),
+            ClaimAnswer::Abstained => pending.vote(from, Vote::Abstained),
+            // Not a vote: it is asked again once the newer settings are in force here.
+            ClaimAnswer::StaleView => false,
+        };
+    }
+
+    /// This agent's own vote, if it is a witness. Its record of the claim has been made.
+    fn vote_myself(&self, now: Millis, pending: &mut PendingClaim) {
+        let vote = if self.abstains(now) { Vote::Abstained } else { Vote::Granted };
+        pending.vote(self.config.upstream, vote);
+    }
+
+    fn request(&self, pending: &PendingClaim, out: &mut Vec<Action>) {
+        for to in pending.silent() {
+            let message = Message::ClaimRequest {
+                opening: pending.attempt.opening,
+                claim: pending.attempt.claim,
+                view: self.settings.version,
+                incarnation: self.config.incarnation,
+            };
+            out.push(Action::Send { to, message });
+        }
+    }
+
+    fn settle_or_keep(&mut self, now: Millis, mut pending: PendingClaim, out: &mut Vec<Action>) {
+        match self.settle(now, &mut pending, out) {
+            Some(verdict) => out.push(Action::Resolve { hold: pending.hold, verdict }),
+            None => self.pending.insert(pending.attempt.opening, pending),
+        }
+    }
+
+    fn settle(
+        &mut self,
+        now: Millis,
+        pending: &mut PendingClaim,
+        out: &mut Vec<Action>,
+    ) -> Option<Verdict> {
+        if pending.quorum {
+            return self.settle_quorum(now, pending, out);
+        }
+        let objection = pending.votes.iter().find_map(|(_, vote)| match vote {
+            Some(Vote::Other(claim)) => Some(*claim),
+            _ => None,
+        });
+        if let Some(claim) = objection {
+            let attempt = Attempt { claim, refusal: Reason::Tombstone, ..pending.attempt };
+            return Some(self.decide_early(now, attempt, out));
+        }
+        let awaited = |id: UpstreamId| self.peers.get(id).is_some_and(|peer| !peer.suspected);
+        let waiting = now < pending.deadline && pending.silent().any(awaited);
+        (!waiting).then(|| self.decide_early(now, pending.attempt, out))
+    }
+
+    fn settle_quorum(
+        &mut self,
+        now: Millis,
+        pending: &mut PendingClaim,
+        out: &mut Vec<Action>,
+    ) -> Option<Verdict> {
+        let Attempt { opening, claim, hops, .. } = pending.attempt;
+        let over = now >= pending.deadline;
+        let mut tally = self.settings.cuts.tally(&pending.given(), self.config.upstream);
+        if mutated!(self, QuorumOfOne) {
+            tally = Tally::Won;
+        }
+        match tally {
+            Tally::Open if !over => None,
+            Tally::Won if !over => Some(self.win(now, pending.attempt, out)),
+            Tally::Refused => Some(self.refuse_once(now, opening, Reason::Tombstone, out)),
+            Tally::Lost(Some(Claim::Run(holder))) if claim != Claim::Refuse => {
+                self.claims.set_stage(opening, Stage::Undecided);
+                Some(self.hand_to(now, hops, opening, holder, out))
+            }
+            _ if claim == Claim::Refuse => {
+                self.claims.set_stage(opening, Stage::Undecided);
+                Some(Verdict::Drop(Reason::HolderSilent))
+            }
+            _ => self.give_up(now, pending, out),
+        }
+    }
+
+    /// The majority stands: from here on no other agent can run or refuse the opening.
+    fn win(&mut self, now: Millis, attempt: Attempt, out: &mut Vec<Action>) -> Verdict {
+        if attempt.claim == Claim::Refuse {
+            return self.refuse_once(now, attempt.opening, attempt.refusal, out);
+        }
+        if !self.flows.has_room() {
+            self.claims.set_stage(attempt.opening, Stage::Undecided);
+            return Verdict::Drop(Reason::Overload);
+        }
+        let life = self.config.incarnation;
+        self.claims.put(now, attempt.opening, attempt.claim, life, Stage::Decided);
+        self.admit(now, attempt.opening, out)
+    }
+
+    fn refuse_once(
+        &mut self,
+        now: Millis,
+        opening: Opening,
+        reason: Reason,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let life = self.config.incarnation;
+        self.claims.put(now, opening, Claim::Refuse, life, Stage::Decided);
+        out.push(Action::Note(Note::Refused { opening, reason }));
+        Verdict::Refuse(reason)
+    }
+
+    /// Too few witnesses for running it. To say that it did not run takes a majority as well:
+    /// this life promises never to run it and asks for that to be recorded. Without a majority
+    /// the caller gets no answer, because either answer could be a lie.
+    fn give_up(
+        &mut self,
+        now: Millis,
+        pending: &mut PendingClaim,
+        out: &mut Vec<Action>,
+    ) -> Option<Verdict> {
+        let opening = pending.attempt.opening;
+        let life = self.config.incarnation;
+        pending.attempt.claim = Claim::Refuse;
+        pending.attempt.refusal = Reason::InDoubt;
+        pending.deadline = now.after(limits::QUORUM_WAIT_MS);
+        pending.resend_at = now.after(limits::RESEND_MS);
+        pending.votes.iter_mut().for_each(|(_, vote)| *vote = None);
+        self.claims.put(now, opening, Claim::Refuse, life, Stage::Pending);
+        self.vote_myself(now, pending);
+        self.request(pending, out);
+        self.settle_quorum(now, pending, out)
+    }
+}
--- /dev/null
+++ b/crates/decision/src/agent/early.rs
@@ -0,0 +1,242 @@
+//! Openings of services that admit when in doubt: a SYN, of which the caller completes one
+//! handshake only.
+//!
+//! The home arbitrates. It asks former homes first, if there are any, and does not wait for the
+//! silent ones longer than [`limits::WITNESS_WAIT_MS`].
+
+use super::claimant::Witnesses;
+use super::claims::Stage;
+use super::flows::FlowState;
+use super::mutant::mutated;
+use super::pending::Attempt;
+use super::redirects::Redirect;
+use super::{Action, Agent, Note, Packet, Passed, Reason, Verdict, limits};
+use crate::keys::UpstreamId;
+use crate::message::{Claim, Opening};
+use crate::rank;
+use crate::time::Millis;
+
+impl Agent {
+    pub(super) fn open_early(
+        &mut self,
+        now: Millis,
+        packet: &Packet,
+        opening: Opening,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        if self.is_copy_or_reuse(opening) {
+            self.flows.touch_opening(now, opening.flow);
+            return Verdict::Deliver;
+        }
+        if let Some(record) = self.claims.get(now, opening) {
+            return match record.stage {
+                Stage::Pending => self.copy_of_pending(now, packet, opening, out),
+                _ => self.follow_claim(now, packet, opening, record.claim, out),
+            };
+        }
+        let hops = packet.hops;
+        if let Some(holder) = self.redirect_of_opening(now, opening) {
+            return self.start_early(now, hops, opening, Claim::Run(holder), out);
+        }
+        if packet.passed == Passed::Assigned {
+            return self.take_assigned(now, hops, opening, out);
+        }
+        if let Some(home) = self.other_home(now, packet, out) {
+            self.flows.remove(opening.flow);
+            return self.forward(packet.hops, home, Passed::Redirected);
+        }
+        let claim = self.choose(now, false).map_or(Claim::Refuse, Claim::Run);
+        self.start_early(now, hops, opening, claim, out)
+    }
+
+    /// A copy while the claim still waits. If another home has assigned the opening to this agent
+    /// meanwhile, that is in force already and the held copy is the one to deliver.
+    fn copy_of_pending(
+        &mut self,
+        now: Millis,
+        packet: &Packet,
+        opening: Opening,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        if packet.passed == Passed::Assigned {
+            self.yield_to(now, opening, Claim::Run(self.config.upstream), out);
+        }
+        Verdict::Drop(Reason::Duplicate)
+    }
+
+    /// Whether the opening belongs to the flow in the table: a copy of its own opening, or one on
+    /// the ports of an open flow, which the upstream answers itself.
+    fn is_copy_or_reuse(&self, opening: Opening) -> bool {
+        self.flows
+            .get(opening.flow)
+            .is_some_and(|flow| flow.state == FlowState::Open || flow.nonce == Some(opening.nonce))
+    }
+
+    /// The agent to which the home's work belongs, `None` if it is this one.
+    ///
+    /// A sender with newer settings knows better who is home. This agent then acts as home at
+    /// once, and asks those who rank before it in its own settings.
+    pub(super) fn other_home(
+        &mut self,
+        now: Millis,
+        packet: &Packet,
+        out: &mut Vec<Action>,
+    ) -> Option<UpstreamId> {
+        self.saw_version(now, packet.view, out);
+        let sender_knows_better = packet.view > self.settings.version;
+        let must_end_here = packet.hops + 2 > limits::MAX_HOPS;
+        if sender_knows_better || must_end_here {
+            return None;
+        }
+        let home = self.home(rank::bucket_of(packet.flow))?;
+        (home != self.config.upstream).then_some(home)
+    }
+
+    /// The holder that a redirect names for an opening. An opening on the ports of a closing flow
+    /// is free; on those of an open one it goes to its holder, whose upstream decides.
+    pub(super) fn redirect_of_opening(&self, now: Millis, opening: Opening) -> Option<UpstreamId> {
+        let redirect = self.redirects.get(now, opening.flow)?;
+        let same = redirect.nonce == Some(opening.nonce);
+        let gone = !same && (redirect.closing || !self.is_up(redirect.holder));
+        (redirect.holder != self.config.upstream && !gone).then_some(redirect.holder)
+    }
+
+    /// The home has assigned the opening to this agent a moment ago. If the upstream has begun to
+    /// drain since, it goes on to another one.
+    fn take_assigned(
+        &mut self,
+        now: Millis,
+        hops: u8,
+        opening: Opening,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let claim = self.claim_of_assigned(now, hops);
+        let refusal = Reason::AllFull;
+        self.decide_early(now, Attempt { opening, claim, refusal, hops }, out)
+    }
+
+    pub(super) fn claim_of_assigned(&mut self, now: Millis, hops: u8) -> Claim {
+        if !self.must_not_admit() && !self.is_full() {
+            return Claim::Run(self.config.upstream);
+        }
+        let other = self.choose(now, true).filter(|_| hops < limits::MAX_HOPS);
+        other.map_or(Claim::Refuse, Claim::Run)
+    }
+
+    /// Acts on a claim that is in force.
+    fn follow_claim(
+        &mut self,
+        now: Millis,
+        packet: &Packet,
+        opening: Opening,
+        claim: Claim,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        if claim == Claim::Run(self.config.upstream) {
+            return self.take_assigned(now, packet.hops, opening, out);
+        }
+        if claim == Claim::Refuse && mutated!(self, TombstoneForgotten) {
+            self.claims.remove(opening);
+        }
+        let refusal = Reason::Tombstone;
+        self.decide_early(now, Attempt { opening, claim, refusal, hops: packet.hops }, out)
+    }
+
+    /// Records a claim and asks former homes, or puts it in force at once if there are none.
+    fn start_early(
+        &mut self,
+        now: Millis,
+        hops: u8,
+        opening: Opening,
+        claim: Claim,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let attempt = Attempt { opening, claim, refusal: Reason::AllFull, hops };
+        let witnesses = self.former_homes(now, rank::bucket_of(opening.flow));
+        if witnesses.is_empty() {
+            return self.decide_early(now, attempt, out);
+        }
+        self.start_claim(now, attempt, Witnesses::Former(witnesses), out)
+    }
+
+    /// Puts a claim in force.
+    pub(super) fn decide_early(
+        &mut self,
+        now: Millis,
+        attempt: Attempt,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let Attempt { opening, claim, refusal, hops } = attempt;
+        let incarnation = self.config.incarnation;
+        let me = self.config.upstream;
+        let room = claim != Claim::Run(me) || self.flows.has_room();
+        if !room || !self.claims.put(now, opening, claim, incarnation, Stage::Decided) {
+            return Verdict::Drop(Reason::Overload);
+        }
+        match claim {
+            Claim::Run(holder) if holder == me => self.admit(now, opening, out),
+            Claim::Run(holder) => self.hand_to(now, hops, opening, holder, out),
+            Claim::Refuse => {
+                out.push(Action::Note(Note::Refused { opening, reason: refusal }));
+                Verdict::Refuse(refusal)
+            }
+        }
+    }
+
+    /// The own upstream takes the opening.
+    pub(super) fn admit(
+        &mut self,
+        now: Millis,
+        opening: Opening,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        self.hold_flow(now, opening.flow, Some(opening.nonce), false);
+        out.push(Action::Note(Note::Admitted(opening)));
+        Verdict::Deliver
+    }
+
+    /// Another agent takes the opening; its flow is expected there from now on.
+    pub(super) fn hand_to(
+        &mut self,
+        now: Millis,
+        hops: u8,
+        opening: Opening,
+        holder: UpstreamId,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let verdict = self.forward(hops, holder, Passed::Assigned);
+        if !matches!(verdict, Verdict::Forward { .. }) {
+            return verdict;
+        }
+        self.flows.remove(opening.flow);
+        self.expect_at(now, opening, holder);
+        out.push(Action::Note(Note::Assigned { opening, to: holder }));
+        if mutated!(self, RedirectsForgotten) {
+            self.redirects.remove(opening.flow);
+            self.claims.remove(opening);
+        }
+        verdict
+    }
+
+    fn expect_at(&mut self, now: Millis, opening: Opening, holder: UpstreamId) {
+        let known = self.redirects.get(now, opening.flow);
+        let repeated = known.is_some_and(|known| {
+            known.holder == holder && (known.nonce == Some(opening.nonce) || !known.closing)
+        });
+        if repeated {
+            return;
+        }
+        if let Some(peer) = self.peers.get_mut(holder) {
+            peer.assigned += 1;
+        }
+        let redirect = Redirect {
+            holder,
+            nonce: Some(opening.nonce),
+            opened_at: now,
+            confirmed: false,
+            closing: false,
+            expires_at: now.after(limits::REDIRECT_TTL_MS),
+        };
+        self.redirects.insert(now, opening.flow, redirect);
+    }
+}
--- /dev/null
+++ b/crates/decision/src/agent/flows.rs
@@ -0,0 +1,239 @@
+//! The flow table: the truth about which flows this agent's upstream holds.
+
+use std::collections::VecDeque;
+
+use super::flow_map::FlowMap;
+use super::limits;
+use crate::keys::FlowId;
+use crate::message::Opening;
+use crate::time::Millis;
+
+/// Whether a flow still takes part in load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlowState {
+    /// Established, or being established.
+    Open,
+    /// The caller has sent FIN: answers may still be on their way.
+    Finishing,
+    /// The caller has sent RST: only stray packets follow.
+    Reset,
+}
+
+/// One flow of the upstream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Flow {
+    /// Nonce of the opening; `None` for a flow that was adopted without record.
+    pub(super) nonce: Option<u32>,
+    pub(super) state: FlowState,
+    pub(super) opened_at: Millis,
+    pub(super) last_seen: Millis,
+    /// Whether the caller has sent anything after the opening.
+    pub(super) answered: bool,
+}
+
+/// How long flows without a sign of life are kept.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FlowLifetimes {
+    pub(super) idle_ms: u64,
+    pub(super) unanswered_ms: u64,
+}
+
+/// All flows of the upstream.
+#[derive(Debug, Default)]
+pub(super) struct FlowTable {
+    flows: FlowMap<Flow>,
+    open: usize,
+    unanswered: usize,
+    /// Openings by age, with those that have been answered still among them.
+    openings: VecDeque<(Millis, FlowId)>,
+    /// Closing flows by the time of their last check.
+    closing: VecDeque<(Millis, FlowId)>,
+    swept_at: Millis,
+    last_progress: Millis,
+}
+
+impl FlowTable {
+    pub(super) fn get(&self, flow: FlowId) -> Option<&Flow> {
+        self.flows.get(&flow)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (FlowId, &Flow)> {
+        self.flows.iter().map(|(id, flow)| (*id, flow))
+    }
+
+    pub(super) fn open(&self) -> usize {
+        self.open
+    }
+
+    pub(super) fn closing(&self) -> usize {
+        self.flows.len() - self.open
+    }
+
+    pub(super) fn unanswered(&self) -> usize {
+        self.unanswered
+    }
+
+    /// Whether one more flow can be taken without touching an open one.
+    pub(super) fn has_room(&self) -> bool {
+        self.open < limits::MAX_FLOWS
+    }
+
+    /// When a caller last went on after its opening.
+    pub(super) fn last_progress(&self) -> Millis {
+        self.last_progress
+    }
+
+    /// Age of the oldest opening that its caller has not followed up.
+    pub(super) fn oldest_unanswered(&mut self) -> Option<Millis> {
+        while let Some(&(opened_at, id)) = self.openings.front() {
+            let waits = |flow: &Flow| flow.opened_at == opened_at && flow.is_unanswered();
+            if self.flows.get(&id).is_some_and(waits) {
+                return Some(opened_at);
+            }
+            self.openings.pop_front();
+        }
+        None
+    }
+
+    /// The fast path: marks a packet of a known flow, false if the flow is unknown.
+    pub(super) fn touch(&mut self, now: Millis, id: FlowId) -> bool {
+        let Some(flow) = self.flows.get_mut(&id) else { return false };
+        flow.last_seen = now;
+        if !flow.answered {
+            flow.answered = true;
+            self.last_progress = now;
+            self.unanswered -= usize::from(flow.state == FlowState::Open);
+        }
+        true
+    }
+
+    /// Marks a copy of the opening, which is no sign that the caller was answered.
+    pub(super) fn touch_opening(&mut self, now: Millis, id: FlowId) {
+        if let Some(flow) = self.flows.get_mut(&id) {
+            flow.last_seen = now;
+        }
+    }
+
+    /// Takes a flow in and returns the closing flow that had to make room, if any.
+    pub(super) fn insert(
+        &mut self,
+        now: Millis,
+        id: FlowId,
+        nonce: Option<u32>,
+        answered: bool,
+    ) -> Option<(FlowId, Flow)> {
+        self.remove(id);
+        let evicted = self.make_room();
+        let flow = Flow { nonce, state: FlowState::Open, opened_at: now, last_seen: now, answered };
+        self.flows.insert(id, flow);
+        self.open += 1;
+        if !answered {
+            self.unanswered += 1;
+            self.openings.push_back((now, id));
+        }
+        evicted
+    }
+
+    /// The caller ends the flow; false if it is unknown or already closing this way.
+    pub(super) fn close(&mut self, now: Millis, id: FlowId, state: FlowState) -> bool {
+        let Some(flow) = self.flows.get_mut(&id) else { return false };
+        flow.last_seen = now;
+        if flow.state == state || flow.state == FlowState::Reset {
+            return false;
+        }
+        let was_open = flow.state == FlowState::Open;
+        self.unanswered -= usize::from(flow.is_unanswered());
+        self.open -= usize::from(was_open);
+        flow.state = state;
+        flow.answered = true;
+        self.closing.push_back((now, id));
+        was_open
+    }
+
+    pub(super) fn remove(&mut self, id: FlowId) -> Option<Flow> {
+        let flow = self.flows.remove(&id)?;
+        self.open -= usize::from(flow.state == FlowState::Open);
+        self.unanswered -= usize::from(flow.is_unanswered());
+        Some(flow)
+    }
+
+    /// Removes what has lingered or idled long enough, and names it.
+    pub(super) fn expire(&mut self, now: Millis, lifetimes: FlowLifetimes) -> Vec<(FlowId, Flow)> {
+        let mut ended = Vec::new();
+        self.expire_closing(now, &mut ended);
+        while let Some(opened_at) = self.oldest_unanswered() {
+            if now.since(opened_at) < lifetimes.unanswered_ms {
+                break;
+            }
+            let Some((_, id)) = self.openings.pop_front() else { break };
+            ended.extend(self.remove(id).map(|flow| (id, flow)));
+        }
+        if now.since(self.swept_at) >= limits::SWEEP_MS {
+            self.swept_at = now;
+            self.expire_idle(now, lifetimes.idle_ms, &mut ended);
+        }
+        ended
+    }
+
+    fn expire_closing(&mut self, now: Millis, ended: &mut Vec<(FlowId, Flow)>) {
+        while let Some(&(checked_at, id)) = self.closing.front() {
+            if now.since(checked_at) < limits::RESET_LINGER_MS {
+                return;
+            }
+            self.closing.pop_front();
+            let Some(flow) = self.flows.get(&id) else { continue };
+            match flow.linger_ms() {
+                None => {}
+                Some(linger_ms) if now.since(flow.last_seen) >= linger_ms => {
+                    ended.extend(self.remove(id).map(|flow| (id, flow)));
+                }
+                Some(_) => self.closing.push_back((now, id)),
+            }
+        }
+    }
+
+    fn expire_idle(&mut self, now: Millis, idle_ms: u64, ended: &mut Vec<(FlowId, Flow)>) {
+        let idle =
+            |flow: &Flow| flow.state == FlowState::Open && now.since(flow.last_seen) >= idle_ms;
+        let ids: Vec<FlowId> =
+            self.flows.iter().filter(|(_, flow)| idle(flow)).map(|(id, _)| *id).collect();
+        for id in ids {
+            ended.extend(self.remove(id).map(|flow| (id, flow)));
+        }
+    }
+
+    /// Overload: the flow that has been closing for longest goes, never an open one.
+    fn make_room(&mut self) -> Option<(FlowId, Flow)> {
+        while self.flows.len() >= limits::MAX_FLOWS {
+            let (_, id) = self.closing.pop_front()?;
+            let closing = |flow: &Flow| flow.state != FlowState::Open;
+            if self.flows.get(&id).is_some_and(closing) {
+                return self.remove(id).map(|flow| (id, flow));
+            }
+        }
+        None
+    }
+}
+
+impl Flow {
+    /// The opening that the flow came from; nonce zero if unknown.
+    pub(super) fn opening(&self, flow: FlowId) -> Opening {
+        Opening { flow, nonce: self.nonce.unwrap_or(0) }
+    }
+
+    pub(super) fn is_open(&self) -> bool {
+        self.state == FlowState::Open && self.nonce.is_some()
+    }
+
+    fn is_unanswered(&self) -> bool {
+        !self.answered && self.state == FlowState::Open
+    }
+
+    fn linger_ms(&self) -> Option<u64> {
+        match self.state {
+            FlowState::Open => None,
+            FlowState::Finishing => Some(limits::FINISH_LINGER_MS),
+            FlowState::Reset => Some(limits::RESET_LINGER_MS),
+        }
+    }
+}
--- /dev/null
+++ b/crates/decision/src/agent/health.rs
@@ -0,0 +1,195 @@
+//! Whether the own upstream takes openings, and the heartbeats that tell it to the peers.
+
+use super::mutant::mutated;
+use super::peers::{heartbeat_ms, suspect_ms};
+use super::{Action, Agent, Note, UpstreamReport, limits};
+use crate::keys::UpstreamId;
+use crate::message::{Heartbeat, Message};
+use crate::time::Millis;
+use crate::view::UpstreamState;
+
+/// What is believed about the own upstream.
+#[derive(Debug, Default)]
+pub(super) struct Health {
+    report: Option<UpstreamReport>,
+    /// When the upstream process started, as first reported.
+    upstream_started_at: Option<Millis>,
+    /// What the last heartbeat said.
+    told_accepting: Option<bool>,
+}
+
+impl Agent {
+    /// Takes in what the upstream says. A report can only take openings away, never pull them.
+    pub(super) fn upstream_reported(
+        &mut self,
+        now: Millis,
+        report: UpstreamReport,
+        out: &mut Vec<Action>,
+    ) {
+        let before = self.health.report.and_then(|report| report.age_ms);
+        if let Some(age_ms) = report.age_ms {
+            // A frozen report repeats its age; only a smaller one tells of a restart.
+            if before.is_none_or(|before| age_ms < before) {
+                self.health.upstream_started_at = Some(Millis(now.0.saturating_sub(age_ms)));
+            }
+        }
+        self.health.report = Some(report);
+        self.tell_if_changed(now, out);
+    }
+
+    /// Whether the own upstream takes openings.
+    pub(super) fn accepts(&mut self, now: Millis) -> bool {
+        if self.must_not_admit() || self.is_full() {
+            return false;
+        }
+        let sick = self.is_sick(now);
+        let Some(report) = self.health.report else { return !sick };
+        let progressing = now.since(self.flows.last_progress()) < limits::SICK_MS
+            && self.flows.last_progress() > self.started_at;
+        let unhealthy = !report.healthy && !progressing;
+        !(report.shedding || unhealthy || sick)
+    }
+
+    /// Whether the upstream or this agent is on its way out.
+    pub(super) fn must_not_admit(&self) -> bool {
+        if mutated!(self, DrainIgnored) {
+            return false;
+        }
+        let reported = self.health.report.is_some_and(|report| report.draining);
+        self.leaving || reported || self.settings.state != UpstreamState::Active
+    }
+
+    pub(super) fn is_full(&self) -> bool {
+        self.flows.open() >= self.settings.max_flows as usize || !self.flows.has_room()
+    }
+
+    /// An upstream that reports to be well but completes no handshake gets no more of them, until
+    /// the old ones have expired.
+    fn is_sick(&mut self, now: Millis) -> bool {
+        if self.settings.datagrams || self.flows.unanswered() < limits::SICK_UNANSWERED {
+            return false;
+        }
+        let oldest = self.flows.oldest_unanswered();
+        let stuck = oldest.is_some_and(|opened_at| now.since(opened_at) > limits::SICK_MS);
+        stuck && now.since(self.flows.last_progress()) > limits::SICK_MS
+    }
+
+    /// Share of the weight that the own upstream takes for now.
+    pub(super) fn ramp_percent(&self, now: Millis) -> u64 {
+        let Some(started_at) = self.health.upstream_started_at else { return 100 };
+        let span = 100 - limits::RAMP_START_PERCENT;
+        let grown = span * now.since(started_at).min(limits::RAMP_MS) / limits::RAMP_MS;
+        limits::RAMP_START_PERCENT + grown
+    }
+
+    /// Tells the peers at once when the upstream stops or starts to take openings.
+    pub(super) fn tell_if_changed(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let accepting = self.accepts(now);
+        if self.health.told_accepting != Some(accepting) {
+            self.send_heartbeats(now, out);
+        }
+    }
+
+    pub(super) fn heartbeat_if_due(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if now >= self.heartbeat_at {
+            self.send_heartbeats(now, out);
+        }
+    }
+
+    pub(super) fn send_heartbeats(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let accepting = self.accepts(now);
+        self.health.told_accepting = Some(accepting);
+        self.heartbeat_at = now.after(heartbeat_ms(self.peers.len()));
+        let heartbeat = Heartbeat {
+            incarnation: self.config.incarnation,
+            view: self.settings.version,
+            open_flows: self.flows.open() as u32,
+            unanswered: self.flows.unanswered() as u32,
+            accepting,
+            ramp_percent: self.ramp_percent(now) as u8,
+            leaving: self.leaving,
+        };
+        for (to, peer) in self.peers.iter() {
+            if peer.may_hold_flows(now) {
+                out.push(Action::Send { to, message: Message::Heartbeat(heartbeat) });
+            }
+        }
+    }
+
+    /// A peer's load and state. Late ones of an earlier life are ignored; leaving is for life.
+    pub(super) fn heartbeat_received(
+        &mut self,
+        now: Millis,
+        from: UpstreamId,
+        mut heartbeat: Heartbeat,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.meet_life(now, from, heartbeat.incarnation) {
+            return;
+        }
+        self.saw_version(now, heartbeat.view, out);
+        let homes = self.homes();
+        let Some(peer) = self.peers.get_mut(from) else { return };
+        let same_life = peer.heartbeat.filter(|old| old.incarnation == heartbeat.incarnation);
+        heartbeat.leaving |= same_life.is_some_and(|old| old.leaving);
+        peer.view = peer.view.max(heartbeat.view);
+        peer.heartbeat = Some(heartbeat);
+        peer.assigned = 0;
+        self.doubt_former_homes(now, &homes);
+    }
+
+    /// Any message shows that its sender lives.
+    pub(super) fn heard_from(&mut self, now: Millis, from: UpstreamId, out: &mut Vec<Action>) {
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.last_heard = Some(now);
+            if peer.suspected {
+                self.suspect(now, from, false, out);
+            }
+        }
+    }
+
+    pub(super) fn suspect_silent(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let bound_ms = suspect_ms(self.peers.len());
+        let is_silent = |silent_ms: u64| silent_ms > bound_ms;
+        let silent: Vec<UpstreamId> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !peer.suspected && is_silent(peer.silent_ms(now)))
+            .map(|(id, _)| id)
+            .collect();
+        for id in silent {
+            self.suspect(now, id, true, out);
+        }
+    }
+
+    /// The platform's list lags, so its word counts only against a peer that is silent as well.
+    pub(super) fn hinted(
+        &mut self,
+        now: Millis,
+        upstream: UpstreamId,
+        alive: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let period_ms = heartbeat_ms(self.peers.len());
+        let silent = self
+            .peers
+            .get(upstream)
+            .is_some_and(|peer| !peer.suspected && peer.silent_ms(now) > period_ms + period_ms / 2);
+        if !alive && silent {
+            self.suspect(now, upstream, true, out);
+        }
+    }
+
+    /// A suspicion only changes who is home; whoever was home is asked for a while.
+    fn suspect(&mut self, now: Millis, id: UpstreamId, suspected: bool, out: &mut Vec<Action>) {
+        let homes = self.homes();
+        let Some(peer) = self.peers.get_mut(id) else { return };
+        peer.suspected = suspected;
+        out.push(Action::Note(Note::PeerSuspected { upstream: id, suspected }));
+        self.doubt_former_homes(now, &homes);
+        if !suspected {
+            self.doubts.add(now, id);
+            self.announce_hurry(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decision/src/agent/install.rs
@@ -0,0 +1,135 @@
+//! New settings come into force.
+
+use std::sync::Arc;
+
+use super::flows::FlowLifetimes;
+use super::home::buckets;
+use super::mutant::mutated;
+use super::peers::Peer;
+use super::quorum::Cuts;
+use super::{Action, Agent, Note, limits};
+use crate::keys::{ServiceKey, UpstreamId, Version};
+use crate::time::Millis;
+use crate::view::{Transport, UpstreamState, View, WhenInDoubt};
+
+/// Agents to which the flows of a bucket are announced.
+pub(super) type Targets = [Option<UpstreamId>; 2];
+
+/// What the settings in force say about this agent's service, worked out once.
+#[derive(Debug)]
+pub(super) struct ServiceSettings {
+    pub(super) version: Version,
+    pub(super) when_in_doubt: WhenInDoubt,
+    /// Whether a copy of an opening at the same upstream is a second run. TCP tells copies apart.
+    pub(super) datagrams: bool,
+    pub(super) lifetimes: FlowLifetimes,
+    pub(super) state: UpstreamState,
+    pub(super) max_flows: u32,
+    pub(super) cuts: Cuts,
+    /// By bucket: the first two ranks without this agent.
+    pub(super) targets: Vec<Targets>,
+}
+
+impl Agent {
+    /// Takes newer settings; older ones never replace newer ones, whatever their source says.
+    pub(super) fn install(&mut self, now: Millis, view: Arc<View>, out: &mut Vec<Action>) {
+        let Some(key) = view.find_service(self.config.service) else { return };
+        let version = version_of(&view, key);
+        let known = self.service.is_some();
+        let newer = version > self.settings.version || mutated!(self, OlderSettingsAccepted);
+        if known && !newer {
+            return;
+        }
+        let homes = self.homes();
+        self.adopt_view(now, view, key);
+        self.doubt_former_homes(now, &homes);
+        out.push(Action::Note(Note::ViewInstalled(version)));
+        self.announce_moved_buckets();
+        self.recount_pending(now, out);
+        self.send_heartbeats(now, out);
+    }
+
+    pub(super) fn adopt_view(&mut self, now: Millis, view: Arc<View>, key: ServiceKey) {
+        self.view = view;
+        self.service = Some(key);
+        self.list_peers(now);
+        self.settings = self.summarize(key);
+        self.seen_version = self.seen_version.max(self.settings.version);
+    }
+
+    fn list_peers(&mut self, now: Millis) {
+        for (_, peer) in self.peers.iter_mut() {
+            peer.listed = false;
+        }
+        let Some(key) = self.service else { return };
+        for upstream in self.view.service(key).upstream_keys() {
+            let upstream = self.view.upstream(upstream);
+            if upstream.id == self.config.upstream {
+                continue;
+            }
+            if self.peers.get(upstream.id).is_none() {
+                self.peers.insert(upstream.id, Peer { listed_at: now, ..Peer::default() });
+                self.doubts.add(now, upstream.id);
+            }
+            let Some(peer) = self.peers.get_mut(upstream.id) else { continue };
+            peer.listed = true;
+            peer.retired = upstream.spec.state == UpstreamState::Retired;
+        }
+    }
+
+    fn summarize(&self, key: ServiceKey) -> ServiceSettings {
+        let service = self.view.service(key);
+        let version = version_of(&self.view, key);
+        let own = self.view.find_upstream(key, self.config.upstream);
+        let spec = own.map(|own| &self.view.upstream(own).spec);
+        let endpoints = &service.spec.endpoints;
+        let is_datagram = |transport: Transport| transport == Transport::Udp;
+        let only_datagrams = !endpoints.is_empty()
+            && endpoints.iter().all(|endpoint| is_datagram(endpoint.transport));
+        ServiceSettings {
+            version,
+            when_in_doubt: service.spec.when_in_doubt,
+            datagrams: endpoints.iter().any(|endpoint| is_datagram(endpoint.transport)),
+            lifetimes: lifetimes(only_datagrams),
+            state: spec.map_or(UpstreamState::Retired, |spec| spec.state),
+            max_flows: spec.map_or(0, |spec| spec.max_flows),
+            cuts: Cuts::of(&self.view, service, version),
+            targets: buckets().map(|bucket| self.targets(bucket)).collect(),
+        }
+    }
+
+    fn targets(&self, bucket: crate::keys::BucketIndex) -> Targets {
+        let mut others = self.ranking(bucket).filter(|id| *id != self.config.upstream);
+        [others.next(), others.next()]
+    }
+}
+
+impl ServiceSettings {
+    /// Before any settings list the service.
+    pub(super) fn none() -> Self {
+        Self {
+            version: Version(0),
+            when_in_doubt: WhenInDoubt::Refuse,
+            datagrams: true,
+            lifetimes: lifetimes(false),
+            state: UpstreamState::Retired,
+            max_flows: 0,
+            cuts: Cuts::default(),
+            targets: Vec::new(),
+        }
+    }
+}
+
+fn version_of(view: &View, key: ServiceKey) -> Version {
+    view.account(view.service(key).account).version
+}
+
+fn lifetimes(only_datagrams: bool) -> FlowLifetimes {
+    if only_datagrams {
+        return FlowLifetimes {
+            idle_ms: limits::DATAGRAM_IDLE_MS,
+            unanswered_ms: limits::DATAGRAM_UNANSWERED_MS,
+        };
+    }
+    FlowLifetimes { idle_ms: limits::IDLE_MS, unanswered_ms: limits::UNANSWERED_MS }
+}
--- /dev/null
+++ b/crates/decision/src/agent/lookup.rs
@@ -0,0 +1,318 @@
+//! Lookup of flows that neither the own flow table nor a redirect knows.
+//!
+//! Every agent that may hold the flow is asked. Only when all of them have denied it may the
+//! caller be told that it does not exist: a reset in doubt would break a flow that lives elsewhere.
+
+use super::mutant::mutated;
+use super::redirects::Redirect;
+use super::sorted::Sorted;
+use super::{Action, Agent, HoldKey, Packet, PacketKind, Passed, Reason, Verdict, limits};
+use crate::keys::{FlowId, UpstreamId, Version};
+use crate::message::{Knowledge, Message};
+use crate::time::Millis;
+
+/// A peer's answer, as received.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Answer {
+    pub(super) flow: FlowId,
+    pub(super) question: u64,
+    pub(super) knowledge: Knowledge,
+}
+
+/// A packet that waits for a lookup.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    hold: HoldKey,
+    packet: Packet,
+}
+
+/// One lookup.
+#[derive(Clone, Debug)]
+pub(super) struct Lookup {
+    question: u64,
+    held: Vec<Held>,
+    /// Peers in sorted order with what they have said.
+    answers: Vec<(UpstreamId, Option<Knowledge>)>,
+    deadline: Millis,
+    resend_at: Millis,
+}
+
+/// All lookups that wait for answers.
+pub(super) type LookupTable = Sorted<FlowId, Lookup>;
+
+/// Bounds the rate of lookups.
+#[derive(Debug, Default)]
+pub(super) struct TokenBucket {
+    tokens: u64,
+    filled_at: Millis,
+}
+
+/// What a lookup has found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Finding {
+    Holder(UpstreamId),
+    /// Only this agent or the given one may hold it, from an earlier life.
+    OnlyMe,
+    Only(UpstreamId),
+    Nobody,
+    /// Somebody may hold it who has not answered, or two may.
+    Doubt,
+}
+
+impl Agent {
+    /// Holds the packet and asks around.
+    pub(super) fn look_up(
+        &mut self,
+        now: Millis,
+        packet: &Packet,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        self.saw_version(now, packet.view, out);
+        if let Some(lookup) = self.lookups.get(packet.flow) {
+            if lookup.held.len() >= limits::MAX_HELD_PER_LOOKUP {
+                return Verdict::Drop(Reason::Overload);
+            }
+            return self.hold_for_lookup(packet);
+        }
+        if self.lookups.len() >= limits::MAX_LOOKUPS || !self.lookup_tokens.take(now) {
+            return Verdict::Drop(Reason::Overload);
+        }
+        let lookup = self.new_lookup(now);
+        if let Some(finding) = self.finding(now, &lookup, false) {
+            return self.apply(now, packet, finding, out);
+        }
+        self.ask(packet.flow, &lookup, out);
+        self.lookups.insert(packet.flow, lookup);
+        self.hold_for_lookup(packet)
+    }
+
+    /// Answers a peer's question about a flow.
+    pub(super) fn asked(
+        &mut self,
+        now: Millis,
+        from: UpstreamId,
+        flow: FlowId,
+        question: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let knowledge = self.knowledge(now, flow);
+        let view = self.settings.version;
+        let message = Message::AskReply { flow, question, knowledge, view };
+        out.push(Action::Send { to: from, message });
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        now: Millis,
+        from: UpstreamId,
+        Answer { flow, question, knowledge }: Answer,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(lookup) = self.lookups.get_mut(flow) else { return };
+        if lookup.question != question {
+            return;
+        }
+        if let Ok(index) = lookup.answers.binary_search_by_key(&from, |(id, _)| *id) {
+            lookup.answers[index].1 = Some(knowledge);
+        }
+        self.conclude(now, flow, out);
+    }
+
+    /// Ends lookups whose time is over and repeats the questions of the others.
+    pub(super) fn tend_lookups(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let due: Vec<FlowId> = self
+            .lookups
+            .iter()
+            .filter(|(_, lookup)| now >= lookup.deadline || now >= lookup.resend_at)
+            .map(|(flow, _)| flow)
+            .collect();
+        for flow in due {
+            self.conclude(now, flow, out);
+            let Some(lookup) = self.lookups.get_mut(flow) else { continue };
+            lookup.resend_at = now.after(limits::RESEND_MS);
+            let lookup = lookup.clone();
+            self.ask(flow, &lookup, out);
+        }
+    }
+
+    fn new_lookup(&mut self, now: Millis) -> Lookup {
+        self.next_question += 1;
+        Lookup {
+            question: self.next_question,
+            held: Vec::new(),
+            answers: self
+                .peers
+                .iter()
+                .filter(|(_, peer)| peer.may_hold_flows(now))
+                .map(|(id, _)| (id, None))
+                .collect(),
+            deadline: now.after(limits::LOOKUP_WAIT_MS),
+            resend_at: now.after(limits::RESEND_MS),
+        }
+    }
+
+    fn hold_for_lookup(&mut self, packet: &Packet) -> Verdict {
+        let hold = self.new_hold();
+        let held = Held { hold, packet: *packet };
+        if let Some(lookup) = self.lookups.get_mut(packet.flow) {
+            lookup.held.push(held);
+        }
+        Verdict::Hold(hold)
+    }
+
+    fn ask(&self, flow: FlowId, lookup: &Lookup, out: &mut Vec<Action>) {
+        for (to, answer) in &lookup.answers {
+            if answer.is_none() {
+                let message = Message::Ask { flow, question: lookup.question };
+                out.push(Action::Send { to: *to, message });
+            }
+        }
+    }
+
+    fn knowledge(&self, now: Millis, flow: FlowId) -> Knowledge {
+        if self.flows.get(flow).is_some() {
+            return Knowledge::Mine;
+        }
+        if self.is_unsure(now) {
+            return Knowledge::Unsure;
+        }
+        match self.redirects.get(now, flow) {
+            Some(redirect) if redirect.holder != self.config.upstream => {
+                Knowledge::HeldBy(redirect.holder)
+            }
+            _ => Knowledge::NotMine,
+        }
+    }
+
+    /// Ends a lookup if it has found something or its time is over.
+    fn conclude(&mut self, now: Millis, flow: FlowId, out: &mut Vec<Action>) {
+        let Some(lookup) = self.lookups.get(flow) else { return };
+        let over = now >= lookup.deadline;
+        let Some(finding) = self.finding(now, lookup, over) else { return };
+        let Some(lookup) = self.lookups.remove(flow) else { return };
+        if let Finding::Holder(holder) = finding {
+            self.remember_found(now, flow, holder, &lookup);
+        }
+        for (index, held) in lookup.held.iter().enumerate() {
+            // The denials are older than the packets that joined later: the flow may have been
+            // opened in between, so these are left to the caller's retransmission.
+            let denied_before = index > 0 && finding == Finding::Nobody;
+            let finding = if denied_before { Finding::Doubt } else { finding };
+            let verdict = self.apply(now, &held.packet, finding, out);
+            out.push(Action::Resolve { hold: held.hold, verdict });
+        }
+    }
+
+    fn finding(&self, now: Millis, lookup: &Lookup, over: bool) -> Option<Finding> {
+        let said = |wanted: Knowledge| {
+            let mut answers = lookup.answers.iter();
+            answers.find(|(_, answer)| *answer == Some(wanted)).map(|(id, _)| *id)
+        };
+        if let Some(holder) = said(Knowledge::Mine) {
+            return Some(Finding::Holder(holder));
+        }
+        let silent = lookup.answers.iter().any(|(_, answer)| answer.is_none());
+        if silent && !over {
+            return None;
+        }
+        let me = self.config.upstream;
+        let named = |id: &UpstreamId| *id != me && self.peers.get(*id).is_some();
+        if let Some(holder) = lookup.named().find(named) {
+            return Some(Finding::Holder(holder));
+        }
+        let newer = self.seen_version > Version(self.settings.version.0);
+        if (silent || newer) && !mutated!(self, ResetInDoubt) {
+            return Some(Finding::Doubt);
+        }
+        Some(self.finding_of_denials(now, lookup))
+    }
+
+    /// Everybody has answered and nobody holds the flow for certain.
+    fn finding_of_denials(&self, now: Millis, lookup: &Lookup) -> Finding {
+        let me = self.config.upstream;
+        let mut unsure = lookup
+            .answers
+            .iter()
+            .filter(|(_, answer)| *answer == Some(Knowledge::Unsure))
+            .map(|(id, _)| *id);
+        // A redirect that names this agent is proof enough for one that has had an earlier life.
+        let named = self.config.may_have_past && lookup.named().any(|id| id == me);
+        let may_be_mine = named || self.is_unsure(now);
+        match (may_be_mine, unsure.next(), unsure.next()) {
+            (true, None, _) => Finding::OnlyMe,
+            (false, Some(only), None) => Finding::Only(only),
+            (false, None, _) => Finding::Nobody,
+            _ => Finding::Doubt,
+        }
+    }
+
+    fn apply(
+        &mut self,
+        now: Millis,
+        packet: &Packet,
+        finding: Finding,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let Packet { flow, kind, hops, .. } = *packet;
+        if self.deliver_known(now, flow, kind, out) {
+            return Verdict::Deliver;
+        }
+        match finding {
+            Finding::Holder(holder) => self.forward(hops, holder, Passed::Redirected),
+            Finding::Only(peer) => self.forward(hops, peer, Passed::Adopt),
+            Finding::OnlyMe => {
+                self.adopt(now, flow, out);
+                self.deliver_known(now, flow, kind, out);
+                Verdict::Deliver
+            }
+            // A reset is never answered with a reset.
+            Finding::Nobody if kind == PacketKind::Reset => Verdict::Drop(Reason::UnknownFlow),
+            Finding::Nobody => Verdict::Refuse(Reason::UnknownFlow),
+            Finding::Doubt => Verdict::Drop(Reason::HolderSilent),
+        }
+    }
+
+    /// Only a holder's own word is remembered; hearsay would keep sending packets the long way.
+    fn remember_found(&mut self, now: Millis, flow: FlowId, holder: UpstreamId, lookup: &Lookup) {
+        if !lookup.answers.contains(&(holder, Some(Knowledge::Mine))) {
+            return;
+        }
+        let redirect = Redirect {
+            holder,
+            nonce: None,
+            opened_at: Millis(0),
+            confirmed: false,
+            closing: false,
+            expires_at: now.after(limits::REDIRECT_TTL_MS),
+        };
+        self.redirects.insert(now, flow, redirect);
+    }
+}
+
+impl Lookup {
+    /// Agents that others believe to hold the flow.
+    fn named(&self) -> impl Iterator<Item = UpstreamId> + '_ {
+        self.answers.iter().filter_map(|(_, answer)| match answer {
+            Some(Knowledge::HeldBy(holder)) => Some(*holder),
+            _ => None,
+        })
+    }
+}
+
+impl TokenBucket {
+    fn take(&mut self, now: Millis) -> bool {
+        let earned = now.since(self.filled_at) * limits::LOOKUPS_PER_SECOND / 1_000;
+        if earned > 0 {
+            self.tokens = (self.tokens + earned).min(limits::LOOKUPS_PER_SECOND);
+            self.filled_at = now;
+        }
+        let granted = self.tokens > 0;
+        self.tokens -= u64::from(granted);
+        granted
+    }
+
+    /// A full bucket.
+    pub(super) fn full(now: Millis) -> Self {
+        Self { tokens: limits::LOOKUPS_PER_SECOND, filled_at: now }
+    }
+}
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -3,17 +3,48 @@
 //! The truth about a flow lives here, beside the upstream that holds it. Everything else that an
 //! agent knows (who holds what) is soft state, learned from peers and rebuilt after a restart.
 
+pub mod assign;
 pub mod limits;
+
+mod announce;
+mod claimant;
+mod claims;
+mod early;
+mod flow_map;
+mod flows;
+mod health;
+mod home;
+mod install;
+mod lookup;
 mod mutant;
+mod once;
+mod outbox;
+mod packet;
+mod peers;
+mod pending;
+mod quorum;
+mod redirects;
+mod relearn;
+mod sorted;
+mod status;
+#[cfg(test)]
+mod tests;
 mod types;
+mod witness;
 
 use std::sync::Arc;
 
+pub use flows::FlowState;
 #[cfg(feature = "mutants")]
 pub use mutant::Mutant;
-use mutant::mutated;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+pub use redirects::Redirect;
+pub use status::{Explanation, Stats, Whereabouts};
 pub use types::*;
 
+use crate::keys::{ServiceKey, UpstreamId, Version};
+use crate::message::Message;
 use crate::time::Millis;
 use crate::view::View;
 
@@ -22,44 +53,223 @@
 pub struct Agent {
     config: AgentConfig,
     view: Arc<View>,
+    service: Option<ServiceKey>,
+    settings: install::ServiceSettings,
+    policy: assign::Policy,
+    random: Pcg64Mcg,
+    started_at: Millis,
+    last_tick: Millis,
+    leaving: bool,
+    flows: flows::FlowTable,
+    redirects: redirects::RedirectTable,
+    claims: claims::ClaimTable,
+    pending: pending::PendingTable,
+    lookups: lookup::LookupTable,
+    lookup_tokens: lookup::TokenBucket,
+    peers: peers::PeerTable,
+    doubts: home::Doubts,
+    health: health::Health,
+    past: relearn::Past,
+    /// Targets by bucket to which the flows have been announced.
+    announced_to: Vec<install::Targets>,
+    heartbeat_at: Millis,
+    refresh_at: Millis,
+    refresh_bucket: u16,
+    seen_version: Version,
+    fetch_at: Millis,
+    next_hold: u32,
+    next_question: u64,
     #[cfg(feature = "mutants")]
     mutant: Option<Mutant>,
 }
 
 impl Agent {
     /// An agent at its start, with the newest settings that the shell could hear of.
-    pub fn new(config: AgentConfig, view: Arc<View>, _now: Millis) -> Self {
-        Self {
+    ///
+    /// ```
+    /// use decision::agent::{Agent, AgentConfig};
+    /// use decision::keys::{Incarnation, ServiceId, UpstreamId};
+    /// use decision::time::Millis;
+    ///
+    /// let config = AgentConfig {
+    ///     upstream: UpstreamId::of("cascadia", "shelf", "shelf-1"),
+    ///     service: ServiceId::of("cascadia", "shelf"),
+    ///     incarnation: Incarnation(1),
+    ///     may_have_past: false,
+    ///     seed: 1,
+    /// };
+    /// let agent = Agent::new(config, Default::default(), Millis(0));
+    /// assert_eq!(agent.open_flows(), 0);
+    /// ```
+    pub fn new(config: AgentConfig, view: Arc<View>, now: Millis) -> Self {
+        let mut random = Pcg64Mcg::seed_from_u64(config.seed ^ config.incarnation.0);
+        let next_question = rand::Rng::next_u64(&mut random);
+        let past = match config.may_have_past {
+            true => relearn::Past::Relearning,
+            false => relearn::Past::Known,
+        };
+        let mut agent = Self {
             config,
-            view,
+            view: view.clone(),
+            service: None,
+            settings: install::ServiceSettings::none(),
+            policy: assign::two_choices_near,
+            random,
+            started_at: now,
+            last_tick: now,
+            leaving: false,
+            flows: flows::FlowTable::default(),
+            redirects: redirects::RedirectTable::default(),
+            claims: claims::ClaimTable::default(),
+            pending: pending::PendingTable::default(),
+            lookups: lookup::LookupTable::default(),
+            lookup_tokens: lookup::TokenBucket::full(now),
+            peers: peers::PeerTable::default(),
+            doubts: home::Doubts::default(),
+            health: health::Health::default(),
+            past,
+            announced_to: Vec::new(),
+            heartbeat_at: now,
+            refresh_at: now,
+            refresh_bucket: 0,
+            seen_version: Version(0),
+            fetch_at: now,
+            next_hold: 0,
+            next_question,
             #[cfg(feature = "mutants")]
             mutant: None,
+        };
+        if let Some(key) = view.find_service(agent.config.service) {
+            agent.adopt_view(now, view, key);
+            agent.announced_to = agent.settings.targets.clone();
         }
+        agent
     }
 
-    /// Decides about one packet. The fast path (a known flow) touches nothing but the flow table.
-    pub fn packet(&mut self, _now: Millis, packet: &Packet, _out: &mut Vec<Action>) -> Verdict {
-        if packet.service != self.config.service && !mutated!(self, ServiceNotChecked) {
-            return Verdict::Drop(Reason::WrongService);
-        }
-        Verdict::Deliver
+    /// Replaces the policy by which openings are spread; [`assign::two_choices_near`] otherwise.
+    pub fn set_policy(&mut self, policy: assign::Policy) {
+        self.policy = policy;
+    }
+
+    /// Takes out one safeguard, or none.
+    #[cfg(feature = "mutants")]
+    pub fn set_mutant(&mut self, mutant: Option<Mutant>) {
+        self.mutant = mutant;
     }
 
     /// Takes in an event and appends what must be done about it.
-    pub fn handle(&mut self, _now: Millis, event: Event, _out: &mut Vec<Action>) {
-        if let Event::View(view) = event {
-            self.view = view;
+    pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        self.check_pause(now);
+        match event {
+            Event::Message { from, message } => self.message(now, from, message, out),
+            Event::View(view) => self.install(now, view, out),
+            Event::Upstream(report) => self.upstream_reported(now, report, out),
+            Event::Peer { upstream, alive } => self.hinted(now, upstream, alive, out),
+            Event::Leave => self.leave(now, out),
+            Event::Tick => self.tick(now, out),
         }
     }
 
-    /// Flows that this agent holds for its upstream.
-    pub fn open_flows(&self) -> usize {
-        0
+    /// The systems that run over the tables, each bounded.
+    fn tick(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.last_tick = now;
+        self.tend_claims(now, out);
+        self.tend_lookups(now, out);
+        self.expire_flows(now, out);
+        self.redirects.expire(now);
+        self.claims.expire(now);
+        self.doubts.expire(now);
+        self.suspect_silent(now, out);
+        self.tell_if_changed(now, out);
+        self.heartbeat_if_due(now, out);
+        self.refresh_announcements(now);
+        self.send_announcements(now, out);
+        self.relearn(now, out);
     }
 
-    /// Takes out one safeguard, or none.
-    #[cfg(feature = "mutants")]
-    pub fn set_mutant(&mut self, mutant: Option<Mutant>) {
-        self.mutant = mutant;
+    fn leave(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if self.leaving {
+            return;
+        }
+        let homes = self.homes();
+        self.leaving = true;
+        self.doubt_former_homes(now, &homes);
+        let ids: Vec<UpstreamId> = self.peers.iter().map(|(id, _)| id).collect();
+        ids.into_iter().for_each(|id| self.announce_hurry(id));
+        self.send_announcements(now, out);
+        self.send_heartbeats(now, out);
+    }
+
+    fn message(&mut self, now: Millis, from: UpstreamId, message: Message, out: &mut Vec<Action>) {
+        if from == self.config.upstream || !self.know_peer(now, from) {
+            return;
+        }
+        self.heard_from(now, from, out);
+        match message {
+            Message::ClaimRequest { opening, claim, view, incarnation } => {
+                let request = witness::Request { from, opening, claim, view, incarnation };
+                self.claim_requested(now, request, out);
+            }
+            Message::ClaimReply { opening, claim, answer, view, incarnation } => {
+                let reply = claimant::Reply { opening, claim, answer, view, incarnation };
+                self.claim_answered(now, from, reply, out);
+            }
+            Message::Announce { incarnation, sequence, notes } => {
+                self.announced(now, from, (incarnation, sequence), &notes, out);
+            }
+            Message::AnnounceAck { incarnation, sequence } => {
+                self.announcement_acknowledged(now, from, incarnation, sequence, out);
+            }
+            Message::Ask { flow, question } => self.asked(now, from, flow, question, out),
+            Message::AskReply { flow, question, knowledge, view } => {
+                self.saw_version(now, view, out);
+                self.answered(now, from, lookup::Answer { flow, question, knowledge }, out);
+            }
+            Message::Relearn { incarnation, from: first } => {
+                self.relearn_asked(now, from, incarnation, first, out);
+            }
+            Message::RelearnReply { incarnation, from: first, openings, next, complete } => {
+                let page = relearn::Page { incarnation, from: first, openings, next, complete };
+                self.page_received(now, from, page, out);
+            }
+            Message::Heartbeat(heartbeat) => self.heartbeat_received(now, from, heartbeat, out),
+        }
+    }
+
+    /// Makes an entry for a peer that newer settings may list; false if there are too many.
+    fn know_peer(&mut self, now: Millis, id: UpstreamId) -> bool {
+        if self.peers.get(id).is_some() {
+            return true;
+        }
+        if self.peers.len() >= limits::MAX_PEERS {
+            return false;
+        }
+        self.peers.insert(id, peers::Peer { listed_at: now, ..peers::Peer::default() });
+        true
+    }
+
+    /// Somebody runs or has seen these settings.
+    fn saw_version(&mut self, now: Millis, version: Version, out: &mut Vec<Action>) {
+        let is_news = version > self.seen_version;
+        self.seen_version = self.seen_version.max(version);
+        if version <= self.settings.version || (!is_news && now < self.fetch_at) {
+            return;
+        }
+        self.fetch_at = now.after(limits::FETCH_RETRY_MS);
+        out.push(Action::FetchSettings { at_least: self.seen_version });
+    }
+
+    fn expire_flows(&mut self, now: Millis, out: &mut Vec<Action>) {
+        for (id, flow) in self.flows.expire(now, self.settings.lifetimes) {
+            if flow.state == FlowState::Open {
+                out.push(Action::Note(Note::Ended(id)));
+            }
+            self.announce(flow.opening(id), false);
+        }
+    }
+
+    fn new_hold(&mut self) -> HoldKey {
+        self.next_hold = self.next_hold.wrapping_add(1);
+        HoldKey(self.next_hold)
     }
 }
--- /dev/null
+++ b/crates/decision/src/agent/once.rs
@@ -0,0 +1,130 @@
+//! Openings of services that refuse when in doubt: each runs at most once, and what was refused
+//! has not run and never will.
+//!
+//! The home only proposes a holder. The holder claims the opening for itself and its present life
+//! and delivers it once a majority of every membership has recorded that, whoever is home and
+//! whatever anybody suspects. See `docs/decisions/at-most-once.md`.
+
+use super::claimant::Witnesses;
+use super::claims::{Record, Stage};
+use super::flows::FlowState;
+use super::mutant::mutated;
+use super::pending::Attempt;
+use super::{Action, Agent, Packet, Passed, Reason, Verdict};
+use crate::message::{Claim, Opening};
+use crate::time::Millis;
+
+impl Agent {
+    pub(super) fn open_once(
+        &mut self,
+        now: Millis,
+        packet: &Packet,
+        opening: Opening,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        if let Some(record) = self.claims.get(now, opening) {
+            return self.follow_record(now, packet, opening, record, out);
+        }
+        let held = self.flows.get(opening.flow).copied();
+        if held.is_some_and(|flow| flow.nonce == Some(opening.nonce)) {
+            return self.copy_of_run(now, opening);
+        }
+        let me = self.config.upstream;
+        if held.is_some_and(|flow| flow.state == FlowState::Open) {
+            return self.claim_once(now, packet.hops, opening, Claim::Run(me), out);
+        }
+        if let Some(holder) = self.redirect_of_opening(now, opening) {
+            return self.propose(now, packet.hops, opening, Claim::Run(holder), out);
+        }
+        if packet.passed == Passed::Assigned {
+            let claim = self.claim_of_assigned(now, packet.hops);
+            return self.propose(now, packet.hops, opening, claim, out);
+        }
+        if let Some(home) = self.other_home(now, packet, out) {
+            self.flows.remove(opening.flow);
+            return self.forward(packet.hops, home, Passed::Redirected);
+        }
+        let claim = self.choose(now, false).map_or(Claim::Refuse, Claim::Run);
+        self.propose(now, packet.hops, opening, claim, out)
+    }
+
+    /// Passes the opening to its proposed holder, or claims it if that is this agent.
+    fn propose(
+        &mut self,
+        now: Millis,
+        hops: u8,
+        opening: Opening,
+        claim: Claim,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        match claim {
+            Claim::Run(holder) if holder != self.config.upstream => {
+                self.hand_to(now, hops, opening, holder, out)
+            }
+            claim => self.claim_once(now, hops, opening, claim, out),
+        }
+    }
+
+    /// Something is recorded here for the opening.
+    fn follow_record(
+        &mut self,
+        now: Millis,
+        packet: &Packet,
+        opening: Opening,
+        record: Record,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let me = self.config.upstream;
+        match (record.stage, record.claim) {
+            (Stage::Pending, _) => Verdict::Drop(Reason::Duplicate),
+            (Stage::Decided, Claim::Refuse) if mutated!(self, TombstoneForgotten) => {
+                self.claims.remove(opening);
+                self.admit(now, opening, out)
+            }
+            (Stage::Decided, Claim::Refuse) => Verdict::Refuse(Reason::Tombstone),
+            (Stage::Decided, Claim::Run(_)) => self.copy_of_run(now, opening),
+            (Stage::Undecided, claim) => self.claim_once(now, packet.hops, opening, claim, out),
+            (Stage::Witnessed, Claim::Run(holder)) if holder != me => {
+                self.hand_to(now, packet.hops, opening, holder, out)
+            }
+            (Stage::Witnessed, Claim::Run(_)) => Verdict::Drop(Reason::HolderSilent),
+            (Stage::Witnessed, Claim::Refuse) => {
+                self.claim_once(now, packet.hops, opening, Claim::Refuse, out)
+            }
+        }
+    }
+
+    /// A copy of an opening that has run here. At the same upstream, TCP recognises a SYN while
+    /// the connection exists, and the caller may need the answer to it once more.
+    fn copy_of_run(&mut self, now: Millis, opening: Opening) -> Verdict {
+        if mutated!(self, DuplicateDelivered) {
+            return Verdict::Deliver;
+        }
+        let open = self
+            .flows
+            .get(opening.flow)
+            .is_some_and(|flow| flow.state == FlowState::Open && flow.nonce == Some(opening.nonce));
+        if self.settings.datagrams || !open {
+            return Verdict::Drop(Reason::Duplicate);
+        }
+        self.flows.touch_opening(now, opening.flow);
+        Verdict::Deliver
+    }
+
+    /// Claims the opening for this agent, or its refusal, from all witnesses.
+    pub(super) fn claim_once(
+        &mut self,
+        now: Millis,
+        hops: u8,
+        opening: Opening,
+        claim: Claim,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let run = claim == Claim::Run(self.config.upstream);
+        if run && !self.flows.has_room() {
+            return Verdict::Drop(Reason::Overload);
+        }
+        let attempt = Attempt { opening, claim, refusal: Reason::AllFull, hops };
+        self.start_claim(now, attempt, Witnesses::Quorum, out)
+    }
+}
--- /dev/null
+++ b/crates/decision/src/agent/packet.rs
@@ -0,0 +1,130 @@
+//! Packets: the fast path of known flows, and the ways of all others.
+
+use super::flows::FlowState;
+use super::mutant::mutated;
+use super::{Action, Agent, Note, Packet, PacketKind, Passed, Reason, Verdict, limits};
+use crate::keys::{FlowId, UpstreamId};
+use crate::message::Opening;
+use crate::time::Millis;
+use crate::view::WhenInDoubt;
+
+impl Agent {
+    /// Decides about one packet. The fast path (a known flow) touches nothing but the flow table.
+    pub fn packet(&mut self, now: Millis, packet: &Packet, out: &mut Vec<Action>) -> Verdict {
+        if packet.service != self.config.service && !mutated!(self, ServiceNotChecked) {
+            return Verdict::Drop(Reason::WrongService);
+        }
+        if let PacketKind::Opening { nonce } = packet.kind {
+            let opening = Opening { flow: packet.flow, nonce };
+            return self.opening(now, packet, opening, out);
+        }
+        match self.deliver_known(now, packet.flow, packet.kind, out) {
+            true => Verdict::Deliver,
+            false => self.unknown(now, packet, out),
+        }
+    }
+
+    /// Marks a packet of a flow in the table; false if the flow is unknown.
+    pub(super) fn deliver_known(
+        &mut self,
+        now: Millis,
+        flow: FlowId,
+        kind: PacketKind,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        if !self.flows.touch(now, flow) {
+            return false;
+        }
+        match kind {
+            PacketKind::Finish => self.close_flow(now, flow, FlowState::Finishing, out),
+            PacketKind::Reset => self.close_flow(now, flow, FlowState::Reset, out),
+            PacketKind::Opening { .. } | PacketKind::Middle => {}
+        }
+        true
+    }
+
+    /// Passes a packet on, unless it has been passed on too often.
+    pub(super) fn forward(&self, hops: u8, to: UpstreamId, passed: Passed) -> Verdict {
+        if hops >= limits::MAX_HOPS {
+            return Verdict::Drop(Reason::TooManyHops);
+        }
+        Verdict::Forward { to, passed }
+    }
+
+    /// Takes a flow into the table and tells its home and second rank.
+    pub(super) fn hold_flow(
+        &mut self,
+        now: Millis,
+        flow: FlowId,
+        nonce: Option<u32>,
+        answered: bool,
+    ) {
+        let evicted = self.flows.insert(now, flow, nonce, answered);
+        if let Some((evicted, entry)) = evicted {
+            self.announce(entry.opening(evicted), false);
+        }
+        self.redirects.remove(flow);
+        if let Some(nonce) = nonce {
+            self.announce(Opening { flow, nonce }, true);
+        }
+    }
+
+    fn opening(
+        &mut self,
+        now: Millis,
+        packet: &Packet,
+        opening: Opening,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        self.check_pause(now);
+        match self.settings.when_in_doubt {
+            WhenInDoubt::Admit => self.open_early(now, packet, opening, out),
+            WhenInDoubt::Refuse => self.open_once(now, packet, opening, out),
+        }
+    }
+
+    fn close_flow(&mut self, now: Millis, flow: FlowId, state: FlowState, out: &mut Vec<Action>) {
+        if !self.flows.close(now, flow, state) {
+            return;
+        }
+        out.push(Action::Note(Note::Ended(flow)));
+        let opening = self.flows.get(flow).map(|entry| entry.opening(flow));
+        if let Some(opening) = opening {
+            self.announce(opening, false);
+        }
+    }
+
+    /// A packet in the middle of a flow that this agent does not hold. It never reaches the own
+    /// upstream unasked: the upstream would reset a flow that lives elsewhere.
+    fn unknown(&mut self, now: Millis, packet: &Packet, out: &mut Vec<Action>) -> Verdict {
+        if mutated!(self, AdoptAlways) {
+            return Verdict::Deliver;
+        }
+        if packet.passed == Passed::Adopt {
+            return self.adopt_if_unsure(now, packet, out);
+        }
+        let redirect = self.redirects.get(now, packet.flow).map(|redirect| redirect.holder);
+        let holder = redirect.filter(|holder| *holder != self.config.upstream);
+        // A packet that was already redirected twice follows stale redirects; asking ends that.
+        if let Some(holder) = holder.filter(|_| packet.hops < 2) {
+            return self.forward(packet.hops, holder, Passed::Redirected);
+        }
+        self.look_up(now, packet, out)
+    }
+
+    fn adopt_if_unsure(&mut self, now: Millis, packet: &Packet, out: &mut Vec<Action>) -> Verdict {
+        if !self.is_unsure(now) {
+            return Verdict::Drop(Reason::HolderSilent);
+        }
+        self.adopt(now, packet.flow, out);
+        self.deliver_known(now, packet.flow, packet.kind, out);
+        Verdict::Deliver
+    }
+
+    /// Takes over a flow that only this agent's earlier life can have held. If it did not, the
+    /// upstream itself answers with a reset, and nobody else is harmed.
+    pub(super) fn adopt(&mut self, now: Millis, flow: FlowId, out: &mut Vec<Action>) {
+        self.hold_flow(now, flow, None, true);
+        out.push(Action::Note(Note::Adopted(flow)));
+    }
+}
--- /dev/null
+++ b/crates/decision/src/agent/peers.rs
@@ -0,0 +1,74 @@
+//! The peers table: the other agents of the service, as far as they have been heard from.
+
+use super::limits;
+use super::outbox::Outbox;
+use super::relearn::Cursor;
+use super::sorted::Sorted;
+use crate::keys::{Incarnation, UpstreamId, Version};
+use crate::message::Heartbeat;
+use crate::time::Millis;
+
+/// One peer.
+#[derive(Debug, Default)]
+pub(super) struct Peer {
+    /// Whether the settings in force list it.
+    pub(super) listed: bool,
+    /// Whether the settings in force list it as retired.
+    pub(super) retired: bool,
+    pub(super) last_heard: Option<Millis>,
+    /// When it became listed, or this agent started.
+    pub(super) listed_at: Millis,
+    /// Its life, once it has named it.
+    pub(super) incarnation: Option<Incarnation>,
+    /// When this life of the peer was first heard from.
+    pub(super) incarnation_at: Millis,
+    pub(super) view: Version,
+    pub(super) heartbeat: Option<Heartbeat>,
+    pub(super) suspected: bool,
+    /// Openings assigned to it since its last heartbeat.
+    pub(super) assigned: u32,
+    /// Highest batch of announcements taken in from its present life.
+    pub(super) applied: u64,
+    pub(super) outbox: Outbox,
+    pub(super) cursor: Cursor,
+}
+
+/// All peers, sorted by id.
+pub(super) type PeerTable = Sorted<UpstreamId, Peer>;
+
+impl Peer {
+    pub(super) fn is_leaving(&self) -> bool {
+        self.heartbeat.is_some_and(|heartbeat| heartbeat.leaving)
+    }
+
+    /// Whether it can be the home of a bucket for now.
+    pub(super) fn is_up(&self) -> bool {
+        !self.suspected && !self.is_leaving()
+    }
+
+    /// Silence since it was last heard from or first listed.
+    pub(super) fn silent_ms(&self, now: Millis) -> u64 {
+        now.since(self.last_heard.unwrap_or(self.listed_at))
+    }
+
+    /// Whether it must be heard out about an unknown flow. A listed agent may always hold one, a
+    /// retired one as long as it may be alive.
+    pub(super) fn may_hold_flows(&self, now: Millis) -> bool {
+        if self.listed && !self.retired {
+            return true;
+        }
+        self.last_heard.is_some() && self.silent_ms(now) < limits::RETIRED_SILENT_MS
+            || self.listed && self.silent_ms(now) < limits::RETIRED_SILENT_MS
+    }
+}
+
+/// Period of heartbeats in a service of `peers` other agents.
+pub(super) fn heartbeat_ms(peers: usize) -> u64 {
+    limits::MIN_HEARTBEAT_MS.max(limits::HEARTBEAT_MS_PER_PEER * peers as u64)
+}
+
+/// Silence after which a peer is suspected: three heartbeats and half a period for the network.
+pub(super) fn suspect_ms(peers: usize) -> u64 {
+    let period_ms = heartbeat_ms(peers);
+    limits::MISSED_HEARTBEATS * period_ms + period_ms / 2
+}
--- /dev/null
+++ b/crates/decision/src/agent/pending.rs
@@ -0,0 +1,58 @@
+//! Claims of this agent that wait for witnesses, each with the held packet of its opening.
+
+use super::quorum::Vote;
+use super::sorted::Sorted;
+use super::{HoldKey, Reason};
+use crate::keys::UpstreamId;
+use crate::message::{Claim, Opening};
+use crate::time::Millis;
+
+/// What this agent wants to do with an opening.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Attempt {
+    pub(super) opening: Opening,
+    pub(super) claim: Claim,
+    /// Answer to the caller if the claim is a refusal.
+    pub(super) refusal: Reason,
+    /// Hops of the packet.
+    pub(super) hops: u8,
+}
+
+/// A claim that waits.
+#[derive(Clone, Debug)]
+pub(super) struct PendingClaim {
+    pub(super) attempt: Attempt,
+    pub(super) hold: HoldKey,
+    /// Whether a majority must grant it, or every witness that answers in time must not object.
+    pub(super) quorum: bool,
+    /// Witnesses in sorted order with what they have said; `None` until they answer.
+    pub(super) votes: Vec<(UpstreamId, Option<Vote>)>,
+    pub(super) deadline: Millis,
+    pub(super) resend_at: Millis,
+}
+
+/// All waiting claims.
+pub(super) type PendingTable = Sorted<Opening, PendingClaim>;
+
+impl PendingClaim {
+    /// Takes in a vote; false if the voter was not asked.
+    pub(super) fn vote(&mut self, witness: UpstreamId, vote: Vote) -> bool {
+        match self.votes.binary_search_by_key(&witness, |(id, _)| *id) {
+            Ok(index) => {
+                self.votes[index].1 = Some(vote);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Votes that have been given.
+    pub(super) fn given(&self) -> Vec<(UpstreamId, Vote)> {
+        self.votes.iter().filter_map(|(id, vote)| Some((*id, (*vote)?))).collect()
+    }
+
+    /// Witnesses that have not answered.
+    pub(super) fn silent(&self) -> impl Iterator<Item = UpstreamId> + '_ {
+        self.votes.iter().filter(|(_, vote)| vote.is_none()).map(|(id, _)| *id)
+    }
+}
--- /dev/null
+++ b/crates/decision/src/agent/redirects.rs
@@ -0,0 +1,157 @@
+//! Redirects: flows of this service that other agents hold, as they have announced them.
+//!
+//! Soft state. A missing redirect costs a lookup, a wrong one an extra hop.
+
+use std::collections::VecDeque;
+
+use super::flow_map::FlowMap;
+use super::limits;
+use crate::keys::{FlowId, UpstreamId};
+use crate::message::Opening;
+use crate::time::Millis;
+
+/// Where a flow is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Redirect {
+    /// Its holder.
+    pub holder: UpstreamId,
+    /// Nonce of its opening, if known.
+    pub nonce: Option<u32>,
+    /// When it was opened, as far as the holder's clockless report tells.
+    pub opened_at: Millis,
+    /// Whether the holder has confirmed it, or this agent has only assigned it.
+    pub confirmed: bool,
+    /// Whether it is closing: late packets still follow, openings do not.
+    pub closing: bool,
+    /// When it is forgotten without refresh.
+    pub expires_at: Millis,
+}
+
+/// All redirects.
+#[derive(Debug, Default)]
+pub(super) struct RedirectTable {
+    redirects: FlowMap<Redirect>,
+    /// Redirects in the order of their last check.
+    order: VecDeque<(Millis, FlowId)>,
+}
+
+impl RedirectTable {
+    pub(super) fn get(&self, now: Millis, flow: FlowId) -> Option<&Redirect> {
+        self.redirects.get(&flow).filter(|redirect| redirect.expires_at > now)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.redirects.len()
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (FlowId, &Redirect)> {
+        self.redirects.iter().map(|(flow, redirect)| (*flow, redirect))
+    }
+
+    pub(super) fn remove(&mut self, flow: FlowId) {
+        self.redirects.remove(&flow);
+    }
+
+    /// Records a redirect; when the table is full, the one unchecked for longest makes room.
+    pub(super) fn insert(&mut self, now: Millis, flow: FlowId, redirect: Redirect) {
+        if self.redirects.insert(flow, redirect).is_some() {
+            return;
+        }
+        self.order.push_back((now, flow));
+        while self.redirects.len() > limits::MAX_REDIRECTS {
+            let Some((_, oldest)) = self.order.pop_front() else { return };
+            self.redirects.remove(&oldest);
+        }
+    }
+
+    /// Takes in a holder's word about a flow that it has open.
+    ///
+    /// An old holder that has not noticed the end of its flow refreshes it for hours. If that
+    /// replaced the redirect of a later flow on the same ports, the later flow would be reset by
+    /// the wrong upstream; the later opening therefore stands.
+    pub(super) fn confirm(
+        &mut self,
+        now: Millis,
+        holder: UpstreamId,
+        opening: Opening,
+        opened_at: Millis,
+    ) {
+        let known = self.get(now, opening.flow).copied();
+        let stands = known.is_some_and(|known| {
+            let same_opening = known.nonce == Some(opening.nonce);
+            let earlier = known.opened_at > opened_at;
+            known.holder != holder && known.confirmed && !known.closing && (same_opening || earlier)
+        });
+        if stands {
+            return;
+        }
+        let redirect = Redirect {
+            holder,
+            nonce: Some(opening.nonce),
+            opened_at,
+            confirmed: true,
+            closing: false,
+            expires_at: now.after(limits::REDIRECT_TTL_MS),
+        };
+        self.insert(now, opening.flow, redirect);
+    }
+
+    /// The holder says that the flow is closing or has ended.
+    pub(super) fn close(&mut self, now: Millis, holder: UpstreamId, opening: Opening) {
+        let Some(redirect) = self.redirects.get_mut(&opening.flow) else { return };
+        let same = redirect.nonce.is_none_or(|nonce| nonce == opening.nonce);
+        if redirect.holder == holder && same {
+            redirect.closing = true;
+            redirect.expires_at = now.after(limits::FINISH_LINGER_MS);
+        }
+    }
+
+    /// One page of the openings that `holder` has announced, from flow `from` on, and where the
+    /// next page begins. A scan: it runs only when a peer has restarted.
+    pub(super) fn page(
+        &self,
+        now: Millis,
+        holder: UpstreamId,
+        from: FlowId,
+    ) -> (Vec<Opening>, Option<FlowId>) {
+        let mut openings: Vec<Opening> = self
+            .iter()
+            .filter(|(flow, redirect)| {
+                *flow >= from
+                    && redirect.holder == holder
+                    && !redirect.closing
+                    && redirect.expires_at > now
+            })
+            .map(|(flow, redirect)| Opening { flow, nonce: redirect.nonce.unwrap_or(0) })
+            .collect();
+        if openings.len() <= limits::OPENINGS_PER_PAGE {
+            openings.sort_unstable();
+            return (openings, None);
+        }
+        openings.select_nth_unstable(limits::OPENINGS_PER_PAGE);
+        let next = openings[limits::OPENINGS_PER_PAGE].flow;
+        openings.truncate(limits::OPENINGS_PER_PAGE);
+        openings.sort_unstable();
+        (openings, Some(next))
+    }
+
+    /// Forgets what has expired, a bounded number at a time.
+    pub(super) fn expire(&mut self, now: Millis) {
+        const CHECK_MS: u64 = 60_000;
+        const CHECKS_PER_TICK: usize = 512;
+        for _ in 0..CHECKS_PER_TICK {
+            let Some(&(checked_at, flow)) = self.order.front() else { return };
+            if now.since(checked_at) < CHECK_MS {
+                return;
+            }
+            self.order.pop_front();
+            match self.redirects.get(&flow) {
+                None => {}
+                Some(redirect) if redirect.expires_at <= now => {
+                    self.redirects.remove(&flow);
+                }
+                Some(_) => self.order.push_back((now, flow)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/decision/src/agent/relearn.rs
@@ -0,0 +1,161 @@
+//! After a restart: asking the peers which flows the earlier life held.
+
+use super::peers::Peer;
+use super::{Action, Agent, Note, limits};
+use crate::keys::{FlowId, Incarnation, UpstreamId};
+use crate::message::{Message, Opening};
+use crate::time::Millis;
+
+/// How far one peer has told what it knows.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Cursor {
+    from: FlowId,
+    asked_at: Option<Millis>,
+    done: bool,
+    /// Whether the peer had been told everything before this agent restarted.
+    complete: bool,
+}
+
+/// What a restarted agent knows about its earlier life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Past {
+    /// There is none, or all of it is known.
+    Known,
+    /// Peers are still being asked.
+    Relearning,
+    /// All that was announced is known; what was not may show up until then.
+    Doubtful { until: Millis },
+}
+
+/// A page, as received.
+#[derive(Clone, Debug)]
+pub(super) struct Page {
+    pub(super) incarnation: Incarnation,
+    pub(super) from: FlowId,
+    pub(super) openings: Vec<Opening>,
+    pub(super) next: Option<FlowId>,
+    pub(super) complete: bool,
+}
+
+impl Agent {
+    /// Whether this agent may hold flows that it does not know.
+    pub(super) fn is_unsure(&self, now: Millis) -> bool {
+        match self.past {
+            Past::Known => false,
+            Past::Relearning => now.since(self.started_at) < limits::UNSURE_MAX_MS,
+            Past::Doubtful { until } => now < until,
+        }
+    }
+
+    /// Asks peers for their next page, and ends relearning once all have told everything.
+    pub(super) fn relearn(&mut self, now: Millis, out: &mut Vec<Action>) {
+        match self.past {
+            Past::Known => return,
+            Past::Relearning => {}
+            Past::Doubtful { until } if now >= until => {
+                self.past = Past::Known;
+                return;
+            }
+            Past::Doubtful { .. } => return,
+        }
+        let ids: Vec<UpstreamId> = self.peers.iter().map(|(id, _)| id).collect();
+        for id in ids {
+            self.ask_page(now, id, out);
+        }
+        self.check_relearned(now);
+    }
+
+    /// Answers a restarted peer with one page of its flows.
+    pub(super) fn relearn_asked(
+        &mut self,
+        now: Millis,
+        from: UpstreamId,
+        incarnation: Incarnation,
+        first: FlowId,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.meet_life(now, from, incarnation) {
+            return;
+        }
+        let (openings, next) = self.redirects.page(now, from, first);
+        let complete = self.was_complete_before(from);
+        let message = Message::RelearnReply { incarnation, from: first, openings, next, complete };
+        out.push(Action::Send { to: from, message });
+    }
+
+    pub(super) fn page_received(
+        &mut self,
+        now: Millis,
+        from: UpstreamId,
+        page: Page,
+        out: &mut Vec<Action>,
+    ) {
+        if page.incarnation != self.config.incarnation {
+            return;
+        }
+        self.insert_relearned(now, &page.openings, out);
+        let Some(peer) = self.peers.get_mut(from) else { return };
+        let cursor = &mut peer.cursor;
+        if cursor.done || cursor.from != page.from {
+            return;
+        }
+        cursor.complete = page.complete;
+        cursor.asked_at = None;
+        match page.next {
+            Some(next) if next > cursor.from => cursor.from = next,
+            _ => cursor.done = true,
+        }
+        self.relearn(now, out);
+    }
+
+    fn insert_relearned(&mut self, now: Millis, openings: &[Opening], out: &mut Vec<Action>) {
+        if self.past == Past::Known {
+            return;
+        }
+        for opening in openings {
+            let known = self.flows.get(opening.flow).is_some();
+            // An opening that was admitted since the restart is newer than any page.
+            let elsewhere = self.redirects.get(now, opening.flow).is_some();
+            if known || elsewhere || !self.flows.has_room() {
+                continue;
+            }
+            self.hold_flow(now, opening.flow, Some(opening.nonce), true);
+            out.push(Action::Note(Note::Relearned(opening.flow)));
+        }
+    }
+
+    fn ask_page(&mut self, now: Millis, to: UpstreamId, out: &mut Vec<Action>) {
+        let incarnation = self.config.incarnation;
+        let Some(peer) = self.peers.get_mut(to) else { return };
+        let waits = peer.cursor.asked_at.is_some_and(|at| now.since(at) < limits::RELEARN_RETRY_MS);
+        if peer.cursor.done || waits || !peer.may_hold_flows(now) {
+            return;
+        }
+        peer.cursor.asked_at = Some(now);
+        let message = Message::Relearn { incarnation, from: peer.cursor.from };
+        out.push(Action::Send { to, message });
+    }
+
+    /// Every flow was announced to two agents. If all but one had been told everything before the
+    /// restart, at least one of the two was, and has now told it.
+    fn check_relearned(&mut self, now: Millis) {
+        let asked: Vec<&Peer> = self
+            .peers
+            .iter()
+            .map(|(_, peer)| peer)
+            .filter(|peer| peer.may_hold_flows(now))
+            .collect();
+        let incomplete = asked.iter().filter(|peer| !peer.cursor.complete).count();
+        let all_done = asked.iter().all(|peer| peer.cursor.done);
+        let alone = asked.is_empty();
+        if alone || (all_done && incomplete <= 1) {
+            self.past = Past::Doubtful { until: now.after(limits::DOUBT_MS) };
+        }
+    }
+
+    /// Whether this agent had been told the flows of `peer` before that one restarted.
+    fn was_complete_before(&self, peer: UpstreamId) -> bool {
+        let met_at = self.peers.get(peer).map(|peer| peer.incarnation_at);
+        met_at.is_some_and(|met_at| met_at.since(self.started_at) >= limits::RESYNC_MS)
+    }
+}
--- /dev/null
+++ b/crates/decision/src/agent/witness.rs
@@ -0,0 +1,124 @@
+//! Claims of other agents, which this one records as a witness.
+
+use super::claims::{Record, Stage};
+use super::mutant::mutated;
+use super::{Action, Agent, limits};
+use crate::keys::{Incarnation, UpstreamId, Version};
+use crate::message::{Claim, ClaimAnswer, Message, Opening};
+use crate::time::Millis;
+use crate::view::WhenInDoubt;
+
+/// A claimant's request, as received.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Request {
+    pub(super) from: UpstreamId,
+    pub(super) opening: Opening,
+    pub(super) claim: Claim,
+    pub(super) view: Version,
+    pub(super) incarnation: Incarnation,
+}
+
+impl Agent {
+    pub(super) fn claim_requested(&mut self, now: Millis, request: Request, out: &mut Vec<Action>) {
+        self.saw_version(now, request.view, out);
+        let answer = match self.settings.when_in_doubt {
+            WhenInDoubt::Admit => self.witness_early(now, request, out),
+            WhenInDoubt::Refuse => self.witness_once(now, request),
+        };
+        let message = Message::ClaimReply {
+            opening: request.opening,
+            claim: request.claim,
+            answer,
+            view: self.settings.version,
+            incarnation: request.incarnation,
+        };
+        out.push(Action::Send { to: request.from, message });
+    }
+
+    /// Whether this agent may have promised something that it no longer knows.
+    ///
+    /// Failure: a witness grants one claim, restarts and grants another. Symptom: an opening runs
+    /// at two upstreams. Abstaining is enough because whatever it granted before it died would
+    /// have been forgotten by then.
+    pub(super) fn abstains(&self, now: Millis) -> bool {
+        let restarted = self.config.may_have_past && !mutated!(self, AbstainForgotten);
+        restarted && now.since(self.started_at) < limits::CLAIM_TTL_MS
+    }
+
+    fn witness_once(&mut self, now: Millis, request: Request) -> ClaimAnswer {
+        let own_claim = request.claim == Claim::Refuse || request.claim == Claim::Run(request.from);
+        if !own_claim {
+            return ClaimAnswer::Abstained;
+        }
+        // A record made while abstaining is this agent's own wish and counts as nobody's vote.
+        if self.abstains(now) {
+            return ClaimAnswer::Abstained;
+        }
+        match self.claims.get(now, request.opening) {
+            Some(record) if is_same(record, request) => self.record(now, request, record.stage),
+            Some(record) if is_given_up(record, request) => {
+                self.record(now, request, Stage::Witnessed)
+            }
+            Some(record) if !mutated!(self, PromiseNotKept) => ClaimAnswer::Taken(record.claim),
+            _ if request.view < self.settings.version => ClaimAnswer::StaleView,
+            _ => self.record(now, request, Stage::Witnessed),
+        }
+    }
+
+    /// A witness of a home answers from all that it knows about the opening.
+    fn witness_early(
+        &mut self,
+        now: Millis,
+        request: Request,
+        out: &mut Vec<Action>,
+    ) -> ClaimAnswer {
+        let opening = request.opening;
+        let record = self.claims.get(now, opening);
+        if let Some(record) = record.filter(|record| record.claim != request.claim) {
+            // Two homes that ask each other: the smaller claim wins at both.
+            let yields = record.stage == Stage::Pending && request.claim < record.claim;
+            if !yields && !mutated!(self, PromiseNotKept) {
+                return ClaimAnswer::Taken(record.claim);
+            }
+            self.yield_to(now, opening, request.claim, out);
+            return ClaimAnswer::Granted;
+        }
+        let holder = self.holder_of(now, opening).map(Claim::Run);
+        if let Some(taken) = holder.filter(|taken| *taken != request.claim) {
+            return ClaimAnswer::Taken(taken);
+        }
+        let stage = record.map_or(Stage::Witnessed, |record| record.stage);
+        self.record(now, request, stage)
+    }
+
+    /// The holder of the flow that came from exactly this opening.
+    fn holder_of(&self, now: Millis, opening: Opening) -> Option<UpstreamId> {
+        let nonce = Some(opening.nonce);
+        if self.flows.get(opening.flow).is_some_and(|flow| flow.nonce == nonce) {
+            return Some(self.config.upstream);
+        }
+        let redirect = self.redirects.get(now, opening.flow)?;
+        (redirect.nonce == nonce).then_some(redirect.holder)
+    }
+
+    fn record(&mut self, now: Millis, request: Request, stage: Stage) -> ClaimAnswer {
+        let Request { opening, claim, incarnation, .. } = request;
+        match self.claims.put(now, opening, claim, incarnation, stage) {
+            true => ClaimAnswer::Granted,
+            false => ClaimAnswer::Abstained,
+        }
+    }
+}
+
+/// A claim to run is the same only if it is of the same life: the holder of an earlier life may
+/// have run the opening, and the later one cannot know.
+fn is_same(record: Record, request: Request) -> bool {
+    let same_life = record.incarnation == request.incarnation;
+    record.claim == request.claim && (request.claim == Claim::Refuse || same_life)
+}
+
+/// The life that claimed the opening has promised not to run it.
+fn is_given_up(record: Record, request: Request) -> bool {
+    let same_life = record.incarnation == request.incarnation;
+    request.claim == Claim::Refuse && record.claim == Claim::Run(request.from) && same_life
+}
