--- a/crates/agent/src/counters.rs
+++ b/crates/agent/src/counters.rs
@@ -1,6 +1,6 @@
 //! What an agent counts. The data thread counts for itself and adds up once per batch.
 
-use decision::agent::Reason;
+use decision::agent::{Reason, Stats};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -40,6 +40,19 @@
     (Count::MessageBytesSent, "control_sent_bytes", "Bytes of control messages sent"),
 ];
 
+/// Sizes of the decision core's tables, in the order of [`sizes`].
+const GAUGES: [(&str, &str); 9] = [
+    ("flows_open", "Flows held for the upstream"),
+    ("flows_closing", "Flows that are closing"),
+    ("openings_unanswered", "Openings that their callers have not followed up yet"),
+    ("redirects", "Flows known to be held by other agents"),
+    ("claims", "Recorded claims"),
+    ("claims_pending", "Claims that wait for witnesses"),
+    ("lookups_pending", "Lookups that wait for answers"),
+    ("notes_unannounced", "Flow notes not yet acknowledged by peers"),
+    ("peers_suspected", "Peers believed to be silent"),
+];
+
 /// Codes under which packets are dropped or refused, sorted.
 const CODES: [Code; 20] = [
     Code(Reason::WrongService as u16),
@@ -76,8 +89,7 @@
 pub struct Counters {
     plain: [Counter; PLAIN.len()],
     coded: [Counter; CODES.len()],
-    /// Flows that the agent holds.
-    pub open_flows: Gauge,
+    gauges: [Gauge; GAUGES.len()],
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -117,7 +129,7 @@
         Self {
             plain: PLAIN.map(|(_, name, help)| metrics.counter(name, help)),
             coded,
-            open_flows: metrics.gauge("flows_open", "Flows held for the upstream"),
+            gauges: GAUGES.map(|(name, help)| metrics.gauge(name, help)),
         }
     }
 
@@ -132,11 +144,33 @@
         *counts = Counts::default();
     }
 
+    /// Shows the sizes of the core's tables.
+    pub fn show(&self, stats: &Stats) {
+        for (gauge, size) in self.gauges.iter().zip(sizes(stats)) {
+            gauge.set(size as i64);
+        }
+    }
+
     /// Names and values for `/status`.
     pub fn list(&self) -> Vec<(&'static str, u64)> {
         let plain = PLAIN.iter().zip(&self.plain).map(|((_, name, _), c)| (*name, c.get()));
         let coded = CODES.iter().zip(&self.coded).map(|(code, c)| (code.name(), c.get()));
-        let flows = ("flows_open", self.open_flows.get().max(0) as u64);
-        plain.chain(coded).chain([flows]).collect()
+        let sizes = GAUGES.iter().zip(&self.gauges);
+        let sizes = sizes.map(|((name, _), gauge)| (*name, gauge.get().max(0) as u64));
+        plain.chain(coded).chain(sizes).collect()
     }
 }
+
+fn sizes(stats: &Stats) -> [usize; GAUGES.len()] {
+    [
+        stats.open_flows,
+        stats.closing_flows,
+        stats.unanswered,
+        stats.redirects,
+        stats.claims,
+        stats.pending_claims,
+        stats.lookups,
+        stats.unannounced,
+        stats.suspected_peers,
+    ]
+}
--- a/crates/agent/src/plane/mod.rs
+++ b/crates/agent/src/plane/mod.rs
@@ -2,6 +2,7 @@
 
 mod carry;
 mod notes;
+mod requests;
 
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -28,6 +29,7 @@
 use crate::hold::{Held, HoldTable};
 
 pub(crate) use carry::Addresses;
+pub(crate) use requests::{FlowEntry, FlowList, Request, Wanted};
 
 /// Longest wait for a datagram. Half a tick, so that ticks are never late by more than that.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(TICK_MS / 2);
@@ -45,6 +47,8 @@
     pub(crate) counters: Counters,
     /// Asks another thread to fetch at least this version of the account.
     pub(crate) fetch: mpsc::Sender<Version>,
+    /// Raised once a leaving agent's peers have acknowledged all that it knows.
+    pub(crate) handed_over: Arc<AtomicBool>,
     pub(crate) end: Arc<AtomicBool>,
 }
 
@@ -54,7 +58,8 @@
     agent: Agent,
     view: Arc<View>,
     generation: u64,
-    events: mpsc::Receiver<Event>,
+    requests: mpsc::Receiver<Request>,
+    leaving: bool,
     held: HoldTable,
     actions: Vec<Action>,
     counts: Counts,
@@ -74,14 +79,15 @@
         agent: Agent,
         view: Arc<View>,
         generation: u64,
-        events: mpsc::Receiver<Event>,
+        requests: mpsc::Receiver<Request>,
     ) -> Self {
         Self {
             config,
             agent,
             view,
             generation,
-            events,
+            requests,
+            leaving: false,
             held: HoldTable::default(),
             actions: Vec::new(),
             counts: Counts::default(),
@@ -101,7 +107,8 @@
                 std::thread::sleep(RECEIVE_TIMEOUT);
             }
             let now = boottime::now();
-            self.take_events(now);
+            self.take_settings(now);
+            self.take_requests(now);
             for (slot, datagram) in receiver.datagrams().enumerate() {
                 self.counts.add(Count::Received, 1);
                 self.datagram(now, slot, datagram, &mut sender);
@@ -111,21 +118,17 @@
             (0..failed).for_each(|_| self.counts.coded(codes::SEND_FAILED));
             self.tick(now);
             self.config.counters.add(&mut self.counts);
-            self.config.counters.open_flows.set(self.agent.open_flows() as i64);
         }
     }
 
-    /// Events of the other threads, and newer settings.
-    fn take_events(&mut self, now: Millis) {
+    fn take_settings(&mut self, now: Millis) {
         let generation = self.config.store.generation();
-        if generation != self.generation {
-            self.generation = generation;
-            self.view = self.config.store.view();
-            self.agent.handle(now, Event::View(self.view.clone()), &mut self.actions);
-        }
-        while let Ok(event) = self.events.try_recv() {
-            self.agent.handle(now, event, &mut self.actions);
+        if generation == self.generation {
+            return;
         }
+        self.generation = generation;
+        self.view = self.config.store.view();
+        self.agent.handle(now, Event::View(self.view.clone()), &mut self.actions);
         self.run_actions();
     }
 
@@ -136,6 +139,10 @@
         self.last_tick = now;
         self.agent.handle(now, Event::Tick, &mut self.actions);
         self.run_actions();
+        self.config.counters.show(&self.agent.stats(now));
+        if self.leaving && self.agent.is_handed_over() {
+            self.config.handed_over.store(true, Ordering::Release);
+        }
     }
 
     fn datagram(&mut self, now: Millis, slot: usize, datagram: &[u8], sender: &mut Sender) {
--- /dev/null
+++ b/crates/agent/src/plane/requests.rs
@@ -0,0 +1,99 @@
+//! What other threads ask of the data thread.
+
+use std::sync::mpsc;
+
+use decision::agent::{Event, FlowState, Whereabouts};
+use decision::keys::{FlowId, UpstreamId};
+use decision::time::Millis;
+
+use super::Plane;
+
+/// Requests taken in one batch, so that a burst of them does not hold up packets.
+const REQUESTS_PER_BATCH: usize = 16;
+
+/// A request to the data thread.
+pub(crate) enum Request {
+    /// An event for the decision core.
+    Event(Event),
+    /// A list of flows; the answer is dropped if nobody waits for it any more.
+    Flows(Wanted, mpsc::SyncSender<FlowList>),
+}
+
+/// Which flows are wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Wanted {
+    /// So many, in any order.
+    Some(usize),
+    /// This one.
+    One(FlowId),
+}
+
+/// Flows as the decision core knows them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct FlowList {
+    /// Open flows in all.
+    pub(crate) open: usize,
+    /// Those wanted.
+    pub(crate) entries: Vec<FlowEntry>,
+}
+
+/// One flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct FlowEntry {
+    /// Its id.
+    pub(crate) flow: FlowId,
+    /// `open`, `finishing`, `reset`, `elsewhere` or `unknown`.
+    pub(crate) state: &'static str,
+    /// Agent that holds it, if another one.
+    pub(crate) holder: Option<UpstreamId>,
+}
+
+impl Plane {
+    /// Takes in what other threads ask for.
+    pub(super) fn take_requests(&mut self, now: Millis) {
+        for _ in 0..REQUESTS_PER_BATCH {
+            let Ok(request) = self.requests.try_recv() else { return };
+            match request {
+                Request::Event(event) => {
+                    self.leaving |= matches!(event, Event::Leave);
+                    self.agent.handle(now, event, &mut self.actions);
+                    self.run_actions();
+                }
+                Request::Flows(wanted, reply) => {
+                    // The asker may have timed out; there is nobody to tell then.
+                    let _ = reply.try_send(self.list(now, wanted));
+                }
+            }
+        }
+    }
+
+    fn list(&self, now: Millis, wanted: Wanted) -> FlowList {
+        let entries = match wanted {
+            Wanted::One(flow) => vec![self.find(now, flow)],
+            Wanted::Some(count) => {
+                let held = self.agent.flows().map(|(flow, state)| held(flow, state));
+                held.take(count).collect()
+            }
+        };
+        FlowList { open: self.agent.open_flows(), entries }
+    }
+
+    fn find(&self, now: Millis, flow: FlowId) -> FlowEntry {
+        match self.agent.explain(now, flow).whereabouts {
+            Whereabouts::Here(state) => held(flow, state),
+            Whereabouts::At(redirect) => {
+                FlowEntry { flow, state: "elsewhere", holder: Some(redirect.holder) }
+            }
+            Whereabouts::Unknown => FlowEntry { flow, state: "unknown", holder: None },
+        }
+    }
+}
+
+fn held(flow: FlowId, state: FlowState) -> FlowEntry {
+    let state = match state {
+        FlowState::Open => "open",
+        FlowState::Finishing => "finishing",
+        FlowState::Reset => "reset",
+    };
+    FlowEntry { flow, state, holder: None }
+}
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -1,5 +1,6 @@
 //! Life of the process: start with the newest settings, serve, hand over, end.
 
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, mpsc};
 use std::thread::{self, JoinHandle};
@@ -24,7 +25,7 @@
 
 use crate::counters::Counters;
 use crate::gate::Identity;
-use crate::plane::{self, Addresses, Plane, PlaneConfig};
+use crate::plane::{self, Addresses, Plane, PlaneConfig, Request};
 use crate::status::StatusReader;
 
 /// Events kept for the time line: about a minute of openings at today's rates.
@@ -66,13 +67,19 @@
     };
     let address = process.settings.data_address;
     let socket = plane::bind(address).map_err(|e| StartFault::bind(address, &e))?;
-    let routes = crate::http::routes(&process.shown(), &process.counters);
+    let (requests, inbox) = mpsc::channel();
+    let routes = crate::http::routes(&process.shown(), requests.clone());
     http::start(process.settings.control_address, routes)?;
-    process.serve(socket)
+    process.serve(socket, &requests, inbox)
 }
 
 impl Process {
-    fn serve(&self, socket: std::net::UdpSocket) -> Result<(), StartFault> {
+    fn serve(
+        &self,
+        socket: UdpSocket,
+        requests: &mpsc::Sender<Request>,
+        inbox: mpsc::Receiver<Request>,
+    ) -> Result<(), StartFault> {
         let keyring = self.keyring()?;
         let status = StatusReader::new(self.settings.upstream_status_address);
         let (fetch, wanted) = mpsc::channel();
@@ -80,8 +87,7 @@
         if !self.wait_for_settings() {
             return Ok(());
         }
-        let (events, inbox) = mpsc::channel();
-        let end = Arc::new(AtomicBool::new(false));
+        let (end, handed_over) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
         let config = PlaneConfig {
             socket,
             addresses: Addresses {
@@ -96,12 +102,13 @@
             timeline: self.timeline.clone(),
             counters: self.counters.clone(),
             fetch,
+            handed_over: handed_over.clone(),
             end: end.clone(),
         };
         let data = self.start_plane(config, inbox, status.read())?;
-        self.start_status(status, events.clone())?;
+        self.start_status(status, requests.clone())?;
         self.wait_for_shutdown();
-        self.hand_over(&events);
+        self.hand_over(requests, &handed_over);
         end.store(true, Ordering::Relaxed);
         // A data thread that panicked has already said so; the shutdown goes on.
         let _ = data.join();
@@ -124,17 +131,14 @@
         let (fetcher, fetch_peers) = (reader.clone(), peers.clone());
         let (shutdown, peer_shutdown) = (self.shutdown.clone(), self.shutdown.clone());
         spawn("platform", move || reader.run(&shutdown))?;
-        spawn("peers", move || {
-            peers.compare_all();
-            peers.run(&peer_shutdown);
-        })?;
+        spawn("peers", move || peers.run(&peer_shutdown))?;
         let (store, account) = (self.store.clone(), self.settings.account.clone());
         spawn("fetch", move || fetch_wanted(&wanted, &store, &account, &fetcher, &fetch_peers))?;
         Ok(())
     }
 
     /// Peers to ask: those of the settings file and the agents of the own service.
-    fn candidates(&self) -> Arc<dyn Fn() -> Vec<std::net::SocketAddr> + Send + Sync> {
+    fn candidates(&self) -> Arc<dyn Fn() -> Vec<SocketAddr> + Send + Sync> {
         let (store, service) = (self.store.clone(), self.identity().service);
         let (configured, own) = (self.settings.peers.clone(), self.settings.control_address);
         Arc::new(move || {
@@ -176,7 +180,7 @@
     fn start_plane(
         &self,
         config: PlaneConfig,
-        inbox: mpsc::Receiver<Event>,
+        inbox: mpsc::Receiver<Request>,
         report: Option<UpstreamReport>,
     ) -> Result<JoinHandle<()>, StartFault> {
         // Read before the view: a change in between is then taken in a second time, not missed.
@@ -201,12 +205,12 @@
     fn start_status(
         &self,
         status: StatusReader,
-        events: mpsc::Sender<Event>,
+        requests: mpsc::Sender<Request>,
     ) -> Result<(), StartFault> {
         let shutdown = self.shutdown.clone();
         let report = move |report| {
             // The data thread outlives this one but for the last moments of the process.
-            let _ = events.send(Event::Upstream(report));
+            let _ = requests.send(Request::Event(Event::Upstream(report)));
         };
         spawn("upstream-status", move || status.run(&shutdown, report)).map(|_| ())
     }
@@ -217,13 +221,15 @@
         }
     }
 
-    /// Keeps serving while redirects are handed over, for the grace time at most.
-    fn hand_over(&self, events: &mpsc::Sender<Event>) {
+    /// Keeps serving until the peers have acknowledged what this agent knows, for the grace time at
+    /// most.
+    fn hand_over(&self, requests: &mpsc::Sender<Request>, handed_over: &AtomicBool) {
         self.timeline.record(self.settings.account.clone(), "leaving", Fields::default());
         log::info!("shutting down");
-        let _ = events.send(Event::Leave);
+        let _ = requests.send(Request::Event(Event::Leave));
         let started = Instant::now();
-        while started.elapsed() < Duration::from_millis(self.settings.shutdown_grace_ms) {
+        let grace = Duration::from_millis(self.settings.shutdown_grace_ms);
+        while started.elapsed() < grace && !handed_over.load(Ordering::Acquire) {
             thread::sleep(POLL);
         }
     }
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -1,11 +1,11 @@
 //! Life of the process: start, publish snapshots, shut down gracefully.
 
-use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use decision::keys::UpstreamId;
 use settings::process::balancer::BalancerSettings;
 use shell::fault::StartFault;
 use shell::http;
@@ -66,8 +66,7 @@
     balancer.start_readers()?;
     balancer.timeline.record("", "started", Fields::default());
     log::info!("started");
-    balancer.publish_until_shutdown();
-    balancer.drain();
+    balancer.forward_until_drained();
     end.store(true, Ordering::Relaxed);
     for worker in workers {
         // A worker that panicked has already said so; the shutdown goes on.
@@ -80,12 +79,13 @@
 impl Balancer {
     fn start_workers(&self, end: &Arc<AtomicBool>) -> Result<Vec<JoinHandle<()>>, StartFault> {
         let address = self.settings.data_address;
-        let bind_fault = |error: io::Error| StartFault::bind(address, &error);
+        let sockets = worker::bind(address, self.settings.receive_threads)
+            .map_err(|error| StartFault::bind(address, &error))?;
         let identity = Identity::new(self.settings.flow_key, &self.settings.instance);
         let mut workers = Vec::new();
-        for index in 0..self.settings.receive_threads {
+        for (index, socket) in sockets.into_iter().enumerate() {
             let worker = Worker {
-                socket: worker::bind(address).map_err(bind_fault)?,
+                socket,
                 identity,
                 published: self.published.clone(),
                 counters: self.counters.clone(),
@@ -132,33 +132,21 @@
         }
     }
 
-    /// Builds a snapshot after each change. The receiving threads go on with the old one while the
-    /// new one is built.
-    fn publish_until_shutdown(&self) {
-        let masters: Vec<(KeyId, [u8; 32])> =
-            self.settings.keys.iter().map(|key| (KeyId(key.id), key.secret)).collect();
-        let mut liveness = Liveness::default();
-        let mut in_force = (0, Vec::new());
+    /// Keeps forwarding by the newest settings until told to shut down and, after that, until the
+    /// fabric has stopped sending or the grace time is over.
+    fn forward_until_drained(&self) {
+        let mut publisher = self.publisher();
         while !self.shutdown.is_requested() {
-            let generation = self.store.generation();
-            let view = self.store.view();
-            let down = liveness.down(&view, &self.instances.list());
-            if in_force != (generation, down.clone()) {
-                self.published.publish(Snapshot::build(view, down.clone(), &masters));
-                in_force = (generation, down);
-            }
+            publisher.publish_if_changed();
             thread::sleep(PUBLISH_INTERVAL);
         }
-    }
-
-    /// Keeps forwarding until the fabric has stopped sending or the grace time is over.
-    fn drain(&self) {
         self.timeline.record("", "leaving", Fields::default());
         log::info!("shutting down");
         let started = Instant::now();
         let grace = Duration::from_millis(self.settings.shutdown_grace_ms);
         let (mut received, mut quiet_since) = (self.counters.received(), started);
         while started.elapsed() < grace && quiet_since.elapsed() < QUIET {
+            publisher.publish_if_changed();
             thread::sleep(PUBLISH_INTERVAL);
             let now_received = self.counters.received();
             if now_received != received {
@@ -166,6 +154,48 @@
             }
         }
     }
+
+    fn publisher(&self) -> Publisher {
+        Publisher {
+            store: self.store.clone(),
+            instances: self.instances.clone(),
+            published: self.published.clone(),
+            masters: self.settings.keys.iter().map(|key| (KeyId(key.id), key.secret)).collect(),
+            liveness: Liveness::default(),
+            seen: None,
+            down: Vec::new(),
+        }
+    }
+}
+
+/// Publishes snapshots. The receiving threads go on with the old one while a new one is built.
+struct Publisher {
+    store: Arc<Store>,
+    instances: Arc<Instances>,
+    published: Arc<Published>,
+    masters: Vec<(KeyId, [u8; 32])>,
+    liveness: Liveness,
+    /// Generations of settings and list at the last look.
+    seen: Option<(u64, u64)>,
+    /// Agents down in the snapshot in force.
+    down: Vec<UpstreamId>,
+}
+
+impl Publisher {
+    fn publish_if_changed(&mut self) {
+        let generations = (self.store.generation(), self.instances.generation());
+        if self.seen == Some(generations) {
+            return;
+        }
+        let view = self.store.view();
+        let down = self.liveness.down(&view, &self.instances.list());
+        let settings_changed = self.seen.is_none_or(|(settings, _)| settings != generations.0);
+        if settings_changed || down != self.down {
+            self.published.publish(Snapshot::build(view, down.clone(), &self.masters));
+        }
+        self.seen = Some(generations);
+        self.down = down;
+    }
 }
 
 fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, StartFault> {
--- a/crates/balancer/src/worker.rs
+++ b/crates/balancer/src/worker.rs
@@ -24,9 +24,14 @@
     pub(crate) end: Arc<AtomicBool>,
 }
 
-/// Binds one of the sockets that share the data address.
-pub(crate) fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
-    udp::bind(address, true, IDLE_CHECK)
+/// Binds the sockets that share the data address.
+///
+/// A socket that shares its port can be bound beside those of another process of ours, which would
+/// then lose a part of its packets unnoticed. A socket that does not share it is therefore bound
+/// first, and closed again: it fails if anybody has the port.
+pub(crate) fn bind(address: SocketAddr, count: usize) -> io::Result<Vec<UdpSocket>> {
+    drop(udp::bind(address, false, IDLE_CHECK)?);
+    (0..count).map(|_| udp::bind(address, true, IDLE_CHECK)).collect()
 }
 
 impl Worker {
--- a/crates/shell/src/http/server.rs
+++ b/crates/shell/src/http/server.rs
@@ -1,5 +1,6 @@
 //! Serving [`Routes`] by gotham on a thread of its own.
 
+use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
@@ -20,14 +21,27 @@
 use super::routes::{Handler, Method, REQUEST_BYTES_MAX, Reply, Request, Route, Routes};
 use crate::fault::StartFault;
 
-/// Binds `address` and serves `routes` until the process ends.
+/// Threads that answer. Two, so that one slow answer does not keep a probe of `/healthz` waiting.
+const WORKERS: usize = 2;
+
+/// Binds `address`, serves `routes` until the process ends and returns the address bound.
 ///
 /// The socket is bound before this returns, so that a taken port is known at the start.
-pub fn start(address: SocketAddr, routes: Routes) -> Result<(), StartFault> {
-    let listener = TcpListener::bind(address).map_err(|e| StartFault::bind(address, &e))?;
+///
+/// ```
+/// use std::time::Duration;
+/// use shell::http::{client::Client, routes::{Reply, Routes}, start};
+/// let routes = Routes::default().get("/healthz", |_| Reply::text("ok"));
+/// let address = start("127.0.0.1:0".parse().unwrap(), routes).unwrap();
+/// assert_eq!(Client::new(Duration::from_secs(5)).get(address, "/healthz").unwrap(), b"ok");
+/// ```
+pub fn start(address: SocketAddr, routes: Routes) -> Result<SocketAddr, StartFault> {
+    let bind_fault = |error: io::Error| StartFault::bind(address, &error);
+    let listener = TcpListener::bind(address).map_err(bind_fault)?;
+    let bound = listener.local_addr().map_err(bind_fault)?;
     listener.set_nonblocking(true).map_err(|e| StartFault::thread(&e))?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(1)
+        .worker_threads(WORKERS)
         .thread_name("http")
         .enable_all()
         .build()
@@ -41,7 +55,7 @@
         });
     };
     let spawned = thread::Builder::new().name("http-accept".into()).spawn(serve);
-    spawned.map(|_| ()).map_err(|e| StartFault::thread(&e))
+    spawned.map(|_| bound).map_err(|e| StartFault::thread(&e))
 }
 
 fn router(routes: Routes) -> Router {
--- a/crates/shell/src/settings_sync/instances.rs
+++ b/crates/shell/src/settings_sync/instances.rs
@@ -1,6 +1,7 @@
 //! The platform's list of instances: a hint that lags.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde::Deserialize;
@@ -61,6 +62,7 @@
 #[derive(Debug, Default)]
 pub struct Instances {
     list: Mutex<Arc<Vec<Instance>>>,
+    generation: AtomicU64,
 }
 
 impl Instances {
@@ -73,9 +75,18 @@
         self.lock().clone()
     }
 
+    /// Number that grows with each change of the list.
+    pub fn generation(&self) -> u64 {
+        self.generation.load(Ordering::Acquire)
+    }
+
     /// Replaces the list.
     pub fn replace(&self, list: InstanceList) {
-        *self.lock() = Arc::new(list.instances);
+        let mut held = self.lock();
+        if **held != list.instances {
+            *held = Arc::new(list.instances);
+            self.generation.fetch_add(1, Ordering::Release);
+        }
     }
 
     /// Control addresses of all instances of a kind.
--- a/crates/shell/src/settings_sync/peers.rs
+++ b/crates/shell/src/settings_sync/peers.rs
@@ -33,10 +33,13 @@
     candidates: Candidates,
 }
 
-#[derive(Debug, thiserror::Error)]
-enum PeerError {
+/// Why a comparison was not completed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PeerError {
+    /// No answer, or not the one asked for.
     #[error(transparent)]
     Client(#[from] ClientError),
+    /// An answer that is not what the interface says.
     #[error(transparent)]
     Decode(#[from] exchange::ExchangeError),
 }
@@ -47,8 +50,10 @@
         Self { client: Client::new(TIMEOUT), store, candidates }
     }
 
-    /// Compares with one random peer at a time until the shutdown.
+    /// Compares with all peers, then with one random peer at a time until the shutdown.
     pub fn run(&self, shutdown: &Shutdown) {
+        self.compare_all();
+        self.store.mark_peers_asked();
         while !shutdown.is_requested() {
             let peers = (self.candidates)();
             if !peers.is_empty() {
@@ -78,7 +83,7 @@
     }
 
     /// Fetches what is newer at `peer`. If the peer's own settings are current, ours are then.
-    fn compare(&self, peer: SocketAddr) -> Result<(), PeerError> {
+    pub fn compare(&self, peer: SocketAddr) -> Result<(), PeerError> {
         let body = self.client.get(peer, "/v1/settings/digest")?;
         let digest: Digest = exchange::decode(&body)?;
         let own_root = self.store.root().map_or(0, |(version, _)| version.0);
@@ -97,7 +102,7 @@
             }
         }
         if digest.current {
-            self.store.mark_current();
+            self.store.mark_source_read();
         }
         Ok(())
     }
--- a/crates/shell/src/settings_sync/platform.rs
+++ b/crates/shell/src/settings_sync/platform.rs
@@ -41,10 +41,12 @@
 }
 
 /// Why a pass over the platform's documents was not completed.
-#[derive(Debug, thiserror::Error)]
-enum ReadError {
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ReadError {
+    /// No answer, or not the one asked for.
     #[error(transparent)]
     Client(#[from] ClientError),
+    /// An answer that is not what the interface says.
     #[error("answer cannot be decoded")]
     Decode,
 }
@@ -63,11 +65,10 @@
         let mut backoff = Backoff::default();
         let mut index = 0;
         while !shutdown.is_requested() {
-            match self.watch(index) {
+            match self.poll(index) {
                 Ok(next) => {
                     index = next;
                     backoff.reset();
-                    self.store.mark_current();
                 }
                 Err(error) => {
                     log_unreachable(self.address, &error);
@@ -83,8 +84,7 @@
         while !shutdown.is_requested() {
             let started = Instant::now();
             let pause = match self.read_list() {
-                Ok(list) => {
-                    self.instances.replace(list);
+                Ok(()) => {
                     backoff.reset();
                     LIST_INTERVAL.saturating_sub(started.elapsed())
                 }
@@ -101,9 +101,10 @@
         }
     }
 
-    /// One long poll and the documents that it names. The index moves on only after all of them
-    /// were read: a document missed by a failed read would otherwise never be fetched.
-    fn watch(&self, after: u64) -> Result<u64, ReadError> {
+    /// One long poll and the documents that it names; returns the index to go on from. The index
+    /// moves on only after all of them were read: a document missed by a failed read would
+    /// otherwise never be fetched.
+    pub fn poll(&self, after: u64) -> Result<u64, ReadError> {
         let path = format!("/v1/watch?after={after}&wait_ms={WATCH_WAIT_MS}");
         let body = self.watcher.get(self.address, &path)?;
         let reply: WatchReply = serde_json::from_slice(&body).map_err(|_| ReadError::Decode)?;
@@ -115,6 +116,7 @@
                 self.read_account(name)?;
             }
         }
+        self.store.mark_source_read();
         Ok(reply.index)
     }
 
@@ -136,9 +138,12 @@
         }
     }
 
-    fn read_list(&self) -> Result<InstanceList, ReadError> {
+    /// Reads the list of instances once.
+    pub fn read_list(&self) -> Result<(), ReadError> {
         let body = self.client.get(self.address, "/v1/instances")?;
-        serde_json::from_slice(&body).map_err(|_| ReadError::Decode)
+        let list: InstanceList = serde_json::from_slice(&body).map_err(|_| ReadError::Decode)?;
+        self.instances.replace(list);
+        Ok(())
     }
 }
 
--- a/crates/shell/src/settings_sync/store.rs
+++ b/crates/shell/src/settings_sync/store.rs
@@ -36,7 +36,8 @@
     /// for a document that is being parsed.
     view: Mutex<Arc<View>>,
     generation: AtomicU64,
-    current: AtomicBool,
+    source_read: AtomicBool,
+    peers_asked: AtomicBool,
 }
 
 impl Scope {
@@ -75,7 +76,8 @@
             book: Mutex::default(),
             view: Mutex::default(),
             generation: AtomicU64::new(0),
-            current: AtomicBool::new(false),
+            source_read: AtomicBool::new(false),
+            peers_asked: AtomicBool::new(false),
         }
     }
 
@@ -99,14 +101,23 @@
     }
 
     /// Whether the settings are known to be current enough: a source that was itself current has
-    /// been read completely.
+    /// been read completely, and every peer has been asked once.
+    ///
+    /// The platform may serve an instance that starts an older tree than the fleet already runs.
+    /// To open flows by it would bring back upstreams and addresses that are gone, so the peers are
+    /// heard first; one that does not answer within its time-out is not waited for.
     pub fn is_current(&self) -> bool {
-        self.current.load(Ordering::Acquire)
+        self.source_read.load(Ordering::Acquire) && self.peers_asked.load(Ordering::Acquire)
     }
 
     /// Notes that a current source has been read completely.
-    pub fn mark_current(&self) {
-        self.current.store(true, Ordering::Release);
+    pub fn mark_source_read(&self) {
+        self.source_read.store(true, Ordering::Release);
+    }
+
+    /// Notes that every peer has been asked, whether it answered or not.
+    pub fn mark_peers_asked(&self) {
+        self.peers_asked.store(true, Ordering::Release);
     }
 
     /// Versions in force, sorted by account.
