--- /dev/null
+++ b/crates/agent/tests/gate.rs
@@ -0,0 +1,162 @@
+//! What is checked before a datagram reaches the decision core.
+
+use agent::gate::{Admitted, Identity, check, datagram_nonce};
+use decision::agent::Passed;
+use decision::keys::{AccountId, FlowId, ServiceId, UpstreamId, Version};
+use decision::message::Message;
+use decision::view::{self, AccountSpec, Endpoint, ServiceSpec, Transport, View, WhenInDoubt};
+use etherparse::PacketBuilder;
+use rstest::rstest;
+use settings::{Code, codes};
+use wire::control::{self, Envelope};
+use wire::gue::{self, Content};
+use wire::inner;
+use wire::sealed::{AccountKeyring, Header, KeyId, Payload, SEALED_BYTES, SenderId};
+
+const MASTERS: [(KeyId, [u8; 32]); 1] = [(KeyId(1), [7; 32])];
+
+/// A datagram as its sender makes it; each case changes one thing.
+#[derive(Clone)]
+struct Sent {
+    sealed_for: &'static str,
+    account: &'static str,
+    service: &'static str,
+    port: u16,
+    covered: Option<usize>,
+}
+
+fn sent() -> Sent {
+    Sent {
+        sealed_for: "cascadia",
+        account: "cascadia",
+        service: "shelf",
+        port: 8_443,
+        covered: None,
+    }
+}
+
+fn service(name: &str, port: u16) -> ServiceSpec {
+    let address = [203, 0, 113, 1].into();
+    ServiceSpec {
+        name: name.into(),
+        endpoints: vec![Endpoint { address, port, transport: Transport::Tcp }],
+        when_in_doubt: WhenInDoubt::Admit,
+        zone_spill_percent: 25,
+        upstreams: vec![],
+    }
+}
+
+fn own_view() -> View {
+    let services = vec![service("shelf", 8_443), service("manifest", 9_443)];
+    view::build(&[AccountSpec { name: "cascadia".into(), version: Version(7), services }])
+}
+
+fn own_identity() -> Identity {
+    let (account, service) = (AccountId::of("cascadia"), ServiceId::of("cascadia", "shelf"));
+    Identity { account, service }
+}
+
+fn ring(account: &str) -> AccountKeyring {
+    AccountKeyring::derive(&MASTERS, AccountId::of(account)).unwrap()
+}
+
+fn packet(port: u16) -> Vec<u8> {
+    let builder = PacketBuilder::ipv4([192, 0, 2, 1], [203, 0, 113, 1], 64);
+    let mut packet = Vec::new();
+    builder.tcp(40_000, port, 7, 1_024).syn().write(&mut packet, b"").unwrap();
+    packet
+}
+
+fn header(sent: &Sent) -> Header {
+    Header {
+        hops: 0,
+        passed: Passed::Fresh,
+        account: AccountId::of(sent.account),
+        service: ServiceId::of(sent.account, sent.service),
+        flow: FlowId(5),
+        version: Version(7),
+        sender: SenderId(9),
+    }
+}
+
+fn datagram(sent: &Sent, payload: Payload<'_>) -> Vec<u8> {
+    let mut private = [0; SEALED_BYTES];
+    ring(sent.sealed_for).seal(&header(sent), payload, &mut private).unwrap();
+    let (content, body) = match payload {
+        Payload::Packet { bytes, .. } => (Content::Ipv4, bytes),
+        Payload::Control(body) => (Content::Control(control::CONTROL_TYPE), body),
+    };
+    let mut datagram = Vec::new();
+    gue::encode(content, &private, body, &mut datagram);
+    datagram
+}
+
+fn packet_datagram(sent: &Sent) -> Vec<u8> {
+    let bytes = packet(sent.port);
+    let header_bytes = sent.covered.unwrap_or(bytes.len());
+    datagram(sent, Payload::Packet { bytes: &bytes, header_bytes })
+}
+
+fn code_of(datagram: &[u8]) -> Option<Code> {
+    check(&own_identity(), &ring("cascadia"), &own_view(), datagram).err()
+}
+
+/// Another account's machine can seal only with its own key, and whatever it claims inside, none
+/// of its packets gets past this agent.
+#[rstest]
+#[case::own(sent(), None)]
+#[case::key_of_other_account(Sent { sealed_for: "bajio", ..sent() }, Some(codes::BAD_MAC))]
+#[case::names_other_account(Sent { account: "bajio", ..sent() }, Some(codes::FOREIGN_ACCOUNT))]
+#[case::names_other_service(Sent { service: "manifest", ..sent() }, Some(codes::WRONG_SERVICE))]
+#[case::address_of_other_service(Sent { port: 9_443, ..sent() }, Some(codes::WRONG_SERVICE))]
+#[case::address_of_nobody(Sent { port: 22, ..sent() }, Some(codes::NO_SERVICE))]
+#[case::ports_not_covered(Sent { covered: Some(20), ..sent() }, Some(codes::BAD_MAC))]
+fn check_packet(#[case] sent: Sent, #[case] expected: Option<Code>) {
+    assert_eq!(code_of(&packet_datagram(&sent)), expected);
+}
+
+fn plain() -> Vec<u8> {
+    let mut datagram = Vec::new();
+    gue::encode(Content::Ipv4, &[], &packet(8_443), &mut datagram);
+    datagram
+}
+
+fn with_byte(mut datagram: Vec<u8>, offset: usize, value: u8) -> Vec<u8> {
+    datagram[offset] = value;
+    datagram
+}
+
+#[rstest]
+#[case::empty(vec![], codes::MALFORMED)]
+#[case::not_sealed(plain(), codes::MALFORMED)]
+#[case::unknown_key(with_byte(packet_datagram(&sent()), 5, 9), codes::UNKNOWN_KEY)]
+#[case::changed_port(with_byte(packet_datagram(&sent()), 68 + 23, 1), codes::BAD_MAC)]
+#[case::packet_as_control(with_byte(packet_datagram(&sent()), 0, 0x30), codes::UNSUPPORTED_PROTOCOL)]
+#[case::control_body_garbage(datagram(&sent(), Payload::Control(b"\xc1")), codes::MALFORMED)]
+fn check_refused(#[case] datagram: Vec<u8>, #[case] expected: Code) {
+    assert_eq!(code_of(&datagram), Some(expected));
+}
+
+#[test]
+fn check_control_message() {
+    let envelope = Envelope { clock: 4, message: Message::Ask { flow: FlowId(5), question: 6 } };
+    let mut body = Vec::new();
+    control::encode(&envelope, &mut body).unwrap();
+    let datagram = datagram(&sent(), Payload::Control(&body));
+    let admitted = check(&own_identity(), &ring("cascadia"), &own_view(), &datagram).unwrap();
+    let Admitted::Message { header, envelope: received } = admitted else { panic!("a packet") };
+    assert_eq!(UpstreamId(header.sender.0), UpstreamId(9));
+    assert_eq!(received, envelope);
+}
+
+/// Two datagrams of one caller's port: a service that must not run a request twice takes them as
+/// two openings, any other as one flow.
+#[rstest]
+#[case::admit(WhenInDoubt::Admit, true)]
+#[case::refuse(WhenInDoubt::Refuse, false)]
+fn datagram_nonce_by_service(#[case] when_in_doubt: WhenInDoubt, #[case] same: bool) {
+    let nonce = datagram_nonce(when_in_doubt);
+    assert_eq!(nonce(b"restock 1") == nonce(b"restock 2"), same);
+    assert_eq!(nonce(b"restock 1"), nonce(b"restock 1"));
+    assert_eq!(same, nonce(b"restock 1") == inner::FLOW_NONCE);
+}
