--- a/crates/agent/src/plane/mod.rs
+++ b/crates/agent/src/plane/mod.rs
@@ -3,6 +3,8 @@
 mod carry;
 mod notes;
 mod requests;
+#[cfg(test)]
+mod tests;
 
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
--- /dev/null
+++ b/crates/agent/src/plane/tests.rs
@@ -0,0 +1,331 @@
+//! The data thread between real sockets: the test plays fabric, peer, upstream and gateway.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use decision::agent::{Agent, AgentConfig, Event, Passed};
+use decision::keys::{AccountId, FlowId, Incarnation, ServiceId, UpstreamId, Version};
+use decision::message::{Claim, ClaimAnswer, Heartbeat, Knowledge, Message};
+use decision::rank;
+use decision::view::WhenInDoubt;
+use etherparse::PacketBuilder;
+use settings::Outcome;
+use shell::boottime;
+use shell::settings_sync::{Scope, Source, Store};
+use shell::udp::{self, Prefix};
+use telemetry::metrics::Metrics;
+use telemetry::timeline::Timeline;
+use wire::control::{self, Envelope};
+use wire::gue::{self, Content};
+use wire::inner;
+use wire::sealed::{AccountKeyring, Header, KeyId, Payload, SEALED_BYTES, SenderId};
+
+use super::{Addresses, FlowList, Plane, PlaneConfig, Request, Wanted};
+use crate::counters::Counters;
+use crate::gate::Identity;
+
+/// Longer than any answer takes; reached only when one is missing.
+const TIMEOUT: Duration = Duration::from_secs(10);
+const KEY: [(KeyId, [u8; 32]); 1] = [(KeyId(1), [7; 32])];
+
+/// An agent's data thread and the sockets around it.
+struct Bench {
+    agent: SocketAddr,
+    peer: UdpSocket,
+    upstream: UdpSocket,
+    gateway: UdpSocket,
+    requests: mpsc::Sender<Request>,
+    timeline: Arc<Timeline>,
+    handed_over: Arc<AtomicBool>,
+    end: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+fn socket() -> (UdpSocket, SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(TIMEOUT)).unwrap();
+    let address = socket.local_addr().unwrap();
+    (socket, address)
+}
+
+fn service() -> ServiceId {
+    ServiceId::of("cascadia", "shelf")
+}
+
+fn upstream(name: &str) -> UpstreamId {
+    UpstreamId::of("cascadia", "shelf", name)
+}
+
+fn ring() -> AccountKeyring {
+    AccountKeyring::new(&KEY).unwrap()
+}
+
+/// A flow whose home is the agent called `name`, of two with the same weight.
+fn flow_of(name: &str) -> FlowId {
+    let candidates = [(upstream("own"), 100), (upstream("peer"), 100)];
+    let home = |flow: &FlowId| {
+        rank::order(service(), rank::bucket_of(*flow), &candidates)[0] == upstream(name)
+    };
+    (0..64).map(|bucket| FlowId(bucket << 58 | 5)).find(home).unwrap()
+}
+
+fn subtree(when_in_doubt: &str, own: SocketAddr, peer: Option<SocketAddr>) -> String {
+    let entry = |name: &str, address: SocketAddr| {
+        let port = address.port();
+        format!(
+            "      - {{name: {name}, zone: z, weight: 100, max_flows: 9, state: active, since: 1, \
+             agent_address: \"{address}\", control_address: \"127.8.0.1:{port}\", address: \"127.9.0.1:{port}\"}}\n"
+        )
+    };
+    let peer = peer.map(|peer| entry("peer", peer)).unwrap_or_default();
+    let own = entry("own", own);
+    format!(
+        "account: cascadia\nversion: 7\nservices:\n  - name: shelf\n    \
+         addresses: [\"203.0.113.1:8443/tcp\"]\n    when_in_doubt: {when_in_doubt}\n    \
+         zone_spill_percent: 25\n    upstreams:\n{own}{peer}"
+    )
+}
+
+fn store(timeline: &Arc<Timeline>, subtree: &str) -> Arc<Store> {
+    let store = Arc::new(Store::new(Scope::Account("cascadia".into()), timeline.clone()));
+    let root = "version: 1\naccounts: [{name: cascadia, prefixes: [\"203.0.113.0/28\"]}]\n";
+    store.offer_root(root, Source::Platform);
+    let outcome = store.offer_account("cascadia", subtree, Source::Platform);
+    assert_eq!(outcome, Some(Outcome::Accepted(Version(7))));
+    store
+}
+
+fn bench(when_in_doubt: WhenInDoubt, with_peer: bool) -> Bench {
+    let data = super::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let agent = data.local_addr().unwrap();
+    let (peer, peer_address) = socket();
+    let ((upstream_socket, upstream_address), (gateway, gateway_address)) = (socket(), socket());
+    let timeline = Arc::new(Timeline::new("own".into(), 64));
+    let word = if when_in_doubt == WhenInDoubt::Admit { "admit" } else { "refuse" };
+    let store = store(&timeline, &subtree(word, agent, with_peer.then_some(peer_address)));
+    let (requests, inbox) = mpsc::channel();
+    let (end, handed_over) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
+    let config = PlaneConfig {
+        socket: data,
+        addresses: Addresses { upstream: upstream_address, gateway: gateway_address },
+        identity: Identity { account: AccountId::of("cascadia"), service: service() },
+        upstream: upstream("own"),
+        account: "cascadia".into(),
+        keyring: ring(),
+        store: store.clone(),
+        timeline: timeline.clone(),
+        counters: Counters::new(&Metrics::default()),
+        fetch: mpsc::channel().0,
+        handed_over: handed_over.clone(),
+        end: end.clone(),
+    };
+    let agent_config = AgentConfig {
+        upstream: upstream("own"),
+        service: service(),
+        incarnation: Incarnation(1),
+        may_have_past: false,
+        seed: 1,
+    };
+    let core = Agent::new(agent_config, store.view(), boottime::now());
+    let plane = Plane::new(config, core, store.view(), store.generation(), inbox);
+    let thread = Some(std::thread::spawn(move || plane.run()));
+    let upstream = upstream_socket;
+    Bench { agent, peer, upstream, gateway, requests, timeline, handed_over, end, thread }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        self.end.store(true, Ordering::Relaxed);
+        let ended = self.thread.take().map(JoinHandle::join);
+        assert!(std::thread::panicking() || ended.is_some_and(|result| result.is_ok()));
+    }
+}
+
+fn tcp(flags: &str) -> Vec<u8> {
+    let builder = PacketBuilder::ipv4([192, 0, 2, 1], [203, 0, 113, 1], 64);
+    let builder = builder.tcp(40_000, 8_443, 77, 1_024);
+    let builder = if flags == "S" { builder.syn() } else { builder.ack(500) };
+    let mut packet = Vec::new();
+    builder.write(&mut packet, b"").unwrap();
+    packet
+}
+
+impl Bench {
+    fn send(&self, sender: UpstreamId, flow: FlowId, content: Content, body: &[u8]) {
+        let header = Header {
+            hops: 0,
+            passed: Passed::Fresh,
+            account: AccountId::of("cascadia"),
+            service: service(),
+            flow,
+            version: Version(7),
+            sender: SenderId(sender.0),
+        };
+        let payload = match content {
+            Content::Control(_) => Payload::Control(body),
+            _ => Payload::Packet { bytes: body, header_bytes: body.len() },
+        };
+        let mut private = [0; SEALED_BYTES];
+        ring().seal(&header, payload, &mut private).unwrap();
+        let prefix = Prefix::new(gue::header(content, SEALED_BYTES), &private);
+        udp::send_one(&self.peer, &prefix, body, self.agent, &mut Vec::new()).unwrap();
+    }
+
+    fn send_packet(&self, flow: FlowId, packet: &[u8]) {
+        self.send(UpstreamId(1), flow, Content::Ipv4, packet);
+    }
+
+    fn send_message(&self, message: Message) {
+        let mut body = Vec::new();
+        control::encode(&Envelope { clock: 1, message }, &mut body).unwrap();
+        self.send(upstream("peer"), FlowId(0), Content::Control(control::CONTROL_TYPE), &body);
+    }
+
+    /// The next packet passed on to the peer, with what its header says; messages are skipped.
+    fn passed_to_peer(&self) -> (Header, Vec<u8>) {
+        loop {
+            let datagram = receive(&self.peer);
+            let frame = gue::parse(&datagram).unwrap();
+            if frame.content == Content::Ipv4 {
+                let payload = Payload::Packet { bytes: frame.payload, header_bytes: 0 };
+                let opened = ring().open(frame.private, payload).unwrap();
+                return (opened.header, frame.payload.to_vec());
+            }
+        }
+    }
+
+    /// The next message to the peer that `wanted` makes something of.
+    fn message_to_peer<T>(&self, wanted: impl Fn(Message) -> Option<T>) -> T {
+        loop {
+            let datagram = receive(&self.peer);
+            let frame = gue::parse(&datagram).unwrap();
+            if frame.content == Content::Control(control::CONTROL_TYPE) {
+                ring().open(frame.private, Payload::Control(frame.payload)).unwrap();
+                let message = control::decode(frame.payload).unwrap().message;
+                if let Some(found) = wanted(message) {
+                    return found;
+                }
+            }
+        }
+    }
+
+    fn flows(&self, wanted: Wanted) -> FlowList {
+        let (reply, answer) = mpsc::sync_channel(1);
+        self.requests.send(Request::Flows(wanted, reply)).unwrap();
+        answer.recv_timeout(TIMEOUT).unwrap()
+    }
+}
+
+fn receive(socket: &UdpSocket) -> Vec<u8> {
+    let mut buffer = [0; 2_048];
+    let bytes = socket.recv(&mut buffer).expect("nothing came");
+    buffer[..bytes].to_vec()
+}
+
+/// What comes out for the upstream or the gateway: plain GUE around one packet.
+fn plain(socket: &UdpSocket) -> Vec<u8> {
+    let datagram = receive(socket);
+    let frame = gue::parse(&datagram).unwrap();
+    assert_eq!((frame.content, frame.private), (Content::Ipv4, &[][..]));
+    frame.payload.to_vec()
+}
+
+#[test]
+fn opening_is_delivered() {
+    let bench = bench(WhenInDoubt::Admit, false);
+    bench.send_packet(FlowId(5), &tcp("S"));
+    assert_eq!(plain(&bench.upstream), tcp("S"));
+    let list = bench.flows(Wanted::Some(10));
+    assert_eq!((list.open, list.entries[0].state), (1, "open"));
+    assert_eq!(bench.flows(Wanted::One(FlowId(6))).entries[0].state, "unknown");
+    assert!(bench.timeline.after(Default::default()).iter().any(|e| e.kind == "admitted"));
+}
+
+/// The caller of a flow that nobody knows learns so by a reset that fits its segment.
+#[test]
+fn unknown_flow_is_reset() {
+    let bench = bench(WhenInDoubt::Admit, false);
+    bench.send_packet(FlowId(5), &tcp("A"));
+    let answer = plain(&bench.gateway);
+    let reset = inner::parse(&answer).unwrap();
+    assert_eq!(reset.endpoint.port, 40_000);
+    let inner::Segment::Tcp { flags, sequence, .. } = reset.segment else { panic!("not TCP") };
+    assert_eq!((flags.rst, sequence), (true, 500));
+}
+
+#[test]
+fn foreign_home_gets_opening() {
+    let bench = bench(WhenInDoubt::Admit, true);
+    bench.send_packet(flow_of("peer"), &tcp("S"));
+    let (header, packet) = bench.passed_to_peer();
+    assert_eq!((header.hops, header.passed), (1, Passed::Redirected));
+    assert_eq!((header.flow, header.sender), (flow_of("peer"), SenderId(upstream("own").0)));
+    assert_eq!(packet, tcp("S"));
+}
+
+/// The opening of a service that runs each at most once is held until the other agent, half of the
+/// witnesses, has recorded it. Only then does the upstream see it.
+#[test]
+fn held_opening_is_delivered_once_granted() {
+    let bench = bench(WhenInDoubt::Refuse, true);
+    bench.send_message(Message::Heartbeat(Heartbeat {
+        incarnation: Incarnation(1),
+        view: Version(7),
+        open_flows: 8,
+        unanswered: 0,
+        accepting: false,
+        ramp_percent: 100,
+        leaving: false,
+    }));
+    bench.send_packet(flow_of("own"), &tcp("S"));
+    let reply = bench.message_to_peer(|message| match message {
+        Message::ClaimRequest { opening, claim, view, incarnation } => {
+            assert_eq!(claim, Claim::Run(upstream("own")));
+            let answer = ClaimAnswer::Granted;
+            Some(Message::ClaimReply { opening, claim, answer, view, incarnation })
+        }
+        _ => None,
+    });
+    bench.upstream.set_nonblocking(true).unwrap();
+    assert!(bench.upstream.recv(&mut [0; 64]).is_err(), "delivered before it was granted");
+    bench.upstream.set_nonblocking(false).unwrap();
+    bench.send_message(reply);
+    assert_eq!(plain(&bench.upstream), tcp("S"));
+}
+
+#[test]
+fn question_is_answered() {
+    let bench = bench(WhenInDoubt::Admit, true);
+    bench.send_message(Message::Ask { flow: FlowId(5), question: 3 });
+    let (flow, knowledge) = bench.message_to_peer(|message| match message {
+        Message::AskReply { flow, question: 3, knowledge, .. } => Some((flow, knowledge)),
+        _ => None,
+    });
+    assert_eq!((flow, knowledge), (FlowId(5), Knowledge::NotMine));
+}
+
+/// A leaving agent may end when its peers have acknowledged its flows, and not before.
+#[test]
+fn leaving_waits_for_acknowledgement() {
+    let bench = bench(WhenInDoubt::Admit, true);
+    bench.send_packet(flow_of("own"), &tcp("S"));
+    plain(&bench.upstream);
+    bench.requests.send(Request::Event(Event::Leave)).unwrap();
+    let acknowledge = bench.message_to_peer(|message| match message {
+        Message::Announce { sequence, .. } => {
+            Some(Message::AnnounceAck { incarnation: Incarnation(1), sequence })
+        }
+        _ => None,
+    });
+    assert!(!bench.handed_over.load(Ordering::Acquire));
+    bench.send_message(acknowledge);
+    let deadline = boottime::now().after(TIMEOUT.as_millis() as u64);
+    while !bench.handed_over.load(Ordering::Acquire) {
+        assert!(boottime::now() < deadline, "never handed over");
+        std::thread::yield_now();
+    }
+}
