Test the agent's rules as tables over a few agents

Cause: the state machine had no tests. The first run showed one fault: a home that was cut off (not paused) and is back before any peer's message has arrived admitted a copy of a SYN that its stand-in had admitted.

Change: an agent that hears from less than half of its peers asks everybody before it admits, suspected peers included. Tests cover copies, quorum, restarts, lookups, lifetimes, settings order and spreading.

--- a/crates/decision/src/agent/claimant.rs
+++ b/crates/decision/src/agent/claimant.rs
@@ -189,7 +189,10 @@
             let attempt = Attempt { claim, refusal: Reason::Tombstone, ..pending.attempt };
             return Some(self.decide_early(now, attempt, out));
         }
-        let awaited = |id: UpstreamId| self.peers.get(id).is_some_and(|peer| !peer.suspected);
+        // A suspected agent is told, so that it knows once it is back, but not waited for.
+        let isolated = self.is_isolated();
+        let awaited =
+            |id: UpstreamId| self.peers.get(id).is_some_and(|peer| isolated || !peer.suspected);
         let waiting = now < pending.deadline && pending.silent().any(awaited);
         (!waiting).then(|| self.decide_early(now, pending.attempt, out))
     }
--- a/crates/decision/src/agent/home.rs
+++ b/crates/decision/src/agent/home.rs
@@ -69,12 +69,18 @@
 
     /// Agents to ask before this one admits in a bucket: those that rank before it, and those that
     /// may have been home a moment ago. Empty in the steady state.
+    ///
+    /// An agent that hears from few of its peers may be the one that is cut off, with a stand-in
+    /// beyond the cut. It asks everybody, since the cut may end before it hears of that.
     pub(super) fn former_homes(&self, now: Millis, bucket: BucketIndex) -> Vec<UpstreamId> {
         let me = self.config.upstream;
+        let everybody = self.is_isolated();
+        let cut_off = self.peers.iter().filter(|_| everybody).map(|(id, _)| id);
         let mut asked: Vec<UpstreamId> = self
             .ranking(bucket)
             .take_while(|id| *id != me)
             .chain(self.doubts.about(now, bucket))
+            .chain(cut_off)
             .filter(|id| *id != me)
             .filter(|id| self.peers.get(*id).is_some_and(|peer| peer.may_hold_flows(now)))
             .collect();
@@ -83,6 +89,13 @@
         asked
     }
 
+    /// Whether most peers are silent.
+    pub(super) fn is_isolated(&self) -> bool {
+        let listed = || self.peers.iter().filter(|(_, peer)| peer.listed && !peer.retired);
+        let suspected = listed().filter(|(_, peer)| peer.suspected).count();
+        2 * suspected > listed().count()
+    }
+
     /// Home of every bucket, to be compared before and after a change.
     pub(super) fn homes(&self) -> Vec<Option<UpstreamId>> {
         buckets().map(|bucket| self.home(bucket)).collect()
--- /dev/null
+++ b/crates/decision/src/agent/tests/assign.rs
@@ -0,0 +1,70 @@
+//! Spreading openings.
+
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+
+use super::*;
+use crate::agent::assign::{Candidate, Policy, home_only, least_loaded, two_choices_near};
+
+/// Loads in flows of the candidates, the own one first, and the policy's choice.
+#[rstest]
+#[case::home_busy(home_only, &[9, 0, 0], 0)]
+#[case::least(least_loaded, &[9, 3, 0], 2)]
+#[case::least_own_among_equals(least_loaded, &[0, 0, 0], 0)]
+#[case::near_little_busier(two_choices_near, &[2, 0, 0], 0)]
+fn choice(#[case] policy: Policy, #[case] flows: &[u64], #[case] expected: usize) {
+    let step = 100;
+    let candidates: Vec<Candidate> = (0..)
+        .zip(flows)
+        .map(|(index, flows)| Candidate {
+            upstream: id(index),
+            load: flows * step,
+            step,
+            own: index == 0,
+            same_zone: true,
+        })
+        .collect();
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    assert_eq!(policy(&candidates, &mut random), expected);
+}
+
+/// Many feeds are opened through one balancer: no upstream gets far more than its share.
+#[rstest]
+#[case::near(two_choices_near, 115)]
+#[case::least(least_loaded, 130)]
+fn imbalance(#[case] policy: Policy, #[case] max_over_mean_percent: usize) {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 5));
+    fleet.agents.iter_mut().for_each(|agent| agent.set_policy(policy));
+    for number in 0..1_000 {
+        fleet.send(number as usize % 5, flow(number), opening(1));
+        fleet.send(number as usize % 5, flow(number), PacketKind::Middle);
+        if number % 10 == 9 {
+            fleet.pass(TICK_MS);
+        }
+    }
+    let most = fleet.agents.iter().map(Agent::open_flows).max().expect("agents");
+    assert!(most * 5 * 100 <= 1_000 * max_over_mean_percent, "the busiest holds {most}");
+}
+
+/// A cold upstream says its age: its share grows slowly, and a report that freezes at a low age
+/// does not hold it down for ever.
+#[rstest]
+#[case::cold(0, 0, 10)]
+#[case::half_way(0, 5_000, 55)]
+#[case::frozen_report(0, 20_000, 100)]
+#[case::warm(60_000, 0, 100)]
+fn ramp(#[case] age_ms: u64, #[case] pass_ms: u64, #[case] percent: u8) {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 2));
+    let cold = UpstreamReport { age_ms: Some(age_ms), ..report() };
+    fleet.event(0, Event::Upstream(cold));
+    fleet.pass(pass_ms);
+    fleet.event(0, Event::Upstream(cold));
+    let mut out = Vec::new();
+    fleet.agents[0].handle(fleet.now, Event::Leave, &mut out);
+    let told = out.iter().find_map(|action| match action {
+        Action::Send { message: Message::Heartbeat(heartbeat), .. } => Some(heartbeat.ramp_percent),
+        _ => None,
+    });
+    assert_eq!(told, Some(percent));
+}
--- /dev/null
+++ b/crates/decision/src/agent/tests/early.rs
@@ -0,0 +1,120 @@
+//! Openings of services that admit when in doubt.
+
+use rstest::rstest;
+
+use super::*;
+
+/// What happens before the opening arrives at the agent of the given rank.
+#[derive(Clone, Copy, Debug)]
+enum Before {
+    /// The same opening came to the agent of this rank.
+    Copy(usize),
+    /// The caller closed the flow and uses its ports again.
+    Closed,
+    /// The agent of this rank is draining.
+    Draining(usize),
+    /// The agent of this rank is silent for long enough to be suspected.
+    Silent(usize),
+    /// Newer settings reach only the agent of this rank.
+    Newer(usize),
+}
+
+fn prepare(fleet: &mut Fleet, spec: &Spec, before: Before) {
+    let ranking = fleet.ranking(flow(3));
+    match before {
+        Before::Copy(rank) => {
+            fleet.send(ranking[rank], flow(3), opening(1));
+        }
+        Before::Closed => {
+            fleet.send(ranking[0], flow(3), opening(9));
+            fleet.send(ranking[0], flow(3), PacketKind::Finish);
+        }
+        Before::Draining(rank) => {
+            let report = UpstreamReport { draining: true, ..report() };
+            fleet.event(ranking[rank], Event::Upstream(report));
+            fleet.pump();
+        }
+        Before::Silent(rank) => {
+            fleet.cut.push(ranking[rank]);
+            fleet.pass(3_000);
+        }
+        Before::Newer(rank) => {
+            let mut newer = spec.clone();
+            newer.version = 2;
+            fleet.install(ranking[rank], &newer);
+        }
+    }
+}
+
+/// The caller's SYN, and a copy of it by way of another balancer, get one answer from one
+/// upstream. Whatever changed between the two, both copies lead to the same holder.
+#[rstest]
+#[case::steady(&[], 0, 0)]
+#[case::other_agent(&[], 0, 3)]
+#[case::copy_first_elsewhere(&[Before::Copy(2)], 1, 0)]
+#[case::ports_used_again(&[Before::Closed], 0, 1)]
+#[case::home_draining(&[Before::Draining(0)], 0, 1)]
+#[case::home_silent(&[Before::Silent(0)], 1, 2)]
+#[case::home_silent_after_copy(&[Before::Copy(0), Before::Silent(0)], 1, 2)]
+#[case::view_of_home_newer(&[Before::Newer(0)], 1, 0)]
+#[case::view_of_other_newer(&[Before::Newer(1)], 1, 0)]
+fn copies_one_holder(#[case] before: &[Before], #[case] first: usize, #[case] second: usize) {
+    let spec = Spec::new(WhenInDoubt::Admit, 5);
+    let mut fleet = Fleet::settled(&spec);
+    before.iter().for_each(|step| prepare(&mut fleet, &spec, *step));
+    let ranking = fleet.ranking(flow(3));
+    let one = fleet.send(ranking[first], flow(3), opening(1));
+    let other = fleet.send(ranking[second], flow(3), opening(1));
+    assert_eq!(one, other);
+    let lost = before.iter().any(|step| matches!(step, Before::Silent(_)));
+    assert!(lost || matches!(one, Outcome::Delivered(_)), "{one:?}");
+}
+
+/// A tablet opens a feed. Its home is draining, cold, or full: another upstream takes it, and no
+/// opening reaches the one that wants none, whoever had promised it before.
+#[rstest]
+#[case::draining(UpstreamReport { draining: true, ..report() })]
+#[case::shedding(UpstreamReport { shedding: true, ..report() })]
+#[case::unhealthy(UpstreamReport { healthy: false, ..report() })]
+fn home_not_accepting(#[case] bad: UpstreamReport) {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 4));
+    for number in 0..200 {
+        fleet.event(0, Event::Upstream(bad));
+        fleet.pump();
+        let home = fleet.ranking(flow(number))[0];
+        let outcome = fleet.send(home, flow(number), opening(1));
+        assert!(matches!(outcome, Outcome::Delivered(at) if at != 0), "{number}: {outcome:?}");
+    }
+}
+
+/// All upstreams are full: the caller is told at once, and a copy of the same SYN as well.
+#[rstest]
+fn all_full_refused() {
+    let mut spec = Spec::new(WhenInDoubt::Admit, 2);
+    spec.max_flows = 3;
+    let mut fleet = Fleet::settled(&spec);
+    let outcomes: Vec<Outcome> =
+        (0..8).map(|number| fleet.send(0, flow(number), opening(1))).collect();
+    let delivered = outcomes.iter().filter(|outcome| matches!(outcome, Outcome::Delivered(_)));
+    assert_eq!(delivered.count(), 6);
+    assert_eq!(outcomes[7], Outcome::Refused(Reason::AllFull));
+    assert_eq!(fleet.send(1, flow(7), opening(1)), Outcome::Refused(Reason::Tombstone));
+}
+
+/// The caller's SYN was admitted by a stand-in while its home was paused or cut off. A copy of it
+/// reaches the home just as that is back and has heard nothing yet. The home asks before it
+/// admits, so the caller's flow is not split over two upstreams.
+#[rstest]
+#[case::paused(true)]
+#[case::cut_off(false)]
+fn returned_home_asks_stand_in(#[case] paused: bool) {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 3));
+    let ranking = fleet.ranking(flow(5));
+    fleet.cut.push(ranking[0]);
+    fleet.paused.extend(paused.then_some(ranking[0]));
+    fleet.pass(3_000);
+    let stand_in = fleet.send(ranking[1], flow(5), opening(1));
+    fleet.cut.clear();
+    fleet.paused.clear();
+    assert_eq!(fleet.send(ranking[0], flow(5), opening(1)), stand_in);
+}
--- /dev/null
+++ b/crates/decision/src/agent/tests/lookup.rs
@@ -0,0 +1,117 @@
+//! Packets of flows that the agent does not know.
+
+use rstest::rstest;
+
+use super::*;
+use crate::message::Knowledge;
+
+/// A cutter's packet reaches an agent that does not know its flow. Each peer answers, or stays
+/// silent (`None`). Only if every one of them denies the flow may the cutter get a reset.
+#[rstest]
+#[case::all_deny(&[Some(Knowledge::NotMine); 3], Verdict::Refuse(Reason::UnknownFlow))]
+#[case::one_holds(
+    &[Some(Knowledge::NotMine), Some(Knowledge::Mine), Some(Knowledge::NotMine)],
+    Verdict::Forward { to: id(2), passed: Passed::Redirected },
+)]
+#[case::one_holds_others_silent(
+    &[None, Some(Knowledge::Mine), None],
+    Verdict::Forward { to: id(2), passed: Passed::Redirected },
+)]
+#[case::one_silent(
+    &[Some(Knowledge::NotMine), None, Some(Knowledge::NotMine)],
+    Verdict::Drop(Reason::HolderSilent),
+)]
+#[case::one_unsure(
+    &[Some(Knowledge::NotMine), Some(Knowledge::Unsure), Some(Knowledge::NotMine)],
+    Verdict::Forward { to: id(2), passed: Passed::Adopt },
+)]
+#[case::two_unsure(
+    &[Some(Knowledge::Unsure), Some(Knowledge::Unsure), Some(Knowledge::NotMine)],
+    Verdict::Drop(Reason::HolderSilent),
+)]
+#[case::one_unsure_one_silent(
+    &[Some(Knowledge::Unsure), None, Some(Knowledge::NotMine)],
+    Verdict::Drop(Reason::HolderSilent),
+)]
+#[case::named_by_another(
+    &[Some(Knowledge::HeldBy(id(3))), Some(Knowledge::NotMine), Some(Knowledge::NotMine)],
+    Verdict::Forward { to: id(3), passed: Passed::Redirected },
+)]
+fn unknown_middle(#[case] answers: &[Option<Knowledge>], #[case] expected: Verdict) {
+    let fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 4));
+    let mut agent = fleet.agents.into_iter().next().expect("an agent");
+    assert_eq!(look_up(&mut agent, fleet.now, answers, 0), Some(expected));
+}
+
+/// A late answer to an older question says that a flow does not exist which has been opened
+/// since. Were it counted, a living flow would be reset.
+#[rstest]
+fn late_denials_are_not_counted() {
+    let fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 4));
+    let mut agent = fleet.agents.into_iter().next().expect("an agent");
+    let verdict = look_up(&mut agent, fleet.now, &[Some(Knowledge::NotMine); 3], 1);
+    assert_eq!(verdict, Some(Verdict::Drop(Reason::HolderSilent)));
+}
+
+/// Sends a middle packet and lets peers 1, 2, ... answer a question that is `age` older.
+fn look_up(
+    agent: &mut Agent,
+    now: Millis,
+    answers: &[Option<Knowledge>],
+    age: u64,
+) -> Option<Verdict> {
+    let mut out = Vec::new();
+    let verdict = agent.packet(now, &packet(flow(1), PacketKind::Middle), &mut out);
+    assert!(matches!(verdict, Verdict::Hold(_)), "{verdict:?}");
+    let asked = out.iter().find_map(|action| match action {
+        Action::Send { message: Message::Ask { question, .. }, .. } => Some(*question),
+        _ => None,
+    });
+    let question = asked.expect("a question").wrapping_sub(age);
+    for (index, answer) in answers.iter().enumerate() {
+        let Some(knowledge) = *answer else { continue };
+        let flow = FlowId(flow(1));
+        let message = Message::AskReply { flow, question, knowledge, view: Version(1) };
+        agent.handle(now, Event::Message { from: id(index + 1), message }, &mut out);
+    }
+    agent.handle(now.after(300), Event::Tick, &mut out);
+    out.into_iter().find_map(|action| match action {
+        Action::Resolve { verdict, .. } => Some(verdict),
+        _ => None,
+    })
+}
+
+/// An open feed's packets may be handed to any agent at any time: each finds the holder.
+#[rstest]
+fn any_agent_finds_the_holder() {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 5));
+    for number in 0..100 {
+        let opened = fleet.send(number as usize % 5, flow(number), opening(1));
+        for to in 0..5 {
+            assert_eq!(fleet.send(to, flow(number), PacketKind::Middle), opened, "{number}");
+        }
+    }
+}
+
+/// The settings that name the holder have not reached this agent yet. Its peers deny the flow,
+/// but one of them runs newer settings, in which there may be holders that were not asked.
+#[rstest]
+fn newer_settings_forbid_a_reset() {
+    let mut spec = Spec::new(WhenInDoubt::Admit, 3);
+    let mut fleet = Fleet::settled(&spec);
+    spec.version = 2;
+    fleet.install(1, &spec);
+    let outcome = fleet.send(0, flow(1), PacketKind::Middle);
+    assert_eq!(outcome, Outcome::Dropped(Reason::HolderSilent));
+    assert_eq!(fleet.fetches.first(), Some(&(0, Version(2))));
+}
+
+/// A packet for another service of the same or another account is never delivered.
+#[rstest]
+#[case::middle(PacketKind::Middle)]
+#[case::opening(opening(1))]
+fn wrong_service(#[case] kind: PacketKind) {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 2));
+    let stray = Packet { service: ServiceId::of("bajio", "fitting"), ..packet(1, kind) };
+    assert_eq!(fleet.send_packet(0, stray), Outcome::Dropped(Reason::WrongService));
+}
--- /dev/null
+++ b/crates/decision/src/agent/tests/mod.rs
@@ -0,0 +1,307 @@
+//! Tests of the agent through its public interface: several agents, a network without delay that
+//! can lose what goes to or comes from an agent, and time that only moves when told.
+
+mod assign;
+mod early;
+mod flows;
+mod install;
+mod lookup;
+mod once;
+mod relearn;
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::{
+    Action, Agent, AgentConfig, Event, HoldKey, Note, Packet, PacketKind, Passed, Reason, TICK_MS,
+    UpstreamReport, Verdict,
+};
+use crate::keys::{FlowId, Incarnation, ServiceId, UpstreamId, Version};
+use crate::message::Message;
+use crate::rank;
+use crate::time::Millis;
+use crate::view::{
+    self, AccountSpec, Endpoint, ServiceSpec, Transport, UpstreamSpec, UpstreamState, View,
+    WhenInDoubt,
+};
+
+const ACCOUNT: &str = "cascadia";
+const SERVICE: &str = "shelf";
+
+/// What became of a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    Delivered(usize),
+    Refused(Reason),
+    Dropped(Reason),
+    Lost,
+}
+
+/// Settings of the service under test.
+#[derive(Clone, Debug)]
+struct Spec {
+    version: u64,
+    when_in_doubt: WhenInDoubt,
+    transport: Transport,
+    max_flows: u32,
+    states: Vec<UpstreamState>,
+    /// By upstream: first version that lists it and version that retires it.
+    listed: Vec<(u64, Option<u64>)>,
+}
+
+impl Spec {
+    fn new(when_in_doubt: WhenInDoubt, upstreams: usize) -> Self {
+        Self {
+            version: 1,
+            when_in_doubt,
+            transport: Transport::Tcp,
+            max_flows: 2_000,
+            states: vec![UpstreamState::Active; upstreams],
+            listed: vec![(1, None); upstreams],
+        }
+    }
+
+    fn view(&self) -> Arc<View> {
+        let address: SocketAddr = "127.0.0.1:6080".parse().expect("a literal address");
+        let upstreams = (0..self.states.len()).map(|index| UpstreamSpec {
+            name: name(index).into(),
+            zone: "pnw-a".into(),
+            weight: 100,
+            max_flows: self.max_flows,
+            agent_address: address,
+            control_address: address,
+            address,
+            state: self.states[index],
+            since: Version(self.listed[index].0),
+            retired: self.listed[index].1.map(Version),
+        });
+        let endpoint = Endpoint { address: address.ip(), port: 8443, transport: self.transport };
+        let service = ServiceSpec {
+            name: SERVICE.into(),
+            endpoints: vec![endpoint],
+            when_in_doubt: self.when_in_doubt,
+            zone_spill_percent: 25,
+            upstreams: upstreams.collect(),
+        };
+        let version = Version(self.version);
+        Arc::new(view::build(&[AccountSpec {
+            name: ACCOUNT.into(),
+            version,
+            services: vec![service],
+        }]))
+    }
+}
+
+fn name(index: usize) -> String {
+    format!("shelf-{index}")
+}
+
+fn id(index: usize) -> UpstreamId {
+    UpstreamId::of(ACCOUNT, SERVICE, &name(index))
+}
+
+fn service() -> ServiceId {
+    ServiceId::of(ACCOUNT, SERVICE)
+}
+
+/// Several agents of one service.
+struct Fleet {
+    now: Millis,
+    agents: Vec<Agent>,
+    /// Agents that neither get nor send anything.
+    cut: Vec<usize>,
+    /// Agents that see no time pass; they are cut off as well.
+    paused: Vec<usize>,
+    messages: VecDeque<(usize, UpstreamId, Message)>,
+    held: Vec<(usize, HoldKey, Packet)>,
+    outcomes: Vec<Outcome>,
+    notes: Vec<(usize, Note)>,
+    fetches: Vec<(usize, Version)>,
+}
+
+impl Fleet {
+    /// Agents without a past, after time enough that nobody doubts anything.
+    fn settled(spec: &Spec) -> Self {
+        let mut fleet = Self::started(spec);
+        fleet.pass(12_000);
+        fleet
+    }
+
+    fn started(spec: &Spec) -> Self {
+        let now = Millis(1_000_000);
+        let view = spec.view();
+        let count = spec.states.len();
+        let agents = (0..count).map(|index| agent(index, 1, false, view.clone(), now)).collect();
+        Self {
+            now,
+            agents,
+            cut: Vec::new(),
+            paused: Vec::new(),
+            messages: VecDeque::new(),
+            held: Vec::new(),
+            outcomes: Vec::new(),
+            notes: Vec::new(),
+            fetches: Vec::new(),
+        }
+    }
+
+    /// The agent dies without handover and comes back, its upstream unharmed.
+    fn restart(&mut self, index: usize, spec: &Spec) {
+        let life = 2 + self.now.0;
+        self.agents[index] = agent(index, life, true, spec.view(), self.now);
+        self.held.retain(|(at, _, _)| *at != index);
+    }
+
+    fn pass(&mut self, ms: u64) {
+        let end = self.now.after(ms);
+        while self.now < end {
+            self.now = self.now.after(TICK_MS);
+            for index in 0..self.agents.len() {
+                if self.paused.contains(&index) {
+                    continue;
+                }
+                self.event(index, Event::Tick);
+            }
+            self.pump();
+        }
+    }
+
+    fn event(&mut self, index: usize, event: Event) {
+        let mut out = Vec::new();
+        self.agents[index].handle(self.now, event, &mut out);
+        self.act(index, out);
+    }
+
+    fn install(&mut self, index: usize, spec: &Spec) {
+        self.event(index, Event::View(spec.view()));
+        self.pump();
+    }
+
+    /// Hands one packet to an agent and follows it to its end, for up to two seconds.
+    fn send(&mut self, to: usize, flow: u64, kind: PacketKind) -> Outcome {
+        self.send_packet(to, packet(flow, kind))
+    }
+
+    fn send_packet(&mut self, to: usize, packet: Packet) -> Outcome {
+        let before = self.outcomes.len();
+        self.arrive(to, packet);
+        self.pump();
+        for _ in 0..40 {
+            if self.outcomes.len() > before {
+                return self.outcomes[before];
+            }
+            self.pass(TICK_MS);
+        }
+        Outcome::Lost
+    }
+
+    fn arrive(&mut self, to: usize, packet: Packet) {
+        if self.cut.contains(&to) {
+            self.outcomes.push(Outcome::Lost);
+            return;
+        }
+        let mut out = Vec::new();
+        let verdict = self.agents[to].packet(self.now, &packet, &mut out);
+        self.follow(to, packet, verdict);
+        self.act(to, out);
+    }
+
+    fn follow(&mut self, at: usize, packet: Packet, verdict: Verdict) {
+        match verdict {
+            Verdict::Deliver => self.outcomes.push(Outcome::Delivered(at)),
+            Verdict::Refuse(reason) => self.outcomes.push(Outcome::Refused(reason)),
+            Verdict::Drop(reason) => self.outcomes.push(Outcome::Dropped(reason)),
+            Verdict::Hold(hold) => self.held.push((at, hold, packet)),
+            Verdict::Forward { to, passed } => {
+                let hops = packet.hops + 1;
+                let to = self.index(to);
+                self.arrive(to, Packet { hops, passed, ..packet });
+            }
+        }
+    }
+
+    fn act(&mut self, at: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => {
+                    let to = self.index(to);
+                    if !self.cut.contains(&at) && !self.cut.contains(&to) {
+                        self.messages.push_back((to, id(at), message));
+                    }
+                }
+                Action::Resolve { hold, verdict } => {
+                    let held = self.held.iter().position(|known| (known.0, known.1) == (at, hold));
+                    let (_, _, packet) = self.held.remove(held.expect("a held packet"));
+                    self.follow(at, packet, verdict);
+                }
+                Action::FetchSettings { at_least } => self.fetches.push((at, at_least)),
+                Action::Note(note) => self.notes.push((at, note)),
+            }
+        }
+    }
+
+    fn pump(&mut self) {
+        while let Some((to, from, message)) = self.messages.pop_front() {
+            self.event(to, Event::Message { from, message });
+        }
+    }
+
+    fn index(&self, upstream: UpstreamId) -> usize {
+        (0..self.agents.len()).find(|index| id(*index) == upstream).expect("a listed upstream")
+    }
+
+    /// Indices of the agents from first to last rank for a flow.
+    fn ranking(&self, flow: u64) -> Vec<usize> {
+        let explanation = self.agents[0].explain(self.now, FlowId(flow));
+        explanation.ranking.into_iter().map(|upstream| self.index(upstream)).collect()
+    }
+
+    /// The agent that holds the flow.
+    fn holder(&self, flow: u64) -> Option<usize> {
+        let holds = |agent: &Agent| agent.flows().any(|(known, _)| known == FlowId(flow));
+        self.agents.iter().position(holds)
+    }
+}
+
+fn agent(index: usize, life: u64, past: bool, view: Arc<View>, now: Millis) -> Agent {
+    let config = AgentConfig {
+        upstream: id(index),
+        service: service(),
+        incarnation: Incarnation(life),
+        may_have_past: past,
+        seed: 7 + index as u64,
+    };
+    Agent::new(config, view, now)
+}
+
+fn packet(flow: u64, kind: PacketKind) -> Packet {
+    Packet {
+        service: service(),
+        flow: FlowId(flow),
+        kind,
+        view: Version(1),
+        hops: 0,
+        passed: Passed::Fresh,
+    }
+}
+
+fn opening(nonce: u32) -> PacketKind {
+    PacketKind::Opening { nonce }
+}
+
+fn report() -> UpstreamReport {
+    UpstreamReport {
+        healthy: true,
+        draining: false,
+        shedding: false,
+        open_flows: 0,
+        age_ms: Some(60_000),
+    }
+}
+
+/// The `number`-th flow whose bucket is spread over the service, for tests of many flows.
+fn flow(number: u64) -> u64 {
+    let bucket = number % u64::from(rank::BUCKET_COUNT);
+    (bucket << 58) | (1 + number)
+}
--- /dev/null
+++ b/crates/decision/src/agent/tests/once.rs
@@ -0,0 +1,161 @@
+//! Openings of services that refuse when in doubt.
+
+use rstest::rstest;
+
+use super::*;
+use crate::message::{Claim, ClaimAnswer, Opening};
+
+/// A restock confirmation is sent once and its copies arrive anywhere: it runs at one upstream,
+/// and every further copy is dropped there, since a second run would bill the inn twice.
+#[rstest]
+#[case::datagram(Transport::Udp, Outcome::Dropped(Reason::Duplicate))]
+#[case::tcp(Transport::Tcp, Outcome::Delivered(9))]
+fn copies(#[case] transport: Transport, #[case] copy: Outcome) {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, 5);
+    spec.transport = transport;
+    let mut fleet = Fleet::settled(&spec);
+    for number in 0..40 {
+        let Outcome::Delivered(holder) = fleet.send(0, flow(number), opening(1)) else {
+            panic!("the first copy of {number} must run");
+        };
+        let expected = match copy {
+            Outcome::Delivered(_) => Outcome::Delivered(holder),
+            other => other,
+        };
+        for to in 0..5 {
+            assert_eq!(fleet.send(to, flow(number), opening(1)), expected, "{number} at {to}");
+        }
+    }
+}
+
+/// The caller's confirmation arrives while some agents are unreachable. With a majority it runs;
+/// without, the caller gets no answer, because neither "run" nor "not run" could be kept.
+#[rstest]
+#[case::all_there(&[], true)]
+#[case::two_of_five_silent(&[3, 4], true)]
+#[case::three_of_five_silent(&[2, 3, 4], false)]
+fn silent_witnesses(#[case] silent: &[usize], #[case] runs: bool) {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Refuse, 5));
+    fleet.cut = silent.to_vec();
+    fleet.pass(3_000);
+    let outcome = fleet.send(0, flow(1), opening(1));
+    match runs {
+        true => assert!(matches!(outcome, Outcome::Delivered(_)), "{outcome:?}"),
+        false => assert_eq!(outcome, Outcome::Dropped(Reason::HolderSilent)),
+    }
+}
+
+/// The holder runs a confirmation, and its agent dies and comes back before a copy arrives. The
+/// new life knows nothing of the run, but the witnesses remember which life has claimed it.
+#[rstest]
+fn restarted_holder_never_runs_again() {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, 5);
+    spec.transport = Transport::Udp;
+    let mut fleet = Fleet::settled(&spec);
+    let Outcome::Delivered(holder) = fleet.send(0, flow(1), opening(1)) else {
+        panic!("the first copy must run");
+    };
+    fleet.restart(holder, &spec);
+    fleet.pass(1_000);
+    for to in 0..5 {
+        let outcome = fleet.send(to, flow(1), opening(1));
+        assert!(matches!(outcome, Outcome::Dropped(_)), "copy at {to}: {outcome:?}");
+    }
+    let late = Packet { passed: Passed::Assigned, hops: 1, ..packet(flow(1), opening(1)) };
+    let outcome = fleet.send_packet(holder, late);
+    assert!(matches!(outcome, Outcome::Dropped(_)), "late assigned copy: {outcome:?}");
+}
+
+/// All upstreams are full, so the confirmation is refused as not run. An upstream gets room, and
+/// a late copy arrives by way of any other agent: it must not run any more.
+#[rstest]
+fn refused_stays_refused() {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, 3);
+    spec.max_flows = 0;
+    let mut fleet = Fleet::settled(&spec);
+    assert_eq!(fleet.send(0, flow(1), opening(1)), Outcome::Refused(Reason::AllFull));
+    spec.max_flows = 2_000;
+    spec.version = 2;
+    (0..3).for_each(|index| fleet.install(index, &spec));
+    fleet.pass(1_000);
+    for to in 0..3 {
+        let outcome = fleet.send(to, flow(1), opening(1));
+        assert!(matches!(outcome, Outcome::Refused(_)), "copy at {to}: {outcome:?}");
+    }
+}
+
+/// What a witness is asked, by which upstream and life.
+const fn ask(from: usize, life: u64, claim: Option<usize>) -> (usize, u64, Option<usize>) {
+    (from, life, claim)
+}
+
+/// Two holders may claim one confirmation at the same time. A witness answers each request by what
+/// it has promised before; if it promised both, the confirmation would run twice.
+#[rstest]
+#[case::first(&[ask(1, 1, Some(1))], ClaimAnswer::Granted)]
+#[case::repeated(&[ask(1, 1, Some(1)), ask(1, 1, Some(1))], ClaimAnswer::Granted)]
+#[case::rival(&[ask(1, 1, Some(1)), ask(2, 1, Some(2))], ClaimAnswer::Taken(Claim::Run(id(1))))]
+#[case::later_life(&[ask(1, 1, Some(1)), ask(1, 2, Some(1))], ClaimAnswer::Taken(Claim::Run(id(1))))]
+#[case::given_up(&[ask(1, 1, Some(1)), ask(1, 1, None)], ClaimAnswer::Granted)]
+#[case::given_up_by_later_life(&[ask(1, 1, Some(1)), ask(1, 2, None)], ClaimAnswer::Taken(Claim::Run(id(1))))]
+#[case::refused_by_rival(&[ask(1, 1, Some(1)), ask(2, 1, None)], ClaimAnswer::Taken(Claim::Run(id(1))))]
+#[case::run_after_refusal(&[ask(1, 1, None), ask(2, 1, Some(2))], ClaimAnswer::Taken(Claim::Refuse))]
+#[case::two_refusals(&[ask(1, 1, None), ask(2, 1, None)], ClaimAnswer::Granted)]
+#[case::for_another(&[ask(1, 1, Some(2))], ClaimAnswer::Abstained)]
+fn witness(#[case] requests: &[(usize, u64, Option<usize>)], #[case] expected: ClaimAnswer) {
+    let fleet = Fleet::settled(&Spec::new(WhenInDoubt::Refuse, 3));
+    let mut agent = fleet.agents.into_iter().next().expect("an agent");
+    assert_eq!(last_answer(&mut agent, fleet.now, requests), expected);
+}
+
+/// A restarted witness may have promised something that it has forgotten: it abstains until no
+/// copy of that opening can exist any more. If it did not, an opening could run twice.
+#[rstest]
+#[case::at_once(0, ClaimAnswer::Abstained)]
+#[case::just_before(119_999, ClaimAnswer::Abstained)]
+#[case::afterwards(120_000, ClaimAnswer::Granted)]
+fn restarted_witness(#[case] after_ms: u64, #[case] expected: ClaimAnswer) {
+    let spec = Spec::new(WhenInDoubt::Refuse, 3);
+    let mut witness = agent(0, 2, true, spec.view(), Millis(5_000));
+    let now = Millis(5_000).after(after_ms);
+    assert_eq!(last_answer(&mut witness, now, &[ask(1, 1, Some(1))]), expected);
+}
+
+fn last_answer(
+    agent: &mut Agent,
+    now: Millis,
+    requests: &[(usize, u64, Option<usize>)],
+) -> ClaimAnswer {
+    let opening = Opening { flow: FlowId(flow(1)), nonce: 1 };
+    let mut last = None;
+    for (from, life, claim) in requests {
+        let message = Message::ClaimRequest {
+            opening,
+            claim: claim.map_or(Claim::Refuse, |holder| Claim::Run(id(holder))),
+            view: Version(1),
+            incarnation: Incarnation(*life),
+        };
+        let mut out = Vec::new();
+        agent.handle(now, Event::Message { from: id(*from), message }, &mut out);
+        last = out.into_iter().find_map(|action| match action {
+            Action::Send { message: Message::ClaimReply { answer, .. }, .. } => Some(answer),
+            _ => None,
+        });
+    }
+    last.expect("an answer")
+}
+
+/// A claimant is paused after its witnesses were asked, and wakes up when their grants have long
+/// been forgotten. The confirmation that it still holds must not run then.
+#[rstest]
+fn paused_claimant_ignores_late_grants() {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Refuse, 3));
+    let holder = (0..3).find(|at| fleet.ranking(flow(1))[0] == *at).expect("a home");
+    fleet.arrive(holder, packet(flow(1), opening(1)));
+    let grants: Vec<_> = std::mem::take(&mut fleet.messages).into_iter().collect();
+    fleet.now = fleet.now.after(600_000);
+    fleet.messages.extend(grants);
+    fleet.pump();
+    fleet.pass(1_000);
+    assert_eq!(fleet.holder(flow(1)), None);
+}
--- /dev/null
+++ b/crates/decision/src/agent/tests/relearn.rs
@@ -0,0 +1,81 @@
+//! Restarts of holders, homes and several agents at different times.
+
+use rstest::rstest;
+
+use super::*;
+
+/// Agents restart in the given order while tablets have feeds open. Every feed goes on at the
+/// upstream that holds it, whichever agent its packets reach.
+#[rstest]
+#[case::one(&[0], 2_000)]
+#[case::one_at_once(&[0], 0)]
+#[case::two_in_turn(&[0, 1], 7_000)]
+#[case::all_in_turn(&[0, 1, 2, 3, 4], 7_000)]
+#[case::one_twice(&[2, 2], 7_000)]
+fn feeds_survive_restarts(#[case] restarts: &[usize], #[case] apart_ms: u64) {
+    let spec = Spec::new(WhenInDoubt::Admit, 5);
+    let mut fleet = Fleet::settled(&spec);
+    let opened: Vec<Outcome> =
+        (0..300).map(|number| fleet.send(0, flow(number), opening(1))).collect();
+    fleet.pass(1_000);
+    for index in restarts {
+        fleet.restart(*index, &spec);
+        fleet.pass(apart_ms);
+    }
+    for (number, outcome) in (0..).zip(&opened) {
+        let to = number as usize % 5;
+        assert_eq!(fleet.send(to, flow(number), PacketKind::Middle), *outcome, "{number}");
+    }
+}
+
+/// The agent dies before it has announced a feed to anybody. Every other agent denies the feed,
+/// so only the restarted one can hold it, and its upstream goes on.
+#[rstest]
+fn unannounced_feed_is_adopted() {
+    let spec = Spec::new(WhenInDoubt::Admit, 3);
+    let mut fleet = Fleet::settled(&spec);
+    let home = fleet.ranking(flow(1))[0];
+    let opened = fleet.send(home, flow(1), opening(1));
+    assert_eq!(opened, Outcome::Delivered(home));
+    fleet.restart(home, &spec);
+    fleet.pass(2_000);
+    let other = (home + 1) % 3;
+    assert_eq!(fleet.send(other, flow(1), PacketKind::Middle), opened);
+    assert!(fleet.notes.contains(&(home, Note::Adopted(FlowId(flow(1))))));
+}
+
+/// A feed was closed by its tablet, but the last part of the answer is still on its way when the
+/// agent restarts: the tablet's acknowledgements still reach the upstream.
+#[rstest]
+fn finishing_flow_survives_restart() {
+    let spec = Spec::new(WhenInDoubt::Admit, 4);
+    let mut fleet = Fleet::settled(&spec);
+    let opened = fleet.send(0, flow(1), opening(1));
+    assert_eq!(fleet.send(0, flow(1), PacketKind::Finish), opened);
+    fleet.pass(1_000);
+    let holder = fleet.holder(flow(1)).expect("a holder");
+    fleet.restart(holder, &spec);
+    fleet.pass(70_000);
+    assert_eq!(fleet.send((holder + 1) % 4, flow(1), PacketKind::Middle), opened);
+}
+
+/// An agent leaves gracefully: what it holds is announced before it ends, buckets move to the
+/// next rank, and its feeds are found as before.
+#[rstest]
+fn leaving_agent_hands_over() {
+    let spec = Spec::new(WhenInDoubt::Admit, 4);
+    let mut fleet = Fleet::settled(&spec);
+    let opened: Vec<Outcome> =
+        (0..200).map(|number| fleet.send(0, flow(number), opening(1))).collect();
+    fleet.event(2, Event::Leave);
+    fleet.pump();
+    fleet.pass(500);
+    assert!(fleet.agents[2].is_handed_over());
+    for (number, outcome) in (0..).zip(&opened) {
+        assert_eq!(fleet.send(0, flow(number), PacketKind::Middle), *outcome, "{number}");
+    }
+    for number in 200..300 {
+        let outcome = fleet.send(2, flow(number), opening(1));
+        assert!(matches!(outcome, Outcome::Delivered(at) if at != 2), "{outcome:?}");
+    }
+}
