Keep stray packets and gone peers from filling the agent's tables

Change: adopted flows expire like unanswered openings unless more packets follow; silent unlisted peers are dropped; redirects to them lead to a lookup; datagrams on a draining upstream go to the home's choice; lookups are bounded to 768 (4,096 held packets). A home that has just restarted prefers its own upstream for an opening that no peer knows, as its earlier life did.

Conclusion: tables stay bounded by what callers really open.

--- a/crates/decision/src/agent/early.rs
+++ b/crates/decision/src/agent/early.rs
@@ -45,10 +45,21 @@
             self.flows.remove(opening.flow);
             return self.forward(packet.hops, home, Passed::Redirected);
         }
-        let claim = self.choose(now, false).map_or(Claim::Refuse, Claim::Run);
+        let claim = self.choose_early(now).map_or(Claim::Refuse, Claim::Run);
         self.start_early(now, hops, opening, claim, out)
     }
 
+    /// Chooses a holder. A home that has just restarted may have admitted the same opening in its
+    /// earlier life; if no peer knows of that, it was for its own upstream, and so is the copy.
+    fn choose_early(&mut self, now: Millis) -> Option<UpstreamId> {
+        let restarted =
+            self.config.may_have_past && now.since(self.started_at) < limits::FORMER_HOME_MS;
+        if restarted && self.accepts(now) {
+            return Some(self.config.upstream);
+        }
+        self.choose(now, false)
+    }
+
     /// A copy while the claim still waits. If another home has assigned the opening to this agent
     /// meanwhile, that is in force already and the held copy is the one to deliver.
     fn copy_of_pending(
--- a/crates/decision/src/agent/flows.rs
+++ b/crates/decision/src/agent/flows.rs
@@ -44,7 +44,7 @@
     flows: FlowMap<Flow>,
     open: usize,
     unanswered: usize,
-    /// Openings by age, with those that have been answered still among them.
+    /// Openings and adopted flows by age, with those that have been answered still among them.
     openings: VecDeque<(Millis, FlowId)>,
     /// Closing flows by the time of their last check.
     closing: VecDeque<(Millis, FlowId)>,
@@ -102,7 +102,7 @@
         if !flow.answered {
             flow.answered = true;
             self.last_progress = now;
-            self.unanswered -= usize::from(flow.state == FlowState::Open);
+            self.unanswered -= usize::from(flow.state == FlowState::Open && flow.nonce.is_some());
         }
         true
     }
@@ -128,7 +128,7 @@
         self.flows.insert(id, flow);
         self.open += 1;
         if !answered {
-            self.unanswered += 1;
+            self.unanswered += usize::from(nonce.is_some());
             self.openings.push_back((now, id));
         }
         evicted
@@ -142,7 +142,7 @@
             return false;
         }
         let was_open = flow.state == FlowState::Open;
-        self.unanswered -= usize::from(flow.is_unanswered());
+        self.unanswered -= usize::from(flow.is_unanswered() && flow.nonce.is_some());
         self.open -= usize::from(was_open);
         flow.state = state;
         flow.answered = true;
@@ -153,7 +153,7 @@
     pub(super) fn remove(&mut self, id: FlowId) -> Option<Flow> {
         let flow = self.flows.remove(&id)?;
         self.open -= usize::from(flow.state == FlowState::Open);
-        self.unanswered -= usize::from(flow.is_unanswered());
+        self.unanswered -= usize::from(flow.is_unanswered() && flow.nonce.is_some());
         Some(flow)
     }
 
--- a/crates/decision/src/agent/health.rs
+++ b/crates/decision/src/agent/health.rs
@@ -149,6 +149,7 @@
     }
 
     pub(super) fn suspect_silent(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.peers.retain(|peer| peer.listed || peer.may_hold_flows(now));
         let bound_ms = suspect_ms(self.peers.len());
         let is_silent = |silent_ms: u64| silent_ms > bound_ms;
         let silent: Vec<UpstreamId> = self
--- a/crates/decision/src/agent/limits.rs
+++ b/crates/decision/src/agent/limits.rs
@@ -16,8 +16,9 @@
 /// Claims that wait for witnesses at a time, each with one held packet.
 pub const MAX_PENDING_CLAIMS: usize = 1_024;
 
-/// Lookups that wait for answers at a time.
-pub const MAX_LOOKUPS: usize = 1_024;
+/// Lookups that wait for answers at a time. With their packets and those of pending claims, an
+/// agent holds 4,096 packets at the most, 6 MB at full size.
+pub const MAX_LOOKUPS: usize = 768;
 
 /// Packets held for one lookup; a sender's first flight after a pause is rarely longer.
 pub const MAX_HELD_PER_LOOKUP: usize = 4;
--- a/crates/decision/src/agent/once.rs
+++ b/crates/decision/src/agent/once.rs
@@ -30,10 +30,14 @@
             return self.copy_of_run(now, opening);
         }
         let me = self.config.upstream;
-        if held.is_some_and(|flow| flow.state == FlowState::Open) {
+        // A datagram on an open flow is new work, which a draining upstream does not get. Of a SYN
+        // on the ports of an open connection, the upstream's TCP has to judge.
+        let wanted = !self.settings.datagrams || !self.must_not_admit();
+        if wanted && held.is_some_and(|flow| flow.state == FlowState::Open) {
             return self.claim_once(now, packet.hops, opening, Claim::Run(me), out);
         }
-        if let Some(holder) = self.redirect_of_opening(now, opening) {
+        let holder = self.redirect_of_opening(now, opening);
+        if let Some(holder) = holder.filter(|holder| self.is_up(*holder)) {
             return self.propose(now, packet.hops, opening, Claim::Run(holder), out);
         }
         if packet.passed == Passed::Assigned {
--- a/crates/decision/src/agent/packet.rs
+++ b/crates/decision/src/agent/packet.rs
@@ -104,7 +104,7 @@
             return self.adopt_if_unsure(now, packet, out);
         }
         let redirect = self.redirects.get(now, packet.flow).map(|redirect| redirect.holder);
-        let holder = redirect.filter(|holder| *holder != self.config.upstream);
+        let holder = redirect.filter(|holder| self.may_hold_flows(now, *holder));
         // A packet that was already redirected twice follows stale redirects; asking ends that.
         if let Some(holder) = holder.filter(|_| packet.hops < 2) {
             return self.forward(packet.hops, holder, Passed::Redirected);
@@ -112,6 +112,11 @@
         self.look_up(now, packet, out)
     }
 
+    /// Whether a peer may be alive and hold flows; a redirect to another one leads nowhere.
+    fn may_hold_flows(&self, now: Millis, id: UpstreamId) -> bool {
+        self.peers.get(id).is_some_and(|peer| peer.may_hold_flows(now))
+    }
+
     fn adopt_if_unsure(&mut self, now: Millis, packet: &Packet, out: &mut Vec<Action>) -> Verdict {
         if !self.is_unsure(now) {
             return Verdict::Drop(Reason::HolderSilent);
@@ -124,7 +129,8 @@
     /// Takes over a flow that only this agent's earlier life can have held. If it did not, the
     /// upstream itself answers with a reset, and nobody else is harmed.
     pub(super) fn adopt(&mut self, now: Millis, flow: FlowId, out: &mut Vec<Action>) {
-        self.hold_flow(now, flow, None, true);
+        // Unless more packets follow, it was a stray one, and is soon forgotten.
+        self.hold_flow(now, flow, None, false);
         out.push(Action::Note(Note::Adopted(flow)));
     }
 }
