--- a/crates/decision/src/agent/announce.rs
+++ b/crates/decision/src/agent/announce.rs
@@ -5,7 +5,7 @@
 use super::mutant::mutated;
 use super::outbox;
 use super::{Action, Agent, limits};
-use crate::keys::{FlowId, Incarnation, UpstreamId};
+use crate::keys::{FlowId, Incarnation, UpstreamId, Version};
 use crate::message::{FlowNote, Message, Opening};
 use crate::rank;
 use crate::time::Millis;
@@ -138,6 +138,7 @@
         peer.incarnation = Some(life);
         peer.incarnation_at = now;
         peer.applied = 0;
+        peer.view = Version(0);
         if is_restart {
             peer.heartbeat = None;
             self.announce_all(id);
--- a/crates/decision/src/agent/install.rs
+++ b/crates/decision/src/agent/install.rs
@@ -93,7 +93,7 @@
             lifetimes: lifetimes(only_datagrams),
             state: spec.map_or(UpstreamState::Retired, |spec| spec.state),
             max_flows: spec.map_or(0, |spec| spec.max_flows),
-            cuts: Cuts::of(&self.view, service, version),
+            cuts: Cuts::of(&self.view, service, version, &self.settings.cuts),
             targets: buckets().map(|bucket| self.targets(bucket)).collect(),
         }
     }
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -179,6 +179,7 @@
         self.redirects.expire(now);
         self.claims.expire(now);
         self.doubts.expire(now);
+        self.settle_cuts(now);
         self.suspect_silent(now, out);
         self.tell_if_changed(now, out);
         self.heartbeat_if_due(now, out);
@@ -259,6 +260,16 @@
         out.push(Action::FetchSettings { at_least: self.seen_version });
     }
 
+    /// Forgets memberships under which nobody can claim any more.
+    fn settle_cuts(&mut self, now: Millis) {
+        let me = self.config.upstream;
+        let peers = &self.peers;
+        let runs = |id: UpstreamId, version: Version| {
+            id == me || peers.get(id).is_some_and(|peer| peer.view >= version)
+        };
+        self.settings.cuts.settle(now, runs);
+    }
+
     fn expire_flows(&mut self, now: Millis, out: &mut Vec<Action>) {
         for (id, flow) in self.flows.expire(now, self.settings.lifetimes) {
             if flow.state == FlowState::Open {
--- a/crates/decision/src/agent/quorum.rs
+++ b/crates/decision/src/agent/quorum.rs
@@ -5,9 +5,11 @@
 //! that both have counted, and two majorities of it share a witness, which votes once. The
 //! argument is written down in `docs/decisions/at-most-once.md`.
 
+use super::limits;
 use crate::keys::{UpstreamId, Version};
 use crate::message::Claim;
-use crate::view::{Service, View};
+use crate::time::Millis;
+use crate::view::{Service, Upstream, View};
 
 /// What one witness has said about a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,10 +22,23 @@
     Abstained,
 }
 
-/// The memberships of a service, each a sorted list of witnesses.
+/// One membership of a service: the witnesses listed from one version until the next change.
+#[derive(Clone, Debug)]
+struct Cut {
+    from: Version,
+    /// First version with other members; `None` for the present membership.
+    next: Option<Version>,
+    members: Vec<UpstreamId>,
+    /// Since when so many members run `next` or later that the others are no majority.
+    outdated_since: Option<Millis>,
+}
+
+/// The memberships of a service that may still be in force somewhere.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Cuts {
-    cuts: Vec<Vec<UpstreamId>>,
+    cuts: Vec<Cut>,
+    /// Memberships, by their first version, that need no majority any more.
+    settled: Vec<Version>,
 }
 
 /// How the votes stand.
@@ -40,18 +55,10 @@
 }
 
 impl Cuts {
-    /// The memberships that the settings of `service` remember.
-    pub(super) fn of(view: &View, service: &Service, current: Version) -> Self {
+    /// The memberships that the settings of `service` remember, without those that `before` has
+    /// settled.
+    pub(super) fn of(view: &View, service: &Service, current: Version, before: &Cuts) -> Self {
         let upstreams: Vec<_> = service.upstream_keys().map(|key| view.upstream(key)).collect();
-        let mut versions: Vec<Version> = upstreams
-            .iter()
-            .flat_map(|upstream| [Some(upstream.spec.since), upstream.spec.retired])
-            .flatten()
-            .chain([current])
-            .filter(|version| *version <= current)
-            .collect();
-        versions.sort_unstable();
-        versions.dedup();
         let members = |version: Version| {
             let listed = upstreams.iter().filter(|upstream| {
                 let spec = &upstream.spec;
@@ -59,15 +66,54 @@
             });
             listed.map(|upstream| upstream.id).collect::<Vec<_>>()
         };
-        let mut cuts: Vec<Vec<UpstreamId>> = versions.into_iter().map(members).collect();
-        cuts.retain(|members| !members.is_empty());
-        cuts.dedup();
-        Self { cuts }
+        let mut cuts: Vec<Cut> = Vec::new();
+        for from in changes(&upstreams, current) {
+            let members = members(from);
+            if cuts.last().is_some_and(|last| last.members == members) {
+                continue;
+            }
+            if let Some(last) = cuts.last_mut() {
+                last.next = Some(from);
+            }
+            cuts.push(Cut { from, next: None, members, outdated_since: None });
+        }
+        let settled = before.settled.clone();
+        cuts.retain(|cut| !cut.members.is_empty());
+        cuts.retain(|cut| cut.next.is_none() || settled.binary_search(&cut.from).is_err());
+        for cut in &mut cuts {
+            let known = before.cuts.iter().find(|known| known.is_same(cut));
+            cut.outdated_since = known.and_then(|known| known.outdated_since);
+        }
+        Self { cuts, settled }
+    }
+
+    /// Drops memberships that can grant nothing any more. `runs` tells whether a member is known
+    /// to run a version or a later one.
+    ///
+    /// Failure: upstreams that were replaced long ago are dead, and no majority of their
+    /// membership can ever answer. Symptom: every opening is in doubt. Dropping the membership is
+    /// safe once most of its members answer claimants under it with `StaleView`, and what they
+    /// granted before has been forgotten.
+    pub(super) fn settle(&mut self, now: Millis, runs: impl Fn(UpstreamId, Version) -> bool) {
+        for cut in &mut self.cuts {
+            let Some(next) = cut.next else { continue };
+            let old = cut.members.iter().filter(|member| !runs(**member, next)).count();
+            let outdated = 2 * old <= cut.members.len();
+            cut.outdated_since = outdated.then(|| cut.outdated_since.unwrap_or(now));
+        }
+        let is_settled = |cut: &Cut| {
+            cut.outdated_since.is_some_and(|since| now.since(since) >= limits::CLAIM_TTL_MS)
+        };
+        self.settled.extend(self.cuts.iter().filter(|cut| is_settled(cut)).map(|cut| cut.from));
+        self.settled.sort_unstable();
+        self.settled.dedup();
+        self.cuts.retain(|cut| !is_settled(cut));
     }
 
     /// Everybody who may be asked to vote.
     pub(super) fn witnesses(&self) -> Vec<UpstreamId> {
-        let mut all: Vec<UpstreamId> = self.cuts.iter().flatten().copied().collect();
+        let mut all: Vec<UpstreamId> =
+            self.cuts.iter().flat_map(|cut| &cut.members).copied().collect();
         all.sort_unstable();
         all.dedup();
         all
@@ -98,13 +144,33 @@
         votes: &[(UpstreamId, Vote)],
         counts: impl Fn(Option<Vote>) -> bool,
     ) -> bool {
-        self.cuts.iter().all(|members| {
-            let count = members.iter().filter(|member| counts(vote_of(votes, **member))).count();
-            2 * count > members.len()
+        self.cuts.iter().all(|cut| {
+            let counted = cut.members.iter().filter(|member| counts(vote_of(votes, **member)));
+            2 * counted.count() > cut.members.len()
         })
     }
 }
 
+impl Cut {
+    fn is_same(&self, other: &Cut) -> bool {
+        (self.from, self.next) == (other.from, other.next) && self.members == other.members
+    }
+}
+
+/// Versions up to `current` in which the membership may have changed.
+fn changes(upstreams: &[&Upstream], current: Version) -> Vec<Version> {
+    let mut versions: Vec<Version> = upstreams
+        .iter()
+        .flat_map(|upstream| [Some(upstream.spec.since), upstream.spec.retired])
+        .flatten()
+        .chain([current])
+        .filter(|version| *version <= current)
+        .collect();
+    versions.sort_unstable();
+    versions.dedup();
+    versions
+}
+
 fn vote_of(votes: &[(UpstreamId, Vote)], witness: UpstreamId) -> Option<Vote> {
     let index = votes.binary_search_by_key(&witness, |(id, _)| *id).ok()?;
     Some(votes[index].1)
--- a/crates/decision/src/agent/tests/once.rs
+++ b/crates/decision/src/agent/tests/once.rs
@@ -145,6 +145,29 @@
     last.expect("an answer")
 }
 
+/// Upstreams are replaced one after another, the old ones die, and their entries stay listed as
+/// retired. Confirmations go on: the old membership no longer needs a majority once most of its
+/// members had told that they run newer settings, and it was given time to forget.
+#[rstest]
+#[case::at_once(1_000, false)]
+#[case::after_ttl(125_000, true)]
+fn replaced_upstreams(#[case] pass_ms: u64, #[case] runs: bool) {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, 6);
+    spec.listed[3..].fill((2, None));
+    let mut fleet = Fleet::settled(&spec);
+    spec.version = 2;
+    for index in 0..3 {
+        spec.listed[index].1 = Some(2);
+        spec.states[index] = UpstreamState::Retired;
+    }
+    (0..6).for_each(|index| fleet.install(index, &spec));
+    fleet.pass(500);
+    fleet.cut = vec![0, 1, 2];
+    fleet.pass(pass_ms);
+    let outcome = fleet.send(4, flow(1), opening(1));
+    assert_eq!(matches!(outcome, Outcome::Delivered(_)), runs, "{outcome:?}");
+}
+
 /// A claimant is paused after its witnesses were asked, and wakes up when their grants have long
 /// been forgotten. The confirmation that it still holds must not run then.
 #[rstest]
