Prove questions about settings and seal their answers by account key

Cause: any process that reached a control port could read any account's subtree, and a peer could put a forged document in force. Change: wire::exchange::Question: a question carries a MAC over kind, account and nonce, an answer one over the question and its body, both by the account's key (balancers among themselves: the key derived for the empty name). An agent's digest lists its own account only.

--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use shell::http::routes::Request as HttpRequest;
 use shell::http::routes::{Reply, Routes};
-use shell::settings_sync::serve;
+use shell::settings_sync::{Keyrings, serve};
 use shell::status::{self, Shown};
 
 use crate::plane::{FlowEntry, FlowList, Request, Wanted};
@@ -39,7 +39,11 @@
 }
 
 /// All routes of an agent.
-pub(crate) fn routes(shown: &Shown, requests: mpsc::Sender<Request>) -> Routes {
+pub(crate) fn routes(
+    shown: &Shown,
+    keyrings: &Keyrings,
+    requests: mpsc::Sender<Request>,
+) -> Routes {
     let routes = status::routes(Routes::default(), shown);
     let instance = shown.instance.clone();
     let flows = move |request: &HttpRequest| {
@@ -51,7 +55,7 @@
             None => Reply::error(503, "not serving yet"),
         }
     };
-    serve::routes(routes, &shown.store).get("/flows", flows)
+    serve::routes(routes, &shown.store, keyrings).get("/flows", flows)
 }
 
 fn wanted(request: &HttpRequest) -> Option<Wanted> {
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -14,7 +14,7 @@
 use shell::settings_sync::instances::Instances;
 use shell::settings_sync::peers::PeerReader;
 use shell::settings_sync::platform::Reader;
-use shell::settings_sync::{Scope, Store};
+use shell::settings_sync::{Keyrings, Scope, Store};
 use shell::signals::Shutdown;
 use shell::status::Shown;
 use shell::{boottime, http};
@@ -68,7 +68,8 @@
     let address = process.settings.data_address;
     let socket = plane::bind(address).map_err(|e| StartFault::bind(address, &e))?;
     let (requests, inbox) = mpsc::channel();
-    let routes = crate::http::routes(&process.shown(), requests.clone());
+    let keyrings = process.keyrings()?;
+    let routes = crate::http::routes(&process.shown(), &keyrings, requests.clone());
     http::start(process.settings.control_address, routes)?;
     process.serve(socket, &requests, inbox)
 }
@@ -123,11 +124,16 @@
         AccountKeyring::new(&keys).ok_or_else(missing)
     }
 
+    fn keyrings(&self) -> Result<Keyrings, StartFault> {
+        let (ring, own) = (self.keyring()?, self.settings.account.clone());
+        Ok(Arc::new(move |account| (*account == *own).then_some(ring)))
+    }
+
     fn start_readers(&self, wanted: mpsc::Receiver<Version>) -> Result<(), StartFault> {
         let platform = self.settings.platform_address;
         let instances: Arc<Instances> = Arc::default();
         let reader = Reader::new(platform, self.store.clone(), instances);
-        let peers = PeerReader::new(self.store.clone(), self.candidates());
+        let peers = PeerReader::new(self.store.clone(), self.candidates(), self.keyrings()?);
         let (fetcher, fetch_peers) = (reader.clone(), peers.clone());
         let (shutdown, peer_shutdown) = (self.shutdown.clone(), self.shutdown.clone());
         spawn("platform", move || reader.run(&shutdown))?;
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -5,19 +5,19 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use decision::keys::UpstreamId;
+use decision::keys::{AccountId, UpstreamId};
 use settings::process::balancer::BalancerSettings;
 use shell::fault::StartFault;
 use shell::http;
 use shell::settings_sync::instances::{Instances, Kind};
 use shell::settings_sync::peers::PeerReader;
 use shell::settings_sync::platform::Reader;
-use shell::settings_sync::{Scope, Store};
+use shell::settings_sync::{Keyrings, Scope, Store};
 use shell::signals::Shutdown;
 use shell::status::Shown;
 use telemetry::metrics::Metrics;
 use telemetry::timeline::{Fields, Timeline};
-use wire::sealed::KeyId;
+use wire::sealed::{AccountKeyring, KeyId};
 
 use crate::counters::Counters;
 use crate::forward::Identity;
@@ -62,7 +62,8 @@
     };
     let end = Arc::new(AtomicBool::new(false));
     let workers = balancer.start_workers(&end)?;
-    http::start(balancer.settings.control_address, crate::http::routes(&balancer.shown(metrics)))?;
+    let routes = crate::http::routes(&balancer.shown(metrics), &balancer.keyrings());
+    http::start(balancer.settings.control_address, routes)?;
     balancer.start_readers()?;
     balancer.timeline.record("", "started", Fields::default());
     log::info!("started");
@@ -108,7 +109,7 @@
             peers.retain(|peer| *peer != own);
             peers
         };
-        let peers = PeerReader::new(self.store.clone(), Arc::new(candidates));
+        let peers = PeerReader::new(self.store.clone(), Arc::new(candidates), self.keyrings());
         let shutdown = self.shutdown.clone();
         spawn("platform", move || reader.run(&shutdown))?;
         let shutdown = self.shutdown.clone();
@@ -155,12 +156,21 @@
         }
     }
 
+    fn masters(&self) -> Vec<(KeyId, [u8; 32])> {
+        self.settings.keys.iter().map(|key| (KeyId(key.id), key.secret)).collect()
+    }
+
+    fn keyrings(&self) -> Keyrings {
+        let masters = self.masters();
+        Arc::new(move |account| AccountKeyring::derive(&masters, AccountId::of(account)))
+    }
+
     fn publisher(&self) -> Publisher {
         Publisher {
             store: self.store.clone(),
             instances: self.instances.clone(),
             published: self.published.clone(),
-            masters: self.settings.keys.iter().map(|key| (KeyId(key.id), key.secret)).collect(),
+            masters: self.masters(),
             liveness: Liveness::default(),
             seen: None,
             down: Vec::new(),
--- a/crates/shell/src/http/routes.rs
+++ b/crates/shell/src/http/routes.rs
@@ -127,12 +127,4 @@
             Err(error) => Self::error(500, error.to_string()),
         }
     }
-
-    /// A value as MessagePack.
-    pub fn message_pack(value: &impl serde::Serialize) -> Self {
-        match rmp_serde::to_vec(value) {
-            Ok(body) => Self { status: 200, content_type: "application/msgpack", body },
-            Err(error) => Self::error(500, error.to_string()),
-        }
-    }
 }
--- a/crates/shell/src/settings_sync/mod.rs
+++ b/crates/shell/src/settings_sync/mod.rs
@@ -10,4 +10,11 @@
 pub mod serve;
 mod store;
 
+use std::sync::Arc;
+
 pub use store::{Scope, Source, Store};
+use wire::sealed::AccountKeyring;
+
+/// Gives the keyring of an account, or of the fleet ([`wire::exchange::FLEET`]): a balancer derives
+/// any, an agent has its own account's only.
+pub type Keyrings = Arc<dyn Fn(&str) -> Option<AccountKeyring> + Send + Sync>;
--- a/crates/shell/src/settings_sync/peers.rs
+++ b/crates/shell/src/settings_sync/peers.rs
@@ -8,10 +8,11 @@
 use std::thread;
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
 use settings::codes;
-use wire::exchange::{self, Digest, Document};
+use wire::exchange::{Digest, Document, ExchangeError, FLEET, Kind, Question};
 
-use super::{Source, Store};
+use super::{Keyrings, Scope, Source, Store};
 use crate::http::client::{Client, ClientError};
 use crate::signals::Shutdown;
 
@@ -31,6 +32,7 @@
     client: Client,
     store: Arc<Store>,
     candidates: Candidates,
+    keyrings: Keyrings,
 }
 
 /// Why a comparison was not completed.
@@ -41,13 +43,16 @@
     Client(#[from] ClientError),
     /// An answer that is not what the interface says.
     #[error(transparent)]
-    Decode(#[from] exchange::ExchangeError),
+    Decode(#[from] ExchangeError),
+    /// This process has no key for the account.
+    #[error("no key for the account")]
+    NoKey,
 }
 
 impl PeerReader {
     /// A reader that feeds `store` from the peers that `candidates` names.
-    pub fn new(store: Arc<Store>, candidates: Candidates) -> Self {
-        Self { client: Client::new(TIMEOUT), store, candidates }
+    pub fn new(store: Arc<Store>, candidates: Candidates, keyrings: Keyrings) -> Self {
+        Self { client: Client::new(TIMEOUT), store, candidates, keyrings }
     }
 
     /// Compares with all peers, then with one random peer at a time until the shutdown.
@@ -84,11 +89,14 @@
 
     /// Fetches what is newer at `peer`. If the peer's own settings are current, ours are then.
     pub fn compare(&self, peer: SocketAddr) -> Result<(), PeerError> {
-        let body = self.client.get(peer, "/v1/settings/digest")?;
-        let digest: Digest = exchange::decode(&body)?;
+        let own_name = match self.store.scope() {
+            Scope::All => FLEET,
+            Scope::Account(account) => account,
+        };
+        let digest: Digest = self.ask(peer, Kind::Digest, own_name)?;
         let own_root = self.store.root().map_or(0, |(version, _)| version.0);
         if digest.root_version > own_root {
-            let document = self.fetch(peer, "/v1/settings/root".into())?;
+            let document: Document = self.ask(peer, Kind::Root, own_name)?;
             self.store.offer_root(&document.yaml, Source::Peer);
         }
         let own = self.store.versions();
@@ -96,8 +104,7 @@
             let found = own.binary_search_by(|(name, _)| (**name).cmp(&entry.account));
             let own_version = found.map_or(0, |index| own[index].1.0);
             if entry.version > own_version && self.store.scope().contains(&entry.account) {
-                let path = format!("/v1/settings/subtree?account={}", entry.account);
-                let document = self.fetch(peer, path)?;
+                let document: Document = self.ask(peer, Kind::Subtree, &entry.account)?;
                 self.store.offer_account(&entry.account, &document.yaml, Source::Peer);
             }
         }
@@ -107,7 +114,15 @@
         Ok(())
     }
 
-    fn fetch(&self, peer: SocketAddr, path: String) -> Result<Document, PeerError> {
-        Ok(exchange::decode(&self.client.get(peer, &path)?)?)
+    fn ask<T: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        kind: Kind,
+        account: &str,
+    ) -> Result<T, PeerError> {
+        let question = Question { kind, account: account.into(), nonce: rand::random() };
+        let ring = (self.keyrings)(account).ok_or(PeerError::NoKey)?;
+        let path = question.ask(&ring).ok_or(PeerError::NoKey)?;
+        Ok(question.open(&ring, &self.client.get(peer, &path)?)?)
     }
 }
--- a/crates/shell/src/settings_sync/serve.rs
+++ b/crates/shell/src/settings_sync/serve.rs
@@ -2,39 +2,65 @@
 
 use std::sync::Arc;
 
-use wire::exchange::{Digest, DigestEntry, Document};
+use decision::keys::Version;
+use serde::Serialize;
+use wire::exchange::{Digest, DigestEntry, Document, FLEET, Kind, Question};
+use wire::sealed::AccountKeyring;
 
-use super::Store;
+use super::{Keyrings, Store};
 use crate::http::routes::{Reply, Request, Routes};
 
 /// Adds the routes of the exchange to an endpoint.
-pub fn routes(routes: Routes, store: &Arc<Store>) -> Routes {
-    let (for_digest, for_root, for_subtree) = (store.clone(), store.clone(), store.clone());
-    routes
-        .get("/v1/settings/digest", move |_| Reply::message_pack(&digest(&for_digest)))
-        .get("/v1/settings/root", move |_| document(for_root.root()))
-        .get("/v1/settings/subtree", move |request| subtree(&for_subtree, request))
+///
+/// Status 403 answers a question without a right proof, 404 one for a document not in force here.
+pub fn routes(routes: Routes, store: &Arc<Store>, keyrings: &Keyrings) -> Routes {
+    let add = |routes: Routes, kind: Kind| {
+        let (store, keyrings) = (store.clone(), keyrings.clone());
+        routes.get(kind.path(), move |request| answer(&store, &keyrings, kind, request))
+    };
+    [Kind::Digest, Kind::Root, Kind::Subtree].into_iter().fold(routes, add)
 }
 
-fn digest(store: &Store) -> Digest {
-    let entry = |(account, version): (Arc<str>, decision::keys::Version)| DigestEntry {
-        account,
-        version: version.0,
+fn answer(store: &Store, keyrings: &Keyrings, kind: Kind, request: &Request) -> Reply {
+    let keyring = |account: &str| keyrings(account);
+    let checked = Question::check(kind, |name| request.parameter(name), keyring);
+    let Some((question, ring)) = checked else {
+        return Reply::error(403, "the question is not proven");
     };
+    match kind {
+        Kind::Digest => sealed(&question, &ring, &digest(store, &question.account)),
+        Kind::Root => document(&question, &ring, store.root()),
+        Kind::Subtree => document(&question, &ring, store.subtree(&question.account)),
+    }
+}
+
+/// Versions that the asking account may know of: its own, or all for the fleet.
+fn digest(store: &Store, account: &str) -> Digest {
+    let mut versions = store.versions();
+    versions.retain(|(name, _)| account == FLEET || **name == *account);
+    let entry =
+        |(account, version): (Arc<str>, Version)| DigestEntry { account, version: version.0 };
     Digest {
         current: store.is_current(),
         root_version: store.root().map_or(0, |(version, _)| version.0),
-        accounts: store.versions().into_iter().map(entry).collect(),
+        accounts: versions.into_iter().map(entry).collect(),
     }
 }
 
-fn subtree(store: &Store, request: &Request) -> Reply {
-    document(request.parameter("account").and_then(|account| store.subtree(account)))
-}
-
-fn document(found: Option<(decision::keys::Version, Arc<str>)>) -> Reply {
+fn document(
+    question: &Question,
+    ring: &AccountKeyring,
+    found: Option<(Version, Arc<str>)>,
+) -> Reply {
     match found {
-        Some((version, yaml)) => Reply::message_pack(&Document { version: version.0, yaml }),
+        Some((version, yaml)) => sealed(question, ring, &Document { version: version.0, yaml }),
         None => Reply::error(404, "no such document here"),
     }
 }
+
+fn sealed(question: &Question, ring: &AccountKeyring, value: &impl Serialize) -> Reply {
+    match question.answer(ring, value) {
+        Some(body) => Reply { status: 200, content_type: "application/msgpack", body },
+        None => Reply::error(500, "the answer cannot be sealed"),
+    }
+}
--- a/crates/shell/tests/peers.rs
+++ b/crates/shell/tests/peers.rs
@@ -2,18 +2,33 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use common::{nobody, serve, store, versions};
+use decision::keys::AccountId;
 use rstest::rstest;
 use shell::http::client::ClientError;
 use shell::http::routes::{Reply, Routes};
 use shell::settings_sync::peers::{PeerError, PeerReader};
-use shell::settings_sync::{Scope, Store, serve as exchange};
-use std::net::SocketAddr;
+use shell::settings_sync::{Keyrings, Scope, Store, serve as exchange};
+use wire::exchange::{Digest, DigestEntry, Kind, Question};
+use wire::sealed::{AccountKeyring, KeyId};
+
+const MASTERS: [(KeyId, [u8; 32]); 1] = [(KeyId(1), [7; 32])];
+
+/// The keyrings of a balancer.
+fn keyrings() -> Keyrings {
+    Arc::new(|account| AccountKeyring::derive(&MASTERS, AccountId::of(account)))
+}
 
 fn reader(store: &Arc<Store>, peers: Vec<SocketAddr>) -> PeerReader {
-    PeerReader::new(store.clone(), Arc::new(move || peers.clone()))
+    PeerReader::new(store.clone(), Arc::new(move || peers.clone()), keyrings())
+}
+
+/// An instance that serves what `store` holds.
+fn serve_store(store: &Arc<Store>) -> SocketAddr {
+    serve(exchange::routes(Routes::default(), store, &keyrings()))
 }
 
 /// `theirs` and `ours` are versions in force at the peer and here before the comparison.
@@ -35,7 +50,7 @@
     #[case] expected: &[(&str, u64)],
 ) {
     let (peer, own) = (store(Scope::All, theirs), store(scope, ours));
-    let address = serve(exchange::routes(Routes::default(), &peer));
+    let address = serve_store(&peer);
     reader(&own, vec![]).compare(address).unwrap();
     let expected: Vec<(String, u64)> =
         expected.iter().map(|(name, version)| ((*name).to_owned(), *version)).collect();
@@ -54,7 +69,7 @@
     if current {
         peer.mark_source_read();
     }
-    let address = serve(exchange::routes(Routes::default(), &peer));
+    let address = serve_store(&peer);
     reader(&own, vec![]).compare(address).unwrap();
     assert_eq!(own.is_current(), current);
 }
@@ -72,26 +87,44 @@
 /// A peer that offers a version and then does not deliver it changes nothing.
 #[test]
 fn compare_with_peer_that_lost_document() {
-    let (peer, own) = (store(Scope::All, &[("cascadia", 7)]), store(Scope::All, &[]));
-    peer.mark_peers_asked();
-    peer.mark_source_read();
+    let own = store(Scope::All, &[]);
     own.mark_peers_asked();
-    let digest = wire::exchange::Digest {
-        current: true,
-        root_version: 3,
-        accounts: vec![wire::exchange::DigestEntry { account: "cascadia".into(), version: 7 }],
-    };
-    let routes = Routes::default();
-    let routes = routes.get("/v1/settings/digest", move |_| Reply::message_pack(&digest));
+    let accounts = vec![DigestEntry { account: "cascadia".into(), version: 7 }];
+    let digest = Digest { current: true, root_version: 3, accounts };
+    let routes = Routes::default().get(Kind::Digest.path(), move |request| {
+        let parameter = |name: &str| request.parameter(name);
+        let (question, ring) = Question::check(Kind::Digest, parameter, &*keyrings()).unwrap();
+        let body = question.answer(&ring, &digest).unwrap();
+        Reply { status: 200, content_type: "application/msgpack", body }
+    });
     let result = reader(&own, vec![]).compare(serve(routes));
     assert_eq!(result, Err(PeerError::Client(ClientError::Status(404))));
     assert!(!own.is_current());
 }
 
+/// An agent of one account asks an agent of another, whose address it got from somewhere. It is
+/// refused, and what it is told by such an agent it does not believe.
+#[rstest]
+#[case::same_account("cascadia", Ok(()))]
+#[case::rival("bajio", Err(PeerError::Client(ClientError::Status(403))))]
+fn compare_between_agents(#[case] peer_account: &str, #[case] expected: Result<(), PeerError>) {
+    let only = |account: &str| -> Keyrings {
+        let (name, all) = (account.to_owned(), keyrings());
+        Arc::new(move |account| all(account).filter(|_| account == name))
+    };
+    let peer = store(Scope::Account(peer_account.into()), &[(peer_account, 7)]);
+    let own = store(Scope::Account("cascadia".into()), &[("cascadia", 6)]);
+    let address = serve(exchange::routes(Routes::default(), &peer, &only(peer_account)));
+    let reader = PeerReader::new(own.clone(), Arc::new(Vec::new), only("cascadia"));
+    assert_eq!(reader.compare(address), expected);
+    let version = if expected.is_ok() { 7 } else { 6 };
+    assert_eq!(versions(&own), [("cascadia".to_owned(), version)]);
+}
+
 #[test]
 fn compare_all_passes_over_dead_peers() {
     let (peer, own) = (store(Scope::All, &[("cascadia", 7)]), store(Scope::All, &[]));
-    let address = serve(exchange::routes(Routes::default(), &peer));
+    let address = serve_store(&peer);
     reader(&own, vec![nobody(), address, nobody()]).compare_all();
     assert_eq!(versions(&own), [("cascadia".to_owned(), 7)]);
 }
--- a/crates/telemetry/tests/clock.rs
+++ b/crates/telemetry/tests/clock.rs
@@ -38,5 +38,5 @@
     let answer = answerer.now_at(100);
     asker.observe_at(answer, 501);
     assert!(question < answer);
-    assert!(answer < asker.now_at(501) || answer.wall_ms() < 501);
+    assert!(answer < asker.now_at(400));
 }
--- a/crates/wire/src/exchange.rs
+++ b/crates/wire/src/exchange/mod.rs
@@ -1,4 +1,9 @@
 //! What instances tell each other about settings over HTTP, in MessagePack.
+//!
+//! Questions and answers carry a MAC by the account's key: no account sees another's subtree, and
+//! nobody but a holder of the key can put a document in force. See [`Question`].
+
+mod question;
 
 use std::sync::Arc;
 
@@ -7,6 +12,8 @@
 
 use crate::bounded;
 
+pub use question::{FLEET, Kind, Question};
+
 /// Accounts that one digest may list: several times the target of two years.
 pub const ACCOUNTS_MAX: usize = 4_096;
 
--- a/crates/wire/src/sealed.rs
+++ b/crates/wire/src/sealed.rs
@@ -37,7 +37,8 @@
 /// Bytes of an account's key, of which the first sixteen key the MAC.
 pub const ACCOUNT_KEY_BYTES: usize = 32;
 
-const MAC_BYTES: usize = 16;
+/// Bytes of a MAC.
+pub const MAC_BYTES: usize = 16;
 const AUTHENTICATED_BYTES: usize = SEALED_BYTES - MAC_BYTES;
 const _: () = assert!(SEALED_BYTES.is_multiple_of(4));
 const _: () = assert!(SEALED_BYTES <= crate::gue::PRIVATE_BYTES_MAX);
@@ -50,6 +51,8 @@
 /// Format of a sealed control message. It differs from a packet's under the MAC, so that neither
 /// can be passed off as the other by flipping the C bit of the GUE header.
 const FORMAT_CONTROL: u8 = 2;
+/// First byte under every MAC of [`AccountKeyring::tag`]; no sealed frame begins with it.
+const FORMAT_TAG: u8 = 3;
 
 /// Number of an account's key; only the holder of both keys can tell which one is meant.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -125,7 +128,7 @@
 }
 
 /// An account's key with its number, ready to seal.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 pub struct AccountKeyring {
     keys: [Option<MacKey>; KEYS_MAX],
 }
@@ -133,7 +136,7 @@
 /// Keys of one account that are valid at a time: the old and the new one of a rotation.
 pub const KEYS_MAX: usize = 2;
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 struct MacKey {
     id: KeyId,
     bytes: [u8; MAC_BYTES],
@@ -300,6 +303,26 @@
         Ok(Opened { header: header_of(layout, passed), covered: covered.len() })
     }
 
+    /// A MAC over `parts` by the first key, for what does not travel in GUE. Each part is hashed
+    /// with its length, so that bytes cannot move from one part to the next.
+    ///
+    /// ```
+    /// use wire::sealed::{AccountKeyring, KeyId};
+    /// let ring = AccountKeyring::new(&[(KeyId(1), [9; 32])]).unwrap();
+    /// let (id, tag) = ring.tag(&[b"ab", b"c"]).unwrap();
+    /// assert!(ring.check_tag(id, &tag, &[b"ab", b"c"]));
+    /// assert!(!ring.check_tag(id, &tag, &[b"a", b"bc"]));
+    /// ```
+    pub fn tag(&self, parts: &[&[u8]]) -> Option<(KeyId, [u8; MAC_BYTES])> {
+        let key = self.keys.iter().flatten().next()?;
+        Some((key.id, tag(key, parts)))
+    }
+
+    /// Whether [`AccountKeyring::tag`] made this MAC over these parts with a key of this ring.
+    pub fn check_tag(&self, id: KeyId, mac: &[u8; MAC_BYTES], parts: &[&[u8]]) -> bool {
+        self.find(id.0).is_ok_and(|key| equal_in_constant_time(&tag(key, parts), mac))
+    }
+
     fn find(&self, id: u8) -> Result<&MacKey, SealError> {
         let found = self.keys.iter().flatten().find(|key| key.id.0 == id);
         found.ok_or(SealError::UnknownKey(id))
@@ -334,6 +357,16 @@
     hasher.finish128().as_bytes()
 }
 
+fn tag(key: &MacKey, parts: &[&[u8]]) -> [u8; MAC_BYTES] {
+    let mut hasher = SipHasher24::new_with_key(&key.bytes);
+    hasher.write(&[FORMAT_TAG]);
+    for part in parts {
+        hasher.write(&(part.len() as u64).to_be_bytes());
+        hasher.write(part);
+    }
+    hasher.finish128().as_bytes()
+}
+
 /// Compares without branching on content: an early return would tell a forger by its timing how
 /// many bytes of a guessed MAC are right.
 fn equal_in_constant_time(one: &[u8; MAC_BYTES], other: &[u8; MAC_BYTES]) -> bool {
