Add the stand-ins: platform, fabric, upstream and caller

Cause: nothing outside the product exists yet that could judge it.

Change: crate `standins` with four small binaries. Caller and upstream are pure (packets and time in, packets out) over smoltcp, one TCP stack per connection, so that no socket is searched for and no listener backlog is needed. The request protocol is lines of text; bodies and feed lines derive from the request's number, so each byte is checked.

No throughput was measured yet.

--- a/crates/standins/src/bin/standin-upstream.rs
+++ b/crates/standins/src/bin/standin-upstream.rs
@@ -1,3 +1,123 @@
-//! Stand-in: upstream.
+//! An upstream with real TCP in user space, and a ledger of all that it ran.
 
-fn main() {}
+use std::fs::OpenOptions;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+
+use anyhow::Context as _;
+use lexopt::prelude::*;
+use standins::admin::{self, Call, Reply};
+use standins::clock;
+use standins::shell::{AfterPoll, Shell, lock};
+use standins::upstream::{Upstream, UpstreamConfig};
+
+const HELP: &str = "\
+Usage: standin-upstream --service NAME --name NAME --endpoint IP:PORT... --listen IP:PORT
+                        --gateway IP:PORT --control IP:PORT [--ledger FILE] [--seed N]
+
+Takes plain GUE on --listen and returns plain GUE to --gateway. GET /status on --control is what an
+agent reads; /admin/switches, /admin/stats and /admin/ledger are the lab's. SIGTERM waits until all
+connections have ended, a second one doesn't.
+";
+
+/// A graceful end waits no longer than this for connections to end.
+const END_AFTER_MS: u64 = 10_000;
+
+struct Options {
+    config: UpstreamConfig,
+    listen: SocketAddr,
+    gateway: SocketAddr,
+    control: SocketAddr,
+    ledger: Option<PathBuf>,
+}
+
+fn main() -> anyhow::Result<()> {
+    let Some(options) = parse()? else {
+        print!("{HELP}");
+        return Ok(());
+    };
+    let inner = Arc::new(Mutex::new(Upstream::new(options.config, clock::now())));
+    let state = Arc::clone(&inner);
+    admin::spawn(options.control, admin::immediate(move |call| respond(&state, call)))?;
+    let shell = Shell {
+        inner,
+        packet: Upstream::packet,
+        poll: Upstream::poll,
+        due: Upstream::due,
+        after_poll: after_poll(options.ledger)?,
+    };
+    shell.run(options.listen, options.gateway)
+}
+
+fn respond(state: &Mutex<Upstream>, call: &Call) -> Reply {
+    let mut upstream = lock(state);
+    let now = clock::now();
+    match call.route() {
+        ("GET", path) if path == ["status"] => Reply::json(&upstream.status(now)),
+        ("GET", path) if path == ["admin", "stats"] => Reply::json(upstream.stats()),
+        ("GET", path) if path == ["admin", "ledger"] => Reply::json(&upstream.ledger().rows()),
+        ("PUT", path) if path == ["admin", "switches"] => {
+            call.with_json(|switches| upstream.set_switches(now, switches))
+        }
+        _ => Reply::not_found(),
+    }
+}
+
+/// Writes new rows before any answer leaves, so that a killed upstream's ledger is complete.
+fn after_poll(path: Option<PathBuf>) -> anyhow::Result<AfterPoll<Upstream>> {
+    let open = |path: PathBuf| {
+        let file = OpenOptions::new().create(true).append(true).open(&path);
+        file.with_context(|| format!("cannot write {}", path.display()))
+    };
+    let mut file = path.map(open).transpose()?;
+    let mut ends_at = None;
+    Ok(Box::new(move |upstream, terminated| {
+        let mut lines = Vec::new();
+        for row in upstream.ledger_mut().take_new() {
+            serde_json::to_writer(&mut lines, row)?;
+            lines.push(b'\n');
+        }
+        if let Some(file) = &mut file {
+            file.write_all(&lines)?;
+        }
+        if !terminated {
+            return Ok(false);
+        }
+        let now = clock::now();
+        let ends_at = *ends_at.get_or_insert(now.after(END_AFTER_MS));
+        Ok(upstream.stats().open_connections == 0 || now >= ends_at)
+    }))
+}
+
+fn parse() -> anyhow::Result<Option<Options>> {
+    let (mut service, mut name, mut endpoints) = (None, None, Vec::new());
+    let (mut listen, mut gateway, mut control) = (None, None, None);
+    let (mut ledger, mut seed) = (None, 1);
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("service") => service = Some(parser.value()?.string()?),
+            Long("name") => name = Some(parser.value()?.string()?),
+            Long("endpoint") => endpoints.push(parser.value()?.parse()?),
+            Long("listen") => listen = Some(parser.value()?.parse()?),
+            Long("gateway") => gateway = Some(parser.value()?.parse()?),
+            Long("control") => control = Some(parser.value()?.parse()?),
+            Long("ledger") => ledger = Some(PathBuf::from(parser.value()?)),
+            Long("seed") => seed = parser.value()?.parse()?,
+            Short('h') | Long("help") => return Ok(None),
+            _ => return Err(argument.unexpected().into()),
+        }
+    }
+    let service = service.context("--service is missing")?;
+    let name = name.context("--name is missing")?;
+    let answerer = UpstreamConfig::answerer(&service, &name);
+    Ok(Some(Options {
+        config: UpstreamConfig { answerer, endpoints, seed },
+        listen: listen.context("--listen is missing")?,
+        gateway: gateway.context("--gateway is missing")?,
+        control: control.context("--control is missing")?,
+        ledger,
+    }))
+}
--- /dev/null
+++ b/crates/standins/src/caller/workload.rs
@@ -0,0 +1,87 @@
+//! How much a caller asks of one service, and when the next request is due.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use decision::time::Millis;
+use rand::RngExt as _;
+use rand_pcg::Pcg64;
+use serde::{Deserialize, Serialize};
+
+use super::connection::Purpose;
+
+/// New feeds are opened at most this often, so that a start doesn't look like a flood.
+const FEED_OPENING_INTERVAL_MS: u64 = 10;
+
+/// Work on one service, part of the body of `PUT /admin/workloads`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workload {
+    /// Service whose answers are expected; any other is a misdelivery.
+    pub service: Arc<str>,
+    /// Address of its connections.
+    pub address: SocketAddr,
+    /// Feeds kept open.
+    pub feeds: u32,
+    /// Time between the lines of a feed.
+    pub feed_interval_ms: u32,
+    /// Time between the confirmations sent over a feed's connection, 0 for none.
+    pub feed_confirm_interval_ms: u64,
+    /// Confirmations on a connection of their own.
+    pub confirms_per_s: u32,
+    /// Fetches on a connection of their own.
+    pub fetches_per_s: u32,
+    /// Length of a fetched body.
+    pub fetch_bytes: u32,
+    /// Address of one-datagram confirmations.
+    pub datagram_address: Option<SocketAddr>,
+    /// One-datagram confirmations.
+    pub datagrams_per_s: u32,
+}
+
+/// A workload and its next moments.
+#[derive(Debug)]
+pub(super) struct Schedule {
+    pub(super) work: Workload,
+    next_feed: Millis,
+    next: [(Purpose, u32, Millis); 3],
+}
+
+impl Schedule {
+    pub(super) fn new(now: Millis, work: Workload) -> Self {
+        let next = [
+            (Purpose::Confirm, work.confirms_per_s, now),
+            (Purpose::Fetch, work.fetches_per_s, now),
+            (Purpose::Datagram, work.datagrams_per_s, now),
+        ];
+        Self { next_feed: now, next, work }
+    }
+
+    /// What is to be begun now, given how many feeds are open.
+    pub(super) fn take_due(
+        &mut self,
+        now: Millis,
+        feeds: usize,
+        random: &mut Pcg64,
+    ) -> Vec<Purpose> {
+        let mut due = Vec::new();
+        if feeds < self.work.feeds as usize && self.next_feed <= now {
+            self.next_feed = now.after(FEED_OPENING_INTERVAL_MS);
+            due.push(Purpose::Feed);
+        }
+        for (purpose, per_s, next) in &mut self.next {
+            if *per_s == 0 || *next > now {
+                continue;
+            }
+            due.push(*purpose);
+            // Uniform between nothing and twice the mean: never in step with anything else.
+            *next = now.after(random.random_range(0..=2_000 / u64::from(*per_s)));
+        }
+        due
+    }
+
+    pub(super) fn due(&self) -> Millis {
+        let requests = self.next.iter().filter(|(_, per_s, _)| *per_s > 0).map(|next| next.2);
+        requests.min().unwrap_or(self.next_feed).min(self.next_feed.after(1_000))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/protocol/answer.rs
@@ -0,0 +1,180 @@
+//! Answers, and reading them out of a byte stream that arrives in any portions.
+
+use std::fmt;
+use std::sync::Arc;
+
+use super::{Answerer, Body, Malformed, RequestId, line_check, number};
+
+/// Longest line of the protocol; a longer one is garbage.
+const LINE_BYTES_MAX: usize = 256;
+
+/// What an upstream answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The confirmation has run.
+    Confirmed(RequestId, Answerer),
+    /// Head of a body, or the whole of it when read by [`AnswerReader`].
+    Body {
+        /// Request.
+        id: RequestId,
+        /// Who answers.
+        by: Answerer,
+        /// Length of the body.
+        bytes: u32,
+    },
+    /// The feed begins.
+    Feed(RequestId, Answerer),
+    /// One line of a feed.
+    Line {
+        /// Request.
+        id: RequestId,
+        /// Number of the line, from zero.
+        number: u64,
+        /// Check word, see [`line_check`].
+        check: u64,
+    },
+    /// The feed has ended after this many lines.
+    Ended(RequestId, u64),
+    /// The request was refused and not run.
+    Shed(RequestId),
+}
+
+impl Answer {
+    /// Reads one line, without its newline.
+    ///
+    /// ```
+    /// use standins::protocol::{Answer, RequestId};
+    /// assert_eq!(Answer::parse("SHED 7"), Ok(Answer::Shed(RequestId(7))));
+    /// ```
+    pub fn parse(line: &str) -> Result<Self, Malformed> {
+        let mut words = line.split(' ');
+        let verb = words.next().ok_or(Malformed)?;
+        let id = RequestId(number(words.next())?);
+        match verb {
+            "OK" => Ok(Self::Confirmed(id, answerer(&mut words)?)),
+            "FEED" => Ok(Self::Feed(id, answerer(&mut words)?)),
+            "BODY" => {
+                let by = answerer(&mut words)?;
+                Ok(Self::Body { id, by, bytes: number(words.next())? })
+            }
+            "LINE" => {
+                let line = number(words.next())?;
+                Ok(Self::Line { id, number: line, check: number(words.next())? })
+            }
+            "END" => Ok(Self::Ended(id, number(words.next())?)),
+            "SHED" => Ok(Self::Shed(id)),
+            _ => Err(Malformed),
+        }
+    }
+
+    /// True if the content of a line is what its number says.
+    pub fn is_intact(&self) -> bool {
+        match *self {
+            Self::Line { id, number, check } => check == line_check(id, number),
+            _ => true,
+        }
+    }
+}
+
+impl fmt::Display for Answer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Confirmed(id, by) => write!(f, "OK {} {} {}", id.0, by.service, by.upstream),
+            Self::Body { id, by, bytes } => {
+                write!(f, "BODY {} {} {} {bytes}", id.0, by.service, by.upstream)
+            }
+            Self::Feed(id, by) => write!(f, "FEED {} {} {}", id.0, by.service, by.upstream),
+            Self::Line { id, number, check } => write!(f, "LINE {} {number} {check}", id.0),
+            Self::Ended(id, lines) => write!(f, "END {} {lines}", id.0),
+            Self::Shed(id) => write!(f, "SHED {}", id.0),
+        }
+    }
+}
+
+/// Reads answers from a byte stream and checks every byte of a body.
+///
+/// ```
+/// use standins::protocol::{Answer, AnswerReader, RequestId};
+/// let mut reader = AnswerReader::default();
+/// let mut answers = Vec::new();
+/// reader.read(b"SHED 7\nSH", |answer| answers.push(answer)).unwrap();
+/// assert_eq!(answers, [Answer::Shed(RequestId(7))]);
+/// ```
+#[derive(Debug, Default)]
+pub struct AnswerReader {
+    line: Vec<u8>,
+    body: Option<OpenBody>,
+}
+
+#[derive(Debug)]
+struct OpenBody {
+    answer: Answer,
+    expected: Body,
+    missing: u32,
+}
+
+impl AnswerReader {
+    /// Takes in bytes and hands out each answer once it is whole. Fails on a byte that is wrong.
+    pub fn read(
+        &mut self,
+        mut bytes: &[u8],
+        mut take: impl FnMut(Answer),
+    ) -> Result<(), Malformed> {
+        while let Some((&first, rest)) = bytes.split_first() {
+            if self.body.is_some() {
+                bytes = self.read_body(bytes, &mut take)?;
+                continue;
+            }
+            bytes = rest;
+            if first == b'\n' {
+                self.end_line(&mut take)?;
+            } else if self.line.len() < LINE_BYTES_MAX {
+                self.line.push(first);
+            } else {
+                return Err(Malformed);
+            }
+        }
+        Ok(())
+    }
+
+    /// True between two answers.
+    pub fn is_between_answers(&self) -> bool {
+        self.body.is_none() && self.line.is_empty()
+    }
+
+    fn end_line(&mut self, take: &mut impl FnMut(Answer)) -> Result<(), Malformed> {
+        let line = std::mem::take(&mut self.line);
+        let answer = Answer::parse(std::str::from_utf8(&line).map_err(|_| Malformed)?)?;
+        match answer {
+            Answer::Body { id, bytes, .. } if bytes > 0 => {
+                self.body = Some(OpenBody { answer, expected: Body::new(id), missing: bytes });
+            }
+            whole => take(whole),
+        }
+        Ok(())
+    }
+
+    /// Checks as much of the body as there is and returns the bytes after it.
+    fn read_body<'a>(
+        &mut self,
+        bytes: &'a [u8],
+        take: &mut impl FnMut(Answer),
+    ) -> Result<&'a [u8], Malformed> {
+        let Some(mut body) = self.body.take() else { return Ok(bytes) };
+        let (now, rest) = bytes.split_at(bytes.len().min(body.missing as usize));
+        if !now.iter().copied().eq(body.expected.by_ref().take(now.len())) {
+            return Err(Malformed);
+        }
+        body.missing -= now.len() as u32;
+        match body.missing {
+            0 => take(body.answer),
+            _ => self.body = Some(body),
+        }
+        Ok(rest)
+    }
+}
+
+fn answerer<'a>(words: &mut impl Iterator<Item = &'a str>) -> Result<Answerer, Malformed> {
+    let mut word = || words.next().map(Arc::from).ok_or(Malformed);
+    Ok(Answerer { service: word()?, upstream: word()? })
+}
--- /dev/null
+++ b/crates/standins/src/protocol/mod.rs
@@ -0,0 +1,116 @@
+//! What callers ask and upstreams answer. Lines of text, so that a capture can be read:
+//!
+//! ```text
+//! CONFIRM <id>             -> OK <id> <service> <upstream>
+//! FETCH <id> <bytes>       -> BODY <id> <service> <upstream> <bytes>, newline, that many bytes
+//! FEED <id> <interval_ms>  -> FEED <id> <service> <upstream>, then LINE <id> <n> <check> for ever
+//! END <id>                 -> END <id> <lines sent>
+//! anything while shedding  -> SHED <id>: it was not run
+//! ```
+//!
+//! A datagram carries one request without a newline and is answered by one datagram.
+
+mod answer;
+mod body;
+
+use std::fmt;
+use std::sync::Arc;
+
+pub use answer::{Answer, AnswerReader};
+pub use body::{Body, line_check};
+
+/// Number of a request, unique over all callers of a run.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct RequestId(pub u64);
+
+/// What a caller asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Request {
+    /// A restock confirmation or pattern adjustment: not idempotent.
+    Confirm(RequestId),
+    /// A packing sheet or swatch image.
+    Fetch {
+        /// Number of the request, from which the body derives.
+        id: RequestId,
+        /// Length of the body.
+        bytes: u32,
+    },
+    /// A long feed.
+    Feed {
+        /// Number of the request, from which the lines derive.
+        id: RequestId,
+        /// Time between two lines.
+        interval_ms: u32,
+    },
+    /// Ends a feed and asks how many lines it had.
+    End(RequestId),
+}
+
+/// Who answers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+pub struct Answerer {
+    /// Service.
+    pub service: Arc<str>,
+    /// Upstream.
+    pub upstream: Arc<str>,
+}
+
+/// The text is none of the protocol's lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+impl Request {
+    /// Number of the request.
+    ///
+    /// ```
+    /// use standins::protocol::{Request, RequestId};
+    /// assert_eq!(Request::Confirm(RequestId(7)).id(), RequestId(7));
+    /// ```
+    pub fn id(self) -> RequestId {
+        match self {
+            Self::Confirm(id) | Self::End(id) => id,
+            Self::Fetch { id, .. } | Self::Feed { id, .. } => id,
+        }
+    }
+
+    /// Reads one request, without its newline.
+    ///
+    /// ```
+    /// use standins::protocol::{Request, RequestId};
+    /// let request = Request::Fetch { id: RequestId(7), bytes: 100 };
+    /// assert_eq!(Request::parse(&request.to_string()), Ok(request));
+    /// ```
+    pub fn parse(line: &str) -> Result<Self, Malformed> {
+        let mut words = line.split(' ');
+        let verb = words.next().ok_or(Malformed)?;
+        let id = RequestId(number(words.next())?);
+        let request = match verb {
+            "CONFIRM" => Self::Confirm(id),
+            "FETCH" => Self::Fetch { id, bytes: number(words.next())? },
+            "FEED" => Self::Feed { id, interval_ms: number(words.next())? },
+            "END" => Self::End(id),
+            _ => return Err(Malformed),
+        };
+        if words.next().is_some() {
+            return Err(Malformed);
+        }
+        Ok(request)
+    }
+}
+
+impl fmt::Display for Request {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Confirm(id) => write!(f, "CONFIRM {}", id.0),
+            Self::Fetch { id, bytes } => write!(f, "FETCH {} {bytes}", id.0),
+            Self::Feed { id, interval_ms } => write!(f, "FEED {} {interval_ms}", id.0),
+            Self::End(id) => write!(f, "END {}", id.0),
+        }
+    }
+}
+
+fn number<T: std::str::FromStr>(word: Option<&str>) -> Result<T, Malformed> {
+    word.and_then(|word| word.parse().ok()).ok_or(Malformed)
+}
--- /dev/null
+++ b/crates/standins/src/upstream/mod.rs
@@ -0,0 +1,218 @@
+//! An upstream: real TCP on the service's addresses, and a ledger of all that it ran.
+
+mod connection;
+mod ledger;
+mod status;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use decision::time::Millis;
+
+use crate::datagram::{self, Content, Packet};
+use crate::protocol::{Answer, Answerer, Request};
+use crate::stack::TcpStack;
+use connection::Connection;
+pub use ledger::{Event, Ledger, Row};
+pub use status::{Lie, Stats, Status, Switches};
+
+/// What an upstream is told at its start.
+#[derive(Clone, Debug)]
+pub struct UpstreamConfig {
+    /// Names in its answers.
+    pub answerer: Answerer,
+    /// Addresses of its service; a packet to any other is misdelivered.
+    pub endpoints: Vec<SocketAddr>,
+    /// Decides the initial sequence numbers.
+    pub seed: u64,
+}
+
+/// Both ends of a connection: the caller's, then the service's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ConnectionKey(SocketAddr, SocketAddr);
+
+/// The upstream. Packets and time go in, packets come out.
+pub struct Upstream {
+    config: UpstreamConfig,
+    /// Sorted by key.
+    connections: Vec<(ConnectionKey, Box<Connection>)>,
+    /// Answers to datagrams and resets, for the next poll.
+    replies: Vec<Vec<u8>>,
+    ledger: Ledger,
+    switches: Switches,
+    /// What the status endpoint showed when it was frozen.
+    frozen: Option<Status>,
+    stats: Stats,
+    started_at: Millis,
+    openings: u64,
+}
+
+impl Upstream {
+    /// An upstream without connections.
+    ///
+    /// ```
+    /// use decision::time::Millis;
+    /// use standins::{protocol::Answerer, upstream::*};
+    /// let answerer = Answerer { service: "shelf".into(), upstream: "shelf-1".into() };
+    /// let config = UpstreamConfig { answerer, endpoints: vec![], seed: 1 };
+    /// assert_eq!(Upstream::new(config, Millis(0)).status(Millis(5)).open_flows, 0);
+    /// ```
+    pub fn new(config: UpstreamConfig, now: Millis) -> Self {
+        Self {
+            config,
+            connections: Vec::new(),
+            replies: Vec::new(),
+            ledger: Ledger::default(),
+            switches: Switches::default(),
+            frozen: None,
+            stats: Stats::default(),
+            started_at: now,
+            openings: 0,
+        }
+    }
+
+    /// Takes in one IP packet; answers come out of [`Upstream::poll`].
+    pub fn packet(&mut self, now: Millis, bytes: &[u8]) {
+        self.stats.packets_received += 1;
+        let Some(packet) = datagram::parse(bytes) else {
+            self.stats.packets_malformed += 1;
+            return;
+        };
+        if !self.config.endpoints.contains(&packet.destination) {
+            self.stats.packets_misdelivered += 1;
+            return;
+        }
+        match packet.content {
+            Content::Tcp { opening, .. } => self.segment(now, &packet, opening, bytes),
+            Content::Udp(payload) => self.datagram(now, &packet, payload),
+            Content::Unreachable { .. } => self.stats.packets_malformed += 1,
+        }
+    }
+
+    /// Works on packets and timers that are due, appending the packets to send.
+    pub fn poll(&mut self, now: Millis, out: &mut Vec<Vec<u8>>) {
+        let first = out.len();
+        out.append(&mut self.replies);
+        let answerer = &self.config.answerer;
+        for (_, connection) in &mut self.connections {
+            if connection.due <= now {
+                connection.poll(now, answerer, &self.switches, &mut self.ledger, out);
+            }
+        }
+        self.connections.retain(|(_, connection)| connection.is_open());
+        let resets = out[first..].iter().filter(|packet| is_reset(packet)).count();
+        self.stats.resets_sent += resets as u64;
+        self.stats.open_connections = self.connections.len() as u64;
+    }
+
+    /// When the next poll is due without a packet.
+    pub fn due(&self) -> Option<Millis> {
+        self.connections.iter().map(|(_, connection)| connection.due).min()
+    }
+
+    /// What the status endpoint says: the truth, unless told to lie.
+    pub fn status(&self, now: Millis) -> Status {
+        if let Some(frozen) = &self.frozen {
+            return frozen.clone();
+        }
+        let open_flows = match self.switches.lie {
+            Lie::OpenFlows(number) => number,
+            _ => self.connections.len() as u32,
+        };
+        Status {
+            healthy: self.switches.lie != Lie::Unhealthy,
+            draining: self.switches.draining,
+            shedding: self.switches.shedding,
+            open_flows,
+            age_ms: now.since(self.started_at),
+        }
+    }
+
+    /// Changes how the upstream behaves from now on.
+    pub fn set_switches(&mut self, now: Millis, switches: Switches) {
+        self.frozen = None;
+        if switches.lie == Lie::Frozen {
+            self.frozen = Some(self.status(now));
+        }
+        self.switches = switches;
+    }
+
+    /// All that was run, opened and refused here.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// The ledger, to take rows that are not written to a file yet.
+    pub fn ledger_mut(&mut self) -> &mut Ledger {
+        &mut self.ledger
+    }
+
+    /// Counters.
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
+    fn segment(&mut self, now: Millis, packet: &Packet<'_>, opening: bool, bytes: &[u8]) {
+        let key = ConnectionKey(packet.source, packet.destination);
+        let found = self.connections.binary_search_by(|(known, _)| known.cmp(&key));
+        match found {
+            Ok(index) => self.connections[index].1.push(now, bytes),
+            Err(index) if opening => {
+                let mut connection = Box::new(self.open(now, packet));
+                connection.push(now, bytes);
+                self.connections.insert(index, (key, connection));
+            }
+            Err(_) => self.reject(now, packet.destination, bytes),
+        }
+    }
+
+    fn open(&mut self, now: Millis, packet: &Packet<'_>) -> Connection {
+        self.openings += 1;
+        let seed = self.config.seed.wrapping_add(self.openings);
+        self.ledger.add(now, Event::Open { client: packet.source });
+        Connection::new(TcpStack::listen(packet.destination, seed, now), now)
+    }
+
+    /// Answers a segment of an unknown connection as a host does: with a reset.
+    fn reject(&mut self, now: Millis, local: SocketAddr, bytes: &[u8]) {
+        self.stats.segments_unknown += 1;
+        let mut stack = TcpStack::closed(local, now);
+        stack.push(bytes);
+        stack.poll(now, &mut self.replies);
+    }
+
+    /// Runs a one-datagram request as often as it comes: whoever delivers it twice runs it twice.
+    fn datagram(&mut self, now: Millis, packet: &Packet<'_>, payload: &[u8]) {
+        let line = std::str::from_utf8(payload).unwrap_or_default();
+        let Ok(Request::Confirm(id)) = Request::parse(line) else {
+            self.stats.packets_malformed += 1;
+            return;
+        };
+        let answer = if self.switches.shedding {
+            self.ledger.add(now, Event::Shed { request: id });
+            Answer::Shed(id)
+        } else {
+            self.ledger.add(now, Event::Run { request: id, client: packet.source });
+            Answer::Confirmed(id, self.config.answerer.clone())
+        };
+        let answer = answer.to_string();
+        self.replies.push(datagram::udp(packet.destination, packet.source, answer.as_bytes()));
+    }
+}
+
+fn is_reset(packet: &[u8]) -> bool {
+    let parsed = datagram::parse(packet);
+    matches!(parsed, Some(Packet { content: Content::Tcp { reset: true, .. }, .. }))
+}
+
+impl UpstreamConfig {
+    /// Names for the answers of an upstream.
+    ///
+    /// ```
+    /// use standins::upstream::UpstreamConfig;
+    /// assert_eq!(&*UpstreamConfig::answerer("shelf", "shelf-1").upstream, "shelf-1");
+    /// ```
+    pub fn answerer(service: &str, upstream: &str) -> Answerer {
+        Answerer { service: Arc::from(service), upstream: Arc::from(upstream) }
+    }
+}
