--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -166,12 +166,12 @@
     let wait_ms = parameter("wait_ms").unwrap_or(0).min(WATCH_MAX_MS);
     let until = clock::now().after(wait_ms);
     loop {
-        let (watched, down) = {
+        let (watched, is_down) = {
             let platform = lock(platform);
             let now = clock::now();
             (platform.store.watch(platform.seen_at(&call.reader, now), after), platform.mode.down)
         };
-        if down {
+        if is_down {
             return down();
         }
         if !watched.changed.is_empty() || clock::now() >= until {
