Add `cargo xtask lab`: processes, scenarios as data, verdict from the ledgers

Cause: the promises can only be shown on the whole path, with real processes replaced under load.

Change: the lab builds the binaries, finds a free part of 127.0.0.0/8, starts platform, fabric, callers, upstreams, agents and balancers at today's sizes, and runs a scenario: phases of tracks of timed steps, as plain data. Observers ask every daemon for its settings in force. The verdict reads the upstreams' ledger files (written before an answer leaves, so a killed upstream's is complete) and the callers' reports. What the lab itself killed is counted apart. Every process is owned by a value that ends it when dropped. The upstream's ledger now has a row for a misdelivered packet.

--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -43,6 +43,7 @@
     store: Store,
     budget: Budget,
     mode: Mode,
+    mode_since: Millis,
     stats: Stats,
     second: u64,
     reads_this_second: u64,
@@ -67,6 +68,7 @@
             store: Store::default(),
             budget: Budget::new(reads_per_s),
             mode: Mode::default(),
+            mode_since: Millis(0),
             stats: Stats::default(),
             second: 0,
             reads_this_second: 0,
@@ -99,7 +101,7 @@
 
     /// The moment as of which `reader` sees what is published.
     fn seen_at(&self, reader: &str, now: Millis) -> Millis {
-        self.mode.seen_at(reader, now)
+        self.mode.seen_at(self.mode_since, reader, now)
     }
 
     fn publish(&mut self, call: &Call, name: Option<&str>) -> Reply {
@@ -131,7 +133,9 @@
         ("PUT", ["instances"]) => {
             call.with_json(|list| platform.store.set_instances(clock::now(), list))
         }
-        ("PUT", ["mode"]) => call.with_json(|mode: Mode| platform.mode = mode.begin(clock::now())),
+        ("PUT", ["mode"]) => call.with_json(|mode| {
+            (platform.mode, platform.mode_since) = (mode, clock::now());
+        }),
         ("GET", ["stats"]) => Reply::json(platform.stats()),
         _ => Reply::not_found(),
     }
--- a/crates/standins/src/platform/mode.rs
+++ b/crates/standins/src/platform/mode.rs
@@ -15,18 +15,12 @@
     pub delay_ms: u64,
     /// Half of the readers, by name, see all of it this much later.
     pub skew_ms: u64,
-    #[serde(skip)]
-    frozen_at: Option<Millis>,
 }
 
 impl Mode {
-    pub(super) fn begin(mut self, now: Millis) -> Self {
-        self.frozen_at = self.frozen.then_some(now);
-        self
-    }
-
-    pub(super) fn seen_at(&self, reader: &str, now: Millis) -> Millis {
-        let seen_at = self.frozen_at.unwrap_or(now);
+    /// The moment as of which `reader` sees what is published, in a mode that began at `since`.
+    pub(super) fn seen_at(&self, since: Millis, reader: &str, now: Millis) -> Millis {
+        let seen_at = if self.frozen { since } else { now };
         let sum: u32 = reader.bytes().map(u32::from).sum();
         match sum % 2 {
             0 => seen_at,
--- a/crates/standins/src/upstream/ledger.rs
+++ b/crates/standins/src/upstream/ledger.rs
@@ -38,6 +38,11 @@
         /// Request.
         request: RequestId,
     },
+    /// A packet for another service arrived.
+    Misdelivered {
+        /// Where it should have gone.
+        destination: SocketAddr,
+    },
 }
 
 /// All rows, oldest first.
--- a/crates/standins/src/upstream/mod.rs
+++ b/crates/standins/src/upstream/mod.rs
@@ -80,6 +80,7 @@
         };
         if !self.config.endpoints.contains(&packet.destination) {
             self.stats.packets_misdelivered += 1;
+            self.ledger.add(now, Event::Misdelivered { destination: packet.destination });
             return;
         }
         match packet.content {
--- /dev/null
+++ b/xtask/src/lab/driver.rs
@@ -0,0 +1,163 @@
+//! The course of a run: build, start, phases, end, verdict.
+
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+
+use anyhow::{Context as _, ensure};
+use standins::caller::{Report, Workload};
+use standins::clock;
+use standins::shell::lock;
+
+use super::actions::Pick;
+use super::figures::Figures;
+use super::options::Options;
+use super::scenario::{Phase, PhaseKind};
+use super::topology::ACCOUNTS;
+use super::{Lab, observer, verdict};
+
+/// Callers run this long before the first phase.
+const WARM_UP_MS: u64 = 2_000;
+/// Time between the last phase and the callers' end, in which everything must have recovered.
+const SETTLE_MS: u64 = 4_000;
+/// Longest time in which callers end what is in flight.
+const FINISH_TIMEOUT_MS: u64 = 12_000;
+/// Time between two lines of a feed.
+const FEED_INTERVAL_MS: u32 = 200;
+/// Time between two confirmations over a feed's connection.
+const FEED_CONFIRM_INTERVAL_MS: u64 = 1_000;
+
+/// Builds the binaries that the run needs and returns their folder.
+pub(super) fn build(options: &Options) -> anyhow::Result<PathBuf> {
+    let mut command = Command::new(env!("CARGO"));
+    command.args(["build", "--locked", "--bins", "-p", "standins"]);
+    if options.scenario.with_product {
+        command.args(["-p", "balancer", "-p", "agent"]);
+    }
+    if options.release {
+        command.arg("--release");
+    }
+    let status = command.stdin(Stdio::null()).status().context("cargo build")?;
+    ensure!(status.success(), "cargo build: {status}");
+    let own = std::env::current_exe()?;
+    let target = own.parent().and_then(|folder| folder.parent()).context("no target folder")?;
+    Ok(target.join(if options.release { "release" } else { "debug" }))
+}
+
+/// Runs the scenario and judges it.
+pub(super) fn drive(lab: &Lab) -> anyhow::Result<Figures> {
+    lab.say(&format!("scenario `{}`: {}", lab.options.scenario.name, lab.options.scenario.about));
+    start(lab)?;
+    let reports = std::thread::scope(|scope| {
+        if lab.options.scenario.with_product {
+            observer::spawn(lab, scope);
+        }
+        let reports = run_phases(lab).and_then(|()| finish(lab));
+        lab.ended.store(true, std::sync::atomic::Ordering::Relaxed);
+        reports
+    })?;
+    let figures = verdict::judge(lab, &reports)?;
+    end(lab)?;
+    Ok(figures)
+}
+
+fn start(lab: &Lab) -> anyhow::Result<()> {
+    lab.start_platform_and_fabric()?;
+    lab.publish_all()?;
+    let (balancers, upstreams) = {
+        let fleet = lock(&lab.fleet);
+        (fleet.balancers.len(), fleet.upstreams.len())
+    };
+    (0..upstreams).try_for_each(|index| lab.start_upstream(index))?;
+    if lab.options.scenario.with_product {
+        (0..balancers).try_for_each(|index| lab.start_balancer(index))?;
+        (0..upstreams).try_for_each(|index| lab.start_agent(index))?;
+        (0..balancers).try_for_each(|index| lab.await_ready(Pick::Balancer(index)))?;
+        (0..upstreams).try_for_each(|index| lab.await_ready(Pick::Agent(index)))?;
+    }
+    lab.push_plan()?;
+    lab.start_callers()?;
+    lab.say(&format!("{balancers} balancers and {upstreams} upstreams with agents are up"));
+    for account in 0..ACCOUNTS.len() {
+        let control = lab.net.caller(account).control;
+        lab.http.put(control, "/admin/workloads", &workloads(lab, account)?)?;
+    }
+    Ok(())
+}
+
+fn workloads(lab: &Lab, account: usize) -> anyhow::Result<Vec<Workload>> {
+    let services = ACCOUNTS[account].services.iter();
+    let workload = |service: &super::topology::ServicePlan| {
+        Ok(Workload {
+            service: service.name.into(),
+            address: service.address.parse()?,
+            feeds: service.work.feeds * lab.options.scale,
+            feed_interval_ms: FEED_INTERVAL_MS,
+            feed_confirm_interval_ms: FEED_CONFIRM_INTERVAL_MS,
+            confirms_per_s: service.work.confirms_per_s,
+            fetches_per_s: service.work.fetches_per_s,
+            fetch_bytes: service.work.fetch_bytes,
+            datagram_address: service.datagram_address.map(str::parse).transpose()?,
+            datagrams_per_s: service.work.datagrams_per_s,
+        })
+    };
+    services.map(workload).collect()
+}
+
+fn run_phases(lab: &Lab) -> anyhow::Result<()> {
+    lab.note(|journal, now_ms| journal.phases.push((now_ms, PhaseKind::Planned)));
+    lab.pause(WARM_UP_MS)?;
+    lab.options.scenario.phases.iter().try_for_each(|phase| run_phase(lab, phase))?;
+    lab.say("settling");
+    lab.pause(SETTLE_MS)
+}
+
+fn run_phase(lab: &Lab, phase: &Phase) -> anyhow::Result<()> {
+    lab.say(&format!("phase: {}", phase.name));
+    lab.note(|journal, now_ms| journal.phases.push((now_ms, phase.kind)));
+    std::thread::scope(|scope| {
+        let run_track = |track: &'static [_]| {
+            scope.spawn(move || track.iter().try_for_each(|step| lab.perform(*step)))
+        };
+        let tracks: Vec<_> = phase.tracks.iter().map(|track| run_track(track)).collect();
+        let ended = tracks.into_iter().map(|track| track.join());
+        // A panic in a track is the lab's own fault and ends the run as an error.
+        let flatten = |ended: std::thread::Result<_>| {
+            ended.unwrap_or_else(|_| Err(anyhow::anyhow!("a track panicked")))
+        };
+        ended.map(flatten).collect::<Vec<_>>().into_iter().collect()
+    })
+}
+
+/// Ends all feeds, waits for what is in flight, and takes the callers' reports.
+fn finish(lab: &Lab) -> anyhow::Result<Vec<Report>> {
+    lab.say("ending all feeds");
+    observer::check_newest(lab);
+    let controls: Vec<_> =
+        (0..ACCOUNTS.len()).map(|account| lab.net.caller(account).control).collect();
+    for control in &controls {
+        lab.http.post(*control, "/admin/stop")?;
+    }
+    let report = |control| lab.http.get::<Report>(control, "/admin/report");
+    let is_idle = |control: &_| report(*control).is_ok_and(|report| report.is_idle);
+    lab.wait_until(FINISH_TIMEOUT_MS, || controls.iter().all(is_idle))?;
+    controls.into_iter().map(report).collect()
+}
+
+/// Ends every process as an operator would; what doesn't end is killed when the lab is dropped.
+fn end(lab: &Lab) -> anyhow::Result<()> {
+    lab.say("ending all processes");
+    let processes: Vec<_> = std::mem::take(&mut *lock(&lab.standins));
+    for process in &processes {
+        process.signal(nix::sys::signal::Signal::SIGTERM);
+    }
+    let begun = clock::now();
+    for mut process in processes {
+        while process.exited().is_none() && clock::now().since(begun) < 1_000 {
+            lab.pause(super::STEP_MS)?;
+        }
+        if process.exited().is_none() {
+            lab.say(&format!("{} is killed", process.name()));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/xtask/src/lab/fleet.rs
@@ -0,0 +1,178 @@
+//! Tables of the machines in a run: balancers, upstreams with their agents, settings versions.
+
+use std::net::SocketAddr;
+
+use standins::fabric::Faults;
+
+use super::process::Process;
+use super::scenario::Target;
+use super::topology::{ACCOUNTS, AccountPlan, BALANCERS, Net, Place, ServicePlan};
+
+/// Every machine of the run.
+pub(super) struct Fleet {
+    pub(super) balancers: Vec<Balancer>,
+    pub(super) upstreams: Vec<Upstream>,
+    /// Version of each account's subtree.
+    pub(super) versions: [u64; ACCOUNTS.len()],
+    pub(super) root_version: u64,
+    /// What goes wrong in the fabric at the moment.
+    pub(super) faults: Faults,
+}
+
+/// What the platform's list says about an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Listed {
+    Absent,
+    Live,
+    Leaving,
+}
+
+/// One process slot; several processes may live in it one after the other.
+pub(super) struct Daemon {
+    pub(super) name: String,
+    pub(super) place: Place,
+    /// Counts the processes that lived here.
+    pub(super) life: u32,
+    pub(super) process: Option<Process>,
+    pub(super) listed: Listed,
+    /// Answered `/readyz`; false again from the moment that it is to end.
+    pub(super) is_ready: bool,
+}
+
+pub(super) struct Balancer {
+    pub(super) account: usize,
+    pub(super) number: u32,
+    pub(super) zone: &'static str,
+    pub(super) daemon: Daemon,
+    /// The fabric hands it packets.
+    pub(super) is_sprayed: bool,
+}
+
+/// State of an upstream in the published settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Published {
+    Absent,
+    Active,
+    Draining,
+    Retired,
+}
+
+pub(super) struct Upstream {
+    pub(super) account: usize,
+    pub(super) service: usize,
+    pub(super) number: u32,
+    pub(super) zone: &'static str,
+    pub(super) weight: u32,
+    pub(super) published: Published,
+    pub(super) since: u64,
+    pub(super) retired: u64,
+    pub(super) agent: Daemon,
+    pub(super) upstream: Daemon,
+}
+
+/// Weight of an upstream as long as nothing changes it.
+pub(super) const WEIGHT: u32 = 100;
+
+impl Fleet {
+    /// The fleet at its start, with no process running yet.
+    pub(super) fn new(net: Net) -> Self {
+        let mut fleet = Self {
+            balancers: Vec::new(),
+            upstreams: Vec::new(),
+            versions: [1; ACCOUNTS.len()],
+            root_version: 1,
+            faults: Faults::default(),
+        };
+        for (account, plan) in ACCOUNTS.iter().enumerate() {
+            fleet.balancers.extend((1..=BALANCERS).map(|number| balancer(net, account, number)));
+            for (service, service_plan) in plan.services.iter().enumerate() {
+                for number in 1..=service_plan.upstreams {
+                    fleet.add_upstream(net, account, service, Published::Active);
+                    debug_assert_eq!(fleet.upstreams.last().map(|last| last.number), Some(number));
+                }
+            }
+        }
+        fleet
+    }
+
+    /// Adds the next upstream of a service and returns its index.
+    pub(super) fn add_upstream(
+        &mut self,
+        net: Net,
+        account: usize,
+        service: usize,
+        published: Published,
+    ) -> usize {
+        let plan = &ACCOUNTS[account];
+        let peers = |row: &&Upstream| (row.account, row.service) == (account, service);
+        let number = self.upstreams.iter().filter(peers).count() as u32 + 1;
+        let zone = plan.zones[number as usize % plan.zones.len()];
+        let name = format!("{}-{number}", plan.services[service].name);
+        self.upstreams.push(Upstream {
+            account,
+            service,
+            number,
+            zone,
+            weight: WEIGHT,
+            published,
+            since: self.versions[account],
+            retired: 0,
+            agent: daemon(format!("agent-{name}"), net.agent(account, service, number)),
+            upstream: daemon(name, net.upstream(account, service, number)),
+        });
+        self.upstreams.len() - 1
+    }
+
+    /// Index of the upstream that a target means in this run.
+    pub(super) fn resolve(&self, target: Target, seed: u64) -> usize {
+        let is_service = |row: &Upstream| row.service_plan().name == target.service;
+        let count = self.upstreams.iter().filter(|row| is_service(row) && row.since == 1).count();
+        let number = (u64::from(target.slot) + seed) % count as u64 + 1;
+        let is_target = |row: &Upstream| is_service(row) && u64::from(row.number) == number;
+        // The scenarios name services of the topology only.
+        self.upstreams.iter().position(is_target).expect("a target is part of the topology")
+    }
+
+    /// Indexes of the balancers in a slot, one for each account.
+    pub(super) fn balancers_in(&self, slot: u32, seed: u64) -> Vec<usize> {
+        let number = (u64::from(slot) + seed) % u64::from(BALANCERS) + 1;
+        let rows = self.balancers.iter().enumerate();
+        rows.filter(|(_, row)| u64::from(row.number) == number).map(|(index, _)| index).collect()
+    }
+
+    /// Every balancer and agent.
+    pub(super) fn daemons(&self) -> impl Iterator<Item = &Daemon> {
+        let balancers = self.balancers.iter().map(|row| &row.daemon);
+        balancers.chain(self.upstreams.iter().map(|row| &row.agent))
+    }
+
+    /// Control addresses of all balancers, for processes to start with.
+    pub(super) fn balancer_controls(&self) -> Vec<SocketAddr> {
+        self.balancers.iter().map(|row| row.daemon.place.control).collect()
+    }
+}
+
+impl Upstream {
+    pub(super) fn account_plan(&self) -> &'static AccountPlan {
+        &ACCOUNTS[self.account]
+    }
+
+    pub(super) fn service_plan(&self) -> &'static ServicePlan {
+        &ACCOUNTS[self.account].services[self.service]
+    }
+}
+
+fn balancer(net: Net, account: usize, number: u32) -> Balancer {
+    let plan = &ACCOUNTS[account];
+    Balancer {
+        account,
+        number,
+        zone: plan.zones[(number as usize - 1) % plan.zones.len()],
+        daemon: daemon(format!("bal-{}-{number}", plan.name), net.balancer(account, number)),
+        is_sprayed: true,
+    }
+}
+
+fn daemon(name: String, place: Place) -> Daemon {
+    Daemon { name, place, life: 0, process: None, listed: Listed::Absent, is_ready: false }
+}
--- /dev/null
+++ b/xtask/src/lab/mod.rs
@@ -0,0 +1,149 @@
+//! `cargo xtask lab`: the real binaries on loopback, with everything around them replaced while
+//! callers talk through them.
+
+mod actions;
+mod documents;
+mod driver;
+mod figures;
+mod fleet;
+mod http;
+mod journal;
+mod observer;
+mod options;
+mod process;
+mod report;
+mod scenario;
+mod steps;
+mod topology;
+mod verdict;
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use anyhow::{bail, ensure};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use standins::clock;
+use standins::shell::lock;
+
+use documents::Secrets;
+use fleet::Fleet;
+use http::Http;
+use journal::Journal;
+pub(crate) use options::HELP;
+use options::Options;
+use process::Process;
+use topology::Net;
+
+/// How often something that is waited for is looked at.
+const STEP_MS: u64 = 20;
+
+/// One run. Dropping it ends every process that it started.
+struct Lab {
+    options: Options,
+    net: Net,
+    /// Folder of the binaries.
+    programs: PathBuf,
+    out: PathBuf,
+    http: Http,
+    secrets: Secrets,
+    fleet: Mutex<Fleet>,
+    journal: Mutex<Journal>,
+    /// Platform, fabric and callers.
+    standins: Mutex<Vec<Process>>,
+    interrupted: Arc<AtomicBool>,
+    /// The run is over: observers end.
+    ended: AtomicBool,
+    started_ms: u64,
+}
+
+/// Runs the lab with the remaining arguments of the command line.
+pub(crate) fn run(parser: &mut lexopt::Parser) -> anyhow::Result<()> {
+    let Some(options) = options::parse(parser)? else {
+        print!("{HELP}");
+        return Ok(());
+    };
+    let interrupted = Arc::new(AtomicBool::new(false));
+    for signal in [SIGINT, SIGTERM] {
+        signal_hook::flag::register(signal, Arc::clone(&interrupted))?;
+    }
+    let programs = driver::build(&options)?;
+    let lab = Lab::new(options, programs, interrupted)?;
+    let outcome = driver::drive(&lab);
+    let keep = lab.options.out.is_some() || !matches!(&outcome, Ok(figures) if figures.pass);
+    let out = lab.out.clone();
+    drop(lab);
+    match keep {
+        true => eprintln!("lab: logs are in {}", out.display()),
+        false => std::fs::remove_dir_all(&out)?,
+    }
+    let figures = outcome?;
+    report::print(&figures, &out, keep)?;
+    ensure!(figures.pass, "a promise was broken: {}", figures.failures.join("; "));
+    Ok(())
+}
+
+impl Lab {
+    fn new(
+        options: Options,
+        programs: PathBuf,
+        interrupted: Arc<AtomicBool>,
+    ) -> anyhow::Result<Self> {
+        let net = Net::find(std::process::id())?;
+        let folder = || std::env::temp_dir().join(format!("gooseberrysill-{}", std::process::id()));
+        let out = options.out.clone().unwrap_or_else(folder);
+        std::fs::create_dir_all(&out)?;
+        Ok(Self {
+            secrets: Secrets::new(options.seed),
+            fleet: Mutex::new(Fleet::new(net)),
+            journal: Mutex::new(Journal::default()),
+            standins: Mutex::new(Vec::new()),
+            http: Http::new(),
+            ended: AtomicBool::new(false),
+            started_ms: clock::now().0,
+            options,
+            net,
+            programs,
+            out,
+            interrupted,
+        })
+    }
+
+    /// Says on the screen what happens.
+    fn say(&self, text: &str) {
+        let elapsed_ms = clock::now().0 - self.started_ms;
+        eprintln!("lab {:>6.2} s  {text}", elapsed_ms as f64 / 1_000.0);
+    }
+
+    /// Sleeps, unless the run is interrupted.
+    fn pause(&self, ms: u64) -> anyhow::Result<()> {
+        let until = clock::now().after(ms);
+        loop {
+            if self.interrupted.load(Ordering::Relaxed) {
+                bail!("interrupted");
+            }
+            let left_ms = until.since(clock::now());
+            if left_ms == 0 {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(left_ms.min(STEP_MS)));
+        }
+    }
+
+    /// Waits until `check` holds; false if it doesn't in time.
+    fn wait_until(&self, timeout_ms: u64, check: impl Fn() -> bool) -> anyhow::Result<bool> {
+        let until = clock::now().after(timeout_ms);
+        while !check() {
+            if clock::now() >= until {
+                return Ok(false);
+            }
+            self.pause(STEP_MS)?;
+        }
+        Ok(true)
+    }
+
+    fn note(&self, note: impl FnOnce(&mut Journal, u64)) {
+        note(&mut lock(&self.journal), clock::now().0);
+    }
+}
--- /dev/null
+++ b/xtask/src/lab/observer.rs
@@ -0,0 +1,170 @@
+//! Threads that look at the processes while a scenario runs.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::Ordering;
+use std::thread::Scope;
+use std::time::Duration;
+
+use serde::Deserialize;
+use standins::clock;
+use standins::shell::lock;
+use standins::upstream::Stats;
+
+use super::Lab;
+use super::fleet::Published;
+use super::http::Http;
+use super::journal::{InForce, Load};
+use super::topology::ACCOUNTS;
+
+/// Threads that ask daemons for their settings in force.
+const POLLERS: usize = 4;
+/// Pause between two rounds; it bounds the precision of `settings_in_force_ms`.
+const POLL_PAUSE: Duration = Duration::from_millis(20);
+/// A paused daemon may hold up a round for this long.
+const POLL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause between two looks at the upstreams' load.
+const LOAD_PAUSE: Duration = Duration::from_millis(500);
+/// A settings change may take this long to reach every daemon at the end of a run.
+const NEWEST_TIMEOUT_MS: u64 = 5_000;
+
+/// The part of a daemon's `/status` that the lab reads.
+#[derive(Deserialize)]
+struct DaemonStatus {
+    settings: Vec<AccountVersion>,
+}
+
+#[derive(Deserialize)]
+struct AccountVersion {
+    account: String,
+    version: u64,
+}
+
+/// A daemon to ask.
+struct Subject {
+    instance: String,
+    control: SocketAddr,
+}
+
+impl Subject {
+    /// Always the same thread asks a daemon, so that it notices a step back.
+    fn poller(&self) -> usize {
+        let IpAddr::V4(address) = self.control.ip() else { return 0 };
+        let [.., kind, number] = address.octets();
+        usize::from(kind + number) % POLLERS
+    }
+}
+
+/// Starts all observers; they end once the run has ended.
+pub(super) fn spawn<'scope>(lab: &'scope Lab, scope: &'scope Scope<'scope, '_>) {
+    for poller in 0..POLLERS {
+        scope.spawn(move || poll_settings(lab, poller));
+    }
+    scope.spawn(move || sample_loads(lab));
+}
+
+/// Waits until every daemon has the newest settings, and notes the ones that don't get them.
+pub(super) fn check_newest(lab: &Lab) {
+    let http = Http::with_timeout(POLL_TIMEOUT);
+    let until = clock::now().after(NEWEST_TIMEOUT_MS);
+    loop {
+        let lagging: Vec<_> =
+            subjects(lab).iter().filter_map(|subject| lag(lab, &http, subject)).collect();
+        if lagging.is_empty() || clock::now() >= until {
+            lab.note(|journal, _| journal.lagging = lagging);
+            return;
+        }
+        std::thread::sleep(POLL_PAUSE);
+    }
+}
+
+fn lag(lab: &Lab, http: &Http, subject: &Subject) -> Option<String> {
+    let Ok(status) = http.get::<DaemonStatus>(subject.control, "/status") else {
+        return Some(format!("{}: no status", subject.instance));
+    };
+    let versions = lock(&lab.fleet).versions;
+    let newest = |name: &str| {
+        let place = ACCOUNTS.iter().position(|plan| plan.name == name);
+        place.map_or(0, |place| versions[place])
+    };
+    let old = status.settings.iter().find(|entry| entry.version < newest(&entry.account))?;
+    Some(format!("{}: {} at version {}", subject.instance, old.account, old.version))
+}
+
+fn poll_settings(lab: &Lab, poller: usize) {
+    let http = Http::with_timeout(POLL_TIMEOUT);
+    let mut highest: BTreeMap<(String, String), u64> = BTreeMap::new();
+    while !lab.ended.load(Ordering::Relaxed) {
+        for subject in subjects(lab).iter().filter(|subject| subject.poller() == poller) {
+            // A daemon that doesn't answer right now shows in the verdict by what it lacks later.
+            if let Ok(status) = http.get::<DaemonStatus>(subject.control, "/status") {
+                note_versions(lab, subject, status, &mut highest);
+            }
+        }
+        std::thread::sleep(POLL_PAUSE);
+    }
+}
+
+fn note_versions(
+    lab: &Lab,
+    subject: &Subject,
+    status: DaemonStatus,
+    highest: &mut BTreeMap<(String, String), u64>,
+) {
+    for AccountVersion { account, version } in status.settings {
+        let key = (subject.instance.clone(), account.clone());
+        let before = highest.insert(key, version).unwrap_or(0);
+        if version == before {
+            continue;
+        }
+        let instance = subject.instance.clone();
+        lab.note(|journal, at_ms| {
+            if version < before {
+                let text = format!("{instance}: {account} from {before} to {version}");
+                journal.reverted.push(text);
+            }
+            journal.in_force.push(InForce { instance, account, version, at_ms });
+        });
+    }
+}
+
+/// Daemons that are ready at the moment.
+fn subjects(lab: &Lab) -> Vec<Subject> {
+    let fleet = lock(&lab.fleet);
+    let ready = fleet.daemons().filter(|daemon| daemon.is_ready);
+    ready
+        .map(|daemon| Subject { instance: daemon.name.clone(), control: daemon.place.control })
+        .collect()
+}
+
+fn sample_loads(lab: &Lab) {
+    let http = Http::with_timeout(POLL_TIMEOUT);
+    while !lab.ended.load(Ordering::Relaxed) {
+        for (account, plan) in ACCOUNTS.iter().enumerate() {
+            for (service, service_plan) in plan.services.iter().enumerate() {
+                let open = open_connections(lab, &http, account, service);
+                let service = service_plan.name;
+                lab.note(|journal, _| journal.loads.push(Load { service, open }));
+            }
+        }
+        std::thread::sleep(LOAD_PAUSE);
+    }
+}
+
+fn open_connections(lab: &Lab, http: &Http, account: usize, service: usize) -> Vec<(String, u64)> {
+    let rows: Vec<_> = {
+        let fleet = lock(&lab.fleet);
+        let is_active = |row: &&super::fleet::Upstream| {
+            (row.account, row.service) == (account, service)
+                && row.published == Published::Active
+                && row.since == 1
+        };
+        let daemons = fleet.upstreams.iter().filter(is_active).map(|row| &row.upstream);
+        daemons.map(|daemon| (daemon.name.clone(), daemon.place.control)).collect()
+    };
+    let open = |(name, control)| {
+        let stats = http.get::<Stats>(control, "/admin/stats").ok()?;
+        Some((name, stats.open_connections))
+    };
+    rows.into_iter().filter_map(open).collect()
+}
--- /dev/null
+++ b/xtask/src/lab/options.rs
@@ -0,0 +1,61 @@
+//! Command line of the lab.
+
+use std::path::PathBuf;
+
+use anyhow::Context as _;
+
+use super::scenario::{SCENARIOS, Scenario};
+
+pub(crate) const HELP: &str = "\
+Usage: cargo xtask lab [OPTIONS]
+
+Starts balancers, agents and stand-ins on loopback, changes and breaks things while callers talk
+through them, and judges by the ledgers of callers and upstreams. Ends everything that it started.
+
+Options:
+  --quick          the small size and the scenario `quick`: at most 45 s after the build
+  --seed N         decides targets, spraying, losses and request times (default 1)
+  --scenario NAME  quick, full, planned, faults, calm or wire (default full)
+  --out DIR        keep logs, ledgers, time line and report there
+  --release        run the release build (default: the dev build, at opt-level 1)
+
+Exit code 0 only where every promise held. The last line on stdout is one JSON object.
+Example: cargo xtask lab --quick --seed 7 --out /tmp/lab
+";
+
+/// Feeds of a run that isn't quick, as a multiple of the quick size.
+const FULL_SCALE: u32 = 5;
+
+/// How the lab was called.
+pub(super) struct Options {
+    pub(super) seed: u64,
+    pub(super) scenario: &'static Scenario,
+    /// Multiple of the quick size.
+    pub(super) scale: u32,
+    pub(super) out: Option<PathBuf>,
+    pub(super) release: bool,
+}
+
+/// Reads the remaining arguments; `None` for `--help`.
+pub(super) fn parse(parser: &mut lexopt::Parser) -> anyhow::Result<Option<Options>> {
+    use lexopt::prelude::*;
+
+    let (mut quick, mut release, mut seed, mut out, mut scenario) = (false, false, 1, None, None);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("quick") => quick = true,
+            Long("release") => release = true,
+            Long("seed") => seed = parser.value()?.parse()?,
+            Long("scenario") => scenario = Some(parser.value()?.string()?),
+            Long("out") => out = Some(PathBuf::from(parser.value()?)),
+            Short('h') | Long("help") => return Ok(None),
+            _ => return Err(argument.unexpected().into()),
+        }
+    }
+    let default = if quick { "quick" } else { "full" };
+    let name = scenario.as_deref().unwrap_or(default);
+    let scenario = SCENARIOS.iter().find(|known| known.name == name);
+    let scenario = scenario.with_context(|| format!("unknown scenario `{name}`"))?;
+    let scale = if quick { 1 } else { FULL_SCALE };
+    Ok(Some(Options { seed, scenario, scale, out, release }))
+}
--- /dev/null
+++ b/xtask/src/lab/process.rs
@@ -0,0 +1,62 @@
+//! Processes that the lab starts. Each is ended with the value that stands for it.
+
+use std::fs::File;
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+use anyhow::Context as _;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+/// A running process. Dropping it kills it and waits until it is gone.
+pub(super) struct Process {
+    name: String,
+    child: Child,
+}
+
+impl Process {
+    /// Starts `program`; its output goes to `log`.
+    pub(super) fn start(
+        name: &str,
+        program: &Path,
+        arguments: &[String],
+        log: &Path,
+    ) -> anyhow::Result<Self> {
+        let log = File::create(log).with_context(|| format!("cannot write {}", log.display()))?;
+        let child = Command::new(program)
+            .args(arguments)
+            .env("RUST_BACKTRACE", "1")
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("cannot start {}", program.display()))?;
+        Ok(Self { name: name.to_owned(), child })
+    }
+
+    pub(super) fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Sends a signal; a process that has just ended doesn't mind.
+    pub(super) fn signal(&self, signal: Signal) {
+        // The child is not reaped before `exited` says so, so the id can't be another process's.
+        let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
+    }
+
+    /// The exit status, once it has ended.
+    pub(super) fn exited(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if self.exited().is_some() {
+            return;
+        }
+        // A stopped process takes SIGKILL all the same.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/xtask/src/lab/topology.rs
@@ -0,0 +1,211 @@
+//! Today's sizes, and which loopback address each process has.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
+
+use anyhow::Context as _;
+
+/// One client account.
+pub(super) struct AccountPlan {
+    pub(super) name: &'static str,
+    pub(super) region: &'static str,
+    pub(super) prefix: &'static str,
+    pub(super) zones: &'static [&'static str],
+    /// One way between two zones.
+    pub(super) zone_delay_us: u64,
+    /// Third octet of its clients, 198.18.x.y.
+    pub(super) clients: u8,
+    pub(super) services: &'static [ServicePlan],
+}
+
+/// One service of an account.
+pub(super) struct ServicePlan {
+    pub(super) name: &'static str,
+    pub(super) address: &'static str,
+    /// Address of one-datagram requests.
+    pub(super) datagram_address: Option<&'static str>,
+    pub(super) when_in_doubt: &'static str,
+    pub(super) upstreams: u32,
+    /// Work of the callers, at the quick size.
+    pub(super) work: WorkPlan,
+}
+
+/// How much callers ask of a service.
+pub(super) struct WorkPlan {
+    pub(super) feeds: u32,
+    pub(super) confirms_per_s: u32,
+    pub(super) fetches_per_s: u32,
+    pub(super) fetch_bytes: u32,
+    pub(super) datagrams_per_s: u32,
+}
+
+/// Balancers of each account.
+pub(super) const BALANCERS: u32 = 3;
+/// Clients of each account.
+pub(super) const CLIENTS: u8 = 8;
+/// One way between clients and the fabric's edge.
+pub(super) const CLIENT_DELAY_US: u64 = 1_000;
+/// Connections that an upstream can hold.
+pub(super) const MAX_FLOWS: u32 = 2_000;
+
+/// The two tenants of the brief.
+pub(super) const ACCOUNTS: [AccountPlan; 2] = [
+    AccountPlan {
+        name: "cascadia",
+        region: "pnw",
+        prefix: "203.0.113.0/28",
+        zones: &["pnw-a", "pnw-b", "pnw-c", "pnw-d"],
+        zone_delay_us: 1_000,
+        clients: 1,
+        services: &[
+            ServicePlan {
+                name: "shelf",
+                address: "203.0.113.1:8443",
+                datagram_address: Some("203.0.113.1:9443"),
+                when_in_doubt: "refuse",
+                upstreams: 7,
+                work: WorkPlan {
+                    feeds: 84,
+                    confirms_per_s: 30,
+                    fetches_per_s: 0,
+                    fetch_bytes: 0,
+                    datagrams_per_s: 30,
+                },
+            },
+            ServicePlan {
+                name: "manifest",
+                address: "203.0.113.2:8444",
+                datagram_address: None,
+                when_in_doubt: "admit",
+                upstreams: 4,
+                work: WorkPlan {
+                    feeds: 8,
+                    confirms_per_s: 0,
+                    fetches_per_s: 20,
+                    fetch_bytes: 40_000,
+                    datagrams_per_s: 0,
+                },
+            },
+        ],
+    },
+    AccountPlan {
+        name: "bajio",
+        region: "bajio",
+        prefix: "203.0.113.16/28",
+        zones: &["leon-a", "leon-b", "silao-a"],
+        zone_delay_us: 1_500,
+        clients: 2,
+        services: &[
+            ServicePlan {
+                name: "fitting",
+                address: "203.0.113.17:8443",
+                datagram_address: Some("203.0.113.17:9443"),
+                when_in_doubt: "refuse",
+                upstreams: 7,
+                work: WorkPlan {
+                    feeds: 84,
+                    confirms_per_s: 30,
+                    fetches_per_s: 0,
+                    fetch_bytes: 0,
+                    datagrams_per_s: 30,
+                },
+            },
+            ServicePlan {
+                name: "catalogue",
+                address: "203.0.113.18:443",
+                datagram_address: None,
+                when_in_doubt: "admit",
+                upstreams: 3,
+                work: WorkPlan {
+                    feeds: 6,
+                    confirms_per_s: 0,
+                    fetches_per_s: 20,
+                    fetch_bytes: 60_000,
+                    datagrams_per_s: 0,
+                },
+            },
+        ],
+    },
+];
+
+const DATA_PORT: u16 = 6080;
+const GATEWAY_PORT: u16 = 6081;
+const CONTROL_PORT: u16 = 9080;
+const STATUS_PORT: u16 = 9000;
+const PLATFORM_PORT: u16 = 8000;
+
+/// The part of 127.0.0.0/8 that one run uses: 127.OCTET.x.y.
+#[derive(Clone, Copy)]
+pub(super) struct Net {
+    octet: u8,
+}
+
+/// Where one process takes packets and HTTP calls.
+#[derive(Clone, Copy)]
+pub(super) struct Place {
+    pub(super) data: SocketAddr,
+    pub(super) control: SocketAddr,
+}
+
+impl Net {
+    /// Finds an octet that no other run uses, beginning at one that depends on `start`.
+    pub(super) fn find(start: u32) -> anyhow::Result<Self> {
+        (0..200)
+            .map(|step| Self { octet: ((start + step) % 200) as u8 + 20 })
+            .find(|net| UdpSocket::bind(net.gateway()).is_ok())
+            .context("every part of 127.0.0.0/8 for a run is in use")
+    }
+
+    pub(super) fn platform(self) -> SocketAddr {
+        self.at(1, 1, PLATFORM_PORT)
+    }
+
+    pub(super) fn ingress(self) -> SocketAddr {
+        self.at(2, 1, DATA_PORT)
+    }
+
+    pub(super) fn gateway(self) -> SocketAddr {
+        self.at(2, 1, GATEWAY_PORT)
+    }
+
+    pub(super) fn fabric_control(self) -> SocketAddr {
+        self.at(2, 1, CONTROL_PORT)
+    }
+
+    pub(super) fn balancer(self, account: usize, number: u32) -> Place {
+        self.place(10 + account as u8, number as u8, CONTROL_PORT)
+    }
+
+    pub(super) fn agent(self, account: usize, service: usize, number: u32) -> Place {
+        self.place(20 + (account * 10 + service) as u8, number as u8, CONTROL_PORT)
+    }
+
+    pub(super) fn upstream(self, account: usize, service: usize, number: u32) -> Place {
+        self.place(50 + (account * 10 + service) as u8, number as u8, STATUS_PORT)
+    }
+
+    pub(super) fn caller(self, account: usize) -> Place {
+        self.place(90, account as u8 + 1, CONTROL_PORT)
+    }
+
+    fn place(self, kind: u8, number: u8, control_port: u16) -> Place {
+        let data = self.at(kind, number, DATA_PORT);
+        Place { data, control: self.at(kind, number, control_port) }
+    }
+
+    fn at(self, kind: u8, number: u8, port: u16) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, self.octet, kind, number)), port)
+    }
+}
+
+/// Inner addresses of an account's clients.
+pub(super) fn clients(account: &AccountPlan) -> Vec<IpAddr> {
+    let address = |number| IpAddr::V4(Ipv4Addr::new(198, 18, account.clients, number));
+    (1..=CLIENTS).map(address).collect()
+}
+
+/// Addresses to which callers of an account send.
+pub(super) fn service_addresses(account: &AccountPlan) -> Vec<IpAddr> {
+    // The constants above are checked by the first use of the lab.
+    let address = |service: &ServicePlan| service.address.parse::<SocketAddr>().ok();
+    account.services.iter().filter_map(address).map(|address| address.ip()).collect()
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod codegen;
 mod gate;
+mod lab;
 
 use std::process::ExitCode;
 
@@ -12,6 +13,7 @@
   codegen [--check]
           write the files generated from schema/ and from the result codes; with --check only
           compare them
+  lab     build and start everything on loopback, replace things under load, report
   test    formatter check, linter, all tests and doc examples
 ";
 
@@ -33,6 +35,7 @@
     };
     match command.to_string_lossy().as_ref() {
         "codegen" => codegen::run(codegen_mode(&mut parser)?),
+        "lab" => lab::run(&mut parser),
         "test" => gate::run(),
         other => anyhow::bail!("unknown command `{other}`\n\n{HELP}"),
     }
