--- /dev/null
+++ b/crates/standins/tests/protocol.rs
@@ -0,0 +1,80 @@
+//! The request protocol: both directions, and streams cut anywhere.
+
+use rstest::rstest;
+use standins::protocol::line_check;
+use standins::protocol::{Answer, AnswerReader, Answerer, Body, Malformed, Request, RequestId};
+
+const ID: RequestId = RequestId(77);
+
+fn by() -> Answerer {
+    Answerer { service: "shelf".into(), upstream: "shelf-1".into() }
+}
+
+#[rstest]
+#[case::confirm("CONFIRM 77", Ok(Request::Confirm(ID)))]
+#[case::fetch("FETCH 77 9", Ok(Request::Fetch { id: ID, bytes: 9 }))]
+#[case::feed("FEED 77 200", Ok(Request::Feed { id: ID, interval_ms: 200 }))]
+#[case::end("END 77", Ok(Request::End(ID)))]
+#[case::empty("", Err(Malformed))]
+#[case::no_number("CONFIRM", Err(Malformed))]
+#[case::negative("CONFIRM -1", Err(Malformed))]
+#[case::too_many("CONFIRM 77 78", Err(Malformed))]
+#[case::unknown("RESTOCK 77", Err(Malformed))]
+fn request_line(#[case] line: &str, #[case] expected: Result<Request, Malformed>) {
+    assert_eq!(Request::parse(line), expected);
+    if let Ok(request) = expected {
+        assert_eq!(request.to_string(), line);
+    }
+}
+
+#[rstest]
+#[case::confirmed(Answer::Confirmed(ID, by()))]
+#[case::body(Answer::Body { id: ID, by: by(), bytes: 3 })]
+#[case::feed(Answer::Feed(ID, by()))]
+#[case::line(Answer::Line { id: ID, number: 5, check: line_check(ID, 5) })]
+#[case::ended(Answer::Ended(ID, 6))]
+#[case::shed(Answer::Shed(ID))]
+fn answer_line_round_trips(#[case] answer: Answer) {
+    assert_eq!(Answer::parse(&answer.to_string()), Ok(answer.clone()));
+    assert!(answer.is_intact());
+}
+
+fn stream() -> Vec<u8> {
+    let mut stream = b"BODY 77 shelf shelf-1 300\n".to_vec();
+    stream.extend(Body::new(ID).take(300));
+    stream.extend_from_slice(b"OK 78 shelf shelf-1\n");
+    stream
+}
+
+#[rstest]
+#[case::bytewise(1)]
+#[case::odd(7)]
+#[case::whole(1_000)]
+fn stream_cut_anywhere_reads_alike(#[case] portion: usize) {
+    let mut reader = AnswerReader::default();
+    let mut answers = Vec::new();
+    for bytes in stream().chunks(portion) {
+        reader.read(bytes, |answer| answers.push(answer)).unwrap();
+    }
+    let body = Answer::Body { id: ID, by: by(), bytes: 300 };
+    assert_eq!(answers, [body, Answer::Confirmed(RequestId(78), by())]);
+    assert!(reader.is_between_answers());
+}
+
+/// One flipped bit anywhere in a body is noticed; so is a body that ends early.
+#[test]
+fn wrong_body_byte_is_noticed() {
+    for place in 26..326 {
+        let mut stream = stream();
+        stream[place] ^= 0x10;
+        assert_eq!(AnswerReader::default().read(&stream, |_| {}), Err(Malformed), "{place}");
+    }
+    let mut reader = AnswerReader::default();
+    reader.read(&stream()[..300], |_| panic!("a cut body is no answer")).unwrap();
+    assert!(!reader.is_between_answers());
+}
+
+#[test]
+fn wrong_line_check_is_noticed() {
+    assert!(!Answer::Line { id: ID, number: 5, check: line_check(ID, 6) }.is_intact());
+}
