--- a/crates/settings/src/account/check.rs
+++ b/crates/settings/src/account/check.rs
@@ -17,16 +17,19 @@
 
 /// What was seen so far while a subtree is checked.
 pub(super) struct Checker<'a> {
-    root: &'a Root,
+    root: Option<&'a Root>,
     name: &'a str,
     version: Version,
+    /// Sorted, with the service of each.
     endpoints: Vec<(Endpoint, Arc<str>)>,
+    /// Sorted addresses of agents and upstreams.
     machine_addresses: Vec<SocketAddr>,
 }
 
 impl<'a> Checker<'a> {
-    /// A checker for the subtree published for the account called `name`.
-    pub(super) fn new(root: &'a Root, name: &'a str) -> Self {
+    /// A checker for the subtree published for the account called `name`. Without a root, every
+    /// address counts as owned.
+    pub(super) fn new(root: Option<&'a Root>, name: &'a str) -> Self {
         let version = Version(0);
         Self { root, name, version, endpoints: Vec::new(), machine_addresses: Vec::new() }
     }
@@ -57,10 +60,11 @@
         if name != self.name {
             let text = format!("published for `{}` but names `{name}`", self.name);
             faults.push(at.fault(codes::OTHER_ACCOUNT, text));
-        } else if self.root.account(name).is_none() {
-            let text = format!("`{name}` is not in version {} of the root", self.root.version.0);
-            faults.push(at.fault(codes::UNKNOWN_ACCOUNT, text));
+            return;
         }
+        let Some(root) = self.root.filter(|root| root.account(name).is_none()) else { return };
+        let text = format!("`{name}` is not in version {} of the root", root.version.0);
+        faults.push(at.fault(codes::UNKNOWN_ACCOUNT, text));
     }
 
     fn service(
@@ -101,11 +105,14 @@
             let at = at.element(index);
             let Some(endpoint) = fields::endpoint(text, &at, faults) else { continue };
             self.check_ownership(endpoint, &at, faults);
-            if let Some((_, holder)) = self.endpoints.iter().find(|(known, _)| *known == endpoint) {
-                let text = format!("`{text}` is already an address of service `{holder}`");
-                faults.push(at.fault(codes::ENDPOINT_TAKEN, text));
+            match self.endpoints.binary_search_by_key(&endpoint, |(known, _)| *known) {
+                Ok(index) => {
+                    let holder = &self.endpoints[index].1;
+                    let text = format!("`{text}` is already an address of service `{holder}`");
+                    faults.push(at.fault(codes::ENDPOINT_TAKEN, text));
+                }
+                Err(index) => self.endpoints.insert(index, (endpoint, service.clone())),
             }
-            self.endpoints.push((endpoint, service.clone()));
             endpoints.push(endpoint);
         }
         endpoints
@@ -113,7 +120,8 @@
 
     fn check_ownership(&self, endpoint: Endpoint, at: &Cursor<'_>, faults: &mut Vec<Fault>) {
         let address = endpoint.address;
-        match self.root.ownership(self.name, address) {
+        let Some(root) = self.root else { return };
+        match root.ownership(self.name, address) {
             Ownership::Owned => {}
             Ownership::Quarantined => {
                 let text = format!("{address} is in quarantine");
@@ -166,11 +174,12 @@
         at: &Cursor<'_>,
         faults: &mut Vec<Fault>,
     ) {
-        if self.machine_addresses.contains(&address) {
+        let Err(index) = self.machine_addresses.binary_search(&address) else {
             let text = format!("{address} is used twice in this subtree");
             faults.push(at.fault(codes::DUPLICATE_NAME, text));
-        }
-        self.machine_addresses.push(address);
+            return;
+        };
+        self.machine_addresses.insert(index, address);
     }
 
     fn check_life(&self, spec: &UpstreamSpec, at: &Cursor<'_>, faults: &mut Vec<Fault>) {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,7 +3,9 @@
 
 mod bounded;
 pub mod control;
+pub mod exchange;
 pub mod gue;
 pub mod inner;
 pub mod refusal;
 pub mod sealed;
+pub mod spread;
