Judge a run by a pure function and test that every promise can fail

Cause: a verdict that nobody has seen fail proves nothing, and it was tied to files and processes.

Tables give it records of broken promises: each figure must count them and turn `pass` off. What stalled counts for the phase in which progress ended; a connection counts as the lab's own loss only if it was open at the killed upstream at that moment. Daemons' time lines are kept beside the ledgers.

Conclusion: what remains is to run it with the product.

--- a/xtask/src/lab/driver.rs
+++ b/xtask/src/lab/driver.rs
@@ -13,7 +13,8 @@
 use super::options::Options;
 use super::scenario::{Phase, PhaseKind};
 use super::topology::ACCOUNTS;
-use super::{Lab, observer, verdict};
+use super::verdict::{self, Run};
+use super::{Lab, evidence, observer};
 
 /// Callers run this long before the first phase.
 const WARM_UP_MS: u64 = 2_000;
@@ -55,7 +56,13 @@
         lab.ended.store(true, std::sync::atomic::Ordering::Relaxed);
         reports
     })?;
-    let figures = verdict::judge(lab, &reports)?;
+    evidence::write_timelines(lab);
+    let run = Run {
+        scenario: lab.options.scenario.name,
+        seed: lab.options.seed,
+        duration_ms: clock::now().0 - lab.started_ms,
+    };
+    let figures = verdict::judge(run, &evidence::gather(lab, reports)?);
     end(lab)?;
     Ok(figures)
 }
--- /dev/null
+++ b/xtask/src/lab/evidence.rs
@@ -0,0 +1,86 @@
+//! Gathers what the verdict rests on, and keeps it for people.
+
+use std::fs;
+
+use anyhow::Context as _;
+use serde_json::{Value, json};
+use standins::caller::Report;
+use standins::platform;
+use standins::shell::lock;
+
+use super::Lab;
+use super::topology::ACCOUNTS;
+use super::verdict::{Entry, Evidence};
+
+/// Reads the ledgers and takes the journal over.
+pub(super) fn gather(lab: &Lab, reports: Vec<Report>) -> anyhow::Result<Evidence> {
+    let stats: platform::Stats = lab.http.get(lab.net.platform(), "/admin/stats")?;
+    let evidence = Evidence {
+        journal: std::mem::take(&mut *lock(&lab.journal)),
+        ledger: read_ledgers(lab)?,
+        reports,
+        reads_per_s_max: stats.reads_per_s_max,
+    };
+    write(lab, &evidence)?;
+    Ok(evidence)
+}
+
+/// Keeps the time line of every daemon that runs. Ones that ended took theirs along.
+pub(super) fn write_timelines(lab: &Lab) {
+    let subjects: Vec<_> = {
+        let fleet = lock(&lab.fleet);
+        let running = fleet.daemons().filter(|daemon| daemon.process.is_some());
+        running.map(|daemon| (daemon.name.clone(), daemon.place.control)).collect()
+    };
+    for (name, control) in subjects {
+        // The time lines help people only; the verdict doesn't read them.
+        if let Ok(text) = lab.http.get_text(control, "/timeline?after=0") {
+            let _ = fs::write(lab.out.join(format!("{name}.timeline.json")), text);
+        }
+    }
+}
+
+fn read_ledgers(lab: &Lab) -> anyhow::Result<Vec<Entry>> {
+    let mut entries = Vec::new();
+    for row in &lock(&lab.fleet).upstreams {
+        let upstream = &row.upstream.name;
+        let path = lab.out.join(format!("{upstream}.ledger"));
+        let text = fs::read_to_string(&path).with_context(|| path.display().to_string())?;
+        for line in text.lines() {
+            // A killed upstream may have left half a line, which it had not answered for either.
+            let Ok(row) = serde_json::from_str(line) else { continue };
+            entries.push(Entry { upstream: upstream.clone(), row });
+        }
+    }
+    Ok(entries)
+}
+
+fn write(lab: &Lab, evidence: &Evidence) -> anyhow::Result<()> {
+    for (report, account) in evidence.reports.iter().zip(&ACCOUNTS) {
+        let path = lab.out.join(format!("caller-{}.json", account.name));
+        fs::write(&path, serde_json::to_string_pretty(report)?)?;
+    }
+    let path = lab.out.join("journal.json");
+    fs::write(&path, serde_json::to_string_pretty(&journal(evidence))?)?;
+    Ok(())
+}
+
+fn journal(evidence: &Evidence) -> Value {
+    let journal = &evidence.journal;
+    let phases = journal.phases.iter().map(|(at_ms, kind)| json!([at_ms, format!("{kind:?}")]));
+    let publications =
+        journal.publications.iter().map(|entry| json!([entry.at_ms, entry.account, entry.version]));
+    let drains =
+        journal.drains.iter().map(|drain| json!([drain.from_ms, drain.upstream, drain.until_ms]));
+    json!({
+        "phases": phases.collect::<Vec<_>>(),
+        "publications": publications.collect::<Vec<_>>(),
+        "drains": drains.collect::<Vec<_>>(),
+        "killed": journal.killed,
+        "disturbed": journal.disturbed,
+        "in_force": journal.in_force,
+        "reverted": journal.reverted,
+        "lagging": journal.lagging,
+        "unclean_exits": journal.unclean_exits,
+    })
+}
--- a/xtask/src/lab/journal.rs
+++ b/xtask/src/lab/journal.rs
@@ -42,6 +42,7 @@
 }
 
 /// A version that an instance shows.
+#[derive(serde::Serialize)]
 pub(super) struct InForce {
     pub(super) instance: String,
     pub(super) account: String,
--- a/xtask/src/lab/mod.rs
+++ b/xtask/src/lab/mod.rs
@@ -4,6 +4,7 @@
 mod actions;
 mod documents;
 mod driver;
+mod evidence;
 mod figures;
 mod fleet;
 mod http;
@@ -14,6 +15,8 @@
 mod report;
 mod scenario;
 mod steps;
+#[cfg(test)]
+mod tests;
 mod topology;
 mod verdict;
 
--- a/xtask/src/lab/observer.rs
+++ b/xtask/src/lab/observer.rs
@@ -31,6 +31,7 @@
 /// The part of a daemon's `/status` that the lab reads.
 #[derive(Deserialize)]
 struct DaemonStatus {
+    ready: bool,
     settings: Vec<AccountVersion>,
 }
 
@@ -97,7 +98,8 @@
     while !lab.ended.load(Ordering::Relaxed) {
         for subject in subjects(lab).iter().filter(|subject| subject.poller() == poller) {
             // A daemon that doesn't answer right now shows in the verdict by what it lacks later.
-            if let Ok(status) = http.get::<DaemonStatus>(subject.control, "/status") {
+            let status = http.get::<DaemonStatus>(subject.control, "/status");
+            if let Some(status) = status.ok().filter(|status| status.ready) {
                 note_versions(lab, subject, status, &mut highest);
             }
         }
--- a/xtask/src/lab/topology.rs
+++ b/xtask/src/lab/topology.rs
@@ -147,10 +147,15 @@
 }
 
 impl Net {
+    /// The addresses 127.OCTET.x.y, whether in use or not.
+    pub(super) fn new(octet: u8) -> Self {
+        Self { octet }
+    }
+
     /// Finds an octet that no other run uses, beginning at one that depends on `start`.
     pub(super) fn find(start: u32) -> anyhow::Result<Self> {
         (0..200)
-            .map(|step| Self { octet: ((start + step) % 200) as u8 + 20 })
+            .map(|step| Self::new(((start + step) % 200) as u8 + 20))
             .find(|net| UdpSocket::bind(net.gateway()).is_ok())
             .context("every part of 127.0.0.0/8 for a run is in use")
     }
--- /dev/null
+++ b/xtask/src/lab/verdict/incidents.rs
@@ -0,0 +1,80 @@
+//! What callers saw go wrong, and whom it is put down to.
+//!
+//! An incident belongs to the phase in which it happened. What made no progress counts for the
+//! phase in which progress ended, not for the one in which the caller's patience did. A connection
+//! held by an upstream that the lab itself killed while it was open is counted apart.
+
+use standins::caller::{Incident, Kind, Outcome};
+use standins::upstream::Event;
+
+use super::super::figures::Figures;
+use super::super::scenario::PhaseKind;
+use super::{Entry, Evidence};
+
+pub(super) fn count(figures: &mut Figures, evidence: &Evidence) {
+    for incident in evidence.reports.iter().flat_map(|report| &report.incidents) {
+        count_one(figures, evidence, incident);
+    }
+}
+
+fn count_one(figures: &mut Figures, evidence: &Evidence, incident: &Incident) {
+    let waited = matches!(incident.outcome, Outcome::Stalled | Outcome::Unanswered);
+    let broke_at_ms = if waited { incident.since_ms } else { incident.at_ms };
+    let kind = evidence.journal.kind_at(broke_at_ms);
+    if incident.outcome == Outcome::WrongService {
+        figures.packets_misdelivered += 1;
+    }
+    if incident.outcome == Outcome::Shed {
+        figures.requests_shed += 1;
+        return;
+    }
+    if !incident.established {
+        *opening_figure(figures, kind, incident) += 1;
+        return;
+    }
+    if is_killed(evidence, incident) {
+        figures.flows_lost_with_killed_upstreams += 1;
+        return;
+    }
+    figures.answers_incomplete += u64::from(incident.answer_missing);
+    match kind {
+        PhaseKind::Planned => figures.flows_broken_by_planned_change += 1,
+        PhaseKind::Fault => figures.flows_broken_by_faults += 1,
+    }
+}
+
+/// Where a failed opening or datagram is counted.
+fn opening_figure<'a>(
+    figures: &'a mut Figures,
+    kind: PhaseKind,
+    incident: &Incident,
+) -> &'a mut u64 {
+    use PhaseKind::{Fault, Planned};
+
+    match (incident.kind, incident.outcome, kind) {
+        (Kind::Datagram, Outcome::Refused, _) => &mut figures.datagrams_refused,
+        (Kind::Datagram, Outcome::Unanswered, Fault) => &mut figures.datagrams_unanswered_in_faults,
+        (Kind::Datagram, ..) => &mut figures.answers_incomplete,
+        (_, Outcome::Refused, Planned) => &mut figures.openings_refused_in_planned_change,
+        (_, Outcome::Refused, Fault) => &mut figures.openings_refused_in_faults,
+        (_, _, Planned) => &mut figures.openings_unanswered_in_planned_change,
+        (_, _, Fault) => &mut figures.openings_unanswered_in_faults,
+    }
+}
+
+/// True if the connection was open at an upstream when the lab killed it.
+fn is_killed(evidence: &Evidence, incident: &Incident) -> bool {
+    let Some(opened) = opening_of(evidence, incident) else { return false };
+    evidence.journal.killed.iter().any(|(name, at_ms)| {
+        *name == opened.upstream && (opened.row.at_ms..=incident.at_ms).contains(at_ms)
+    })
+}
+
+/// The last opening by the incident's client before it.
+fn opening_of<'a>(evidence: &'a Evidence, incident: &Incident) -> Option<&'a Entry> {
+    let is_opening = |entry: &&Entry| {
+        entry.row.at_ms <= incident.at_ms
+            && matches!(entry.row.event, Event::Open { client } if client == incident.client)
+    };
+    evidence.ledger.iter().filter(is_opening).max_by_key(|entry| entry.row.at_ms)
+}
--- /dev/null
+++ b/xtask/src/lab/verdict/mod.rs
@@ -0,0 +1,168 @@
+//! The verdict: from the ledgers of callers and upstreams, not from the product's own counters.
+
+mod imbalance;
+mod in_force;
+mod incidents;
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
+
+use standins::caller::Report;
+use standins::protocol::RequestId;
+use standins::upstream::{Event, Row};
+
+use super::figures::Figures;
+use super::journal::{Drain, Journal};
+use super::steps::LEAVING_GRACE_MS;
+use super::topology::ACCOUNTS;
+
+/// "Within seconds": settings must be in force everywhere within this time.
+const IN_FORCE_MS_MAX: u64 = 5_000;
+/// Openings that may fail in planned changes, of a thousand: a refusal is a safe answer, but a
+/// system that refuses everybody would break nothing and be of no use.
+const FAILED_OPENINGS_PER_MILLE_MAX: u64 = 10;
+
+/// Everything that a run left behind.
+pub(super) struct Evidence {
+    pub(super) journal: Journal,
+    /// Rows of all upstreams' ledgers, in order for each upstream.
+    pub(super) ledger: Vec<Entry>,
+    pub(super) reports: Vec<Report>,
+    pub(super) reads_per_s_max: u64,
+}
+
+/// A row of one upstream's ledger.
+pub(super) struct Entry {
+    pub(super) upstream: String,
+    pub(super) row: Row,
+}
+
+/// Which run is judged.
+pub(super) struct Run {
+    pub(super) scenario: &'static str,
+    pub(super) seed: u64,
+    pub(super) duration_ms: u64,
+}
+
+/// Judges a run.
+pub(super) fn judge(run: Run, evidence: &Evidence) -> Figures {
+    let journal = &evidence.journal;
+    let mut figures = Figures {
+        scenario: run.scenario,
+        seed: run.seed,
+        duration_ms: run.duration_ms,
+        reads_per_s_max: evidence.reads_per_s_max,
+        settings_published: journal.publications.len() as u64,
+        settings_reverted: journal.reverted.len() as u64,
+        settings_lagging_at_end: journal.lagging.len() as u64,
+        exits_unclean: journal.unclean_exits.len() as u64,
+        imbalance_max_over_mean: imbalance::by_service(journal),
+        ..Figures::default()
+    };
+    count_callers(&mut figures, &evidence.reports);
+    incidents::count(&mut figures, evidence);
+    count_runs(&mut figures, evidence);
+    figures.openings_to_leaving_after_3s = openings_to_leaving(evidence);
+    let latencies = in_force::latencies(journal);
+    figures.settings_in_force_ms_p50 = percentile(&latencies, 50);
+    figures.settings_in_force_ms_p99 = percentile(&latencies, 99);
+    figures.failures = failures(&figures, evidence);
+    figures.pass = figures.failures.is_empty();
+    figures
+}
+
+fn count_callers(figures: &mut Figures, reports: &[Report]) {
+    for report in reports {
+        figures.flows_opened += report.flows_opened;
+        figures.answers_complete += report.answers_complete;
+        figures.datagrams_sent += report.datagrams_sent;
+    }
+    let all = |field: fn(&Report) -> &Vec<u32>| {
+        let mut values: Vec<u32> = reports.iter().flat_map(field).copied().collect();
+        values.sort_unstable();
+        values
+    };
+    let opening_ms = all(|report| &report.opening_ms);
+    let answer_ms = all(|report| &report.answer_ms);
+    figures.opening_ms_p50 = percentile(&opening_ms, 50);
+    figures.opening_ms_p99 = percentile(&opening_ms, 99);
+    figures.answer_ms_p50 = percentile(&answer_ms, 50);
+    figures.answer_ms_p99 = percentile(&answer_ms, 99);
+}
+
+fn count_runs(figures: &mut Figures, evidence: &Evidence) {
+    let mut runs: BTreeMap<RequestId, u64> = BTreeMap::new();
+    for entry in &evidence.ledger {
+        match entry.row.event {
+            Event::Run { request, .. } => *runs.entry(request).or_default() += 1,
+            Event::Misdelivered { .. } => figures.packets_misdelivered += 1,
+            Event::Open { .. } | Event::Shed { .. } => {}
+        }
+    }
+    figures.requests_run_twice = runs.values().filter(|count| **count > 1).count() as u64;
+    let refused = evidence.reports.iter().flat_map(|report| &report.requests_refused);
+    figures.requests_refused_but_run = refused.filter(|id| runs.contains_key(id)).count() as u64;
+}
+
+fn openings_to_leaving(evidence: &Evidence) -> u64 {
+    let is_late = |drain: &Drain, entry: &Entry| {
+        drain.upstream == entry.upstream
+            && entry.row.at_ms > drain.from_ms + LEAVING_GRACE_MS
+            && drain.until_ms.is_none_or(|until_ms| entry.row.at_ms < until_ms)
+    };
+    let openings = evidence.ledger.iter().filter(|entry| {
+        matches!(entry.row.event, Event::Open { .. })
+            && evidence.journal.drains.iter().any(|drain| is_late(drain, entry))
+    });
+    openings.count() as u64
+}
+
+fn failures(figures: &Figures, evidence: &Evidence) -> Vec<String> {
+    let failed_openings =
+        figures.openings_refused_in_planned_change + figures.openings_unanswered_in_planned_change;
+    let allowed_openings = figures.flows_opened * FAILED_OPENINGS_PER_MILLE_MAX / 1_000;
+    let checks = [
+        ("flows_broken_by_planned_change", figures.flows_broken_by_planned_change, 0),
+        ("flows_broken_by_faults", figures.flows_broken_by_faults, 0),
+        ("packets_misdelivered", figures.packets_misdelivered, 0),
+        ("requests_run_twice", figures.requests_run_twice, 0),
+        ("requests_refused_but_run", figures.requests_refused_but_run, 0),
+        ("answers_incomplete", figures.answers_incomplete, 0),
+        ("openings_to_leaving_after_3s", figures.openings_to_leaving_after_3s, 0),
+        ("openings failed in planned change", failed_openings, allowed_openings),
+        ("settings_reverted", figures.settings_reverted, 0),
+        ("settings_lagging_at_end", figures.settings_lagging_at_end, 0),
+        ("settings_in_force_ms_p99", figures.settings_in_force_ms_p99, IN_FORCE_MS_MAX),
+        ("exits_unclean", figures.exits_unclean, 0),
+    ];
+    let broken = checks.iter().filter(|(_, value, allowed)| value > allowed);
+    let line = |(name, value, allowed): &(_, _, _)| format!("{name} is {value}, allowed {allowed}");
+    let mut failures: Vec<String> = broken.map(line).collect();
+    failures.extend(idleness(figures, &evidence.reports));
+    let journal = &evidence.journal;
+    let notes = [&journal.unclean_exits, &journal.reverted, &journal.lagging];
+    failures.extend(notes.into_iter().flatten().cloned());
+    failures
+}
+
+/// A run in which little happened shows nothing.
+fn idleness(figures: &Figures, reports: &[Report]) -> Vec<String> {
+    let mut failures = Vec::new();
+    let services = ACCOUNTS.iter().flat_map(|account| account.services);
+    let feeds: u64 = services.map(|service| u64::from(service.work.feeds)).sum();
+    if figures.flows_opened < feeds {
+        failures.push(format!("only {} connections were opened", figures.flows_opened));
+    }
+    let in_flight = reports.iter().filter(|report| !report.is_idle).count();
+    if in_flight > 0 {
+        failures.push(format!("{in_flight} callers had requests in flight at the end"));
+    }
+    failures
+}
+
+/// The value below which so many percent of the sorted values lie; zero of none.
+fn percentile<T: Copy + Default>(sorted: &[T], percent: usize) -> T {
+    let place = (sorted.len() * percent / 100).min(sorted.len().saturating_sub(1));
+    sorted.get(place).copied().unwrap_or_default()
+}
