--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod gate;
 pub mod hold;
 mod http;
+#[cfg(feature = "mutants")]
+mod mutant;
 mod plane;
 pub mod run;
 mod status;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -200,6 +200,8 @@
             seed: rand::random(),
         };
         let agent = Agent::new(agent_config, view.clone(), boottime::now());
+        #[cfg(feature = "mutants")]
+        let agent = crate::mutant::apply(agent);
         let plane = Plane::new(config, agent, view, generation, inbox);
         let handle = spawn("data", move || plane.run())?;
         self.timeline.record(self.settings.account.clone(), "started", Fields::default());
--- a/crates/standins/src/caller/connection.rs
+++ b/crates/standins/src/caller/connection.rs
@@ -243,7 +243,8 @@
             }
             Answer::Ended(id, lines) if lines == self.lines => self.complete(now, id, report),
             Answer::Ended(..) => Err(Outcome::Corrupt),
-            Answer::Shed(_) => Err(Outcome::Shed),
+            Answer::Shed(id) if id == self.id => Err(Outcome::Shed),
+            Answer::Shed(id) => self.shed(id, report),
         }
     }
 
@@ -268,6 +269,14 @@
         Ok(())
     }
 
+    /// The feed goes on; only the confirmation on its connection was refused.
+    fn shed(&mut self, id: RequestId, report: &mut Report) -> Result<(), Outcome> {
+        let place = self.waiting.iter().position(|(waiting, _)| *waiting == id);
+        self.waiting.remove(place.ok_or(Outcome::Corrupt)?);
+        report.requests_refused.push(id);
+        Ok(())
+    }
+
     fn judge(&mut self, now: Millis, stall_ms: u64, report: &mut Report) {
         let is_done = self.waiting.is_empty() && (self.purpose != Purpose::Feed || self.is_ending);
         if is_done && self.outgoing.is_empty() {
--- a/crates/standins/src/caller/mod.rs
+++ b/crates/standins/src/caller/mod.rs
@@ -20,7 +20,7 @@
 use crate::stack::TcpStack;
 use connection::{Connection, Purpose};
 use datagrams::Datagrams;
-pub use report::{Incident, Kind, Outcome, Report};
+pub use report::{Incident, Kind, Outcome, Report, Span};
 use workload::Schedule;
 pub use workload::Workload;
 
--- a/crates/standins/src/caller/report.rs
+++ b/crates/standins/src/caller/report.rs
@@ -37,14 +37,23 @@
     pub incidents: Vec<Incident>,
     /// Requests that were refused, and so must not have run.
     pub requests_refused: Vec<RequestId>,
-    /// Time from the first packet to the established connection, of each.
-    pub opening_ms: Vec<u32>,
-    /// Time from the request to its whole answer, of each.
-    pub answer_ms: Vec<u32>,
+    /// From the first packet to the established connection, of each.
+    pub openings: Vec<Span>,
+    /// From the request to its whole answer, of each.
+    pub answers: Vec<Span>,
     /// Stopped, and nothing in flight.
     pub is_idle: bool,
 }
 
+/// How long something took that ended well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Span {
+    /// When it began.
+    pub from_ms: u64,
+    /// How long it took.
+    pub took_ms: u64,
+}
+
 /// One thing that did not end well.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Incident {
@@ -106,15 +115,21 @@
     WrongService,
 }
 
+impl Span {
+    fn new(from: Millis, to: Millis) -> Self {
+        Self { from_ms: from.0, took_ms: to.since(from) }
+    }
+}
+
 impl Report {
     pub(super) fn opened(&mut self, now: Millis, tried_at: Millis) {
         self.flows_opened += 1;
-        self.opening_ms.push(now.since(tried_at) as u32);
+        self.openings.push(Span::new(tried_at, now));
     }
 
     pub(super) fn answered(&mut self, now: Millis, asked_at: Millis) {
         self.answers_complete += 1;
-        self.answer_ms.push(now.since(asked_at) as u32);
+        self.answers.push(Span::new(asked_at, now));
     }
 
     pub(super) fn add(&mut self, incident: Incident) {
--- a/xtask/src/lab/actions.rs
+++ b/xtask/src/lab/actions.rs
@@ -301,7 +301,8 @@
 
     fn start(&self, program: &str, name: &str, arguments: &[String]) -> anyhow::Result<Process> {
         let log = self.out.join(format!("{name}.log"));
-        Process::start(name, &self.programs.join(program), arguments, &log)
+        let mutant = self.options.mutant.as_deref();
+        Process::start(name, &self.programs.join(program), arguments, mutant, &log)
     }
 
     pub(super) fn await_answer(
--- a/xtask/src/lab/driver.rs
+++ b/xtask/src/lab/driver.rs
@@ -34,6 +34,9 @@
     if options.scenario.with_product {
         command.args(["-p", "balancer", "-p", "agent"]);
     }
+    if options.mutant.is_some() {
+        command.args(["--features", "agent/mutants"]);
+    }
     if options.release {
         command.arg("--release");
     }
@@ -61,6 +64,7 @@
         scenario: lab.options.scenario.name,
         seed: lab.options.seed,
         duration_ms: clock::now().0 - lab.started_ms,
+        mutant: lab.options.mutant.clone(),
     };
     let figures = verdict::judge(run, &evidence::gather(lab, reports)?);
     end(lab)?;
--- a/xtask/src/lab/figures.rs
+++ b/xtask/src/lab/figures.rs
@@ -9,6 +9,8 @@
 pub(super) struct Figures {
     pub(super) scenario: &'static str,
     pub(super) seed: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) mutant: Option<String>,
     pub(super) duration_ms: u64,
     /// Connections established.
     pub(super) flows_opened: u64,
@@ -23,7 +25,7 @@
     pub(super) requests_run_twice: u64,
     pub(super) requests_refused_but_run: u64,
     /// Requests on established connections without a whole answer, and datagrams without an
-    /// answer while the fabric lost none.
+    /// answer in planned change.
     pub(super) answers_incomplete: u64,
     pub(super) answers_complete: u64,
     pub(super) openings_to_leaving_after_3s: u64,
@@ -33,6 +35,8 @@
     pub(super) openings_unanswered_in_faults: u64,
     pub(super) datagrams_sent: u64,
     pub(super) datagrams_refused: u64,
+    /// Counted as incomplete answers as well: the fabric lost none then.
+    pub(super) datagrams_unanswered_in_planned_change: u64,
     pub(super) datagrams_unanswered_in_faults: u64,
     pub(super) requests_shed: u64,
     pub(super) settings_published: u64,
@@ -41,10 +45,14 @@
     pub(super) settings_in_force_ms_p50: u64,
     pub(super) settings_in_force_ms_p99: u64,
     pub(super) exits_unclean: u64,
-    pub(super) opening_ms_p50: u32,
-    pub(super) opening_ms_p99: u32,
-    pub(super) answer_ms_p50: u32,
-    pub(super) answer_ms_p99: u32,
+    /// Opening of a connection, begun in planned change.
+    pub(super) opening_ms_p50: u64,
+    pub(super) opening_ms_p99: u64,
+    pub(super) opening_ms_p99_in_faults: u64,
+    /// Request until the whole answer, begun in planned change.
+    pub(super) answer_ms_p50: u64,
+    pub(super) answer_ms_p99: u64,
+    pub(super) answer_ms_p99_in_faults: u64,
     pub(super) reads_per_s_max: u64,
     /// By service: open connections of the fullest upstream over the mean, median of all looks.
     pub(super) imbalance_max_over_mean: BTreeMap<&'static str, f64>,
--- a/xtask/src/lab/mod.rs
+++ b/xtask/src/lab/mod.rs
@@ -97,6 +97,10 @@
         let folder = || std::env::temp_dir().join(format!("gooseberrysill-{}", std::process::id()));
         let out = options.out.clone().unwrap_or_else(folder);
         std::fs::create_dir_all(&out)?;
+        // Upstreams append to their ledgers: rows of an earlier run would look like requests that
+        // ran twice.
+        let is_empty = std::fs::read_dir(&out)?.next().is_none();
+        ensure!(is_empty, "{} is not empty; choose a new folder for --out", out.display());
         Ok(Self {
             secrets: Secrets::new(options.seed),
             fleet: Mutex::new(Fleet::new(net)),
--- a/xtask/src/lab/options.rs
+++ b/xtask/src/lab/options.rs
@@ -16,8 +16,11 @@
   --quick          the small size and the scenario `quick`: at most 45 s after the build
   --seed N         decides targets, spraying, losses and request times (default 1)
   --scenario NAME  quick, full, planned, faults, calm or wire (default full)
-  --out DIR        keep logs, ledgers, time line and report there
+  --out DIR        keep logs, ledgers, time lines and report there; DIR is new or empty
   --release        run the release build (default: the dev build, at opt-level 1)
+  --mutant NAME    take one safeguard out of the agents, to see that the lab notices:
+                   redirects-forgotten, redirects-not-reannounced, reset-in-doubt,
+                   duplicate-delivered, drain-ignored, adopt-always
 
 Exit code 0 only where every promise held. The last line on stdout is one JSON object.
 Example: cargo xtask lab --quick --seed 7 --out /tmp/lab
@@ -34,19 +37,23 @@
     pub(super) scale: u32,
     pub(super) out: Option<PathBuf>,
     pub(super) release: bool,
+    /// Safeguard that is taken out of the agents.
+    pub(super) mutant: Option<String>,
 }
 
 /// Reads the remaining arguments; `None` for `--help`.
 pub(super) fn parse(parser: &mut lexopt::Parser) -> anyhow::Result<Option<Options>> {
     use lexopt::prelude::*;
 
-    let (mut quick, mut release, mut seed, mut out, mut scenario) = (false, false, 1, None, None);
+    let (mut quick, mut release, mut seed) = (false, false, 1);
+    let (mut out, mut scenario, mut mutant) = (None, None, None);
     while let Some(argument) = parser.next()? {
         match argument {
             Long("quick") => quick = true,
             Long("release") => release = true,
             Long("seed") => seed = parser.value()?.parse()?,
             Long("scenario") => scenario = Some(parser.value()?.string()?),
+            Long("mutant") => mutant = Some(parser.value()?.string()?),
             Long("out") => out = Some(PathBuf::from(parser.value()?)),
             Short('h') | Long("help") => return Ok(None),
             _ => return Err(argument.unexpected().into()),
@@ -57,5 +64,5 @@
     let scenario = SCENARIOS.iter().find(|known| known.name == name);
     let scenario = scenario.with_context(|| format!("unknown scenario `{name}`"))?;
     let scale = if quick { 1 } else { FULL_SCALE };
-    Ok(Some(Options { seed, scenario, scale, out, release }))
+    Ok(Some(Options { seed, scenario, scale, out, release, mutant }))
 }
--- a/xtask/src/lab/process.rs
+++ b/xtask/src/lab/process.rs
@@ -20,11 +20,13 @@
         name: &str,
         program: &Path,
         arguments: &[String],
+        mutant: Option<&str>,
         log: &Path,
     ) -> anyhow::Result<Self> {
         let log = File::create(log).with_context(|| format!("cannot write {}", log.display()))?;
         let child = Command::new(program)
             .args(arguments)
+            .envs(mutant.map(|mutant| ("GOOSEBERRYSILL_MUTANT", mutant)))
             .env("RUST_BACKTRACE", "1")
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
--- a/xtask/src/lab/report.rs
+++ b/xtask/src/lab/report.rs
@@ -7,6 +7,9 @@
 
 use super::figures::Figures;
 
+/// Width of the column of names.
+const NAME_CHARS: usize = 40;
+
 /// Prints the table and, as the last line, one JSON object; keeps the latter as a file on request.
 pub(super) fn print(figures: &Figures, out: &Path, keep: bool) -> anyhow::Result<()> {
     let line = serde_json::to_string(figures)?;
@@ -14,34 +17,38 @@
         let path = out.join("report.json");
         std::fs::write(&path, &line).with_context(|| path.display().to_string())?;
     }
-    print!("{}", table(&serde_json::to_value(figures)?));
+    println!("\n{}", table(&line)?);
     println!("{line}");
     Ok(())
 }
 
-fn table(figures: &Value) -> String {
-    let Value::Object(fields) = figures else { return String::new() };
-    let width = fields.keys().map(String::len).max().unwrap_or(0);
-    let mut text = String::from("\n");
-    for (name, value) in fields {
-        text += &match value {
-            Value::Array(lines) => lines.iter().map(|line| row(name, line, width)).collect(),
-            Value::Object(parts) => {
-                let part = |(key, value)| row(&format!("{name} {key}"), value, width);
-                parts.iter().map(part).collect()
-            }
-            value => row(name, value, width),
-        };
-    }
-    text + "\n"
+/// One row for each figure, in the order of the JSON object.
+fn table(line: &str) -> anyhow::Result<String> {
+    let value: Value = serde_json::from_str(line)?;
+    let Value::Object(fields) = value else { return Ok(String::new()) };
+    let mut rows: Vec<_> = fields.iter().collect();
+    // The map is sorted by name; the line has the fields as the struct declares them.
+    rows.sort_by_key(|(name, _)| line.find(&format!("\"{name}\":")));
+    Ok(rows.into_iter().map(|(name, value)| field(name, value)).collect())
 }
 
-fn row(name: &str, value: &Value, width: usize) -> String {
+fn field(name: &str, value: &Value) -> String {
     match value {
-        Value::String(text) => format!("  {name:<width$}  {text}\n"),
-        Value::Number(number) if number.is_f64() => {
-            format!("  {name:<width$}  {:.2}\n", number.as_f64().unwrap_or(0.0))
+        Value::Array(lines) => lines.iter().map(|line| row(name, line)).collect(),
+        Value::Object(parts) => {
+            parts.iter().map(|(key, value)| row(&format!("{name} {key}"), value)).collect()
         }
-        value => format!("  {name:<width$}  {value}\n"),
+        value => row(name, value),
     }
 }
+
+fn row(name: &str, value: &Value) -> String {
+    let value = match value {
+        Value::String(text) => text.clone(),
+        Value::Number(number) if number.is_f64() => {
+            format!("{:.2}", number.as_f64().unwrap_or_default())
+        }
+        value => value.to_string(),
+    };
+    format!("  {name:<NAME_CHARS$}  {value}\n")
+}
--- a/xtask/src/lab/scenario.rs
+++ b/xtask/src/lab/scenario.rs
@@ -134,26 +134,33 @@
     ],
 };
 
-/// Half of the readers are behind while everything is replaced.
-const OLD_VIEWS: Phase = Phase {
-    name: "planned change under old views",
+/// Everything is replaced while half of the readers are behind, packets are lost and agents sleep.
+const TOGETHER: Phase = Phase {
+    name: "changes and faults together",
     kind: PhaseKind::Fault,
-    tracks: &[&[PlatformSkew(8_000)], ROLL, SETTINGS, AGENTS],
+    tracks: &[
+        &[PlatformSkew(6_000)],
+        &[Wait(1_000), RoughFabric(5_000)],
+        ROLL,
+        SETTINGS,
+        AGENTS,
+        &[PauseAgent(target("fitting", 1), 1_000), PauseAgent(target("shelf", 5), 2_500)],
+    ],
 };
 
 /// All scenarios; the first one is the default.
 pub(super) const SCENARIOS: &[Scenario] = &[
     Scenario {
         name: "quick",
-        about: "every planned change once, then every fault once",
+        about: "every planned change once, then every fault once, then both together",
         with_product: true,
-        phases: &[PLANNED, FAULTS],
+        phases: &[PLANNED, FAULTS, TOGETHER],
     },
     Scenario {
         name: "full",
-        about: "planned changes and faults, twice, then planned changes under old views",
+        about: "planned changes, faults, and both together, twice",
         with_product: true,
-        phases: &[PLANNED, FAULTS, PLANNED, FAULTS, OLD_VIEWS],
+        phases: &[PLANNED, FAULTS, TOGETHER, PLANNED, FAULTS, TOGETHER],
     },
     Scenario {
         name: "planned",
--- a/xtask/src/lab/verdict/incidents.rs
+++ b/xtask/src/lab/verdict/incidents.rs
@@ -25,7 +25,7 @@
         figures.packets_misdelivered += 1;
     }
     if incident.outcome == Outcome::Shed {
-        figures.requests_shed += 1;
+        // An explicit refusal; the ledger is compared with it elsewhere.
         return;
     }
     if !incident.established {
@@ -54,6 +54,10 @@
     match (incident.kind, incident.outcome, kind) {
         (Kind::Datagram, Outcome::Refused, _) => &mut figures.datagrams_refused,
         (Kind::Datagram, Outcome::Unanswered, Fault) => &mut figures.datagrams_unanswered_in_faults,
+        (Kind::Datagram, Outcome::Unanswered, Planned) => {
+            figures.answers_incomplete += 1;
+            &mut figures.datagrams_unanswered_in_planned_change
+        }
         (Kind::Datagram, ..) => &mut figures.answers_incomplete,
         (_, Outcome::Refused, Planned) => &mut figures.openings_refused_in_planned_change,
         (_, Outcome::Refused, Fault) => &mut figures.openings_refused_in_faults,
--- a/xtask/src/lab/verdict/mod.rs
+++ b/xtask/src/lab/verdict/mod.rs
@@ -8,12 +8,13 @@
 
 use std::collections::BTreeMap;
 
-use standins::caller::Report;
+use standins::caller::{Report, Span};
 use standins::protocol::RequestId;
 use standins::upstream::{Event, Row};
 
 use super::figures::Figures;
 use super::journal::{Drain, Journal};
+use super::scenario::PhaseKind;
 use super::steps::LEAVING_GRACE_MS;
 use super::topology::ACCOUNTS;
 
@@ -43,6 +44,7 @@
     pub(super) scenario: &'static str,
     pub(super) seed: u64,
     pub(super) duration_ms: u64,
+    pub(super) mutant: Option<String>,
 }
 
 /// Judges a run.
@@ -51,6 +53,7 @@
     let mut figures = Figures {
         scenario: run.scenario,
         seed: run.seed,
+        mutant: run.mutant,
         duration_ms: run.duration_ms,
         reads_per_s_max: evidence.reads_per_s_max,
         settings_published: journal.publications.len() as u64,
@@ -61,6 +64,7 @@
         ..Figures::default()
     };
     count_callers(&mut figures, &evidence.reports);
+    measure_times(&mut figures, evidence);
     incidents::count(&mut figures, evidence);
     count_runs(&mut figures, evidence);
     figures.openings_to_leaving_after_3s = openings_to_leaving(evidence);
@@ -78,17 +82,26 @@
         figures.answers_complete += report.answers_complete;
         figures.datagrams_sent += report.datagrams_sent;
     }
-    let all = |field: fn(&Report) -> &Vec<u32>| {
-        let mut values: Vec<u32> = reports.iter().flat_map(field).copied().collect();
-        values.sort_unstable();
-        values
+}
+
+fn measure_times(figures: &mut Figures, evidence: &Evidence) {
+    let times = |spans: fn(&Report) -> &Vec<Span>, kind| {
+        let spans = evidence.reports.iter().flat_map(spans);
+        let begun = spans.filter(|span| evidence.journal.kind_at(span.from_ms) == kind);
+        let mut times: Vec<u64> = begun.map(|span| span.took_ms).collect();
+        times.sort_unstable();
+        times
     };
-    let opening_ms = all(|report| &report.opening_ms);
-    let answer_ms = all(|report| &report.answer_ms);
-    figures.opening_ms_p50 = percentile(&opening_ms, 50);
-    figures.opening_ms_p99 = percentile(&opening_ms, 99);
-    figures.answer_ms_p50 = percentile(&answer_ms, 50);
-    figures.answer_ms_p99 = percentile(&answer_ms, 99);
+    let planned = times(|report| &report.openings, PhaseKind::Planned);
+    let faults = times(|report| &report.openings, PhaseKind::Fault);
+    figures.opening_ms_p50 = percentile(&planned, 50);
+    figures.opening_ms_p99 = percentile(&planned, 99);
+    figures.opening_ms_p99_in_faults = percentile(&faults, 99);
+    let planned = times(|report| &report.answers, PhaseKind::Planned);
+    let faults = times(|report| &report.answers, PhaseKind::Fault);
+    figures.answer_ms_p50 = percentile(&planned, 50);
+    figures.answer_ms_p99 = percentile(&planned, 99);
+    figures.answer_ms_p99_in_faults = percentile(&faults, 99);
 }
 
 fn count_runs(figures: &mut Figures, evidence: &Evidence) {
@@ -97,7 +110,8 @@
         match entry.row.event {
             Event::Run { request, .. } => *runs.entry(request).or_default() += 1,
             Event::Misdelivered { .. } => figures.packets_misdelivered += 1,
-            Event::Open { .. } | Event::Shed { .. } => {}
+            Event::Shed { .. } => figures.requests_shed += 1,
+            Event::Open { .. } => {}
         }
     }
     figures.requests_run_twice = runs.values().filter(|count| **count > 1).count() as u64;
--- a/xtask/src/lab/verdict/tests.rs
+++ b/xtask/src/lab/verdict/tests.rs
@@ -25,7 +25,7 @@
 }
 
 fn verdict(evidence: &Evidence) -> Figures {
-    judge(Run { scenario: "quick", seed: 1, duration_ms: 1 }, evidence)
+    judge(Run { scenario: "quick", seed: 1, duration_ms: 1, mutant: None }, evidence)
 }
 
 fn entry(upstream: &str, at_ms: u64, event: Event) -> Entry {
