--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fault;
 pub mod http;
 pub mod process;
+pub mod scrape;
 pub mod settings_sync;
 pub mod signals;
 pub mod status;
--- a/crates/shell/src/status.rs
+++ b/crates/shell/src/status.rs
@@ -9,6 +9,7 @@
 use telemetry::timeline::Timeline;
 
 use crate::http::routes::{Reply, Request, Routes};
+use crate::scrape;
 use crate::settings_sync::Store;
 
 /// The answer of `/status`.
@@ -57,6 +58,7 @@
 
 /// Adds the common routes to an endpoint.
 pub fn routes(routes: Routes, shown: &Shown) -> Routes {
+    scrape::register(&shown.metrics, &shown.store);
     let (is_ready, metrics) = (shown.is_ready.clone(), shown.metrics.clone());
     let (timeline, shown) = (shown.timeline.clone(), shown.clone());
     routes
