Verify what a restarted agent hears about itself before it acts on it

Change: relearned flows are hearsay until a lookup has found nobody else; closing entries and hearsay give way to a holder's own word; announcements go to the first two ranks that are up, and agents that are not told any more forget; an assigned opening is not passed back by a redirect; a vote given to another claimant stands while this agent claims itself.

What remains: openings of services that refuse when in doubt stay unanswered when most witnesses have restarted within 120 s, and two more cut flows.

--- a/crates/decision/src/agent/announce.rs
+++ b/crates/decision/src/agent/announce.rs
@@ -1,15 +1,17 @@
 //! Announcements: every holder tells the first two ranks of a flow's bucket that it holds it.
 
 use super::home::buckets;
-use super::install::Targets;
 use super::mutant::mutated;
 use super::outbox;
 use super::{Action, Agent, limits};
-use crate::keys::{FlowId, Incarnation, UpstreamId, Version};
+use crate::keys::{BucketIndex, FlowId, Incarnation, UpstreamId, Version};
 use crate::message::{FlowNote, Message, Opening};
 use crate::rank;
 use crate::time::Millis;
 
+/// Agents to which the flows of a bucket are announced.
+pub(super) type Targets = [Option<UpstreamId>; 2];
+
 impl Agent {
     /// Queues a change of the flow table for the agents that must know it.
     pub(super) fn announce(&mut self, opening: Opening, open: bool) {
@@ -56,18 +58,28 @@
         }
     }
 
-    /// The ranking of some buckets has changed: tells their flows to agents that are new there.
-    pub(super) fn announce_moved_buckets(&mut self) {
-        let before = std::mem::replace(&mut self.announced_to, self.settings.targets.clone());
-        if mutated!(self, RedirectsNotReannounced) {
+    /// Works out anew who must know the flows, and tells those who have not been told.
+    ///
+    /// Only agents that are up count: if a home and the next rank leave or die together, there
+    /// are still two that know its flows, and one of them is home now.
+    pub(super) fn retarget(&mut self) {
+        let targets: Vec<Targets> = buckets().map(|bucket| self.find_targets(bucket)).collect();
+        let before = std::mem::replace(&mut self.targets, targets.clone());
+        if before == targets || mutated!(self, RedirectsNotReannounced) {
             return;
         }
-        for (bucket, now) in buckets().zip(self.settings.targets.clone()) {
+        for (bucket, now) in buckets().zip(targets) {
             let known = before.get(usize::from(bucket.0)).copied().unwrap_or_default();
             let added: Vec<UpstreamId> =
                 now.into_iter().flatten().filter(|id| !known.contains(&Some(*id))).collect();
+            let dropped: Vec<UpstreamId> =
+                known.into_iter().flatten().filter(|id| !now.contains(&Some(*id))).collect();
             if !added.is_empty() {
-                self.announce_bucket(bucket, &added);
+                self.announce_bucket(bucket, &added, true);
+            }
+            // Whoever is not told any more must not remember for long: it would not hear of the end.
+            if !dropped.is_empty() {
+                self.announce_bucket(bucket, &dropped, false);
             }
         }
     }
@@ -80,10 +92,10 @@
         }
         self.refresh_at = now.after(period_ms);
         self.refresh_bucket = (self.refresh_bucket + 1) % rank::BUCKET_COUNT;
-        let bucket = crate::keys::BucketIndex(self.refresh_bucket);
-        let targets = self.settings.targets.get(usize::from(bucket.0)).copied();
+        let bucket = BucketIndex(self.refresh_bucket);
+        let targets = self.targets.get(usize::from(bucket.0)).copied();
         let targets: Vec<UpstreamId> = targets.unwrap_or_default().into_iter().flatten().collect();
-        self.announce_bucket(bucket, &targets);
+        self.announce_bucket(bucket, &targets, true);
     }
 
     pub(super) fn announced(
@@ -177,24 +189,28 @@
             self.redirects.close(now, from, note.opening);
             return;
         }
-        if self.flows.get(note.opening.flow).is_some_and(|flow| flow.nonce.is_some()) {
-            return;
-        }
+        // Its holder's own word outweighs hearsay, and a flow that is closing here.
+        match self.flows.get(note.opening.flow) {
+            Some(flow) if flow.is_certainly_open() => return,
+            Some(flow) if !flow.hearsay && flow.nonce == Some(note.opening.nonce) => return,
+            Some(_) => self.flows.remove(note.opening.flow),
+            None => None,
+        };
         let opened_at = Millis(now.0.saturating_sub(u64::from(note.age_ms)));
         self.redirects.confirm(now, from, note.opening, opened_at);
     }
 
-    fn announce_bucket(&mut self, bucket: crate::keys::BucketIndex, to: &[UpstreamId]) {
+    fn announce_bucket(&mut self, bucket: BucketIndex, to: &[UpstreamId], open: bool) {
         for opening in self.openings_in(bucket) {
             for id in to {
                 if let Some(peer) = self.peers.get_mut(*id) {
-                    peer.outbox.push(outbox::Pending { opening, open: true });
+                    peer.outbox.push(outbox::Pending { opening, open });
                 }
             }
         }
     }
 
-    fn openings_in(&self, bucket: crate::keys::BucketIndex) -> Vec<Opening> {
+    fn openings_in(&self, bucket: BucketIndex) -> Vec<Opening> {
         self.open_flow_ids()
             .filter(|(flow, _)| rank::bucket_of(*flow) == bucket)
             .map(|(_, opening)| opening)
@@ -209,12 +225,20 @@
     }
 
     fn open_flow_ids(&self) -> impl Iterator<Item = (FlowId, Opening)> + '_ {
-        let open = self.flows.iter().filter(|(_, flow)| flow.is_open());
+        let open = self.flows.iter().filter(|(_, flow)| flow.is_announced());
         open.map(|(id, flow)| (id, flow.opening(id)))
     }
 
+    /// The first two ranks without this agent, as far as possible of those that are up.
+    fn find_targets(&self, bucket: BucketIndex) -> Targets {
+        let others = || self.ranking(bucket).filter(|id| *id != self.config.upstream);
+        let up = others().filter(|id| self.is_up(*id));
+        let mut found = up.chain(others().filter(|id| !self.is_up(*id)));
+        [found.next(), found.next()]
+    }
+
     fn targets_of(&self, flow: FlowId) -> Targets {
         let bucket = rank::bucket_of(flow);
-        self.settings.targets.get(usize::from(bucket.0)).copied().unwrap_or_default()
+        self.targets.get(usize::from(bucket.0)).copied().unwrap_or_default()
     }
 }
--- a/crates/decision/src/agent/claimant.rs
+++ b/crates/decision/src/agent/claimant.rs
@@ -40,10 +40,11 @@
         let Attempt { opening, claim, .. } = attempt;
         let life = self.config.incarnation;
         let room = self.pending.len() < limits::MAX_PENDING_CLAIMS;
-        if !room || !self.claims.put(now, opening, claim, life, Stage::Pending) {
+        let quorum = matches!(witnesses, Witnesses::Quorum);
+        let voted = quorum && self.has_voted_otherwise(now, opening, claim);
+        if !room || (!voted && !self.claims.put(now, opening, claim, life, Stage::Pending)) {
             return Verdict::Drop(Reason::Overload);
         }
-        let quorum = matches!(witnesses, Witnesses::Quorum);
         let asked = match witnesses {
             Witnesses::Former(asked) => asked,
             Witnesses::Quorum => self.settings.cuts.witnesses(),
@@ -147,12 +148,29 @@
         };
     }
 
-    /// This agent's own vote, if it is a witness. Its record of the claim has been made.
+    /// This agent's own vote, if it is a witness. Its record of the claim has been made, unless it
+    /// had voted for another one before: that vote stands.
     fn vote_myself(&self, now: Millis, pending: &mut PendingClaim) {
-        let vote = if self.abstains(now) { Vote::Abstained } else { Vote::Granted };
+        let Attempt { opening, claim, .. } = pending.attempt;
+        let vote = match self.claims.get(now, opening) {
+            _ if self.abstains(now) => Vote::Abstained,
+            Some(record) if self.has_voted_otherwise(now, opening, claim) => {
+                Vote::Other(record.claim)
+            }
+            _ => Vote::Granted,
+        };
         pending.vote(self.config.upstream, vote);
     }
 
+    /// Whether this agent, as a witness, has recorded another claim than the given own one. An own
+    /// claim that was given up may become a refusal.
+    fn has_voted_otherwise(&self, now: Millis, opening: Opening, claim: Claim) -> bool {
+        let Some(record) = self.claims.get(now, opening) else { return false };
+        let own = record.claim == Claim::Run(self.config.upstream)
+            && record.incarnation == self.config.incarnation;
+        record.claim != claim && !(own && claim == Claim::Refuse)
+    }
+
     fn request(&self, pending: &PendingClaim, out: &mut Vec<Action>) {
         for to in pending.silent() {
             let message = Message::ClaimRequest {
@@ -186,6 +204,11 @@
             _ => None,
         });
         if let Some(claim) = objection {
+            let mine = claim == Claim::Run(self.config.upstream);
+            let claim = match mine {
+                true => self.claim_of_assigned(now, pending.attempt.hops),
+                false => claim,
+            };
             let attempt = Attempt { claim, refusal: Reason::Tombstone, ..pending.attempt };
             return Some(self.decide_early(now, attempt, out));
         }
@@ -214,11 +237,11 @@
             Tally::Won if !over => Some(self.win(now, pending.attempt, out)),
             Tally::Refused => Some(self.refuse_once(now, opening, Reason::Tombstone, out)),
             Tally::Lost(Some(Claim::Run(holder))) if claim != Claim::Refuse => {
-                self.claims.set_stage(opening, Stage::Undecided);
+                self.claims.leave_undecided(opening);
                 Some(self.hand_to(now, hops, opening, holder, out))
             }
             _ if claim == Claim::Refuse => {
-                self.claims.set_stage(opening, Stage::Undecided);
+                self.claims.leave_undecided(opening);
                 Some(Verdict::Drop(Reason::HolderSilent))
             }
             _ => self.give_up(now, pending, out),
@@ -231,7 +254,7 @@
             return self.refuse_once(now, attempt.opening, attempt.refusal, out);
         }
         if !self.flows.has_room() {
-            self.claims.set_stage(attempt.opening, Stage::Undecided);
+            self.claims.leave_undecided(attempt.opening);
             return Verdict::Drop(Reason::Overload);
         }
         let life = self.config.incarnation;
@@ -268,7 +291,9 @@
         pending.deadline = now.after(limits::QUORUM_WAIT_MS);
         pending.resend_at = now.after(limits::RESEND_MS);
         pending.votes.iter_mut().for_each(|(_, vote)| *vote = None);
-        self.claims.put(now, opening, Claim::Refuse, life, Stage::Pending);
+        if !self.has_voted_otherwise(now, opening, Claim::Refuse) {
+            self.claims.put(now, opening, Claim::Refuse, life, Stage::Pending);
+        }
         self.vote_myself(now, pending);
         self.request(pending, out);
         self.settle_quorum(now, pending, out)
--- a/crates/decision/src/agent/claims.rs
+++ b/crates/decision/src/agent/claims.rs
@@ -69,9 +69,11 @@
         true
     }
 
-    pub(super) fn set_stage(&mut self, opening: Opening, stage: Stage) {
-        if let Some(record) = self.records.get_mut(&opening) {
-            record.stage = stage;
+    /// This agent's own claim, if it is one, waits no longer.
+    pub(super) fn leave_undecided(&mut self, opening: Opening) {
+        let own = self.records.get_mut(&opening).filter(|record| record.stage == Stage::Pending);
+        if let Some(record) = own {
+            record.stage = Stage::Undecided;
         }
     }
 
--- a/crates/decision/src/agent/early.rs
+++ b/crates/decision/src/agent/early.rs
@@ -9,7 +9,7 @@
 use super::flows::FlowState;
 use super::mutant::mutated;
 use super::pending::Attempt;
-use super::redirects::Redirect;
+use super::redirects::{Evidence, Redirect};
 use super::{Action, Agent, Note, Packet, Passed, Reason, Verdict, limits};
 use crate::keys::UpstreamId;
 use crate::message::{Claim, Opening};
@@ -24,9 +24,8 @@
         opening: Opening,
         out: &mut Vec<Action>,
     ) -> Verdict {
-        if self.is_copy_or_reuse(opening) {
-            self.flows.touch_opening(now, opening.flow);
-            return Verdict::Deliver;
+        if let Some(verdict) = self.opening_of_known(now, opening) {
+            return verdict;
         }
         if let Some(record) = self.claims.get(now, opening) {
             return match record.stage {
@@ -35,12 +34,12 @@
             };
         }
         let hops = packet.hops;
-        if let Some(holder) = self.redirect_of_opening(now, opening) {
-            return self.start_early(now, hops, opening, Claim::Run(holder), out);
-        }
         if packet.passed == Passed::Assigned {
             return self.take_assigned(now, hops, opening, out);
         }
+        if let Some(holder) = self.redirect_of_opening(now, opening) {
+            return self.start_early(now, hops, opening, Claim::Run(holder), out);
+        }
         if let Some(home) = self.other_home(now, packet, out) {
             self.flows.remove(opening.flow);
             return self.forward(packet.hops, home, Passed::Redirected);
@@ -75,12 +74,17 @@
         Verdict::Drop(Reason::Duplicate)
     }
 
-    /// Whether the opening belongs to the flow in the table: a copy of its own opening, or one on
-    /// the ports of an open flow, which the upstream answers itself.
-    fn is_copy_or_reuse(&self, opening: Opening) -> bool {
-        self.flows
-            .get(opening.flow)
-            .is_some_and(|flow| flow.state == FlowState::Open || flow.nonce == Some(opening.nonce))
+    /// The verdict if the opening belongs to a flow in the table: a copy of its own opening, or one
+    /// on the ports of an open flow, which the upstream answers itself.
+    fn opening_of_known(&mut self, now: Millis, opening: Opening) -> Option<Verdict> {
+        let flow = self.flows.get(opening.flow)?;
+        let same = flow.nonce == Some(opening.nonce);
+        if flow.is_certainly_open() || (same && flow.state == FlowState::Open) {
+            self.flows.touch_opening(now, opening.flow);
+            return Some(Verdict::Deliver);
+        }
+        // After a reset the same SYN opens the flow anew; after a FIN it can only be a late copy.
+        (same && flow.state == FlowState::Finishing).then_some(Verdict::Drop(Reason::Duplicate))
     }
 
     /// The agent to which the home's work belongs, `None` if it is this one.
@@ -244,7 +248,7 @@
             holder,
             nonce: Some(opening.nonce),
             opened_at: now,
-            confirmed: false,
+            evidence: Evidence::Assigned,
             closing: false,
             expires_at: now.after(limits::REDIRECT_TTL_MS),
         };
--- a/crates/decision/src/agent/flows.rs
+++ b/crates/decision/src/agent/flows.rs
@@ -29,6 +29,9 @@
     pub(super) last_seen: Millis,
     /// Whether the caller has sent anything after the opening.
     pub(super) answered: bool,
+    /// Whether only peers say so, after a restart. The first packet leads to a lookup, since the
+    /// peer may not have heard of the end of the flow, and a later one may live elsewhere.
+    pub(super) hearsay: bool,
 }
 
 /// How long flows without a sign of life are kept.
@@ -95,9 +98,12 @@
         None
     }
 
-    /// The fast path: marks a packet of a known flow, false if the flow is unknown.
+    /// The fast path: marks a packet of a known flow, false if the flow is not known for certain.
     pub(super) fn touch(&mut self, now: Millis, id: FlowId) -> bool {
         let Some(flow) = self.flows.get_mut(&id) else { return false };
+        if flow.hearsay {
+            return false;
+        }
         flow.last_seen = now;
         if !flow.answered {
             flow.answered = true;
@@ -124,7 +130,14 @@
     ) -> Option<(FlowId, Flow)> {
         self.remove(id);
         let evicted = self.make_room();
-        let flow = Flow { nonce, state: FlowState::Open, opened_at: now, last_seen: now, answered };
+        let flow = Flow {
+            nonce,
+            state: FlowState::Open,
+            opened_at: now,
+            last_seen: now,
+            answered,
+            hearsay: false,
+        };
         self.flows.insert(id, flow);
         self.open += 1;
         if !answered {
@@ -134,6 +147,23 @@
         evicted
     }
 
+    /// Takes in a flow of an earlier life that a peer has named. Its age is unknown, and it never
+    /// passes for the younger one of two.
+    pub(super) fn insert_hearsay(&mut self, now: Millis, opening: Opening) {
+        self.insert(now, opening.flow, Some(opening.nonce), true);
+        if let Some(flow) = self.flows.get_mut(&opening.flow) {
+            flow.hearsay = true;
+            flow.opened_at = Millis(0);
+        }
+    }
+
+    /// Nobody else holds the flow: hearsay becomes certainty. False if the flow is unknown.
+    pub(super) fn make_certain(&mut self, id: FlowId) -> bool {
+        let Some(flow) = self.flows.get_mut(&id) else { return false };
+        flow.hearsay = false;
+        true
+    }
+
     /// The caller ends the flow; false if it is unknown or already closing this way.
     pub(super) fn close(&mut self, now: Millis, id: FlowId, state: FlowState) -> bool {
         let Some(flow) = self.flows.get_mut(&id) else { return false };
@@ -221,7 +251,13 @@
         Opening { flow, nonce: self.nonce.unwrap_or(0) }
     }
 
-    pub(super) fn is_open(&self) -> bool {
+    /// Whether the upstream certainly has the flow open, as far as the caller's packets tell.
+    pub(super) fn is_certainly_open(&self) -> bool {
+        self.state == FlowState::Open && !self.hearsay
+    }
+
+    /// Whether the flow is announced.
+    pub(super) fn is_announced(&self) -> bool {
         self.state == FlowState::Open && self.nonce.is_some()
     }
 
--- a/crates/decision/src/agent/health.rs
+++ b/crates/decision/src/agent/health.rs
@@ -136,6 +136,7 @@
         peer.heartbeat = Some(heartbeat);
         peer.assigned = 0;
         self.doubt_former_homes(now, &homes);
+        self.retarget();
     }
 
     /// Any message shows that its sender lives.
@@ -188,6 +189,7 @@
         peer.suspected = suspected;
         out.push(Action::Note(Note::PeerSuspected { upstream: id, suspected }));
         self.doubt_former_homes(now, &homes);
+        self.retarget();
         if !suspected {
             self.doubts.add(now, id);
             self.announce_hurry(id);
--- a/crates/decision/src/agent/install.rs
+++ b/crates/decision/src/agent/install.rs
@@ -3,18 +3,14 @@
 use std::sync::Arc;
 
 use super::flows::FlowLifetimes;
-use super::home::buckets;
 use super::mutant::mutated;
 use super::peers::Peer;
 use super::quorum::Cuts;
 use super::{Action, Agent, Note, limits};
-use crate::keys::{ServiceKey, UpstreamId, Version};
+use crate::keys::{ServiceKey, Version};
 use crate::time::Millis;
 use crate::view::{Transport, UpstreamState, View, WhenInDoubt};
 
-/// Agents to which the flows of a bucket are announced.
-pub(super) type Targets = [Option<UpstreamId>; 2];
-
 /// What the settings in force say about this agent's service, worked out once.
 #[derive(Debug)]
 pub(super) struct ServiceSettings {
@@ -26,8 +22,6 @@
     pub(super) state: UpstreamState,
     pub(super) max_flows: u32,
     pub(super) cuts: Cuts,
-    /// By bucket: the first two ranks without this agent.
-    pub(super) targets: Vec<Targets>,
 }
 
 impl Agent {
@@ -44,7 +38,7 @@
         self.adopt_view(now, view, key);
         self.doubt_former_homes(now, &homes);
         out.push(Action::Note(Note::ViewInstalled(version)));
-        self.announce_moved_buckets();
+        self.retarget();
         self.recount_pending(now, out);
         self.send_heartbeats(now, out);
     }
@@ -94,14 +88,8 @@
             state: spec.map_or(UpstreamState::Retired, |spec| spec.state),
             max_flows: spec.map_or(0, |spec| spec.max_flows),
             cuts: Cuts::of(&self.view, service, version, &self.settings.cuts),
-            targets: buckets().map(|bucket| self.targets(bucket)).collect(),
         }
     }
-
-    fn targets(&self, bucket: crate::keys::BucketIndex) -> Targets {
-        let mut others = self.ranking(bucket).filter(|id| *id != self.config.upstream);
-        [others.next(), others.next()]
-    }
 }
 
 impl ServiceSettings {
@@ -115,7 +103,6 @@
             state: UpstreamState::Retired,
             max_flows: 0,
             cuts: Cuts::default(),
-            targets: Vec::new(),
         }
     }
 }
--- a/crates/decision/src/agent/lookup.rs
+++ b/crates/decision/src/agent/lookup.rs
@@ -4,10 +4,10 @@
 //! caller be told that it does not exist: a reset in doubt would break a flow that lives elsewhere.
 
 use super::mutant::mutated;
-use super::redirects::Redirect;
+use super::redirects::{Evidence, Redirect};
 use super::sorted::Sorted;
 use super::{Action, Agent, HoldKey, Packet, PacketKind, Passed, Reason, Verdict, limits};
-use crate::keys::{FlowId, UpstreamId, Version};
+use crate::keys::{FlowId, UpstreamId};
 use crate::message::{Knowledge, Message};
 use crate::time::Millis;
 
@@ -75,10 +75,10 @@
             return self.hold_for_lookup(packet);
         }
         if self.lookups.len() >= limits::MAX_LOOKUPS || !self.lookup_tokens.take(now) {
-            return Verdict::Drop(Reason::Overload);
+            return self.without_lookup(now, packet, out);
         }
         let lookup = self.new_lookup(now);
-        if let Some(finding) = self.finding(now, &lookup, false) {
+        if let Some(finding) = self.finding(now, packet.flow, &lookup, false) {
             return self.apply(now, packet, finding, out);
         }
         self.ask(packet.flow, &lookup, out);
@@ -86,6 +86,15 @@
         self.hold_for_lookup(packet)
     }
 
+    /// Too many lookups: hearsay has to do.
+    fn without_lookup(&mut self, now: Millis, packet: &Packet, out: &mut Vec<Action>) -> Verdict {
+        if !self.flows.make_certain(packet.flow) {
+            return Verdict::Drop(Reason::Overload);
+        }
+        self.deliver_known(now, packet.flow, packet.kind, out);
+        Verdict::Deliver
+    }
+
     /// Answers a peer's question about a flow.
     pub(super) fn asked(
         &mut self,
@@ -170,8 +179,11 @@
     }
 
     fn knowledge(&self, now: Millis, flow: FlowId) -> Knowledge {
-        if self.flows.get(flow).is_some() {
-            return Knowledge::Mine;
+        match self.flows.get(flow) {
+            Some(known) if known.is_certainly_open() => return Knowledge::Mine,
+            // Hearsay, or closing: somebody may hold a later flow on the same ports for certain.
+            Some(_) => return Knowledge::HeldBy(self.config.upstream),
+            None => {}
         }
         if self.is_unsure(now) {
             return Knowledge::Unsure;
@@ -188,9 +200,10 @@
     fn conclude(&mut self, now: Millis, flow: FlowId, out: &mut Vec<Action>) {
         let Some(lookup) = self.lookups.get(flow) else { return };
         let over = now >= lookup.deadline;
-        let Some(finding) = self.finding(now, lookup, over) else { return };
+        let Some(finding) = self.finding(now, flow, lookup, over) else { return };
         let Some(lookup) = self.lookups.remove(flow) else { return };
         if let Finding::Holder(holder) = finding {
+            self.flows.remove(flow);
             self.remember_found(now, flow, holder, &lookup);
         }
         for (index, held) in lookup.held.iter().enumerate() {
@@ -203,30 +216,40 @@
         }
     }
 
-    fn finding(&self, now: Millis, lookup: &Lookup, over: bool) -> Option<Finding> {
-        let said = |wanted: Knowledge| {
-            let mut answers = lookup.answers.iter();
-            answers.find(|(_, answer)| *answer == Some(wanted)).map(|(id, _)| *id)
-        };
-        if let Some(holder) = said(Knowledge::Mine) {
+    fn finding(&self, now: Millis, flow: FlowId, lookup: &Lookup, over: bool) -> Option<Finding> {
+        if let Some(holder) = lookup.holder() {
             return Some(Finding::Holder(holder));
         }
         let silent = lookup.answers.iter().any(|(_, answer)| answer.is_none());
         if silent && !over {
             return None;
         }
-        let me = self.config.upstream;
-        let named = |id: &UpstreamId| *id != me && self.peers.get(*id).is_some();
-        if let Some(holder) = lookup.named().find(named) {
+        let hearsay = self.flows.get(flow).is_some();
+        if let Some(holder) = self.most_named(lookup, hearsay) {
             return Some(Finding::Holder(holder));
         }
-        let newer = self.seen_version > Version(self.settings.version.0);
+        if hearsay {
+            return Some(Finding::OnlyMe);
+        }
+        let newer = self.seen_version > self.settings.version;
         if (silent || newer) && !mutated!(self, ResetInDoubt) {
             return Some(Finding::Doubt);
         }
         Some(self.finding_of_denials(now, lookup))
     }
 
+    /// The peer that most answers name as holder. If it has denied the flow it may still decide
+    /// about it, but not against hearsay at this agent, and not against more who name this one.
+    fn most_named(&self, lookup: &Lookup, hearsay: bool) -> Option<UpstreamId> {
+        let me = self.config.upstream;
+        let count = |id: UpstreamId| lookup.named().filter(|named| *named == id).count();
+        lookup
+            .named()
+            .filter(|id| *id != me && self.peers.get(*id).is_some())
+            .filter(|id| !hearsay || (!lookup.denied_by(*id) && count(*id) > count(me)))
+            .max_by_key(|id| (count(*id), *id))
+    }
+
     /// Everybody has answered and nobody holds the flow for certain.
     fn finding_of_denials(&self, now: Millis, lookup: &Lookup) -> Finding {
         let me = self.config.upstream;
@@ -281,7 +304,7 @@
             holder,
             nonce: None,
             opened_at: Millis(0),
-            confirmed: false,
+            evidence: Evidence::Found,
             closing: false,
             expires_at: now.after(limits::REDIRECT_TTL_MS),
         };
@@ -290,6 +313,16 @@
 }
 
 impl Lookup {
+    /// The agent that says it holds the flow.
+    fn holder(&self) -> Option<UpstreamId> {
+        let mut answers = self.answers.iter();
+        answers.find(|(_, answer)| *answer == Some(Knowledge::Mine)).map(|(id, _)| *id)
+    }
+
+    fn denied_by(&self, id: UpstreamId) -> bool {
+        self.answers.contains(&(id, Some(Knowledge::NotMine)))
+    }
+
     /// Agents that others believe to hold the flow.
     fn named(&self) -> impl Iterator<Item = UpstreamId> + '_ {
         self.answers.iter().filter_map(|(_, answer)| match answer {
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -39,7 +39,7 @@
 pub use mutant::Mutant;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
-pub use redirects::Redirect;
+pub use redirects::{Evidence, Redirect};
 pub use status::{Explanation, Stats, Whereabouts};
 pub use types::*;
 
@@ -70,8 +70,8 @@
     doubts: home::Doubts,
     health: health::Health,
     past: relearn::Past,
-    /// Targets by bucket to which the flows have been announced.
-    announced_to: Vec<install::Targets>,
+    /// By bucket: agents to which the flows are announced.
+    targets: Vec<announce::Targets>,
     heartbeat_at: Millis,
     refresh_at: Millis,
     refresh_bucket: u16,
@@ -128,7 +128,7 @@
             doubts: home::Doubts::default(),
             health: health::Health::default(),
             past,
-            announced_to: Vec::new(),
+            targets: Vec::new(),
             heartbeat_at: now,
             refresh_at: now,
             refresh_bucket: 0,
@@ -141,7 +141,7 @@
         };
         if let Some(key) = view.find_service(agent.config.service) {
             agent.adopt_view(now, view, key);
-            agent.announced_to = agent.settings.targets.clone();
+            agent.retarget();
         }
         agent
     }
--- a/crates/decision/src/agent/once.rs
+++ b/crates/decision/src/agent/once.rs
@@ -22,6 +22,9 @@
         opening: Opening,
         out: &mut Vec<Action>,
     ) -> Verdict {
+        if self.pending.get(opening).is_some() {
+            return Verdict::Drop(Reason::Duplicate);
+        }
         if let Some(record) = self.claims.get(now, opening) {
             return self.follow_record(now, packet, opening, record, out);
         }
@@ -33,17 +36,17 @@
         // A datagram on an open flow is new work, which a draining upstream does not get. Of a SYN
         // on the ports of an open connection, the upstream's TCP has to judge.
         let wanted = !self.settings.datagrams || !self.must_not_admit();
-        if wanted && held.is_some_and(|flow| flow.state == FlowState::Open) {
+        if wanted && held.is_some_and(|flow| flow.is_certainly_open()) {
             return self.claim_once(now, packet.hops, opening, Claim::Run(me), out);
         }
-        let holder = self.redirect_of_opening(now, opening);
-        if let Some(holder) = holder.filter(|holder| self.is_up(*holder)) {
-            return self.propose(now, packet.hops, opening, Claim::Run(holder), out);
-        }
         if packet.passed == Passed::Assigned {
             let claim = self.claim_of_assigned(now, packet.hops);
             return self.propose(now, packet.hops, opening, claim, out);
         }
+        let holder = self.redirect_of_opening(now, opening);
+        if let Some(holder) = holder.filter(|holder| self.is_up(*holder)) {
+            return self.propose(now, packet.hops, opening, Claim::Run(holder), out);
+        }
         if let Some(home) = self.other_home(now, packet, out) {
             self.flows.remove(opening.flow);
             return self.forward(packet.hops, home, Passed::Redirected);
@@ -80,18 +83,26 @@
     ) -> Verdict {
         let me = self.config.upstream;
         match (record.stage, record.claim) {
-            (Stage::Pending, _) => Verdict::Drop(Reason::Duplicate),
             (Stage::Decided, Claim::Refuse) if mutated!(self, TombstoneForgotten) => {
                 self.claims.remove(opening);
                 self.admit(now, opening, out)
             }
             (Stage::Decided, Claim::Refuse) => Verdict::Refuse(Reason::Tombstone),
             (Stage::Decided, Claim::Run(_)) => self.copy_of_run(now, opening),
-            (Stage::Undecided, claim) => self.claim_once(now, packet.hops, opening, claim, out),
-            (Stage::Witnessed, Claim::Run(holder)) if holder != me => {
+            (Stage::Pending | Stage::Undecided, claim) => {
+                self.claim_once(now, packet.hops, opening, claim, out)
+            }
+            // Whoever has assigned it to this agent may know that the other one cannot take it.
+            // The vote that this agent has given to that one stands.
+            (Stage::Witnessed, Claim::Run(holder))
+                if holder == me || packet.passed == Passed::Assigned || !self.is_up(holder) =>
+            {
+                let claim = self.claim_of_assigned(now, packet.hops);
+                self.propose(now, packet.hops, opening, claim, out)
+            }
+            (Stage::Witnessed, Claim::Run(holder)) => {
                 self.hand_to(now, packet.hops, opening, holder, out)
             }
-            (Stage::Witnessed, Claim::Run(_)) => Verdict::Drop(Reason::HolderSilent),
             (Stage::Witnessed, Claim::Refuse) => {
                 self.claim_once(now, packet.hops, opening, Claim::Refuse, out)
             }
--- a/crates/decision/src/agent/packet.rs
+++ b/crates/decision/src/agent/packet.rs
@@ -103,6 +103,9 @@
         if packet.passed == Passed::Adopt {
             return self.adopt_if_unsure(now, packet, out);
         }
+        if self.flows.get(packet.flow).is_some() {
+            return self.look_up(now, packet, out);
+        }
         let redirect = self.redirects.get(now, packet.flow).map(|redirect| redirect.holder);
         let holder = redirect.filter(|holder| self.may_hold_flows(now, *holder));
         // A packet that was already redirected twice follows stale redirects; asking ends that.
@@ -118,7 +121,8 @@
     }
 
     fn adopt_if_unsure(&mut self, now: Millis, packet: &Packet, out: &mut Vec<Action>) -> Verdict {
-        if !self.is_unsure(now) {
+        let named = self.flows.get(packet.flow).is_some();
+        if !named && !self.is_unsure(now) {
             return Verdict::Drop(Reason::HolderSilent);
         }
         self.adopt(now, packet.flow, out);
@@ -129,6 +133,9 @@
     /// Takes over a flow that only this agent's earlier life can have held. If it did not, the
     /// upstream itself answers with a reset, and nobody else is harmed.
     pub(super) fn adopt(&mut self, now: Millis, flow: FlowId, out: &mut Vec<Action>) {
+        if self.flows.make_certain(flow) {
+            return;
+        }
         // Unless more packets follow, it was a stray one, and is soon forgotten.
         self.hold_flow(now, flow, None, false);
         out.push(Action::Note(Note::Adopted(flow)));
--- a/crates/decision/src/agent/redirects.rs
+++ b/crates/decision/src/agent/redirects.rs
@@ -10,6 +10,17 @@
 use crate::message::Opening;
 use crate::time::Millis;
 
+/// What a redirect rests on, the weakest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Evidence {
+    /// The holder has answered a question.
+    Found,
+    /// This agent has assigned the opening.
+    Assigned,
+    /// The holder has announced the flow.
+    Announced,
+}
+
 /// Where a flow is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Redirect {
@@ -19,8 +30,8 @@
     pub nonce: Option<u32>,
     /// When it was opened, as far as the holder's clockless report tells.
     pub opened_at: Millis,
-    /// Whether the holder has confirmed it, or this agent has only assigned it.
-    pub confirmed: bool,
+    /// How this agent knows.
+    pub evidence: Evidence,
     /// Whether it is closing: late packets still follow, openings do not.
     pub closing: bool,
     /// When it is forgotten without refresh.
@@ -80,7 +91,10 @@
         let stands = known.is_some_and(|known| {
             let same_opening = known.nonce == Some(opening.nonce);
             let earlier = known.opened_at > opened_at;
-            known.holder != holder && known.confirmed && !known.closing && (same_opening || earlier)
+            known.holder != holder
+                && known.evidence == Evidence::Announced
+                && !known.closing
+                && (same_opening || earlier)
         });
         if stands {
             return;
@@ -89,7 +103,7 @@
             holder,
             nonce: Some(opening.nonce),
             opened_at,
-            confirmed: true,
+            evidence: Evidence::Announced,
             closing: false,
             expires_at: now.after(limits::REDIRECT_TTL_MS),
         };
--- a/crates/decision/src/agent/relearn.rs
+++ b/crates/decision/src/agent/relearn.rs
@@ -115,11 +115,13 @@
         for opening in openings {
             let known = self.flows.get(opening.flow).is_some();
             // An opening that was admitted since the restart is newer than any page.
-            let elsewhere = self.redirects.get(now, opening.flow).is_some();
+            let me = self.config.upstream;
+            let redirect = self.redirects.get(now, opening.flow);
+            let elsewhere = redirect.is_some_and(|redirect| redirect.holder != me);
             if known || elsewhere || !self.flows.has_room() {
                 continue;
             }
-            self.hold_flow(now, opening.flow, Some(opening.nonce), true);
+            self.flows.insert_hearsay(now, *opening);
             out.push(Action::Note(Note::Relearned(opening.flow)));
         }
     }
--- a/crates/decision/src/agent/witness.rs
+++ b/crates/decision/src/agent/witness.rs
@@ -1,6 +1,7 @@
 //! Claims of other agents, which this one records as a witness.
 
 use super::claims::{Record, Stage};
+use super::flows::Flow;
 use super::mutant::mutated;
 use super::{Action, Agent, limits};
 use crate::keys::{Incarnation, UpstreamId, Version};
@@ -91,22 +92,34 @@
         self.record(now, request, stage)
     }
 
-    /// The holder of the flow that came from exactly this opening.
+    /// The agent to which the opening belongs: the holder of its flow, or of an open flow on the
+    /// same ports, whose upstream has to judge whether that one is over.
     fn holder_of(&self, now: Millis, opening: Opening) -> Option<UpstreamId> {
         let nonce = Some(opening.nonce);
-        if self.flows.get(opening.flow).is_some_and(|flow| flow.nonce == nonce) {
+        let belongs = |flow: &Flow| flow.is_certainly_open() || flow.nonce == nonce;
+        if self.flows.get(opening.flow).is_some_and(belongs) {
             return Some(self.config.upstream);
         }
-        let redirect = self.redirects.get(now, opening.flow)?;
-        (redirect.nonce == nonce).then_some(redirect.holder)
+        self.redirect_of_opening(now, opening)
+    }
+
+    /// The caller opens a flow elsewhere on the ports of one that is closing here. Were the closing
+    /// one kept, packets of the new one could reach the own upstream, which would reset it.
+    fn forget_closing(&mut self, opening: Opening, claim: Claim) {
+        let old = |flow: &Flow| !flow.is_certainly_open() && flow.nonce != Some(opening.nonce);
+        let elsewhere = claim != Claim::Refuse && claim != Claim::Run(self.config.upstream);
+        if elsewhere && self.flows.get(opening.flow).is_some_and(old) {
+            self.flows.remove(opening.flow);
+        }
     }
 
     fn record(&mut self, now: Millis, request: Request, stage: Stage) -> ClaimAnswer {
         let Request { opening, claim, incarnation, .. } = request;
-        match self.claims.put(now, opening, claim, incarnation, stage) {
-            true => ClaimAnswer::Granted,
-            false => ClaimAnswer::Abstained,
+        if !self.claims.put(now, opening, claim, incarnation, stage) {
+            return ClaimAnswer::Abstained;
         }
+        self.forget_closing(opening, claim);
+        ClaimAnswer::Granted
     }
 }
 
