Tell balancers that an agent leaves, and stay until they have stopped sending

An agent ended as soon as its peers had acknowledged, while balancers went on sending to it as home; a datagram in the gap is lost, and nobody sends it again. A leaving agent tells every balancer that has sent to it, every 100 ms, and ends when none has sent for 300 ms and no packet is held here, or after the grace time. Conclusion: the gap is closed for balancers that have sent to the agent before.

--- a/crates/agent/src/hold.rs
+++ b/crates/agent/src/hold.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Whether no packet waits.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Takes a packet out.
     pub fn take(&mut self, key: HoldKey) -> Option<Held> {
         let index = self.entries.binary_search_by_key(&key, |(known, _)| *known).ok()?;
--- a/crates/agent/src/plane/carry.rs
+++ b/crates/agent/src/plane/carry.rs
@@ -126,7 +126,7 @@
         }
     }
 
-    fn own_header(&self, flow: FlowId, hops: u8, passed: Passed) -> Header {
+    pub(super) fn own_header(&self, flow: FlowId, hops: u8, passed: Passed) -> Header {
         let identity = &self.config.identity;
         Header {
             hops,
--- /dev/null
+++ b/crates/agent/src/plane/leave.rs
@@ -0,0 +1,95 @@
+//! Leaving: telling the balancers, and staying until they have stopped sending.
+
+use std::net::SocketAddr;
+
+use decision::agent::Passed;
+use decision::keys::FlowId;
+use decision::time::Millis;
+use shell::udp::{self, Prefix};
+use wire::gue::{self, Content};
+use wire::notice::{self, Notice};
+use wire::sealed::{Header, Payload, SEALED_BYTES};
+
+use super::Plane;
+
+/// Balancers remembered, twice the number of the target of two years.
+const BALANCERS_MAX: usize = 4_096;
+/// A balancer not heard from for this long is forgotten; it has probably been replaced.
+const FORGET_MS: u64 = 600_000;
+/// Time between two notices: one may be lost.
+const REPEAT_MS: u64 = 100;
+/// How long no balancer must have sent. A balancer acts on a notice within its publishing interval
+/// of 25 ms and the 40 ms that a snapshot takes at target size; three notices fit in this time.
+const QUIET_MS: u64 = 300;
+
+/// The balancers that send to this agent, and the state of its leaving.
+#[derive(Debug, Default)]
+pub(super) struct Leaving {
+    /// Data addresses with the time of the last packet seen, sorted by address.
+    balancers: Vec<(SocketAddr, Millis)>,
+    last_fresh: Millis,
+    next_notice: Millis,
+    leaving: bool,
+}
+
+impl Leaving {
+    /// Notes a packet that came straight from a balancer.
+    pub(super) fn heard(&mut self, now: Millis, source: Option<SocketAddr>) {
+        self.last_fresh = now;
+        let Some(source) = source else { return };
+        match self.balancers.binary_search_by_key(&source, |(known, _)| *known) {
+            Ok(index) => self.balancers[index].1 = now,
+            Err(index) if self.balancers.len() < BALANCERS_MAX => {
+                self.balancers.insert(index, (source, now));
+            }
+            Err(_) => self.forget(now),
+        }
+    }
+
+    /// Begins to leave.
+    pub(super) fn begin(&mut self, now: Millis) {
+        self.leaving = true;
+        self.last_fresh = now;
+        self.forget(now);
+    }
+
+    /// Whether the agent leaves and no balancer has sent for a while.
+    pub(super) fn is_quiet(&self, now: Millis) -> bool {
+        self.leaving && now.since(self.last_fresh) >= QUIET_MS
+    }
+
+    /// Balancers that are due a notice.
+    fn due(&mut self, now: Millis) -> Vec<SocketAddr> {
+        if !self.leaving || now < self.next_notice {
+            return Vec::new();
+        }
+        self.next_notice = now.after(REPEAT_MS);
+        self.balancers.iter().map(|(address, _)| *address).collect()
+    }
+
+    fn forget(&mut self, now: Millis) {
+        self.balancers.retain(|(_, heard)| now.since(*heard) < FORGET_MS);
+    }
+}
+
+impl Plane {
+    /// Tells the balancers that this agent leaves, if it does and they are due to hear it again.
+    pub(super) fn tell_balancers(&mut self, now: Millis) {
+        let due = self.leave.due(now);
+        if due.is_empty() {
+            return;
+        }
+        let body = notice::encode(Notice::Leaving);
+        let header: Header = self.own_header(FlowId(0), 0, Passed::Fresh);
+        let mut private = [0; SEALED_BYTES];
+        if self.config.keyring.seal(&header, Payload::Control(&body), &mut private).is_err() {
+            return;
+        }
+        let frame = gue::header(Content::Control(notice::CONTROL_TYPE), SEALED_BYTES);
+        let prefix = Prefix::new(frame, &private);
+        for address in due {
+            // One that cannot be reached does not send to us either.
+            let _ = udp::send_one(&self.config.socket, &prefix, &body, address, &mut self.scratch);
+        }
+    }
+}
--- a/crates/agent/src/plane/mod.rs
+++ b/crates/agent/src/plane/mod.rs
@@ -1,6 +1,7 @@
 //! The data thread: it alone owns the decision core, so that no lock stands on the packet path.
 
 mod carry;
+mod leave;
 mod notes;
 mod requests;
 #[cfg(test)]
@@ -13,14 +14,14 @@
 use std::sync::mpsc;
 use std::time::Duration;
 
-use decision::agent::{Action, Agent, Event, Packet, TICK_MS, Verdict};
+use decision::agent::{Action, Agent, Event, Packet, Passed, TICK_MS, Verdict};
 use decision::keys::{ServiceKey, UpstreamId, Version};
 use decision::time::Millis;
 use decision::view::{View, WhenInDoubt};
 use settings::{Code, codes};
 use shell::boottime;
 use shell::settings_sync::Store;
-use shell::udp::{self, PayloadRef, Receiver, Sender};
+use shell::udp::{self, PayloadRef, Sender, SourceReceiver};
 use telemetry::clock::Timestamp;
 use telemetry::timeline::Timeline;
 use wire::gue;
@@ -49,7 +50,8 @@
     pub(crate) counters: Counters,
     /// Asks another thread to fetch at least this version of the account.
     pub(crate) fetch: mpsc::Sender<Version>,
-    /// Raised once a leaving agent's peers have acknowledged all that it knows.
+    /// Raised once a leaving agent's peers have acknowledged all that it knows, no balancer sends
+    /// to it any more and no packet waits here for a verdict.
     pub(crate) handed_over: Arc<AtomicBool>,
     pub(crate) end: Arc<AtomicBool>,
 }
@@ -62,7 +64,7 @@
     own: Own,
     generation: u64,
     requests: mpsc::Receiver<Request>,
-    leaving: bool,
+    leave: leave::Leaving,
     held: HoldTable,
     actions: Vec<Action>,
     counts: Counts,
@@ -98,7 +100,7 @@
             view,
             generation,
             requests,
-            leaving: false,
+            leave: leave::Leaving::default(),
             held: HoldTable::default(),
             actions: Vec::new(),
             counts: Counts::default(),
@@ -110,7 +112,7 @@
 
     /// Serves until told to end.
     pub(crate) fn run(mut self) {
-        let mut receiver = Receiver::default();
+        let mut receiver = SourceReceiver::default();
         let mut sender = Sender::default();
         while !self.config.end.load(Ordering::Relaxed) {
             if let Err(error) = receiver.receive(&self.config.socket) {
@@ -120,11 +122,18 @@
             let now = boottime::now();
             self.take_settings(now);
             self.take_requests(now);
+            let mut fresh = None;
             for (slot, datagram) in receiver.datagrams().enumerate() {
                 self.counts.add(Count::Received, 1);
-                self.datagram(now, slot, datagram, &mut sender);
+                if self.datagram(now, slot, datagram, &mut sender) == Some(Passed::Fresh) {
+                    fresh = fresh.or(Some(slot));
+                }
                 self.run_actions();
             }
+            // One balancer a batch is enough to know them all after a while.
+            if let Some(slot) = fresh {
+                self.leave.heard(now, receiver.source(slot));
+            }
             let failed = sender.flush(&self.config.socket, &receiver);
             (0..failed).for_each(|_| self.counts.coded(codes::SEND_FAILED));
             self.tick(now);
@@ -152,21 +161,34 @@
         self.agent.handle(now, Event::Tick, &mut self.actions);
         self.run_actions();
         self.config.counters.show(&self.agent.stats(now));
-        if self.leaving && self.agent.is_handed_over() {
+        self.tell_balancers(now);
+        let idle = self.leave.is_quiet(now) && self.held.is_empty();
+        if idle && self.agent.is_handed_over() {
             self.config.handed_over.store(true, Ordering::Release);
         }
     }
 
-    fn datagram(&mut self, now: Millis, slot: usize, datagram: &[u8], sender: &mut Sender) {
+    /// Handles one datagram; returns how it was passed if it carried a packet.
+    fn datagram(
+        &mut self,
+        now: Millis,
+        slot: usize,
+        datagram: &[u8],
+        sender: &mut Sender,
+    ) -> Option<Passed> {
         let config = &self.config;
         match gate::check(&config.identity, &config.keyring, &self.view, datagram) {
-            Err(code) => self.counts.coded(code),
+            Err(code) => {
+                self.counts.coded(code);
+                None
+            }
             Ok(Admitted::Message { header, envelope }) => {
                 self.counts.add(Count::MessagesReceived, 1);
                 self.config.timeline.clock().observe(Timestamp(envelope.clock));
                 let from = UpstreamId(header.sender.0);
                 let event = Event::Message { from, message: envelope.message };
                 self.agent.handle(now, event, &mut self.actions);
+                None
             }
             Ok(Admitted::Packet { content, header, inner, bytes }) => {
                 let packet = Packet {
@@ -183,9 +205,10 @@
                     let payload = PayloadRef { slot, start: gue::HEADER_BYTES + SEALED_BYTES };
                     sender.queue_next(payload, self.config.addresses.upstream);
                     self.counts.add(Count::Delivered, 1);
-                    return;
+                } else {
+                    self.carry_out(verdict, content, &header, bytes);
                 }
-                self.carry_out(verdict, content, &header, bytes);
+                Some(header.passed)
             }
         }
     }
--- a/crates/agent/src/plane/requests.rs
+++ b/crates/agent/src/plane/requests.rs
@@ -55,7 +55,9 @@
             let Ok(request) = self.requests.try_recv() else { return };
             match request {
                 Request::Event(event) => {
-                    self.leaving |= matches!(event, Event::Leave);
+                    if matches!(event, Event::Leave) {
+                        self.leave.begin(now);
+                    }
                     self.agent.handle(now, event, &mut self.actions);
                     self.run_actions();
                 }
--- a/crates/agent/src/plane/tests.rs
+++ b/crates/agent/src/plane/tests.rs
@@ -22,6 +22,7 @@
 use wire::control::{self, Envelope};
 use wire::gue::{self, Content};
 use wire::inner;
+use wire::notice::{self, Notice};
 use wire::sealed::{AccountKeyring, Header, KeyId, Payload, SEALED_BYTES, SenderId};
 
 use super::{Addresses, FlowList, Plane, PlaneConfig, Request, Wanted};
@@ -308,6 +309,22 @@
     assert_eq!((flow, knowledge), (FlowId(5), Knowledge::NotMine));
 }
 
+/// A balancer that has sent before is told that the agent leaves, so that no datagram of a caller
+/// arrives between the end of the process and its successor.
+#[test]
+fn leaving_tells_balancers() {
+    let bench = bench(WhenInDoubt::Admit, false);
+    bench.send_packet(FlowId(5), &tcp("S"));
+    plain(&bench.upstream);
+    bench.requests.send(Request::Event(Event::Leave)).unwrap();
+    let datagram = receive(&bench.peer);
+    let frame = gue::parse(&datagram).unwrap();
+    assert_eq!(frame.content, Content::Control(notice::CONTROL_TYPE));
+    let opened = ring().open(frame.private, Payload::Control(frame.payload)).unwrap();
+    assert_eq!(opened.header.sender, SenderId(upstream("own").0));
+    assert_eq!(notice::decode(frame.payload), Some(Notice::Leaving));
+}
+
 /// A leaving agent may end when its peers have acknowledged its flows, and not before.
 #[test]
 fn leaving_waits_for_acknowledgement() {
--- a/crates/balancer/src/forward.rs
+++ b/crates/balancer/src/forward.rs
@@ -48,13 +48,13 @@
     prefix: &mut Prefix,
 ) -> Result<SocketAddr, Dropped> {
     let frame = gue::parse(datagram).map_err(|_| Dropped::Malformed)?;
+    if matches!(frame.content, Content::Control(_)) {
+        return Err(Dropped::UnsupportedProtocol);
+    }
     // Private data in a frame of the fabric can only be an attempt to look like a balancer.
     if !frame.private.is_empty() {
         return Err(Dropped::Malformed);
     }
-    if matches!(frame.content, Content::Control(_)) {
-        return Err(Dropped::UnsupportedProtocol);
-    }
     let packet = inner::parse(frame.payload).map_err(reason)?;
     let key = snapshot.find(packet.endpoint).ok_or(Dropped::NoService)?;
     let flow = packet.flow_id(&identity.flow_key);
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod forward;
 mod http;
 pub mod liveness;
+pub mod notices;
 pub mod run;
 pub mod snapshot;
 mod worker;
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -1,20 +1,20 @@
 //! Life of the process: start, publish snapshots, shut down gracefully.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use decision::keys::{AccountId, UpstreamId};
 use settings::process::balancer::BalancerSettings;
 use shell::fault::StartFault;
-use shell::http;
 use shell::settings_sync::instances::{Instances, Kind};
 use shell::settings_sync::peers::PeerReader;
 use shell::settings_sync::platform::Reader;
 use shell::settings_sync::{Keyrings, Scope, Store};
 use shell::signals::Shutdown;
 use shell::status::Shown;
+use shell::{boottime, http};
 use telemetry::metrics::Metrics;
 use telemetry::timeline::{Fields, Timeline};
 use wire::sealed::{AccountKeyring, KeyId};
@@ -22,6 +22,7 @@
 use crate::counters::Counters;
 use crate::forward::Identity;
 use crate::liveness::Liveness;
+use crate::notices::{LeavingAgent, LeavingAgents};
 use crate::snapshot::{Published, Snapshot};
 use crate::worker::{self, Worker};
 
@@ -61,13 +62,14 @@
         settings,
     };
     let end = Arc::new(AtomicBool::new(false));
-    let workers = balancer.start_workers(&end)?;
+    let (notices, inbox) = mpsc::channel();
+    let workers = balancer.start_workers(&end, &notices)?;
     let routes = crate::http::routes(&balancer.shown(metrics), &balancer.keyrings());
     http::start(balancer.settings.control_address, routes)?;
     balancer.start_readers()?;
     balancer.timeline.record("", "started", Fields::default());
     log::info!("started");
-    balancer.forward_until_drained();
+    balancer.forward_until_drained(inbox);
     end.store(true, Ordering::Relaxed);
     for worker in workers {
         // A worker that panicked has already said so; the shutdown goes on.
@@ -78,7 +80,11 @@
 }
 
 impl Balancer {
-    fn start_workers(&self, end: &Arc<AtomicBool>) -> Result<Vec<JoinHandle<()>>, StartFault> {
+    fn start_workers(
+        &self,
+        end: &Arc<AtomicBool>,
+        notices: &mpsc::Sender<LeavingAgent>,
+    ) -> Result<Vec<JoinHandle<()>>, StartFault> {
         let address = self.settings.data_address;
         let sockets = worker::bind(address, self.settings.receive_threads)
             .map_err(|error| StartFault::bind(address, &error))?;
@@ -90,6 +96,7 @@
                 identity,
                 published: self.published.clone(),
                 counters: self.counters.clone(),
+                notices: notices.clone(),
                 end: end.clone(),
             };
             workers.push(spawn(&format!("receive-{index}"), move || worker.run())?);
@@ -135,8 +142,8 @@
 
     /// Keeps forwarding by the newest settings until told to shut down and, after that, until the
     /// fabric has stopped sending or the grace time is over.
-    fn forward_until_drained(&self) {
-        let mut publisher = self.publisher();
+    fn forward_until_drained(&self, notices: mpsc::Receiver<LeavingAgent>) {
+        let mut publisher = self.publisher(notices);
         while !self.shutdown.is_requested() {
             publisher.publish_if_changed();
             thread::sleep(PUBLISH_INTERVAL);
@@ -165,14 +172,17 @@
         Arc::new(move |account| AccountKeyring::derive(&masters, AccountId::of(account)))
     }
 
-    fn publisher(&self) -> Publisher {
+    fn publisher(&self, notices: mpsc::Receiver<LeavingAgent>) -> Publisher {
         Publisher {
             store: self.store.clone(),
             instances: self.instances.clone(),
             published: self.published.clone(),
             masters: self.masters(),
             liveness: Liveness::default(),
+            notices,
+            leaving: LeavingAgents::default(),
             seen: None,
+            missing: Vec::new(),
             down: Vec::new(),
         }
     }
@@ -185,28 +195,38 @@
     published: Arc<Published>,
     masters: Vec<(KeyId, [u8; 32])>,
     liveness: Liveness,
+    notices: mpsc::Receiver<LeavingAgent>,
+    leaving: LeavingAgents,
     /// Generations of settings and list at the last look.
     seen: Option<(u64, u64)>,
-    /// Agents down in the snapshot in force.
+    /// Agents that the list no longer names.
+    missing: Vec<UpstreamId>,
+    /// Agents down in the snapshot in force: missing or leaving.
     down: Vec<UpstreamId>,
 }
 
 impl Publisher {
     fn publish_if_changed(&mut self) {
+        let now = boottime::now();
         let generations = (self.store.generation(), self.instances.generation());
-        if self.seen == Some(generations) {
-            return;
-        }
         let view = self.store.view();
-        let down = self.liveness.down(&view, &self.instances.list());
-        let settings_changed = self.seen.is_none_or(|(settings, _)| settings != generations.0);
-        if settings_changed || down != self.down {
-            // The settings file lists one key at least, so there always is a snapshot.
-            if let Some(snapshot) = Snapshot::build(&view, down.clone(), &self.masters) {
-                self.published.publish(snapshot);
-            }
+        if self.seen != Some(generations) {
+            self.missing = self.liveness.down(&view, &self.instances.list());
+        }
+        for agent in self.notices.try_iter() {
+            self.leaving.add(now, &view, agent);
         }
+        let mut down = self.leaving.at(now);
+        down.extend(&self.missing);
+        let settings_changed = self.seen.is_none_or(|(settings, _)| settings != generations.0);
         self.seen = Some(generations);
+        if !settings_changed && down == self.down {
+            return;
+        }
+        // The settings file lists one key at least, so there always is a snapshot.
+        if let Some(snapshot) = Snapshot::build(&view, down.clone(), &self.masters) {
+            self.published.publish(snapshot);
+        }
         self.down = down;
     }
 }
--- a/crates/balancer/src/snapshot.rs
+++ b/crates/balancer/src/snapshot.rs
@@ -24,6 +24,8 @@
     packed_services: Vec<ServiceKey>,
     /// IPv6 endpoints, sorted.
     other_endpoints: Vec<(Endpoint, ServiceKey)>,
+    /// Keyrings, sorted by account.
+    keyrings: Vec<(AccountId, AccountKeyring)>,
     /// Services in the order of the view's keys.
     services: Vec<ServiceEntry>,
     /// Index of the home in `agents`, for each service and bucket, as the router says.
@@ -77,14 +79,15 @@
         down: Vec<UpstreamId>,
         masters: &[(KeyId, [u8; 32])],
     ) -> Option<Self> {
-        let derive = |account: &Account| AccountKeyring::derive(masters, account.id);
+        let derive =
+            |account: &Account| Some((account.id, AccountKeyring::derive(masters, account.id)?));
         AccountKeyring::derive(masters, AccountId(0))?;
-        let keyrings: Vec<AccountKeyring> = view.accounts().iter().filter_map(derive).collect();
-        let mut snapshot = Self::default();
+        let keyrings = view.accounts().iter().filter_map(derive).collect();
+        let mut snapshot = Self { keyrings, ..Self::default() };
         for (index, service) in view.services().iter().enumerate() {
             snapshot.push_endpoints(service, ServiceKey(index as u32));
             let account = view.account(service.account);
-            let keyring = keyrings[service.account.0 as usize];
+            let keyring = snapshot.keyrings[service.account.0 as usize].1;
             let (account, version) = (account.id, account.version);
             snapshot.services.push(ServiceEntry { account, service: service.id, version, keyring });
         }
@@ -104,6 +107,12 @@
         Some(table[index].1)
     }
 
+    /// The keyring of an account.
+    pub fn keyring(&self, account: AccountId) -> Option<&AccountKeyring> {
+        let index = self.keyrings.binary_search_by_key(&account, |(known, _)| *known).ok()?;
+        Some(&self.keyrings[index].1)
+    }
+
     /// What is sealed into the packets of a service.
     pub fn service(&self, key: ServiceKey) -> &ServiceEntry {
         &self.services[key.0 as usize]
--- a/crates/balancer/src/worker.rs
+++ b/crates/balancer/src/worker.rs
@@ -2,15 +2,16 @@
 
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
 use shell::udp::{self, PayloadRef, Receiver, Sender};
 
 use crate::counters::{Counters, Counts, Dropped};
 use crate::forward::{self, Identity, PAYLOAD_START};
-use crate::snapshot::{Published, Subscription};
+use crate::notices::{self, LeavingAgent};
+use crate::snapshot::{Published, Snapshot, Subscription};
 
 /// How often an idle thread looks whether it should end.
 const IDLE_CHECK: Duration = Duration::from_millis(100);
@@ -21,6 +22,8 @@
     pub(crate) identity: Identity,
     pub(crate) published: Arc<Published>,
     pub(crate) counters: Counters,
+    /// Takes what agents tell to the thread that publishes snapshots.
+    pub(crate) notices: mpsc::Sender<LeavingAgent>,
     pub(crate) end: Arc<AtomicBool>,
 }
 
@@ -71,11 +74,28 @@
                     sender.queue_next(PayloadRef { slot, start: PAYLOAD_START }, home);
                     counts.forwarded += 1;
                 }
-                Err(reason) => counts.drop(reason, 1),
+                Err(reason) => self.not_forwarded(reason, snapshot, datagram, counts),
             }
         }
         let failed = sender.flush(&self.socket, receiver) as u64;
         counts.forwarded -= failed;
         counts.drop(Dropped::SendFailed, failed);
     }
+
+    fn not_forwarded(
+        &self,
+        reason: Dropped,
+        snapshot: &Snapshot,
+        datagram: &[u8],
+        counts: &mut Counts,
+    ) {
+        let is_control = reason == Dropped::UnsupportedProtocol;
+        match is_control.then(|| notices::read(snapshot, datagram)).flatten() {
+            Some(agent) => {
+                // The publisher lives as long as the process.
+                let _ = self.notices.send(agent);
+            }
+            None => counts.drop(reason, 1),
+        }
+    }
 }
--- /dev/null
+++ b/crates/balancer/tests/notices.rs
@@ -0,0 +1,97 @@
+//! What agents may tell a balancer.
+
+use std::sync::Arc;
+
+use balancer::notices::{LEAVING_MS, LeavingAgent, LeavingAgents, read};
+use balancer::snapshot::Snapshot;
+use decision::agent::Passed;
+use decision::keys::{AccountId, FlowId, ServiceId, UpstreamId, Version};
+use decision::time::Millis;
+use decision::view::{
+    self, AccountSpec, ServiceSpec, UpstreamSpec, UpstreamState, View, WhenInDoubt,
+};
+use rstest::rstest;
+use wire::gue::{self, Content};
+use wire::notice::{self, Notice};
+use wire::sealed::{AccountKeyring, Header, KeyId, Payload, SEALED_BYTES, SenderId};
+
+const MASTERS: [(KeyId, [u8; 32]); 1] = [(KeyId(1), [7; 32])];
+
+fn account(name: &str, service: &str) -> AccountSpec {
+    let upstream = UpstreamSpec {
+        name: "1".into(),
+        zone: "z".into(),
+        weight: 100,
+        max_flows: 10,
+        agent_address: ([127, 0, 0, 1], 1).into(),
+        control_address: ([127, 0, 0, 1], 2).into(),
+        address: ([127, 0, 0, 1], 3).into(),
+        state: UpstreamState::Active,
+        since: Version(1),
+        retired: None,
+    };
+    let service = ServiceSpec {
+        name: service.into(),
+        endpoints: vec![],
+        when_in_doubt: WhenInDoubt::Admit,
+        zone_spill_percent: 25,
+        upstreams: vec![upstream],
+    };
+    AccountSpec { name: name.into(), version: Version(1), services: vec![service] }
+}
+
+fn fleet() -> Arc<View> {
+    Arc::new(view::build(&[account("cascadia", "shelf"), account("bajio", "fitting")]))
+}
+
+fn shelf() -> UpstreamId {
+    UpstreamId::of("cascadia", "shelf", "1")
+}
+
+/// A notice about `shelf`, sealed with the key of one account and naming another.
+fn datagram(key_of: &str, named: &str, control_type: u8) -> Vec<u8> {
+    let header = Header {
+        hops: 0,
+        passed: Passed::Fresh,
+        account: AccountId::of(named),
+        service: ServiceId::of("cascadia", "shelf"),
+        flow: FlowId(0),
+        version: Version(1),
+        sender: SenderId(shelf().0),
+    };
+    let body = notice::encode(Notice::Leaving);
+    let ring = AccountKeyring::derive(&MASTERS, AccountId::of(key_of)).unwrap();
+    let mut private = [0; SEALED_BYTES];
+    ring.seal(&header, Payload::Control(&body), &mut private).unwrap();
+    let mut datagram = Vec::new();
+    gue::encode(Content::Control(control_type), &private, &body, &mut datagram);
+    datagram
+}
+
+/// Agents passed over after a datagram. An account must not turn another's traffic away from its
+/// agents, neither under its own name nor under the other's.
+#[rstest]
+#[case::own_agent(datagram("cascadia", "cascadia", notice::CONTROL_TYPE), true)]
+#[case::rival_under_own_name(datagram("bajio", "bajio", notice::CONTROL_TYPE), false)]
+#[case::rival_under_other_name(datagram("bajio", "cascadia", notice::CONTROL_TYPE), false)]
+#[case::unknown_account(datagram("ghost", "ghost", notice::CONTROL_TYPE), false)]
+#[case::message_between_agents(datagram("cascadia", "cascadia", 1), false)]
+#[case::garbage(vec![0x30, 2, 0, 0, 1, 2, 3], false)]
+fn leaving_after_datagram(#[case] datagram: Vec<u8>, #[case] passed_over: bool) {
+    let snapshot = Snapshot::build(&fleet(), vec![], &MASTERS).unwrap();
+    let mut agents = LeavingAgents::default();
+    if let Some(agent) = read(&snapshot, &datagram) {
+        agents.add(Millis(0), &fleet(), agent);
+    }
+    assert_eq!(agents.at(Millis(0)), if passed_over { vec![shelf()] } else { vec![] });
+}
+
+#[rstest]
+#[case::just_told(LEAVING_MS - 1, true)]
+#[case::restarted_meanwhile(LEAVING_MS, false)]
+fn leaving_expires(#[case] now_ms: u64, #[case] passed_over: bool) {
+    let (account, service) = (AccountId::of("cascadia"), ServiceId::of("cascadia", "shelf"));
+    let mut agents = LeavingAgents::default();
+    agents.add(Millis(0), &fleet(), LeavingAgent { account, service, upstream: shelf() });
+    assert_eq!(!agents.at(Millis(now_ms)).is_empty(), passed_over);
+}
--- a/crates/shell/src/udp/mod.rs
+++ b/crates/shell/src/udp/mod.rs
@@ -14,6 +14,10 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 pub use receive::Receiver;
+
+/// A receiver that keeps the sources of the datagrams.
+pub type SourceReceiver = Receiver<nix::sys::socket::SockaddrStorage>;
+
 pub use send::{PayloadRef, Prefix, Sender, send_one};
 
 /// Most datagrams in one system call. Larger batches gained nothing on loopback and keep a packet
--- a/crates/shell/src/udp/receive.rs
+++ b/crates/shell/src/udp/receive.rs
@@ -1,35 +1,38 @@
 //! Receiving in batches.
 
 use std::io::{self, IoSliceMut};
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 use std::os::fd::AsRawFd as _;
 
 use nix::errno::Errno;
-use nix::sys::socket::{MsgFlags, MultiHeaders, recvmmsg};
+use nix::sys::socket::{MsgFlags, MultiHeaders, SockaddrLike, SockaddrStorage, recvmmsg};
 
 use super::send::PayloadRef;
 use super::{BATCH, DATAGRAM_BYTES_MAX};
 
-/// Buffers for one batch of datagrams.
-pub struct Receiver {
-    headers: MultiHeaders<()>,
+/// Buffers for one batch of datagrams. `S` is `()` where nobody asks who sent them, or
+/// [`SockaddrStorage`] to keep the sources.
+pub struct Receiver<S = ()> {
+    headers: MultiHeaders<S>,
     buffer: Box<[u8]>,
     lengths: [usize; BATCH],
+    sources: [Option<S>; BATCH],
     count: usize,
 }
 
-impl Default for Receiver {
+impl<S: SockaddrLike + Copy> Default for Receiver<S> {
     fn default() -> Self {
         Self {
             headers: MultiHeaders::preallocate(BATCH, None),
             buffer: vec![0; BATCH * DATAGRAM_BYTES_MAX].into_boxed_slice(),
             lengths: [0; BATCH],
+            sources: [None; BATCH],
             count: 0,
         }
     }
 }
 
-impl Receiver {
+impl<S: SockaddrLike + Copy> Receiver<S> {
     /// Waits for a datagram until the socket's time-out and takes what else is there. Returns how
     /// many came, zero after a time-out.
     ///
@@ -68,11 +71,21 @@
         let fd = socket.as_raw_fd();
         let results = recvmmsg(fd, &mut self.headers, slices.iter_mut(), flags, None)?;
         let mut count = 0;
-        for (message, length) in results.zip(&mut self.lengths) {
+        for message in results {
             let whole = !message.flags.contains(MsgFlags::MSG_TRUNC);
-            *length = if whole { message.bytes } else { 0 };
+            self.lengths[count] = if whole { message.bytes } else { 0 };
+            self.sources[count] = message.address;
             count += 1;
         }
         Ok(count)
     }
 }
+
+impl Receiver<SockaddrStorage> {
+    /// Who sent a datagram of the last batch.
+    pub fn source(&self, slot: usize) -> Option<SocketAddr> {
+        let source = self.sources.get(slot)?.as_ref()?;
+        let v4 = source.as_sockaddr_in().map(|v4| SocketAddr::V4((*v4).into()));
+        v4.or_else(|| source.as_sockaddr_in6().map(|v6| SocketAddr::V6((*v6).into())))
+    }
+}
--- a/crates/shell/src/udp/send.rs
+++ b/crates/shell/src/udp/send.rs
@@ -5,7 +5,9 @@
 use std::os::fd::AsRawFd as _;
 
 use nix::errno::Errno;
-use nix::sys::socket::{ControlMessage, MsgFlags, MultiHeaders, SockaddrStorage, sendmmsg};
+use nix::sys::socket::{
+    ControlMessage, MsgFlags, MultiHeaders, SockaddrLike, SockaddrStorage, sendmmsg,
+};
 use wire::gue::{self, Content, HEADER_BYTES, PRIVATE_BYTES_MAX};
 use wire::sealed::SEALED_BYTES;
 
@@ -114,7 +116,10 @@
 
     /// Sends what is queued; payloads come out of `received`. Returns how many could not be sent:
     /// a receiver that cannot be reached must not hold up the others, so it is passed over.
-    pub fn flush(&mut self, socket: &UdpSocket, received: &Receiver) -> usize {
+    pub fn flush<S>(&mut self, socket: &UdpSocket, received: &Receiver<S>) -> usize
+    where
+        S: SockaddrLike + Copy,
+    {
         let mut start = 0;
         let mut failed = 0;
         while start < self.count {
@@ -131,12 +136,15 @@
         failed
     }
 
-    fn send_from(
+    fn send_from<S>(
         &mut self,
         start: usize,
         socket: &UdpSocket,
-        received: &Receiver,
-    ) -> Result<usize, Errno> {
+        received: &Receiver<S>,
+    ) -> Result<usize, Errno>
+    where
+        S: SockaddrLike + Copy,
+    {
         let (prefixes, payloads) = (&self.prefixes, &self.payloads);
         let slices: [[IoSlice<'_>; 2]; BATCH] = std::array::from_fn(|offset| {
             let index = (start + offset).min(BATCH - 1);
--- a/crates/shell/tests/udp.rs
+++ b/crates/shell/tests/udp.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use shell::udp::{self, BATCH, DATAGRAM_BYTES_MAX, PayloadRef, Prefix, Receiver, Sender};
+use shell::udp::{
+    self, BATCH, DATAGRAM_BYTES_MAX, PayloadRef, Prefix, Receiver, Sender, SourceReceiver,
+};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -55,11 +57,12 @@
     let caller = UdpSocket::bind("127.0.0.1:0").unwrap();
     caller.send_to(b"HEADfirst", relay_address).unwrap();
     caller.send_to(b"HEADsecond", relay_address).unwrap();
-    let (mut receiver, mut sender) = (Receiver::default(), Sender::default());
+    let (mut receiver, mut sender) = (SourceReceiver::default(), Sender::default());
     let mut relayed = 0;
     while relayed < 2 {
         let count = receiver.receive(&relay).unwrap();
         for slot in 0..count {
+            assert_eq!(receiver.source(slot), caller.local_addr().ok());
             let to = if relayed + slot == 0 { one.1 } else { two.1 };
             *sender.next_prefix() = Prefix::new(*b"head", b"priv");
             sender.queue_next(PayloadRef { slot, start: 4 }, to);
@@ -78,7 +81,7 @@
     let (relay, relay_address) = socket();
     let good = socket();
     let caller = UdpSocket::bind("127.0.0.1:0").unwrap();
-    let mut receiver = Receiver::default();
+    let mut receiver: Receiver = Receiver::default();
     caller.send_to(b"payload", relay_address).unwrap();
     receiver.receive(&relay).unwrap();
     let mut sender = Sender::default();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod exchange;
 pub mod gue;
 pub mod inner;
+pub mod notice;
 pub mod refusal;
 pub mod sealed;
 pub mod spread;
--- a/crates/wire/src/sealed.rs
+++ b/crates/wire/src/sealed.rs
@@ -180,6 +180,17 @@
     *hasher.finalize().as_bytes()
 }
 
+/// The account that private data claims to come from, to find its keyring; proven only by
+/// [`AccountKeyring::open`].
+///
+/// ```
+/// assert_eq!(wire::sealed::claimed_account(&[0; 8]), None);
+/// ```
+pub fn claimed_account(private: &[u8]) -> Option<AccountId> {
+    let layout = Layout::ref_from_bytes(private).ok()?;
+    Some(AccountId(layout.account.get()))
+}
+
 impl std::fmt::Debug for AccountKeyring {
     /// Prints the ids only: a key in a log is a key lost.
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
