--- a/xtask/src/lab/driver.rs
+++ b/xtask/src/lab/driver.rs
@@ -18,8 +18,10 @@
 
 /// Callers run this long before the first phase.
 const WARM_UP_MS: u64 = 2_000;
-/// Time between the last phase and the callers' end, in which everything must have recovered.
-const SETTLE_MS: u64 = 4_000;
+/// After the last phase everything must have recovered within this time.
+const RECOVERY_MS: u64 = 3_000;
+/// Time after that, in which an opening that fails is counted apart.
+const RECOVERED_MS: u64 = 2_000;
 /// Longest time in which callers end what is in flight.
 const FINISH_TIMEOUT_MS: u64 = 12_000;
 /// Time between two lines of a feed.
@@ -118,8 +120,11 @@
     lab.note(|journal, now_ms| journal.phases.push((now_ms, PhaseKind::Planned)));
     lab.pause(WARM_UP_MS)?;
     lab.options.scenario.phases.iter().try_for_each(|phase| run_phase(lab, phase))?;
-    lab.say("settling");
-    lab.pause(SETTLE_MS)
+    lab.say("recovering");
+    lab.pause(RECOVERY_MS)?;
+    lab.say("nothing may fail any more");
+    lab.note(|journal, now_ms| journal.phases.push((now_ms, PhaseKind::Recovered)));
+    lab.pause(RECOVERED_MS)
 }
 
 fn run_phase(lab: &Lab, phase: &Phase) -> anyhow::Result<()> {
--- a/xtask/src/lab/figures.rs
+++ b/xtask/src/lab/figures.rs
@@ -33,6 +33,8 @@
     pub(super) openings_refused_in_faults: u64,
     pub(super) openings_unanswered_in_planned_change: u64,
     pub(super) openings_unanswered_in_faults: u64,
+    /// Openings and datagrams refused or unanswered later than 3 s after the last fault.
+    pub(super) openings_failed_after_recovery: u64,
     pub(super) datagrams_sent: u64,
     pub(super) datagrams_refused: u64,
     /// Counted as incomplete answers as well: the fabric lost none then.
--- a/xtask/src/lab/scenario.rs
+++ b/xtask/src/lab/scenario.rs
@@ -21,6 +21,8 @@
 pub(super) enum PhaseKind {
     Planned,
     Fault,
+    /// All faults are over and the time to recover from them as well.
+    Recovered,
 }
 
 /// One upstream of a service and its agent. The seed turns the slots, so that each run takes
@@ -145,6 +147,8 @@
         SETTINGS,
         AGENTS,
         &[PauseAgent(target("fitting", 1), 1_000), PauseAgent(target("shelf", 5), 2_500)],
+        // An agent loses what it knows while one that could tell it is asleep.
+        &[Wait(1_300), KillAgent(target("shelf", 6), 400)],
     ],
 };
 
--- a/xtask/src/lab/verdict/incidents.rs
+++ b/xtask/src/lab/verdict/incidents.rs
@@ -39,7 +39,7 @@
     figures.answers_incomplete += u64::from(incident.answer_missing);
     match kind {
         PhaseKind::Planned => figures.flows_broken_by_planned_change += 1,
-        PhaseKind::Fault => figures.flows_broken_by_faults += 1,
+        PhaseKind::Fault | PhaseKind::Recovered => figures.flows_broken_by_faults += 1,
     }
 }
 
@@ -49,9 +49,10 @@
     kind: PhaseKind,
     incident: &Incident,
 ) -> &'a mut u64 {
-    use PhaseKind::{Fault, Planned};
+    use PhaseKind::{Fault, Planned, Recovered};
 
     match (incident.kind, incident.outcome, kind) {
+        (_, _, Recovered) => &mut figures.openings_failed_after_recovery,
         (Kind::Datagram, Outcome::Refused, _) => &mut figures.datagrams_refused,
         (Kind::Datagram, Outcome::Unanswered, Fault) => &mut figures.datagrams_unanswered_in_faults,
         (Kind::Datagram, Outcome::Unanswered, Planned) => {
--- a/xtask/src/lab/verdict/mod.rs
+++ b/xtask/src/lab/verdict/mod.rs
@@ -145,6 +145,7 @@
         ("answers_incomplete", figures.answers_incomplete, 0),
         ("openings_to_leaving_after_3s", figures.openings_to_leaving_after_3s, 0),
         ("openings failed in planned change", failed_openings, allowed_openings),
+        ("openings_failed_after_recovery", figures.openings_failed_after_recovery, 0),
         ("settings_reverted", figures.settings_reverted, 0),
         ("settings_lagging_at_end", figures.settings_lagging_at_end, 0),
         ("settings_in_force_ms_p99", figures.settings_in_force_ms_p99, IN_FORCE_MS_MAX),
--- a/xtask/src/lab/verdict/tests.rs
+++ b/xtask/src/lab/verdict/tests.rs
@@ -14,10 +14,16 @@
 const REQUEST: RequestId = RequestId(7);
 /// Faults begin here; before it all changes are planned.
 const FAULTS_AT_MS: u64 = 10_000;
+/// Nothing may fail from here on.
+const RECOVERED_AT_MS: u64 = 30_000;
 
 fn evidence() -> Evidence {
     let journal = Journal {
-        phases: vec![(0, PhaseKind::Planned), (FAULTS_AT_MS, PhaseKind::Fault)],
+        phases: vec![
+            (0, PhaseKind::Planned),
+            (FAULTS_AT_MS, PhaseKind::Fault),
+            (RECOVERED_AT_MS, PhaseKind::Recovered),
+        ],
         ..Journal::default()
     };
     let report = Report { flows_opened: 1_000, is_idle: true, ..Report::default() };
@@ -160,6 +166,25 @@
     assert_eq!(verdict(&evidence).pass, pass);
 }
 
+#[rstest]
+#[case::opening_in_faults(Kind::Confirm, Outcome::Unanswered, 29_999, true)]
+#[case::opening_refused(Kind::Confirm, Outcome::Refused, 30_000, false)]
+#[case::opening_unanswered(Kind::Feed, Outcome::Unanswered, 30_000, false)]
+#[case::datagram(Kind::Datagram, Outcome::Unanswered, 30_000, false)]
+fn opening_after_recovery(
+    #[case] kind: Kind,
+    #[case] outcome: Outcome,
+    #[case] at_ms: u64,
+    #[case] pass: bool,
+) {
+    let mut evidence = evidence();
+    let one = Incident { kind, established: false, ..incident(outcome, at_ms, at_ms) };
+    evidence.reports[0].incidents = vec![one];
+    let figures = verdict(&evidence);
+    assert_eq!(figures.openings_failed_after_recovery, u64::from(!pass));
+    assert_eq!(figures.pass, pass);
+}
+
 #[test]
 fn missing_answer_fails() {
     let mut evidence = evidence();
