--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -1,11 +1,12 @@
 //! What is checked before a datagram reaches the decision core. Pure: bytes in, packet out.
 
-use decision::keys::{AccountId, ServiceId};
+use decision::keys::{AccountId, ServiceId, Version};
 use decision::view::{View, WhenInDoubt};
 use settings::{Code, codes};
 use wire::control::{self, Envelope};
 use wire::gue::{self, Content};
 use wire::inner::{self, Inner, InnerError};
+use wire::notice::{self, Notice};
 use wire::sealed::{AccountKeyring, Header, Payload, SealError};
 
 /// Who this agent is.
@@ -38,6 +39,8 @@
         /// The message.
         envelope: Envelope,
     },
+    /// A balancer has a version of the account's settings in force.
+    Settings(Version),
 }
 
 /// Checks MAC, account, service and, against this agent's own settings, that the destination
@@ -57,7 +60,9 @@
 ) -> Result<Admitted<'a>, Code> {
     let frame = gue::parse(datagram).map_err(|_| codes::MALFORMED)?;
     let payload = match frame.content {
-        Content::Control(control::CONTROL_TYPE) => Payload::Control(frame.payload),
+        Content::Control(control::CONTROL_TYPE | notice::CONTROL_TYPE) => {
+            Payload::Control(frame.payload)
+        }
         Content::Control(_) => return Err(codes::UNSUPPORTED_PROTOCOL),
         Content::Ipv4 | Content::Ipv6 => Payload::Packet { bytes: frame.payload, header_bytes: 0 },
     };
@@ -69,6 +74,12 @@
     if header.service != identity.service {
         return Err(codes::WRONG_SERVICE);
     }
+    if frame.content == Content::Control(notice::CONTROL_TYPE) {
+        return match notice::decode(frame.payload) {
+            Some(Notice::Settings { version }) => Ok(Admitted::Settings(Version(version))),
+            _ => Err(codes::UNSUPPORTED_PROTOCOL),
+        };
+    }
     if matches!(payload, Payload::Control(_)) {
         let envelope = control::decode(frame.payload).map_err(|_| codes::MALFORMED)?;
         return Ok(Admitted::Message { header, envelope });
--- a/crates/agent/src/plane/leave.rs
+++ b/crates/agent/src/plane/leave.rs
@@ -1,9 +1,12 @@
-//! Leaving: telling the balancers, and staying until they have stopped sending.
+//! What the balancers are told: that this agent leaves, and how its peers are.
+//!
+//! A leaving agent stays until the balancers have stopped sending.
 
 use std::net::SocketAddr;
 
 use decision::agent::Passed;
 use decision::keys::FlowId;
+use decision::spread::Member;
 use decision::time::Millis;
 use shell::udp::{self, Prefix};
 use wire::gue::{self, Content};
@@ -16,6 +19,8 @@
 const BALANCERS_MAX: usize = 4_096;
 /// A balancer not heard from for this long is forgotten; it has probably been replaced.
 const FORGET_MS: u64 = 600_000;
+/// Balancers that hear of a peer's failure from one agent. Every agent of the service says so.
+const REPORTED_TO: usize = 2;
 /// Time between two notices: one may be lost.
 const REPEAT_MS: u64 = 100;
 /// How long no balancer must have sent. A balancer acts on a notice within its publishing interval
@@ -46,6 +51,17 @@
         }
     }
 
+    /// Up to `count` random balancers that have sent here.
+    fn some(&self, count: usize) -> Vec<SocketAddr> {
+        let mut known: Vec<SocketAddr> =
+            self.balancers.iter().map(|(address, _)| *address).collect();
+        let mut chosen = Vec::new();
+        for _ in 0..count.min(known.len()) {
+            chosen.push(known.swap_remove(rand::random_range(0..known.len())));
+        }
+        chosen
+    }
+
     /// Begins to leave.
     pub(super) fn begin(&mut self, now: Millis) {
         self.leaving = true;
@@ -79,7 +95,18 @@
         if due.is_empty() {
             return;
         }
-        let body = notice::encode(Notice::Leaving);
+        self.send_notice(Notice::Leaving, &due);
+    }
+
+    /// Tells some balancers whether an agent is up; they tell the others.
+    pub(super) fn report(&mut self, member: Member) {
+        let Member { upstream, beat, up } = member;
+        let to = self.leave.some(REPORTED_TO);
+        self.send_notice(Notice::Peer { upstream: upstream.0, beat, up }, &to);
+    }
+
+    fn send_notice(&mut self, notice: Notice, to: &[SocketAddr]) {
+        let body = notice::encode(notice);
         let header: Header = self.own_header(FlowId(0), 0, Passed::Fresh);
         let mut private = [0; SEALED_BYTES];
         if self.config.keyring.seal(&header, Payload::Control(&body), &mut private).is_err() {
@@ -87,9 +114,9 @@
         }
         let frame = gue::header(Content::Control(notice::CONTROL_TYPE), SEALED_BYTES);
         let prefix = Prefix::new(frame, &private);
-        for address in due {
+        for address in to {
             // One that cannot be reached does not send to us either.
-            let _ = udp::send_one(&self.config.socket, &prefix, &body, address, &mut self.scratch);
+            let _ = udp::send_one(&self.config.socket, &prefix, &body, *address, &mut self.scratch);
         }
     }
 }
--- a/crates/agent/src/plane/mod.rs
+++ b/crates/agent/src/plane/mod.rs
@@ -190,6 +190,13 @@
                 self.agent.handle(now, event, &mut self.actions);
                 None
             }
+            Ok(Admitted::Settings(version)) => {
+                if version > self.own.version {
+                    // The fetching thread lives as long as the process.
+                    let _ = self.config.fetch.send(version);
+                }
+                None
+            }
             Ok(Admitted::Packet { content, header, inner, bytes }) => {
                 let packet = Packet {
                     service: header.service,
@@ -237,6 +244,7 @@
                 // The fetching thread lives as long as the process.
                 let _ = self.config.fetch.send(at_least);
             }
+            Action::Report(member) => self.report(member),
             Action::Note(note) => {
                 notes::record(&self.config.timeline, &self.config.account, note);
             }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -8,6 +8,7 @@
 
 use decision::agent::{Agent, AgentConfig, Event, UpstreamReport};
 use decision::keys::{AccountId, Incarnation, ServiceId, UpstreamId, Version};
+use decision::spread::FALLBACK_READ_MS;
 use settings::codes;
 use settings::process::agent::AgentSettings;
 use shell::fault::StartFault;
@@ -138,7 +139,12 @@
         let peers = PeerReader::new(self.store.clone(), self.candidates(), self.keyrings()?);
         let (fetcher, fetch_peers) = (reader.clone(), peers.clone());
         let (shutdown, peer_shutdown) = (self.shutdown.clone(), self.shutdown.clone());
-        spawn("platform", move || reader.run(&shutdown))?;
+        let confirmed = self.store.clone();
+        // Different for each agent, so that not all of them turn to the service at once.
+        let fallback_ms = FALLBACK_READ_MS + rand::random_range(0..FALLBACK_READ_MS);
+        let must_read =
+            move || !confirmed.is_current() || confirmed.confirmed_age_ms() > fallback_ms;
+        spawn("platform", move || reader.run(&shutdown, must_read))?;
         spawn("peers", move || peers.run(&peer_shutdown))?;
         let (store, account) = (self.store.clone(), self.settings.account.clone());
         spawn("fetch", move || fetch_wanted(&wanted, &store, &account, &fetcher, &fetch_peers))?;
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod notices;
 pub mod run;
 pub mod snapshot;
+pub mod spreading;
 mod worker;
--- a/crates/balancer/src/notices.rs
+++ b/crates/balancer/src/notices.rs
@@ -1,4 +1,4 @@
-//! What agents tell this balancer about themselves.
+//! What agents tell this balancer about themselves and their peers.
 
 use decision::keys::{AccountId, ServiceId, UpstreamId};
 use decision::time::Millis;
@@ -15,15 +15,29 @@
 /// Notices kept at a time; more than a zone's agents that all leave together.
 const LEAVING_MAX: usize = 4_096;
 
-/// An agent that has said that it leaves. Which account it belongs to is as yet only its claim.
+/// A notice whose seal is right. That the account by whose key it was sealed owns the agents that
+/// it is about is as yet only a claim: see [`AgentNotice::owns`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeavingAgent {
+pub struct AgentNotice {
     /// Account by whose key the notice was sealed.
     pub account: AccountId,
-    /// Its service.
+    /// Service of the sender.
     pub service: ServiceId,
-    /// The agent.
-    pub upstream: UpstreamId,
+    /// The agent that sent it.
+    pub sender: UpstreamId,
+    /// What it says.
+    pub notice: Notice,
+}
+
+impl AgentNotice {
+    /// Whether, by `view`, the sealing account owns the service and the service the upstream. An
+    /// account could otherwise turn another's traffic away from its agents.
+    pub fn owns(&self, view: &View, upstream: UpstreamId) -> bool {
+        view.find_service(self.service).is_some_and(|service| {
+            let owner = view.account(view.service(service).account).id;
+            owner == self.account && view.find_upstream(service, upstream).is_some()
+        })
+    }
 }
 
 /// Agents that leave, with the time until which they are passed over.
@@ -34,7 +48,7 @@
 }
 
 /// The notice in a control datagram; `None` if it is none, or not by a holder of the account's key.
-pub fn read(snapshot: &Snapshot, datagram: &[u8]) -> Option<LeavingAgent> {
+pub fn read(snapshot: &Snapshot, datagram: &[u8]) -> Option<AgentNotice> {
     let frame = gue::parse(datagram).ok()?;
     if frame.content != Content::Control(notice::CONTROL_TYPE) {
         return None;
@@ -42,36 +56,28 @@
     let account = wire::sealed::claimed_account(frame.private)?;
     let keyring = snapshot.keyring(account)?;
     let opened = keyring.open(frame.private, Payload::Control(frame.payload)).ok()?;
-    let Notice::Leaving = notice::decode(frame.payload)?;
+    let notice = notice::decode(frame.payload)?;
     let header = opened.header;
-    let upstream = UpstreamId(header.sender.0);
-    Some(LeavingAgent { account, service: header.service, upstream })
+    let sender = UpstreamId(header.sender.0);
+    Some(AgentNotice { account, service: header.service, sender, notice })
 }
 
 impl LeavingAgents {
-    /// Takes in a notice. One about an upstream that the sealing account does not own is ignored:
-    /// an account could otherwise turn another's traffic away from its agents.
+    /// Takes in an agent that has said that it leaves.
     ///
     /// ```
-    /// use balancer::notices::{LeavingAgent, LeavingAgents};
-    /// use decision::{keys::*, time::Millis};
+    /// use balancer::notices::LeavingAgents;
+    /// use decision::{keys::UpstreamId, time::Millis};
     /// let mut agents = LeavingAgents::default();
-    /// let (account, service) = (AccountId(1), ServiceId(2));
-    /// let stranger = LeavingAgent { account, service, upstream: UpstreamId(3) };
-    /// agents.add(Millis(0), &Default::default(), stranger);
-    /// assert!(agents.at(Millis(0)).is_empty());
+    /// agents.add(Millis(0), UpstreamId(3));
+    /// assert_eq!(agents.at(Millis(0)), [UpstreamId(3)]);
     /// ```
-    pub fn add(&mut self, now: Millis, view: &View, agent: LeavingAgent) {
-        let Some(service) = view.find_service(agent.service) else { return };
-        let owner = view.account(view.service(service).account).id;
-        if owner != agent.account || view.find_upstream(service, agent.upstream).is_none() {
-            return;
-        }
+    pub fn add(&mut self, now: Millis, agent: UpstreamId) {
         let until = now.after(LEAVING_MS);
-        match self.entries.binary_search_by_key(&agent.upstream, |(id, _)| *id) {
+        match self.entries.binary_search_by_key(&agent, |(id, _)| *id) {
             Ok(index) => self.entries[index].1 = until,
             Err(index) if self.entries.len() < LEAVING_MAX => {
-                self.entries.insert(index, (agent.upstream, until));
+                self.entries.insert(index, (agent, until));
             }
             Err(_) => {}
         }
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -1,11 +1,17 @@
 //! Life of the process: start, publish snapshots, shut down gracefully.
 
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, mpsc};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use decision::keys::{AccountId, UpstreamId};
+use decision::spread::{Member, NodeId, Peer};
+use decision::time::Millis;
+use decision::view::View;
+use settings::codes;
 use settings::process::balancer::BalancerSettings;
 use shell::fault::StartFault;
 use shell::settings_sync::instances::{Instances, Kind};
@@ -17,13 +23,17 @@
 use shell::{boottime, http};
 use telemetry::metrics::Metrics;
 use telemetry::timeline::{Fields, Timeline};
-use wire::sealed::{AccountKeyring, KeyId};
+use wire::exchange::FLEET;
+use wire::notice::Notice;
+use wire::sealed::{AccountKeyring, KeyId, SenderId};
 
 use crate::counters::Counters;
 use crate::forward::Identity;
 use crate::liveness::Liveness;
-use crate::notices::{LeavingAgent, LeavingAgents};
+use crate::notices::{AgentNotice, LeavingAgents};
 use crate::snapshot::{Published, Snapshot};
+use crate::spreading::link::Link;
+use crate::spreading::{Fetch, Fetcher, Shared, Spreading, SpreadingConfig, Teller};
 use crate::worker::{self, Worker};
 
 /// Events kept for the time line.
@@ -42,6 +52,7 @@
     counters: Counters,
     published: Arc<Published>,
     shutdown: Shutdown,
+    shared: Arc<Shared>,
 }
 
 /// Runs a balancer until it is told to shut down.
@@ -57,6 +68,7 @@
         instances: Arc::default(),
         counters: Counters::new(&metrics),
         published: Arc::default(),
+        shared: Arc::default(),
         shutdown: Shutdown::on_signal().map_err(|e| StartFault::thread(&e))?,
         timeline,
         settings,
@@ -66,10 +78,12 @@
     let workers = balancer.start_workers(&end, &notices)?;
     let routes = crate::http::routes(&balancer.shown(metrics), &balancer.keyrings());
     http::start(balancer.settings.control_address, routes)?;
-    balancer.start_readers()?;
+    let (members, observed) = mpsc::channel();
+    let fetches = balancer.start_readers()?;
+    balancer.start_spreading(observed, fetches)?;
     balancer.timeline.record("", "started", Fields::default());
     log::info!("started");
-    balancer.forward_until_drained(inbox);
+    balancer.forward_until_drained(inbox, members);
     end.store(true, Ordering::Relaxed);
     for worker in workers {
         // A worker that panicked has already said so; the shutdown goes on.
@@ -83,7 +97,7 @@
     fn start_workers(
         &self,
         end: &Arc<AtomicBool>,
-        notices: &mpsc::Sender<LeavingAgent>,
+        notices: &mpsc::Sender<AgentNotice>,
     ) -> Result<Vec<JoinHandle<()>>, StartFault> {
         let address = self.settings.data_address;
         let sockets = worker::bind(address, self.settings.receive_threads)
@@ -104,7 +118,8 @@
         Ok(workers)
     }
 
-    fn start_readers(&self) -> Result<(), StartFault> {
+    /// Starts what reads the platform and the peers; returns where to ask for more.
+    fn start_readers(&self) -> Result<mpsc::Sender<Fetch>, StartFault> {
         let platform = self.settings.platform_address;
         let reader = Reader::new(platform, self.store.clone(), self.instances.clone());
         let lister = reader.clone();
@@ -117,13 +132,49 @@
             peers
         };
         let peers = PeerReader::new(self.store.clone(), Arc::new(candidates), self.keyrings());
-        let shutdown = self.shutdown.clone();
-        spawn("platform", move || reader.run(&shutdown))?;
-        let shutdown = self.shutdown.clone();
-        spawn("instances", move || lister.run_list(&shutdown))?;
+        let (fetches, inbox) = mpsc::channel();
+        let (platform, fetch_peers) = (reader.clone(), peers.clone());
+        let fetcher = Fetcher { store: self.store.clone(), peers: fetch_peers, platform, inbox };
+        let (shutdown, shared, store) =
+            (self.shutdown.clone(), self.shared.clone(), self.store.clone());
+        let wanted = move || shared.is_reader() || !store.is_current();
+        spawn("platform", move || reader.run(&shutdown, wanted))?;
+        let (shutdown, shared) = (self.shutdown.clone(), self.shared.clone());
+        spawn("instances", move || lister.run_list(&shutdown, || shared.is_reader()))?;
         let shutdown = self.shutdown.clone();
         spawn("peers", move || peers.run(&shutdown))?;
-        Ok(())
+        spawn("fetch", move || fetcher.run())?;
+        Ok(fetches)
+    }
+
+    fn start_spreading(
+        &self,
+        observed: mpsc::Receiver<Member>,
+        fetches: mpsc::Sender<Fetch>,
+    ) -> Result<(), StartFault> {
+        let address = self.settings.control_address;
+        let bind_fault = |error: io::Error| StartFault::bind(address, &error);
+        let own = NodeId::of(&self.settings.instance);
+        let ring = (self.keyrings())(FLEET)
+            .ok_or_else(|| StartFault::new(codes::KEY_MISSING, "no key in the settings file"))?;
+        let from = SocketAddr::new(address.ip(), 0);
+        let teller = Teller {
+            socket: UdpSocket::bind(from).map_err(bind_fault)?,
+            masters: self.masters(),
+            sender: SenderId(own.0),
+        };
+        let spreading = Spreading::new(SpreadingConfig {
+            own: Peer { id: own, zone: self.settings.zone.clone() },
+            link: Link::bind(address, ring, own).map_err(bind_fault)?,
+            teller,
+            store: self.store.clone(),
+            instances: self.instances.clone(),
+            observed,
+            fetches,
+            shared: self.shared.clone(),
+        });
+        let shutdown = self.shutdown.clone();
+        spawn("spread", move || spreading.run(&shutdown)).map(|_| ())
     }
 
     fn shown(&self, metrics: Arc<Metrics>) -> Shown {
@@ -142,8 +193,12 @@
 
     /// Keeps forwarding by the newest settings until told to shut down and, after that, until the
     /// fabric has stopped sending or the grace time is over.
-    fn forward_until_drained(&self, notices: mpsc::Receiver<LeavingAgent>) {
-        let mut publisher = self.publisher(notices);
+    fn forward_until_drained(
+        &self,
+        notices: mpsc::Receiver<AgentNotice>,
+        members: mpsc::Sender<Member>,
+    ) {
+        let mut publisher = self.publisher(notices, members);
         while !self.shutdown.is_requested() {
             publisher.publish_if_changed();
             thread::sleep(PUBLISH_INTERVAL);
@@ -172,7 +227,11 @@
         Arc::new(move |account| AccountKeyring::derive(&masters, AccountId::of(account)))
     }
 
-    fn publisher(&self, notices: mpsc::Receiver<LeavingAgent>) -> Publisher {
+    fn publisher(
+        &self,
+        notices: mpsc::Receiver<AgentNotice>,
+        members: mpsc::Sender<Member>,
+    ) -> Publisher {
         Publisher {
             store: self.store.clone(),
             instances: self.instances.clone(),
@@ -180,6 +239,8 @@
             masters: self.masters(),
             liveness: Liveness::default(),
             notices,
+            members,
+            shared: self.shared.clone(),
             leaving: LeavingAgents::default(),
             seen: None,
             missing: Vec::new(),
@@ -195,11 +256,14 @@
     published: Arc<Published>,
     masters: Vec<(KeyId, [u8; 32])>,
     liveness: Liveness,
-    notices: mpsc::Receiver<LeavingAgent>,
+    notices: mpsc::Receiver<AgentNotice>,
+    /// Takes what agents say about their peers to the spreading thread.
+    members: mpsc::Sender<Member>,
+    shared: Arc<Shared>,
     leaving: LeavingAgents,
-    /// Generations of settings and list at the last look.
-    seen: Option<(u64, u64)>,
-    /// Agents that the list no longer names.
+    /// Generations of settings, list and membership at the last look.
+    seen: Option<[u64; 3]>,
+    /// Agents that the list no longer names, or that their peers miss.
     missing: Vec<UpstreamId>,
     /// Agents down in the snapshot in force: missing or leaving.
     down: Vec<UpstreamId>,
@@ -208,17 +272,17 @@
 impl Publisher {
     fn publish_if_changed(&mut self) {
         let now = boottime::now();
-        let generations = (self.store.generation(), self.instances.generation());
+        let generations =
+            [self.store.generation(), self.instances.generation(), self.shared.generation()];
         let view = self.store.view();
         if self.seen != Some(generations) {
             self.missing = self.liveness.down(&view, &self.instances.list());
+            self.missing.extend(self.shared.down());
         }
-        for agent in self.notices.try_iter() {
-            self.leaving.add(now, &view, agent);
-        }
+        self.take_notices(now, &view);
         let mut down = self.leaving.at(now);
         down.extend(&self.missing);
-        let settings_changed = self.seen.is_none_or(|(settings, _)| settings != generations.0);
+        let settings_changed = self.seen.is_none_or(|seen| seen[0] != generations[0]);
         self.seen = Some(generations);
         if !settings_changed && down == self.down {
             return;
@@ -229,6 +293,23 @@
         }
         self.down = down;
     }
+
+    fn take_notices(&mut self, now: Millis, view: &View) {
+        for heard in self.notices.try_iter() {
+            match heard.notice {
+                Notice::Leaving if heard.owns(view, heard.sender) => {
+                    self.leaving.add(now, heard.sender);
+                }
+                Notice::Peer { upstream, beat, up } if heard.owns(view, UpstreamId(upstream)) => {
+                    let member = Member { upstream: UpstreamId(upstream), beat, up };
+                    // The spreading thread lives as long as the process.
+                    let _ = self.members.send(member);
+                }
+                // Not an account's own agent, or not for a balancer.
+                Notice::Leaving | Notice::Peer { .. } | Notice::Settings { .. } => {}
+            }
+        }
+    }
 }
 
 fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, StartFault> {
--- /dev/null
+++ b/crates/balancer/src/spreading/link.rs
@@ -0,0 +1,91 @@
+//! Datagrams between balancers: GUE control frames, sealed with the fleet's key, on the UDP port of
+//! the control address.
+//!
+//! A replayed datagram is harmless: versions and heartbeat numbers only grow, and a comparison ends
+//! in an answer to its sender. A replayed comparison can make settings look confirmed for as long as
+//! they are equal to the sender's, that is while they are the newest that anybody had.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+use decision::agent::Passed;
+use decision::keys::{AccountId, FlowId, ServiceId, Version};
+use decision::spread::{NodeId, ROUND_MS, SpreadMessage};
+use wire::exchange::FLEET;
+use wire::gue::{self, Content};
+use wire::sealed::{AccountKeyring, Header, Payload, SEALED_BYTES, SenderId};
+use wire::spread;
+
+/// Longest wait for a datagram. A fraction of a round, so that rounds are on time.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(ROUND_MS / 4);
+/// Largest datagram that is taken.
+const DATAGRAM_BYTES_MAX: usize = 2_048;
+
+/// The socket and the key of the fleet.
+#[derive(Debug)]
+pub struct Link {
+    socket: UdpSocket,
+    ring: AccountKeyring,
+    own: NodeId,
+}
+
+impl Link {
+    /// Binds the UDP port of `address`.
+    ///
+    /// Errors: those of the system calls.
+    pub fn bind(address: SocketAddr, ring: AccountKeyring, own: NodeId) -> io::Result<Self> {
+        let socket = UdpSocket::bind(address)?;
+        socket.set_read_timeout(Some(RECEIVE_TIMEOUT))?;
+        Ok(Self { socket, ring, own })
+    }
+
+    /// Address at which the link receives.
+    ///
+    /// Errors: those of the system call.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Sends a message. One that is lost is repeated by the next comparison.
+    pub fn send(&self, to: SocketAddr, message: &SpreadMessage) {
+        let body = spread::encode(message);
+        let mut private = [0; SEALED_BYTES];
+        if self.ring.seal(&self.header(), Payload::Control(&body), &mut private).is_err() {
+            return;
+        }
+        let mut datagram = Vec::with_capacity(gue::HEADER_BYTES + SEALED_BYTES + body.len());
+        gue::encode(Content::Control(spread::CONTROL_TYPE), &private, &body, &mut datagram);
+        let _ = self.socket.send_to(&datagram, to);
+    }
+
+    /// Waits a while for a message. Anything that is not a balancer's is passed over.
+    pub fn receive(&self) -> Option<(NodeId, SpreadMessage)> {
+        let mut buffer = [0; DATAGRAM_BYTES_MAX];
+        let (bytes, _) = self.socket.recv_from(&mut buffer).ok()?;
+        self.open(&buffer[..bytes])
+    }
+
+    /// The sender and the message in a datagram.
+    pub fn open(&self, datagram: &[u8]) -> Option<(NodeId, SpreadMessage)> {
+        let frame = gue::parse(datagram).ok()?;
+        if frame.content != Content::Control(spread::CONTROL_TYPE) {
+            return None;
+        }
+        let opened = self.ring.open(frame.private, Payload::Control(frame.payload)).ok()?;
+        let message = spread::decode(frame.payload).ok()?;
+        Some((NodeId(opened.header.sender.0), message))
+    }
+
+    fn header(&self) -> Header {
+        Header {
+            hops: 0,
+            passed: Passed::Fresh,
+            account: AccountId::of(FLEET),
+            service: ServiceId(0),
+            flow: FlowId(0),
+            version: Version(0),
+            sender: SenderId(self.own.0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/spreading/mod.rs
@@ -0,0 +1,214 @@
+//! Spreading settings versions and membership: the shell around [`decision::spread`].
+//!
+//! One thread owns the core's state. It takes in what other balancers send, what agents report and
+//! what the store has put in force; what must be fetched goes to a second thread, so that a slow
+//! peer never holds up the spreading.
+
+mod fetch;
+pub mod link;
+mod tell;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, mpsc};
+
+use decision::keys::{AccountId, UpstreamId, Version};
+use decision::spread::{
+    Member, NodeId, Peer, ROOT, Spread, SpreadAction, SpreadEvent, SpreadMessage,
+};
+use decision::time::Millis;
+use decision::view::View;
+use shell::boottime;
+use shell::settings_sync::Store;
+use shell::settings_sync::instances::{Instances, Kind};
+use shell::signals::Shutdown;
+
+pub(crate) use fetch::{Fetch, Fetcher};
+use link::Link;
+pub(crate) use tell::Teller;
+
+/// What other threads read of the spreading.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    is_reader: AtomicBool,
+    generation: AtomicU64,
+    down: Mutex<Vec<UpstreamId>>,
+}
+
+/// What the spreading thread is given.
+pub(crate) struct SpreadingConfig {
+    pub(crate) own: Peer,
+    pub(crate) link: Link,
+    pub(crate) teller: Teller,
+    pub(crate) store: Arc<Store>,
+    pub(crate) instances: Arc<Instances>,
+    pub(crate) observed: mpsc::Receiver<Member>,
+    pub(crate) fetches: mpsc::Sender<Fetch>,
+    pub(crate) shared: Arc<Shared>,
+}
+
+/// The spreading thread's state.
+pub(crate) struct Spreading {
+    config: SpreadingConfig,
+    spread: Spread,
+    /// Control addresses of the other balancers, sorted by node.
+    addresses: Vec<(NodeId, SocketAddr)>,
+    /// Generations of settings and list at the last look; `None` before the first.
+    seen: (Option<u64>, Option<u64>),
+    actions: Vec<SpreadAction>,
+}
+
+impl Default for Shared {
+    /// Before the first list is heard everybody reads: better too many readers than none.
+    fn default() -> Self {
+        let (is_reader, generation) = (AtomicBool::new(true), AtomicU64::new(0));
+        Self { is_reader, generation, down: Mutex::default() }
+    }
+}
+
+impl Shared {
+    /// Whether this instance watches the configuration service for its zone.
+    pub(crate) fn is_reader(&self) -> bool {
+        self.is_reader.load(Ordering::Relaxed)
+    }
+
+    /// Number that grows with each change of [`Shared::down`].
+    pub(crate) fn generation(&self) -> u64 {
+        self.generation.load(Ordering::Acquire)
+    }
+
+    /// Sorted ids of the agents believed down.
+    pub(crate) fn down(&self) -> Vec<UpstreamId> {
+        self.down.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn set_down(&self, down: Vec<UpstreamId>) {
+        *self.down.lock().unwrap_or_else(PoisonError::into_inner) = down;
+        self.generation.fetch_add(1, Ordering::Release);
+    }
+}
+
+impl Spreading {
+    pub(crate) fn new(config: SpreadingConfig) -> Self {
+        let spread = Spread::new(config.own.clone(), rand::random(), boottime::now());
+        let (addresses, actions) = (Vec::new(), Vec::new());
+        Self { config, spread, addresses, seen: (None, None), actions }
+    }
+
+    /// Spreads until the shutdown.
+    pub(crate) fn run(mut self, shutdown: &Shutdown) {
+        while !shutdown.is_requested() {
+            let received = self.config.link.receive();
+            let now = boottime::now();
+            if let Some((from, message)) = received {
+                self.handle(now, SpreadEvent::Message { from, message });
+            }
+            self.take_list(now);
+            self.take_settings(now);
+            for member in self.config.observed.try_iter().collect::<Vec<_>>() {
+                self.handle(now, SpreadEvent::Observed(member));
+            }
+            self.handle(now, SpreadEvent::Tick);
+            self.config.shared.is_reader.store(self.spread.is_reader(), Ordering::Relaxed);
+        }
+    }
+
+    fn take_list(&mut self, now: Millis) {
+        let generation = self.config.instances.generation();
+        if generation == 0 || self.seen.1 == Some(generation) {
+            return;
+        }
+        self.seen.1 = Some(generation);
+        let list = self.config.instances.list();
+        let balancers = || list.iter().filter(|entry| entry.kind == Kind::Balancer);
+        self.addresses = balancers()
+            .map(|entry| (NodeId::of(&entry.name), entry.control_address))
+            .filter(|(id, _)| *id != self.config.own.id)
+            .collect();
+        self.addresses.sort_unstable_by_key(|(id, _)| *id);
+        let peers = balancers()
+            .map(|entry| Peer { id: NodeId::of(&entry.name), zone: entry.zone.clone() })
+            .collect();
+        self.handle(now, SpreadEvent::Peers(peers));
+    }
+
+    /// Tells the core what the store has put in force since the last look, and the agents that this
+    /// balancer is to tell.
+    fn take_settings(&mut self, now: Millis) {
+        if self.config.store.is_current() {
+            let age_ms = self.config.store.confirmed_age_ms();
+            if age_ms < self.spread.confirmed_age_ms(now) {
+                self.handle(now, SpreadEvent::Confirmed { age_ms });
+            }
+        }
+        let generation = self.config.store.generation();
+        if self.seen.0 == Some(generation) {
+            return;
+        }
+        let is_first = self.seen.0.replace(generation).is_none();
+        let view = self.config.store.view();
+        self.spread.retain_members(|agent| lists(&view, agent));
+        if let Some((version, _)) = self.config.store.root() {
+            self.handle(now, SpreadEvent::Installed { account: ROOT, version });
+        }
+        for (name, version) in self.config.store.versions() {
+            let account = AccountId::of(&name);
+            if self.spread.version(account) == Some(version) {
+                continue;
+            }
+            self.handle(now, SpreadEvent::Installed { account, version });
+            // What a starting balancer finds in force is news to no agent.
+            if !is_first {
+                self.tell_agents(&view, account, version);
+            }
+        }
+    }
+
+    fn tell_agents(&self, view: &View, account: AccountId, version: Version) {
+        let is_notifier = |agent| self.spread.is_notifier(agent);
+        self.config.teller.tell(view, account, version, is_notifier);
+    }
+
+    fn handle(&mut self, now: Millis, event: SpreadEvent) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.spread.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&self, action: SpreadAction) {
+        match action {
+            SpreadAction::Send { to, message } => self.send(to, &message),
+            SpreadAction::FetchFromPeer { from, wants } => {
+                let Some(peer) = self.address(from) else { return };
+                let accounts = wants.iter().map(|want| want.account).collect();
+                self.fetch(Fetch::FromPeer { peer, accounts });
+            }
+            SpreadAction::FetchFromService { account } => self.fetch(Fetch::FromService(account)),
+            SpreadAction::MembersChanged => self.config.shared.set_down(self.spread.down()),
+        }
+    }
+
+    fn send(&self, to: NodeId, message: &SpreadMessage) {
+        if let Some(address) = self.address(to) {
+            self.config.link.send(address, message);
+        }
+    }
+
+    fn fetch(&self, fetch: Fetch) {
+        // The fetching thread lives as long as the process.
+        let _ = self.config.fetches.send(fetch);
+    }
+
+    fn address(&self, node: NodeId) -> Option<SocketAddr> {
+        let index = self.addresses.binary_search_by_key(&node, |(id, _)| *id).ok()?;
+        Some(self.addresses[index].1)
+    }
+}
+
+fn lists(view: &View, agent: UpstreamId) -> bool {
+    let keys = (0..view.services().len() as u32).map(decision::keys::ServiceKey);
+    keys.into_iter().any(|service| view.find_upstream(service, agent).is_some())
+}
--- a/crates/balancer/src/worker.rs
+++ b/crates/balancer/src/worker.rs
@@ -10,7 +10,7 @@
 
 use crate::counters::{Counters, Counts, Dropped};
 use crate::forward::{self, Identity, PAYLOAD_START};
-use crate::notices::{self, LeavingAgent};
+use crate::notices::{self, AgentNotice};
 use crate::snapshot::{Published, Snapshot, Subscription};
 
 /// How often an idle thread looks whether it should end.
@@ -23,7 +23,7 @@
     pub(crate) published: Arc<Published>,
     pub(crate) counters: Counters,
     /// Takes what agents tell to the thread that publishes snapshots.
-    pub(crate) notices: mpsc::Sender<LeavingAgent>,
+    pub(crate) notices: mpsc::Sender<AgentNotice>,
     pub(crate) end: Arc<AtomicBool>,
 }
 
@@ -91,9 +91,9 @@
     ) {
         let is_control = reason == Dropped::UnsupportedProtocol;
         match is_control.then(|| notices::read(snapshot, datagram)).flatten() {
-            Some(agent) => {
+            Some(notice) => {
                 // The publisher lives as long as the process.
-                let _ = self.notices.send(agent);
+                let _ = self.notices.send(notice);
             }
             None => counts.drop(reason, 1),
         }
--- /dev/null
+++ b/crates/balancer/tests/link.rs
@@ -0,0 +1,45 @@
+//! Contract of the datagrams between balancers.
+
+use std::net::UdpSocket;
+
+use balancer::spreading::link::Link;
+use decision::keys::{AccountId, Version};
+use decision::spread::{NodeId, Notice, SpreadMessage};
+use rstest::rstest;
+use wire::exchange::FLEET;
+use wire::sealed::{AccountKeyring, KeyId};
+
+const MASTERS: [(KeyId, [u8; 32]); 1] = [(KeyId(1), [7; 32])];
+const OTHER_MASTERS: [(KeyId, [u8; 32]); 1] = [(KeyId(1), [8; 32])];
+
+fn link(masters: &[(KeyId, [u8; 32])], account: &str, node: u64) -> Link {
+    let ring = AccountKeyring::derive(masters, AccountId::of(account)).unwrap();
+    Link::bind("127.0.0.1:0".parse().unwrap(), ring, NodeId(node)).unwrap()
+}
+
+fn message() -> SpreadMessage {
+    SpreadMessage::Notices(vec![Notice::Settings { account: AccountId(1), version: Version(9) }])
+}
+
+/// What a balancer takes from a datagram sent by `sender`. An agent, which holds its account's key
+/// only, could otherwise tell all balancers that the agents of a rival are down.
+#[rstest]
+#[case::balancer(link(&MASTERS, FLEET, 2), Some((NodeId(2), message())))]
+#[case::agent_with_account_key(link(&MASTERS, "cascadia", 2), None)]
+#[case::stranger(link(&OTHER_MASTERS, FLEET, 2), None)]
+fn receive_from(#[case] sender: Link, #[case] expected: Option<(NodeId, SpreadMessage)>) {
+    let receiver = link(&MASTERS, FLEET, 1);
+    sender.send(receiver.local_address().unwrap(), &message());
+    assert_eq!(receiver.receive(), expected);
+}
+
+#[rstest]
+#[case::empty(&[])]
+#[case::not_gue(&[0xff; 40])]
+#[case::truncated(&[0x20, 3, 0, 0, 1, 2])]
+fn receive_garbage(#[case] datagram: &[u8]) {
+    let receiver = link(&MASTERS, FLEET, 1);
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.send_to(datagram, receiver.local_address().unwrap()).unwrap();
+    assert_eq!(receiver.receive(), None);
+}
--- a/crates/balancer/tests/notices.rs
+++ b/crates/balancer/tests/notices.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use balancer::notices::{LEAVING_MS, LeavingAgent, LeavingAgents, read};
+use balancer::notices::{LEAVING_MS, LeavingAgents, read};
 use balancer::snapshot::Snapshot;
 use decision::agent::Passed;
 use decision::keys::{AccountId, FlowId, ServiceId, UpstreamId, Version};
@@ -80,8 +80,9 @@
 fn leaving_after_datagram(#[case] datagram: Vec<u8>, #[case] passed_over: bool) {
     let snapshot = Snapshot::build(&fleet(), vec![], &MASTERS).unwrap();
     let mut agents = LeavingAgents::default();
-    if let Some(agent) = read(&snapshot, &datagram) {
-        agents.add(Millis(0), &fleet(), agent);
+    let heard = read(&snapshot, &datagram);
+    if let Some(heard) = heard.filter(|heard| heard.owns(&fleet(), heard.sender)) {
+        agents.add(Millis(0), heard.sender);
     }
     assert_eq!(agents.at(Millis(0)), if passed_over { vec![shelf()] } else { vec![] });
 }
@@ -90,8 +91,7 @@
 #[case::just_told(LEAVING_MS - 1, true)]
 #[case::restarted_meanwhile(LEAVING_MS, false)]
 fn leaving_expires(#[case] now_ms: u64, #[case] passed_over: bool) {
-    let (account, service) = (AccountId::of("cascadia"), ServiceId::of("cascadia", "shelf"));
     let mut agents = LeavingAgents::default();
-    agents.add(Millis(0), &fleet(), LeavingAgent { account, service, upstream: shelf() });
+    agents.add(Millis(0), shelf());
     assert_eq!(!agents.at(Millis(now_ms)).is_empty(), passed_over);
 }
--- a/crates/decision/src/agent/health.rs
+++ b/crates/decision/src/agent/health.rs
@@ -5,6 +5,7 @@
 use super::{Action, Agent, Note, UpstreamReport, limits};
 use crate::keys::UpstreamId;
 use crate::message::{Heartbeat, Message};
+use crate::spread::Member;
 use crate::time::Millis;
 use crate::view::UpstreamState;
 
@@ -102,6 +103,7 @@
         self.heartbeat_at = now.after(heartbeat_ms(self.peers.len()));
         let heartbeat = Heartbeat {
             incarnation: self.config.incarnation,
+            beat: self.beat(now),
             view: self.settings.version,
             open_flows: self.flows.open() as u32,
             unanswered: self.flows.unanswered() as u32,
@@ -114,6 +116,20 @@
                 out.push(Action::Send { to, message: Message::Heartbeat(heartbeat) });
             }
         }
+        self.report_myself(heartbeat.beat, out);
+    }
+
+    /// An agent that hears from few of its peers may be reported down by them although the
+    /// balancers still reach it. Its own word, at a later beat, keeps its packets coming.
+    fn report_myself(&self, beat: u64, out: &mut Vec<Action>) {
+        if self.is_isolated() && !self.leaving {
+            let upstream = self.config.upstream;
+            out.push(Action::Report(Member { upstream, beat, up: true }));
+        }
+    }
+
+    fn beat(&self, now: Millis) -> u64 {
+        self.config.incarnation.0 + now.since(self.started_at)
     }
 
     /// A peer's load and state. Late ones of an earlier life are ignored; leaving is for life.
@@ -132,6 +148,11 @@
         let Some(peer) = self.peers.get_mut(from) else { return };
         let same_life = peer.heartbeat.filter(|old| old.incarnation == heartbeat.incarnation);
         heartbeat.leaving |= same_life.is_some_and(|old| old.leaving);
+        if peer.reported_down {
+            peer.reported_down = false;
+            let beat = heartbeat.beat;
+            out.push(Action::Report(Member { upstream: from, beat, up: true }));
+        }
         peer.view = peer.view.max(heartbeat.view);
         peer.heartbeat = Some(heartbeat);
         peer.assigned = 0;
@@ -187,6 +208,14 @@
         let homes = self.homes();
         let Some(peer) = self.peers.get_mut(id) else { return };
         peer.suspected = suspected;
+        if suspected {
+            // A peer that has never been heard from is not known to have been up.
+            if let Some(heartbeat) = peer.heartbeat {
+                peer.reported_down = true;
+                let beat = heartbeat.beat;
+                out.push(Action::Report(Member { upstream: id, beat, up: false }));
+            }
+        }
         out.push(Action::Note(Note::PeerSuspected { upstream: id, suspected }));
         self.doubt_former_homes(now, &homes);
         self.retarget();
--- a/crates/decision/src/agent/peers.rs
+++ b/crates/decision/src/agent/peers.rs
@@ -25,6 +25,8 @@
     pub(super) view: Version,
     pub(super) heartbeat: Option<Heartbeat>,
     pub(super) suspected: bool,
+    /// Whether the balancers were told that it is down; the next heartbeat takes that back.
+    pub(super) reported_down: bool,
     /// Openings assigned to it since its last heartbeat.
     pub(super) assigned: u32,
     /// Highest batch of announcements taken in from its present life.
--- a/crates/decision/src/agent/tests/mod.rs
+++ b/crates/decision/src/agent/tests/mod.rs
@@ -8,6 +8,7 @@
 mod lookup;
 mod once;
 mod relearn;
+mod reports;
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
 use crate::keys::{FlowId, Incarnation, ServiceId, UpstreamId, Version};
 use crate::message::Message;
 use crate::rank;
+use crate::spread::Member;
 use crate::time::Millis;
 use crate::view::{
     self, AccountSpec, Endpoint, ServiceSpec, Transport, UpstreamSpec, UpstreamState, View,
@@ -118,6 +120,7 @@
     outcomes: Vec<Outcome>,
     notes: Vec<(usize, Note)>,
     fetches: Vec<(usize, Version)>,
+    reports: Vec<(usize, Member)>,
 }
 
 impl Fleet {
@@ -143,6 +146,7 @@
             outcomes: Vec::new(),
             notes: Vec::new(),
             fetches: Vec::new(),
+            reports: Vec::new(),
         }
     }
 
@@ -236,6 +240,7 @@
                     self.follow(at, packet, verdict);
                 }
                 Action::FetchSettings { at_least } => self.fetches.push((at, at_least)),
+                Action::Report(member) => self.reports.push((at, member)),
                 Action::Note(note) => self.notes.push((at, note)),
             }
         }
--- /dev/null
+++ b/crates/decision/src/agent/tests/reports.rs
@@ -0,0 +1,58 @@
+//! What agents report to the balancers about one another.
+
+use super::*;
+
+/// Reports about agent `about`, as (reporter, up), repetitions by the same reporter left out.
+fn reports_about(fleet: &Fleet, about: usize) -> Vec<(usize, bool)> {
+    let mut seen: Vec<(usize, bool)> = Vec::new();
+    for (reporter, member) in &fleet.reports {
+        let entry = (*reporter, member.up);
+        if member.upstream == id(about) && !seen.contains(&entry) {
+            seen.push(entry);
+        }
+    }
+    seen.sort_unstable();
+    seen
+}
+
+/// Beat of the latest report about agent 2 by `reporter`.
+fn last_beat(fleet: &Fleet, reporter: usize, up: bool) -> Option<u64> {
+    let reports = fleet.reports.iter().filter(|(at, _)| *at == reporter).map(|(_, member)| member);
+    let about = reports.filter(|member| member.upstream == id(2) && member.up == up);
+    about.map(|member| member.beat).max()
+}
+
+/// An agent dies. Callers of flows for which it was home would wait until the instance list catches
+/// up; instead each peer reports it after three missed heartbeats. When it is back its own later
+/// heartbeat refutes the reports, in whatever order they arrive.
+#[test]
+fn suspect_dead_agent_is_reported_until_heard_again() {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 3));
+    fleet.cut = vec![2];
+    fleet.pass(5_000);
+    assert!(reports_about(&fleet, 2).contains(&(0, false)));
+    assert!(reports_about(&fleet, 2).contains(&(1, false)));
+    let down_at = last_beat(&fleet, 0, false);
+    assert_eq!(last_beat(&fleet, 0, true), None);
+    fleet.cut.clear();
+    fleet.pass(5_000);
+    assert!(last_beat(&fleet, 0, true) > down_at);
+}
+
+/// A partition cuts one agent off from its peers, but not from the balancers on its side. Its peers
+/// report it down; its own word, with a later beat, keeps its open feeds coming to it.
+#[test]
+fn report_myself_when_cut_off() {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 3));
+    fleet.cut = vec![2];
+    fleet.pass(5_000);
+    assert!(reports_about(&fleet, 2).contains(&(2, true)));
+}
+
+/// Nobody reports anything while all is well, so membership costs no bytes then.
+#[test]
+fn suspect_nobody_while_all_are_heard() {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 3));
+    fleet.pass(30_000);
+    assert_eq!(fleet.reports, []);
+}
--- a/crates/decision/src/agent/types.rs
+++ b/crates/decision/src/agent/types.rs
@@ -4,6 +4,7 @@
 
 use crate::keys::{FlowId, Incarnation, ServiceId, UpstreamId, Version};
 use crate::message::{Message, Opening};
+use crate::spread::Member;
 use crate::view::View;
 
 /// What a packet means for its flow.
@@ -167,6 +168,8 @@
         /// Version that was seen.
         at_least: Version,
     },
+    /// Tell balancers whether an agent is up.
+    Report(Member),
     /// Put an entry into the time line.
     Note(Note),
 }
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -64,6 +64,9 @@
 pub struct Heartbeat {
     /// Life of the sending process.
     pub incarnation: Incarnation,
+    /// Grows with each heartbeat and through all lives of the agent: its incarnation plus the
+    /// milliseconds since its start. Orders what observers say about its liveness.
+    pub beat: u64,
     /// Settings version in force at the sender.
     pub view: Version,
     /// Flows that the sender holds.
--- a/crates/decision/src/spread/facts.rs
+++ b/crates/decision/src/spread/facts.rs
@@ -85,6 +85,10 @@
         self.members.iter().filter(|member| !member.up).map(|member| member.upstream).collect()
     }
 
+    pub(super) fn retain_members(&mut self, listed: impl Fn(UpstreamId) -> bool) {
+        self.members.retain(|member| listed(member.upstream));
+    }
+
     /// The hash of each share.
     pub(super) fn digest(&self, confirmed_age_ms: u64) -> Digest {
         let mut shares = [0u64; SHARES];
--- a/crates/decision/src/spread/mod.rs
+++ b/crates/decision/src/spread/mod.rs
@@ -95,7 +95,10 @@
         version: Version,
     },
     /// The configuration service has confirmed the versions in force here.
-    Confirmed,
+    Confirmed {
+        /// Milliseconds since then.
+        age_ms: u64,
+    },
     /// An agent was seen to fail or to be back.
     Observed(Member),
     /// A peer's message.
@@ -199,7 +202,7 @@
         match event {
             SpreadEvent::Peers(list) => self.peers.replace(list),
             SpreadEvent::Installed { account, version } => self.installed(account, version),
-            SpreadEvent::Confirmed => self.confirm(now),
+            SpreadEvent::Confirmed { age_ms } => self.confirm(now, age_ms),
             SpreadEvent::Observed(member) => self.learn_member(member, out),
             SpreadEvent::Message { from, message } => self.message(now, from, message, out),
             SpreadEvent::Tick => self.tick(now, out),
@@ -211,6 +214,17 @@
         self.peers.is_reader()
     }
 
+    /// True if this node is one of the two that tell an agent of newer settings.
+    pub fn is_notifier(&self, agent: UpstreamId) -> bool {
+        self.peers.is_notifier(agent)
+    }
+
+    /// Forgets what is known of agents that the settings no longer list. Every node does so on the
+    /// same versions, so the digests stay equal.
+    pub fn retain_members(&mut self, listed: impl Fn(UpstreamId) -> bool) {
+        self.facts.retain_members(listed);
+    }
+
     /// Sorted ids of the agents believed down.
     pub fn down(&self) -> Vec<UpstreamId> {
         self.facts.down()
@@ -238,11 +252,6 @@
         }
     }
 
-    fn confirm(&mut self, now: Millis) {
-        self.confirmed = now;
-        self.settled = true;
-    }
-
     fn message(
         &mut self,
         now: Millis,
@@ -313,7 +322,7 @@
     fn compare(&mut self, now: Millis, from: NodeId, digest: &Digest, out: &mut Vec<SpreadAction>) {
         let own = self.facts.digest(self.confirmed_age_ms(now));
         if own.shares == digest.shares {
-            self.confirm_by_peer(now, digest.confirmed_age_ms);
+            self.confirm(now, digest.confirmed_age_ms);
             return;
         }
         let notices = self.differences(digest);
@@ -327,7 +336,7 @@
     }
 
     /// A peer with the same facts passes on its confirmation, never a younger one than it has.
-    fn confirm_by_peer(&mut self, now: Millis, age_ms: u64) {
+    fn confirm(&mut self, now: Millis, age_ms: u64) {
         self.confirmed = self.confirmed.max(Millis(now.0.saturating_sub(age_ms)));
         self.settled = true;
     }
--- a/crates/decision/src/spread/peers.rs
+++ b/crates/decision/src/spread/peers.rs
@@ -7,11 +7,16 @@
 use rand_pcg::Pcg64;
 use siphasher::sip::SipHasher13;
 
+use crate::keys::UpstreamId;
+
 /// Readers of the configuration service in each availability zone: one may fail unnoticed until the
 /// instance list catches up. 17 zones with two readers wait in 34 watches, and a change costs 34
 /// reads of the 2,000 a second allowed.
 pub const READERS_PER_ZONE: usize = 2;
 
+/// Nodes that tell an agent of newer settings; one of them may be down.
+const NOTIFIERS_PER_AGENT: usize = 2;
+
 /// Identifies a spreading node: a hash of its instance name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct NodeId(pub u64);
@@ -62,11 +67,20 @@
 
     /// True if fewer than [`READERS_PER_ZONE`] nodes of the own zone score higher.
     pub(super) fn is_reader(&self) -> bool {
+        let score = |peer: &Peer| score(peer.id, peer.zone.as_bytes());
         let own_score = score(&self.own);
         let ahead = self.others.iter().filter(|peer| peer.zone == self.own.zone);
         ahead.filter(|peer| score(peer) > own_score).count() < READERS_PER_ZONE
     }
 
+    /// True if fewer than [`NOTIFIERS_PER_AGENT`] nodes score higher for the agent.
+    pub(super) fn is_notifier(&self, agent: UpstreamId) -> bool {
+        let score = |peer: &Peer| score(peer.id, &agent.0.to_be_bytes());
+        let own_score = score(&self.own);
+        let ahead = self.others.iter().filter(|peer| score(peer) > own_score);
+        ahead.take(NOTIFIERS_PER_AGENT).count() < NOTIFIERS_PER_AGENT
+    }
+
     /// Up to `count` different random nodes.
     pub(super) fn sample(&self, count: usize, random: &mut Pcg64) -> Vec<NodeId> {
         let mut chosen: Vec<NodeId> = Vec::with_capacity(count);
@@ -81,9 +95,10 @@
     }
 }
 
-fn score(peer: &Peer) -> (u64, NodeId) {
+/// Rendezvous score of a node for a subject.
+fn score(id: NodeId, subject: &[u8]) -> (u64, NodeId) {
     let mut hasher = SipHasher13::new();
-    hasher.write(peer.zone.as_bytes());
-    hasher.write_u64(peer.id.0);
-    (hasher.finish(), peer.id)
+    hasher.write(subject);
+    hasher.write_u64(id.0);
+    (hasher.finish(), id)
 }
--- a/crates/decision/src/spread/tests.rs
+++ b/crates/decision/src/spread/tests.rs
@@ -22,7 +22,7 @@
             list.iter().map(|peer| Spread::new(peer.clone(), peer.id.0, Millis(0))).collect();
         for node in &mut nodes {
             node.handle(Millis(0), SpreadEvent::Peers(list.clone()), &mut Vec::new());
-            node.handle(Millis(0), SpreadEvent::Confirmed, &mut Vec::new());
+            node.handle(Millis(0), SpreadEvent::Confirmed { age_ms: 0 }, &mut Vec::new());
         }
         let ids = list.iter().map(|peer| peer.id).collect();
         Self { nodes, ids, dead: Vec::new(), now: Millis(0), service_reads: 0 }
@@ -140,7 +140,7 @@
         node.handle(Millis(0), event, &mut Vec::new());
     }
     assert_eq!(node.rumours.len(), 0);
-    node.handle(Millis(0), SpreadEvent::Confirmed, &mut Vec::new());
+    node.handle(Millis(0), SpreadEvent::Confirmed { age_ms: 0 }, &mut Vec::new());
     let event = SpreadEvent::Installed { account: AccountId(1), version: Version(2) };
     node.handle(Millis(0), event, &mut Vec::new());
     assert_eq!(node.rumours.len(), 1);
@@ -184,6 +184,18 @@
     }
 }
 
+/// An agent of an idle service gets no packets that show a newer version. Two balancers tell it,
+/// whatever their number, and if there is but one, that one.
+#[rstest]
+#[case::alone(1, 1)]
+#[case::few(3, 2)]
+#[case::many(60, 2)]
+fn is_notifier_count_per_agent(#[case] count: usize, #[case] expected: usize) {
+    let fleet = Fleet::new(count);
+    let agent = UpstreamId(77);
+    assert_eq!(fleet.nodes.iter().filter(|node| node.is_notifier(agent)).count(), expected);
+}
+
 /// Settings stay current although nobody is elected: each zone has its readers, few enough for the
 /// read budget of the configuration service.
 #[rstest]
--- a/crates/loadgen/src/control/fleet.rs
+++ b/crates/loadgen/src/control/fleet.rs
@@ -75,7 +75,7 @@
             for account in 1..=accounts {
                 node.handle(start, installed(account, 1), &mut Vec::new());
             }
-            node.handle(start, SpreadEvent::Confirmed, &mut Vec::new());
+            node.handle(start, SpreadEvent::Confirmed { age_ms: 0 }, &mut Vec::new());
         }
         let ids = list.iter().map(|peer| peer.id).collect();
         let traffic = Traffic::default();
--- a/crates/shell/src/settings_sync/peers.rs
+++ b/crates/shell/src/settings_sync/peers.rs
@@ -8,16 +8,19 @@
 use std::thread;
 use std::time::Duration;
 
+use decision::keys::Version;
 use serde::de::DeserializeOwned;
 use settings::codes;
-use wire::exchange::{Digest, Document, ExchangeError, FLEET, Kind, Question};
+use wire::exchange::{Digest, Document, ExchangeError, FLEET, Kind, Question, Update};
 
 use super::{Keyrings, Scope, Source, Store};
 use crate::http::client::{Client, ClientError};
 use crate::signals::Shutdown;
 
-/// Mean pause between two comparisons once the settings are current.
-const INTERVAL: Duration = Duration::from_millis(2_000);
+/// Mean pause of an agent between two comparisons once its settings are current.
+pub const AGENT_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Mean pause of a balancer, which hears of changes by spreading; for what that may miss.
+pub const BALANCER_INTERVAL: Duration = Duration::from_millis(30_000);
 /// Pause while they are not: the process cannot serve before.
 const STARTING_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest wait for a peer, which may be paused.
@@ -37,6 +40,7 @@
     store: Arc<Store>,
     candidates: Candidates,
     keyrings: Keyrings,
+    interval: Duration,
 }
 
 /// Why a comparison was not completed.
@@ -56,7 +60,11 @@
 impl PeerReader {
     /// A reader that feeds `store` from the peers that `candidates` names.
     pub fn new(store: Arc<Store>, candidates: Candidates, keyrings: Keyrings) -> Self {
-        Self { client: Client::new(TIMEOUT), store, candidates, keyrings }
+        let interval = match store.scope() {
+            Scope::All => BALANCER_INTERVAL,
+            Scope::Account(_) => AGENT_INTERVAL,
+        };
+        Self { client: Client::new(TIMEOUT), store, candidates, keyrings, interval }
     }
 
     /// Compares with some peers, then with one random peer at a time until the shutdown.
@@ -69,8 +77,7 @@
                 let peer = peers[rand::random_range(0..peers.len())];
                 self.compare_or_log(peer);
             }
-            let current = self.store.is_current();
-            let interval = if current { INTERVAL } else { STARTING_INTERVAL };
+            let interval = if self.store.is_current() { self.interval } else { STARTING_INTERVAL };
             thread::sleep(interval.mul_f64(rand::random_range(0.5..1.5)));
         }
     }
@@ -110,25 +117,55 @@
             let found = own.binary_search_by(|(name, _)| (**name).cmp(&entry.account));
             let own_version = found.map_or(0, |index| own[index].1.0);
             if entry.version > own_version && self.store.scope().contains(&entry.account) {
-                let document: Document = self.ask(peer, Kind::Subtree, &entry.account)?;
-                self.store.offer_account(&entry.account, &document.yaml, Source::Peer);
+                self.fetch(peer, &entry.account)?;
             }
         }
         if digest.current {
-            self.store.mark_source_read();
+            self.store.confirm(digest.confirmed_age_ms);
         }
         Ok(())
     }
 
+    /// Fetches one account's subtree from `peer`, as a change to our own where that fits.
+    pub fn fetch(&self, peer: SocketAddr, account: &str) -> Result<(), PeerError> {
+        let own = self.store.subtree(account);
+        let have = own.as_ref().map_or(Version(0), |(version, _)| *version);
+        let update: Update = self.ask_having(peer, Kind::Subtree, account, have)?;
+        let own_text = own.as_ref().map(|(version, yaml)| (*version, &**yaml));
+        let yaml = match update.text(own_text) {
+            Some(yaml) => yaml,
+            // Ours was replaced while we asked, so the change does not fit: take the whole.
+            None => {
+                let update: Update = self.ask(peer, Kind::Subtree, account)?;
+                update.text(None).ok_or(ExchangeError)?
+            }
+        };
+        self.store.offer_account(account, &yaml, Source::Peer);
+        Ok(())
+    }
+
     fn ask<T: DeserializeOwned>(
         &self,
         peer: SocketAddr,
         kind: Kind,
         account: &str,
+    ) -> Result<T, PeerError> {
+        self.ask_having(peer, kind, account, Version(0))
+    }
+
+    fn ask_having<T: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        kind: Kind,
+        account: &str,
+        have: Version,
     ) -> Result<T, PeerError> {
         let question = Question { kind, account: account.into(), nonce: rand::random() };
         let ring = (self.keyrings)(account).ok_or(PeerError::NoKey)?;
-        let path = question.ask(&ring).ok_or(PeerError::NoKey)?;
+        let mut path = question.ask(&ring).ok_or(PeerError::NoKey)?;
+        if have > Version(0) {
+            path.push_str(&format!("&have={}", have.0));
+        }
         Ok(question.open(&ring, &self.client.get(peer, &path)?)?)
     }
 }
--- a/crates/shell/src/settings_sync/platform.rs
+++ b/crates/shell/src/settings_sync/platform.rs
@@ -22,6 +22,11 @@
 /// Pause between reads of the instance list, which lags by seconds anyway. About 250 bytes an
 /// instance: at today's 27 instances 1.4 KB/s.
 const LIST_INTERVAL: Duration = Duration::from_millis(5_000);
+/// The same for an instance that is not a reader of its zone. What happens in between it hears from
+/// the agents and from its peers.
+const IDLE_LIST_INTERVAL: Duration = Duration::from_millis(60_000);
+/// Pause between two looks whether this instance is to watch.
+const WANTED_POLL: Duration = Duration::from_millis(100);
 /// Name of the root in the answer of a watch.
 const ROOT: &str = "root";
 
@@ -61,11 +66,16 @@
         Self { client, watcher, address, store, instances }
     }
 
-    /// Watches until the shutdown.
-    pub fn run(&self, shutdown: &Shutdown) {
+    /// Watches until the shutdown, whenever `wanted` says so: the service could not bear it if
+    /// every instance of a large fleet watched all the time.
+    pub fn run(&self, shutdown: &Shutdown, wanted: impl Fn() -> bool) {
         let mut backoff = Backoff::default();
         let mut index = 0;
         while !shutdown.is_requested() {
+            if !wanted() {
+                thread::sleep(WANTED_POLL);
+                continue;
+            }
             match self.poll(index) {
                 Ok(next) => {
                     index = next;
@@ -79,22 +89,31 @@
         }
     }
 
-    /// Reads the list of instances at intervals until the shutdown.
-    pub fn run_list(&self, shutdown: &Shutdown) {
+    /// Reads the list of instances until the shutdown, at intervals that are longer for an instance
+    /// that is not a reader of its zone.
+    pub fn run_list(&self, shutdown: &Shutdown, is_reader: impl Fn() -> bool) {
         let mut backoff = Backoff::default();
         while !shutdown.is_requested() {
             let started = Instant::now();
+            let interval = if is_reader() { LIST_INTERVAL } else { IDLE_LIST_INTERVAL };
             let pause = match self.read_list() {
                 Ok(()) => {
                     backoff.reset();
-                    LIST_INTERVAL.saturating_sub(started.elapsed())
+                    interval.saturating_sub(started.elapsed())
                 }
-                Err(error) => backoff.next(retry_after(&error)).max(LIST_INTERVAL),
+                Err(error) => backoff.next(retry_after(&error)).max(interval),
             };
             thread::sleep(pause);
         }
     }
 
+    /// Reads everything once.
+    pub fn read_all(&self) {
+        if let Err(error) = self.poll(0) {
+            log_unreachable(self.address, &error);
+        }
+    }
+
     /// Fetches one account (and the root if its subtree needs a newer one) at once.
     pub fn fetch(&self, account: &str) {
         if let Err(error) = self.read_account(account) {
@@ -117,7 +136,7 @@
                 self.read_account(name)?;
             }
         }
-        self.store.mark_source_read();
+        self.store.confirm(0);
         Ok(reply.index)
     }
 
--- a/crates/shell/src/settings_sync/serve.rs
+++ b/crates/shell/src/settings_sync/serve.rs
@@ -4,7 +4,8 @@
 
 use decision::keys::Version;
 use serde::Serialize;
-use wire::exchange::{Digest, DigestEntry, Document, FLEET, Kind, Question};
+use wire::delta::Delta;
+use wire::exchange::{Digest, DigestEntry, Document, FLEET, Kind, Question, Update};
 use wire::sealed::AccountKeyring;
 
 use super::{Keyrings, Store};
@@ -30,10 +31,27 @@
     match kind {
         Kind::Digest => sealed(&question, &ring, &digest(store, &question.account)),
         Kind::Root => document(&question, &ring, store.root()),
-        Kind::Subtree => document(&question, &ring, store.subtree(&question.account)),
+        Kind::Subtree => {
+            let have = request.parameter("have").and_then(|text| text.parse().ok()).map(Version);
+            match update(store, &question.account, have) {
+                Some(update) => sealed(&question, &ring, &update),
+                None => Reply::error(404, "no such document here"),
+            }
+        }
     }
 }
 
+/// The subtree in force, as a change if the asker is one version behind and says so. What it has
+/// needs no proof: a wrong base yields a change that does not fit.
+fn update(store: &Store, account: &str, have: Option<Version>) -> Option<Update> {
+    let (version, yaml) = store.subtree(account)?;
+    let changed = have.and_then(|base| {
+        let old = store.replaced(account, base)?;
+        Some(Update::Changed { version: version.0, delta: Delta::between(base, &old, &yaml) })
+    });
+    Some(changed.unwrap_or(Update::Whole(Document { version: version.0, yaml })))
+}
+
 /// Versions that the asking account may know of: its own, or all for the fleet.
 fn digest(store: &Store, account: &str) -> Digest {
     let mut versions = store.versions();
@@ -42,6 +60,7 @@
         |(account, version): (Arc<str>, Version)| DigestEntry { account, version: version.0 };
     Digest {
         current: store.is_current(),
+        confirmed_age_ms: store.confirmed_age_ms(),
         root_version: store.root().map_or(0, |(version, _)| version.0),
         accounts: versions.into_iter().map(entry).collect(),
     }
--- a/crates/shell/src/settings_sync/store.rs
+++ b/crates/shell/src/settings_sync/store.rs
@@ -8,6 +8,8 @@
 use settings::{Book, Outcome, codes};
 use telemetry::timeline::{Fields, Timeline, Value};
 
+use crate::boottime;
+
 /// Which accounts a process keeps.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Scope {
@@ -35,11 +37,23 @@
     /// Built ahead for a single account, so that an agent's data thread never waits for a build or
     /// for a document that is being parsed.
     view: Mutex<Arc<View>>,
+    /// For each account the text that the one in force has replaced, sorted by account. Peers that
+    /// are one version behind get the lines that differ.
+    replaced: Mutex<Vec<Replaced>>,
     generation: AtomicU64,
     source_read: AtomicBool,
+    /// When the configuration service last confirmed what is in force, in milliseconds since boot.
+    confirmed_at: AtomicU64,
     peers_asked: AtomicBool,
 }
 
+#[derive(Debug)]
+struct Replaced {
+    account: Arc<str>,
+    version: Version,
+    yaml: Arc<str>,
+}
+
 impl Scope {
     /// Whether an account is kept.
     pub fn contains(&self, account: &str) -> bool {
@@ -75,8 +89,10 @@
             timeline,
             book: Mutex::default(),
             view: Mutex::default(),
+            replaced: Mutex::default(),
             generation: AtomicU64::new(0),
             source_read: AtomicBool::new(false),
+            confirmed_at: AtomicU64::new(0),
             peers_asked: AtomicBool::new(false),
         }
     }
@@ -110,11 +126,20 @@
         self.source_read.load(Ordering::Acquire) && self.peers_asked.load(Ordering::Acquire)
     }
 
-    /// Notes that a current source has been read completely.
-    pub fn mark_source_read(&self) {
+    /// Notes that a current source has been read completely, whose own confirmation by the
+    /// configuration service is `age_ms` old.
+    pub fn confirm(&self, age_ms: u64) {
+        let at = boottime::now().0.saturating_sub(age_ms);
+        self.confirmed_at.fetch_max(at, Ordering::AcqRel);
         self.source_read.store(true, Ordering::Release);
     }
 
+    /// Milliseconds since the configuration service confirmed what is in force, directly or through
+    /// other instances; since boot if it never did.
+    pub fn confirmed_age_ms(&self) -> u64 {
+        boottime::now().0.saturating_sub(self.confirmed_at.load(Ordering::Acquire))
+    }
+
     /// Notes that peers have been asked, whether they answered or not.
     pub fn mark_peers_asked(&self) {
         self.peers_asked.store(true, Ordering::Release);
@@ -156,12 +181,31 @@
             return None;
         }
         let mut book = lock(&self.book);
+        let before = book.subtree(account);
         let outcome = book.accept_account(account, yaml);
         self.report(account, &outcome, source);
+        if let (Outcome::Accepted(_), Some((version, yaml))) = (&outcome, before) {
+            self.keep_replaced(Replaced { account: account.into(), version, yaml });
+        }
         self.publish(&book, &outcome);
         Some(outcome)
     }
 
+    /// The text of `version`, if it is the one that was last replaced.
+    pub fn replaced(&self, account: &str, version: Version) -> Option<Arc<str>> {
+        let replaced = lock(&self.replaced);
+        let index = replaced.binary_search_by(|entry| (*entry.account).cmp(account)).ok()?;
+        Some(&replaced[index]).filter(|entry| entry.version == version).map(|e| e.yaml.clone())
+    }
+
+    fn keep_replaced(&self, entry: Replaced) {
+        let mut replaced = lock(&self.replaced);
+        match replaced.binary_search_by(|known| known.account.cmp(&entry.account)) {
+            Ok(index) => replaced[index] = entry,
+            Err(index) => replaced.insert(index, entry),
+        }
+    }
+
     fn publish(&self, book: &Book, outcome: &Outcome) {
         if !matches!(outcome, Outcome::Accepted(_)) {
             return;
--- a/crates/shell/tests/peers.rs
+++ b/crates/shell/tests/peers.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 
 use common::{nobody, serve, store, versions};
-use decision::keys::AccountId;
+use decision::keys::{AccountId, Version};
 use rstest::rstest;
 use shell::http::client::ClientError;
 use shell::http::routes::{Reply, Routes};
 use shell::settings_sync::peers::{PeerError, PeerReader};
-use shell::settings_sync::{Keyrings, Scope, Store, serve as exchange};
+use shell::settings_sync::{Keyrings, Scope, Source, Store, serve as exchange};
 use wire::exchange::{Digest, DigestEntry, Kind, Question};
 use wire::sealed::{AccountKeyring, KeyId};
 
@@ -57,6 +57,21 @@
     assert_eq!(versions(&own), expected);
 }
 
+/// The peer replaced version 6 by 7. Who has 6 gets the lines that differ, who has another version,
+/// or none, gets the whole; both end with the peer's text.
+#[rstest]
+#[case::one_behind(&[("cascadia", 6)])]
+#[case::two_behind(&[("cascadia", 5)])]
+#[case::nothing(&[])]
+fn fetch_after_replacement(#[case] ours: &[(&str, u64)]) {
+    let (peer, own) = (store(Scope::All, &[("cascadia", 6)]), store(Scope::All, ours));
+    own.offer_root(&common::root(3), Source::Platform);
+    peer.offer_account("cascadia", &common::subtree("cascadia", 7), Source::Platform);
+    reader(&own, vec![]).fetch(serve_store(&peer), "cascadia").unwrap();
+    assert_eq!(own.subtree("cascadia"), peer.subtree("cascadia"));
+    assert!(peer.replaced("cascadia", Version(6)).is_some());
+}
+
 /// A peer that is itself not current must not make us believe that we are: two instances that
 /// start together would otherwise confirm each other with nothing in hand.
 #[rstest]
@@ -67,7 +82,7 @@
     peer.mark_peers_asked();
     own.mark_peers_asked();
     if current {
-        peer.mark_source_read();
+        peer.confirm(0);
     }
     let address = serve_store(&peer);
     reader(&own, vec![]).compare(address).unwrap();
@@ -90,7 +105,7 @@
     let own = store(Scope::All, &[]);
     own.mark_peers_asked();
     let accounts = vec![DigestEntry { account: "cascadia".into(), version: 7 }];
-    let digest = Digest { current: true, root_version: 3, accounts };
+    let digest = Digest { current: true, confirmed_age_ms: 0, root_version: 3, accounts };
     let routes = Routes::default().get(Kind::Digest.path(), move |request| {
         let parameter = |name: &str| request.parameter(name);
         let (question, ring) = Question::check(Kind::Digest, parameter, &*keyrings()).unwrap();
--- a/crates/wire/src/control/dto.rs
+++ b/crates/wire/src/control/dto.rs
@@ -38,6 +38,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct HeartbeatDto {
     incarnation: u64,
+    beat: u64,
     view: u64,
     open_flows: u32,
     unanswered: u32,
@@ -207,6 +208,7 @@
     fn from(heartbeat: Heartbeat) -> Self {
         Self {
             incarnation: heartbeat.incarnation.0,
+            beat: heartbeat.beat,
             view: heartbeat.view.0,
             open_flows: heartbeat.open_flows,
             unanswered: heartbeat.unanswered,
@@ -221,6 +223,7 @@
     fn from(heartbeat: HeartbeatDto) -> Self {
         Self {
             incarnation: Incarnation(heartbeat.incarnation),
+            beat: heartbeat.beat,
             view: Version(heartbeat.view),
             open_flows: heartbeat.open_flows,
             unanswered: heartbeat.unanswered,
--- a/crates/wire/src/exchange/mod.rs
+++ b/crates/wire/src/exchange/mod.rs
@@ -7,10 +7,12 @@
 
 use std::sync::Arc;
 
+use decision::keys::Version;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::bounded;
+use crate::delta::Delta;
 
 pub use question::{FLEET, Kind, Question};
 
@@ -22,6 +24,9 @@
 pub struct Digest {
     /// Whether the instance knows its settings to be current enough.
     pub current: bool,
+    /// Milliseconds since the configuration service confirmed these versions, there or at the
+    /// instance that passed the confirmation on.
+    pub confirmed_age_ms: u64,
     /// Version of the root, zero if it has none.
     pub root_version: u64,
     /// Versions of the accounts, sorted by name.
@@ -47,6 +52,42 @@
     pub yaml: Arc<str>,
 }
 
+/// A subtree, whole or as a change to the version that the asker named.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Update {
+    /// The whole document.
+    Whole(Document),
+    /// Lines that differ from the asker's version.
+    Changed {
+        /// Version that results.
+        version: u64,
+        /// The change.
+        delta: Delta,
+    },
+}
+
+impl Update {
+    /// The new text, given the asker's own; `None` if the change does not fit it.
+    ///
+    /// ```
+    /// use decision::keys::Version;
+    /// use wire::{delta::Delta, exchange::Update};
+    /// let delta = Delta::between(Version(1), "a: 1\n", "a: 2\n");
+    /// let update = Update::Changed { version: 2, delta };
+    /// assert_eq!(update.text(Some((Version(1), "a: 1\n"))).as_deref(), Some("a: 2\n"));
+    /// assert_eq!(update.text(Some((Version(7), "a: 1\n"))), None);
+    /// ```
+    pub fn text(&self, own: Option<(Version, &str)>) -> Option<Arc<str>> {
+        match self {
+            Self::Whole(document) => Some(document.yaml.clone()),
+            Self::Changed { delta, .. } => {
+                let (_, text) = own.filter(|(version, _)| *version == delta.base())?;
+                delta.apply(text).map(Into::into)
+            }
+        }
+    }
+}
+
 /// The bytes are not what was expected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("answer cannot be decoded")]
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -1,20 +1,40 @@
-//! What an agent tells the balancers that send to it, as GUE control datagrams of their own type.
+//! What agents and balancers tell each other, as GUE control datagrams of their own type.
 //!
-//! A balancer learns from the instance list that an agent leaves only seconds later. Until then it
+//! *Leaving.* A balancer learns from the instance list that an agent leaves only seconds later. Until then it
 //! goes on sending, and a datagram that arrives between the end of the process and its successor
 //! is lost: nobody sends it again. The agent therefore tells them itself, and stays until they
 //! have stopped.
+//!
+//! *Peer.* The agents of a service hear each other's heartbeats, long before the instance list
+//! changes. Who notices a failure tells a balancer, and the balancers spread it.
+//!
+//! *Settings.* An agent of an idle service gets no packet that shows a newer version. Two balancers
+//! tell it.
 
 use serde::{Deserialize, Serialize};
 
 /// GUE control type of these datagrams.
 pub const CONTROL_TYPE: u8 = 2;
 
-/// Something that a balancer should know about an agent, who is the sender of the sealed frame.
+/// Something that the receiver should know. The sender of the sealed frame is who says so.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Notice {
-    /// Pass this agent over for a while.
+    /// The sending agent leaves: pass it over for a while.
     Leaving,
+    /// An agent of the sender's service was seen to fail or to be back.
+    Peer {
+        /// The agent.
+        upstream: u64,
+        /// Its last heartbeat.
+        beat: u64,
+        /// Whether it is up.
+        up: bool,
+    },
+    /// The sending balancer has this version of the receiver's account in force.
+    Settings {
+        /// The version.
+        version: u64,
+    },
 }
 
 /// Encodes a notice.
--- a/crates/wire/src/spread.rs
+++ b/crates/wire/src/spread.rs
@@ -6,6 +6,8 @@
 use decision::spread::{Digest, Member, Notice, SHARES, SpreadMessage};
 use serde::{Deserialize, Serialize};
 
+/// GUE control type of these messages.
+pub const CONTROL_TYPE: u8 = 3;
 /// Most notices that are taken from one message; no honest node sends more than
 /// [`decision::spread::DIFFERENCES_MAX`].
 pub const NOTICES_MAX: usize = 256;
--- a/crates/wire/tests/control.rs
+++ b/crates/wire/tests/control.rs
@@ -38,6 +38,7 @@
 fn heartbeat() -> Message {
     Message::Heartbeat(Heartbeat {
         incarnation: LIFE,
+        beat: 77,
         view: VIEW,
         open_flows: 1,
         unanswered: 2,
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -12,7 +12,12 @@
 
 fn digest(accounts: usize) -> Digest {
     let entry = |index| DigestEntry { account: format!("account-{index}").into(), version: 7 };
-    Digest { current: true, root_version: 3, accounts: (0..accounts).map(entry).collect() }
+    Digest {
+        current: true,
+        confirmed_age_ms: 5,
+        root_version: 3,
+        accounts: (0..accounts).map(entry).collect(),
+    }
 }
 
 #[rstest]
