--- a/crates/agent/src/plane/mod.rs
+++ b/crates/agent/src/plane/mod.rs
@@ -24,7 +24,7 @@
 use shell::udp::{self, PayloadRef, Sender, SourceReceiver};
 use telemetry::clock::Timestamp;
 use telemetry::timeline::Timeline;
-use wire::gue;
+use wire::gue::{self, Content};
 use wire::sealed::{AccountKeyring, SEALED_BYTES};
 
 use crate::counters::{Count, Counters, Counts};
@@ -199,20 +199,23 @@
                     hops: header.hops,
                     passed: header.passed,
                 };
-                let verdict = self.agent.packet(now, &packet, &mut self.actions);
-                if verdict == Verdict::Deliver {
-                    sender.next_prefix().start_plain(content);
-                    let payload = PayloadRef { slot, start: gue::HEADER_BYTES + SEALED_BYTES };
-                    sender.queue_next(payload, self.config.addresses.upstream);
-                    self.counts.add(Count::Delivered, 1);
-                } else {
-                    self.carry_out(verdict, content, &header, bytes);
+                match self.agent.packet(now, &packet, &mut self.actions) {
+                    Verdict::Deliver => self.queue_delivery(content, slot, sender),
+                    verdict => self.carry_out(verdict, content, &header, bytes),
                 }
                 Some(header.passed)
             }
         }
     }
 
+    /// Delivers a packet of the present batch, which stays where it was received.
+    fn queue_delivery(&mut self, content: Content, slot: usize, sender: &mut Sender) {
+        sender.next_prefix().start_plain(content);
+        let payload = PayloadRef { slot, start: gue::HEADER_BYTES + SEALED_BYTES };
+        sender.queue_next(payload, self.config.addresses.upstream);
+        self.counts.add(Count::Delivered, 1);
+    }
+
     /// Does what the core asked for. Actions may lead to no further ones.
     fn run_actions(&mut self) {
         if self.actions.is_empty() {
--- a/crates/wire/src/sealed.rs
+++ b/crates/wire/src/sealed/mod.rs
@@ -25,10 +25,13 @@
 //! **Keys.** Each account has its own key, derived from the fleet's master key, which only
 //! balancers hold. Two key ids may be valid at once, so that keys are rotated without a gap.
 
+mod tag;
+
+use std::hash::Hasher as _;
+
 use decision::agent::Passed;
 use decision::keys::{AccountId, FlowId, ServiceId, Version};
-use siphasher::sip128::{Hasher128 as _, SipHasher24};
-use std::hash::Hasher as _;
+use siphasher::sip128::SipHasher24;
 use zerocopy::byteorder::network_endian::U64;
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
 
@@ -51,8 +54,6 @@
 /// Format of a sealed control message. It differs from a packet's under the MAC, so that neither
 /// can be passed off as the other by flipping the C bit of the GUE header.
 const FORMAT_CONTROL: u8 = 2;
-/// First byte under every MAC of [`AccountKeyring::tag`]; no sealed frame begins with it.
-const FORMAT_TAG: u8 = 3;
 
 /// Number of an account's key; only the holder of both keys can tell which one is meant.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -314,26 +315,6 @@
         Ok(Opened { header: header_of(layout, passed), covered: covered.len() })
     }
 
-    /// A MAC over `parts` by the first key, for what does not travel in GUE. Each part is hashed
-    /// with its length, so that bytes cannot move from one part to the next.
-    ///
-    /// ```
-    /// use wire::sealed::{AccountKeyring, KeyId};
-    /// let ring = AccountKeyring::new(&[(KeyId(1), [9; 32])]).unwrap();
-    /// let (id, tag) = ring.tag(&[b"ab", b"c"]).unwrap();
-    /// assert!(ring.check_tag(id, &tag, &[b"ab", b"c"]));
-    /// assert!(!ring.check_tag(id, &tag, &[b"a", b"bc"]));
-    /// ```
-    pub fn tag(&self, parts: &[&[u8]]) -> Option<(KeyId, [u8; MAC_BYTES])> {
-        let key = self.keys.iter().flatten().next()?;
-        Some((key.id, tag(key, parts)))
-    }
-
-    /// Whether [`AccountKeyring::tag`] made this MAC over these parts with a key of this ring.
-    pub fn check_tag(&self, id: KeyId, mac: &[u8; MAC_BYTES], parts: &[&[u8]]) -> bool {
-        self.find(id.0).is_ok_and(|key| equal_in_constant_time(&tag(key, parts), mac))
-    }
-
     fn find(&self, id: u8) -> Result<&MacKey, SealError> {
         let found = self.keys.iter().flatten().find(|key| key.id.0 == id);
         found.ok_or(SealError::UnknownKey(id))
@@ -367,16 +348,6 @@
     hasher.hash(covered).as_bytes()
 }
 
-fn tag(key: &MacKey, parts: &[&[u8]]) -> [u8; MAC_BYTES] {
-    let mut hasher = SipHasher24::new_with_key(&key.bytes);
-    hasher.write(&[FORMAT_TAG]);
-    for part in parts {
-        hasher.write(&(part.len() as u64).to_be_bytes());
-        hasher.write(part);
-    }
-    hasher.finish128().as_bytes()
-}
-
 /// Compares without branching on content: an early return would tell a forger by its timing how
 /// many bytes of a guessed MAC are right.
 fn equal_in_constant_time(one: &[u8; MAC_BYTES], other: &[u8; MAC_BYTES]) -> bool {
--- /dev/null
+++ b/crates/wire/src/sealed/tag.rs
@@ -0,0 +1,42 @@
+//! MACs by an account's key over what does not travel in GUE.
+
+use std::hash::Hasher as _;
+
+use siphasher::sip128::{Hasher128 as _, SipHasher24};
+
+use super::{AccountKeyring, KeyId, MAC_BYTES, MacKey, equal_in_constant_time};
+
+/// First byte under every MAC of this kind; no sealed frame begins with it.
+const FORMAT_TAG: u8 = 3;
+
+impl AccountKeyring {
+    /// A MAC over `parts` by the first key, for what does not travel in GUE. Each part is hashed
+    /// with its length, so that bytes cannot move from one part to the next.
+    ///
+    /// ```
+    /// use wire::sealed::{AccountKeyring, KeyId};
+    /// let ring = AccountKeyring::new(&[(KeyId(1), [9; 32])]).unwrap();
+    /// let (id, tag) = ring.tag(&[b"ab", b"c"]).unwrap();
+    /// assert!(ring.check_tag(id, &tag, &[b"ab", b"c"]));
+    /// assert!(!ring.check_tag(id, &tag, &[b"a", b"bc"]));
+    /// ```
+    pub fn tag(&self, parts: &[&[u8]]) -> Option<(KeyId, [u8; MAC_BYTES])> {
+        let key = self.keys.iter().flatten().next()?;
+        Some((key.id, tag(key, parts)))
+    }
+
+    /// Whether [`AccountKeyring::tag`] made this MAC over these parts with a key of this ring.
+    pub fn check_tag(&self, id: KeyId, mac: &[u8; MAC_BYTES], parts: &[&[u8]]) -> bool {
+        self.find(id.0).is_ok_and(|key| equal_in_constant_time(&tag(key, parts), mac))
+    }
+}
+
+fn tag(key: &MacKey, parts: &[&[u8]]) -> [u8; MAC_BYTES] {
+    let mut hasher = SipHasher24::new_with_key(&key.bytes);
+    hasher.write(&[FORMAT_TAG]);
+    for part in parts {
+        hasher.write(&(part.len() as u64).to_be_bytes());
+        hasher.write(part);
+    }
+    hasher.finish128().as_bytes()
+}
