--- /dev/null
+++ b/crates/balancer/src/publish.rs
@@ -0,0 +1,117 @@
+//! Publishing snapshots after each change of settings or liveness. The receiving threads go on with
+//! the old one while a new one is built.
+
+use std::sync::{Arc, mpsc};
+
+use decision::keys::UpstreamId;
+use decision::spread::Member;
+use decision::time::Millis;
+use decision::view::View;
+use shell::settings_sync::Store;
+use shell::settings_sync::instances::Instances;
+use wire::notice::Notice;
+use wire::sealed::KeyId;
+
+use crate::liveness::Liveness;
+use crate::notices::{AgentNotice, LeavingAgents};
+use crate::snapshot::{Published, Snapshot};
+use crate::spreading::Shared;
+
+/// From where a publisher learns of changes.
+pub struct Sources {
+    /// Settings.
+    pub store: Arc<Store>,
+    /// The platform's list.
+    pub instances: Arc<Instances>,
+    /// What spreading has found out about membership.
+    pub shared: Arc<Shared>,
+    /// What agents say about themselves and their peers.
+    pub notices: mpsc::Receiver<AgentNotice>,
+    /// Takes what they say about their peers to the spreading thread.
+    pub members: mpsc::Sender<Member>,
+}
+
+/// Keeps the published snapshot up to date.
+pub struct Publisher {
+    sources: Sources,
+    published: Arc<Published>,
+    masters: Vec<(KeyId, [u8; 32])>,
+    liveness: Liveness,
+    leaving: LeavingAgents,
+    /// Generations of settings, list and membership at the last look.
+    seen: Option<[u64; 3]>,
+    /// Agents that the list no longer names, or that their peers miss.
+    missing: Vec<UpstreamId>,
+    /// Agents down in the snapshot in force: missing or leaving.
+    down: Vec<UpstreamId>,
+}
+
+impl Publisher {
+    /// A publisher that has published nothing yet.
+    pub fn new(
+        sources: Sources,
+        published: Arc<Published>,
+        masters: Vec<(KeyId, [u8; 32])>,
+    ) -> Self {
+        Self {
+            sources,
+            published,
+            masters,
+            liveness: Liveness::default(),
+            leaving: LeavingAgents::default(),
+            seen: None,
+            missing: Vec::new(),
+            down: Vec::new(),
+        }
+    }
+
+    /// Publishes a snapshot if anything has changed since the last call.
+    pub fn publish_if_changed(&mut self, now: Millis) {
+        // Asked before the settings are read: what counts as current then is in the snapshot.
+        let current = self.sources.store.is_current();
+        let generations = self.sources.generations();
+        let view = self.sources.store.view();
+        if self.seen != Some(generations) {
+            self.missing = self.liveness.down(&view, &self.sources.instances.list());
+            self.missing.extend(self.sources.shared.down());
+        }
+        self.take_notices(now, &view);
+        let mut down = self.leaving.at(now);
+        down.extend(&self.missing);
+        let settings_changed = self.seen.is_none_or(|seen| seen[0] != generations[0]);
+        self.seen = Some(generations);
+        if settings_changed || down != self.down {
+            // The settings file lists one key at least, so there always is a snapshot.
+            if let Some(snapshot) = Snapshot::build(&view, down.clone(), &self.masters) {
+                self.published.publish(snapshot);
+            }
+            self.down = down;
+        }
+        if current {
+            self.published.mark_current();
+        }
+    }
+
+    fn take_notices(&mut self, now: Millis, view: &View) {
+        for heard in self.sources.notices.try_iter() {
+            match heard.notice {
+                Notice::Leaving if heard.owns(view, heard.sender) => {
+                    self.leaving.add(now, heard.sender);
+                }
+                Notice::Peer { upstream, beat, up } if heard.owns(view, UpstreamId(upstream)) => {
+                    let member = Member { upstream: UpstreamId(upstream), beat, up };
+                    // The spreading thread lives as long as the process.
+                    let _ = self.sources.members.send(member);
+                }
+                // Not an account's own agent, or not for a balancer.
+                Notice::Leaving | Notice::Peer { .. } | Notice::Settings { .. } => {}
+            }
+        }
+    }
+}
+
+impl Sources {
+    fn generations(&self) -> [u64; 3] {
+        [self.store.generation(), self.instances.generation(), self.shared.generation()]
+    }
+}
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -7,10 +7,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use decision::keys::{AccountId, UpstreamId};
+use decision::keys::AccountId;
 use decision::spread::{Member, NodeId, Peer};
-use decision::time::Millis;
-use decision::view::View;
 use settings::codes;
 use settings::process::balancer::BalancerSettings;
 use shell::fault::StartFault;
@@ -24,14 +22,13 @@
 use telemetry::metrics::Metrics;
 use telemetry::timeline::{Fields, Timeline};
 use wire::exchange::FLEET;
-use wire::notice::Notice;
 use wire::sealed::{AccountKeyring, KeyId, SenderId};
 
 use crate::counters::Counters;
 use crate::forward::Identity;
-use crate::liveness::Liveness;
-use crate::notices::{AgentNotice, LeavingAgents};
-use crate::snapshot::{Published, Snapshot};
+use crate::notices::AgentNotice;
+use crate::publish::{Publisher, Sources};
+use crate::snapshot::Published;
 use crate::spreading::link::Link;
 use crate::spreading::{Fetch, Fetcher, Shared, Spreading, SpreadingConfig, Teller};
 use crate::worker::{self, Worker};
@@ -178,7 +175,7 @@
     }
 
     fn shown(&self, metrics: Arc<Metrics>) -> Shown {
-        let (store, shutdown) = (self.store.clone(), self.shutdown.clone());
+        let (published, shutdown) = (self.published.clone(), self.shutdown.clone());
         let counters = self.counters.clone();
         Shown {
             instance: self.settings.instance.clone(),
@@ -186,7 +183,7 @@
             store: self.store.clone(),
             metrics,
             timeline: self.timeline.clone(),
-            is_ready: Arc::new(move || store.is_current() && !shutdown.is_requested()),
+            is_ready: Arc::new(move || published.is_current() && !shutdown.is_requested()),
             counters: Arc::new(move || counters.list()),
         }
     }
@@ -200,7 +197,7 @@
     ) {
         let mut publisher = self.publisher(notices, members);
         while !self.shutdown.is_requested() {
-            publisher.publish_if_changed();
+            publisher.publish_if_changed(boottime::now());
             thread::sleep(PUBLISH_INTERVAL);
         }
         self.timeline.record("", "leaving", Fields::default());
@@ -209,7 +206,7 @@
         let grace = Duration::from_millis(self.settings.shutdown_grace_ms);
         let (mut received, mut quiet_since) = (self.counters.received(), started);
         while started.elapsed() < grace && quiet_since.elapsed() < QUIET {
-            publisher.publish_if_changed();
+            publisher.publish_if_changed(boottime::now());
             thread::sleep(PUBLISH_INTERVAL);
             let now_received = self.counters.received();
             if now_received != received {
@@ -232,83 +229,14 @@
         notices: mpsc::Receiver<AgentNotice>,
         members: mpsc::Sender<Member>,
     ) -> Publisher {
-        Publisher {
+        let sources = Sources {
             store: self.store.clone(),
             instances: self.instances.clone(),
-            published: self.published.clone(),
-            masters: self.masters(),
-            liveness: Liveness::default(),
+            shared: self.shared.clone(),
             notices,
             members,
-            shared: self.shared.clone(),
-            leaving: LeavingAgents::default(),
-            seen: None,
-            missing: Vec::new(),
-            down: Vec::new(),
-        }
-    }
-}
-
-/// Publishes snapshots. The receiving threads go on with the old one while a new one is built.
-struct Publisher {
-    store: Arc<Store>,
-    instances: Arc<Instances>,
-    published: Arc<Published>,
-    masters: Vec<(KeyId, [u8; 32])>,
-    liveness: Liveness,
-    notices: mpsc::Receiver<AgentNotice>,
-    /// Takes what agents say about their peers to the spreading thread.
-    members: mpsc::Sender<Member>,
-    shared: Arc<Shared>,
-    leaving: LeavingAgents,
-    /// Generations of settings, list and membership at the last look.
-    seen: Option<[u64; 3]>,
-    /// Agents that the list no longer names, or that their peers miss.
-    missing: Vec<UpstreamId>,
-    /// Agents down in the snapshot in force: missing or leaving.
-    down: Vec<UpstreamId>,
-}
-
-impl Publisher {
-    fn publish_if_changed(&mut self) {
-        let now = boottime::now();
-        let generations =
-            [self.store.generation(), self.instances.generation(), self.shared.generation()];
-        let view = self.store.view();
-        if self.seen != Some(generations) {
-            self.missing = self.liveness.down(&view, &self.instances.list());
-            self.missing.extend(self.shared.down());
-        }
-        self.take_notices(now, &view);
-        let mut down = self.leaving.at(now);
-        down.extend(&self.missing);
-        let settings_changed = self.seen.is_none_or(|seen| seen[0] != generations[0]);
-        self.seen = Some(generations);
-        if !settings_changed && down == self.down {
-            return;
-        }
-        // The settings file lists one key at least, so there always is a snapshot.
-        if let Some(snapshot) = Snapshot::build(&view, down.clone(), &self.masters) {
-            self.published.publish(snapshot);
-        }
-        self.down = down;
-    }
-
-    fn take_notices(&mut self, now: Millis, view: &View) {
-        for heard in self.notices.try_iter() {
-            match heard.notice {
-                Notice::Leaving if heard.owns(view, heard.sender) => {
-                    self.leaving.add(now, heard.sender);
-                }
-                Notice::Peer { upstream, beat, up } if heard.owns(view, UpstreamId(upstream)) => {
-                    let member = Member { upstream: UpstreamId(upstream), beat, up };
-                    // The spreading thread lives as long as the process.
-                    let _ = self.members.send(member);
-                }
-                // Not an account's own agent, or not for a balancer.
-                Notice::Leaving | Notice::Peer { .. } | Notice::Settings { .. } => {}
-            }
-        }
+        };
+        Publisher::new(sources, self.published.clone(), self.masters())
     }
 }
 
--- a/crates/balancer/src/spreading/mod.rs
+++ b/crates/balancer/src/spreading/mod.rs
@@ -29,7 +29,7 @@
 
 /// What other threads read of the spreading.
 #[derive(Debug)]
-pub(crate) struct Shared {
+pub struct Shared {
     is_reader: AtomicBool,
     generation: AtomicU64,
     down: Mutex<Vec<UpstreamId>>,
@@ -68,17 +68,17 @@
 
 impl Shared {
     /// Whether this instance watches the configuration service for its zone.
-    pub(crate) fn is_reader(&self) -> bool {
+    pub fn is_reader(&self) -> bool {
         self.is_reader.load(Ordering::Relaxed)
     }
 
     /// Number that grows with each change of [`Shared::down`].
-    pub(crate) fn generation(&self) -> u64 {
+    pub fn generation(&self) -> u64 {
         self.generation.load(Ordering::Acquire)
     }
 
     /// Sorted ids of the agents believed down.
-    pub(crate) fn down(&self) -> Vec<UpstreamId> {
+    pub fn down(&self) -> Vec<UpstreamId> {
         self.down.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
