Measure an agent's control by service size, flows and openings

Cause: control was measured among balancers only; nobody knew what an agent's heartbeats, announcements, claims and relearning cost, or its memory by flows.

Change: `gooseberrysill-load agent` runs all agents of a service in one process with every message encoded, sealed, opened and decoded, one millisecond one way; `agent-memory FLOWS` reads VmRSS in a process of its own. Settings of the target size are generated as specs and as YAML (`world`). A datagram of control counts with the 64 bytes that sealed private data has now, not the 80 assumed before.

--- a/crates/loadgen/src/control/fleet.rs
+++ b/crates/loadgen/src/control/fleet.rs
@@ -12,7 +12,7 @@
 pub(crate) const EXCHANGE_BYTES: u64 = 9 * 40 + 220;
 
 /// Bytes of a datagram besides its body: IP and UDP headers, GUE header, sealed private data.
-pub(crate) const DATAGRAM_BYTES: u64 = 28 + 4 + 80;
+pub(crate) const DATAGRAM_BYTES: u64 = 28 + 4 + wire::sealed::SEALED_BYTES as u64;
 
 /// What went over the network, summed over all nodes.
 #[derive(Clone, Copy, Debug, Default)]
--- /dev/null
+++ b/crates/loadgen/src/cost/service.rs
@@ -0,0 +1,318 @@
+//! All agents of one service in one process. Every message is encoded, sealed, opened and decoded
+//! as on the wire; time is a number.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use decision::agent::{
+    Action, Agent, AgentConfig, Event, HoldKey, Packet, PacketKind, Passed, TICK_MS, Verdict,
+};
+use decision::keys::{AccountId, FlowId, Incarnation, ServiceId, UpstreamId, Version};
+use decision::message::Message;
+use decision::rank;
+use decision::time::Millis;
+use decision::view::{self, View, WhenInDoubt};
+use wire::control::{self, Envelope};
+use wire::gue;
+use wire::sealed::{AccountKeyring, Header, KeyId, Payload, SEALED_BYTES, SenderId};
+
+use super::processor_time;
+use crate::world::WorldSize;
+
+/// IP and UDP headers of a datagram.
+const IP_UDP_BYTES: u64 = 20 + 8;
+/// One-way delay of a message, a zone's distance in the users' sizes of today.
+const DELAY_MS: u64 = 1;
+/// After this time a caller goes on after its opening.
+const ANSWER_MS: u64 = 100;
+/// Time after which nobody doubts anything any more.
+const SETTLE_MS: u64 = 12_000;
+
+/// What all agents of a service did in a span of time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Bytes, counted once for the sender and once for the receiver.
+    pub bytes: u64,
+    /// Messages, counted in the same way.
+    pub messages: u64,
+    /// Largest number of bytes that one agent sent and received in one second.
+    pub peak_bytes: u64,
+    /// Processor time of all agents.
+    pub processor: Duration,
+    /// Openings that were handed to an upstream.
+    pub admitted: u64,
+}
+
+/// The agents of one service.
+pub struct Service {
+    now: Millis,
+    view: Arc<View>,
+    id: ServiceId,
+    keyring: AccountKeyring,
+    agents: Vec<Agent>,
+    ids: Vec<UpstreamId>,
+    cut: Vec<bool>,
+    queue: Vec<(usize, usize, Vec<u8>)>,
+    held: Vec<(usize, HoldKey, Packet)>,
+    /// Openings whose callers go on at a time, oldest first.
+    opened: VecDeque<(Millis, FlowId)>,
+    second_bytes: Vec<u64>,
+    usage: Usage,
+    started: Duration,
+}
+
+impl Service {
+    /// `count` agents that have met and doubt nothing.
+    ///
+    /// ```
+    /// use decision::view::WhenInDoubt;
+    /// let mut service = loadgen::cost::Service::new(3, WhenInDoubt::Admit);
+    /// service.run(1_000);
+    /// assert!(service.take_usage().messages > 0);
+    /// ```
+    pub fn new(count: usize, when_in_doubt: WhenInDoubt) -> Self {
+        let size = WorldSize { accounts: 1, services: 1, upstreams: count };
+        let mut accounts = size.accounts();
+        accounts[0].services[0].when_in_doubt = when_in_doubt;
+        let (account, service) = (&accounts[0].name, &accounts[0].services[0]);
+        let id = ServiceId::of(account, &service.name);
+        let names = service.upstreams.iter();
+        let ids: Vec<UpstreamId> =
+            names.map(|it| UpstreamId::of(account, &service.name, &it.name)).collect();
+        let view = Arc::new(view::build(&accounts));
+        let now = Millis(1_000_000);
+        let agents =
+            ids.iter().map(|upstream| agent(id, *upstream, 1, view.clone(), now)).collect();
+        let key = [(KeyId(1), [7; 32])];
+        let mut service = Self {
+            now,
+            view,
+            id,
+            // One key is given, so there is a keyring.
+            keyring: AccountKeyring::new(&key).expect("a keyring of one key"),
+            agents,
+            ids,
+            cut: vec![false; count],
+            queue: Vec::new(),
+            held: Vec::new(),
+            opened: VecDeque::new(),
+            second_bytes: vec![0; count],
+            usage: Usage::default(),
+            started: processor_time(),
+        };
+        service.run(SETTLE_MS);
+        service.take_usage();
+        service
+    }
+
+    /// Agents of the service.
+    pub fn agents(&self) -> &[Agent] {
+        &self.agents
+    }
+
+    /// What was used since the last call.
+    pub fn take_usage(&mut self) -> Usage {
+        let now = processor_time();
+        let mut usage = std::mem::take(&mut self.usage);
+        usage.processor = now - std::mem::replace(&mut self.started, now);
+        self.second_bytes.fill(0);
+        usage
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, duration_ms: u64) {
+        let end = self.now.after(duration_ms);
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    /// Lets time pass until `done` holds, at most `limit_ms`; how long it took.
+    pub fn run_until(&mut self, limit_ms: u64, done: impl Fn(&Self) -> bool) -> u64 {
+        let start = self.now;
+        while self.now.since(start) < limit_ms && !done(self) {
+            self.tick();
+        }
+        self.now.since(start)
+    }
+
+    /// Opens a flow at its home, and lets its caller go on. Flows are told apart by `number`.
+    pub fn open(&mut self, number: u64) {
+        let flow = flow(number);
+        let home = self.home(flow);
+        self.arrive(home, self.packet(flow, PacketKind::Opening { nonce: number as u32 }));
+        self.opened.push_back((self.now.after(ANSWER_MS), flow));
+    }
+
+    /// The caller ends a flow.
+    pub fn close(&mut self, number: u64) {
+        let flow = flow(number);
+        self.arrive(self.home(flow), self.packet(flow, PacketKind::Reset));
+    }
+
+    /// An agent is cut off from its peers, or back.
+    pub fn cut(&mut self, agent: usize, is_cut: bool) {
+        self.cut[agent] = is_cut;
+    }
+
+    /// An agent is replaced by a new life of itself; its upstream keeps its flows.
+    pub fn restart(&mut self, index: usize) {
+        let life = self.now.0;
+        self.agents[index] = agent(self.id, self.ids[index], life, self.view.clone(), self.now);
+        self.held.retain(|(at, _, _)| *at != index);
+    }
+
+    fn tick(&mut self) {
+        for _ in 0..TICK_MS / DELAY_MS {
+            self.now = self.now.after(DELAY_MS);
+            self.deliver();
+        }
+        while let Some((_, flow)) = self.opened.pop_front_if(|(at, _)| *at <= self.now) {
+            self.arrive(self.home(flow), self.packet(flow, PacketKind::Middle));
+        }
+        for index in 0..self.agents.len() {
+            self.event(index, Event::Tick);
+        }
+        if self.now.0.is_multiple_of(1_000) {
+            let peak = self.second_bytes.iter().copied().max().unwrap_or(0);
+            self.usage.peak_bytes = self.usage.peak_bytes.max(peak);
+            self.second_bytes.fill(0);
+        }
+    }
+
+    fn packet(&self, flow: FlowId, kind: PacketKind) -> Packet {
+        let (service, view) = (self.id, Version(1));
+        Packet { service, flow, kind, view, hops: 0, passed: Passed::Fresh }
+    }
+
+    fn home(&self, flow: FlowId) -> usize {
+        // Only one service is in the view.
+        let service = &self.view.services()[0];
+        let home = service.ranking(rank::bucket_of(flow))[0];
+        self.index(self.view.upstream(home).id)
+    }
+
+    fn index(&self, id: UpstreamId) -> usize {
+        self.ids.iter().position(|known| *known == id).unwrap_or(0)
+    }
+
+    fn event(&mut self, at: usize, event: Event) {
+        let mut out = Vec::new();
+        self.agents[at].handle(self.now, event, &mut out);
+        self.act(at, out);
+    }
+
+    fn arrive(&mut self, at: usize, packet: Packet) {
+        if self.cut[at] {
+            return;
+        }
+        let mut out = Vec::new();
+        let verdict = self.agents[at].packet(self.now, &packet, &mut out);
+        self.act(at, out);
+        self.follow(at, packet, verdict);
+    }
+
+    fn follow(&mut self, at: usize, packet: Packet, verdict: Verdict) {
+        match verdict {
+            Verdict::Deliver => {
+                let is_opening = matches!(packet.kind, PacketKind::Opening { .. });
+                self.usage.admitted += u64::from(is_opening);
+            }
+            Verdict::Hold(hold) => self.held.push((at, hold, packet)),
+            Verdict::Forward { to, passed } => {
+                let to = self.index(to);
+                self.arrive(to, Packet { hops: packet.hops + 1, passed, ..packet });
+            }
+            Verdict::Refuse(_) | Verdict::Drop(_) => {}
+        }
+    }
+
+    fn act(&mut self, at: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(at, to, message),
+                Action::Resolve { hold, verdict } => {
+                    let found = self.held.iter().position(|held| (held.0, held.1) == (at, hold));
+                    if let Some(found) = found {
+                        let (_, _, packet) = self.held.swap_remove(found);
+                        self.follow(at, packet, verdict);
+                    }
+                }
+                Action::FetchSettings { .. } | Action::Note(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: UpstreamId, message: Message) {
+        let to = self.index(to);
+        let mut body = Vec::new();
+        control::encode(&Envelope { clock: self.now.0 << 16, message }, &mut body)
+            .expect("the core's messages fit into a datagram");
+        let bytes = IP_UDP_BYTES + (gue::HEADER_BYTES + SEALED_BYTES + body.len()) as u64;
+        self.count(from, bytes);
+        if self.cut[from] || self.cut[to] {
+            return;
+        }
+        self.count(to, bytes);
+        let mut private = [0; SEALED_BYTES];
+        let payload = Payload::Control(&body);
+        let header = header(self.id, self.ids[from]);
+        self.keyring.seal(&header, payload, &mut private).expect("a body can be sealed");
+        let mut datagram = Vec::with_capacity(body.len() + 80);
+        gue::encode(gue::Content::Control(control::CONTROL_TYPE), &private, &body, &mut datagram);
+        self.queue.push((from, to, datagram));
+    }
+
+    fn count(&mut self, agent: usize, bytes: u64) {
+        self.usage.bytes += bytes;
+        self.usage.messages += 1;
+        self.second_bytes[agent] += bytes;
+    }
+
+    /// Hands over what was sent one delay ago.
+    fn deliver(&mut self) {
+        for (from, to, datagram) in std::mem::take(&mut self.queue) {
+            let frame = gue::parse(&datagram).expect("a frame of ours");
+            let payload = Payload::Control(frame.payload);
+            self.keyring.open(frame.private, payload).expect("sealed by us");
+            let message = control::decode(frame.payload).expect("encoded by us").message;
+            self.event(to, Event::Message { from: self.ids[from], message });
+        }
+    }
+}
+
+fn agent(
+    service: ServiceId,
+    upstream: UpstreamId,
+    life: u64,
+    view: Arc<View>,
+    now: Millis,
+) -> Agent {
+    let config = AgentConfig {
+        upstream,
+        service,
+        incarnation: Incarnation(life),
+        may_have_past: life > 1,
+        seed: upstream.0,
+    };
+    Agent::new(config, view, now)
+}
+
+fn header(service: ServiceId, from: UpstreamId) -> Header {
+    Header {
+        hops: 0,
+        passed: Passed::Fresh,
+        account: AccountId(1),
+        service,
+        flow: FlowId(0),
+        version: Version(1),
+        sender: SenderId(from.0),
+    }
+}
+
+/// A flow id as the keyed hash would draw it: a bijection, so no two numbers meet.
+fn flow(number: u64) -> FlowId {
+    let mixed = (number ^ (number >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    FlowId((mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9))
+}
--- a/crates/loadgen/src/lib.rs
+++ b/crates/loadgen/src/lib.rs
@@ -1,5 +1,7 @@
 //! Load and experiments: what the product costs, measured with the product's own code.
 
 pub mod control;
+pub mod cost;
 pub mod fit;
 pub mod results;
+pub mod world;
--- a/crates/loadgen/src/main.rs
+++ b/crates/loadgen/src/main.rs
@@ -4,13 +4,16 @@
 use std::process::ExitCode;
 
 use anyhow::{Context as _, bail};
-use lexopt::Arg;
+use lexopt::{Arg, ValueExt as _};
 
 const HELP: &str = "\
 Usage: gooseberrysill-load COMMAND [OPTIONS]
 
 Commands:
-  control    slopes and storms of control traffic, with many nodes in one process
+  control    slopes and storms of spreading among balancers, many nodes in one process
+  agent      slopes and storms of the agents of one service, in one process
+  agent-memory FLOWS
+             memory of an agent that holds FLOWS flows, in bytes
 
 Options:
   --out FILE   write the results there as JSON (default: standard output)
@@ -34,6 +37,7 @@
     let mut parser = lexopt::Parser::from_env();
     let mut command = None;
     let mut out: Option<PathBuf> = None;
+    let mut size: Option<u64> = None;
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Long("help") => {
@@ -44,11 +48,18 @@
             Arg::Value(value) if command.is_none() => {
                 command = Some(value.to_string_lossy().into_owned())
             }
+            Arg::Value(value) if size.is_none() => size = Some(value.parse()?),
             other => return Err(other.unexpected().into()),
         }
     }
     let results = match command.context(HELP)?.as_str() {
         "control" => loadgen::control::spread::measure(),
+        "agent" => loadgen::cost::agent::measure(),
+        "agent-memory" => {
+            let flows = size.context("agent-memory: the number of flows is missing")?;
+            println!("{}", loadgen::cost::agent::memory(flows)?);
+            return Ok(());
+        }
         other => bail!("unknown command `{other}`\n\n{HELP}"),
     };
     match out {
--- /dev/null
+++ b/crates/loadgen/src/world/mod.rs
@@ -0,0 +1,184 @@
+//! Settings of any size, up to that of two years, as the platform would publish them.
+
+use std::fmt::Write as _;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use decision::keys::Version;
+use decision::view::{
+    AccountSpec, Endpoint, ServiceSpec, Transport, UpstreamSpec, UpstreamState, WhenInDoubt,
+};
+
+/// Availability zones in two years.
+pub const ZONES: usize = 17;
+/// Port of every service.
+pub const SERVICE_PORT: u16 = 443;
+
+/// How many of everything.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorldSize {
+    /// Client accounts; each owns a /24.
+    pub accounts: usize,
+    /// Services, one address each, dealt out to the accounts in turn.
+    pub services: usize,
+    /// Upstreams, dealt out to the services in turn.
+    pub upstreams: usize,
+}
+
+/// The size in two years. Users speak of hundreds of accounts; 300 is assumed.
+pub const TARGET: WorldSize = WorldSize { accounts: 300, services: 1_900, upstreams: 10_000 };
+
+impl WorldSize {
+    /// The target with one number of services; accounts and upstreams shrink in proportion.
+    ///
+    /// ```
+    /// let quarter = loadgen::world::WorldSize::of_services(475);
+    /// assert_eq!((quarter.accounts, quarter.upstreams), (75, 2_500));
+    /// ```
+    pub fn of_services(services: usize) -> Self {
+        let part = |whole: usize| (whole * services / TARGET.services).max(1);
+        Self { accounts: part(TARGET.accounts), services, upstreams: part(TARGET.upstreams) }
+    }
+
+    /// All accounts, checked, at version 1.
+    ///
+    /// ```
+    /// let size = loadgen::world::WorldSize { accounts: 2, services: 4, upstreams: 10 };
+    /// let accounts = size.accounts();
+    /// assert_eq!(accounts.iter().map(|account| account.services.len()).sum::<usize>(), 4);
+    /// ```
+    pub fn accounts(&self) -> Vec<AccountSpec> {
+        (0..self.accounts).map(|account| self.account(account)).collect()
+    }
+
+    fn account(&self, account: usize) -> AccountSpec {
+        let services = (account..self.services).step_by(self.accounts);
+        AccountSpec {
+            name: account_name(account).into(),
+            version: Version(1),
+            services: services.map(|service| self.service(account, service)).collect(),
+        }
+    }
+
+    fn service(&self, account: usize, service: usize) -> ServiceSpec {
+        let upstreams = (service..self.upstreams).step_by(self.services);
+        let address = service_address(account, service / self.accounts);
+        let endpoint =
+            Endpoint { address: address.into(), port: SERVICE_PORT, transport: Transport::Tcp };
+        ServiceSpec {
+            name: format!("service-{service}").into(),
+            endpoints: vec![endpoint],
+            when_in_doubt: WhenInDoubt::Admit,
+            zone_spill_percent: 25,
+            upstreams: upstreams.map(upstream).collect(),
+        }
+    }
+}
+
+/// Address of the `index`-th service of an account.
+///
+/// ```
+/// assert_eq!(loadgen::world::service_address(257, 2).to_string(), "10.1.1.3");
+/// ```
+pub fn service_address(account: usize, index: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, (account / 256) as u8, (account % 256) as u8, index as u8 + 1)
+}
+
+/// Name of an account.
+///
+/// ```
+/// assert_eq!(loadgen::world::account_name(7), "account-007");
+/// ```
+pub fn account_name(account: usize) -> String {
+    format!("account-{account:03}")
+}
+
+/// The root document, which gives each account its range.
+///
+/// ```
+/// let yaml = loadgen::world::root_yaml(2);
+/// assert_eq!(settings::root::parse(&yaml).unwrap().accounts.len(), 2);
+/// ```
+pub fn root_yaml(accounts: usize) -> String {
+    let mut yaml = String::from("version: 1\naccounts:\n");
+    for account in 0..accounts {
+        let (name, base) = (account_name(account), service_address(account, 0));
+        let [a, b, c, _] = base.octets();
+        // Writing to a string cannot fail.
+        let _ = writeln!(yaml, "  - name: {name}\n    prefixes: [\"{a}.{b}.{c}.0/24\"]");
+    }
+    yaml
+}
+
+/// An account's subtree as text.
+///
+/// ```
+/// let size = loadgen::world::WorldSize { accounts: 1, services: 2, upstreams: 4 };
+/// let yaml = loadgen::world::account_yaml(&size.accounts()[0]);
+/// let root = settings::root::parse(&loadgen::world::root_yaml(1)).unwrap();
+/// assert_eq!(settings::account::parse(&yaml, &root, "account-000").unwrap().services.len(), 2);
+/// ```
+pub fn account_yaml(account: &AccountSpec) -> String {
+    let mut yaml =
+        format!("account: {}\nversion: {}\nservices:\n", account.name, account.version.0);
+    for service in &account.services {
+        push_service(&mut yaml, service);
+    }
+    yaml
+}
+
+fn push_service(yaml: &mut String, service: &ServiceSpec) {
+    let in_doubt = match service.when_in_doubt {
+        WhenInDoubt::Admit => "admit",
+        WhenInDoubt::Refuse => "refuse",
+    };
+    let endpoints: Vec<String> =
+        service.endpoints.iter().map(|it| format!("\"{}:{}/tcp\"", it.address, it.port)).collect();
+    let _ = write!(
+        yaml,
+        "  - name: {}\n    addresses: [{}]\n    when_in_doubt: {in_doubt}\n    \
+         zone_spill_percent: {}\n    upstreams:\n",
+        service.name,
+        endpoints.join(", "),
+        service.zone_spill_percent,
+    );
+    for upstream in &service.upstreams {
+        push_upstream(yaml, upstream);
+    }
+}
+
+fn push_upstream(yaml: &mut String, upstream: &UpstreamSpec) {
+    let _ = write!(
+        yaml,
+        "      - name: {}\n        zone: {}\n        weight: {}\n        max_flows: {}\n        \
+         agent_address: \"{}\"\n        control_address: \"{}\"\n        address: \"{}\"\n        \
+         state: active\n        since: {}\n",
+        upstream.name,
+        upstream.zone,
+        upstream.weight,
+        upstream.max_flows,
+        upstream.agent_address,
+        upstream.control_address,
+        upstream.address,
+        upstream.since.0,
+    );
+}
+
+/// The upstream with this number, at addresses of its own in 127.64.0.0/10.
+fn upstream(index: usize) -> UpstreamSpec {
+    let machine = |port: u16| -> SocketAddr {
+        let [high, low] = (index as u16).to_be_bytes();
+        SocketAddr::from((Ipv4Addr::new(127, 64, high, low), port))
+    };
+    UpstreamSpec {
+        name: format!("upstream-{index}").into(),
+        zone: format!("zone-{}", index % ZONES).into(),
+        weight: 100,
+        max_flows: 60_000,
+        agent_address: machine(6_080),
+        control_address: machine(9_080),
+        address: machine(6_081),
+        state: UpstreamState::Active,
+        since: Version(1),
+        retired: None,
+    }
+}
