Measure the settings tree and count changes with their real deltas

Cause: a fetched change was assumed to cost 120 bytes; views, digests, the instance list and the start of a balancer had no figures at all.

Change: `gooseberrysill-load tree` builds, parses, changes and encodes settings of four sizes up to 1,900 services and 10,000 upstreams; `tree-memory` reads VmRSS. The spreading among balancers now counts a change with the size of the real delta, and the receiver of a message decodes it.

--- a/crates/loadgen/src/control/fleet.rs
+++ b/crates/loadgen/src/control/fleet.rs
@@ -174,8 +174,10 @@
     }
 
     fn send(&mut self, from: usize, to: NodeId, message: SpreadMessage) {
-        let body_bytes = wire::spread::encode(&message).len() as u64;
-        self.count(from, to.0 as usize, body_bytes + self.message_overhead_bytes);
+        let body = wire::spread::encode(&message);
+        self.count(from, to.0 as usize, body.len() as u64 + self.message_overhead_bytes);
+        // The receiver decodes, so that processor time is measured with it.
+        let message = wire::spread::decode(&body).expect("encoded by us");
         let event = SpreadEvent::Message { from: self.ids[from], message };
         self.queue.push((to.0 as usize, event));
     }
--- a/crates/loadgen/src/control/spread.rs
+++ b/crates/loadgen/src/control/spread.rs
@@ -4,6 +4,8 @@
 use decision::spread::{Member, Spread, SpreadEvent, Tuning};
 
 use super::Fleet;
+use crate::cost::processor_time;
+use crate::cost::tree::usual_delta_bytes;
 use crate::results::{Results, Series};
 
 /// Balancers at which the slopes are taken; the last is the size in two years.
@@ -12,8 +14,6 @@
 const ZONES: usize = 17;
 /// Client accounts assumed for 1,900 addresses.
 const ACCOUNTS: u64 = 300;
-/// Body of a fetched change: one line of YAML and the delta's numbers.
-const DELTA_BYTES: u64 = 120;
 /// Time over which idle traffic is averaged.
 const IDLE_MS: u64 = 60_000;
 /// Longest time that a storm is followed.
@@ -23,6 +23,7 @@
 pub fn measure() -> Results {
     let mut series = vec![
         over_sizes("idle_bytes", "B/s/node", idle_bytes),
+        over_sizes("idle_processor", "us/s/node", idle_processor_us),
         over_sizes("idle_bytes_http", "B/s/node", idle_bytes_http),
         over_sizes("change_bytes", "B/node/change", change_bytes),
         over_sizes("change_ms", "ms until in force everywhere", |count| {
@@ -94,13 +95,21 @@
 }
 
 fn idle_bytes(count: usize) -> f64 {
-    let mut fleet = Fleet::new(count, ZONES, ACCOUNTS, DELTA_BYTES);
+    let mut fleet = Fleet::new(count, ZONES, ACCOUNTS, usual_delta_bytes());
     fleet.run(IDLE_MS);
     per_node_second(fleet.traffic().bytes, count, IDLE_MS)
 }
 
+fn idle_processor_us(count: usize) -> f64 {
+    let mut fleet = Fleet::new(count, ZONES, ACCOUNTS, usual_delta_bytes());
+    let start = processor_time();
+    fleet.run(IDLE_MS);
+    let used = processor_time() - start;
+    used.as_secs_f64() * 1e6 / count as f64 / (IDLE_MS as f64 / 1_000.0)
+}
+
 fn idle_bytes_http(count: usize) -> f64 {
-    let mut fleet = Fleet::new(count, ZONES, ACCOUNTS, DELTA_BYTES);
+    let mut fleet = Fleet::new(count, ZONES, ACCOUNTS, usual_delta_bytes());
     fleet.use_http();
     fleet.run(IDLE_MS);
     per_node_second(fleet.traffic().bytes, count, IDLE_MS)
@@ -113,7 +122,7 @@
 }
 
 fn settings_storm(count: usize, changes: u64, tuning: Tuning) -> Storm {
-    let mut fleet = Fleet::with_tuning(count, ZONES, ACCOUNTS, DELTA_BYTES, tuning);
+    let mut fleet = Fleet::with_tuning(count, ZONES, ACCOUNTS, usual_delta_bytes(), tuning);
     for account in 1..=changes {
         fleet.install(account as usize % count, account, 2);
     }
@@ -124,7 +133,7 @@
 }
 
 fn zone_loss(count: usize, agents: u64) -> Storm {
-    let mut fleet = Fleet::new(count, ZONES, ACCOUNTS, DELTA_BYTES);
+    let mut fleet = Fleet::new(count, ZONES, ACCOUNTS, usual_delta_bytes());
     for agent in 0..agents {
         let member = Member { upstream: UpstreamId(agent), beat: 1, up: false };
         fleet.inject(agent as usize % count, SpreadEvent::Observed(member));
--- a/crates/loadgen/src/cost/mod.rs
+++ b/crates/loadgen/src/cost/mod.rs
@@ -1,8 +1,9 @@
-//! Cost of an agent's control: bytes, messages, processor time and memory, by the core's own code.
+//! Cost of control and settings: bytes, messages, processor time and memory, by the core's own code.
 
 pub mod agent;
 mod meter;
 mod service;
+pub mod tree;
 
 pub use meter::{processor_time, resident_bytes};
 pub use service::{Service, Usage};
--- /dev/null
+++ b/crates/loadgen/src/cost/tree.rs
@@ -0,0 +1,217 @@
+//! Cost of the settings tree: texts, views, changes and what is exchanged about them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use decision::keys::{AccountId, Version};
+use decision::spread::Delta;
+use decision::view::{self, AccountSpec};
+use settings::Book;
+use wire::exchange::{Digest, DigestEntry};
+use wire::sealed::{AccountKeyring, KeyId};
+
+use super::{processor_time, resident_bytes};
+use crate::results::{Results, Series};
+use crate::world::{WorldSize, account_name, account_yaml, root_yaml};
+
+/// Quarters of the target: services at which slopes are taken.
+const SERVICES: [usize; 4] = [475, 950, 1_425, 1_900];
+/// Services in one account's subtree.
+const ACCOUNT_SERVICES: [usize; 5] = [1, 6, 12, 25, 50];
+/// Services of the target's mean account: 1,900 over 300.
+const MEAN_ACCOUNT_SERVICES: usize = 6;
+/// Nodes in the platform's list of instances; the last is the target.
+const INSTANCES: [usize; 4] = [2_900, 5_800, 8_700, 11_600];
+/// Every time is the median of so many runs.
+const RUNS: usize = 5;
+
+/// Measures everything and returns the series.
+pub fn measure() -> Results {
+    let services = "services (and accounts and upstreams in proportion)";
+    let mut series = vec![
+        over("view_build_ms", services, "ms of processor", &SERVICES, view_build_ms),
+        over("keys_derive_ms", services, "ms of processor", &SERVICES, keys_derive_ms),
+        over("start_ms", services, "ms of processor", &SERVICES, start_ms),
+        over("change_ms", services, "ms of processor a change", &SERVICES, change_ms),
+        over("tree_bytes", services, "B of YAML", &SERVICES, tree_bytes),
+        over("digest_bytes", services, "B a full digest", &SERVICES, digest_bytes),
+        over("list_bytes", "instances", "B of JSON", &INSTANCES, list_bytes),
+    ];
+    series.extend(account_series());
+    Results { command: "gooseberrysill-load tree".into(), series }
+}
+
+/// Memory of a balancer's settings: texts, checked specs, view and keys.
+///
+/// Errors: the kernel does not say how much memory is in use.
+pub fn memory(services: u64) -> anyhow::Result<f64> {
+    let size = WorldSize::of_services(services as usize);
+    let before = resident_bytes()?;
+    let book = started(&texts(size));
+    let view = book.view();
+    let keys = derive_keys(size.accounts);
+    let used = resident_bytes()? - before;
+    anyhow::ensure!(view.services().len() == size.services && keys.len() == size.accounts);
+    Ok(used as f64)
+}
+
+/// Body of one fetched change of a mean account: one weight in the middle of the subtree.
+pub(crate) fn usual_delta_bytes() -> u64 {
+    delta_bytes(MEAN_ACCOUNT_SERVICES, set_weight) as u64
+}
+
+/// Sizes of one account's text and of three usual changes.
+fn account_series() -> [Series; 4] {
+    let x = "services of the account (6 upstreams each)";
+    let delta = |edit: fn(&mut AccountSpec)| move |services: usize| delta_bytes(services, edit);
+    [
+        over("subtree_bytes", x, "B of YAML", &ACCOUNT_SERVICES, |services| {
+            account_yaml(&account(services)).len() as f64
+        }),
+        over("delta_weight_bytes", x, "B of delta", &ACCOUNT_SERVICES, delta(set_weight)),
+        over("delta_add_bytes", x, "B of delta", &ACCOUNT_SERVICES, delta(add_upstream)),
+        over("delta_replace_bytes", x, "B of delta", &ACCOUNT_SERVICES, delta(replace_all)),
+    ]
+}
+
+fn over(name: &str, x: &str, y: &str, sizes: &[usize], measure: impl Fn(usize) -> f64) -> Series {
+    let points: Vec<(f64, f64)> = sizes.iter().map(|&size| (size as f64, measure(size))).collect();
+    Series::new(name, x, y, &points)
+}
+
+fn view_build_ms(services: usize) -> f64 {
+    let accounts = WorldSize::of_services(services).accounts();
+    median_ms(|| {
+        std::hint::black_box(view::build(&accounts));
+    })
+}
+
+fn keys_derive_ms(services: usize) -> f64 {
+    let accounts = WorldSize::of_services(services).accounts;
+    median_ms(|| {
+        std::hint::black_box(derive_keys(accounts));
+    })
+}
+
+fn derive_keys(accounts: usize) -> Vec<AccountKeyring> {
+    let masters = [(KeyId(1), [7; 32]), (KeyId(2), [8; 32])];
+    let ids = (0..accounts).map(|account| AccountId::of(&account_name(account)));
+    ids.filter_map(|id| AccountKeyring::derive(&masters, id)).collect()
+}
+
+/// Parsing, checking and building everything, as at the start of a balancer.
+fn start_ms(services: usize) -> f64 {
+    let texts = texts(WorldSize::of_services(services));
+    median_ms(|| {
+        std::hint::black_box(started(&texts).view());
+    })
+}
+
+/// One changed weight: parsing and checking the subtree, and the new view.
+fn change_ms(services: usize) -> f64 {
+    let size = WorldSize::of_services(services);
+    let mut book = started(&texts(size));
+    let mut spec = size.accounts().swap_remove(0);
+    median_ms(|| {
+        spec.version = Version(spec.version.0 + 1);
+        spec.services[0].upstreams[0].weight += 1;
+        let outcome = book.accept_account(&spec.name, &account_yaml(&spec));
+        assert_eq!(outcome, settings::Outcome::Accepted(spec.version));
+        std::hint::black_box(book.view());
+    })
+}
+
+fn tree_bytes(services: usize) -> f64 {
+    let texts = texts(WorldSize::of_services(services));
+    texts.iter().map(|(_, yaml)| yaml.len()).sum::<usize>() as f64
+}
+
+fn digest_bytes(services: usize) -> f64 {
+    let accounts = WorldSize::of_services(services).accounts;
+    let entry = |account| DigestEntry { account: account_name(account).into(), version: 3_800 };
+    let digest =
+        Digest { current: true, root_version: 9, accounts: (0..accounts).map(entry).collect() };
+    encoded_bytes(&digest)
+}
+
+/// The platform's list with an entry for every node, as it documents them.
+fn list_bytes(instances: usize) -> f64 {
+    let entry = |index: usize| {
+        serde_json::json!({
+            "name": format!("agent-{index}"), "kind": "agent",
+            "account": account_name(index % 300), "service": format!("service-{}", index % 1_900),
+            "upstream": format!("upstream-{index}"), "data_address": "127.64.100.100:6080",
+            "control_address": "127.64.100.100:9080", "zone": format!("zone-{}", index % 17),
+            "region": format!("region-{}", index % 5), "state": "live",
+        })
+    };
+    let list: Vec<_> = (0..instances).map(entry).collect();
+    serde_json::json!({ "instances": list }).to_string().len() as f64
+}
+
+fn account(services: usize) -> AccountSpec {
+    WorldSize { accounts: 1, services, upstreams: services * 6 }.accounts().swap_remove(0)
+}
+
+fn delta_bytes(services: usize, edit: fn(&mut AccountSpec)) -> f64 {
+    let old = account(services);
+    let mut new = old.clone();
+    new.version = Version(2);
+    edit(&mut new);
+    let (old_yaml, new_yaml) = (account_yaml(&old), account_yaml(&new));
+    let delta = Delta::between(old.version, &old_yaml, &new_yaml);
+    assert_eq!(delta.apply(&old_yaml).as_ref(), Some(&new_yaml));
+    let fields = (delta.base.0, delta.prefix_bytes, delta.suffix_bytes, &delta.middle);
+    encoded_bytes(&fields)
+}
+
+/// In the middle of the text; the version stands in its second line.
+fn set_weight(account: &mut AccountSpec) {
+    let middle = account.services.len() / 2;
+    account.services[middle].upstreams[3].weight = 50;
+}
+
+fn add_upstream(account: &mut AccountSpec) {
+    let middle = account.services.len() / 2;
+    let upstreams = &mut account.services[middle].upstreams;
+    let mut added = upstreams[0].clone();
+    added.name = "upstream-added".into();
+    upstreams.push(added);
+}
+
+fn replace_all(account: &mut AccountSpec) {
+    for service in &mut account.services {
+        service.upstreams.iter_mut().for_each(|upstream| upstream.weight = 90);
+    }
+}
+
+fn encoded_bytes(value: &impl serde::Serialize) -> f64 {
+    // Plain lists of numbers and text can always be encoded.
+    rmp_serde::to_vec(value).map_or(0, |bytes| bytes.len()) as f64
+}
+
+fn texts(size: WorldSize) -> Vec<(Arc<str>, String)> {
+    size.accounts().iter().map(|spec| (spec.name.clone(), account_yaml(spec))).collect()
+}
+
+fn started(texts: &[(Arc<str>, String)]) -> Book {
+    let mut book = Book::default();
+    book.accept_root(&root_yaml(texts.len()));
+    for (name, yaml) in texts {
+        let outcome = book.accept_account(name, yaml);
+        assert!(matches!(outcome, settings::Outcome::Accepted(_)), "{outcome:?}");
+    }
+    book
+}
+
+fn median_ms(mut work: impl FnMut()) -> f64 {
+    let mut times: Vec<Duration> = (0..RUNS)
+        .map(|_| {
+            let start = processor_time();
+            work();
+            processor_time() - start
+        })
+        .collect();
+    times.sort_unstable();
+    times[RUNS / 2].as_secs_f64() * 1e3
+}
--- a/crates/loadgen/src/main.rs
+++ b/crates/loadgen/src/main.rs
@@ -12,8 +12,11 @@
 Commands:
   control    slopes and storms of spreading among balancers, many nodes in one process
   agent      slopes and storms of the agents of one service, in one process
+  tree       cost of the settings tree, its changes and what is exchanged about it
   agent-memory FLOWS
              memory of an agent that holds FLOWS flows, in bytes
+  tree-memory SERVICES
+             memory of a balancer's settings with SERVICES services, in bytes
 
 Options:
   --out FILE   write the results there as JSON (default: standard output)
@@ -55,11 +58,9 @@
     let results = match command.context(HELP)?.as_str() {
         "control" => loadgen::control::spread::measure(),
         "agent" => loadgen::cost::agent::measure(),
-        "agent-memory" => {
-            let flows = size.context("agent-memory: the number of flows is missing")?;
-            println!("{}", loadgen::cost::agent::memory(flows)?);
-            return Ok(());
-        }
+        "tree" => loadgen::cost::tree::measure(),
+        "agent-memory" => return print_memory(size, loadgen::cost::agent::memory),
+        "tree-memory" => return print_memory(size, loadgen::cost::tree::memory),
         other => bail!("unknown command `{other}`\n\n{HELP}"),
     };
     match out {
@@ -70,3 +71,8 @@
         }
     }
 }
+
+fn print_memory(size: Option<u64>, measure: fn(u64) -> anyhow::Result<f64>) -> anyhow::Result<()> {
+    println!("{}", measure(size.context("the size is missing")?)?);
+    Ok(())
+}
