Run experiments at set rates against the real binaries

Cause: packets a second per core say nothing about what a caller waits.

Tests show that each opening of a measured service runs once and that equal runs cost the same.

--- /dev/null
+++ b/crates/loadgen/src/flows/mod.rs
@@ -0,0 +1,86 @@
+//! Experiments with packets at set rates through a running process: latency and loss.
+//!
+//! Latency counts from the moment at which a packet was due, not from when it left: a process that
+//! stalls would otherwise hold back the very packets that show it.
+
+mod experiment;
+mod probe;
+mod report;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use anyhow::Context as _;
+use hdrhistogram::Histogram;
+use indicatif::{ProgressBar, ProgressStyle};
+
+pub use experiment::{Experiment, Source};
+pub use report::{latency_series, plot};
+
+use crate::results::Results;
+use crate::traffic::{Frames, Stamper, stamped_flood};
+
+/// Time in which late packets still count.
+const LINGER: Duration = Duration::from_millis(200);
+
+/// What one run at one rate showed.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Packets a second that were due.
+    pub rate: u64,
+    /// Packets sent after the warm-up.
+    pub sent: u64,
+    /// Packets of these that came out.
+    pub received: u64,
+    /// Nanoseconds from when a packet was due until it came out.
+    pub latency_ns: Histogram<u64>,
+}
+
+/// Runs an experiment and returns its series.
+///
+/// Errors: an address that is taken or not on loopback, or frames that cannot be made.
+pub fn run(experiment: &Experiment) -> anyhow::Result<Results> {
+    let bar = progress_bar(experiment)?;
+    let mut frames = experiment.frames()?;
+    let mut outcomes = Vec::new();
+    for &rate in &experiment.rates {
+        for run in 1..=experiment.runs {
+            bar.set_message(format!("{rate} packets/s, run {run}"));
+            outcomes.push(run_once(experiment, &mut frames, rate)?);
+            bar.inc(1);
+        }
+    }
+    bar.finish_and_clear();
+    let command = format!("cargo xtask bench --experiment ({})", experiment.name);
+    Ok(Results { command: command.into(), series: latency_series(&outcomes) })
+}
+
+fn run_once(experiment: &Experiment, frames: &mut Frames, rate: u64) -> anyhow::Result<Outcome> {
+    let start = Instant::now();
+    let count_from = Duration::from_millis(experiment.warm_up_ms);
+    let end = AtomicBool::new(false);
+    let sockets = probe::bind(&experiment.receivers)?;
+    std::thread::scope(|scope| {
+        let end = &end;
+        let readers: Vec<_> = sockets
+            .iter()
+            .map(|socket| scope.spawn(move || probe::read(socket, start, count_from, end)))
+            .collect();
+        let duration = count_from + Duration::from_millis(experiment.duration_ms);
+        let stamper = Stamper { start, rate, count_from };
+        let sent = stamped_flood(frames, experiment.to, duration, stamper);
+        std::thread::sleep(LINGER);
+        end.store(true, Ordering::Relaxed);
+        let mut latency_ns = probe::histogram()?;
+        for reader in readers {
+            latency_ns.add(reader.join().ok().context("a reader panicked")??)?;
+        }
+        Ok(Outcome { rate, sent: sent?, received: latency_ns.len(), latency_ns })
+    })
+}
+
+fn progress_bar(experiment: &Experiment) -> anyhow::Result<ProgressBar> {
+    let steps = experiment.rates.len() as u64 * experiment.runs;
+    let style = ProgressStyle::with_template("{bar:40} {pos}/{len} {msg}")?;
+    Ok(ProgressBar::new(steps).with_style(style))
+}
--- a/crates/loadgen/src/lib.rs
+++ b/crates/loadgen/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod control;
 pub mod cost;
 pub mod fit;
+pub mod flows;
 pub mod plot;
 pub mod results;
 pub mod traffic;
--- a/crates/loadgen/src/main.rs
+++ b/crates/loadgen/src/main.rs
@@ -5,6 +5,7 @@
 
 use anyhow::{Context as _, bail};
 use lexopt::{Arg, ValueExt as _};
+use loadgen::flows::Experiment;
 use loadgen::traffic::{Relay, serve_counts};
 
 const HELP: &str = "\
@@ -18,6 +19,10 @@
              memory of an agent that holds FLOWS flows, in bytes
   tree-memory SERVICES
              memory of a balancer's settings with SERVICES services, in bytes
+  flows --experiment FILE
+             packets at set rates through a running process: latency and loss; needs --out,
+             and writes a plot beside it. `cargo xtask bench --experiment FILE` starts the
+             processes as well
   relay LISTEN TO...
              move datagrams from LISTEN to each TO in turn, and print the count for each line
              of standard input until it ends
@@ -63,6 +68,7 @@
         "agent-memory" => return print_memory(values, loadgen::cost::agent::memory),
         "tree-memory" => return print_memory(values, loadgen::cost::tree::memory),
         "relay" => return relay(values),
+        "flows" => return flows(&arguments),
         other => bail!("unknown command `{other}`\n\n{HELP}"),
     };
     match arguments.out {
@@ -95,6 +101,15 @@
     Ok(())
 }
 
+fn flows(arguments: &Arguments) -> anyhow::Result<()> {
+    let file = arguments.experiment.as_deref().context("--experiment FILE is missing")?;
+    let out = arguments.out.as_deref().context("--out FILE is missing")?;
+    let experiment = Experiment::read(file)?;
+    let results = loadgen::flows::run(&experiment)?;
+    results.write(out)?;
+    loadgen::flows::plot(&results, &experiment.name, &out.with_extension("svg"))
+}
+
 /// Relays in a thread of its own name, so that its processor time can be told from this one's.
 fn relay(values: &[String]) -> anyhow::Result<()> {
     let (listen, receivers) = values.split_first().context("LISTEN is missing")?;
--- a/crates/loadgen/src/traffic/flood.rs
+++ b/crates/loadgen/src/traffic/flood.rs
@@ -59,6 +59,48 @@
     Ok(sent)
 }
 
+/// How packets get their times.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stamper {
+    /// Start of the run.
+    pub(crate) start: Instant,
+    /// Packets a second.
+    pub(crate) rate: u64,
+    /// Packets due before this do not count.
+    pub(crate) count_from: Duration,
+}
+
+/// Sends packets at a rate, each with the time at which it was due. Returns how many count.
+pub(crate) fn stamped_flood(
+    frames: &mut Frames,
+    to: SocketAddr,
+    duration: Duration,
+    stamper: Stamper,
+) -> anyhow::Result<u64> {
+    check_loopback(to)?;
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    socket.connect(to)?;
+    let mut headers = MultiHeaders::<SockaddrStorage>::preallocate(BATCH, None);
+    let (mut sent, mut counted) = (0, 0);
+    while stamper.start.elapsed() < duration.min(LONGEST) {
+        let waiting = due(stamper.rate, stamper.start.elapsed()).saturating_sub(sent);
+        let count = waiting.min(BATCH as u64) as usize;
+        if count == 0 {
+            std::thread::sleep(Duration::from_micros(20));
+            continue;
+        }
+        for number in sent..sent + count as u64 {
+            let due_ns = (u128::from(number) * 1_000_000_000 / u128::from(stamper.rate)) as u64;
+            frames.stamp(number as usize, due_ns);
+            counted += u64::from(u128::from(due_ns) >= stamper.count_from.as_nanos());
+        }
+        // What the kernel does not take is lost, as it would be for any caller.
+        send(&socket, &mut headers, frames, sent as usize, count)?;
+        sent += count as u64;
+    }
+    Ok(counted)
+}
+
 fn due(rate: u64, elapsed: Duration) -> u64 {
     (elapsed.as_secs_f64() * rate as f64) as u64
 }
--- a/crates/loadgen/src/traffic/frames.rs
+++ b/crates/loadgen/src/traffic/frames.rs
@@ -16,6 +16,14 @@
 const PORTS: usize = 50_000;
 const FIRST_PORT: usize = 10_000;
 
+/// Bytes of a time at the end of a datagram.
+const STAMP_BYTES: usize = size_of::<u64>();
+
+/// The time at the end of a datagram, in nanoseconds since the start of its run.
+pub(crate) fn read_stamp(datagram: &[u8]) -> Option<u64> {
+    datagram.last_chunk::<STAMP_BYTES>().map(|bytes| u64::from_be_bytes(*bytes))
+}
+
 /// Datagrams of one length, one after the other.
 #[derive(Clone, Debug, Default)]
 pub struct Frames {
@@ -46,6 +54,13 @@
         &self.bytes[start..start + self.length]
     }
 
+    /// Writes a time into the end of a datagram. That is behind what a MAC covers, and no process on
+    /// the way looks at the transport's checksum.
+    pub(super) fn stamp(&mut self, number: usize, due_ns: u64) {
+        let end = (number % self.count() + 1) * self.length;
+        self.bytes[end - STAMP_BYTES..end].copy_from_slice(&due_ns.to_be_bytes());
+    }
+
     /// How many there are.
     pub fn count(&self) -> usize {
         self.bytes.len() / self.length.max(1)
--- /dev/null
+++ b/crates/loadgen/tests/service.rs
@@ -0,0 +1,49 @@
+//! What the slopes of an agent rest on: every opening runs once, and equal runs cost the same.
+
+use decision::view::WhenInDoubt;
+use loadgen::cost::{Service, Usage};
+use rstest::rstest;
+
+/// Opens flows at a service, lets ten seconds pass and gives what was used.
+fn opened(agents: usize, when_in_doubt: WhenInDoubt, flows: u64) -> Usage {
+    let mut service = Service::new(agents, when_in_doubt);
+    (0..flows).for_each(|number| service.open(number));
+    service.run(10_000);
+    service.take_usage()
+}
+
+#[rstest]
+#[case::admit_alone(1, WhenInDoubt::Admit, 50)]
+#[case::admit_of_six(6, WhenInDoubt::Admit, 50)]
+#[case::refuse_of_six(6, WhenInDoubt::Refuse, 50)]
+fn opened_runs_once(#[case] agents: usize, #[case] in_doubt: WhenInDoubt, #[case] flows: u64) {
+    assert_eq!(opened(agents, in_doubt, flows).admitted, flows);
+}
+
+#[rstest]
+#[case::admit(WhenInDoubt::Admit)]
+#[case::refuse(WhenInDoubt::Refuse)]
+fn opened_costs_the_same_twice(#[case] in_doubt: WhenInDoubt) {
+    let counts = |usage: Usage| (usage.bytes, usage.messages, usage.peak_bytes);
+    assert_eq!(counts(opened(4, in_doubt, 20)), counts(opened(4, in_doubt, 20)));
+}
+
+#[test]
+fn opened_refuse_asks_every_peer() {
+    // A claim and its answer for each of five peers, counted at both ends.
+    let extra =
+        opened(6, WhenInDoubt::Refuse, 100).messages - opened(6, WhenInDoubt::Admit, 100).messages;
+    assert_eq!(extra, 100 * 5 * 2 * 2);
+}
+
+#[test]
+fn restart_finds_all_flows_again() {
+    let mut service = Service::new(3, WhenInDoubt::Admit);
+    (0..300).for_each(|number| service.open(number));
+    service.run(10_000);
+    let before = service.agents()[0].open_flows();
+    service.restart(0);
+    assert_eq!(service.agents()[0].open_flows(), 0);
+    service.run_until(10_000, |it| it.agents()[0].open_flows() >= before);
+    assert_eq!(service.agents()[0].open_flows(), before);
+}
--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, ensure};
+use loadgen::flows::Experiment;
 use loadgen::traffic::{Flood, flood};
 use signal_hook::consts::{SIGINT, SIGTERM};
 
@@ -41,13 +42,18 @@
 
 /// Runs the bench.
 pub(crate) fn run(parser: &mut lexopt::Parser) -> anyhow::Result<()> {
-    let out = out_folder(parser)?;
+    let options = options(parser)?;
+    let experiment = options.experiment.as_deref().map(Experiment::read).transpose()?;
     let interrupted = Arc::new(AtomicBool::new(false));
     for signal in [SIGINT, SIGTERM] {
         signal_hook::flag::register(signal, Arc::clone(&interrupted))?;
     }
     build()?;
-    let world = World::start()?;
+    if let Some(experiment) = experiment {
+        let _world = World::start(&experiment.receivers)?;
+        return run_experiment(&experiment, &options.out);
+    }
+    let world = World::start(&[])?;
     let idle = report::Idle::measure(&world.subjects, IDLE)?;
     let mut samples = Vec::new();
     for run in 1..=RUNS {
@@ -65,18 +71,39 @@
         }
     }
     let results = report::results(&samples, &idle);
-    results.write(&out.join("bench.json"))?;
-    plot::write(&samples, &out.join("bench.svg"))?;
+    results.write(&options.out.join("bench.json"))?;
+    plot::write(&samples, &options.out.join("bench.svg"))?;
     report::print(&results);
     Ok(())
 }
 
-fn out_folder(parser: &mut lexopt::Parser) -> anyhow::Result<PathBuf> {
-    match parser.next()? {
-        None => Ok("docs/results".into()),
-        Some(lexopt::Arg::Long("out")) => Ok(parser.value()?.into()),
-        Some(argument) => Err(argument.unexpected().into()),
+/// The command line.
+#[derive(Debug)]
+struct Options {
+    out: PathBuf,
+    experiment: Option<PathBuf>,
+}
+
+fn options(parser: &mut lexopt::Parser) -> anyhow::Result<Options> {
+    let mut options = Options { out: "docs/results".into(), experiment: None };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            lexopt::Arg::Long("out") => options.out = parser.value()?.into(),
+            lexopt::Arg::Long("experiment") => options.experiment = Some(parser.value()?.into()),
+            argument => return Err(argument.unexpected().into()),
+        }
     }
+    Ok(options)
+}
+
+/// Runs an experiment against the processes of the bench.
+fn run_experiment(experiment: &Experiment, out: &Path) -> anyhow::Result<()> {
+    let results = loadgen::flows::run(experiment)?;
+    let file = out.join(format!("{}.json", experiment.name));
+    results.write(&file)?;
+    loadgen::flows::plot(&results, &experiment.name, &file.with_extension("svg"))?;
+    report::print(&results);
+    Ok(())
 }
 
 fn build() -> anyhow::Result<()> {
--- a/xtask/src/bench/world.rs
+++ b/xtask/src/bench/world.rs
@@ -34,16 +34,16 @@
 }
 
 impl World {
-    /// Starts everything, publishes the target's settings and opens the agent's flows.
-    pub(super) fn start() -> anyhow::Result<Self> {
+    /// Starts everything, publishes the target's settings and opens the agent's flows. At the
+    /// addresses in `listening` there will be somebody who reads.
+    pub(super) fn start(listening: &[SocketAddr]) -> anyhow::Result<Self> {
         let folder = PathBuf::from("target/bench");
         std::fs::create_dir_all(&folder)?;
         let accounts = TARGET.accounts();
         let loaded = &accounts[..LOADED_ACCOUNTS];
         let agents: Vec<SocketAddr> = upstream_addresses(loaded);
-        let mut sinks: Vec<UdpSocket> =
-            agents.iter().map(|agent| bind_sink(*agent)).collect::<anyhow::Result<_>>()?;
-        sinks.push(bind_sink(UPSTREAM_ADDRESS)?);
+        let unread = agents.iter().chain([&UPSTREAM_ADDRESS]).filter(|it| !listening.contains(it));
+        let sinks = unread.map(|address| bind_sink(*address)).collect::<anyhow::Result<_>>()?;
         let platform = start_platform(&folder, &accounts)?;
         let subjects = vec![relay(&agents)?, balancer(&folder, loaded)?, agent(&folder)?];
         Ok(Self { subjects, _platform: platform, _sinks: sinks })
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -12,7 +12,9 @@
 Usage: cargo xtask COMMAND [OPTIONS]
 
 Commands:
-  bench   packets a second per core of balancer and agent against a bare relay, on loopback
+  bench [--experiment FILE] [--out FOLDER]
+          packets a second per core of balancer and agent against a bare relay, on loopback; or
+          an experiment of experiments/ against the same processes
   capacity [--check | --measure]
           write docs/CAPACITY.md from docs/results; with --check only compare it, with
           --measure take all slopes anew first
