--- a/crates/loadgen/src/flows/probe.rs
+++ b/crates/loadgen/src/flows/probe.rs
@@ -33,7 +33,7 @@
     end: &AtomicBool,
 ) -> anyhow::Result<Histogram<u64>> {
     let mut latency_ns = histogram()?;
-    let mut receiver = Receiver::default();
+    let mut receiver = Receiver::<()>::default();
     while !end.load(Ordering::Relaxed) {
         receiver.receive(socket)?;
         let now_ns = start.elapsed().as_nanos() as u64;
--- a/crates/loadgen/src/traffic/relay.rs
+++ b/crates/loadgen/src/traffic/relay.rs
@@ -47,7 +47,7 @@
     ///
     /// Errors: those of the receiving socket.
     pub fn run(self) -> anyhow::Result<()> {
-        let mut receiver = Receiver::default();
+        let mut receiver = Receiver::<()>::default();
         let mut sender = Sender::default();
         let mut next = 0;
         loop {
