--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -8,6 +8,8 @@
 mod http;
 pub mod liveness;
 pub mod notices;
+pub mod publish;
 pub mod run;
 pub mod snapshot;
+pub mod spreading;
 mod worker;
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -1,11 +1,15 @@
 //! Life of the process: start, publish snapshots, shut down gracefully.
 
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, mpsc};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use decision::keys::{AccountId, UpstreamId};
+use decision::keys::AccountId;
+use decision::spread::{Member, NodeId, Peer};
+use settings::codes;
 use settings::process::balancer::BalancerSettings;
 use shell::fault::StartFault;
 use shell::settings_sync::instances::{Instances, Kind};
@@ -17,13 +21,16 @@
 use shell::{boottime, http};
 use telemetry::metrics::Metrics;
 use telemetry::timeline::{Fields, Timeline};
-use wire::sealed::{AccountKeyring, KeyId};
+use wire::exchange::FLEET;
+use wire::sealed::{AccountKeyring, KeyId, SenderId};
 
 use crate::counters::Counters;
 use crate::forward::Identity;
-use crate::liveness::Liveness;
-use crate::notices::{LeavingAgent, LeavingAgents};
-use crate::snapshot::{Published, Snapshot};
+use crate::notices::AgentNotice;
+use crate::publish::{Publisher, Sources};
+use crate::snapshot::Published;
+use crate::spreading::link::Link;
+use crate::spreading::{Fetch, Fetcher, Shared, Spreading, SpreadingConfig, Teller};
 use crate::worker::{self, Worker};
 
 /// Events kept for the time line.
@@ -42,6 +49,7 @@
     counters: Counters,
     published: Arc<Published>,
     shutdown: Shutdown,
+    shared: Arc<Shared>,
 }
 
 /// Runs a balancer until it is told to shut down.
@@ -57,6 +65,7 @@
         instances: Arc::default(),
         counters: Counters::new(&metrics),
         published: Arc::default(),
+        shared: Arc::default(),
         shutdown: Shutdown::on_signal().map_err(|e| StartFault::thread(&e))?,
         timeline,
         settings,
@@ -66,10 +75,12 @@
     let workers = balancer.start_workers(&end, &notices)?;
     let routes = crate::http::routes(&balancer.shown(metrics), &balancer.keyrings());
     http::start(balancer.settings.control_address, routes)?;
-    balancer.start_readers()?;
+    let (members, observed) = mpsc::channel();
+    let fetches = balancer.start_readers()?;
+    balancer.start_spreading(observed, fetches)?;
     balancer.timeline.record("", "started", Fields::default());
     log::info!("started");
-    balancer.forward_until_drained(inbox);
+    balancer.forward_until_drained(inbox, members);
     end.store(true, Ordering::Relaxed);
     for worker in workers {
         // A worker that panicked has already said so; the shutdown goes on.
@@ -83,7 +94,7 @@
     fn start_workers(
         &self,
         end: &Arc<AtomicBool>,
-        notices: &mpsc::Sender<LeavingAgent>,
+        notices: &mpsc::Sender<AgentNotice>,
     ) -> Result<Vec<JoinHandle<()>>, StartFault> {
         let address = self.settings.data_address;
         let sockets = worker::bind(address, self.settings.receive_threads)
@@ -104,7 +115,8 @@
         Ok(workers)
     }
 
-    fn start_readers(&self) -> Result<(), StartFault> {
+    /// Starts what reads the platform and the peers; returns where to ask for more.
+    fn start_readers(&self) -> Result<mpsc::Sender<Fetch>, StartFault> {
         let platform = self.settings.platform_address;
         let reader = Reader::new(platform, self.store.clone(), self.instances.clone());
         let lister = reader.clone();
@@ -117,17 +129,53 @@
             peers
         };
         let peers = PeerReader::new(self.store.clone(), Arc::new(candidates), self.keyrings());
-        let shutdown = self.shutdown.clone();
-        spawn("platform", move || reader.run(&shutdown))?;
-        let shutdown = self.shutdown.clone();
-        spawn("instances", move || lister.run_list(&shutdown))?;
+        let (fetches, inbox) = mpsc::channel();
+        let (platform, fetch_peers) = (reader.clone(), peers.clone());
+        let fetcher = Fetcher { store: self.store.clone(), peers: fetch_peers, platform, inbox };
+        let (shutdown, shared, store) =
+            (self.shutdown.clone(), self.shared.clone(), self.store.clone());
+        let wanted = move || shared.is_reader() || !store.is_current();
+        spawn("platform", move || reader.run(&shutdown, wanted))?;
+        let (shutdown, shared) = (self.shutdown.clone(), self.shared.clone());
+        spawn("instances", move || lister.run_list(&shutdown, || shared.is_reader()))?;
         let shutdown = self.shutdown.clone();
         spawn("peers", move || peers.run(&shutdown))?;
-        Ok(())
+        spawn("fetch", move || fetcher.run())?;
+        Ok(fetches)
+    }
+
+    fn start_spreading(
+        &self,
+        observed: mpsc::Receiver<Member>,
+        fetches: mpsc::Sender<Fetch>,
+    ) -> Result<(), StartFault> {
+        let address = self.settings.control_address;
+        let bind_fault = |error: io::Error| StartFault::bind(address, &error);
+        let own = NodeId::of(&self.settings.instance);
+        let ring = (self.keyrings())(FLEET)
+            .ok_or_else(|| StartFault::new(codes::KEY_MISSING, "no key in the settings file"))?;
+        let from = SocketAddr::new(address.ip(), 0);
+        let teller = Teller {
+            socket: UdpSocket::bind(from).map_err(bind_fault)?,
+            masters: self.masters(),
+            sender: SenderId(own.0),
+        };
+        let spreading = Spreading::new(SpreadingConfig {
+            own: Peer { id: own, zone: self.settings.zone.clone() },
+            link: Link::bind(address, ring, own).map_err(bind_fault)?,
+            teller,
+            store: self.store.clone(),
+            instances: self.instances.clone(),
+            observed,
+            fetches,
+            shared: self.shared.clone(),
+        });
+        let shutdown = self.shutdown.clone();
+        spawn("spread", move || spreading.run(&shutdown)).map(|_| ())
     }
 
     fn shown(&self, metrics: Arc<Metrics>) -> Shown {
-        let (store, shutdown) = (self.store.clone(), self.shutdown.clone());
+        let (published, shutdown) = (self.published.clone(), self.shutdown.clone());
         let counters = self.counters.clone();
         Shown {
             instance: self.settings.instance.clone(),
@@ -135,17 +183,21 @@
             store: self.store.clone(),
             metrics,
             timeline: self.timeline.clone(),
-            is_ready: Arc::new(move || store.is_current() && !shutdown.is_requested()),
+            is_ready: Arc::new(move || published.is_current() && !shutdown.is_requested()),
             counters: Arc::new(move || counters.list()),
         }
     }
 
     /// Keeps forwarding by the newest settings until told to shut down and, after that, until the
     /// fabric has stopped sending or the grace time is over.
-    fn forward_until_drained(&self, notices: mpsc::Receiver<LeavingAgent>) {
-        let mut publisher = self.publisher(notices);
+    fn forward_until_drained(
+        &self,
+        notices: mpsc::Receiver<AgentNotice>,
+        members: mpsc::Sender<Member>,
+    ) {
+        let mut publisher = self.publisher(notices, members);
         while !self.shutdown.is_requested() {
-            publisher.publish_if_changed();
+            publisher.publish_if_changed(boottime::now());
             thread::sleep(PUBLISH_INTERVAL);
         }
         self.timeline.record("", "leaving", Fields::default());
@@ -154,7 +206,7 @@
         let grace = Duration::from_millis(self.settings.shutdown_grace_ms);
         let (mut received, mut quiet_since) = (self.counters.received(), started);
         while started.elapsed() < grace && quiet_since.elapsed() < QUIET {
-            publisher.publish_if_changed();
+            publisher.publish_if_changed(boottime::now());
             thread::sleep(PUBLISH_INTERVAL);
             let now_received = self.counters.received();
             if now_received != received {
@@ -172,62 +224,19 @@
         Arc::new(move |account| AccountKeyring::derive(&masters, AccountId::of(account)))
     }
 
-    fn publisher(&self, notices: mpsc::Receiver<LeavingAgent>) -> Publisher {
-        Publisher {
+    fn publisher(
+        &self,
+        notices: mpsc::Receiver<AgentNotice>,
+        members: mpsc::Sender<Member>,
+    ) -> Publisher {
+        let sources = Sources {
             store: self.store.clone(),
             instances: self.instances.clone(),
-            published: self.published.clone(),
-            masters: self.masters(),
-            liveness: Liveness::default(),
+            shared: self.shared.clone(),
             notices,
-            leaving: LeavingAgents::default(),
-            seen: None,
-            missing: Vec::new(),
-            down: Vec::new(),
-        }
-    }
-}
-
-/// Publishes snapshots. The receiving threads go on with the old one while a new one is built.
-struct Publisher {
-    store: Arc<Store>,
-    instances: Arc<Instances>,
-    published: Arc<Published>,
-    masters: Vec<(KeyId, [u8; 32])>,
-    liveness: Liveness,
-    notices: mpsc::Receiver<LeavingAgent>,
-    leaving: LeavingAgents,
-    /// Generations of settings and list at the last look.
-    seen: Option<(u64, u64)>,
-    /// Agents that the list no longer names.
-    missing: Vec<UpstreamId>,
-    /// Agents down in the snapshot in force: missing or leaving.
-    down: Vec<UpstreamId>,
-}
-
-impl Publisher {
-    fn publish_if_changed(&mut self) {
-        let now = boottime::now();
-        let generations = (self.store.generation(), self.instances.generation());
-        let view = self.store.view();
-        if self.seen != Some(generations) {
-            self.missing = self.liveness.down(&view, &self.instances.list());
-        }
-        for agent in self.notices.try_iter() {
-            self.leaving.add(now, &view, agent);
-        }
-        let mut down = self.leaving.at(now);
-        down.extend(&self.missing);
-        let settings_changed = self.seen.is_none_or(|(settings, _)| settings != generations.0);
-        self.seen = Some(generations);
-        if !settings_changed && down == self.down {
-            return;
-        }
-        // The settings file lists one key at least, so there always is a snapshot.
-        if let Some(snapshot) = Snapshot::build(&view, down.clone(), &self.masters) {
-            self.published.publish(snapshot);
-        }
-        self.down = down;
+            members,
+        };
+        Publisher::new(sources, self.published.clone(), self.masters())
     }
 }
 
--- /dev/null
+++ b/xtask/src/capacity/roles/balancer.rs
@@ -0,0 +1,87 @@
+//! The balancer.
+
+use super::super::budget::Quantity::{Bytes, Memory, Messages, Processor};
+use super::super::figure::Take::{Line, Point};
+use super::super::figure::{counted, measured, rated};
+use super::{BALANCERS, CHANGES, ONCE, Role, SERVICES, US, row};
+
+/// Reads of the list a second by a balancer that does not read for its zone: one a minute.
+const LIST_READS: f64 = 1.0 / 60.0;
+/// Full comparisons a second over HTTP: one asked and one answered every 30 s.
+const COMPARISONS: f64 = 2.0 / 30.0;
+
+pub(super) fn role() -> Role {
+    Role {
+        name: "Balancer",
+        state: "Texts and checked specs of 300 subtrees, one view with the ranking of 64 buckets of \
+                1,900 services, 300 account keys, 300 versions, the ids of 1,600 balancers, the \
+                agents that are down, the platform's list. Nothing about flows.",
+        rows: vec![
+            row(
+                Bytes,
+                "digest of 16 shares with one random peer every 2 s",
+                &[measured("control", "idle_bytes", Line(BALANCERS))],
+            ),
+            row(
+                Bytes,
+                "rumours (3 peers, 2 rounds) and fetched deltas of 3,800 changes a day",
+                &[rated("control", "change_bytes", Line(BALANCERS), CHANGES)],
+            ),
+            row(
+                Bytes,
+                "full digests over HTTP, one asked and one answered every 30 s",
+                &[
+                    rated("tree", "digest_bytes", Line(SERVICES), COMPARISONS),
+                    rated("tree", "exchange_bytes", ONCE, COMPARISONS),
+                ],
+            ),
+            row(
+                Bytes,
+                "instance list, read whole every minute",
+                &[rated("tree", "list_bytes", Line(SERVICES), LIST_READS)],
+            ),
+            row(
+                Messages,
+                "digests, sent and received",
+                &[counted(2.0, "a question and an answer every 2 s, in both directions")],
+            ),
+            row(
+                Processor,
+                "digests and rumours",
+                &[measured("control", "idle_processor", Line(BALANCERS))],
+            ),
+            row(
+                Processor,
+                "parse, check and rebuild of the whole view on each change",
+                &[rated("tree", "change_ms", Line(SERVICES), CHANGES * US)],
+            ),
+            row(
+                Processor,
+                "list parsed and compared with the view every minute",
+                &[
+                    rated("tree", "list_parse_ms", Line(SERVICES), LIST_READS * US),
+                    rated("tree", "liveness_ms", Line(SERVICES), LIST_READS * US),
+                ],
+            ),
+            row(
+                Processor,
+                "whole process, idle, reading for its zone, settings and list of target size",
+                &[measured("bench", "balancer_idle_processor", Point(SERVICES))],
+            ),
+            row(
+                Memory,
+                "texts, specs, view and keys",
+                &[measured("memory", "settings_bytes", Line(SERVICES))],
+            ),
+            row(
+                Memory,
+                "whole process, idle, settings and list of target size",
+                &[measured("bench", "balancer_memory", Point(SERVICES))],
+            ),
+        ],
+        proposal: "The list has no changes to ask for, only the whole. Agents are known from the \
+                   settings, and that one is down from its peers; a balancer needs the list for the \
+                   addresses of the others, so it may take these from a reader. Read every 10 min \
+                   the list would cost 4 KB/s.",
+    }
+}
