Let a restarted witness recall its promises and vote again

A restarted witness abstained for 120 s, so each rollout took away the majority. Ruled out: a shorter abstention (copies of an opening live that long); trusting a peer's record alone (test recall_of_two_claims_votes_for_neither). Mutant RecallFromOne. Conclusion: rolling restarts keep a refuse service running; the fuzzing still has to attack this with its oracle.

--- a/crates/decision/src/agent/claimant.rs
+++ b/crates/decision/src/agent/claimant.rs
@@ -153,7 +153,7 @@
     fn vote_myself(&self, now: Millis, pending: &mut PendingClaim) {
         let Attempt { opening, claim, .. } = pending.attempt;
         let vote = match self.claims.get(now, opening) {
-            _ if self.abstains(now) => Vote::Abstained,
+            _ if self.has_lost_vote(now, opening) => Vote::Abstained,
             Some(record) if self.has_voted_otherwise(now, opening, claim) => {
                 Vote::Other(record.claim)
             }
@@ -162,13 +162,15 @@
         pending.vote(self.config.upstream, vote);
     }
 
-    /// Whether this agent, as a witness, has recorded another claim than the given own one. An own
-    /// claim that was given up may become a refusal.
+    /// Whether this agent, as a witness, has recorded another claim than the given own one. A claim
+    /// of its own earlier life, recalled after a restart, is another one. An own claim that was
+    /// given up may become a refusal.
     fn has_voted_otherwise(&self, now: Millis, opening: Opening, claim: Claim) -> bool {
         let Some(record) = self.claims.get(now, opening) else { return false };
-        let own = record.claim == Claim::Run(self.config.upstream)
-            && record.incarnation == self.config.incarnation;
-        record.claim != claim && !(own && claim == Claim::Refuse)
+        let same_life = record.incarnation == self.config.incarnation;
+        let same = record.claim == claim && (claim == Claim::Refuse || same_life);
+        let own = record.claim == Claim::Run(self.config.upstream) && same_life;
+        !(same || own && claim == Claim::Refuse)
     }
 
     fn request(&self, pending: &PendingClaim, out: &mut Vec<Action>) {
--- a/crates/decision/src/agent/claims.rs
+++ b/crates/decision/src/agent/claims.rs
@@ -5,7 +5,7 @@
 use super::flow_map::OpeningMap;
 use super::limits;
 use crate::keys::Incarnation;
-use crate::message::{Claim, Opening};
+use crate::message::{Claim, ClaimRecord, Opening};
 use crate::time::Millis;
 
 /// How far a claim has come, as seen from this agent.
@@ -36,6 +36,9 @@
 pub(super) struct ClaimTable {
     records: OpeningMap<Record>,
     order: VecDeque<(Millis, Opening)>,
+    /// Entries that have left the front of `order`. The entry at index `i` has number `passed + i`,
+    /// by which pages are told: entries move only to the back, so a reader misses none.
+    passed: u64,
 }
 
 impl ClaimTable {
@@ -44,6 +47,24 @@
         self.records.get(&opening).copied().filter(|record| record.expires_at > now)
     }
 
+    /// Up to `limit` records from entry `from` on, and the entry after them if there is one.
+    pub(super) fn page(
+        &self,
+        now: Millis,
+        from: u64,
+        limit: usize,
+    ) -> (Vec<ClaimRecord>, Option<u64>) {
+        let start = from.saturating_sub(self.passed) as usize;
+        let end = start.saturating_add(limit).min(self.order.len());
+        let entries = self.order.iter().skip(start).take(limit);
+        let records = entries.filter_map(|(_, opening)| {
+            let Record { claim, incarnation, .. } = self.get(now, *opening)?;
+            Some(ClaimRecord { opening: *opening, claim, incarnation })
+        });
+        let next = (end < self.order.len()).then(|| self.passed + end as u64);
+        (records.collect(), next)
+    }
+
     pub(super) fn len(&self) -> usize {
         self.records.len()
     }
@@ -87,6 +108,7 @@
                 return;
             }
             self.order.pop_front();
+            self.passed += 1;
             match self.records.get(&opening) {
                 None => {}
                 Some(record) if record.expires_at <= now => {
--- a/crates/decision/src/agent/install.rs
+++ b/crates/decision/src/agent/install.rs
@@ -37,6 +37,7 @@
         let homes = self.homes();
         self.adopt_view(now, view, key);
         self.doubt_former_homes(now, &homes);
+        self.check_recall();
         out.push(Action::Note(Note::ViewInstalled(version)));
         self.retarget();
         self.recount_pending(now, out);
--- a/crates/decision/src/agent/limits.rs
+++ b/crates/decision/src/agent/limits.rs
@@ -37,6 +37,13 @@
 /// round trip of 3 ms, and well under the caller's first retransmission after 1 s.
 pub const WITNESS_WAIT_MS: u64 = 200;
 
+/// How long a restarted witness waits before it asks for records: over three times the time in which a
+/// claimant may count a grant of its earlier life, so that clocks may differ in rate by as much.
+pub const RECALL_WAIT_MS: u64 = 1_000;
+
+/// Records in one page for a restarted witness: 39 bytes each, under 1,200 bytes together.
+pub const RECORDS_PER_PAGE: usize = 28;
+
 /// How long a claimant waits for a majority, and then again for a majority to refuse.
 pub const QUORUM_WAIT_MS: u64 = 300;
 
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -23,6 +23,7 @@
 mod peers;
 mod pending;
 mod quorum;
+mod recall;
 mod redirects;
 mod relearn;
 mod sorted;
@@ -70,6 +71,7 @@
     doubts: home::Doubts,
     health: health::Health,
     past: relearn::Past,
+    recall: recall::Recall,
     /// By bucket: agents to which the flows are announced.
     targets: Vec<announce::Targets>,
     heartbeat_at: Millis,
@@ -128,6 +130,7 @@
             doubts: home::Doubts::default(),
             health: health::Health::default(),
             past,
+            recall: recall::Recall::default(),
             targets: Vec::new(),
             heartbeat_at: now,
             refresh_at: now,
@@ -186,6 +189,7 @@
         self.refresh_announcements(now);
         self.send_announcements(now, out);
         self.relearn(now, out);
+        self.recall(now, out);
     }
 
     fn leave(&mut self, now: Millis, out: &mut Vec<Action>) {
@@ -233,6 +237,13 @@
                 let page = relearn::Page { incarnation, from: first, openings, next, complete };
                 self.page_received(now, from, page, out);
             }
+            Message::Recall { incarnation, from: first } => {
+                self.recall_asked(now, from, incarnation, first, out);
+            }
+            Message::RecallReply { incarnation, from: first, records, next, complete } => {
+                let page = recall::Page { incarnation, from: first, records, next, complete };
+                self.records_received(now, from, page, out);
+            }
             Message::Heartbeat(heartbeat) => self.heartbeat_received(now, from, heartbeat, out),
         }
     }
--- a/crates/decision/src/agent/mutant.rs
+++ b/crates/decision/src/agent/mutant.rs
@@ -12,6 +12,8 @@
     TombstoneForgotten,
     /// A restarted witness grants at once.
     AbstainForgotten,
+    /// A restarted witness votes again after one other witness has told its records.
+    RecallFromOne,
     /// Older settings replace newer ones.
     OlderSettingsAccepted,
     /// Packets of other services are handled like its own.
--- a/crates/decision/src/agent/quorum.rs
+++ b/crates/decision/src/agent/quorum.rs
@@ -110,6 +110,19 @@
         self.cuts.retain(|cut| !is_settled(cut));
     }
 
+    /// Whether, in each membership that `me` belongs to, so many other members are `done` that any
+    /// majority with `me` in it has one of them.
+    pub(super) fn is_recalled(&self, me: UpstreamId, done: impl Fn(UpstreamId) -> bool) -> bool {
+        let voted_in = self.cuts.iter().filter(|cut| cut.members.contains(&me));
+        voted_in.into_iter().all(|cut| {
+            let size = cut.members.len();
+            let majority = size / 2 + 1;
+            let told = cut.members.iter().filter(|id| **id != me && done(**id)).count();
+            // The other voters are `majority - 1` of `size - 1`.
+            told + majority > size
+        })
+    }
+
     /// Everybody who may be asked to vote.
     pub(super) fn witnesses(&self) -> Vec<UpstreamId> {
         let mut all: Vec<UpstreamId> =
--- a/crates/decision/src/agent/tests/once.rs
+++ b/crates/decision/src/agent/tests/once.rs
@@ -121,6 +121,92 @@
     assert_eq!(last_answer(&mut witness, now, &[ask(1, 1, Some(1))]), expected);
 }
 
+/// Agents are restarted one after the other, as in every rollout. The callers' confirmations run on:
+/// each restarted witness recalls its promises from the others and votes again. Before it could,
+/// a service of three stood still for two minutes after its second restart.
+#[rstest]
+#[case::three(3)]
+#[case::seven(7)]
+fn rolling_restart_keeps_running(#[case] upstreams: usize) {
+    let spec = Spec::new(WhenInDoubt::Refuse, upstreams);
+    let mut fleet = Fleet::settled(&spec);
+    for index in 0..upstreams {
+        fleet.restart(index, &spec);
+        fleet.pass(3_000);
+        let outcome = fleet.send(index, flow(index as u64), opening(1));
+        assert!(matches!(outcome, Outcome::Delivered(_)), "after {index}: {outcome:?}");
+    }
+}
+
+/// A confirmation ran; one of its witnesses restarts and recalls. A rival holder that claims the same
+/// confirmation gets no vote from it: with one it could run the confirmation a second time.
+#[test]
+fn recalled_promise_is_kept() {
+    let spec = Spec::new(WhenInDoubt::Refuse, 3);
+    let mut fleet = Fleet::settled(&spec);
+    let Outcome::Delivered(holder) = fleet.send(0, flow(1), opening(1)) else {
+        panic!("the confirmation must run");
+    };
+    let (witness, rival) = ((holder + 1) % 3, (holder + 2) % 3);
+    fleet.restart(witness, &spec);
+    fleet.pass(3_000);
+    let now = fleet.now;
+    let requests = [ask(rival, 1, Some(rival))];
+    let answer = last_answer(&mut fleet.agents[witness], now, &requests);
+    assert_eq!(answer, ClaimAnswer::Taken(Claim::Run(id(holder))));
+}
+
+/// A witness restarts while others are silent. Of three, both others must have told their records: the
+/// silent one may be the only one that knows of a claim which won with this agent's vote.
+#[rstest]
+#[case::both_tell(3, &[], true)]
+#[case::one_of_two_silent(3, &[2], false)]
+#[case::three_of_four_tell(5, &[4], true)]
+#[case::two_of_four_silent(5, &[3, 4], false)]
+fn recall_needs_enough(#[case] upstreams: usize, #[case] silent: &[usize], #[case] votes: bool) {
+    let spec = Spec::new(WhenInDoubt::Refuse, upstreams);
+    let mut fleet = Fleet::settled(&spec);
+    fleet.restart(0, &spec);
+    fleet.cut = silent.to_vec();
+    fleet.pass(10_000);
+    let now = fleet.now;
+    let answer = last_answer(&mut fleet.agents[0], now, &[ask(1, 1, Some(1))]);
+    assert_eq!(answer == ClaimAnswer::Granted, votes, "{answer:?}");
+}
+
+/// Two witnesses restart together. Neither may take the other's empty table for knowledge.
+#[test]
+fn recall_from_forgetful_witness_does_not_count() {
+    let spec = Spec::new(WhenInDoubt::Refuse, 3);
+    let mut fleet = Fleet::settled(&spec);
+    fleet.restart(0, &spec);
+    fleet.restart(1, &spec);
+    fleet.pass(10_000);
+    let now = fleet.now;
+    let answer = last_answer(&mut fleet.agents[0], now, &[ask(1, 1, Some(1))]);
+    assert_eq!(answer, ClaimAnswer::Abstained);
+}
+
+/// Two claims for one confirmation are on record, and the restarted witness cannot tell which of them
+/// had its vote. It votes for neither: with the wrong one, both could win.
+#[test]
+fn recall_of_two_claims_votes_for_neither() {
+    let spec = Spec::new(WhenInDoubt::Refuse, 3);
+    let mut fleet = Fleet::settled(&spec);
+    let now = fleet.now;
+    for (witness, claimant) in [(1, 2), (2, 1)] {
+        last_answer(&mut fleet.agents[witness], now, &[ask(claimant, 1, Some(claimant))]);
+    }
+    fleet.restart(0, &spec);
+    fleet.pass(3_000);
+    let now = fleet.now;
+    for claimant in [1, 2] {
+        let requests = [ask(claimant, 1, Some(claimant))];
+        let answer = last_answer(&mut fleet.agents[0], now, &requests);
+        assert_eq!(answer, ClaimAnswer::Abstained);
+    }
+}
+
 fn last_answer(
     agent: &mut Agent,
     now: Millis,
--- a/crates/decision/src/agent/witness.rs
+++ b/crates/decision/src/agent/witness.rs
@@ -3,7 +3,7 @@
 use super::claims::{Record, Stage};
 use super::flows::Flow;
 use super::mutant::mutated;
-use super::{Action, Agent, limits};
+use super::{Action, Agent};
 use crate::keys::{Incarnation, UpstreamId, Version};
 use crate::message::{Claim, ClaimAnswer, Message, Opening};
 use crate::time::Millis;
@@ -39,11 +39,17 @@
     /// Whether this agent may have promised something that it no longer knows.
     ///
     /// Failure: a witness grants one claim, restarts and grants another. Symptom: an opening runs
-    /// at two upstreams. Abstaining is enough because whatever it granted before it died would
-    /// have been forgotten by then.
+    /// at two upstreams. Abstaining is enough because whatever it granted before it died is either
+    /// recalled from the other witnesses or would have been forgotten by then.
     pub(super) fn abstains(&self, now: Millis) -> bool {
-        let restarted = self.config.may_have_past && !mutated!(self, AbstainForgotten);
-        restarted && now.since(self.started_at) < limits::CLAIM_TTL_MS
+        let forgot = self.may_have_voted(now) && !self.recall.complete;
+        forgot && !mutated!(self, AbstainForgotten)
+    }
+
+    /// Whether this agent cannot tell which claim for the opening had its vote.
+    pub(super) fn has_lost_vote(&self, now: Millis, opening: Opening) -> bool {
+        let disputed = self.may_have_voted(now) && self.recall.is_disputed(opening);
+        self.abstains(now) || disputed
     }
 
     fn witness_once(&mut self, now: Millis, request: Request) -> ClaimAnswer {
@@ -52,7 +58,11 @@
             return ClaimAnswer::Abstained;
         }
         // A record made while abstaining is this agent's own wish and counts as nobody's vote.
-        if self.abstains(now) {
+        if self.has_lost_vote(now, request.opening) {
+            return ClaimAnswer::Abstained;
+        }
+        // Newer settings may name a membership whose records were not asked for.
+        if self.may_have_voted(now) && request.view > self.settings.version {
             return ClaimAnswer::Abstained;
         }
         match self.claims.get(now, request.opening) {
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -47,6 +47,17 @@
     Unsure,
 }
 
+/// A witness's record of a claim, as told to another witness after its restart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClaimRecord {
+    /// The opening.
+    pub opening: Opening,
+    /// What is recorded for it.
+    pub claim: Claim,
+    /// Life of the claimant.
+    pub incarnation: Incarnation,
+}
+
 /// One change of a holder's flow table, or one flow of it when everything is announced again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FlowNote {
@@ -163,6 +174,26 @@
         /// True if the sender itself has been complete since before the asker restarted.
         complete: bool,
     },
+    /// Asks a witness, after a restart, for its records of claims.
+    Recall {
+        /// New life of the sender.
+        incarnation: Incarnation,
+        /// Where the page begins, zero to begin with.
+        from: u64,
+    },
+    /// Answers a [`Message::Recall`] with one page.
+    RecallReply {
+        /// Life that asked.
+        incarnation: Incarnation,
+        /// Where this page begins.
+        from: u64,
+        /// Records of the sender.
+        records: Vec<ClaimRecord>,
+        /// Where the next page begins; `None` after the last.
+        next: Option<u64>,
+        /// False if the sender has itself forgotten promises.
+        complete: bool,
+    },
     /// Load and liveness.
     Heartbeat(Heartbeat),
 }
--- a/crates/wire/src/control/dto.rs
+++ b/crates/wire/src/control/dto.rs
@@ -1,7 +1,9 @@
 //! Types with serde that mirror the messages of the core.
 
 use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
-use decision::message::{Claim, ClaimAnswer, FlowNote, Heartbeat, Knowledge, Message, Opening};
+use decision::message::{
+    Claim, ClaimAnswer, ClaimRecord, FlowNote, Heartbeat, Knowledge, Message, Opening,
+};
 use serde::{Deserialize, Deserializer, Serialize};
 
 use super::LIST_MAX;
@@ -32,6 +34,9 @@
     Unsure,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct RecordDto(OpeningDto, ClaimDto, u64);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct FlowNoteDto(OpeningDto, bool, u32);
 
@@ -98,6 +103,18 @@
         next: Option<u64>,
         complete: bool,
     },
+    Recall {
+        incarnation: u64,
+        from: u64,
+    },
+    RecallReply {
+        incarnation: u64,
+        from: u64,
+        #[serde(deserialize_with = "records")]
+        records: Vec<RecordDto>,
+        next: Option<u64>,
+        complete: bool,
+    },
     Heartbeat(HeartbeatDto),
 }
 
@@ -106,6 +123,7 @@
     match message {
         Message::Announce { notes, .. } => notes.len(),
         Message::RelearnReply { openings, .. } => openings.len(),
+        Message::RecallReply { records, .. } => records.len(),
         _ => 0,
     }
 }
@@ -118,6 +136,23 @@
     bounded::list::<_, _, LIST_MAX>(deserializer)
 }
 
+fn records<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<RecordDto>, D::Error> {
+    bounded::list::<_, _, LIST_MAX>(deserializer)
+}
+
+impl From<ClaimRecord> for RecordDto {
+    fn from(record: ClaimRecord) -> Self {
+        Self(record.opening.into(), record.claim.into(), record.incarnation.0)
+    }
+}
+
+impl From<RecordDto> for ClaimRecord {
+    fn from(RecordDto(opening, claim, incarnation): RecordDto) -> Self {
+        let incarnation = Incarnation(incarnation);
+        Self { opening: opening.into(), claim: claim.into(), incarnation }
+    }
+}
+
 impl From<Claim> for ClaimDto {
     fn from(claim: Claim) -> Self {
         match claim {
@@ -277,6 +312,18 @@
                     complete: *complete,
                 }
             }
+            Message::Recall { incarnation, from } => {
+                Body::Recall { incarnation: incarnation.0, from: *from }
+            }
+            Message::RecallReply { incarnation, from, records, next, complete } => {
+                Body::RecallReply {
+                    incarnation: incarnation.0,
+                    from: *from,
+                    records: records.iter().map(|record| (*record).into()).collect(),
+                    next: *next,
+                    complete: *complete,
+                }
+            }
             Message::Heartbeat(heartbeat) => Body::Heartbeat((*heartbeat).into()),
         })
     }
@@ -325,6 +372,16 @@
                     complete,
                 }
             }
+            Body::Recall { incarnation, from } => {
+                Self::Recall { incarnation: Incarnation(incarnation), from }
+            }
+            Body::RecallReply { incarnation, from, records, next, complete } => Self::RecallReply {
+                incarnation: Incarnation(incarnation),
+                from,
+                records: records.into_iter().map(ClaimRecord::from).collect(),
+                next,
+                complete,
+            },
             Body::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.into()),
         }
     }
--- a/crates/wire/tests/control.rs
+++ b/crates/wire/tests/control.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
-use decision::message::{Claim, ClaimAnswer, FlowNote, Heartbeat, Knowledge, Message, Opening};
+use decision::message::{
+    Claim, ClaimAnswer, ClaimRecord, FlowNote, Heartbeat, Knowledge, Message, Opening,
+};
 use proptest::prelude::*;
 use rstest::rstest;
 use wire::control::{ControlError, Envelope, LIST_MAX, MESSAGE_BYTES_MAX, decode, encode};
@@ -52,6 +54,14 @@
 #[case::claim(Message::ClaimRequest {
     opening: OPENING, claim: Claim::Refuse, view: VIEW, incarnation: LIFE,
 })]
+#[case::recall(Message::Recall { incarnation: LIFE, from: 9 })]
+#[case::recall_reply(Message::RecallReply {
+    incarnation: LIFE,
+    from: 9,
+    records: vec![ClaimRecord { opening: OPENING, claim: Claim::Refuse, incarnation: LIFE }],
+    next: Some(37),
+    complete: true,
+})]
 #[case::granted(claim_reply(ClaimAnswer::Granted))]
 #[case::taken(claim_reply(ClaimAnswer::Taken(Claim::Run(UpstreamId(9)))))]
 #[case::taken_by_refusal(claim_reply(ClaimAnswer::Taken(Claim::Refuse)))]
@@ -74,10 +84,24 @@
     assert_eq!(decode(&bytes).unwrap(), envelope);
 }
 
+fn records(count: usize) -> Message {
+    let opening = Opening { flow: FlowId(u64::MAX), nonce: u32::MAX };
+    let claim = Claim::Run(UpstreamId(u64::MAX));
+    let record = ClaimRecord { opening, claim, incarnation: Incarnation(u64::MAX) };
+    Message::RecallReply {
+        incarnation: Incarnation(u64::MAX),
+        from: u64::MAX,
+        records: vec![record; count],
+        next: Some(u64::MAX),
+        complete: true,
+    }
+}
+
 /// The largest messages of the core, with the largest numbers, fit one datagram.
 #[rstest]
 #[case::announce(announce(decision::agent::limits::NOTES_PER_ANNOUNCE))]
 #[case::page(page(decision::agent::limits::OPENINGS_PER_PAGE))]
+#[case::records(records(decision::agent::limits::RECORDS_PER_PAGE))]
 fn encode_largest_message(#[case] message: Message) {
     let mut bytes = Vec::new();
     encode(&Envelope { clock: u64::MAX, message }, &mut bytes).unwrap();
