--- a/crates/decision/src/agent/announce.rs
+++ b/crates/decision/src/agent/announce.rs
@@ -152,6 +152,7 @@
         peer.applied = 0;
         peer.view = Version(0);
         if is_restart {
+            peer.met_before = true;
             peer.heartbeat = None;
             self.announce_all(id);
         }
--- a/crates/decision/src/agent/install.rs
+++ b/crates/decision/src/agent/install.rs
@@ -15,6 +15,8 @@
 #[derive(Debug)]
 pub(super) struct ServiceSettings {
     pub(super) version: Version,
+    /// First version that lists the own upstream.
+    pub(super) since: Version,
     pub(super) when_in_doubt: WhenInDoubt,
     /// Whether a copy of an opening at the same upstream is a second run. TCP tells copies apart.
     pub(super) datagrams: bool,
@@ -45,10 +47,14 @@
     }
 
     pub(super) fn adopt_view(&mut self, now: Millis, view: Arc<View>, key: ServiceKey) {
+        let is_first = self.service.is_none();
         self.view = view;
         self.service = Some(key);
         self.list_peers(now);
         self.settings = self.summarize(key);
+        if is_first {
+            self.recall.listed_new = self.settings.since == self.settings.version;
+        }
         self.seen_version = self.seen_version.max(self.settings.version);
     }
 
@@ -88,6 +94,7 @@
             lifetimes: lifetimes(only_datagrams),
             state: spec.map_or(UpstreamState::Retired, |spec| spec.state),
             max_flows: spec.map_or(0, |spec| spec.max_flows),
+            since: spec.map_or(Version(0), |spec| spec.since),
             cuts: Cuts::of(&self.view, service, version, &self.settings.cuts),
         }
     }
@@ -98,6 +105,7 @@
     pub(super) fn none() -> Self {
         Self {
             version: Version(0),
+            since: Version(0),
             when_in_doubt: WhenInDoubt::Refuse,
             datagrams: true,
             lifetimes: lifetimes(false),
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -240,8 +240,16 @@
             Message::Recall { incarnation, from: first } => {
                 self.recall_asked(now, from, incarnation, first, out);
             }
-            Message::RecallReply { incarnation, from: first, records, next, complete } => {
-                let page = recall::Page { incarnation, from: first, records, next, complete };
+            Message::RecallReply {
+                incarnation,
+                from: first,
+                records,
+                next,
+                standing,
+                met_before,
+            } => {
+                let page =
+                    recall::Page { incarnation, from: first, records, next, standing, met_before };
                 self.records_received(now, from, page, out);
             }
             Message::Heartbeat(heartbeat) => self.heartbeat_received(now, from, heartbeat, out),
--- a/crates/decision/src/agent/recall.rs
+++ b/crates/decision/src/agent/recall.rs
@@ -1,16 +1,21 @@
-//! After a restart: learning from the other witnesses what this one may have promised.
+//! After a start: learning from the other witnesses what this one may have promised.
 //!
-//! A restarted witness abstains, since it may have granted a claim that it no longer knows. To do so
-//! for the whole life of a claim stops a service whose agents are restarted one after the other.
+//! A witness that starts abstains, since an earlier life, of whatever upstream under its name, may
+//! have granted a claim. To do so for the whole life of a claim stops a service whose agents are
+//! restarted one after the other.
 //! Of any claim that won with this agent's vote, a majority of a membership has the record. Once so
 //! many other members have told all their records that every majority must have one among them,
 //! nothing that matters is unknown here, and this agent may vote again.
+//!
+//! When a service begins, no witness knows anything. One whose upstream and listing have just begun is
+//! *newborn*; it votes once every other member has answered, and none of them has forgotten
+//! anything or has met an earlier life of it.
 
 use super::mutant::mutated;
 use super::sorted::Sorted;
 use super::{Action, Agent, limits};
 use crate::keys::{Incarnation, UpstreamId};
-use crate::message::{ClaimRecord, Message, Opening};
+use crate::message::{ClaimRecord, Message, Opening, Standing};
 use crate::time::Millis;
 use crate::view::WhenInDoubt;
 
@@ -20,6 +25,10 @@
     from: u64,
     asked_at: Option<Millis>,
     done: bool,
+    /// Whether it is newborn by its own account.
+    newborn: bool,
+    /// Whether it has met an earlier life of this agent.
+    met_before: bool,
 }
 
 /// What a restarted witness has learned of its earlier promises.
@@ -29,6 +38,8 @@
     /// Openings for which different claims are recorded; which of them had this agent's vote cannot
     /// be told. Sorted.
     disputed: Vec<Opening>,
+    /// Whether the first settings that this agent had in force were the first to list its upstream.
+    pub(super) listed_new: bool,
     /// Whether enough witnesses have told everything, under the settings in force.
     pub(super) complete: bool,
 }
@@ -40,7 +51,8 @@
     pub(super) from: u64,
     pub(super) records: Vec<ClaimRecord>,
     pub(super) next: Option<u64>,
-    pub(super) complete: bool,
+    pub(super) standing: Standing,
+    pub(super) met_before: bool,
 }
 
 impl Recall {
@@ -56,9 +68,23 @@
 }
 
 impl Agent {
-    /// Whether an earlier life of this agent may have voted on openings that still have copies.
+    /// Whether an earlier life of this agent may have voted on openings that still have copies. That
+    /// the upstream is new does not rule it out: another one may have had its name.
     pub(super) fn may_have_voted(&self, now: Millis) -> bool {
-        self.config.may_have_past && now.since(self.started_at) < limits::CLAIM_TTL_MS
+        now.since(self.started_at) < limits::CLAIM_TTL_MS
+    }
+
+    /// Whether, for all that this agent can see, there was no earlier life.
+    fn is_newborn(&self) -> bool {
+        !self.config.may_have_past && self.recall.listed_new
+    }
+
+    fn standing(&self, now: Millis) -> Standing {
+        match self.abstains(now) || !self.recall.disputed.is_empty() {
+            false => Standing::Complete,
+            true if self.is_newborn() && self.recall.disputed.is_empty() => Standing::Newborn,
+            true => Standing::Forgetful,
+        }
     }
 
     /// Asks the other witnesses for their next pages.
@@ -78,21 +104,27 @@
                 self.ask_records(now, witness, out);
             }
         }
+        // The only member of its service has nobody to ask.
+        self.check_recall();
     }
 
     /// Answers a restarted witness with one page.
     pub(super) fn recall_asked(
-        &self,
+        &mut self,
         now: Millis,
         from: UpstreamId,
         incarnation: Incarnation,
         first: u64,
         out: &mut Vec<Action>,
     ) {
+        if !self.meet_life(now, from, incarnation) {
+            return;
+        }
         let (records, next) = self.claims.page(now, first, limits::RECORDS_PER_PAGE);
-        // Who cannot tell what it has promised itself is no witness for others.
-        let complete = !self.abstains(now) && self.recall.disputed.is_empty();
-        let message = Message::RecallReply { incarnation, from: first, records, next, complete };
+        let standing = self.standing(now);
+        let met_before = self.peers.get(from).is_some_and(|peer| peer.met_before);
+        let message =
+            Message::RecallReply { incarnation, from: first, records, next, standing, met_before };
         out.push(Action::Send { to: from, message });
     }
 
@@ -110,9 +142,12 @@
         if cursor.done || cursor.from != page.from || cursor.asked_at.is_none() {
             return;
         }
-        if !page.complete {
-            // Asked again from the start after the retry time: it may have recalled its own by then.
+        cursor.met_before |= page.met_before;
+        cursor.newborn = page.standing == Standing::Newborn;
+        if page.standing != Standing::Complete {
+            // Asked again from the start after the retry time: it may know more by then.
             cursor.from = 0;
+            self.check_recall();
             return;
         }
         cursor.asked_at = None;
@@ -131,7 +166,18 @@
         let me = self.config.upstream;
         let any = self.recall.cursors.iter().any(|(_, cursor)| cursor.done);
         let enough = self.settings.cuts.is_recalled(me, done);
-        self.recall.complete = enough || (any && mutated!(self, RecallFromOne));
+        let born = self.is_newborn() && self.is_unknown_to_all();
+        self.recall.complete = enough || born || (any && mutated!(self, RecallFromOne));
+    }
+
+    /// Whether every other member has answered, and none has forgotten anything or met this agent.
+    fn is_unknown_to_all(&self) -> bool {
+        let witnesses = self.settings.cuts.witnesses();
+        let others = witnesses.iter().filter(|id| **id != self.config.upstream);
+        others.into_iter().all(|id| {
+            let cursor = self.recall.cursors.get(*id);
+            cursor.is_some_and(|cursor| (cursor.done || cursor.newborn) && !cursor.met_before)
+        })
     }
 
     fn take_record(&mut self, now: Millis, record: ClaimRecord) {
--- a/crates/decision/src/agent/tests/once.rs
+++ b/crates/decision/src/agent/tests/once.rs
@@ -207,6 +207,53 @@
     }
 }
 
+/// Two hosts of three are replaced within seconds: upstreams and agents are new, their names are not.
+/// A late copy of a confirmation that ran before must not find a majority among them. It did (fuzzing,
+/// seeds 518 and 553), since a witness with a new upstream took itself for one without a past.
+#[test]
+fn replaced_hosts_do_not_run_again() {
+    let spec = Spec::new(WhenInDoubt::Refuse, 3);
+    let mut fleet = Fleet::settled(&spec);
+    let Outcome::Delivered(holder) = fleet.send(0, flow(1), opening(1)) else {
+        panic!("the confirmation must run");
+    };
+    for index in [holder, (holder + 1) % 3] {
+        let life = 2 + fleet.now.0;
+        fleet.agents[index] = agent(index, life, false, spec.view(), fleet.now);
+    }
+    fleet.pass(30_000);
+    for to in 0..3 {
+        let outcome = fleet.send(to, flow(1), opening(1));
+        assert!(!matches!(outcome, Outcome::Delivered(_)), "at {to}: {outcome:?}");
+    }
+}
+
+/// A service begins: no witness has a past, and openings run after a second, not after two minutes.
+/// Where one of them has met an earlier life of another, that one is not believed to be new.
+#[rstest]
+#[case::two(2)]
+#[case::seven(7)]
+fn new_service_runs_soon(#[case] upstreams: usize) {
+    let mut fleet = Fleet::started(&Spec::new(WhenInDoubt::Refuse, upstreams));
+    fleet.pass(2_000);
+    let outcome = fleet.send(0, flow(1), opening(1));
+    assert!(matches!(outcome, Outcome::Delivered(_)), "{outcome:?}");
+}
+
+/// The whole service dies at once and starts anew, upstreams included, under settings that are no
+/// longer its first. Nobody remembers what ran, so nothing runs while copies of it may exist.
+#[rstest]
+#[case::soon(30_000, false)]
+#[case::after_all_copies(125_000, true)]
+fn whole_service_replaced(#[case] after_ms: u64, #[case] runs: bool) {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, 3);
+    spec.version = 4;
+    let mut fleet = Fleet::started(&spec);
+    fleet.pass(after_ms);
+    let outcome = fleet.send(0, flow(1), opening(1));
+    assert_eq!(matches!(outcome, Outcome::Delivered(_)), runs, "{outcome:?}");
+}
+
 fn last_answer(
     agent: &mut Agent,
     now: Millis,
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -58,6 +58,17 @@
     pub incarnation: Incarnation,
 }
 
+/// What a witness knows of the promises that it may have made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// All of them.
+    Complete,
+    /// It believes that it never made any: its upstream has just begun, and so has its listing.
+    Newborn,
+    /// It may have made some that it does not know.
+    Forgetful,
+}
+
 /// One change of a holder's flow table, or one flow of it when everything is announced again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FlowNote {
@@ -191,8 +202,10 @@
         records: Vec<ClaimRecord>,
         /// Where the next page begins; `None` after the last.
         next: Option<u64>,
-        /// False if the sender has itself forgotten promises.
-        complete: bool,
+        /// What the sender knows of its own promises.
+        standing: Standing,
+        /// Whether the sender has met an earlier life of the asker.
+        met_before: bool,
     },
     /// Load and liveness.
     Heartbeat(Heartbeat),
--- a/crates/wire/src/control/dto.rs
+++ b/crates/wire/src/control/dto.rs
@@ -2,7 +2,7 @@
 
 use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
 use decision::message::{
-    Claim, ClaimAnswer, ClaimRecord, FlowNote, Heartbeat, Knowledge, Message, Opening,
+    Claim, ClaimAnswer, ClaimRecord, FlowNote, Heartbeat, Knowledge, Message, Opening, Standing,
 };
 use serde::{Deserialize, Deserializer, Serialize};
 
@@ -34,6 +34,13 @@
     Unsure,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum StandingDto {
+    Complete,
+    Newborn,
+    Forgetful,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct RecordDto(OpeningDto, ClaimDto, u64);
 
@@ -113,7 +120,8 @@
         #[serde(deserialize_with = "records")]
         records: Vec<RecordDto>,
         next: Option<u64>,
-        complete: bool,
+        standing: StandingDto,
+        met_before: bool,
     },
     Heartbeat(HeartbeatDto),
 }
@@ -153,6 +161,26 @@
     }
 }
 
+impl From<Standing> for StandingDto {
+    fn from(standing: Standing) -> Self {
+        match standing {
+            Standing::Complete => Self::Complete,
+            Standing::Newborn => Self::Newborn,
+            Standing::Forgetful => Self::Forgetful,
+        }
+    }
+}
+
+impl From<StandingDto> for Standing {
+    fn from(standing: StandingDto) -> Self {
+        match standing {
+            StandingDto::Complete => Self::Complete,
+            StandingDto::Newborn => Self::Newborn,
+            StandingDto::Forgetful => Self::Forgetful,
+        }
+    }
+}
+
 impl From<Claim> for ClaimDto {
     fn from(claim: Claim) -> Self {
         match claim {
@@ -315,13 +343,14 @@
             Message::Recall { incarnation, from } => {
                 Body::Recall { incarnation: incarnation.0, from: *from }
             }
-            Message::RecallReply { incarnation, from, records, next, complete } => {
+            Message::RecallReply { incarnation, from, records, next, standing, met_before } => {
                 Body::RecallReply {
                     incarnation: incarnation.0,
                     from: *from,
                     records: records.iter().map(|record| (*record).into()).collect(),
                     next: *next,
-                    complete: *complete,
+                    standing: (*standing).into(),
+                    met_before: *met_before,
                 }
             }
             Message::Heartbeat(heartbeat) => Body::Heartbeat((*heartbeat).into()),
@@ -375,13 +404,16 @@
             Body::Recall { incarnation, from } => {
                 Self::Recall { incarnation: Incarnation(incarnation), from }
             }
-            Body::RecallReply { incarnation, from, records, next, complete } => Self::RecallReply {
-                incarnation: Incarnation(incarnation),
-                from,
-                records: records.into_iter().map(ClaimRecord::from).collect(),
-                next,
-                complete,
-            },
+            Body::RecallReply { incarnation, from, records, next, standing, met_before } => {
+                Self::RecallReply {
+                    incarnation: Incarnation(incarnation),
+                    from,
+                    records: records.into_iter().map(ClaimRecord::from).collect(),
+                    next,
+                    standing: standing.into(),
+                    met_before,
+                }
+            }
             Body::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.into()),
         }
     }
--- a/crates/wire/tests/control.rs
+++ b/crates/wire/tests/control.rs
@@ -4,7 +4,7 @@
 
 use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
 use decision::message::{
-    Claim, ClaimAnswer, ClaimRecord, FlowNote, Heartbeat, Knowledge, Message, Opening,
+    Claim, ClaimAnswer, ClaimRecord, FlowNote, Heartbeat, Knowledge, Message, Opening, Standing,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -60,7 +60,8 @@
     from: 9,
     records: vec![ClaimRecord { opening: OPENING, claim: Claim::Refuse, incarnation: LIFE }],
     next: Some(37),
-    complete: true,
+    standing: Standing::Newborn,
+    met_before: true,
 })]
 #[case::granted(claim_reply(ClaimAnswer::Granted))]
 #[case::taken(claim_reply(ClaimAnswer::Taken(Claim::Run(UpstreamId(9)))))]
@@ -93,7 +94,8 @@
         from: u64::MAX,
         records: vec![record; count],
         next: Some(u64::MAX),
-        complete: true,
+        standing: Standing::Forgetful,
+        met_before: true,
     }
 }
 
