--- a/crates/goosectl/src/commands/mod.rs
+++ b/crates/goosectl/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands. A new one is a module with its own `COMMAND` and a line in [`COMMANDS`].
 
 mod check;
+mod status;
 
 use std::io::Write;
 
@@ -19,4 +20,4 @@
 }
 
 /// All commands in the order of the overview.
-pub(crate) const COMMANDS: &[Command] = &[check::COMMAND];
+pub(crate) const COMMANDS: &[Command] = &[check::COMMAND, status::COMMAND];
--- /dev/null
+++ b/crates/goosectl/src/commands/status/report.rs
@@ -0,0 +1,161 @@
+//! Output of `goosectl status`.
+
+use std::io::{self, Write};
+
+use serde::Serialize;
+use settings::codes::{Class, INSTANCE_UNREACHABLE, TABLE};
+
+use crate::exit::Exit;
+use crate::fleet::{Answer, Silence, Status};
+use crate::output::{self, Table};
+
+/// The answers of all instances.
+pub(super) struct Report<'a> {
+    pub(super) notes: &'a [String],
+    pub(super) answers: &'a [Answer<Status>],
+    pub(super) all_counters: bool,
+}
+
+#[derive(Serialize)]
+struct ReportJson<'a> {
+    notes: &'a [String],
+    instances: Vec<InstanceJson<'a>>,
+}
+
+#[derive(Serialize)]
+struct InstanceJson<'a> {
+    name: &'a str,
+    control_address: String,
+    zone: &'a str,
+    listed: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    status: Option<&'a Status>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    silence: Option<&'a Silence>,
+}
+
+impl Report<'_> {
+    /// Whether something is wrong.
+    pub(super) fn exit(&self) -> Exit {
+        let heard = self.answers.iter().filter_map(|answer| answer.result.as_ref().ok());
+        let ready = heard.clone().filter(|status| status.ready).count();
+        match (heard.count(), ready) {
+            (0, _) => Exit::Unreachable,
+            (_, ready) if ready < self.answers.len() => Exit::Findings,
+            _ => Exit::Success,
+        }
+    }
+
+    /// A table with a row for each instance, and a summary.
+    pub(super) fn text(&self, out: &mut dyn Write) -> io::Result<()> {
+        output::notes(out, self.notes)?;
+        let head = [
+            "INSTANCE", "KIND", "ZONE", "LISTED", "READY", "SETTINGS", "FLOWS", "IN", "OUT",
+            "DROPPED",
+        ];
+        let mut table = Table::new(head);
+        self.answers.iter().for_each(|answer| table.row(row(answer)));
+        write!(out, "{table}")?;
+        if self.all_counters {
+            self.counters(out)?;
+        }
+        self.summary(out)
+    }
+
+    /// One JSON document.
+    pub(super) fn json(&self, out: &mut dyn Write) -> io::Result<()> {
+        let instances = self.answers.iter().map(InstanceJson::from).collect();
+        output::json(out, &ReportJson { notes: self.notes, instances })
+    }
+
+    fn counters(&self, out: &mut dyn Write) -> io::Result<()> {
+        let mut table = Table::new(["INSTANCE", "COUNTER", "VALUE"]);
+        for status in self.answers.iter().filter_map(|answer| answer.result.as_ref().ok()) {
+            for (name, value) in status.counters.iter().filter(|(_, value)| **value > 0) {
+                table.row([status.instance.clone(), name.clone(), value.to_string()]);
+            }
+        }
+        write!(out, "\n{table}")
+    }
+
+    fn summary(&self, out: &mut dyn Write) -> io::Result<()> {
+        let all = self.answers.len();
+        let heard = self.answers.iter().filter_map(|answer| answer.result.as_ref().ok());
+        let ready = heard.clone().filter(|status| status.ready).count();
+        let silent = all - heard.count();
+        writeln!(out, "{all} instance(s): {ready} ready, {silent} silent")?;
+        if silent > 0 {
+            writeln!(out, "{INSTANCE_UNREACHABLE}: {silent} instance(s) do not answer")?;
+        }
+        Ok(())
+    }
+}
+
+impl<'a> From<&'a Answer<Status>> for InstanceJson<'a> {
+    fn from(answer: &'a Answer<Status>) -> Self {
+        let status = answer.result.as_ref().ok();
+        Self {
+            name: status.map_or(&answer.subject.name, |status| &status.instance),
+            control_address: answer.subject.control.to_string(),
+            zone: answer.subject.zone(),
+            listed: answer.subject.state(),
+            status,
+            silence: answer.result.as_ref().err(),
+        }
+    }
+}
+
+fn row(answer: &Answer<Status>) -> Vec<String> {
+    let subject = &answer.subject;
+    let (zone, state) = (subject.zone().to_owned(), subject.state().to_owned());
+    let status = match &answer.result {
+        Ok(status) => status,
+        Err(silence) => {
+            let kind = subject.kind().map_or("-".to_owned(), |kind| format!("{kind:?}"));
+            let kind = kind.to_lowercase();
+            return vec![
+                subject.name.clone(),
+                kind,
+                zone,
+                state,
+                "silent".into(),
+                silence.to_string(),
+            ];
+        }
+    };
+    let ready = if status.ready { "yes" } else { "no" };
+    let numbers = numbers(status).map(|number| number.map_or("-".into(), |n| n.to_string()));
+    let mut cells = vec![
+        status.instance.clone(),
+        status.kind.clone(),
+        zone,
+        state,
+        ready.into(),
+        settings(status),
+    ];
+    cells.extend(numbers);
+    cells
+}
+
+fn settings(status: &Status) -> String {
+    let versions: Vec<String> = status
+        .settings
+        .iter()
+        .map(|entry| format!("{}={}", entry.account, entry.version))
+        .collect();
+    if versions.is_empty() { "none".to_owned() } else { versions.join(" ") }
+}
+
+/// Flows, packets in, packets out, packets dropped. Balancers have no flows.
+fn numbers(status: &Status) -> [Option<u64>; 4] {
+    let counter = |name: &str| status.counters.get(name).copied();
+    let sum = |names: [&str; 3]| names.into_iter().filter_map(counter).reduce(|a, b| a + b);
+    let reasons = TABLE.iter().filter(|entry| entry.class == Class::Packets);
+    let dropped = reasons.filter_map(|entry| counter(entry.name)).reduce(|a, b| a + b);
+    [
+        counter("flows_open"),
+        counter("packets_received_total").or_else(|| counter("packets_received")),
+        sum(["packets_forwarded_total", "packets_delivered", "packets_passed_on"]),
+        dropped,
+    ]
+}
--- /dev/null
+++ b/crates/goosectl/src/fleet/answers.rs
@@ -0,0 +1,110 @@
+//! What the daemons answer, as far as the commands read it.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+/// Answer of `/status`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Status {
+    pub(crate) instance: String,
+    /// `balancer` or `agent`.
+    pub(crate) kind: String,
+    pub(crate) ready: bool,
+    pub(crate) settings: Vec<AccountVersion>,
+    pub(crate) counters: BTreeMap<String, u64>,
+}
+
+/// Version of an account's settings in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct AccountVersion {
+    pub(crate) account: String,
+    pub(crate) version: u64,
+}
+
+/// Answer of an agent's `/flows`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Flows {
+    pub(crate) instance: String,
+    /// Open flows in all; closing ones are not counted.
+    pub(crate) open: usize,
+    pub(crate) flows: Vec<Flow>,
+}
+
+/// One flow.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Flow {
+    /// Hexadecimal id.
+    pub(crate) flow: String,
+    /// `open`, `finishing` or `reset`.
+    pub(crate) state: String,
+}
+
+/// One event of `/timeline`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Event {
+    /// Hybrid logical time.
+    pub(crate) hlc: u64,
+    pub(crate) instance: String,
+    /// Empty if the event concerns no account.
+    pub(crate) account: String,
+    pub(crate) kind: String,
+    pub(crate) fields: Map<String, Value>,
+}
+
+/// Answer of an agent's `/explain`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Explained {
+    pub(crate) instance: String,
+    pub(crate) version: u64,
+    pub(crate) bucket: u16,
+    pub(crate) ranking: Vec<Rank>,
+    pub(crate) home: Option<String>,
+    pub(crate) place: Place,
+}
+
+/// One rank of a bucket, as an agent sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Rank {
+    /// Hexadecimal id.
+    pub(crate) upstream: String,
+    /// `up`, `silent`, `leaving` or `unknown`.
+    pub(crate) standing: String,
+}
+
+/// Where a flow is, as an agent knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Place {
+    /// `open`, `finishing`, `reset`, `elsewhere` or `unknown`.
+    pub(crate) state: String,
+    /// Hexadecimal id of the holder, if it is another agent.
+    pub(crate) holder: Option<String>,
+    /// What a redirect rests on: `found`, `assigned` or `announced`.
+    pub(crate) evidence: Option<String>,
+}
+
+/// Answer of a balancer's `/explain`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct BalancerView {
+    pub(crate) instance: String,
+    pub(crate) version: u64,
+    /// Data address of the agent that gets the flow's packets.
+    pub(crate) home: Option<std::net::SocketAddr>,
+}
+
+impl Event {
+    /// A field as text, empty if the event does not have it.
+    pub(crate) fn field(&self, name: &str) -> String {
+        match self.fields.get(name) {
+            None => String::new(),
+            Some(Value::String(text)) => text.clone(),
+            Some(other) => other.to_string(),
+        }
+    }
+
+    /// Milliseconds since 1970 as the instance believed.
+    pub(crate) fn wall_ms(&self) -> u64 {
+        telemetry::clock::Timestamp(self.hlc).wall_ms()
+    }
+}
--- /dev/null
+++ b/crates/goosectl/src/fleet/ask.rs
@@ -0,0 +1,93 @@
+//! Asking instances, several at a time.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::thread;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use settings::{Code, codes};
+use shell::http::client::Client;
+
+use super::{Fleet, Subject};
+
+/// Instances asked at the same time, so that a few silent ones do not hold up the rest.
+const ASKED_AT_ONCE: usize = 16;
+
+/// Why there is no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(crate) struct Silence {
+    /// `E5004` or `E5005`.
+    pub(crate) code: String,
+    /// Explanation for people.
+    pub(crate) text: String,
+}
+
+/// What an instance has answered.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer<T> {
+    pub(crate) subject: Subject,
+    pub(crate) result: Result<T, Silence>,
+}
+
+impl Silence {
+    fn new(code: Code, text: impl fmt::Display) -> Self {
+        Self { code: code.to_string(), text: text.to_string() }
+    }
+}
+
+impl fmt::Display for Silence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.code, self.text)
+    }
+}
+
+impl Fleet {
+    /// Asks all instances that `path` gives a path for; answers come in the order of the instances.
+    pub(crate) fn ask<T: DeserializeOwned + Send>(
+        &self,
+        path: impl Fn(&Subject) -> Option<String> + Sync,
+    ) -> Vec<Answer<T>> {
+        let asked: Vec<(&Subject, String)> =
+            self.subjects.iter().filter_map(|subject| Some((subject, path(subject)?))).collect();
+        let share = asked.len().div_ceil(ASKED_AT_ONCE).max(1);
+        let ask_some = |some: &[(&Subject, String)]| -> Vec<Answer<T>> {
+            let ask = |(subject, path): &(&Subject, String)| Answer {
+                subject: (*subject).clone(),
+                result: get(&self.client, subject.control, path),
+            };
+            some.iter().map(ask).collect()
+        };
+        thread::scope(|scope| {
+            let workers: Vec<_> =
+                asked.chunks(share).map(|some| scope.spawn(move || ask_some(some))).collect();
+            // A worker does nothing that can panic; if one did, its instances would be missing.
+            workers.into_iter().flat_map(|worker| worker.join().unwrap_or_default()).collect()
+        })
+    }
+}
+
+/// Asks one address and decodes the answer.
+pub(crate) fn get<T: DeserializeOwned>(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+) -> Result<T, Silence> {
+    let body = get_bytes(client, address, path)?;
+    let unreadable = |error| {
+        Silence::new(codes::ANSWER_UNREADABLE, format_args!("http://{address}{path}: {error}"))
+    };
+    serde_json::from_slice(&body).map_err(unreadable)
+}
+
+/// Asks one address.
+pub(crate) fn get_bytes(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+) -> Result<Vec<u8>, Silence> {
+    let silent = |error| {
+        Silence::new(codes::INSTANCE_UNREACHABLE, format_args!("http://{address}{path}: {error}"))
+    };
+    client.get(address, path).map_err(silent)
+}
--- /dev/null
+++ b/crates/goosectl/src/fleet/discover.rs
@@ -0,0 +1,102 @@
+//! Finding the instances: from the platform's list, a settings file, or as named.
+
+use std::net::SocketAddr;
+
+use settings::codes;
+use shell::http::client::Client;
+use shell::settings_sync::instances::{Instance, InstanceList};
+
+use super::options::{self, Options};
+use super::{Fleet, Listed, Place, Subject, ask};
+use crate::exit::{Exit, Failure};
+
+/// Names the platform where no option does.
+const PLATFORM_VARIABLE: &str = "GOOSECTL_PLATFORM";
+
+impl Fleet {
+    /// Finds the instances that the options name.
+    ///
+    /// Errors: [`codes::USAGE`] if they name none, [`codes::INSTANCE_UNREACHABLE`] if the platform
+    /// does not answer and no instance is named otherwise.
+    pub(crate) fn find(options: &Options) -> Result<Self, Failure> {
+        let client = Client::new(options.timeout);
+        let file = options.settings.as_deref().map(options::read).transpose()?;
+        let platform = match (options.platform, &file) {
+            (None, Some(file)) => Some(file.platform),
+            (None, None) if options.instances.is_empty() => platform_of_environment()?,
+            (named, _) => named,
+        };
+        let mut fleet = Self { subjects: Vec::new(), notes: Vec::new(), platform, client };
+        fleet.add_listed();
+        fleet.add_named(&options.instances);
+        if fleet.subjects.is_empty() {
+            fleet.add_named(&file.map(|file| file.known).unwrap_or_default());
+        }
+        if fleet.subjects.is_empty() {
+            return Err(fleet.nobody());
+        }
+        fleet.subjects.sort_by(|a, b| a.name.cmp(&b.name));
+        Ok(fleet)
+    }
+
+    fn add_listed(&mut self) {
+        let Some(platform) = self.platform else { return };
+        match ask::get::<InstanceList>(&self.client, platform, "/v1/instances") {
+            Ok(list) => self.subjects = list.instances.into_iter().map(Subject::from).collect(),
+            Err(silence) => self.notes.push(format!("no list from the platform: {silence}")),
+        }
+    }
+
+    fn add_named(&mut self, addresses: &[SocketAddr]) {
+        for control in addresses {
+            if self.subjects.iter().all(|known| known.control != *control) {
+                let name = control.to_string();
+                self.subjects.push(Subject { name, control: *control, listed: None });
+            }
+        }
+    }
+
+    fn nobody(&self) -> Failure {
+        match (self.platform, self.notes.first()) {
+            (None, _) => Failure::usage(
+                "no instances: give --platform, --settings or --instance, or set GOOSECTL_PLATFORM",
+            ),
+            (Some(_), Some(note)) => {
+                Failure::new(codes::INSTANCE_UNREACHABLE, Exit::Unreachable, note.clone())
+            }
+            (Some(_), None) => Failure::new(
+                codes::INSTANCE_UNREACHABLE,
+                Exit::Unreachable,
+                "the platform lists no instance",
+            ),
+        }
+    }
+}
+
+fn platform_of_environment() -> Result<Option<SocketAddr>, Failure> {
+    let Ok(text) = std::env::var(PLATFORM_VARIABLE) else { return Ok(None) };
+    let bad = |_| Failure::usage(format!("{PLATFORM_VARIABLE} is not IP:PORT: `{text}`"));
+    text.parse().map(Some).map_err(bad)
+}
+
+impl From<Instance> for Subject {
+    fn from(instance: Instance) -> Self {
+        let place = match (&instance.account, &instance.service, &instance.upstream) {
+            (Some(account), Some(service), Some(upstream)) => Some(Place {
+                account: account.to_string(),
+                service: service.to_string(),
+                upstream: upstream.to_string(),
+            }),
+            _ => None,
+        };
+        let listed = Listed {
+            kind: instance.kind,
+            state: instance.state,
+            zone: instance.zone.to_string(),
+            data: instance.data_address,
+            place,
+        };
+        let name = instance.name.to_string();
+        Self { name, control: instance.control_address, listed: Some(listed) }
+    }
+}
--- a/crates/goosectl/src/lib.rs
+++ b/crates/goosectl/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod commands;
 mod exit;
+mod fleet;
+mod output;
 
 use std::ffi::OsString;
 use std::io::Write;
--- /dev/null
+++ b/crates/goosectl/src/output/mod.rs
@@ -0,0 +1,22 @@
+//! What all commands print with: tables for people, JSON for programs, times as text.
+
+mod table;
+mod time;
+
+use std::io::{self, Write};
+
+use serde::Serialize;
+
+pub(crate) use table::Table;
+pub(crate) use time::{clock_time, date_time, duration};
+
+/// Writes one JSON document and a line end.
+pub(crate) fn json(out: &mut dyn Write, value: &impl Serialize) -> io::Result<()> {
+    serde_json::to_writer(&mut *out, value)?;
+    writeln!(out)
+}
+
+/// Writes each note on a line of its own.
+pub(crate) fn notes(out: &mut dyn Write, notes: &[String]) -> io::Result<()> {
+    notes.iter().try_for_each(|note| writeln!(out, "note: {note}"))
+}
--- /dev/null
+++ b/crates/goosectl/src/output/time.rs
@@ -0,0 +1,43 @@
+//! Times as text, in UTC.
+
+const DAY_MS: u64 = 86_400_000;
+/// Days from 0000-03-01, where the count of years below begins, to 1970-01-01.
+const DAYS_BEFORE_1970: u64 = 719_468;
+/// Days in 400 years, after which the calendar repeats.
+const DAYS_IN_ERA: u64 = 146_097;
+
+/// Time of day with milliseconds.
+pub(crate) fn clock_time(wall_ms: u64) -> String {
+    let of_day = wall_ms % DAY_MS;
+    let (seconds, ms) = (of_day / 1_000, of_day % 1_000);
+    format!("{:02}:{:02}:{:02}.{ms:03}", seconds / 3_600, seconds / 60 % 60, seconds % 60)
+}
+
+/// Date and time of day.
+pub(crate) fn date_time(wall_ms: u64) -> String {
+    let (year, month, day) = date(wall_ms / DAY_MS);
+    format!("{year:04}-{month:02}-{day:02}T{}Z", clock_time(wall_ms))
+}
+
+/// A length of time in its natural unit.
+pub(crate) fn duration(ms: u64) -> String {
+    match ms {
+        0..1_000 => format!("{ms} ms"),
+        1_000..60_000 => format!("{}.{} s", ms / 1_000, ms % 1_000 / 100),
+        _ => format!("{} min {} s", ms / 60_000, ms % 60_000 / 1_000),
+    }
+}
+
+/// Year, month and day of the Gregorian calendar. Years are counted from 1 March, so that the
+/// leap day is the last one of its year.
+fn date(days_since_1970: u64) -> (u64, u64, u64) {
+    let days = days_since_1970 + DAYS_BEFORE_1970;
+    let (era, of_era) = (days / DAYS_IN_ERA, days % DAYS_IN_ERA);
+    let of_years = of_era - of_era / 1_460 + of_era / 36_524 - of_era / 146_096;
+    let year = of_years / 365;
+    let of_year = of_era - (365 * year + year / 4 - year / 100);
+    let from_march = (5 * of_year + 2) / 153;
+    let day = of_year - (153 * from_march + 2) / 5 + 1;
+    let month = if from_march < 10 { from_march + 3 } else { from_march - 9 };
+    (era * 400 + year + u64::from(month <= 2), month, day)
+}
