Name the scraped metrics with one prefix

Cause: the registry of a process adds `gooseberrysill_` itself, and the collector of settings, processor time and memory wrote it as well: /metrics showed gooseberrysill_gooseberrysill_settings_version. The test searched for the name anywhere in the text and so passed.

Change: the collector gives bare names; the test asks for the name at the start of a line.

--- a/crates/shell/src/scrape.rs
+++ b/crates/shell/src/scrape.rs
@@ -32,11 +32,11 @@
         self.encode_settings(&mut encoder)?;
         let cpu = ConstCounter::new(cpu_seconds());
         let help = "Processor time used by the process";
-        let name = "gooseberrysill_process_cpu_seconds";
+        let name = "process_cpu_seconds";
         cpu.encode(encoder.encode_descriptor(name, help, None, MetricType::Counter)?)?;
         let Some(bytes) = resident_memory_bytes() else { return Ok(()) };
         let help = "Memory of the process that is in use";
-        let name = "gooseberrysill_process_resident_memory_bytes";
+        let name = "process_resident_memory_bytes";
         let memory = ConstGauge::new(bytes);
         memory.encode(encoder.encode_descriptor(name, help, None, MetricType::Gauge)?)
     }
@@ -45,14 +45,14 @@
 impl ProcessCollector {
     fn encode_settings(&self, encoder: &mut DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
         let help = "Version of an account's settings in force";
-        let name = "gooseberrysill_settings_version";
+        let name = "settings_version";
         let mut family = encoder.encode_descriptor(name, help, None, MetricType::Gauge)?;
         for (account, version) in self.store.versions() {
             let labels = [("account", &*account)];
             ConstGauge::new(version.0 as i64).encode(family.encode_family(&labels)?)?;
         }
         let help = "1 if the settings are known to be current enough";
-        let name = "gooseberrysill_settings_current";
+        let name = "settings_current";
         let current = ConstGauge::new(i64::from(self.store.is_current()));
         current.encode(encoder.encode_descriptor(name, help, None, MetricType::Gauge)?)
     }
--- a/crates/shell/tests/status.rs
+++ b/crates/shell/tests/status.rs
@@ -60,5 +60,5 @@
 #[case::memory("gooseberrysill_process_resident_memory_bytes ")]
 fn metrics_contain(#[case] expected: &str) {
     let text = get("/metrics", true).unwrap();
-    assert!(text.contains(expected), "{text}");
+    assert!(text.contains(&format!("\n{expected}")), "{text}");
 }
