Let daemons explain where they send a flow

Cause: goosectl explain must show home and holder as the daemons see them; the core could tell, but no endpoint gave it out, and the reason why a rank is passed over was not in the core's answer.

Both only read.

Conclusion: no decision changed; the data thread answers such a request like one for /flows.

--- /dev/null
+++ b/crates/agent/src/explain.rs
@@ -0,0 +1,80 @@
+//! The answer of `/explain?flow=ID`: why packets of a flow go where they go, as this agent sees it.
+
+use std::sync::Arc;
+
+use decision::agent::{Evidence, Explanation, Standing, Whereabouts};
+use decision::keys::{UpstreamId, Version};
+use serde::Serialize;
+
+use crate::plane::state_word;
+
+/// The answer; ids are hexadecimal.
+#[derive(Debug, Serialize)]
+pub(crate) struct Explained {
+    instance: Arc<str>,
+    /// Settings version of the account, zero before any lists the service.
+    version: u64,
+    bucket: u16,
+    /// Agents of the bucket from first to last rank.
+    ranking: Vec<Rank>,
+    home: Option<String>,
+    place: Place,
+}
+
+#[derive(Debug, Serialize)]
+struct Rank {
+    upstream: String,
+    /// `up`, `silent` or `leaving`.
+    standing: &'static str,
+}
+
+/// Where the flow is.
+#[derive(Debug, Serialize)]
+struct Place {
+    /// `open`, `finishing`, `reset`, `elsewhere` or `unknown`.
+    state: &'static str,
+    holder: Option<String>,
+    /// What a redirect rests on: `found`, `assigned` or `announced`.
+    evidence: Option<&'static str>,
+}
+
+impl Explained {
+    pub(crate) fn new(instance: Arc<str>, version: Version, explanation: &Explanation) -> Self {
+        let rank = |(upstream, standing): &(UpstreamId, Standing)| Rank {
+            upstream: hex(*upstream),
+            standing: match standing {
+                Standing::Up => "up",
+                Standing::Silent => "silent",
+                Standing::Leaving => "leaving",
+            },
+        };
+        Self {
+            instance,
+            version: version.0,
+            bucket: explanation.bucket.0,
+            ranking: explanation.ranking.iter().map(rank).collect(),
+            home: explanation.home.map(hex),
+            place: Place::from(explanation.whereabouts),
+        }
+    }
+}
+
+impl From<Whereabouts> for Place {
+    fn from(whereabouts: Whereabouts) -> Self {
+        let (state, redirect) = match whereabouts {
+            Whereabouts::Here(state) => (state_word(state), None),
+            Whereabouts::At(redirect) => ("elsewhere", Some(redirect)),
+            Whereabouts::Unknown => ("unknown", None),
+        };
+        let evidence = redirect.map(|redirect| match redirect.evidence {
+            Evidence::Found => "found",
+            Evidence::Assigned => "assigned",
+            Evidence::Announced => "announced",
+        });
+        Self { state, holder: redirect.map(|redirect| hex(redirect.holder)), evidence }
+    }
+}
+
+fn hex(id: UpstreamId) -> String {
+    format!("{:016x}", id.0)
+}
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -10,6 +10,7 @@
 use shell::settings_sync::{Keyrings, serve};
 use shell::status::{self, Shown};
 
+use crate::explain::Explained;
 use crate::plane::{FlowEntry, FlowList, Request, Wanted};
 
 /// Flows listed unless the request asks for another number.
@@ -46,16 +47,29 @@
 ) -> Routes {
     let routes = status::routes(Routes::default(), shown);
     let instance = shown.instance.clone();
+    let (explain_requests, explain_instance) = (requests.clone(), instance.clone());
     let flows = move |request: &HttpRequest| {
         let Some(wanted) = wanted(request) else {
             return Reply::error(400, "flow is not a hexadecimal id");
         };
-        match ask(&requests, wanted) {
+        match ask(&requests, |reply| Request::Flows(wanted, reply)) {
             Some(list) => Reply::json(&shown_flows(instance.clone(), list)),
             None => Reply::error(503, "not serving yet"),
         }
     };
-    serve::routes(routes, &shown.store, keyrings).get("/flows", flows)
+    let routes = serve::routes(routes, &shown.store, keyrings).get("/flows", flows);
+    routes.get("/explain", move |request| explain(&explain_requests, &explain_instance, request))
+}
+
+fn explain(requests: &mpsc::Sender<Request>, instance: &Arc<str>, request: &HttpRequest) -> Reply {
+    let flow = request.parameter("flow").and_then(|flow| u64::from_str_radix(flow, 16).ok());
+    let Some(flow) = flow else {
+        return Reply::error(400, "flow is not a hexadecimal id");
+    };
+    match ask(requests, |reply| Request::Explain(FlowId(flow), reply)) {
+        Some((version, found)) => Reply::json(&Explained::new(instance.clone(), version, &found)),
+        None => Reply::error(503, "not serving yet"),
+    }
 }
 
 fn wanted(request: &HttpRequest) -> Option<Wanted> {
@@ -66,9 +80,13 @@
     Some(Wanted::Some(limit.unwrap_or(FLOWS_DEFAULT).min(FLOWS_MAX)))
 }
 
-fn ask(requests: &mpsc::Sender<Request>, wanted: Wanted) -> Option<FlowList> {
+/// Asks the data thread; `None` if it does not answer in time.
+fn ask<T>(
+    requests: &mpsc::Sender<Request>,
+    request: impl FnOnce(mpsc::SyncSender<T>) -> Request,
+) -> Option<T> {
     let (reply, answer) = mpsc::sync_channel(1);
-    requests.send(Request::Flows(wanted, reply)).ok()?;
+    requests.send(request(reply)).ok()?;
     answer.recv_timeout(ANSWER_TIMEOUT).ok()
 }
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -4,6 +4,7 @@
 //! settings and time from sockets and does what it says.
 
 pub mod counters;
+mod explain;
 pub mod gate;
 pub mod hold;
 mod http;
--- a/crates/agent/src/plane/mod.rs
+++ b/crates/agent/src/plane/mod.rs
@@ -32,7 +32,7 @@
 use crate::hold::{Held, HoldTable};
 
 pub(crate) use carry::Addresses;
-pub(crate) use requests::{FlowEntry, FlowList, Request, Wanted};
+pub(crate) use requests::{FlowEntry, FlowList, Request, Wanted, state_word};
 
 /// Longest wait for a datagram. Half a tick, so that ticks are never late by more than that.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(TICK_MS / 2);
--- a/crates/agent/src/plane/requests.rs
+++ b/crates/agent/src/plane/requests.rs
@@ -2,8 +2,8 @@
 
 use std::sync::mpsc;
 
-use decision::agent::{Event, FlowState, Whereabouts};
-use decision::keys::{FlowId, UpstreamId};
+use decision::agent::{Event, Explanation, FlowState, Whereabouts};
+use decision::keys::{FlowId, UpstreamId, Version};
 use decision::time::Millis;
 
 use super::Plane;
@@ -17,6 +17,8 @@
     Event(Event),
     /// A list of flows; the answer is dropped if nobody waits for it any more.
     Flows(Wanted, mpsc::SyncSender<FlowList>),
+    /// Why packets of a flow go where they go; the answer is dropped likewise.
+    Explain(FlowId, mpsc::SyncSender<(Version, Explanation)>),
 }
 
 /// Which flows are wanted.
@@ -65,6 +67,10 @@
                     // The asker may have timed out; there is nobody to tell then.
                     let _ = reply.try_send(self.list(now, wanted));
                 }
+                Request::Explain(flow, reply) => {
+                    let explanation = self.agent.explain(now, flow);
+                    let _ = reply.try_send((self.agent.version(), explanation));
+                }
             }
         }
     }
@@ -92,10 +98,14 @@
 }
 
 fn held(flow: FlowId, state: FlowState) -> FlowEntry {
-    let state = match state {
+    FlowEntry { flow, state: state_word(state), holder: None }
+}
+
+/// A flow's state for people and programs.
+pub(crate) fn state_word(state: FlowState) -> &'static str {
+    match state {
         FlowState::Open => "open",
         FlowState::Finishing => "finishing",
         FlowState::Reset => "reset",
-    };
-    FlowEntry { flow, state, holder: None }
+    }
 }
--- a/crates/agent/src/plane/tests.rs
+++ b/crates/agent/src/plane/tests.rs
@@ -7,7 +7,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use decision::agent::{Agent, AgentConfig, Event, Passed};
+use decision::agent::{Agent, AgentConfig, Event, FlowState, Passed, Whereabouts};
 use decision::keys::{AccountId, FlowId, Incarnation, ServiceId, UpstreamId, Version};
 use decision::message::{Claim, ClaimAnswer, Heartbeat, Knowledge, Message};
 use decision::rank;
@@ -243,6 +243,11 @@
     let list = bench.flows(Wanted::Some(10));
     assert_eq!((list.open, list.entries[0].state), (1, "open"));
     assert_eq!(bench.flows(Wanted::One(FlowId(6))).entries[0].state, "unknown");
+    let (reply, answer) = mpsc::sync_channel(1);
+    bench.requests.send(Request::Explain(FlowId(5), reply)).unwrap();
+    let (version, explanation) = answer.recv_timeout(TIMEOUT).unwrap();
+    assert_eq!((version, explanation.ranking.len()), (Version(7), 1));
+    assert_eq!(explanation.whereabouts, Whereabouts::Here(FlowState::Open));
     assert!(bench.timeline.after(Default::default()).iter().any(|e| e.kind == "admitted"));
 }
 
--- a/crates/balancer/src/http.rs
+++ b/crates/balancer/src/http.rs
@@ -1,11 +1,46 @@
 //! The balancer's HTTP endpoint.
 
-use shell::http::routes::Routes;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use decision::keys::{FlowId, ServiceId};
+use serde::Serialize;
+use shell::http::routes::{Reply, Request, Routes};
 use shell::settings_sync::{Keyrings, serve};
 use shell::status::{self, Shown};
 
-/// All routes of a balancer.
-pub(crate) fn routes(shown: &Shown, keyrings: &Keyrings) -> Routes {
+use crate::snapshot::Published;
+
+/// The answer of `/explain?service=ID&flow=ID`.
+#[derive(Debug, Serialize)]
+struct Explained {
+    instance: Arc<str>,
+    /// Settings version of the service's account.
+    version: u64,
+    /// Data address of the agent that gets the flow's packets.
+    home: Option<SocketAddr>,
+}
+
+/// All routes of a balancer. `/explain?service=ID&flow=ID` says where `published` sends a flow.
+pub fn routes(shown: &Shown, keyrings: &Keyrings, published: Arc<Published>) -> Routes {
     let routes = status::routes(Routes::default(), shown);
+    let instance = shown.instance.clone();
     serve::routes(routes, &shown.store, keyrings)
+        .get("/explain", move |request| explain(&instance, &published, request))
+}
+
+fn explain(instance: &Arc<str>, published: &Published, request: &Request) -> Reply {
+    let id = |name| u64::from_str_radix(request.parameter(name)?, 16).ok();
+    let (Some(service), Some(flow)) = (id("service"), id("flow")) else {
+        return Reply::error(400, "service or flow is not a hexadecimal id");
+    };
+    let snapshot = published.newest();
+    let Some(key) = snapshot.find_id(ServiceId(service)) else {
+        return Reply::error(404, "no such service here");
+    };
+    Reply::json(&Explained {
+        instance: instance.clone(),
+        version: snapshot.service(key).version.0,
+        home: snapshot.home(key, FlowId(flow)),
+    })
 }
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -5,7 +5,7 @@
 
 pub mod counters;
 pub mod forward;
-mod http;
+pub mod http;
 pub mod liveness;
 pub mod notices;
 pub mod publish;
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -73,7 +73,8 @@
     let end = Arc::new(AtomicBool::new(false));
     let (notices, inbox) = mpsc::channel();
     let workers = balancer.start_workers(&end, &notices)?;
-    let routes = crate::http::routes(&balancer.shown(metrics), &balancer.keyrings());
+    let published = balancer.published.clone();
+    let routes = crate::http::routes(&balancer.shown(metrics), &balancer.keyrings(), published);
     http::start(balancer.settings.control_address, routes)?;
     let (members, observed) = mpsc::channel();
     let fetches = balancer.start_readers()?;
--- a/crates/balancer/src/snapshot.rs
+++ b/crates/balancer/src/snapshot.rs
@@ -108,6 +108,13 @@
         Some(table[index].1)
     }
 
+    /// Finds a service by id.
+    pub fn find_id(&self, id: ServiceId) -> Option<ServiceKey> {
+        // The view's keys follow the order of ids.
+        let index = self.services.binary_search_by_key(&id, |entry| entry.service).ok()?;
+        Some(ServiceKey(index as u32))
+    }
+
     /// The keyring of an account.
     pub fn keyring(&self, account: AccountId) -> Option<&AccountKeyring> {
         let index = self.keyrings.binary_search_by_key(&account, |(known, _)| *known).ok()?;
--- a/crates/decision/src/agent/status.rs
+++ b/crates/decision/src/agent/status.rs
@@ -2,6 +2,7 @@
 
 use super::Agent;
 use super::flows::FlowState;
+use super::peers::Peer;
 use super::redirects::Redirect;
 use crate::keys::{BucketIndex, FlowId, UpstreamId, Version};
 use crate::rank;
@@ -45,13 +46,24 @@
     Unknown,
 }
 
+/// Whether an agent can be the home of a bucket, as another one sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It can.
+    Up,
+    /// It is suspected, because nothing was heard from it.
+    Silent,
+    /// It has said that it leaves.
+    Leaving,
+}
+
 /// Why a packet of a flow goes where it goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Explanation {
     /// Bucket of the flow.
     pub bucket: BucketIndex,
     /// Agents of the bucket from first to last rank.
-    pub ranking: Vec<UpstreamId>,
+    pub ranking: Vec<(UpstreamId, Standing)>,
     /// Home as this agent sees it.
     pub home: Option<UpstreamId>,
     /// Where the flow is.
@@ -113,9 +125,17 @@
         let redirect = self.redirects.get(now, flow).map(|known| Whereabouts::At(*known));
         Explanation {
             bucket,
-            ranking: self.ranking(bucket).collect(),
+            ranking: self.ranking(bucket).map(|id| (id, self.standing(id))).collect(),
             home: self.home(bucket),
             whereabouts: here.or(redirect).unwrap_or(Whereabouts::Unknown),
         }
     }
+    fn standing(&self, upstream: UpstreamId) -> Standing {
+        if self.is_up(upstream) {
+            return Standing::Up;
+        }
+        let says_so = self.peers.get(upstream).is_some_and(Peer::is_leaving);
+        let leaving = says_so || upstream == self.config.upstream;
+        if leaving { Standing::Leaving } else { Standing::Silent }
+    }
 }
--- a/crates/decision/src/agent/tests/mod.rs
+++ b/crates/decision/src/agent/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod assign;
 mod early;
+mod explain;
 mod flows;
 mod install;
 mod lookup;
@@ -259,7 +260,7 @@
     /// Indices of the agents from first to last rank for a flow.
     fn ranking(&self, flow: u64) -> Vec<usize> {
         let explanation = self.agents[0].explain(self.now, FlowId(flow));
-        explanation.ranking.into_iter().map(|upstream| self.index(upstream)).collect()
+        explanation.ranking.into_iter().map(|(upstream, _)| self.index(upstream)).collect()
     }
 
     /// The agent that holds the flow.
