Add settings, flows, explain, timeline and drain-watch to goosectl

Cause: operators could see the instances but not who lags, where a flow is and why, or what happened.

--- /dev/null
+++ b/crates/goosectl/src/commands/drain_watch/look.rs
@@ -0,0 +1,114 @@
+//! Looking at the upstream's agent and its peers.
+
+use decision::keys::UpstreamId;
+use settings::codes;
+use shell::settings_sync::instances::Kind;
+
+use super::progress::{Flows, Look};
+use crate::exit::{Exit, Failure};
+use crate::fleet::{self, Event, Fleet, Place, Subject};
+
+/// The most that an agent lists.
+const FLOWS_MAX: usize = 10_000;
+
+/// The agents of a service, one of which is watched.
+pub(super) struct Watched {
+    agents: Fleet,
+    /// Name of the watched instance.
+    instance: String,
+    /// Id of its upstream as events show it.
+    id: String,
+    /// Latest event seen of each agent, in the order of `agents`.
+    seen: Vec<Option<u64>>,
+}
+
+impl Watched {
+    /// Finds the agent of an upstream and its peers in the platform's list.
+    ///
+    /// Errors: [`codes::NOT_FOUND`] unless exactly one upstream has that name.
+    pub(super) fn find(mut fleet: Fleet, name: &str) -> Result<Self, Failure> {
+        let not_found = |text: String| Failure::new(codes::NOT_FOUND, Exit::Usage, text);
+        let fits = |subject: &&Subject| subject.place().is_some_and(|place| is_named(place, name));
+        let found: Vec<Subject> = fleet.subjects.iter().filter(fits).cloned().collect();
+        let [watched] = &found[..] else {
+            return Err(not_found(match found.len() {
+                0 => format!("the platform's list names no agent of upstream `{name}`"),
+                several => {
+                    format!("`{name}` means {several} upstreams; write ACCOUNT/SERVICE/NAME")
+                }
+            }));
+        };
+        let Some(place) = watched.place().cloned() else {
+            return Err(not_found(format!("`{name}` is no agent")));
+        };
+        let is_peer = |subject: &Subject| {
+            let known = subject.place();
+            known.is_some_and(|peer| {
+                (&peer.account, &peer.service) == (&place.account, &place.service)
+            })
+        };
+        fleet.subjects.retain(|subject| subject.kind() == Some(Kind::Agent) && is_peer(subject));
+        let id = UpstreamId::of(&place.account, &place.service, &place.upstream);
+        Ok(Self {
+            seen: vec![None; fleet.subjects.len()],
+            agents: fleet,
+            instance: watched.name.clone(),
+            id: format!("{:016x}", id.0),
+        })
+    }
+
+    /// Asks all agents once. Openings are those since the last look; the first look only learns
+    /// from where on to count.
+    pub(super) fn look(&mut self) -> Look {
+        let (openings, silent) = self.new_openings();
+        Look { flows: self.flows(), openings, silent }
+    }
+
+    fn flows(&self) -> Result<Flows, String> {
+        let path = format!("/flows?limit={FLOWS_MAX}");
+        let is_watched = |subject: &Subject| subject.name == self.instance;
+        let answers =
+            self.agents.ask::<fleet::Flows>(|subject| is_watched(subject).then(|| path.clone()));
+        let answer = answers.into_iter().next().ok_or("its agent is not asked")?;
+        let list = answer.result.map_err(|silence| silence.to_string())?;
+        let closing = list.flows.iter().filter(|flow| flow.state == "finishing").count();
+        Ok(Flows { open: list.open, closing, is_whole: list.flows.len() < FLOWS_MAX })
+    }
+
+    /// Openings that the upstream took or was given, and names of silent peers.
+    fn new_openings(&mut self) -> (usize, Vec<String>) {
+        let seen = self.seen.clone();
+        let subjects = &self.agents.subjects;
+        let after = |subject: &Subject| {
+            let index = subjects.iter().position(|known| known == subject);
+            index.and_then(|index| seen[index]).unwrap_or(0)
+        };
+        let path = |subject: &Subject| Some(format!("/timeline?after={}", after(subject)));
+        let answers = self.agents.ask::<Vec<Event>>(path);
+        let (mut openings, mut silent) = (0, Vec::new());
+        for (index, answer) in answers.into_iter().enumerate() {
+            let Ok(events) = answer.result else {
+                silent.push(answer.subject.name);
+                continue;
+            };
+            if seen[index].is_some() {
+                openings += events.iter().filter(|event| self.is_opening(event)).count();
+            }
+            let last = events.last().map(|event| event.hlc).or(seen[index]);
+            self.seen[index] = Some(last.unwrap_or(0));
+        }
+        (openings, silent)
+    }
+
+    fn is_opening(&self, event: &Event) -> bool {
+        let taken = event.kind == "admitted" && event.instance == self.instance;
+        taken || event.kind == "assigned" && event.field("to") == self.id
+    }
+}
+
+fn is_named(place: &Place, name: &str) -> bool {
+    let Place { account, service, upstream } = place;
+    let words: Vec<&str> = name.split('/').collect();
+    let own = [account.as_str(), service, upstream];
+    words.len() <= own.len() && own.ends_with(&words)
+}
--- /dev/null
+++ b/crates/goosectl/src/commands/drain_watch/mod.rs
@@ -0,0 +1,93 @@
+//! `goosectl drain-watch`: waits until an upstream can be taken away.
+
+mod arguments;
+mod look;
+mod progress;
+
+use std::io::Write;
+use std::thread;
+use std::time::Instant;
+
+use settings::codes;
+
+use super::Command;
+use crate::exit::{Exit, Failure};
+use crate::fleet::{Fleet, OPTIONS_HELP};
+use crate::output;
+use arguments::Arguments;
+use look::Watched;
+use progress::{Look, Progress, Verdict};
+
+/// Entry in the command table.
+pub(crate) const COMMAND: Command = Command {
+    name: "drain-watch",
+    summary: "wait until an upstream holds no flow and gets no opening",
+    example: "goosectl drain-watch cascadia/shelf/shelf-1 --platform 127.1.0.1:8000",
+    run,
+};
+
+const HELP: &str = "\
+Usage: goosectl drain-watch UPSTREAM [--timeout-s N] [--ignore-closing] [OPTIONS]
+
+Follows an upstream that is being drained until its agent holds no flow, neither it nor any other
+agent of the service has given it an opening for the time of --quiet-ms, and its agent has answered
+all the while. UPSTREAM is NAME, SERVICE/NAME or ACCOUNT/SERVICE/NAME, as in the platform's list.
+It only watches: the drain itself is begun by publishing `state: draining`.
+
+A flow whose caller has sent its FIN counts until the agent forgets it, ten minutes after its last
+packet: the answer may still be under way, and the agent does not see it leave.
+
+Options:
+  --timeout-s N      give up after N seconds (default: never)
+  --ignore-closing   do not wait for flows whose callers have ended their half
+  --interval-ms N    time between two looks (default 500)
+  --quiet-ms N       time without an opening (default 3000)
+";
+
+const EXAMPLES: &str = "
+Examples:
+  goosectl drain-watch shelf-1 --platform 127.1.0.1:8000 --timeout-s 600
+  goosectl drain-watch cascadia/shelf/shelf-1 --settings agent.yaml --ignore-closing --json
+
+Exit codes: 0 drained, 2 wrong command line or no such upstream, 3 unreadable file, 4 the platform
+does not answer, 5 not drained in time. Ctrl-C ends it by the signal (130 in a shell).
+";
+
+fn run(parser: &mut lexopt::Parser, out: &mut dyn Write) -> Result<Exit, Failure> {
+    let Some(arguments) = arguments::parse(parser)? else {
+        write!(out, "{HELP}{OPTIONS_HELP}{EXAMPLES}")?;
+        return Ok(Exit::Success);
+    };
+    let fleet = Fleet::find(&arguments.options)?;
+    let mut watched = Watched::find(fleet, &arguments.upstream)?;
+    let started = Instant::now();
+    let mut progress = Progress::new(arguments.quiet_looks(), arguments.ignore_closing);
+    loop {
+        let look = watched.look();
+        let verdict = progress.take(&look);
+        show(out, &arguments, &look, &verdict)?;
+        if verdict == Verdict::Drained {
+            return Ok(Exit::Success);
+        }
+        if arguments.timeout.is_some_and(|timeout| started.elapsed() >= timeout) {
+            let text = format!("{} is not drained in time: {verdict}", arguments.upstream);
+            return Err(Failure::new(codes::TIMED_OUT, Exit::TimedOut, text));
+        }
+        thread::sleep(arguments.interval);
+    }
+}
+
+/// One line for each look, written at once: somebody watches.
+fn show(
+    out: &mut dyn Write,
+    arguments: &Arguments,
+    look: &Look,
+    verdict: &Verdict,
+) -> Result<(), Failure> {
+    match arguments.options.is_json {
+        true => output::json(out, &progress::json(look, verdict))?,
+        false => writeln!(out, "{}", progress::line(look, verdict))?,
+    }
+    out.flush()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/goosectl/src/commands/explain/gather.rs
@@ -0,0 +1,133 @@
+//! Reading the settings and asking the instances.
+
+use std::net::IpAddr;
+use std::path::Path;
+
+use decision::keys::{FlowId, ServiceKey, UpstreamId};
+use decision::view::{self, AccountSpec, View};
+use settings::root::Ownership;
+use settings::{Fault, account, codes};
+use shell::settings_sync::instances::{Kind, State};
+
+use super::arguments::Arguments;
+use super::tuple::Tuple;
+use crate::exit::{Exit, Failure};
+use crate::fleet::{Answer, BalancerView, Explained, Fleet, Silence, Subject};
+
+/// All that the explanation rests on.
+pub(super) struct Facts {
+    pub(super) tuple: Tuple,
+    pub(super) flow: FlowId,
+    /// The settings of the account that owns the destination.
+    pub(super) view: View,
+    /// `None` if no service answers there; nobody was asked then.
+    pub(super) service: Option<ServiceKey>,
+    /// Agents of the service.
+    pub(super) agents: Vec<AgentFacts>,
+    pub(super) balancers: Vec<Answer<BalancerView>>,
+}
+
+/// What is known about one agent.
+pub(super) struct AgentFacts {
+    pub(super) id: UpstreamId,
+    /// `None` if there is no list or the list does not name it.
+    pub(super) listed: Option<State>,
+    pub(super) answer: Result<Explained, Silence>,
+}
+
+/// Gathers the facts.
+///
+/// Errors: [`codes::NOT_FOUND`] if nobody owns the destination, [`codes::INSTANCE_UNREACHABLE`] if
+/// the settings cannot be read, [`codes::FILE_UNREADABLE`].
+pub(super) fn gather(arguments: &Arguments, fleet: &Fleet) -> Result<Facts, Failure> {
+    let tuple = arguments.tuple;
+    let spec = match (&arguments.account, &arguments.subtree) {
+        (Some(name), Some(file)) => read_subtree(file, name)?,
+        (Some(name), None) => fleet.published_account(name).map_err(unreachable)?,
+        (None, _) => {
+            let owner = owner(fleet, tuple.destination.ip())?;
+            fleet.published_account(&owner).map_err(unreachable)?
+        }
+    };
+    let (view, flow) = (view::build(&[spec]), tuple.flow(&arguments.flow_key));
+    let mut facts = Facts {
+        service: view.find_endpoint(tuple.endpoint()),
+        tuple,
+        flow,
+        view,
+        agents: Vec::new(),
+        balancers: Vec::new(),
+    };
+    if let Some(service) = facts.service {
+        facts.agents = ask_agents(fleet, &facts.view, service, flow);
+        facts.balancers = ask_balancers(fleet, &facts.view, service, flow);
+    }
+    Ok(facts)
+}
+
+fn owner(fleet: &Fleet, address: IpAddr) -> Result<String, Failure> {
+    let root = fleet.published_root().map_err(unreachable)?;
+    let owns = |name: &str| root.ownership(name, address) == Ownership::Owned;
+    let owner = root.accounts.iter().find(|account| owns(&account.name));
+    let nobody = || {
+        let text = format!("no account owns {address} (root version {})", root.version.0);
+        Failure::new(codes::NOT_FOUND, Exit::Findings, text)
+    };
+    owner.map(|account| account.name.to_string()).ok_or_else(nobody)
+}
+
+fn read_subtree(file: &Path, name: &str) -> Result<AccountSpec, Failure> {
+    let unreadable = |error: String| {
+        let text = format!("{}: {error}", file.display());
+        Failure::new(codes::FILE_UNREADABLE, Exit::File, text)
+    };
+    let yaml = std::fs::read_to_string(file).map_err(|error| unreadable(error.to_string()))?;
+    let first = |faults: Vec<Fault>| faults.first().map(ToString::to_string).unwrap_or_default();
+    account::parse_without_root(&yaml, name).map_err(|faults| unreadable(first(faults)))
+}
+
+fn unreachable(text: String) -> Failure {
+    Failure::new(codes::INSTANCE_UNREACHABLE, Exit::Unreachable, text)
+}
+
+/// Asks the agents at the addresses in the settings: the list may lag.
+fn ask_agents(fleet: &Fleet, view: &View, service: ServiceKey, flow: FlowId) -> Vec<AgentFacts> {
+    let upstreams: Vec<_> =
+        view.service(service).upstream_keys().map(|key| view.upstream(key)).collect();
+    let subjects = upstreams.iter().map(|upstream| Subject {
+        name: upstream.spec.name.to_string(),
+        control: upstream.spec.control_address,
+        listed: None,
+    });
+    let agents = Fleet {
+        subjects: subjects.collect(),
+        notes: Vec::new(),
+        platform: fleet.platform,
+        client: fleet.client.clone(),
+    };
+    let path = format!("/explain?flow={:016x}", flow.0);
+    let answers = agents.ask::<Explained>(|_| Some(path.clone()));
+    let facts = |(upstream, answer): (&&view::Upstream, Answer<Explained>)| AgentFacts {
+        id: upstream.id,
+        listed: listed(fleet, &answer.subject),
+        answer: answer.result,
+    };
+    upstreams.iter().zip(answers).map(facts).collect()
+}
+
+fn listed(fleet: &Fleet, agent: &Subject) -> Option<State> {
+    let entry = fleet.subjects.iter().find(|subject| subject.control == agent.control)?;
+    entry.listed.as_ref().map(|listed| listed.state)
+}
+
+fn ask_balancers(
+    fleet: &Fleet,
+    view: &View,
+    service: ServiceKey,
+    flow: FlowId,
+) -> Vec<Answer<BalancerView>> {
+    let id = view.service(service).id;
+    let path = format!("/explain?service={:016x}&flow={:016x}", id.0, flow.0);
+    let is_agent = |subject: &Subject| subject.kind() == Some(Kind::Agent);
+    fleet.ask(|subject| (!is_agent(subject)).then(|| path.clone()))
+}
--- /dev/null
+++ b/crates/goosectl/src/commands/flows/mod.rs
@@ -0,0 +1,101 @@
+//! `goosectl flows`: the flows that agents hold.
+
+mod report;
+
+use std::io::Write;
+
+use lexopt::ValueExt as _;
+use lexopt::prelude::{Long, Short};
+use shell::settings_sync::instances::Kind;
+
+use super::Command;
+use crate::exit::{Exit, Failure};
+use crate::fleet::{Fleet, Flows, OPTIONS_HELP, Options, Subject};
+use report::Report;
+
+/// Entry in the command table.
+pub(crate) const COMMAND: Command = Command {
+    name: "flows",
+    summary: "list the flows that agents hold",
+    example: "goosectl flows --platform 127.1.0.1:8000 --service shelf",
+    run,
+};
+
+const HELP: &str = "\
+Usage: goosectl flows [--account NAME] [--service NAME] [--upstream NAME] [--limit N] [OPTIONS]
+
+Lists the flows that agents hold for their upstreams, by id and state: `open`, `finishing` (the
+caller has ended its half) or `reset`. `goosectl explain` finds the id of a caller's flow.
+
+Options:
+  --account NAME     only agents of this account
+  --service NAME     only agents of this service
+  --upstream NAME    only the agent of this upstream; these three need the platform's list
+  --limit N          most flows of each agent to list (default 20, at most 10000; 0: counts only)
+";
+
+const EXAMPLES: &str = "
+Examples:
+  goosectl flows --platform 127.1.0.1:8000 --limit 0
+  goosectl flows --platform 127.1.0.1:8000 --service shelf --upstream shelf-1 --limit 10000 --json
+  goosectl flows --instance 127.20.1.1:9080
+
+Exit codes: 0 done, 1 some agents are silent, 2 wrong command line, 3 unreadable file, 4 no agent
+answers.
+";
+
+/// Flows listed of each agent unless told otherwise.
+const LIMIT: usize = 20;
+
+/// Which agents are asked.
+#[derive(Debug, Default)]
+struct Filter {
+    account: Option<String>,
+    service: Option<String>,
+    upstream: Option<String>,
+}
+
+fn run(parser: &mut lexopt::Parser, out: &mut dyn Write) -> Result<Exit, Failure> {
+    let (mut options, mut filter, mut limit) = (Options::default(), Filter::default(), LIMIT);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("help") | Short('h') => {
+                write!(out, "{HELP}{OPTIONS_HELP}{EXAMPLES}")?;
+                return Ok(Exit::Success);
+            }
+            Long("account") => filter.account = Some(parser.value()?.string()?),
+            Long("service") => filter.service = Some(parser.value()?.string()?),
+            Long("upstream") => filter.upstream = Some(parser.value()?.string()?),
+            Long("limit") => limit = parser.value()?.parse()?,
+            Long(name) => {
+                let name = name.to_owned();
+                options.take(&name, parser)?;
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let fleet = Fleet::find(&options)?;
+    let path = format!("/flows?limit={limit}");
+    let answers = fleet.ask::<Flows>(|subject| filter.fits(subject).then(|| path.clone()));
+    let report = Report { notes: &fleet.notes, answers: &answers };
+    match options.is_json {
+        true => report.json(out)?,
+        false => report.text(out)?,
+    }
+    Ok(report.exit())
+}
+
+impl Filter {
+    /// Whether an instance is an agent that is asked. What an unlisted one serves is not known; it
+    /// is asked unless a filter is given.
+    fn fits(&self, subject: &Subject) -> bool {
+        let is = |wanted: &Option<String>, name: fn(&crate::fleet::Place) -> &str| {
+            let known = subject.place().map(name);
+            wanted.as_deref().is_none_or(|wanted| known == Some(wanted))
+        };
+        subject.kind() != Some(Kind::Balancer)
+            && is(&self.account, |place| &place.account)
+            && is(&self.service, |place| &place.service)
+            && is(&self.upstream, |place| &place.upstream)
+    }
+}
--- /dev/null
+++ b/crates/goosectl/src/commands/flows/report.rs
@@ -0,0 +1,120 @@
+//! Output of `goosectl flows`.
+
+use std::io::{self, Write};
+
+use serde::Serialize;
+use settings::codes::{INSTANCE_UNREACHABLE, NOT_FOUND};
+
+use crate::exit::Exit;
+use crate::fleet::{Answer, Flow, Flows, Silence};
+use crate::output::{self, Table};
+
+/// The answers of the agents.
+pub(super) struct Report<'a> {
+    pub(super) notes: &'a [String],
+    pub(super) answers: &'a [Answer<Flows>],
+}
+
+#[derive(Serialize)]
+struct ReportJson<'a> {
+    notes: &'a [String],
+    open: usize,
+    agents: Vec<AgentJson<'a>>,
+}
+
+#[derive(Serialize)]
+struct AgentJson<'a> {
+    instance: &'a str,
+    account: Option<&'a str>,
+    service: Option<&'a str>,
+    upstream: Option<&'a str>,
+    open: Option<usize>,
+    flows: &'a [Flow],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    silence: Option<&'a Silence>,
+}
+
+impl Report<'_> {
+    /// Whether something is wrong.
+    pub(super) fn exit(&self) -> Exit {
+        let silent = self.silent();
+        match silent {
+            0 if self.answers.is_empty() => Exit::Findings,
+            0 => Exit::Success,
+            silent if silent == self.answers.len() => Exit::Unreachable,
+            _ => Exit::Findings,
+        }
+    }
+
+    /// A table with a row for each agent, one with a row for each flow, and a summary.
+    pub(super) fn text(&self, out: &mut dyn Write) -> io::Result<()> {
+        output::notes(out, self.notes)?;
+        if self.answers.is_empty() {
+            return writeln!(out, "{NOT_FOUND}: no agent fits");
+        }
+        let mut agents = Table::new(["AGENT", "ACCOUNT", "SERVICE", "UPSTREAM", "OPEN"]);
+        let mut flows = Table::new(["FLOW", "STATE", "AGENT"]);
+        let mut listed = 0;
+        for answer in self.answers {
+            agents.row(agent_row(answer));
+            for flow in answer.result.iter().flat_map(|flows| &flows.flows) {
+                flows.row([flow.flow.clone(), flow.state.clone(), answer.subject.name.clone()]);
+                listed += 1;
+            }
+        }
+        write!(out, "{agents}")?;
+        if listed > 0 {
+            write!(out, "\n{flows}")?;
+        }
+        writeln!(out, "{} open flow(s), {listed} flow(s) listed", self.open())?;
+        match self.silent() {
+            0 => Ok(()),
+            silent => writeln!(out, "{INSTANCE_UNREACHABLE}: {silent} agent(s) do not answer"),
+        }
+    }
+
+    /// One JSON document.
+    pub(super) fn json(&self, out: &mut dyn Write) -> io::Result<()> {
+        let agents = self.answers.iter().map(AgentJson::from).collect();
+        output::json(out, &ReportJson { notes: self.notes, open: self.open(), agents })
+    }
+
+    fn open(&self) -> usize {
+        self.answers.iter().filter_map(|answer| Some(answer.result.as_ref().ok()?.open)).sum()
+    }
+
+    fn silent(&self) -> usize {
+        self.answers.iter().filter(|answer| answer.result.is_err()).count()
+    }
+}
+
+impl<'a> From<&'a Answer<Flows>> for AgentJson<'a> {
+    fn from(answer: &'a Answer<Flows>) -> Self {
+        let (place, flows) = (answer.subject.place(), answer.result.as_ref().ok());
+        Self {
+            instance: flows.map_or(&answer.subject.name, |flows| &flows.instance),
+            account: place.map(|place| place.account.as_str()),
+            service: place.map(|place| place.service.as_str()),
+            upstream: place.map(|place| place.upstream.as_str()),
+            open: flows.map(|flows| flows.open),
+            flows: flows.map_or(&[], |flows| &flows.flows),
+            silence: answer.result.as_ref().err(),
+        }
+    }
+}
+
+fn agent_row(answer: &Answer<Flows>) -> [String; 5] {
+    let entry = AgentJson::from(answer);
+    let text = |text: Option<&str>| text.unwrap_or("-").to_owned();
+    let open = match &answer.result {
+        Ok(flows) => flows.open.to_string(),
+        Err(silence) => silence.to_string(),
+    };
+    [
+        entry.instance.to_owned(),
+        text(entry.account),
+        text(entry.service),
+        text(entry.upstream),
+        open,
+    ]
+}
--- a/crates/goosectl/src/commands/mod.rs
+++ b/crates/goosectl/src/commands/mod.rs
@@ -1,7 +1,12 @@
 //! The commands. A new one is a module with its own `COMMAND` and a line in [`COMMANDS`].
 
 mod check;
+mod drain_watch;
+mod explain;
+mod flows;
+mod settings;
 mod status;
+mod timeline;
 
 use std::io::Write;
 
@@ -20,4 +25,12 @@
 }
 
 /// All commands in the order of the overview.
-pub(crate) const COMMANDS: &[Command] = &[check::COMMAND, status::COMMAND];
+pub(crate) const COMMANDS: &[Command] = &[
+    check::COMMAND,
+    status::COMMAND,
+    settings::COMMAND,
+    flows::COMMAND,
+    explain::COMMAND,
+    timeline::COMMAND,
+    drain_watch::COMMAND,
+];
--- /dev/null
+++ b/crates/goosectl/src/commands/settings/report.rs
@@ -0,0 +1,135 @@
+//! Output of `goosectl settings`.
+
+use std::io::{self, Write};
+
+use serde::Serialize;
+use settings::codes::{INSTANCE_UNREACHABLE, INSTANCES_LAG};
+
+use super::lag::Row;
+use crate::exit::Exit;
+use crate::fleet::{Answer, Status};
+use crate::output::{self, Table};
+
+/// Versions in force everywhere.
+pub(super) struct Report<'a> {
+    pub(super) notes: &'a [String],
+    pub(super) answers: &'a [Answer<Status>],
+    pub(super) newest: &'a [(String, u64)],
+    pub(super) rows: &'a [Row],
+}
+
+#[derive(Serialize)]
+struct ReportJson<'a> {
+    notes: &'a [String],
+    accounts: Vec<AccountJson<'a>>,
+    instances: Vec<RowJson<'a>>,
+    silent: Vec<SilentJson<'a>>,
+}
+
+#[derive(Serialize)]
+struct AccountJson<'a> {
+    account: &'a str,
+    newest: u64,
+}
+
+#[derive(Serialize)]
+struct RowJson<'a> {
+    instance: &'a str,
+    account: &'a str,
+    version: Option<u64>,
+    lags: bool,
+    lags_since_ms: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct SilentJson<'a> {
+    instance: &'a str,
+    code: &'a str,
+    text: &'a str,
+}
+
+impl Report<'_> {
+    /// Whether something is wrong.
+    pub(super) fn exit(&self) -> Exit {
+        match (self.silent().count(), self.lagging()) {
+            (silent, _) if silent == self.answers.len() => Exit::Unreachable,
+            (0, 0) => Exit::Success,
+            _ => Exit::Findings,
+        }
+    }
+
+    /// A table with a row for each account on each instance, and a summary.
+    pub(super) fn text(&self, out: &mut dyn Write) -> io::Result<()> {
+        output::notes(out, self.notes)?;
+        let mut table = Table::new(["ACCOUNT", "INSTANCE", "VERSION", "NEWEST", "STATE", "SINCE"]);
+        self.rows.iter().for_each(|row| table.row(self.cells(row)));
+        self.silent().for_each(|silent| {
+            table.row(["-", silent.instance, "-", "-", "silent", silent.text].map(str::to_owned));
+        });
+        write!(out, "{table}")?;
+        let (lagging, silent) = (self.lagging(), self.silent().count());
+        if lagging > 0 {
+            writeln!(out, "{INSTANCES_LAG}: {lagging} of {} lag", self.rows.len())?;
+        }
+        if silent > 0 {
+            writeln!(out, "{INSTANCE_UNREACHABLE}: {silent} instance(s) do not answer")?;
+        }
+        Ok(())
+    }
+
+    /// One JSON document.
+    pub(super) fn json(&self, out: &mut dyn Write) -> io::Result<()> {
+        let accounts = self.newest.iter();
+        let accounts = accounts.map(|(account, newest)| AccountJson { account, newest: *newest });
+        let report = ReportJson {
+            notes: self.notes,
+            accounts: accounts.collect(),
+            instances: self.rows.iter().map(RowJson::from).collect(),
+            silent: self.silent().collect(),
+        };
+        output::json(out, &report)
+    }
+
+    fn cells(&self, row: &Row) -> [String; 6] {
+        let number = |number: Option<u64>| number.map_or("-".to_owned(), |n| n.to_string());
+        let newest = self.newest.iter().find(|(account, _)| *account == row.held.account);
+        let state = if row.lags { "lags" } else { "newest" };
+        let since = match (row.lags, row.since_ms) {
+            (false, _) => String::new(),
+            (true, Some(ms)) => output::date_time(ms),
+            (true, None) => "unknown".to_owned(),
+        };
+        [
+            row.held.account.clone(),
+            row.held.instance.clone(),
+            number(row.held.version),
+            number(newest.map(|(_, version)| *version)),
+            state.to_owned(),
+            since,
+        ]
+    }
+
+    fn lagging(&self) -> usize {
+        self.rows.iter().filter(|row| row.lags).count()
+    }
+
+    fn silent(&self) -> impl Iterator<Item = SilentJson<'_>> {
+        self.answers.iter().filter_map(|answer| {
+            let silence = answer.result.as_ref().err()?;
+            let instance = &answer.subject.name;
+            Some(SilentJson { instance, code: &silence.code, text: &silence.text })
+        })
+    }
+}
+
+impl<'a> From<&'a Row> for RowJson<'a> {
+    fn from(row: &'a Row) -> Self {
+        Self {
+            instance: &row.held.instance,
+            account: &row.held.account,
+            version: row.held.version,
+            lags: row.lags,
+            lags_since_ms: row.since_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/goosectl/src/commands/timeline/mod.rs
@@ -0,0 +1,139 @@
+//! `goosectl timeline`: the events of all processes in causal order.
+
+mod arguments;
+mod files;
+mod html;
+mod merge;
+mod names;
+mod svg;
+mod text;
+
+use std::io::Write;
+
+use settings::codes::{self, INSTANCE_UNREACHABLE};
+use telemetry::clock::{self, Timestamp};
+
+use super::Command;
+use crate::exit::{Exit, Failure};
+use crate::fleet::{Event, Fleet, OPTIONS_HELP};
+use crate::output;
+use arguments::Arguments;
+use names::Names;
+
+/// Entry in the command table.
+pub(crate) const COMMAND: Command = Command {
+    name: "timeline",
+    summary: "merge the events of all processes in causal order",
+    example: "goosectl timeline --platform 127.1.0.1:8000 --last 30 --html timeline.html",
+    run,
+};
+
+const HELP: &str = "\
+Usage: goosectl timeline [--flow ID] [--account NAME] [--kind KIND]... [--last SECONDS]
+                         [--html FILE] [--from DIR] [OPTIONS]
+
+Merges the events of all instances. An event that caused another one comes before it, whatever the
+machines' clocks say: processes put a hybrid logical clock on their messages. Each instance keeps
+its latest events only (a balancer 4096, an agent 16384), and none of an earlier life.
+
+Options:
+  --flow ID          only events of this flow (16 hexadecimal digits, see `goosectl explain`)
+  --account NAME     only events that concern this account
+  --kind KIND        only events of this kind; may be repeated
+  --last SECONDS     only events of so many seconds before now, or before the latest one in files
+  --html FILE        write a self-contained page with a picture to FILE instead of lines
+  --from DIR         read the files *.timeline.json in DIR, as `cargo xtask lab --out DIR` keeps
+                     them; no instance is asked unless one is named
+";
+
+const EXAMPLES: &str = "
+Examples:
+  goosectl timeline --platform 127.1.0.1:8000 --account cascadia --last 60
+  goosectl timeline --settings /etc/gooseberrysill/balancer.yaml --flow 0123456789abcdef
+  goosectl timeline --from /tmp/lab --kind settings_accepted --kind view_installed --html t.html
+
+Exit codes: 0 done, 1 some instances are silent, 2 wrong command line, 3 a file cannot be read or
+written, 4 no instance answers.
+";
+
+/// What was gathered.
+struct Gathered {
+    events: Vec<Event>,
+    names: Names,
+    notes: Vec<String>,
+    silent: usize,
+}
+
+fn run(parser: &mut lexopt::Parser, out: &mut dyn Write) -> Result<Exit, Failure> {
+    let Some(arguments) = arguments::parse(parser)? else {
+        write!(out, "{HELP}{OPTIONS_HELP}{EXAMPLES}")?;
+        return Ok(Exit::Success);
+    };
+    let Gathered { events, names, notes, silent } = gather(&arguments)?;
+    let events = merge::filtered(events, &arguments.filter);
+    match (&arguments.html, arguments.options.is_json) {
+        (Some(path), _) => {
+            let page = html::page(&events, &names, &notes);
+            let unwritable = |error| {
+                let text = format!("{}: {error}", path.display());
+                Failure::new(codes::OUTPUT_FAILED, Exit::File, text)
+            };
+            std::fs::write(path, page).map_err(unwritable)?;
+            writeln!(out, "{}: {} event(s)", path.display(), events.len())?;
+        }
+        (None, true) => {
+            output::json(out, &serde_json::json!({ "notes": notes, "events": events }))?;
+        }
+        (None, false) => {
+            output::notes(out, &notes)?;
+            text::lines(out, &events, &names)?;
+        }
+    }
+    Ok(if silent > 0 { Exit::Findings } else { Exit::Success })
+}
+
+fn gather(arguments: &Arguments) -> Result<Gathered, Failure> {
+    let mut gathered = match &arguments.from {
+        Some(folder) => {
+            let (lists, names) = files::read(folder)?;
+            let events = merge::merge(lists);
+            let latest_ms = events.last().map_or(0, Event::wall_ms);
+            let after = arguments.last_ms.map(|last_ms| latest_ms.saturating_sub(last_ms));
+            let events = merge::later_than(events, after);
+            Gathered { events, names, notes: Vec::new(), silent: 0 }
+        }
+        None => {
+            Gathered { events: Vec::new(), names: Names::default(), notes: Vec::new(), silent: 0 }
+        }
+    };
+    if arguments.asks_instances() {
+        ask(arguments, &mut gathered)?;
+    }
+    Ok(gathered)
+}
+
+fn ask(arguments: &Arguments, gathered: &mut Gathered) -> Result<(), Failure> {
+    let fleet = Fleet::find(&arguments.options)?;
+    let first_ms = arguments.last_ms.map_or(0, |last_ms| clock::wall_ms().saturating_sub(last_ms));
+    let path = format!("/timeline?after={}", Timestamp::from_wall_ms(first_ms).0);
+    let answers = fleet.ask::<Vec<Event>>(|_| Some(path.clone()));
+    gathered.names.add_listed(&fleet.subjects);
+    gathered.notes.extend(fleet.notes);
+    let asked = answers.len();
+    let mut lists = vec![std::mem::take(&mut gathered.events)];
+    for answer in answers {
+        match answer.result {
+            Ok(events) => lists.push(events),
+            Err(silence) => {
+                gathered.notes.push(format!("{} is silent: {silence}", answer.subject.name));
+                gathered.silent += 1;
+            }
+        }
+    }
+    gathered.events = merge::merge(lists);
+    if gathered.silent == asked && gathered.events.is_empty() {
+        let text = format!("none of {asked} instance(s) answers");
+        return Err(Failure::new(INSTANCE_UNREACHABLE, Exit::Unreachable, text));
+    }
+    Ok(())
+}
--- a/crates/goosectl/src/exit.rs
+++ b/crates/goosectl/src/exit.rs
@@ -13,6 +13,7 @@
   2  the command line is wrong
   3  a file cannot be read, or the output cannot be written
   4  no instance could be reached
+  5  what was waited for has not happened in time
 ";
 
 /// Exit code of a command.
@@ -28,6 +29,8 @@
     File = 3,
     /// No instance could be reached.
     Unreachable = 4,
+    /// What was waited for has not happened in time.
+    TimedOut = 5,
 }
 
 /// Why a command could not do its work.
--- a/crates/goosectl/src/fleet/mod.rs
+++ b/crates/goosectl/src/fleet/mod.rs
@@ -6,17 +6,16 @@
 mod ask;
 mod discover;
 mod options;
+mod published;
 
 use std::net::SocketAddr;
 
 use shell::http::client::Client;
 use shell::settings_sync::instances::{Kind, State};
 
-pub(crate) use answers::{
-    AccountVersion, BalancerView, Event, Explained, Flow, Flows, Place as Whereabouts, Status,
-};
+pub(crate) use answers::{BalancerView, Event, Explained, Flow, Flows, Status};
 pub(crate) use ask::{Answer, Silence};
-pub(crate) use options::{Options, read_flow_key};
+pub(crate) use options::{Options, parse_flow, read_flow_key};
 
 /// Lines of `--help` that all asking commands share.
 pub(crate) const OPTIONS_HELP: &str = "\
--- a/crates/goosectl/src/fleet/options.rs
+++ b/crates/goosectl/src/fleet/options.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use decision::keys::FlowId;
 use lexopt::ValueExt as _;
 use settings::codes;
 use settings::process::{agent, balancer};
@@ -79,3 +80,13 @@
     let known = [balancer.peers, vec![balancer.control_address]].concat();
     Ok(ProcessFile { platform: balancer.platform_address, known, flow_key: balancer.flow_key })
 }
+
+/// A flow's id in hexadecimal.
+///
+/// Errors: [`codes::BAD_TUPLE`].
+pub(crate) fn parse_flow(text: &str) -> Result<FlowId, Failure> {
+    let bad = |_| {
+        Failure::new(codes::BAD_TUPLE, Exit::Usage, format!("`{text}` is no hexadecimal flow id"))
+    };
+    u64::from_str_radix(text, 16).map(FlowId).map_err(bad)
+}
--- a/crates/goosectl/src/output/mod.rs
+++ b/crates/goosectl/src/output/mod.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 pub(crate) use table::Table;
-pub(crate) use time::{clock_time, date_time, duration};
+pub(crate) use time::{clock_time, date_time};
 
 /// Writes one JSON document and a line end.
 pub(crate) fn json(out: &mut dyn Write, value: &impl Serialize) -> io::Result<()> {
--- a/crates/goosectl/src/output/time.rs
+++ b/crates/goosectl/src/output/time.rs
@@ -19,15 +19,6 @@
     format!("{year:04}-{month:02}-{day:02}T{}Z", clock_time(wall_ms))
 }
 
-/// A length of time in its natural unit.
-pub(crate) fn duration(ms: u64) -> String {
-    match ms {
-        0..1_000 => format!("{ms} ms"),
-        1_000..60_000 => format!("{}.{} s", ms / 1_000, ms % 1_000 / 100),
-        _ => format!("{} min {} s", ms / 60_000, ms % 60_000 / 1_000),
-    }
-}
-
 /// Year, month and day of the Gregorian calendar. Years are counted from 1 March, so that the
 /// leap day is the last one of its year.
 fn date(days_since_1970: u64) -> (u64, u64, u64) {
