Judge goosectl's pure parts by tables; tell an ended agent and a retired one

Cause: the first runs against a lab showed two wrong answers: drain-watch waited for ever for an agent that had ended and left the platform's list, and explain called a flow uncertain because a retired upstream, long gone, did not answer.

Change: drain-watch reads the list again after ten silent looks and then ends with exit code 1 and what was last seen; explain takes the silence of a retired upstream as no doubt, and says "does not answer" rather than "denies" of a believed holder that is silent.

Conclusion: what is left to test is asking over HTTP.

--- a/crates/goosectl/src/commands/drain_watch/look.rs
+++ b/crates/goosectl/src/commands/drain_watch/look.rs
@@ -11,6 +11,9 @@
 /// The most that an agent lists.
 const FLOWS_MAX: usize = 10_000;
 
+/// Looks at a silent agent until the platform's list is read again: each costs a read.
+const SILENT_LOOKS_PER_READ: u64 = 10;
+
 /// The agents of a service, one of which is watched.
 pub(super) struct Watched {
     agents: Fleet,
@@ -20,6 +23,8 @@
     id: String,
     /// Latest event seen of each agent, in the order of `agents`.
     seen: Vec<Option<u64>>,
+    /// Looks in a row at which the watched agent did not answer.
+    silent_looks: u64,
 }
 
 impl Watched {
@@ -51,6 +56,7 @@
         let id = UpstreamId::of(&place.account, &place.service, &place.upstream);
         Ok(Self {
             seen: vec![None; fleet.subjects.len()],
+            silent_looks: 0,
             agents: fleet,
             instance: watched.name.clone(),
             id: format!("{:016x}", id.0),
@@ -60,8 +66,18 @@
     /// Asks all agents once. Openings are those since the last look; the first look only learns
     /// from where on to count.
     pub(super) fn look(&mut self) -> Look {
-        let (openings, silent) = self.new_openings();
-        Look { flows: self.flows(), openings, silent }
+        let (openings, mut silent) = self.new_openings();
+        silent.retain(|name| *name != self.instance);
+        let flows = self.flows();
+        self.silent_looks = if flows.is_err() { self.silent_looks + 1 } else { 0 };
+        Look { is_unlisted: self.is_unlisted(), flows, openings, silent }
+    }
+
+    /// Whether the platform's list has dropped the agent, where that is worth a read.
+    fn is_unlisted(&self) -> bool {
+        let is_due =
+            self.silent_looks > 0 && self.silent_looks.is_multiple_of(SILENT_LOOKS_PER_READ);
+        is_due && self.agents.is_listed(&self.instance) == Some(false)
     }
 
     fn flows(&self) -> Result<Flows, String> {
--- a/crates/goosectl/src/commands/drain_watch/mod.rs
+++ b/crates/goosectl/src/commands/drain_watch/mod.rs
@@ -3,6 +3,8 @@
 mod arguments;
 mod look;
 mod progress;
+#[cfg(test)]
+mod tests;
 
 use std::io::Write;
 use std::thread;
@@ -16,7 +18,7 @@
 use crate::output;
 use arguments::Arguments;
 use look::Watched;
-use progress::{Look, Progress, Verdict};
+use progress::{Flows, Look, Progress, Verdict};
 
 /// Entry in the command table.
 pub(crate) const COMMAND: Command = Command {
@@ -49,8 +51,9 @@
   goosectl drain-watch shelf-1 --platform 127.1.0.1:8000 --timeout-s 600
   goosectl drain-watch cascadia/shelf/shelf-1 --settings agent.yaml --ignore-closing --json
 
-Exit codes: 0 drained, 2 wrong command line or no such upstream, 3 unreadable file, 4 the platform
-does not answer, 5 not drained in time. Ctrl-C ends it by the signal (130 in a shell).
+Exit codes: 0 drained, 1 the agent has ended before it was seen drained, 2 wrong command line or no
+such upstream, 3 unreadable file, 4 the platform does not answer, 5 not drained in time. Ctrl-C ends
+it by the signal (130 in a shell).
 ";
 
 fn run(parser: &mut lexopt::Parser, out: &mut dyn Write) -> Result<Exit, Failure> {
@@ -66,8 +69,10 @@
         let look = watched.look();
         let verdict = progress.take(&look);
         show(out, &arguments, &look, &verdict)?;
-        if verdict == Verdict::Drained {
-            return Ok(Exit::Success);
+        match verdict {
+            Verdict::Drained => return Ok(Exit::Success),
+            Verdict::Gone => return Err(gone(&arguments.upstream, progress.last_flows())),
+            Verdict::Unknown | Verdict::Holds | Verdict::NotYetQuiet => {}
         }
         if arguments.timeout.is_some_and(|timeout| started.elapsed() >= timeout) {
             let text = format!("{} is not drained in time: {verdict}", arguments.upstream);
@@ -77,6 +82,14 @@
     }
 }
 
+fn gone(upstream: &str, last: Option<Flows>) -> Failure {
+    let held = last.map_or("never heard".to_owned(), |flows| {
+        format!("last seen with {} open and {} closing flow(s)", flows.open, flows.closing)
+    });
+    let text = format!("the agent of {upstream} has ended, {held}");
+    Failure::new(codes::INSTANCE_UNREACHABLE, Exit::Findings, text)
+}
+
 /// One line for each look, written at once: somebody watches.
 fn show(
     out: &mut dyn Write,
--- a/crates/goosectl/src/commands/drain_watch/progress.rs
+++ b/crates/goosectl/src/commands/drain_watch/progress.rs
@@ -14,6 +14,8 @@
     /// Agents whose events are not known. One of them may have given the upstream an opening; it
     /// would show as admitted by the upstream's own agent.
     pub(super) silent: Vec<String>,
+    /// Whether the platform's list has dropped the agent.
+    pub(super) is_unlisted: bool,
 }
 
 /// Flows that the upstream's agent holds.
@@ -33,6 +35,8 @@
     Drained,
     /// Its agent does not answer.
     Unknown,
+    /// Its agent does not answer and is no longer listed: whether it was drained is not known.
+    Gone,
     /// It holds flows.
     Holds,
     /// It holds none, but has had an opening a moment ago.
@@ -46,20 +50,32 @@
     ignore_closing: bool,
     /// Looks in a row without an opening at which the agent answered.
     quiet_looks: u64,
+    last_flows: Option<Flows>,
 }
 
 impl Progress {
     /// No look yet. The first one counts as none: it cannot tell about openings.
     pub(super) fn new(quiet_looks_needed: u64, ignore_closing: bool) -> Self {
-        Self { quiet_looks_needed: quiet_looks_needed + 1, ignore_closing, quiet_looks: 0 }
+        Self {
+            quiet_looks_needed: quiet_looks_needed + 1,
+            ignore_closing,
+            quiet_looks: 0,
+            last_flows: None,
+        }
+    }
+
+    /// Flows at the last look at which the agent answered.
+    pub(super) fn last_flows(&self) -> Option<Flows> {
+        self.last_flows
     }
 
     /// Takes in a look.
     pub(super) fn take(&mut self, look: &Look) -> Verdict {
         let Ok(flows) = look.flows else {
             self.quiet_looks = 0;
-            return Verdict::Unknown;
+            return if look.is_unlisted { Verdict::Gone } else { Verdict::Unknown };
         };
+        self.last_flows = Some(flows);
         self.quiet_looks = if look.openings == 0 { self.quiet_looks + 1 } else { 0 };
         let closes = !self.ignore_closing && (flows.closing > 0 || !flows.is_whole);
         if flows.open > 0 || closes {
@@ -77,6 +93,7 @@
         f.write_str(match self {
             Self::Drained => "drained",
             Self::Unknown => "its agent does not answer",
+            Self::Gone => "its agent has ended",
             Self::Holds => "it holds flows",
             Self::NotYetQuiet => "it holds no flow; waiting whether it gets an opening",
         })
--- a/crates/goosectl/src/commands/explain/gather.rs
+++ b/crates/goosectl/src/commands/explain/gather.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use decision::keys::{FlowId, ServiceKey, UpstreamId};
-use decision::view::{self, AccountSpec, View};
+use decision::view::{self, AccountSpec, UpstreamState, View};
 use settings::root::Ownership;
 use settings::{Fault, account, codes};
 use shell::settings_sync::instances::{Kind, State};
@@ -32,6 +32,8 @@
     pub(super) id: UpstreamId,
     /// `None` if there is no list or the list does not name it.
     pub(super) listed: Option<State>,
+    /// Retired in the settings: it may well have ended.
+    pub(super) is_retired: bool,
     pub(super) answer: Result<Explained, Silence>,
 }
 
@@ -110,6 +112,7 @@
     let facts = |(upstream, answer): (&&view::Upstream, Answer<Explained>)| AgentFacts {
         id: upstream.id,
         listed: listed(fleet, &answer.subject),
+        is_retired: upstream.spec.state == UpstreamState::Retired,
         answer: answer.result,
     };
     upstreams.iter().zip(answers).map(facts).collect()
@@ -131,3 +134,10 @@
     let is_agent = |subject: &Subject| subject.kind() == Some(Kind::Agent);
     fleet.ask(|subject| (!is_agent(subject)).then(|| path.clone()))
 }
+
+impl AgentFacts {
+    /// Whether it does not answer although it should.
+    pub(super) fn is_missing(&self) -> bool {
+        self.answer.is_err() && !self.is_retired
+    }
+}
--- a/crates/goosectl/src/commands/explain/holder.rs
+++ b/crates/goosectl/src/commands/explain/holder.rs
@@ -28,7 +28,7 @@
         || facts.agents.iter().filter_map(|agent| Some((agent, agent.answer.as_ref().ok()?)));
     let holders: Vec<(&AgentFacts, &Explained)> =
         heard().filter(|(_, answer)| HELD.contains(&&*answer.place.state)).collect();
-    let silent = facts.agents.iter().any(|agent| agent.answer.is_err());
+    let silent = facts.agents.iter().any(AgentFacts::is_missing);
     let name = |agent: &AgentFacts| name_of_hex(facts, &format!("{:016x}", agent.id.0));
     let at_home = heard().find(|(agent, _)| Some(&*name(agent)) == home).map(|(_, answer)| answer);
     let next = next(facts, at_home, home);
@@ -58,17 +58,20 @@
 fn nobody(facts: &Facts, silent: bool) -> String {
     let answers = facts.agents.iter().filter_map(|agent| agent.answer.as_ref().ok());
     let believed = answers.filter_map(|answer| answer.place.holder.as_deref()).next();
-    match (believed, silent) {
-        (Some(holder), true) => {
-            let holder = name_of_hex(facts, holder);
-            format!("an agent believes {holder}; not certain, since some agents are silent")
-        }
-        (Some(holder), false) => {
-            format!("an agent believes {}, which denies it", name_of_hex(facts, holder))
-        }
-        (None, true) => "not certain, since some agents are silent".to_owned(),
-        (None, false) => "every agent denies it: the flow is not open".to_owned(),
-    }
+    let doubt = if silent { "; not certain, since some agents are silent" } else { "" };
+    let Some(holder) = believed else {
+        return match silent {
+            true => "no agent that answers holds it; not certain, since some are silent".to_owned(),
+            false => "every agent denies it: the flow is not open".to_owned(),
+        };
+    };
+    let is_holder = |agent: &&AgentFacts| format!("{:016x}", agent.id.0) == holder;
+    let own = facts.agents.iter().find(is_holder);
+    let denial = match own.is_some_and(|agent| agent.answer.is_ok()) {
+        true => "denies it",
+        false => "does not answer",
+    };
+    format!("an agent believes {}, which {denial}{doubt}", name_of_hex(facts, holder))
 }
 
 fn next(facts: &Facts, at_home: Option<&Explained>, home: Option<&str>) -> String {
--- a/crates/goosectl/src/commands/explain/mod.rs
+++ b/crates/goosectl/src/commands/explain/mod.rs
@@ -6,6 +6,8 @@
 mod home;
 mod report;
 mod steps;
+#[cfg(test)]
+mod tests;
 mod tuple;
 
 use std::io::Write;
--- a/crates/goosectl/src/commands/explain/steps.rs
+++ b/crates/goosectl/src/commands/explain/steps.rs
@@ -70,7 +70,7 @@
     let bucket = rank::bucket_of(facts.flow);
     let ranking = ranking(facts, key, bucket);
     let home = home::find(facts, &ranking);
-    let silent = facts.agents.iter().filter(|agent| agent.answer.is_err());
+    let silent = facts.agents.iter().filter(|agent| agent.is_missing());
     ServiceSteps {
         name: service.spec.name.to_string(),
         bucket: bucket.0,
--- a/crates/goosectl/src/commands/settings/mod.rs
+++ b/crates/goosectl/src/commands/settings/mod.rs
@@ -2,6 +2,8 @@
 
 mod lag;
 mod report;
+#[cfg(test)]
+mod tests;
 
 use std::io::Write;
 
--- a/crates/goosectl/src/commands/timeline/mod.rs
+++ b/crates/goosectl/src/commands/timeline/mod.rs
@@ -6,6 +6,8 @@
 mod merge;
 mod names;
 mod svg;
+#[cfg(test)]
+mod tests;
 mod text;
 
 use std::io::Write;
--- a/crates/goosectl/src/fleet/discover.rs
+++ b/crates/goosectl/src/fleet/discover.rs
@@ -47,6 +47,12 @@
         }
     }
 
+    /// Whether the platform's list names an instance now; `None` if the platform does not say.
+    pub(crate) fn is_listed(&self, name: &str) -> Option<bool> {
+        let list: InstanceList = ask::get(&self.client, self.platform?, "/v1/instances").ok()?;
+        Some(list.instances.iter().any(|instance| &*instance.name == name))
+    }
+
     fn add_named(&mut self, addresses: &[SocketAddr]) {
         for control in addresses {
             if self.subjects.iter().all(|known| known.control != *control) {
--- a/crates/goosectl/src/output/mod.rs
+++ b/crates/goosectl/src/output/mod.rs
@@ -1,6 +1,8 @@
 //! What all commands print with: tables for people, JSON for programs, times as text.
 
 mod table;
+#[cfg(test)]
+mod tests;
 mod time;
 
 use std::io::{self, Write};
