--- a/crates/goosectl/src/commands/settings/report.rs
+++ b/crates/goosectl/src/commands/settings/report.rs
@@ -64,7 +64,8 @@
         let mut table = Table::new(["ACCOUNT", "INSTANCE", "VERSION", "NEWEST", "STATE", "SINCE"]);
         self.rows.iter().for_each(|row| table.row(self.cells(row)));
         self.silent().for_each(|silent| {
-            table.row(["-", silent.instance, "-", "-", "silent", silent.text].map(str::to_owned));
+            table
+                .row(["-", silent.instance, "-", "-", "silent", &silent.cell()].map(str::to_owned));
         });
         write!(out, "{table}")?;
         let (lagging, silent) = (self.lagging(), self.silent().count());
@@ -122,6 +123,12 @@
     }
 }
 
+impl SilentJson<'_> {
+    fn cell(&self) -> String {
+        format!("{}: {}", self.code, self.text)
+    }
+}
+
 impl<'a> From<&'a Row> for RowJson<'a> {
     fn from(row: &'a Row) -> Self {
         Self {
