Don't call a silent balancer a contradiction, nor print a code twice

Change: agreement is judged among balancers that were heard; a silent one is listed as silent and leaves the exit code at 1.

--- a/crates/goosectl/src/commands/explain/home.rs
+++ b/crates/goosectl/src/commands/explain/home.rs
@@ -15,8 +15,8 @@
     pub(super) upstream: Option<String>,
     pub(super) reason: String,
     pub(super) balancers: Vec<BalancerChoice>,
-    /// Whether all balancers choose the same.
-    pub(super) is_agreed: bool,
+    /// Whether all balancers were heard and choose the same.
+    pub(super) is_certain: bool,
 }
 
 /// Where one balancer sends.
@@ -47,7 +47,9 @@
         })
         .collect();
     let chosen = most_frequent(&balancers);
-    let is_agreed = balancers.iter().all(|choice| Some(&choice.home) == chosen.as_ref());
+    let heard = || balancers.iter().filter(|choice| choice.version.is_some());
+    let is_agreed = heard().all(|choice| Some(&choice.home) == chosen.as_ref());
+    let is_certain = is_agreed && heard().count() == balancers.len() && chosen.is_some();
     let by_ranking = || ranking.iter().find(|rank| rank.passed_over.is_none());
     let upstream =
         chosen.clone().or_else(|| by_ranking().or(ranking.first()).map(|r| r.upstream.clone()));
@@ -57,7 +59,7 @@
     } else if !is_agreed {
         reason.push_str("; the balancers do not agree");
     }
-    Home { upstream, reason, balancers, is_agreed: is_agreed && chosen.is_some() }
+    Home { upstream, reason, is_certain, balancers }
 }
 
 fn most_frequent(choices: &[BalancerChoice]) -> Option<String> {
--- a/crates/goosectl/src/commands/explain/report.rs
+++ b/crates/goosectl/src/commands/explain/report.rs
@@ -28,10 +28,12 @@
     let (home, holder) = (&service.home, &service.holder);
     let name = |name: &Option<String>| name.clone().unwrap_or_else(|| "nobody".to_owned());
     writeln!(out, "home     {}: {}", name(&home.upstream), home.reason)?;
-    let is_noted =
-        |home: &str| !service.home.is_agreed || Some(home) != service.home.upstream.as_deref();
-    for choice in home.balancers.iter().filter(|choice| is_noted(&choice.home)) {
-        writeln!(out, "           {} sends to {}", choice.instance, choice.home)?;
+    let differs = |other: &str| home.upstream.as_deref() != Some(other);
+    for choice in home.balancers.iter().filter(|choice| differs(&choice.home)) {
+        match choice.version {
+            Some(_) => writeln!(out, "           {} sends to {}", choice.instance, choice.home)?,
+            None => writeln!(out, "           {} is silent: {}", choice.instance, choice.home)?,
+        }
     }
     let heard = home.balancers.iter().filter(|choice| choice.version.is_some()).count();
     writeln!(out, "           {heard} of {} balancer(s) were heard", home.balancers.len())?;
--- a/crates/goosectl/src/commands/explain/steps.rs
+++ b/crates/goosectl/src/commands/explain/steps.rs
@@ -53,7 +53,7 @@
     let account = facts.view.accounts().first();
     let service = facts.service.map(|key| service_steps(facts, key));
     let is_certain = service.as_ref().is_some_and(|service| {
-        service.home.is_agreed && service.holder.is_certain && service.silent.is_empty()
+        service.home.is_certain && service.holder.is_certain && service.silent.is_empty()
     });
     Explanation {
         packet: facts.tuple.to_string(),
--- a/crates/goosectl/src/fleet/discover.rs
+++ b/crates/goosectl/src/fleet/discover.rs
@@ -43,7 +43,7 @@
         let Some(platform) = self.platform else { return };
         match ask::get::<InstanceList>(&self.client, platform, "/v1/instances") {
             Ok(list) => self.subjects = list.instances.into_iter().map(Subject::from).collect(),
-            Err(silence) => self.notes.push(format!("no list from the platform: {silence}")),
+            Err(silence) => self.notes.push(format!("no list from the platform: {}", silence.text)),
         }
     }
 
