Put admissions behind the assignments that led to them

Packets passed from agent to agent carry no clock, and a home notes an assignment after it has sent the packet, so timestamps alone do not tell this order.

Change: the merge knows the pair by account, flow and nonce and holds the admitting process's events back until the assignment is out; at most 500 ms, after which it is no cause.

Conclusion: a table of nine cases covers it, among them chains, circles and late copies.

--- /dev/null
+++ b/crates/goosectl/src/commands/timeline/causes.rs
@@ -0,0 +1,106 @@
+//! Causes that travel by packet.
+//!
+//! Failure: a home assigns an opening and passes its packet on, which carries no clock, and notes
+//! the assignment after it has sent the packet. Symptom: in one lab run 6 of 1060 admissions were
+//! listed before the assignments that had led to them. The opening's flow and nonce tell the pair,
+//! so the admission is moved behind the assignment, and with it what its process did next.
+
+use std::collections::VecDeque;
+
+use crate::fleet::Event;
+
+/// An admission waits for no assignment noted later than this after it. Agents hear one another's
+/// clocks at least this often in services of up to 21; a home that assigns a copy of an opening
+/// which had been admitted long before is no cause of that.
+const CLOCK_LAG_MS: u64 = 500;
+
+/// An instance whose events wait.
+struct Parked {
+    /// Index of the event that must come first.
+    cause: usize,
+    /// Indices of the waiting events in the instance's order.
+    waiting: VecDeque<usize>,
+}
+
+/// State of one pass over the events.
+struct Pass<'a> {
+    events: &'a [Event],
+    /// By event: index of a later one that is its cause.
+    causes: Vec<Option<usize>>,
+    parked: Vec<Parked>,
+    order: Vec<usize>,
+}
+
+/// Puts each admission behind the assignment that led to it. `events` are sorted by timestamp, and
+/// the order within each process stays as it is.
+pub(super) fn apply(events: Vec<Event>) -> Vec<Event> {
+    let causes = late_causes(&events);
+    if causes.iter().all(Option::is_none) {
+        return events;
+    }
+    let mut pass = Pass { events: &events, causes, parked: Vec::new(), order: Vec::new() };
+    (0..events.len()).for_each(|index| pass.arrive(index));
+    pass.flush();
+    let order = pass.order;
+    let mut events: Vec<Option<Event>> = events.into_iter().map(Some).collect();
+    order.into_iter().filter_map(|index| events[index].take()).collect()
+}
+
+/// For each admission the index of its assignment, if that comes later in the list.
+fn late_causes(events: &[Event]) -> Vec<Option<usize>> {
+    let key = |event: &Event| (event.account.clone(), event.field("flow"), event.field("nonce"));
+    let of_kind =
+        |kind: &'static str| events.iter().enumerate().filter(move |(_, event)| event.kind == kind);
+    let mut assigned: Vec<_> =
+        of_kind("assigned").map(|(index, event)| (key(event), index)).collect();
+    assigned.sort();
+    let mut causes = vec![None; events.len()];
+    for (index, event) in of_kind("admitted") {
+        let wanted = key(event);
+        let first = assigned.partition_point(|(known, _)| *known < wanted);
+        let Some((found, cause)) = assigned.get(first) else { continue };
+        let until_ms = event.wall_ms() + CLOCK_LAG_MS;
+        let is_cause = *found == wanted
+            && *cause > index
+            && events[*cause].instance != event.instance
+            && events[*cause].wall_ms() <= until_ms;
+        causes[index] = is_cause.then_some(*cause);
+    }
+    causes
+}
+
+impl Pass<'_> {
+    /// Takes the next event of its process: out, or to wait.
+    fn arrive(&mut self, index: usize) {
+        let instance = &self.events[index].instance;
+        let own = |parked: &&mut Parked| {
+            parked.waiting.front().is_some_and(|first| self.events[*first].instance == *instance)
+        };
+        if let Some(parked) = self.parked.iter_mut().find(own) {
+            parked.waiting.push_back(index);
+            return;
+        }
+        match self.causes[index].take() {
+            Some(cause) => {
+                self.parked.push(Parked { cause, waiting: VecDeque::from([index]) });
+            }
+            None => self.emit(index),
+        }
+    }
+
+    fn emit(&mut self, index: usize) {
+        self.order.push(index);
+        while let Some(place) = self.parked.iter().position(|parked| parked.cause == index) {
+            let released = self.parked.swap_remove(place);
+            released.waiting.into_iter().for_each(|waiting| self.arrive(waiting));
+        }
+    }
+
+    /// Lets out what waits in a circle, which clocks that jump may make of two pairs.
+    fn flush(&mut self) {
+        let parked = std::mem::take(&mut self.parked);
+        let mut left: Vec<usize> = parked.into_iter().flat_map(|parked| parked.waiting).collect();
+        left.sort_unstable();
+        self.order.append(&mut left);
+    }
+}
--- a/crates/goosectl/src/commands/timeline/merge.rs
+++ b/crates/goosectl/src/commands/timeline/merge.rs
@@ -1,5 +1,6 @@
 //! One list of events out of many.
 
+use super::causes;
 use crate::fleet::Event;
 
 /// Which events are wanted.
@@ -14,14 +15,15 @@
 
 /// Merges the lists of several processes in causal order.
 ///
-/// A process gives each event a later timestamp than all events that it knew of, so sorting by
-/// timestamp puts causes before effects. Events with one timestamp are concurrent, and their order
-/// by instance is arbitrary but always the same. An event in two lists is taken once.
+/// Agents put their hybrid logical clock on the messages of their service, so sorting by timestamp
+/// puts causes before effects that came by message; [`causes::apply`] adds those that came by
+/// packet. Events with one timestamp are concurrent, and their order by instance is arbitrary but
+/// always the same. An event in two lists is taken once.
 pub(super) fn merge(lists: Vec<Vec<Event>>) -> Vec<Event> {
     let mut events: Vec<Event> = lists.into_iter().flatten().collect();
     events.sort_by(|a, b| (a.hlc, &a.instance).cmp(&(b.hlc, &b.instance)));
     events.dedup();
-    events
+    causes::apply(events)
 }
 
 /// Events after a time, in milliseconds since 1970; all if there is none.
--- a/crates/goosectl/src/commands/timeline/mod.rs
+++ b/crates/goosectl/src/commands/timeline/mod.rs
@@ -1,6 +1,7 @@
 //! `goosectl timeline`: the events of all processes in causal order.
 
 mod arguments;
+mod causes;
 mod files;
 mod html;
 mod merge;
@@ -34,9 +35,11 @@
 Usage: goosectl timeline [--flow ID] [--account NAME] [--kind KIND]... [--last SECONDS]
                          [--html FILE] [--from DIR] [OPTIONS]
 
-Merges the events of all instances. An event that caused another one comes before it, whatever the
-machines' clocks say: processes put a hybrid logical clock on their messages. Each instance keeps
-its latest events only (a balancer 4096, an agent 16384), and none of an earlier life.
+Merges the events of all instances in causal order. The agents of a service put a hybrid logical
+clock on their messages, so an effect never comes before its cause, whatever their machines' clocks
+say; an assignment comes before the admission that it led to. Between balancers, and between
+services, the order is that of the machines' clocks. Each instance keeps its latest events only (a
+balancer 4096, an agent 16384), and none of an earlier life.
 
 Options:
   --flow ID          only events of this flow (16 hexadecimal digits, see `goosectl explain`)
--- a/crates/goosectl/src/commands/timeline/tests.rs
+++ b/crates/goosectl/src/commands/timeline/tests.rs
@@ -57,6 +57,46 @@
     assert_eq!(kinds, ["assigned", "admitted", "noted"]);
 }
 
+/// An event as `instance kind nonce`, at its millisecond.
+fn brief((at_ms, text): (u64, &str)) -> Event {
+    let words: Vec<&str> = text.split(' ').collect();
+    event(at_ms << 16, words[0], words[1], json!({"flow": "01", "nonce": words[2]}))
+}
+
+#[rstest]
+#[case::in_order(&[(1, "a assigned 7"), (2, "b admitted 7")], &["a assigned 7", "b admitted 7"])]
+#[case::assignment_noted_late(
+    &[(1, "b admitted 7"), (2, "a assigned 7")], &["a assigned 7", "b admitted 7"]
+)]
+#[case::own_events_follow(
+    &[(1, "b admitted 7"), (2, "b ended 0"), (3, "c ended 0"), (4, "a assigned 7"), (5, "b ended 1")],
+    &["c ended 0", "a assigned 7", "b admitted 7", "b ended 0", "b ended 1"]
+)]
+#[case::other_opening(
+    &[(1, "b admitted 7"), (2, "a assigned 8")], &["b admitted 7", "a assigned 8"]
+)]
+#[case::same_process(&[(1, "a admitted 7"), (2, "a assigned 7")], &["a admitted 7", "a assigned 7"])]
+#[case::copy_much_later(
+    &[(1, "b admitted 7"), (502, "a assigned 7")], &["b admitted 7", "a assigned 7"]
+)]
+#[case::first_assignment_counts(
+    &[(1, "a assigned 7"), (2, "b admitted 7"), (3, "c assigned 7")],
+    &["a assigned 7", "b admitted 7", "c assigned 7"]
+)]
+#[case::chain(
+    &[(1, "c admitted 8"), (2, "b admitted 7"), (3, "b assigned 8"), (4, "a assigned 7")],
+    &["a assigned 7", "b admitted 7", "b assigned 8", "c admitted 8"]
+)]
+#[case::circle(
+    &[(1, "a admitted 7"), (2, "b admitted 8"), (3, "b assigned 7"), (4, "a assigned 8")],
+    &["a admitted 7", "b admitted 8", "b assigned 7", "a assigned 8"]
+)]
+fn merge_by_opening(#[case] list: &[(u64, &str)], #[case] expected: &[&str]) {
+    let merged = merge::merge(vec![list.iter().copied().map(brief).collect()]);
+    let show = |e: &Event| format!("{} {} {}", e.instance, e.kind, e.field("nonce"));
+    assert_eq!(merged.iter().map(show).collect::<Vec<_>>(), expected);
+}
+
 fn filter(flow: &str, account: &str, kinds: &[&str]) -> Filter {
     let text = |text: &str| (!text.is_empty()).then(|| text.to_owned());
     let kinds = kinds.iter().map(|kind| (*kind).to_owned()).collect();
