--- a/crates/goosectl/src/commands/drain_watch/look.rs
+++ b/crates/goosectl/src/commands/drain_watch/look.rs
@@ -101,19 +101,23 @@
         };
         let path = |subject: &Subject| Some(format!("/timeline?after={}", after(subject)));
         let answers = self.agents.ask::<Vec<Event>>(path);
-        let (mut openings, mut silent) = (0, Vec::new());
+        let (mut openings, mut silent) = (Vec::new(), Vec::new());
         for (index, answer) in answers.into_iter().enumerate() {
             let Ok(events) = answer.result else {
                 silent.push(answer.subject.name);
                 continue;
             };
             if seen[index].is_some() {
-                openings += events.iter().filter(|event| self.is_opening(event)).count();
+                let given = events.iter().filter(|event| self.is_opening(event));
+                openings.extend(given.map(|event| (event.field("flow"), event.field("nonce"))));
             }
             let last = events.last().map(|event| event.hlc).or(seen[index]);
             self.seen[index] = Some(last.unwrap_or(0));
         }
-        (openings, silent)
+        // An opening that was assigned shows at its home and at the upstream's own agent.
+        openings.sort_unstable();
+        openings.dedup();
+        (openings.len(), silent)
     }
 
     fn is_opening(&self, event: &Event) -> bool {
