--- a/crates/goosectl/src/commands/explain/holder.rs
+++ b/crates/goosectl/src/commands/explain/holder.rs
@@ -84,7 +84,9 @@
             let evidence = answer.place.evidence.as_deref().unwrap_or("unknown");
             format!("{home} passes it to {} ({evidence})", name_of_hex(facts, holder))
         }
-        ("unknown", _) => format!("{home} admits an opening, and asks its peers about the rest"),
+        ("unknown", _) => {
+            format!("{home} decides about an opening, and asks its peers about the rest")
+        }
         _ => format!("{home} delivers it to its own upstream"),
     }
 }
--- a/crates/goosectl/src/commands/explain/tests.rs
+++ b/crates/goosectl/src/commands/explain/tests.rs
@@ -139,12 +139,12 @@
 #[rstest]
 #[case::at_home([Unknown, Holds, Unknown], Some("shelf-2"), "its agent says so", "shelf-2 delivers it to its own upstream", true)]
 #[case::elsewhere([Unknown, At(3), Holds], Some("shelf-3"), "its agent says so", "shelf-2 passes it to shelf-3 (announced)", true)]
-#[case::home_must_ask([Unknown, Unknown, Holds], Some("shelf-3"), "its agent says so", "shelf-2 admits an opening, and asks its peers about the rest", true)]
-#[case::nobody([Unknown; 3], None, "every agent denies it: the flow is not open", "shelf-2 admits an opening, and asks its peers about the rest", true)]
-#[case::silence_is_no_denial([Unknown, Unknown, Silent], None, "no agent that answers holds it; not certain, since some are silent", "shelf-2 admits an opening, and asks its peers about the rest", false)]
+#[case::home_must_ask([Unknown, Unknown, Holds], Some("shelf-3"), "its agent says so", "shelf-2 decides about an opening, and asks its peers about the rest", true)]
+#[case::nobody([Unknown; 3], None, "every agent denies it: the flow is not open", "shelf-2 decides about an opening, and asks its peers about the rest", true)]
+#[case::silence_is_no_denial([Unknown, Unknown, Silent], None, "no agent that answers holds it; not certain, since some are silent", "shelf-2 decides about an opening, and asks its peers about the rest", false)]
 #[case::holder_silent([Unknown, At(3), Silent], None, "an agent believes shelf-3, which does not answer; not certain, since some agents are silent", "shelf-2 passes it to shelf-3 (announced)", false)]
 #[case::redirect_is_old([Unknown, At(3), Unknown], None, "an agent believes shelf-3, which denies it", "shelf-2 passes it to shelf-3 (announced)", true)]
-#[case::two_holders([Holds, Unknown, Holds], None, "claimed by several: shelf-1, shelf-3", "shelf-2 admits an opening, and asks its peers about the rest", false)]
+#[case::two_holders([Holds, Unknown, Holds], None, "claimed by several: shelf-1, shelf-3", "shelf-2 decides about an opening, and asks its peers about the rest", false)]
 #[case::home_silent([Holds, Silent, Unknown], Some("shelf-1"), "its agent says so", "shelf-2 was not heard", false)]
 fn holder(
     #[case] says: [Says; 3],
