--- a/crates/agent/src/plane/tests.rs
+++ b/crates/agent/src/plane/tests.rs
@@ -9,7 +9,7 @@
 
 use decision::agent::{Agent, AgentConfig, Event, FlowState, Passed, Whereabouts};
 use decision::keys::{AccountId, FlowId, Incarnation, ServiceId, UpstreamId, Version};
-use decision::message::{Claim, ClaimAnswer, Heartbeat, Knowledge, Message};
+use decision::message::{Claim, ClaimAnswer, Heartbeat, Knowledge, Memory, Message};
 use decision::rank;
 use decision::view::WhenInDoubt;
 use etherparse::PacketBuilder;
@@ -274,7 +274,8 @@
 }
 
 /// The opening of a service that runs each at most once is held until the other agent, half of the
-/// witnesses, has recorded it. Only then does the upstream see it.
+/// witnesses, has recorded it. Only then does the upstream see it. The agent itself votes only once
+/// the other one has told it what an earlier life may have promised.
 #[test]
 fn held_opening_is_delivered_once_granted() {
     let bench = bench(WhenInDoubt::Refuse, true);
@@ -288,6 +289,18 @@
         ramp_percent: 100,
         leaving: false,
     }));
+    let recalled = bench.message_to_peer(|message| match message {
+        Message::Recall { incarnation, from } => Some(Message::RecallReply {
+            incarnation,
+            from,
+            records: Vec::new(),
+            next: None,
+            memory: Memory::Complete,
+            met_before: true,
+        }),
+        _ => None,
+    });
+    bench.send_message(recalled);
     bench.send_packet(flow_of("own"), &tcp("S"));
     let reply = bench.message_to_peer(|message| match message {
         Message::ClaimRequest { opening, claim, view, incarnation } => {
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -245,11 +245,11 @@
                 from: first,
                 records,
                 next,
-                standing,
+                memory,
                 met_before,
             } => {
                 let page =
-                    recall::Page { incarnation, from: first, records, next, standing, met_before };
+                    recall::Page { incarnation, from: first, records, next, memory, met_before };
                 self.records_received(now, from, page, out);
             }
             Message::Heartbeat(heartbeat) => self.heartbeat_received(now, from, heartbeat, out),
--- a/crates/decision/src/agent/recall.rs
+++ b/crates/decision/src/agent/recall.rs
@@ -15,7 +15,7 @@
 use super::sorted::Sorted;
 use super::{Action, Agent, limits};
 use crate::keys::{Incarnation, UpstreamId};
-use crate::message::{ClaimRecord, Message, Opening, Standing};
+use crate::message::{ClaimRecord, Memory, Message, Opening};
 use crate::time::Millis;
 use crate::view::WhenInDoubt;
 
@@ -51,7 +51,7 @@
     pub(super) from: u64,
     pub(super) records: Vec<ClaimRecord>,
     pub(super) next: Option<u64>,
-    pub(super) standing: Standing,
+    pub(super) memory: Memory,
     pub(super) met_before: bool,
 }
 
@@ -79,11 +79,11 @@
         !self.config.may_have_past && self.recall.listed_new
     }
 
-    fn standing(&self, now: Millis) -> Standing {
+    fn memory(&self, now: Millis) -> Memory {
         match self.abstains(now) || !self.recall.disputed.is_empty() {
-            false => Standing::Complete,
-            true if self.is_newborn() && self.recall.disputed.is_empty() => Standing::Newborn,
-            true => Standing::Forgetful,
+            false => Memory::Complete,
+            true if self.is_newborn() && self.recall.disputed.is_empty() => Memory::Newborn,
+            true => Memory::Forgetful,
         }
     }
 
@@ -121,10 +121,10 @@
             return;
         }
         let (records, next) = self.claims.page(now, first, limits::RECORDS_PER_PAGE);
-        let standing = self.standing(now);
+        let memory = self.memory(now);
         let met_before = self.peers.get(from).is_some_and(|peer| peer.met_before);
         let message =
-            Message::RecallReply { incarnation, from: first, records, next, standing, met_before };
+            Message::RecallReply { incarnation, from: first, records, next, memory, met_before };
         out.push(Action::Send { to: from, message });
     }
 
@@ -143,8 +143,8 @@
             return;
         }
         cursor.met_before |= page.met_before;
-        cursor.newborn = page.standing == Standing::Newborn;
-        if page.standing != Standing::Complete {
+        cursor.newborn = page.memory == Memory::Newborn;
+        if page.memory != Memory::Complete {
             // Asked again from the start after the retry time: it may know more by then.
             cursor.from = 0;
             self.check_recall();
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -60,7 +60,7 @@
 
 /// What a witness knows of the promises that it may have made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
+pub enum Memory {
     /// All of them.
     Complete,
     /// It believes that it never made any: its upstream has just begun, and so has its listing.
@@ -203,7 +203,7 @@
         /// Where the next page begins; `None` after the last.
         next: Option<u64>,
         /// What the sender knows of its own promises.
-        standing: Standing,
+        memory: Memory,
         /// Whether the sender has met an earlier life of the asker.
         met_before: bool,
     },
--- a/crates/wire/src/control/dto.rs
+++ b/crates/wire/src/control/dto.rs
@@ -2,7 +2,7 @@
 
 use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
 use decision::message::{
-    Claim, ClaimAnswer, ClaimRecord, FlowNote, Heartbeat, Knowledge, Message, Opening, Standing,
+    Claim, ClaimAnswer, ClaimRecord, FlowNote, Heartbeat, Knowledge, Memory, Message, Opening,
 };
 use serde::{Deserialize, Deserializer, Serialize};
 
@@ -35,7 +35,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-enum StandingDto {
+enum MemoryDto {
     Complete,
     Newborn,
     Forgetful,
@@ -120,7 +120,7 @@
         #[serde(deserialize_with = "records")]
         records: Vec<RecordDto>,
         next: Option<u64>,
-        standing: StandingDto,
+        memory: MemoryDto,
         met_before: bool,
     },
     Heartbeat(HeartbeatDto),
@@ -161,22 +161,22 @@
     }
 }
 
-impl From<Standing> for StandingDto {
-    fn from(standing: Standing) -> Self {
-        match standing {
-            Standing::Complete => Self::Complete,
-            Standing::Newborn => Self::Newborn,
-            Standing::Forgetful => Self::Forgetful,
+impl From<Memory> for MemoryDto {
+    fn from(memory: Memory) -> Self {
+        match memory {
+            Memory::Complete => Self::Complete,
+            Memory::Newborn => Self::Newborn,
+            Memory::Forgetful => Self::Forgetful,
         }
     }
 }
 
-impl From<StandingDto> for Standing {
-    fn from(standing: StandingDto) -> Self {
-        match standing {
-            StandingDto::Complete => Self::Complete,
-            StandingDto::Newborn => Self::Newborn,
-            StandingDto::Forgetful => Self::Forgetful,
+impl From<MemoryDto> for Memory {
+    fn from(memory: MemoryDto) -> Self {
+        match memory {
+            MemoryDto::Complete => Self::Complete,
+            MemoryDto::Newborn => Self::Newborn,
+            MemoryDto::Forgetful => Self::Forgetful,
         }
     }
 }
@@ -343,13 +343,13 @@
             Message::Recall { incarnation, from } => {
                 Body::Recall { incarnation: incarnation.0, from: *from }
             }
-            Message::RecallReply { incarnation, from, records, next, standing, met_before } => {
+            Message::RecallReply { incarnation, from, records, next, memory, met_before } => {
                 Body::RecallReply {
                     incarnation: incarnation.0,
                     from: *from,
                     records: records.iter().map(|record| (*record).into()).collect(),
                     next: *next,
-                    standing: (*standing).into(),
+                    memory: (*memory).into(),
                     met_before: *met_before,
                 }
             }
@@ -404,13 +404,13 @@
             Body::Recall { incarnation, from } => {
                 Self::Recall { incarnation: Incarnation(incarnation), from }
             }
-            Body::RecallReply { incarnation, from, records, next, standing, met_before } => {
+            Body::RecallReply { incarnation, from, records, next, memory, met_before } => {
                 Self::RecallReply {
                     incarnation: Incarnation(incarnation),
                     from,
                     records: records.into_iter().map(ClaimRecord::from).collect(),
                     next,
-                    standing: standing.into(),
+                    memory: memory.into(),
                     met_before,
                 }
             }
--- a/crates/wire/tests/control.rs
+++ b/crates/wire/tests/control.rs
@@ -4,7 +4,7 @@
 
 use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
 use decision::message::{
-    Claim, ClaimAnswer, ClaimRecord, FlowNote, Heartbeat, Knowledge, Message, Opening, Standing,
+    Claim, ClaimAnswer, ClaimRecord, FlowNote, Heartbeat, Knowledge, Memory, Message, Opening,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -60,7 +60,7 @@
     from: 9,
     records: vec![ClaimRecord { opening: OPENING, claim: Claim::Refuse, incarnation: LIFE }],
     next: Some(37),
-    standing: Standing::Newborn,
+    memory: Memory::Newborn,
     met_before: true,
 })]
 #[case::granted(claim_reply(ClaimAnswer::Granted))]
@@ -94,7 +94,7 @@
         from: u64::MAX,
         records: vec![record; count],
         next: Some(u64::MAX),
-        standing: Standing::Forgetful,
+        memory: Memory::Forgetful,
         met_before: true,
     }
 }
