Believe a closing flow only while the caller's ports rest

Agents that all restarted at once became sure after 30 minutes although nobody could tell them what they held.

Change: closing entries are believed for 30 s after the last packet and only where the home sent it, otherwise all peers are asked; a SYN that was reset before any other packet may be delivered again; an agent whose peers cannot tell stays unsure for as long as feeds may be idle.

--- a/crates/decision/src/agent/flows.rs
+++ b/crates/decision/src/agent/flows.rs
@@ -98,14 +98,15 @@
         None
     }
 
-    /// The fast path: marks a packet of a known flow, false if the flow is not known for certain.
-    pub(super) fn touch(&mut self, now: Millis, id: FlowId) -> bool {
+    /// The fast path: marks a packet of a flow that is certainly open; false for all others.
+    /// A reset is no `progress`: a caller sends it when its opening was not understood, too.
+    pub(super) fn touch(&mut self, now: Millis, id: FlowId, progress: bool) -> bool {
         let Some(flow) = self.flows.get_mut(&id) else { return false };
-        if flow.hearsay {
+        if !flow.is_certainly_open() {
             return false;
         }
         flow.last_seen = now;
-        if !flow.answered {
+        if progress && !flow.answered {
             flow.answered = true;
             self.last_progress = now;
             self.unanswered -= usize::from(flow.state == FlowState::Open && flow.nonce.is_some());
@@ -157,10 +158,12 @@
         }
     }
 
-    /// Nobody else holds the flow: hearsay becomes certainty. False if the flow is unknown.
-    pub(super) fn make_certain(&mut self, id: FlowId) -> bool {
+    /// Marks a packet of a flow that nobody else holds: hearsay becomes certainty. False if the
+    /// flow is unknown.
+    pub(super) fn make_certain(&mut self, now: Millis, id: FlowId) -> bool {
         let Some(flow) = self.flows.get_mut(&id) else { return false };
         flow.hearsay = false;
+        flow.last_seen = now;
         true
     }
 
@@ -175,7 +178,6 @@
         self.unanswered -= usize::from(flow.is_unanswered() && flow.nonce.is_some());
         self.open -= usize::from(was_open);
         flow.state = state;
-        flow.answered = true;
         self.closing.push_back((now, id));
         was_open
     }
--- a/crates/decision/src/agent/limits.rs
+++ b/crates/decision/src/agent/limits.rs
@@ -93,8 +93,9 @@
 /// announced when it died. Callers of such flows have sent again several times by then.
 pub const DOUBT_MS: u64 = 60_000;
 
-/// Longest time for which a restarted agent stays unsure because peers never answer.
-pub const UNSURE_MAX_MS: u64 = 1_800_000;
+/// Longest time for which a restarted agent stays unsure because its peers cannot tell: feeds that
+/// it held may be idle for as long.
+pub const UNSURE_MAX_MS: u64 = IDLE_MS;
 
 /// How long a retired, silent peer must still be heard out about unknown flows.
 pub const RETIRED_SILENT_MS: u64 = 60_000;
@@ -116,6 +117,10 @@
 /// starts this time anew.
 pub const FINISH_LINGER_MS: u64 = 600_000;
 
+/// How long after its last packet a closing flow is believed without asking. A caller's ports
+/// rest for 60 s after its FIN.
+pub const CLOSING_CERTAIN_MS: u64 = 30_000;
+
 /// After the caller's RST only stray packets follow.
 pub const RESET_LINGER_MS: u64 = 60_000;
 
--- a/crates/decision/src/agent/lookup.rs
+++ b/crates/decision/src/agent/lookup.rs
@@ -88,11 +88,10 @@
 
     /// Too many lookups: hearsay has to do.
     fn without_lookup(&mut self, now: Millis, packet: &Packet, out: &mut Vec<Action>) -> Verdict {
-        if !self.flows.make_certain(packet.flow) {
-            return Verdict::Drop(Reason::Overload);
+        match self.deliver_certain(now, packet.flow, packet.kind, out) {
+            true => Verdict::Deliver,
+            false => Verdict::Drop(Reason::Overload),
         }
-        self.deliver_known(now, packet.flow, packet.kind, out);
-        Verdict::Deliver
     }
 
     /// Answers a peer's question about a flow.
@@ -217,6 +216,9 @@
     }
 
     fn finding(&self, now: Millis, flow: FlowId, lookup: &Lookup, over: bool) -> Option<Finding> {
+        if self.flows.get(flow).is_some_and(|known| known.is_certainly_open()) {
+            return Some(Finding::OnlyMe);
+        }
         if let Some(holder) = lookup.holder() {
             return Some(Finding::Holder(holder));
         }
@@ -277,15 +279,12 @@
         out: &mut Vec<Action>,
     ) -> Verdict {
         let Packet { flow, kind, hops, .. } = *packet;
-        if self.deliver_known(now, flow, kind, out) {
-            return Verdict::Deliver;
-        }
         match finding {
             Finding::Holder(holder) => self.forward(hops, holder, Passed::Redirected),
             Finding::Only(peer) => self.forward(hops, peer, Passed::Adopt),
             Finding::OnlyMe => {
                 self.adopt(now, flow, out);
-                self.deliver_known(now, flow, kind, out);
+                self.deliver_certain(now, flow, kind, out);
                 Verdict::Deliver
             }
             // A reset is never answered with a reset.
--- a/crates/decision/src/agent/once.rs
+++ b/crates/decision/src/agent/once.rs
@@ -30,7 +30,7 @@
         }
         let held = self.flows.get(opening.flow).copied();
         if held.is_some_and(|flow| flow.nonce == Some(opening.nonce)) {
-            return self.copy_of_run(now, opening);
+            return self.copy_of_run(now, opening, out);
         }
         let me = self.config.upstream;
         // A datagram on an open flow is new work, which a draining upstream does not get. Of a SYN
@@ -88,7 +88,7 @@
                 self.admit(now, opening, out)
             }
             (Stage::Decided, Claim::Refuse) => Verdict::Refuse(Reason::Tombstone),
-            (Stage::Decided, Claim::Run(_)) => self.copy_of_run(now, opening),
+            (Stage::Decided, Claim::Run(_)) => self.copy_of_run(now, opening, out),
             (Stage::Pending | Stage::Undecided, claim) => {
                 self.claim_once(now, packet.hops, opening, claim, out)
             }
@@ -111,10 +111,13 @@
 
     /// A copy of an opening that has run here. At the same upstream, TCP recognises a SYN while
     /// the connection exists, and the caller may need the answer to it once more.
-    fn copy_of_run(&mut self, now: Millis, opening: Opening) -> Verdict {
+    fn copy_of_run(&mut self, now: Millis, opening: Opening, out: &mut Vec<Action>) -> Verdict {
         if mutated!(self, DuplicateDelivered) {
             return Verdict::Deliver;
         }
+        if self.was_not_understood(opening) {
+            return self.admit(now, opening, out);
+        }
         let open = self
             .flows
             .get(opening.flow)
@@ -126,6 +129,18 @@
         Verdict::Deliver
     }
 
+    /// A SYN on the ports of an older connection that its upstream still has: the upstream answers
+    /// for the older one, the caller resets that and sends the same SYN again. It has not run.
+    fn was_not_understood(&self, opening: Opening) -> bool {
+        let flow = self.flows.get(opening.flow);
+        !self.settings.datagrams
+            && flow.is_some_and(|flow| {
+                flow.nonce == Some(opening.nonce)
+                    && flow.state == FlowState::Reset
+                    && !flow.answered
+            })
+    }
+
     /// Claims the opening for this agent, or its refusal, from all witnesses.
     pub(super) fn claim_once(
         &mut self,
--- a/crates/decision/src/agent/packet.rs
+++ b/crates/decision/src/agent/packet.rs
@@ -1,10 +1,11 @@
 //! Packets: the fast path of known flows, and the ways of all others.
 
-use super::flows::FlowState;
+use super::flows::{Flow, FlowState};
 use super::mutant::mutated;
 use super::{Action, Agent, Note, Packet, PacketKind, Passed, Reason, Verdict, limits};
 use crate::keys::{FlowId, UpstreamId};
 use crate::message::Opening;
+use crate::rank;
 use crate::time::Millis;
 use crate::view::WhenInDoubt;
 
@@ -24,23 +25,44 @@
         }
     }
 
-    /// Marks a packet of a flow in the table; false if the flow is unknown.
-    pub(super) fn deliver_known(
+    /// Marks a packet of a flow that is certainly open; false for any other.
+    fn deliver_known(
         &mut self,
         now: Millis,
         flow: FlowId,
         kind: PacketKind,
         out: &mut Vec<Action>,
     ) -> bool {
-        if !self.flows.touch(now, flow) {
+        if !self.flows.touch(now, flow, kind != PacketKind::Reset) {
             return false;
         }
+        self.follow_kind(now, flow, kind, out);
+        true
+    }
+
+    /// Marks a packet of a flow that nobody else can hold; false if it is not in the table.
+    pub(super) fn deliver_certain(
+        &mut self,
+        now: Millis,
+        flow: FlowId,
+        kind: PacketKind,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        if !self.flows.make_certain(now, flow) {
+            return false;
+        }
+        if !self.deliver_known(now, flow, kind, out) {
+            self.follow_kind(now, flow, kind, out);
+        }
+        true
+    }
+
+    fn follow_kind(&mut self, now: Millis, flow: FlowId, kind: PacketKind, out: &mut Vec<Action>) {
         match kind {
             PacketKind::Finish => self.close_flow(now, flow, FlowState::Finishing, out),
             PacketKind::Reset => self.close_flow(now, flow, FlowState::Reset, out),
             PacketKind::Opening { .. } | PacketKind::Middle => {}
         }
-        true
     }
 
     /// Passes a packet on, unless it has been passed on too often.
@@ -103,8 +125,8 @@
         if packet.passed == Passed::Adopt {
             return self.adopt_if_unsure(now, packet, out);
         }
-        if self.flows.get(packet.flow).is_some() {
-            return self.look_up(now, packet, out);
+        if let Some(flow) = self.flows.get(packet.flow).copied() {
+            return self.uncertain(now, packet, flow, out);
         }
         let redirect = self.redirects.get(now, packet.flow).map(|redirect| redirect.holder);
         let holder = redirect.filter(|holder| self.may_hold_flows(now, *holder));
@@ -115,6 +137,29 @@
         self.look_up(now, packet, out)
     }
 
+    /// A packet of a flow that is closing here, or known from hearsay.
+    ///
+    /// Failure: the caller uses the ports of the closing flow again, and packets of the new flow
+    /// reach the agent of the old one. Symptom: the old upstream resets the new flow. A closing
+    /// flow is therefore believed only for as long as the caller's ports rest, and only where
+    /// the home has sent the packet or is this agent; otherwise all others are asked first.
+    fn uncertain(
+        &mut self,
+        now: Millis,
+        packet: &Packet,
+        flow: Flow,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let is_home = self.home(rank::bucket_of(packet.flow)) == Some(self.config.upstream);
+        let from_home = is_home || packet.passed != Passed::Fresh;
+        let rests = now.since(flow.last_seen) < limits::CLOSING_CERTAIN_MS;
+        if flow.hearsay || !from_home || !rests {
+            return self.look_up(now, packet, out);
+        }
+        self.deliver_certain(now, packet.flow, packet.kind, out);
+        Verdict::Deliver
+    }
+
     /// Whether a peer may be alive and hold flows; a redirect to another one leads nowhere.
     fn may_hold_flows(&self, now: Millis, id: UpstreamId) -> bool {
         self.peers.get(id).is_some_and(|peer| peer.may_hold_flows(now))
@@ -126,14 +171,14 @@
             return Verdict::Drop(Reason::HolderSilent);
         }
         self.adopt(now, packet.flow, out);
-        self.deliver_known(now, packet.flow, packet.kind, out);
+        self.deliver_certain(now, packet.flow, packet.kind, out);
         Verdict::Deliver
     }
 
     /// Takes over a flow that only this agent's earlier life can have held. If it did not, the
     /// upstream itself answers with a reset, and nobody else is harmed.
     pub(super) fn adopt(&mut self, now: Millis, flow: FlowId, out: &mut Vec<Action>) {
-        if self.flows.make_certain(flow) {
+        if self.flows.make_certain(now, flow) {
             return;
         }
         // Unless more packets follow, it was a stray one, and is soon forgotten.
