--- /dev/null
+++ b/crates/agent/src/plane/mod.rs
@@ -0,0 +1,275 @@
+//! The data thread: it alone owns the decision core, so that no lock stands on the packet path.
+
+mod carry;
+mod leave;
+mod notes;
+mod requests;
+#[cfg(test)]
+mod tests;
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc;
+use std::time::Duration;
+
+use decision::agent::{Action, Agent, Event, Packet, Passed, TICK_MS, Verdict};
+use decision::keys::{ServiceKey, UpstreamId, Version};
+use decision::time::Millis;
+use decision::view::{View, WhenInDoubt};
+use settings::{Code, codes};
+use shell::boottime;
+use shell::settings_sync::Store;
+use shell::udp::{self, PayloadRef, Sender, SourceReceiver};
+use telemetry::clock::Timestamp;
+use telemetry::timeline::Timeline;
+use wire::gue::{self, Content};
+use wire::sealed::{AccountKeyring, SEALED_BYTES};
+
+use crate::counters::{Count, Counters, Counts};
+use crate::gate::{self, Admitted, Identity};
+use crate::hold::{Held, HoldTable};
+
+pub(crate) use carry::Addresses;
+pub(crate) use requests::{FlowEntry, FlowList, Request, Wanted};
+
+/// Longest wait for a datagram. Half a tick, so that ticks are never late by more than that.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(TICK_MS / 2);
+
+/// What the data thread is given.
+pub(crate) struct PlaneConfig {
+    pub(crate) socket: UdpSocket,
+    pub(crate) addresses: Addresses,
+    pub(crate) identity: Identity,
+    pub(crate) upstream: UpstreamId,
+    pub(crate) account: Arc<str>,
+    pub(crate) keyring: AccountKeyring,
+    pub(crate) store: Arc<Store>,
+    pub(crate) timeline: Arc<Timeline>,
+    pub(crate) counters: Counters,
+    /// Asks another thread to fetch at least this version of the account.
+    pub(crate) fetch: mpsc::Sender<Version>,
+    /// Raised once a leaving agent's peers have acknowledged all that it knows, no balancer sends
+    /// to it any more and no packet waits here for a verdict.
+    pub(crate) handed_over: Arc<AtomicBool>,
+    pub(crate) end: Arc<AtomicBool>,
+}
+
+/// The data thread's state.
+pub(crate) struct Plane {
+    config: PlaneConfig,
+    agent: Agent,
+    view: Arc<View>,
+    own: Own,
+    generation: u64,
+    requests: mpsc::Receiver<Request>,
+    leave: leave::Leaving,
+    held: HoldTable,
+    actions: Vec<Action>,
+    counts: Counts,
+    scratch: Vec<u8>,
+    body: Vec<u8>,
+    last_tick: Millis,
+}
+
+/// What the view says about this agent's service, looked up once for each view.
+struct Own {
+    service: Option<ServiceKey>,
+    version: Version,
+    datagram_nonce: fn(&[u8]) -> u32,
+}
+
+/// Binds the data socket; unlike a balancer's it is not shared.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
+    udp::bind(address, false, RECEIVE_TIMEOUT)
+}
+
+impl Plane {
+    pub(crate) fn new(
+        config: PlaneConfig,
+        agent: Agent,
+        view: Arc<View>,
+        generation: u64,
+        requests: mpsc::Receiver<Request>,
+    ) -> Self {
+        Self {
+            own: Own::of(&view, &config.identity),
+            config,
+            agent,
+            view,
+            generation,
+            requests,
+            leave: leave::Leaving::default(),
+            held: HoldTable::default(),
+            actions: Vec::new(),
+            counts: Counts::default(),
+            scratch: Vec::new(),
+            body: Vec::new(),
+            last_tick: Millis(0),
+        }
+    }
+
+    /// Serves until told to end.
+    pub(crate) fn run(mut self) {
+        let mut receiver = SourceReceiver::default();
+        let mut sender = Sender::default();
+        while !self.config.end.load(Ordering::Relaxed) {
+            if let Err(error) = receiver.receive(&self.config.socket) {
+                log::error!("receive failed: {error}");
+                std::thread::sleep(RECEIVE_TIMEOUT);
+            }
+            let now = boottime::now();
+            self.take_settings(now);
+            self.take_requests(now);
+            let mut fresh = None;
+            for (slot, datagram) in receiver.datagrams().enumerate() {
+                self.counts.add(Count::Received, 1);
+                if self.datagram(now, slot, datagram, &mut sender) == Some(Passed::Fresh) {
+                    fresh = fresh.or(Some(slot));
+                }
+                self.run_actions();
+            }
+            // One balancer a batch is enough to know them all after a while.
+            if let Some(slot) = fresh {
+                self.leave.heard(now, receiver.source(slot));
+            }
+            let failed = sender.flush(&self.config.socket, &receiver);
+            (0..failed).for_each(|_| self.counts.coded(codes::SEND_FAILED));
+            self.tick(now);
+            self.config.counters.add(&mut self.counts);
+        }
+    }
+
+    fn take_settings(&mut self, now: Millis) {
+        let generation = self.config.store.generation();
+        if generation == self.generation {
+            return;
+        }
+        self.generation = generation;
+        self.view = self.config.store.view();
+        self.own = Own::of(&self.view, &self.config.identity);
+        self.agent.handle(now, Event::View(self.view.clone()), &mut self.actions);
+        self.run_actions();
+    }
+
+    fn tick(&mut self, now: Millis) {
+        if now.since(self.last_tick) < TICK_MS {
+            return;
+        }
+        self.last_tick = now;
+        self.agent.handle(now, Event::Tick, &mut self.actions);
+        self.run_actions();
+        self.config.counters.show(&self.agent.stats(now));
+        self.tell_balancers(now);
+        let idle = self.leave.is_quiet(now) && self.held.is_empty();
+        if idle && self.agent.is_handed_over() {
+            self.config.handed_over.store(true, Ordering::Release);
+        }
+    }
+
+    /// Handles one datagram; returns how it was passed if it carried a packet.
+    fn datagram(
+        &mut self,
+        now: Millis,
+        slot: usize,
+        datagram: &[u8],
+        sender: &mut Sender,
+    ) -> Option<Passed> {
+        let config = &self.config;
+        match gate::check(&config.identity, &config.keyring, &self.view, datagram) {
+            Err(code) => {
+                self.counts.coded(code);
+                None
+            }
+            Ok(Admitted::Message { header, envelope }) => {
+                self.counts.add(Count::MessagesReceived, 1);
+                self.config.timeline.clock().observe(Timestamp(envelope.clock));
+                let from = UpstreamId(header.sender.0);
+                let event = Event::Message { from, message: envelope.message };
+                self.agent.handle(now, event, &mut self.actions);
+                None
+            }
+            Ok(Admitted::Settings(version)) => {
+                if version > self.own.version {
+                    // The fetching thread lives as long as the process.
+                    let _ = self.config.fetch.send(version);
+                }
+                None
+            }
+            Ok(Admitted::Packet { content, header, inner, bytes }) => {
+                let packet = Packet {
+                    service: header.service,
+                    flow: header.flow,
+                    kind: inner.kind(self.own.datagram_nonce),
+                    view: header.version,
+                    hops: header.hops,
+                    passed: header.passed,
+                };
+                match self.agent.packet(now, &packet, &mut self.actions) {
+                    Verdict::Deliver => self.queue_delivery(content, slot, sender),
+                    verdict => self.carry_out(verdict, content, &header, bytes),
+                }
+                Some(header.passed)
+            }
+        }
+    }
+
+    /// Delivers a packet of the present batch, which stays where it was received.
+    fn queue_delivery(&mut self, content: Content, slot: usize, sender: &mut Sender) {
+        sender.next_prefix().start_plain(content);
+        let payload = PayloadRef { slot, start: gue::HEADER_BYTES + SEALED_BYTES };
+        sender.queue_next(payload, self.config.addresses.upstream);
+        self.counts.add(Count::Delivered, 1);
+    }
+
+    /// Does what the core asked for. Actions may lead to no further ones.
+    fn run_actions(&mut self) {
+        if self.actions.is_empty() {
+            return;
+        }
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send_message(to, message),
+            Action::Resolve { hold, verdict } => {
+                if let Some(Held { content, header, bytes }) = self.held.take(hold) {
+                    self.carry_out(verdict, content, &header, &bytes);
+                }
+            }
+            Action::FetchSettings { at_least } => {
+                // The fetching thread lives as long as the process.
+                let _ = self.config.fetch.send(at_least);
+            }
+            Action::Report(member) => self.report(member),
+            Action::Note(note) => {
+                notes::record(&self.config.timeline, &self.config.account, note);
+            }
+        }
+    }
+
+    fn drop_packet(&mut self, code: Code) {
+        self.counts.coded(code);
+    }
+}
+
+impl Own {
+    fn of(view: &View, identity: &Identity) -> Self {
+        let account = view.find_account(identity.account);
+        let service = view.find_service(identity.service);
+        let spec = service.map(|key| &view.service(key).spec);
+        // Without settings of its own the agent takes no packet at all; see `gate::check`.
+        let when_in_doubt = spec.map_or(WhenInDoubt::Refuse, |spec| spec.when_in_doubt);
+        Self {
+            service,
+            version: account.map_or(Version(0), |key| view.account(key).version),
+            datagram_nonce: gate::datagram_nonce(when_in_doubt),
+        }
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/forward.rs
@@ -0,0 +1,91 @@
+//! What happens to one datagram of the fabric. Pure: bytes in, destination and headers out.
+
+use std::net::SocketAddr;
+
+use decision::agent::Passed;
+use decision::keys::AccountId;
+use shell::udp::Prefix;
+use wire::gue::{self, Content};
+use wire::inner::{self, InnerError};
+use wire::sealed::{Header, Payload, SealError, SenderId};
+
+use crate::counters::Dropped;
+use crate::snapshot::Snapshot;
+
+/// What stays the same for all packets of a process.
+#[derive(Clone, Copy, Debug)]
+pub struct Identity {
+    /// Key of the flow hash.
+    pub flow_key: [u8; 16],
+    /// This balancer, as agents see it.
+    pub sender: SenderId,
+}
+
+impl Identity {
+    /// The identity of the balancer called `instance`.
+    ///
+    /// ```
+    /// use balancer::forward::Identity;
+    /// let one = Identity::new([0; 16], "bal-c1");
+    /// assert_ne!(one.sender, Identity::new([0; 16], "bal-c2").sender);
+    /// ```
+    pub fn new(flow_key: [u8; 16], instance: &str) -> Self {
+        // Balancers belong to no account; any stable hash of the name will do.
+        Self { flow_key, sender: SenderId(AccountId::of(instance).0) }
+    }
+}
+
+/// Where the packet starts in a datagram of the fabric, which carries no private data.
+pub const PAYLOAD_START: usize = gue::HEADER_BYTES;
+
+/// Finds the home of a datagram's packet, writes the headers that replace those of the fabric into
+/// `prefix` and returns the home's address. The packet itself stays where it is, from
+/// [`PAYLOAD_START`] on.
+pub fn forward(
+    snapshot: &Snapshot,
+    identity: &Identity,
+    datagram: &[u8],
+    prefix: &mut Prefix,
+) -> Result<SocketAddr, Dropped> {
+    let frame = gue::parse(datagram).map_err(|_| Dropped::Malformed)?;
+    if matches!(frame.content, Content::Control(_)) {
+        return Err(Dropped::UnsupportedProtocol);
+    }
+    // Private data in a frame of the fabric can only be an attempt to look like a balancer.
+    if !frame.private.is_empty() {
+        return Err(Dropped::Malformed);
+    }
+    let packet = inner::parse(frame.payload).map_err(reason)?;
+    let key = snapshot.find(packet.endpoint).ok_or(Dropped::NoService)?;
+    let flow = packet.flow_id(&identity.flow_key);
+    let home = snapshot.home(key, flow).ok_or(Dropped::NoAgent)?;
+    let entry = snapshot.service(key);
+    let header = Header {
+        hops: 0,
+        passed: Passed::Fresh,
+        account: entry.account,
+        service: entry.service,
+        flow,
+        version: entry.version,
+        sender: identity.sender,
+    };
+    let payload = Payload::Packet { bytes: frame.payload, header_bytes: packet.header_bytes };
+    let private = prefix.start_sealed(frame.content);
+    entry.keyring.seal(&header, payload, private).map_err(seal_reason)?;
+    Ok(home)
+}
+
+fn reason(error: InnerError) -> Dropped {
+    match error {
+        InnerError::Malformed => Dropped::Malformed,
+        InnerError::Fragment => Dropped::Fragment,
+        InnerError::Transport(_) => Dropped::UnsupportedProtocol,
+    }
+}
+
+fn seal_reason(error: SealError) -> Dropped {
+    match error {
+        SealError::HeadersTooLong(_) => Dropped::TooLarge,
+        _ => Dropped::Malformed,
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/run.rs
@@ -0,0 +1,245 @@
+//! Life of the process: start, publish snapshots, shut down gracefully.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use decision::keys::AccountId;
+use decision::spread::{Member, NodeId, Peer};
+use settings::codes;
+use settings::process::balancer::BalancerSettings;
+use shell::fault::StartFault;
+use shell::settings_sync::instances::{Instances, Kind};
+use shell::settings_sync::peers::PeerReader;
+use shell::settings_sync::platform::Reader;
+use shell::settings_sync::{Keyrings, Scope, Store};
+use shell::signals::Shutdown;
+use shell::status::Shown;
+use shell::{boottime, http};
+use telemetry::metrics::Metrics;
+use telemetry::timeline::{Fields, Timeline};
+use wire::exchange::FLEET;
+use wire::sealed::{AccountKeyring, KeyId, SenderId};
+
+use crate::counters::Counters;
+use crate::forward::Identity;
+use crate::notices::AgentNotice;
+use crate::publish::{Publisher, Sources};
+use crate::snapshot::Published;
+use crate::spreading::link::Link;
+use crate::spreading::{Fetch, Fetcher, Shared, Spreading, SpreadingConfig, Teller};
+use crate::worker::{self, Worker};
+
+/// Events kept for the time line.
+const TIMELINE_EVENTS: usize = 4_096;
+/// How often changes of settings and liveness are looked for. Adds to the time until settings are
+/// in force, of which seconds are allowed.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(25);
+/// A fabric that has sent nothing for this long has taken the balancer out.
+const QUIET: Duration = Duration::from_millis(500);
+
+struct Balancer {
+    settings: BalancerSettings,
+    store: Arc<Store>,
+    instances: Arc<Instances>,
+    timeline: Arc<Timeline>,
+    counters: Counters,
+    published: Arc<Published>,
+    shutdown: Shutdown,
+    shared: Arc<Shared>,
+}
+
+/// Runs a balancer until it is told to shut down.
+///
+/// Errors: a [`StartFault`] if an address is taken or a thread cannot be started; nothing has been
+/// served then.
+pub fn run(settings: BalancerSettings) -> Result<(), StartFault> {
+    telemetry::log::start(&settings.instance);
+    let metrics = Arc::new(Metrics::default());
+    let timeline = Arc::new(Timeline::new(settings.instance.clone(), TIMELINE_EVENTS));
+    let balancer = Balancer {
+        store: Arc::new(Store::new(Scope::All, timeline.clone())),
+        instances: Arc::default(),
+        counters: Counters::new(&metrics),
+        published: Arc::default(),
+        shared: Arc::default(),
+        shutdown: Shutdown::on_signal().map_err(|e| StartFault::thread(&e))?,
+        timeline,
+        settings,
+    };
+    let end = Arc::new(AtomicBool::new(false));
+    let (notices, inbox) = mpsc::channel();
+    let workers = balancer.start_workers(&end, &notices)?;
+    let routes = crate::http::routes(&balancer.shown(metrics), &balancer.keyrings());
+    http::start(balancer.settings.control_address, routes)?;
+    let (members, observed) = mpsc::channel();
+    let fetches = balancer.start_readers()?;
+    balancer.start_spreading(observed, fetches)?;
+    balancer.timeline.record("", "started", Fields::default());
+    log::info!("started");
+    balancer.forward_until_drained(inbox, members);
+    end.store(true, Ordering::Relaxed);
+    for worker in workers {
+        // A worker that panicked has already said so; the shutdown goes on.
+        let _ = worker.join();
+    }
+    log::info!("stopped");
+    Ok(())
+}
+
+impl Balancer {
+    fn start_workers(
+        &self,
+        end: &Arc<AtomicBool>,
+        notices: &mpsc::Sender<AgentNotice>,
+    ) -> Result<Vec<JoinHandle<()>>, StartFault> {
+        let address = self.settings.data_address;
+        let sockets = worker::bind(address, self.settings.receive_threads)
+            .map_err(|error| StartFault::bind(address, &error))?;
+        let identity = Identity::new(self.settings.flow_key, &self.settings.instance);
+        let mut workers = Vec::new();
+        for (index, socket) in sockets.into_iter().enumerate() {
+            let worker = Worker {
+                socket,
+                identity,
+                published: self.published.clone(),
+                counters: self.counters.clone(),
+                notices: notices.clone(),
+                end: end.clone(),
+            };
+            workers.push(spawn(&format!("receive-{index}"), move || worker.run())?);
+        }
+        Ok(workers)
+    }
+
+    /// Starts what reads the platform and the peers; returns where to ask for more.
+    fn start_readers(&self) -> Result<mpsc::Sender<Fetch>, StartFault> {
+        let platform = self.settings.platform_address;
+        let reader = Reader::new(platform, self.store.clone(), self.instances.clone());
+        let lister = reader.clone();
+        let (configured, own) = (self.settings.peers.clone(), self.settings.control_address);
+        let instances = self.instances.clone();
+        let candidates = move || {
+            let mut peers = instances.control_addresses(Kind::Balancer);
+            peers.extend(&configured);
+            peers.retain(|peer| *peer != own);
+            peers
+        };
+        let peers = PeerReader::new(self.store.clone(), Arc::new(candidates), self.keyrings());
+        let (fetches, inbox) = mpsc::channel();
+        let (platform, fetch_peers) = (reader.clone(), peers.clone());
+        let fetcher = Fetcher { store: self.store.clone(), peers: fetch_peers, platform, inbox };
+        let (shutdown, shared, store) =
+            (self.shutdown.clone(), self.shared.clone(), self.store.clone());
+        let wanted = move || shared.is_reader() || !store.is_current();
+        spawn("platform", move || reader.run(&shutdown, wanted))?;
+        let shutdown = self.shutdown.clone();
+        spawn("instances", move || lister.run_list(&shutdown))?;
+        let shutdown = self.shutdown.clone();
+        spawn("peers", move || peers.run(&shutdown))?;
+        spawn("fetch", move || fetcher.run())?;
+        Ok(fetches)
+    }
+
+    fn start_spreading(
+        &self,
+        observed: mpsc::Receiver<Member>,
+        fetches: mpsc::Sender<Fetch>,
+    ) -> Result<(), StartFault> {
+        let address = self.settings.control_address;
+        let bind_fault = |error: io::Error| StartFault::bind(address, &error);
+        let own = NodeId::of(&self.settings.instance);
+        let ring = (self.keyrings())(FLEET)
+            .ok_or_else(|| StartFault::new(codes::KEY_MISSING, "no key in the settings file"))?;
+        let from = SocketAddr::new(address.ip(), 0);
+        let teller = Teller {
+            socket: UdpSocket::bind(from).map_err(bind_fault)?,
+            masters: self.masters(),
+            sender: SenderId(own.0),
+        };
+        let spreading = Spreading::new(SpreadingConfig {
+            own: Peer { id: own, zone: self.settings.zone.clone() },
+            link: Link::bind(address, ring, own).map_err(bind_fault)?,
+            teller,
+            store: self.store.clone(),
+            instances: self.instances.clone(),
+            observed,
+            fetches,
+            shared: self.shared.clone(),
+        });
+        let shutdown = self.shutdown.clone();
+        spawn("spread", move || spreading.run(&shutdown)).map(|_| ())
+    }
+
+    fn shown(&self, metrics: Arc<Metrics>) -> Shown {
+        let (published, shutdown) = (self.published.clone(), self.shutdown.clone());
+        let counters = self.counters.clone();
+        Shown {
+            instance: self.settings.instance.clone(),
+            kind: "balancer",
+            store: self.store.clone(),
+            metrics,
+            timeline: self.timeline.clone(),
+            is_ready: Arc::new(move || published.is_current() && !shutdown.is_requested()),
+            counters: Arc::new(move || counters.list()),
+        }
+    }
+
+    /// Keeps forwarding by the newest settings until told to shut down and, after that, until the
+    /// fabric has stopped sending or the grace time is over.
+    fn forward_until_drained(
+        &self,
+        notices: mpsc::Receiver<AgentNotice>,
+        members: mpsc::Sender<Member>,
+    ) {
+        let mut publisher = self.publisher(notices, members);
+        while !self.shutdown.is_requested() {
+            publisher.publish_if_changed(boottime::now());
+            thread::sleep(PUBLISH_INTERVAL);
+        }
+        self.timeline.record("", "leaving", Fields::default());
+        log::info!("shutting down");
+        let started = Instant::now();
+        let grace = Duration::from_millis(self.settings.shutdown_grace_ms);
+        let (mut received, mut quiet_since) = (self.counters.received(), started);
+        while started.elapsed() < grace && quiet_since.elapsed() < QUIET {
+            publisher.publish_if_changed(boottime::now());
+            thread::sleep(PUBLISH_INTERVAL);
+            let now_received = self.counters.received();
+            if now_received != received {
+                (received, quiet_since) = (now_received, Instant::now());
+            }
+        }
+    }
+
+    fn masters(&self) -> Vec<(KeyId, [u8; 32])> {
+        self.settings.keys.iter().map(|key| (KeyId(key.id), key.secret)).collect()
+    }
+
+    fn keyrings(&self) -> Keyrings {
+        let masters = self.masters();
+        Arc::new(move |account| AccountKeyring::derive(&masters, AccountId::of(account)))
+    }
+
+    fn publisher(
+        &self,
+        notices: mpsc::Receiver<AgentNotice>,
+        members: mpsc::Sender<Member>,
+    ) -> Publisher {
+        let sources = Sources {
+            store: self.store.clone(),
+            instances: self.instances.clone(),
+            shared: self.shared.clone(),
+            notices,
+            members,
+        };
+        Publisher::new(sources, self.published.clone(), self.masters())
+    }
+}
+
+fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, StartFault> {
+    thread::Builder::new().name(name.into()).spawn(body).map_err(|e| StartFault::thread(&e))
+}
--- /dev/null
+++ b/crates/loadgen/src/traffic/flood.rs
@@ -0,0 +1,126 @@
+//! Sending frames as fast as the machine can, or at a set rate.
+
+use std::io::IoSlice;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::os::fd::AsRawFd as _;
+use std::time::{Duration, Instant};
+
+use nix::errno::Errno;
+use nix::sys::socket::{ControlMessage, MsgFlags, MultiHeaders, SockaddrStorage, sendmmsg};
+use shell::udp::BATCH;
+
+use super::{Frames, check_loopback};
+
+/// No run sends for longer.
+const LONGEST: Duration = Duration::from_secs(20);
+
+/// How much is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Flood {
+    /// Receiver, on loopback.
+    pub to: SocketAddr,
+    /// Time after which it ends; cut to 20 s.
+    pub duration: Duration,
+    /// Packets a second; none for as many as possible.
+    pub rate: Option<u64>,
+    /// Packets after which it ends.
+    pub packets: u64,
+}
+
+/// Sends `frames` in turn. Returns how many the kernel took.
+///
+/// Errors: a receiver that is not on loopback, or a socket that cannot be made.
+///
+/// ```
+/// use std::time::Duration;
+/// use loadgen::traffic::{Flood, Opening, balancer_frames, bind_sink, flood};
+/// let sink = bind_sink("127.0.0.1:0".parse().unwrap()).unwrap();
+/// let frames = balancer_frames(&["203.0.113.1:443".parse().unwrap()], 10, Opening::No).unwrap();
+/// let to = sink.local_addr().unwrap();
+/// let run = Flood { to, duration: Duration::from_secs(5), rate: None, packets: 100 };
+/// assert_eq!(flood(&frames, run).unwrap(), 100);
+/// ```
+pub fn flood(frames: &Frames, run: Flood) -> anyhow::Result<u64> {
+    check_loopback(run.to)?;
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    socket.connect(run.to)?;
+    let mut headers = MultiHeaders::<SockaddrStorage>::preallocate(BATCH, None);
+    let start = Instant::now();
+    let mut sent = 0;
+    while sent < run.packets && start.elapsed() < run.duration.min(LONGEST) {
+        let due = run.rate.map_or(u64::MAX, |rate| due(rate, start.elapsed()));
+        let count = due.min(run.packets).saturating_sub(sent).min(BATCH as u64) as usize;
+        if count == 0 {
+            std::thread::sleep(Duration::from_micros(50));
+            continue;
+        }
+        sent += send(&socket, &mut headers, frames, sent as usize, count)?;
+    }
+    Ok(sent)
+}
+
+/// How packets get their times.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stamper {
+    /// Start of the run.
+    pub(crate) start: Instant,
+    /// Packets a second.
+    pub(crate) rate: u64,
+    /// Packets due before this do not count.
+    pub(crate) count_from: Duration,
+}
+
+/// Sends packets at a rate, each with the time at which it was due. Returns how many count.
+pub(crate) fn stamped_flood(
+    frames: &mut Frames,
+    to: SocketAddr,
+    duration: Duration,
+    stamper: Stamper,
+) -> anyhow::Result<u64> {
+    check_loopback(to)?;
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    socket.connect(to)?;
+    let mut headers = MultiHeaders::<SockaddrStorage>::preallocate(BATCH, None);
+    let (mut sent, mut counted) = (0, 0);
+    while stamper.start.elapsed() < duration.min(LONGEST) {
+        let waiting = due(stamper.rate, stamper.start.elapsed()).saturating_sub(sent);
+        let count = waiting.min(BATCH as u64) as usize;
+        if count == 0 {
+            std::thread::sleep(Duration::from_micros(20));
+            continue;
+        }
+        for number in sent..sent + count as u64 {
+            let due_ns = (u128::from(number) * 1_000_000_000 / u128::from(stamper.rate)) as u64;
+            frames.stamp(number as usize, due_ns);
+            counted += u64::from(u128::from(due_ns) >= stamper.count_from.as_nanos());
+        }
+        // What the kernel does not take is lost, as it would be for any caller.
+        send(&socket, &mut headers, frames, sent as usize, count)?;
+        sent += count as u64;
+    }
+    Ok(counted)
+}
+
+fn due(rate: u64, elapsed: Duration) -> u64 {
+    (elapsed.as_secs_f64() * rate as f64) as u64
+}
+
+fn send(
+    socket: &UdpSocket,
+    headers: &mut MultiHeaders<SockaddrStorage>,
+    frames: &Frames,
+    first: usize,
+    count: usize,
+) -> anyhow::Result<u64> {
+    let slices: [[IoSlice<'_>; 1]; BATCH] =
+        std::array::from_fn(|offset| [IoSlice::new(frames.get(first + offset))]);
+    let nobody: [Option<SockaddrStorage>; BATCH] = [None; BATCH];
+    let no_control: [ControlMessage<'_>; 0] = [];
+    let (fd, flags) = (socket.as_raw_fd(), MsgFlags::empty());
+    match sendmmsg(fd, headers, slices[..count].iter(), &nobody[..count], no_control, flags) {
+        Ok(results) => Ok(results.count() as u64),
+        // A receiver that is just starting or full is no fault of the sender's socket.
+        Err(Errno::ECONNREFUSED | Errno::EINTR | Errno::ENOBUFS | Errno::EAGAIN) => Ok(0),
+        Err(errno) => Err(errno.into()),
+    }
+}
--- /dev/null
+++ b/crates/shell/src/settings_sync/serve.rs
@@ -0,0 +1,101 @@
+//! Answering peers that compare their settings with ours.
+
+use std::sync::Arc;
+
+use decision::keys::Version;
+use serde::Serialize;
+use wire::delta::Delta;
+use wire::exchange::{
+    Digest, DigestEntry, Document, FLEET, Kind, Question, Update, Updates, parse_wanted,
+};
+use wire::sealed::AccountKeyring;
+
+use super::{Keyrings, Store};
+use crate::http::routes::{Reply, Request, Routes};
+
+/// Adds the routes of the exchange to an endpoint.
+///
+/// Status 403 answers a question without a right proof, 404 one for a document not in force here.
+pub fn routes(routes: Routes, store: &Arc<Store>, keyrings: &Keyrings) -> Routes {
+    let add = |routes: Routes, kind: Kind| {
+        let (store, keyrings) = (store.clone(), keyrings.clone());
+        routes.get(kind.path(), move |request| answer(&store, &keyrings, kind, request))
+    };
+    [Kind::Digest, Kind::Root, Kind::Subtree, Kind::Subtrees].into_iter().fold(routes, add)
+}
+
+fn answer(store: &Store, keyrings: &Keyrings, kind: Kind, request: &Request) -> Reply {
+    let keyring = |account: &str| keyrings(account);
+    let checked = Question::check(kind, |name| request.parameter(name), keyring);
+    let Some((question, ring)) = checked else {
+        return Reply::error(403, "the question is not proven");
+    };
+    match kind {
+        Kind::Digest => sealed(&question, &ring, &digest(store, &question.account)),
+        Kind::Root => document(&question, &ring, store.root()),
+        Kind::Subtree => {
+            let have = request.parameter("have").and_then(|text| text.parse().ok()).map(Version);
+            match update(store, &question.account, have) {
+                Some(update) => sealed(&question, &ring, &update),
+                None => Reply::error(404, "no such document here"),
+            }
+        }
+        Kind::Subtrees if &*question.account != FLEET => Reply::error(403, "only for the fleet"),
+        Kind::Subtrees => match request.parameter("have").and_then(parse_wanted) {
+            Some(wanted) => sealed(&question, &ring, &updates(store, wanted)),
+            None => Reply::error(400, "no list of accounts"),
+        },
+    }
+}
+
+/// The wanted subtrees that are in force here.
+fn updates(store: &Store, wanted: Vec<(Arc<str>, Version)>) -> Updates {
+    let found = wanted.into_iter().filter_map(|(account, have)| {
+        let update = update(store, &account, Some(have))?;
+        Some((account, update))
+    });
+    Updates(found.collect())
+}
+
+/// The subtree in force, as a change if the asker is one version behind and says so. What it has
+/// needs no proof: a wrong base yields a change that does not fit.
+fn update(store: &Store, account: &str, have: Option<Version>) -> Option<Update> {
+    let (version, yaml) = store.subtree(account)?;
+    let changed = have.and_then(|base| {
+        let old = store.replaced(account, base)?;
+        Some(Update::Changed { version: version.0, delta: Delta::between(base, &old, &yaml) })
+    });
+    Some(changed.unwrap_or(Update::Whole(Document { version: version.0, yaml })))
+}
+
+/// Versions that the asking account may know of: its own, or all for the fleet.
+fn digest(store: &Store, account: &str) -> Digest {
+    let mut versions = store.versions();
+    versions.retain(|(name, _)| account == FLEET || **name == *account);
+    let entry =
+        |(account, version): (Arc<str>, Version)| DigestEntry { account, version: version.0 };
+    Digest {
+        current: store.is_current(),
+        confirmed_age_ms: store.confirmed_age_ms(),
+        root_version: store.root().map_or(0, |(version, _)| version.0),
+        accounts: versions.into_iter().map(entry).collect(),
+    }
+}
+
+fn document(
+    question: &Question,
+    ring: &AccountKeyring,
+    found: Option<(Version, Arc<str>)>,
+) -> Reply {
+    match found {
+        Some((version, yaml)) => sealed(question, ring, &Document { version: version.0, yaml }),
+        None => Reply::error(404, "no such document here"),
+    }
+}
+
+fn sealed(question: &Question, ring: &AccountKeyring, value: &impl Serialize) -> Reply {
+    match question.answer(ring, value) {
+        Some(body) => Reply { status: 200, content_type: "application/msgpack", body },
+        None => Reply::error(500, "the answer cannot be sealed"),
+    }
+}
--- /dev/null
+++ b/xtask/src/capacity/roles/others.rs
@@ -0,0 +1,93 @@
+//! Readers of settings, the platform's reads, and goosectl.
+
+use super::super::budget::Quantity::{Bytes, Elapsed, Reads, Settled};
+use super::super::figure::Take::{Line, Point};
+use super::super::figure::{counted, measured, rated};
+use super::{BALANCERS, CHANGES, ONCE, Role, SERVICES, row};
+
+/// Readers in the fleet: two in each of 17 zones.
+const READERS: f64 = 34.0;
+/// Reads of the list a second by a balancer: 2.4 MB at 2,000 bytes a second.
+const LIST_READS: f64 = 1.0 / 1_200.0;
+/// A watch waits for 10 s at most.
+const WATCHES: f64 = 0.1;
+/// Services of a mean account.
+const MEAN_ACCOUNT: f64 = 6.0;
+/// Instances that start in a second: 68 failed and 910 replaced ones a day.
+const STARTS: f64 = 978.0 / 86_400.0;
+/// Reads of a starting instance at most: watch, root, list and its account; a balancer asks peers
+/// for the accounts first.
+const START_READS: f64 = 4.0;
+
+pub(super) fn roles() -> [Role; 3] {
+    [reader(), platform(), goosectl()]
+}
+
+fn reader() -> Role {
+    Role {
+        name: "Settings reader (a balancer that rendezvous hashing picks, two a zone)",
+        state: "As a balancer; nobody is elected, a reader that goes is replaced by the next rank.",
+        rows: vec![
+            row(
+                Bytes,
+                "watch and changed subtrees, read whole, on top of a balancer's own",
+                &[
+                    rated("tree", "subtree_bytes", Line(MEAN_ACCOUNT), CHANGES),
+                    rated("tree", "exchange_bytes", ONCE, WATCHES + 2.0 * CHANGES),
+                ],
+            ),
+            row(
+                Settled,
+                "one change, until in force on 1,600 balancers",
+                &[measured("control", "change_ms", Point(BALANCERS))],
+            ),
+        ],
+        proposal: "Nothing misses in the mean.",
+    }
+}
+
+fn platform() -> Role {
+    Role {
+        name: "What the platform sees in reads",
+        state: "Read only. Reads grow with zones, changes and starts; only the list's grow with \
+                balancers. Agents read at their start and when nobody has confirmed their settings \
+                for two to four minutes.",
+        rows: vec![
+            row(
+                Reads,
+                "watches of 34 readers, waiting and ended by changes",
+                &[counted(READERS * (WATCHES + CHANGES), "34 readers, 10 s, 3,800 changes a day")],
+            ),
+            row(
+                Reads,
+                "changed subtrees",
+                &[counted(READERS * CHANGES, "34 readers, 3,800 changes a day")],
+            ),
+            row(
+                Reads,
+                "instance list",
+                &[counted(BALANCERS * LIST_READS, "1,600 balancers every 20 minutes")],
+            ),
+            row(
+                Reads,
+                "starts of instances",
+                &[counted(STARTS * START_READS, "978 a day, 4 reads each at most")],
+            ),
+        ],
+        proposal: "Nothing misses in the mean.",
+    }
+}
+
+fn goosectl() -> Role {
+    Role {
+        name: "goosectl (an operator's shell, runs for seconds)",
+        state: "None. `check` reads one subtree; other commands ask daemons, one exchange each.",
+        rows: vec![row(
+            Elapsed,
+            "processor time of `check` of a subtree: at most a balancer's whole change",
+            &[measured("tree", "change_ms", Line(SERVICES))],
+        )],
+        proposal: "Not a node, so nothing is limited. Asking all 11,600 nodes (`status`) was not \
+                   measured.",
+    }
+}
