Let peers say whether an agent had an earlier life, and bound copies of a SYN

Change: an agent without a past votes once as many peers as make a majority with it have said that they met no earlier life of it (RecallReply.reborn); otherwise it recalls like a restarted one. Copies of a SYN are delivered for 10 s.

--- a/crates/decision/src/agent/announce.rs
+++ b/crates/decision/src/agent/announce.rs
@@ -152,6 +152,7 @@
         peer.applied = 0;
         peer.view = Version(0);
         if is_restart {
+            peer.reborn_at = Some(now);
             peer.heartbeat = None;
             self.announce_all(id);
         }
--- a/crates/decision/src/agent/limits.rs
+++ b/crates/decision/src/agent/limits.rs
@@ -29,6 +29,10 @@
 /// Peers remembered, listed or not.
 pub const MAX_PEERS: usize = 256;
 
+/// How long copies of a SYN that has run are still delivered to the same upstream: its TCP knows
+/// them while the handshake lasts, and the caller's first three timeouts fall within it.
+pub const COPY_MS: u64 = 10_000;
+
 /// How long a claim is remembered and a restarted witness abstains. It must exceed the longest
 /// time for which copies of one opening exist: a Linux caller sends its last SYN after 63 s.
 pub const CLAIM_TTL_MS: u64 = 120_000;
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -240,8 +240,8 @@
             Message::Recall { incarnation, from: first } => {
                 self.recall_asked(now, from, incarnation, first, out);
             }
-            Message::RecallReply { incarnation, from: first, records, next, complete } => {
-                let page = recall::Page { incarnation, from: first, records, next, complete };
+            Message::RecallReply { incarnation, from: first, records, next, complete, reborn } => {
+                let page = recall::Page { incarnation, first, records, next, complete, reborn };
                 self.records_received(now, from, page, out);
             }
             Message::Heartbeat(heartbeat) => self.heartbeat_received(now, from, heartbeat, out),
--- a/crates/decision/src/agent/once.rs
+++ b/crates/decision/src/agent/once.rs
@@ -10,7 +10,7 @@
 use super::flows::FlowState;
 use super::mutant::mutated;
 use super::pending::Attempt;
-use super::{Action, Agent, Packet, Passed, Reason, Verdict};
+use super::{Action, Agent, Packet, Passed, Reason, Verdict, limits};
 use crate::message::{Claim, Opening};
 use crate::time::Millis;
 
@@ -121,7 +121,8 @@
         let open = self
             .flows
             .get(opening.flow)
-            .is_some_and(|flow| flow.state == FlowState::Open && flow.nonce == Some(opening.nonce));
+            .filter(|flow| flow.state == FlowState::Open && flow.nonce == Some(opening.nonce))
+            .is_some_and(|flow| now.since(flow.opened_at) < limits::COPY_MS);
         if self.settings.datagrams || !open {
             return Verdict::Drop(Reason::Duplicate);
         }
--- a/crates/decision/src/agent/peers.rs
+++ b/crates/decision/src/agent/peers.rs
@@ -22,6 +22,8 @@
     pub(super) incarnation: Option<Incarnation>,
     /// When this life of the peer was first heard from.
     pub(super) incarnation_at: Millis,
+    /// When an earlier life was followed by this one.
+    pub(super) reborn_at: Option<Millis>,
     pub(super) view: Version,
     pub(super) heartbeat: Option<Heartbeat>,
     pub(super) suspected: bool,
--- a/crates/decision/src/agent/quorum.rs
+++ b/crates/decision/src/agent/quorum.rs
@@ -123,6 +123,14 @@
         })
     }
 
+    /// Whether with `me` a majority of every membership has told something.
+    pub(super) fn is_vouched(&self, me: UpstreamId, told: impl Fn(UpstreamId) -> bool) -> bool {
+        self.cuts.iter().filter(|cut| cut.members.contains(&me)).all(|cut| {
+            let count = cut.members.iter().filter(|id| **id != me && told(**id)).count();
+            count >= cut.members.len() / 2
+        })
+    }
+
     /// Everybody who may be asked to vote.
     pub(super) fn witnesses(&self) -> Vec<UpstreamId> {
         let mut all: Vec<UpstreamId> =
--- a/crates/decision/src/agent/recall.rs
+++ b/crates/decision/src/agent/recall.rs
@@ -31,16 +31,22 @@
     disputed: Vec<Opening>,
     /// Whether enough witnesses have told everything, under the settings in force.
     pub(super) complete: bool,
+    /// Whether a peer has met an earlier life, although this one was told that it has no past.
+    reborn: bool,
+    /// Peers that have not, sorted.
+    vouchers: Vec<UpstreamId>,
 }
 
 /// A page, as received.
 #[derive(Clone, Debug)]
 pub(super) struct Page {
     pub(super) incarnation: Incarnation,
-    pub(super) from: u64,
+    pub(super) first: u64,
     pub(super) records: Vec<ClaimRecord>,
     pub(super) next: Option<u64>,
     pub(super) complete: bool,
+    /// Whether the sender has met an earlier life of this agent.
+    pub(super) reborn: bool,
 }
 
 impl Recall {
@@ -58,7 +64,23 @@
 impl Agent {
     /// Whether an earlier life of this agent may have voted on openings that still have copies.
     pub(super) fn may_have_voted(&self, now: Millis) -> bool {
-        self.config.may_have_past && now.since(self.started_at) < limits::CLAIM_TTL_MS
+        let past = self.config.may_have_past || self.recall.reborn;
+        past && now.since(self.started_at) < limits::CLAIM_TTL_MS
+    }
+
+    /// Whether nobody has confirmed yet that this agent had no earlier life.
+    ///
+    /// Failure: an upstream and its agent are replaced together under the same name, and the agent is
+    /// told that there are no flows to relearn. Symptom: it grants again what its earlier life has
+    /// granted. Others know better, since heartbeats reach everybody; asking as many as make a
+    /// majority with this agent costs nothing, as no claim wins without so many.
+    pub(super) fn is_unvouched(&self, now: Millis) -> bool {
+        let young = now.since(self.started_at) < limits::CLAIM_TTL_MS;
+        let told = |id: UpstreamId| self.recall.vouchers.binary_search(&id).is_ok();
+        young
+            && !self.config.may_have_past
+            && !self.recall.reborn
+            && !self.settings.cuts.is_vouched(self.config.upstream, told)
     }
 
     /// Asks the other witnesses for their next pages.
@@ -70,7 +92,8 @@
     pub(super) fn recall(&mut self, now: Millis, out: &mut Vec<Action>) {
         let once = self.settings.when_in_doubt == WhenInDoubt::Refuse;
         let early = now.since(self.started_at) < limits::RECALL_WAIT_MS;
-        if !once || early || self.recall.complete || !self.may_have_voted(now) {
+        let recalls = self.may_have_voted(now) && !early && !self.recall.complete;
+        if !once || !(recalls || self.is_unvouched(now)) {
             return;
         }
         for witness in self.settings.cuts.witnesses() {
@@ -82,17 +105,23 @@
 
     /// Answers a restarted witness with one page.
     pub(super) fn recall_asked(
-        &self,
+        &mut self,
         now: Millis,
         from: UpstreamId,
         incarnation: Incarnation,
         first: u64,
         out: &mut Vec<Action>,
     ) {
+        if !self.meet_life(now, from, incarnation) {
+            return;
+        }
+        let reborn_at = self.peers.get(from).and_then(|peer| peer.reborn_at);
+        let reborn = reborn_at.is_some_and(|at| now.since(at) < limits::CLAIM_TTL_MS);
         let (records, next) = self.claims.page(now, first, limits::RECORDS_PER_PAGE);
         // Who cannot tell what it has promised itself is no witness for others.
         let complete = !self.abstains(now) && self.recall.disputed.is_empty();
-        let message = Message::RecallReply { incarnation, from: first, records, next, complete };
+        let message =
+            Message::RecallReply { incarnation, from: first, records, next, complete, reborn };
         out.push(Action::Send { to: from, message });
     }
 
@@ -103,11 +132,15 @@
         page: Page,
         out: &mut Vec<Action>,
     ) {
-        if page.incarnation != self.config.incarnation || !self.may_have_voted(now) {
+        if page.incarnation != self.config.incarnation {
+            return;
+        }
+        if !self.may_have_voted(now) {
+            self.take_vouch(from, page.reborn);
             return;
         }
         let Some(cursor) = self.recall.cursors.get_mut(from) else { return };
-        if cursor.done || cursor.from != page.from || cursor.asked_at.is_none() {
+        if cursor.done || cursor.from != page.first || cursor.asked_at.is_none() {
             return;
         }
         if !page.complete {
@@ -125,6 +158,17 @@
         self.recall(now, out);
     }
 
+    fn take_vouch(&mut self, from: UpstreamId, reborn: bool) {
+        if reborn {
+            self.recall.reborn = true;
+            self.recall.cursors = Sorted::default();
+            return;
+        }
+        if let Err(index) = self.recall.vouchers.binary_search(&from) {
+            self.recall.vouchers.insert(index, from);
+        }
+    }
+
     /// Newer settings may name memberships of which too few have told their records.
     pub(super) fn check_recall(&mut self) {
         let done = |id| self.recall.cursors.get(id).is_some_and(|cursor| cursor.done);
--- a/crates/decision/src/agent/tests/once.rs
+++ b/crates/decision/src/agent/tests/once.rs
@@ -66,6 +66,26 @@
     assert!(matches!(outcome, Outcome::Dropped(_)), "late assigned copy: {outcome:?}");
 }
 
+/// Upstream and agent of the holder are replaced together under the same name right after a
+/// confirmation has run, and the new agent is told that it has no past. Its peers know better. If
+/// it voted at once, a copy of the confirmation would win with its vote and run again.
+#[rstest]
+#[case::at_once(0)]
+#[case::soon(2_000)]
+fn replaced_holder_never_runs_again(#[case] pass_ms: u64) {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, 3);
+    spec.transport = Transport::Udp;
+    let mut fleet = Fleet::settled(&spec);
+    let Outcome::Delivered(holder) = fleet.send(0, flow(1), opening(1)) else {
+        panic!("the first copy must run");
+    };
+    fleet.agents[holder] = agent(holder, 2 + fleet.now.0, false, spec.view(), fleet.now);
+    fleet.pass(pass_ms);
+    let late = Packet { passed: Passed::Assigned, hops: 1, ..packet(flow(1), opening(1)) };
+    let outcome = fleet.send_packet(holder, late);
+    assert!(!matches!(outcome, Outcome::Delivered(_)), "late copy: {outcome:?}");
+}
+
 /// All upstreams are full, so the confirmation is refused as not run. An upstream gets room, and
 /// a late copy arrives by way of any other agent: it must not run any more.
 #[rstest]
--- a/crates/decision/src/agent/witness.rs
+++ b/crates/decision/src/agent/witness.rs
@@ -42,7 +42,7 @@
     /// at two upstreams. Abstaining is enough because whatever it granted before it died is either
     /// recalled from the other witnesses or would have been forgotten by then.
     pub(super) fn abstains(&self, now: Millis) -> bool {
-        let forgot = self.may_have_voted(now) && !self.recall.complete;
+        let forgot = self.may_have_voted(now) && !self.recall.complete || self.is_unvouched(now);
         forgot && !mutated!(self, AbstainForgotten)
     }
 
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -193,6 +193,9 @@
         next: Option<u64>,
         /// False if the sender has itself forgotten promises.
         complete: bool,
+        /// True if the sender has met an earlier life of the receiver since promises of that one
+        /// may still count, whatever the receiver was told at its start.
+        reborn: bool,
     },
     /// Load and liveness.
     Heartbeat(Heartbeat),
--- a/crates/wire/src/control/dto.rs
+++ b/crates/wire/src/control/dto.rs
@@ -114,6 +114,7 @@
         records: Vec<RecordDto>,
         next: Option<u64>,
         complete: bool,
+        reborn: bool,
     },
     Heartbeat(HeartbeatDto),
 }
@@ -315,13 +316,14 @@
             Message::Recall { incarnation, from } => {
                 Body::Recall { incarnation: incarnation.0, from: *from }
             }
-            Message::RecallReply { incarnation, from, records, next, complete } => {
+            Message::RecallReply { incarnation, from, records, next, complete, reborn } => {
                 Body::RecallReply {
                     incarnation: incarnation.0,
                     from: *from,
                     records: records.iter().map(|record| (*record).into()).collect(),
                     next: *next,
                     complete: *complete,
+                    reborn: *reborn,
                 }
             }
             Message::Heartbeat(heartbeat) => Body::Heartbeat((*heartbeat).into()),
@@ -375,13 +377,16 @@
             Body::Recall { incarnation, from } => {
                 Self::Recall { incarnation: Incarnation(incarnation), from }
             }
-            Body::RecallReply { incarnation, from, records, next, complete } => Self::RecallReply {
-                incarnation: Incarnation(incarnation),
-                from,
-                records: records.into_iter().map(ClaimRecord::from).collect(),
-                next,
-                complete,
-            },
+            Body::RecallReply { incarnation, from, records, next, complete, reborn } => {
+                Self::RecallReply {
+                    incarnation: Incarnation(incarnation),
+                    from,
+                    records: records.into_iter().map(ClaimRecord::from).collect(),
+                    next,
+                    complete,
+                    reborn,
+                }
+            }
             Body::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.into()),
         }
     }
--- a/crates/wire/tests/control.rs
+++ b/crates/wire/tests/control.rs
@@ -61,6 +61,7 @@
     records: vec![ClaimRecord { opening: OPENING, claim: Claim::Refuse, incarnation: LIFE }],
     next: Some(37),
     complete: true,
+    reborn: true,
 })]
 #[case::granted(claim_reply(ClaimAnswer::Granted))]
 #[case::taken(claim_reply(ClaimAnswer::Taken(Claim::Run(UpstreamId(9)))))]
@@ -94,6 +95,7 @@
         records: vec![record; count],
         next: Some(u64::MAX),
         complete: true,
+        reborn: true,
     }
 }
 
