--- /dev/null
+++ b/crates/fuzzing/src/campaign.rs
@@ -0,0 +1,1 @@
+//! Campaigns.
--- /dev/null
+++ b/crates/fuzzing/src/oracle.rs
@@ -0,0 +1,201 @@
+//! The promises, stated over what the outside sees. Shares no code with the core.
+
+/// One opening: retransmissions are the same request, a later flow of the caller is another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Request {
+    /// Number of the service that the caller means.
+    pub service: usize,
+    /// Number of the caller.
+    pub caller: usize,
+    /// Counts the caller's requests.
+    pub nonce: u32,
+}
+
+/// Identifies one life of an upstream or an agent over the whole episode.
+pub type Life = u64;
+
+/// What a service promises about its openings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Promise {
+    /// Openings run at most once and refusals are final.
+    pub at_most_once: bool,
+    /// The opening is a whole request, so that a copy at the same upstream is a second run.
+    pub datagram: bool,
+}
+
+/// Something that the outside can see.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(missing_docs, reason = "the names say what was seen")]
+pub enum Seen {
+    /// Something broke that nobody planned.
+    Fault,
+    /// A packet was handed to an upstream of `reached`.
+    Delivered { meant: usize, reached: usize },
+    /// An opening began at an upstream; `assigned` if by another agent's recorded choice.
+    Ran { request: Request, promise: Promise, upstream: Life, agent: Life, assigned: bool },
+    /// An agent answered that an opening was not run.
+    Refused { request: Request, promise: Promise },
+    /// The upstream got the caller's first packet after the opening.
+    Established { request: Request, upstream: Life },
+    /// The caller's flow was reset or refused although the caller had it open.
+    Broken { request: Request, upstream: Life },
+    /// The caller or its upstream has ended the flow.
+    Closed { request: Request },
+    /// An upstream died, and its flows with it.
+    UpstreamDied { upstream: Life },
+    /// An agent was told, or no longer is, that its upstream drains or that it leaves.
+    Told { agent: Life, leaving: bool },
+    /// An agent showed the settings version that it has in force.
+    InForce { agent: Life, version: u64 },
+    /// Sizes of an agent's tables, and the flows that its upstream ever began.
+    Tables { agent: Life, flows: usize, flows_begun: usize, held: usize },
+    /// Long after all faults have ended, the caller still gets no answer in its open flow.
+    Stuck { request: Request },
+    /// Long after all faults have ended, an opening gets no answer.
+    Unanswered { request: Request },
+}
+
+/// A broken promise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// The promise.
+    pub promise: &'static str,
+    /// What was seen.
+    pub seen: Seen,
+    /// True time.
+    pub now_ms: u64,
+}
+
+/// An agent that was told to drain starts no opening after this long.
+pub const DRAIN_MS: u64 = 3_000;
+/// Packets that one agent may hold at a time.
+pub const HELD_MAX: usize = 4_096;
+
+/// What the oracle remembers; sorted vectors.
+#[derive(Debug, Default)]
+pub struct Oracle {
+    faulted: bool,
+    runs: Vec<(Request, Life)>,
+    refused: Vec<Request>,
+    open: Vec<(Request, Life)>,
+    /// Openings that began at two upstreams before the caller had finished one handshake.
+    split: Vec<Request>,
+    dead: Vec<Life>,
+    told: Vec<(Life, u64)>,
+    in_force: Vec<(Life, u64)>,
+}
+
+impl Oracle {
+    /// Takes in what was seen; an error is a broken promise.
+    ///
+    /// ```
+    /// use fuzzing::oracle::{Oracle, Seen};
+    /// let mut oracle = Oracle::default();
+    /// assert!(oracle.see(0, Seen::Delivered { meant: 1, reached: 1 }).is_ok());
+    /// assert!(oracle.see(0, Seen::Delivered { meant: 1, reached: 2 }).is_err());
+    /// ```
+    pub fn see(&mut self, now_ms: u64, seen: Seen) -> Result<(), Violation> {
+        self.judge(now_ms, seen).map_err(|promise| Violation { promise, seen, now_ms })
+    }
+
+    fn judge(&mut self, now_ms: u64, seen: Seen) -> Result<(), &'static str> {
+        match seen {
+            Seen::Fault => self.faulted = true,
+            Seen::Delivered { meant, reached } => {
+                ensure(meant == reached, "2: a packet reached another service's upstream")?;
+            }
+            Seen::Ran { request, promise, upstream, agent, assigned } => {
+                // A recorded claim is the only right to run, so it is honoured even late.
+                let late = self.told_since(agent).is_some_and(|since| now_ms > since + DRAIN_MS);
+                let excused = promise.at_most_once && assigned;
+                ensure(!late || excused, "5: an opening ran on a draining upstream after 3 s")?;
+                self.ran(request, promise, upstream)?;
+            }
+            Seen::Refused { request, promise } if promise.at_most_once => {
+                ensure(!has(&self.runs, request), "4: a request that ran was refused")?;
+                put(&mut self.refused, request);
+            }
+            Seen::Refused { .. } => {}
+            Seen::Established { request, upstream } => put(&mut self.open, (request, upstream)),
+            Seen::Broken { request, upstream } => {
+                let alive = !self.dead.contains(&upstream);
+                let open = has(&self.open, request);
+                let excused = self.split.contains(&request) || !(open || !self.faulted);
+                ensure(!alive || excused, "1: an open flow was cut")?;
+            }
+            Seen::Closed { request } => self.open.retain(|(known, _)| *known != request),
+            Seen::UpstreamDied { upstream } => self.dead.push(upstream),
+            Seen::Told { agent, leaving } => self.tell(agent, leaving, now_ms),
+            Seen::InForce { agent, version } => {
+                let before = self.in_force.iter_mut().find(|(known, _)| *known == agent);
+                match before {
+                    None => self.in_force.push((agent, version)),
+                    Some((_, known)) => {
+                        ensure(version >= *known, "7: an agent's settings went back")?;
+                        *known = version;
+                    }
+                }
+            }
+            Seen::Tables { flows, flows_begun, held, .. } => {
+                ensure(flows <= flows_begun, "8: an agent holds flows that never began")?;
+                ensure(held <= HELD_MAX, "8: an agent holds too many packets")?;
+            }
+            Seen::Stuck { request } => {
+                ensure(self.split.contains(&request), "1: a living flow is never found again")?;
+            }
+            Seen::Unanswered { .. } => return Err("1: an opening is never answered"),
+        }
+        Ok(())
+    }
+
+    fn ran(
+        &mut self,
+        request: Request,
+        promise: Promise,
+        upstream: Life,
+    ) -> Result<(), &'static str> {
+        let elsewhere = self.runs.iter().any(|(known, life)| {
+            *known == request && *life != upstream && !self.dead.contains(life)
+        });
+        if promise.at_most_once {
+            ensure(!self.refused.contains(&request), "4: a refused request ran")?;
+            ensure(!has(&self.runs, request), "3: a request ran twice")?;
+        } else if elsewhere {
+            // In doubt such a service admits, and the caller finishes one handshake only. The
+            // other copy may then reset the caller, which no agent can tell apart.
+            ensure(self.faulted, "1: an opening ran at two upstreams without a fault")?;
+            if !has(&self.open, request) {
+                put(&mut self.split, request);
+            }
+        }
+        put(&mut self.runs, (request, upstream));
+        Ok(())
+    }
+
+    fn tell(&mut self, agent: Life, leaving: bool, now_ms: u64) {
+        match (self.told_since(agent), leaving) {
+            (None, true) => self.told.push((agent, now_ms)),
+            (Some(_), false) => self.told.retain(|(known, _)| *known != agent),
+            _ => {}
+        }
+    }
+
+    fn told_since(&self, agent: Life) -> Option<u64> {
+        self.told.iter().find(|(known, _)| *known == agent).map(|(_, since)| *since)
+    }
+}
+
+fn ensure(holds: bool, promise: &'static str) -> Result<(), &'static str> {
+    if holds { Ok(()) } else { Err(promise) }
+}
+
+fn has(table: &[(Request, Life)], request: Request) -> bool {
+    let index = table.partition_point(|(known, _)| *known < request);
+    table.get(index).is_some_and(|(known, _)| *known == request)
+}
+
+fn put<T: Ord>(table: &mut Vec<T>, entry: T) {
+    if let Err(index) = table.binary_search(&entry) {
+        table.insert(index, entry);
+    }
+}
--- /dev/null
+++ b/crates/fuzzing/src/shrink.rs
@@ -0,0 +1,1 @@
+//! Shrinking.
--- /dev/null
+++ b/crates/fuzzing/src/world/agents.rs
@@ -0,0 +1,330 @@
+//! Hosts: an upstream, the agent beside it, and the shell around the agent.
+
+use std::sync::Arc;
+
+use decision::agent::{
+    Action, Agent, AgentConfig, Event, HoldKey, Packet, TICK_MS, UpstreamReport,
+};
+use decision::keys::{Incarnation, ServiceId, UpstreamId};
+use decision::message::Message;
+use decision::time::Millis;
+use decision::view::{UpstreamState, View};
+
+use super::balancers::hash_of;
+use super::fleet::{self, Occupant, SERVICES, Versions};
+use super::network::{PACKET_LIFETIME_MS, mix};
+use super::upstreams::Upstream;
+use super::{Carried, Due, Node, World};
+use crate::oracle::{Life, Seen};
+use crate::step::Report;
+
+/// What reaches an agent's process.
+#[derive(Clone, Debug)]
+pub(super) enum Incoming {
+    Packet { packet: Packet, carried: Carried },
+    Control { from: UpstreamId, service: ServiceId, message: Message },
+    View(Arc<View>),
+    Report(Report),
+    Hint { peer: UpstreamId, alive: bool },
+    Leave,
+}
+
+impl Incoming {
+    pub(super) fn hash(&self) -> u64 {
+        match self {
+            Self::Packet { packet, carried } => hash_of(&(packet.hops, carried)),
+            Self::Control { from, message, .. } => {
+                hash_of(&(from, std::mem::discriminant(message)))
+            }
+            _ => 0,
+        }
+    }
+}
+
+/// Whether a process runs, and what has queued up at it while it stood still.
+#[derive(Clone, Debug)]
+pub(super) struct Process<T> {
+    pub(super) paused_until_ms: u64,
+    pub(super) backlog: Vec<(u64, T)>,
+}
+
+impl<T> Default for Process<T> {
+    fn default() -> Self {
+        Self { paused_until_ms: 0, backlog: Vec::new() }
+    }
+}
+
+/// What a socket buffer holds before it drops.
+const BACKLOG_MAX: usize = 4_096;
+
+impl<T> Process<T> {
+    /// True if the process runs; else the item is kept for later.
+    pub(super) fn takes(&mut self, now_ms: u64, item: T) -> bool {
+        if self.paused_until_ms <= now_ms {
+            return true;
+        }
+        if self.backlog.len() < BACKLOG_MAX {
+            self.backlog.push((now_ms, item));
+        }
+        false
+    }
+
+    /// What has queued up; the shell drops packets older than their lifetime by their time stamps.
+    pub(super) fn wake(&mut self, now_ms: u64) -> Vec<T> {
+        if self.paused_until_ms > now_ms {
+            return Vec::new();
+        }
+        let young = |(since_ms, _): &(u64, T)| since_ms + PACKET_LIFETIME_MS >= now_ms;
+        std::mem::take(&mut self.backlog).into_iter().filter(young).map(|(_, item)| item).collect()
+    }
+}
+
+/// One place for an upstream and its agent.
+#[derive(Debug, Default)]
+pub(super) struct Host {
+    pub(super) occupant: Occupant,
+    pub(super) upstream: Option<Upstream>,
+    pub(super) agent: Option<Shell>,
+    pub(super) process: Process<Incoming>,
+    pub(super) report: Option<Report>,
+}
+
+/// One life of an agent with its shell.
+#[derive(Debug)]
+pub(super) struct Shell {
+    pub(super) life: Life,
+    pub(super) id: UpstreamId,
+    pub(super) service: ServiceId,
+    pub(super) versions: Versions,
+    pub(super) view: Arc<View>,
+    pub(super) held: Vec<(HoldKey, Packet, Carried, u64)>,
+    pub(super) fetching: bool,
+    agent: Agent,
+    clock_offset_ms: u64,
+    leaving: bool,
+    reported_draining: bool,
+    told: bool,
+    ticks: u64,
+}
+
+impl Shell {
+    /// Time on the agent's own clock.
+    fn clock(&self, now_ms: u64) -> Millis {
+        Millis(self.clock_offset_ms + now_ms)
+    }
+
+    pub(super) fn open_flows(&self) -> usize {
+        self.agent.open_flows()
+    }
+
+    fn is_told(&self) -> bool {
+        let upstream = self
+            .view
+            .find_service(self.service)
+            .and_then(|service| self.view.find_upstream(service, self.id));
+        let state = upstream.map(|key| self.view.upstream(key).spec.state);
+        let draining = state.is_some_and(|state| state != UpstreamState::Active);
+        self.leaving || self.reported_draining || draining
+    }
+}
+
+/// Ticks between two reports of the upstream.
+const TICKS_PER_REPORT: u64 = 20;
+/// Bytes of clock difference between machines are arbitrary; this keeps them readable.
+const CLOCK_SPREAD_MS: u64 = 1_000_000_000;
+
+impl World {
+    /// Starts a fresh upstream and an agent beside it.
+    pub(super) fn start_host(&mut self, host: usize, occupant: Occupant) {
+        let Some((service, _)) = occupant else { return };
+        let life = self.new_life();
+        self.hosts[host] = Host { occupant, ..Host::default() };
+        self.hosts[host].upstream = Some(Upstream::new(life, SERVICES[service].is_datagram()));
+        self.note(|| format!("host {host}: upstream of {occupant:?} starts as life {life}"));
+        self.start_agent(host, false);
+    }
+
+    /// Starts an agent, unless one runs or nothing is there to run beside.
+    pub(super) fn start_agent(&mut self, host: usize, may_have_past: bool) {
+        let Some((service, name)) = self.hosts[host].occupant else { return };
+        if self.hosts[host].agent.is_some() || self.hosts[host].upstream.is_none() {
+            return;
+        }
+        let life = self.new_life();
+        let versions = self.known_settings();
+        let view = self.fleet.view(versions);
+        let kind = SERVICES[service];
+        let config = AgentConfig {
+            upstream: kind.upstream(name),
+            service: kind.id(),
+            incarnation: Incarnation(life),
+            may_have_past,
+            seed: mix(self.seed ^ life),
+        };
+        let clock_offset_ms = mix(self.seed ^ life << 20) % CLOCK_SPREAD_MS;
+        let now = Millis(clock_offset_ms + self.now_ms);
+        self.note(|| format!("host {host}: agent life {life}, settings {versions:?}, may_have_past {may_have_past}"));
+        self.hosts[host].process = Process::default();
+        self.hosts[host].agent = Some(Shell {
+            life,
+            id: config.upstream,
+            service: config.service,
+            versions,
+            view: view.clone(),
+            held: Vec::new(),
+            fetching: false,
+            agent: Agent::new(config, view, now),
+            clock_offset_ms,
+            leaving: false,
+            reported_draining: false,
+            told: false,
+            ticks: 0,
+        });
+        self.tell(host);
+        self.schedule(1 + life % TICK_MS, Due::Tick { host, life });
+    }
+
+    /// Hands something to the agent, or keeps it while the process stands still.
+    pub(super) fn at_agent(&mut self, host: usize, incoming: Incoming) {
+        let now_ms = self.now_ms;
+        let target = &mut self.hosts[host];
+        if target.agent.is_some() && target.process.takes(now_ms, incoming.clone()) {
+            self.take_in(host, incoming);
+        }
+    }
+
+    pub(super) fn take_in(&mut self, host: usize, incoming: Incoming) {
+        let now_ms = self.now_ms;
+        let Some(shell) = &mut self.hosts[host].agent else { return };
+        let event = match incoming {
+            Incoming::Packet { packet, carried } => return self.take_packet(host, packet, carried),
+            // The seal on a control message names the service.
+            Incoming::Control { service, .. } if service != shell.service => return,
+            Incoming::Control { from, message, .. } => Event::Message { from, message },
+            Incoming::View(view) => Event::View(view),
+            Incoming::Report(report) => {
+                self.hosts[host].report = Some(report);
+                return self.report(host);
+            }
+            Incoming::Hint { peer, alive } => Event::Peer { upstream: peer, alive },
+            Incoming::Leave => {
+                shell.leaving = true;
+                Event::Leave
+            }
+        };
+        let mut actions = Vec::new();
+        shell.agent.handle(shell.clock(now_ms), event, &mut actions);
+        self.tell(host);
+        self.perform(host, actions);
+    }
+
+    fn take_packet(&mut self, host: usize, packet: Packet, carried: Carried) {
+        let now_ms = self.now_ms;
+        let Some(shell) = &mut self.hosts[host].agent else { return };
+        let mut actions = Vec::new();
+        let verdict = shell.agent.packet(shell.clock(now_ms), &packet, &mut actions);
+        self.perform(host, actions);
+        self.decide(host, packet, carried, verdict);
+    }
+
+    pub(super) fn tick(&mut self, host: usize, life: Life) {
+        let now_ms = self.now_ms;
+        let paused_until_ms = self.hosts[host].process.paused_until_ms;
+        let Some(shell) = self.hosts[host].agent.as_mut().filter(|shell| shell.life == life) else {
+            return;
+        };
+        if paused_until_ms > now_ms {
+            self.schedule(paused_until_ms - now_ms, Due::Tick { host, life });
+            return;
+        }
+        shell.ticks += 1;
+        let report = shell.ticks.is_multiple_of(TICKS_PER_REPORT);
+        let mut actions = Vec::new();
+        shell.agent.handle(shell.clock(now_ms), Event::Tick, &mut actions);
+        self.perform(host, actions);
+        if report {
+            self.report(host);
+            self.weigh(host);
+        }
+        self.schedule(TICK_MS, Due::Tick { host, life });
+    }
+
+    fn report(&mut self, host: usize) {
+        let now_ms = self.now_ms;
+        let target = &mut self.hosts[host];
+        let (Some(shell), Some(upstream)) = (&mut target.agent, &target.upstream) else { return };
+        let lie = target.report.unwrap_or(Report::Honest);
+        let open_flows = upstream.connections.len() as u32;
+        let report = UpstreamReport {
+            healthy: lie != Report::Sick,
+            draining: lie == Report::Draining,
+            shedding: lie == Report::Shedding,
+            open_flows: match lie {
+                Report::Empty => 0,
+                Report::Full => u32::MAX,
+                _ => open_flows,
+            },
+            age_ms: Some(if lie == Report::Empty { 0 } else { 600_000 }),
+        };
+        shell.reported_draining = report.draining;
+        let mut actions = Vec::new();
+        shell.agent.handle(shell.clock(now_ms), Event::Upstream(report), &mut actions);
+        self.tell(host);
+        self.perform(host, actions);
+    }
+
+    /// Shows the oracle whether the agent knows that its upstream takes no openings.
+    fn tell(&mut self, host: usize) {
+        let Some(shell) = &mut self.hosts[host].agent else { return };
+        let told = shell.is_told();
+        if told != shell.told {
+            shell.told = told;
+            let agent = shell.life;
+            self.see(Seen::Told { agent, leaving: told });
+        }
+    }
+
+    fn weigh(&mut self, host: usize) {
+        let Some(shell) = &self.hosts[host].agent else { return };
+        let flows_begun =
+            self.callers.iter().map(|caller| caller.nonce as usize).sum::<usize>();
+        let seen = Seen::Tables {
+            agent: shell.life,
+            flows: shell.open_flows(),
+            flows_begun,
+            held: shell.held.len(),
+        };
+        self.see(seen);
+    }
+
+    fn perform(&mut self, host: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send_control(host, to, message),
+                Action::Resolve { hold, verdict } => self.resolve(host, hold, verdict),
+                Action::FetchSettings { .. } => self.fetch(host),
+                Action::Note(note) => self.observe(host, note),
+            }
+        }
+    }
+
+    fn send_control(&mut self, host: usize, to: UpstreamId, message: Message) {
+        let Some(shell) = &self.hosts[host].agent else { return };
+        let Some(target) = address_of(shell, to) else { return };
+        let (from, service, life) = (shell.id, shell.service, shell.life);
+        self.tally.control += 1;
+        if let Message::Heartbeat(heartbeat) = &message {
+            self.see(Seen::InForce { agent: life, version: heartbeat.view.0 });
+        } else {
+            self.note(|| format!("host {host} -> host {target}: {message:?}"));
+        }
+        self.send(Node::Host(host), target, Incoming::Control { from, service, message });
+    }
+}
+
+/// The host at which `shell` believes an agent of its service to be.
+pub(super) fn address_of(shell: &Shell, to: UpstreamId) -> Option<usize> {
+    let service = shell.view.find_service(shell.service)?;
+    let key = shell.view.find_upstream(service, to)?;
+    Some(fleet::host_at(shell.view.upstream(key).spec.agent_address))
+}
--- /dev/null
+++ b/crates/fuzzing/src/world/balancers.rs
@@ -0,0 +1,126 @@
+//! Balancers, and the policies that can take the place of the core's.
+
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+use std::sync::Arc;
+
+use decision::agent::{Packet, PacketKind, Passed};
+use decision::keys::{FlowId, ServiceKey, UpstreamKey};
+use decision::router::Router;
+use decision::view::View;
+
+use super::agents::{Incoming, Process};
+use super::callers::Inner;
+use super::fleet::{self, Versions};
+use super::{Carried, Due, Node, World};
+
+/// How packets are spread.
+pub enum Balancing {
+    /// By router and agents of the core.
+    Core,
+    /// By the balancer alone, which hands packets straight to upstreams.
+    Direct(DirectPolicy),
+}
+
+/// A policy of the balancer alone.
+pub type DirectPolicy = Box<dyn FnMut(&DirectInput<'_>) -> Option<UpstreamKey>>;
+
+/// What a balancer knows about a packet.
+pub struct DirectInput<'a> {
+    /// Its number.
+    pub balancer: usize,
+    /// Its settings.
+    pub view: &'a View,
+    /// Service of the packet's destination.
+    pub service: ServiceKey,
+    /// Flow.
+    pub flow: FlowId,
+    /// Whether the packet opens the flow.
+    pub opening: bool,
+}
+
+/// A balancer.
+#[derive(Debug)]
+pub(super) struct Balancer {
+    pub(super) versions: Versions,
+    pub(super) router: Router,
+    pub(super) down: Vec<decision::keys::UpstreamId>,
+    pub(super) process: Process<Carried>,
+}
+
+impl Balancer {
+    pub(super) fn new(versions: Versions, view: Arc<View>) -> Self {
+        let router = Router::new(view, Vec::new());
+        Self { versions, router, down: Vec::new(), process: Process::default() }
+    }
+
+    pub(super) fn set(&mut self, versions: Versions, view: Arc<View>) {
+        self.versions = versions;
+        self.router = Router::new(view, self.down.clone());
+    }
+}
+
+impl World {
+    pub(super) fn at_balancer(&mut self, balancer: usize, carried: Carried) {
+        let now_ms = self.now_ms;
+        if !self.balancers[balancer].process.takes(now_ms, carried) {
+            return;
+        }
+        self.forward(balancer, carried);
+    }
+
+    pub(super) fn forward(&mut self, balancer: usize, carried: Carried) {
+        let request = carried.inner.request();
+        let flow = self.callers[request.caller].flow;
+        let router = &self.balancers[balancer].router;
+        let Some(service) = router.service(fleet::endpoint(request.service)) else { return };
+        if let Balancing::Direct(policy) = &mut self.balancing {
+            let view = router.view();
+            let opening = matches!(carried.inner, Inner::Open(_));
+            let input = DirectInput { balancer, view, service, flow, opening };
+            let Some(upstream) = policy(&input) else { return };
+            let host = fleet::host_at(view.upstream(upstream).spec.agent_address);
+            self.deliver(host, carried, Passed::Fresh);
+            return;
+        }
+        let Some(route) = router.route(service, flow) else { return };
+        let view = router.view();
+        let host = fleet::host_at(view.upstream(route.home).spec.agent_address);
+        let packet = Packet {
+            service: view.service(service).id,
+            flow,
+            kind: kind(carried.inner),
+            view: view.account(view.service(service).account).version,
+            hops: 0,
+            passed: Passed::Fresh,
+        };
+        self.send(Node::Balancer(balancer), host, Incoming::Packet { packet, carried });
+    }
+
+    /// Sends from process to process.
+    pub(super) fn send(&mut self, from: Node, host: usize, incoming: Incoming) {
+        if self.network.cuts(self.now_ms, from, Node::Host(host)) {
+            return;
+        }
+        let hash = hash_of(&(from, host, incoming.hash()));
+        self.transmit_over(hash, || Due::AtAgent { from, host, incoming: incoming.clone() });
+    }
+}
+
+/// A hash that is the same in every run of one build, as the hasher has fixed keys.
+pub(super) fn hash_of(value: &impl std::hash::Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn kind(inner: Inner) -> PacketKind {
+    match inner {
+        // Nonces differ between callers as initial sequence numbers do.
+        Inner::Open(request) => PacketKind::Opening {
+            nonce: (request.caller as u32) << 16 | request.nonce,
+        },
+        Inner::Middle(..) => PacketKind::Middle,
+        Inner::Finish(..) => PacketKind::Finish,
+        Inner::Reset(..) => PacketKind::Reset,
+    }
+}
--- /dev/null
+++ b/crates/fuzzing/src/world/callers.rs
@@ -0,0 +1,184 @@
+//! Callers: they open flows, retransmit, send, and end flows.
+
+use decision::keys::FlowId;
+
+use super::network::mix;
+use super::upstreams::Token;
+use crate::oracle::Request;
+
+/// A packet of a caller as the upstream sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Inner {
+    /// A SYN, or a request to a datagram service.
+    Open(Request),
+    /// A packet in the middle of a flow.
+    Middle(Request, Token),
+    /// A FIN.
+    Finish(Request, Token),
+    /// A RST.
+    Reset(Request, Token),
+}
+
+impl Inner {
+    /// The request whose flow the packet belongs to.
+    pub fn request(&self) -> Request {
+        match *self {
+            Self::Open(request)
+            | Self::Middle(request, _)
+            | Self::Finish(request, _)
+            | Self::Reset(request, _) => request,
+        }
+    }
+
+    /// The connection that the packet belongs to; an opening has none.
+    pub fn token(&self) -> Option<Token> {
+        match *self {
+            Self::Open(_) => None,
+            Self::Middle(_, token) | Self::Finish(_, token) | Self::Reset(_, token) => Some(token),
+        }
+    }
+}
+
+/// An answer to a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[allow(missing_docs, reason = "the fields repeat: which request, which connection")]
+pub enum Reply {
+    /// SYN-ACK.
+    Accepted { request: Request, token: Token },
+    /// Answer to a datagram request.
+    Done { request: Request },
+    /// Challenge ACK: the upstream has an older connection on these ports.
+    Challenge { request: Request, token: Token },
+    /// Acknowledges a packet in the middle.
+    Acknowledged { token: Token },
+    /// The flow's orderly end.
+    Finished { token: Token },
+    /// RST to a packet of this connection.
+    Reset { token: Token },
+    /// An agent's refusal of an opening.
+    Refused { request: Request },
+}
+
+/// Where a caller stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Nothing open.
+    Idle,
+    /// Waits for the answer to its opening.
+    Opening,
+    /// Flow open; `waits` while a packet is not acknowledged.
+    Open {
+        /// Connection that it knows.
+        token: Token,
+        /// Whether a packet of it is not acknowledged.
+        waits: bool,
+    },
+    /// Has sent its FIN.
+    Closing {
+        /// Connection that it knows.
+        token: Token,
+    },
+}
+
+/// One caller of one service, always on the same ports.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller {
+    /// Its number.
+    pub number: usize,
+    /// The service that it calls.
+    pub service: usize,
+    /// Its flow.
+    pub flow: FlowId,
+    /// Where it stands.
+    pub phase: Phase,
+    /// Counts its openings.
+    pub nonce: u32,
+    /// Transmissions of what it waits for.
+    pub tries: u32,
+    /// Counts its timers; an older one is void.
+    pub timer: u32,
+    /// True time of the last answer in its flow.
+    pub answered_ms: u64,
+}
+
+/// Transmissions before a caller gives up, as large as the packets' lifetime allows.
+const TRIES_MAX: u32 = 6;
+/// First retransmission; doubled each time.
+const RETRANSMIT_MS: u64 = 400;
+/// Longest time between two transmissions.
+const RETRANSMIT_MAX_MS: u64 = 4_000;
+
+impl Caller {
+    /// An idle caller.
+    pub fn new(number: usize, service: usize, seed: u64) -> Self {
+        let flow = FlowId(mix(seed ^ (number as u64) << 8));
+        let phase = Phase::Idle;
+        Self { number, service, flow, phase, nonce: 0, tries: 0, timer: 0, answered_ms: 0 }
+    }
+
+    /// What it wants to be served now.
+    pub fn request(&self) -> Request {
+        Request { service: self.service, caller: self.number, nonce: self.nonce }
+    }
+
+    /// The packet that it transmits, again and again, until it is answered.
+    pub fn pending(&self) -> Option<Inner> {
+        match self.phase {
+            Phase::Idle | Phase::Open { waits: false, .. } => None,
+            Phase::Opening => Some(Inner::Open(self.request())),
+            Phase::Open { token, .. } => Some(Inner::Middle(self.request(), token)),
+            Phase::Closing { token } => Some(Inner::Finish(self.request(), token)),
+        }
+    }
+
+    /// Enters a phase; its first transmission is due.
+    pub fn enter(&mut self, phase: Phase) {
+        self.phase = phase;
+        self.tries = 0;
+        self.timer += 1;
+    }
+
+    /// Counts a transmission and says when the next is due; `None` once it gives up.
+    pub fn transmit(&mut self) -> Option<u64> {
+        let persistent = matches!(self.phase, Phase::Open { .. });
+        if self.tries >= TRIES_MAX && !persistent {
+            self.enter(Phase::Idle);
+            return None;
+        }
+        self.tries += 1;
+        Some((RETRANSMIT_MS << self.tries.min(5)).min(RETRANSMIT_MAX_MS))
+    }
+
+    /// Takes in an answer; returns a packet that it sends at once besides the pending one.
+    pub fn hear(&mut self, now_ms: u64, reply: Reply) -> Option<Inner> {
+        let request = self.request();
+        match (self.phase, reply) {
+            (Phase::Opening, Reply::Accepted { request: known, token }) if known == request => {
+                self.enter(Phase::Open { token, waits: true });
+            }
+            (Phase::Opening, Reply::Done { request: known } | Reply::Refused { request: known })
+                if known == request =>
+            {
+                self.enter(Phase::Idle);
+            }
+            (Phase::Opening, Reply::Challenge { request: known, token }) if known == request => {
+                return Some(Inner::Reset(request, token));
+            }
+            (Phase::Open { token, .. }, Reply::Acknowledged { token: known }) if known == token => {
+                self.answered_ms = now_ms;
+                self.enter(Phase::Open { token, waits: false });
+            }
+            (Phase::Open { token, .. }, Reply::Reset { token: known }) if known == token => {
+                self.enter(Phase::Idle);
+            }
+            (
+                Phase::Closing { token },
+                Reply::Finished { token: known } | Reply::Reset { token: known },
+            ) if known == token => {
+                self.enter(Phase::Idle);
+            }
+            _ => {}
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/fuzzing/src/world/heal.rs
@@ -0,0 +1,108 @@
+//! The end of an episode: all faults end, and every living flow must be found again.
+
+use super::callers::Phase;
+use super::fleet::SERVICES;
+use super::{Due, Node, World};
+use crate::oracle::Seen;
+use crate::step::Report;
+
+/// Time for the fleet to settle after the last fault.
+const SETTLE_MS: u64 = 12_000;
+/// Time for a caller to be answered once the fleet has settled.
+const ANSWER_MS: u64 = 20_000;
+
+impl World {
+    /// Ends all faults, gives the fleet time, and checks that flows live and openings are answered.
+    pub fn heal(&mut self) {
+        self.note(|| "all faults end".to_owned());
+        self.end_faults();
+        self.advance(SETTLE_MS);
+        let asked_ms = self.now_ms;
+        let probes = self.probe();
+        self.advance(ANSWER_MS);
+        self.check_answers(asked_ms, &probes);
+    }
+
+    fn end_faults(&mut self) {
+        self.network.heal();
+        self.outage_until_ms = 0;
+        for node in self.nodes() {
+            match node {
+                Node::Balancer(index) => self.balancers[index].process.paused_until_ms = 0,
+                Node::Host(index) => self.hosts[index].process.paused_until_ms = 0,
+                Node::Outside => {}
+            }
+            self.wake(node);
+        }
+        let versions = self.fleet.newest();
+        for node in self.nodes() {
+            self.schedule(0, Due::Settings { node, versions });
+        }
+        for balancer in &mut self.balancers {
+            balancer.down.clear();
+        }
+        for host in 0..self.hosts.len() {
+            self.hosts[host].report = Some(Report::Honest);
+            self.revive(host);
+        }
+    }
+
+    fn revive(&mut self, host: usize) {
+        let target = &self.hosts[host];
+        let occupant = target.occupant;
+        if target.upstream.is_some() {
+            self.schedule(0, Due::StartAgent { host });
+        } else if self.is_listed(occupant) {
+            self.schedule(0, Due::StartHost { host, occupant });
+        }
+    }
+
+    /// Every open flow sends, and every service gets openings from idle callers.
+    fn probe(&mut self) -> Vec<usize> {
+        let mut opened = Vec::new();
+        for caller in 0..self.callers.len() {
+            match self.callers[caller].phase {
+                Phase::Open { token, .. } => {
+                    self.callers[caller].enter(Phase::Open { token, waits: true });
+                    self.transmit(caller);
+                }
+                Phase::Idle => {
+                    self.callers[caller].nonce += 1;
+                    self.callers[caller].enter(Phase::Opening);
+                    self.transmit(caller);
+                    opened.push(caller);
+                }
+                Phase::Opening | Phase::Closing { .. } => {}
+            }
+        }
+        opened
+    }
+
+    fn check_answers(&mut self, asked_ms: u64, probes: &[usize]) {
+        for index in 0..self.callers.len() {
+            let caller = self.callers[index];
+            let request = caller.request();
+            match caller.phase {
+                Phase::Open { token, .. } if self.is_held(token) => {
+                    if caller.answered_ms < asked_ms {
+                        self.see(Seen::Stuck { request });
+                    }
+                }
+                Phase::Idle if probes.contains(&index) && !self.was_answered(index) => {
+                    self.see(Seen::Unanswered { request });
+                }
+                Phase::Opening if probes.contains(&index) => {
+                    self.see(Seen::Unanswered { request });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// A caller that is idle after its opening was answered, refused, or has given up.
+    fn was_answered(&self, caller: usize) -> bool {
+        let caller = &self.callers[caller];
+        let _ = SERVICES[caller.service];
+        caller.answered_ms > 0
+    }
+}
--- /dev/null
+++ b/crates/fuzzing/src/world/mod.rs
@@ -0,0 +1,323 @@
+//! The world around the core: network, callers, upstreams, hosts, balancers and published settings.
+//!
+//! Everything is driven by one queue of events in true time. Applying a [`Step`] either changes the
+//! world at once or lets time pass. Nothing is drawn from a global source of random numbers: the
+//! same setup and steps give the same run.
+
+mod agents;
+mod balancers;
+pub mod callers;
+mod faults;
+pub mod fleet;
+mod heal;
+mod network;
+mod settings;
+mod upstreams;
+mod verdicts;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use serde::{Deserialize, Serialize};
+
+pub use balancers::{Balancing, DirectInput, DirectPolicy};
+
+use crate::oracle::{Life, Oracle, Seen, Violation};
+use crate::step::Step;
+use agents::Incoming;
+use balancers::Balancer;
+use callers::{Caller, Inner, Reply};
+use fleet::{Fleet, Occupant, SERVICES, Versions};
+use network::{Network, mix};
+
+/// What an episode starts from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Setup {
+    /// Seed of fates, flows and clocks.
+    pub seed: u64,
+    /// Upstreams of each service, one to three services.
+    pub sizes: Vec<usize>,
+    /// Balancers.
+    pub balancers: usize,
+    /// Callers of each service.
+    pub callers: usize,
+    /// Published limit of each upstream.
+    pub max_flows: u32,
+}
+
+/// A process of the system, or the outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Node {
+    /// A balancer.
+    Balancer(usize),
+    /// The agent on a host.
+    Host(usize),
+    /// Callers.
+    Outside,
+}
+
+/// Balancers at most, so that every node has its bit in a partition.
+const BALANCERS_MAX: usize = 4;
+/// Hosts that run nothing at the start.
+const SPARE_HOSTS: usize = 3;
+
+impl Node {
+    /// Bit of the node in a partition; the outside is on both sides.
+    pub fn bit(self) -> Option<u32> {
+        match self {
+            Self::Balancer(index) => Some(index as u32),
+            Self::Host(index) => Some((BALANCERS_MAX + index) as u32),
+            Self::Outside => None,
+        }
+    }
+}
+
+/// A caller's packet on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Carried {
+    /// The packet.
+    pub inner: Inner,
+    /// True time at which the caller sent it.
+    pub sent_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Due {
+    AtBalancer { balancer: usize, carried: Carried },
+    AtAgent { from: Node, host: usize, incoming: Incoming },
+    AtCaller { caller: usize, reply: Reply },
+    Timer { caller: usize, timer: u32 },
+    Tick { host: usize, life: Life },
+    Wake { node: Node },
+    Settings { node: Node, versions: Versions },
+    StartAgent { host: usize },
+    StartHost { host: usize, occupant: Occupant },
+    StopAgent { host: usize, life: Life, gap_ms: u64 },
+    StopHost { host: usize, life: Life },
+}
+
+#[derive(Debug)]
+struct Queued {
+    due_ms: u64,
+    sequence: u64,
+    what: Due,
+}
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Queued {}
+
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Queued {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.due_ms, self.sequence).cmp(&(other.due_ms, other.sequence))
+    }
+}
+
+/// What a run has cost and achieved.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Openings that began at an upstream.
+    pub ran: u64,
+    /// Openings refused.
+    pub refused: u64,
+    /// Flows established.
+    pub established: u64,
+    /// Packets delivered in the middle of a flow.
+    pub delivered: u64,
+    /// Packets passed from agent to agent.
+    pub forwarded: u64,
+    /// Control messages sent between agents.
+    pub control: u64,
+    /// Open flows cut, by whatever cause.
+    pub broken: u64,
+    /// Requests that ran more than once.
+    pub ran_again: u64,
+}
+
+/// The whole world.
+pub struct World {
+    now_ms: u64,
+    seed: u64,
+    queue: BinaryHeap<Reverse<Queued>>,
+    sequence: u64,
+    lives: Life,
+    fleet: Fleet,
+    network: Network,
+    outage_until_ms: u64,
+    hosts: Vec<agents::Host>,
+    balancers: Vec<Balancer>,
+    callers: Vec<Caller>,
+    balancing: Balancing,
+    oracle: Oracle,
+    violation: Option<Violation>,
+    tally: Tally,
+    timeline: Option<Vec<String>>,
+}
+
+/// Time for the agents to get to know one another before the first step.
+const WARM_UP_MS: u64 = 3_000;
+
+impl World {
+    /// A world in which all agents have just started beside fresh upstreams.
+    pub fn new(setup: &Setup, balancing: Balancing) -> Self {
+        let hosts = setup.sizes.iter().sum::<usize>() + SPARE_HOSTS;
+        let callers = (0..setup.sizes.len() * setup.callers)
+            .map(|number| Caller::new(number, number % setup.sizes.len(), setup.seed))
+            .collect();
+        let mut world = Self {
+            now_ms: 0,
+            seed: setup.seed,
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            lives: 0,
+            fleet: Fleet::new(&setup.sizes, setup.max_flows),
+            network: Network::default(),
+            outage_until_ms: 0,
+            hosts: (0..hosts).map(|_| agents::Host::default()).collect(),
+            balancers: Vec::new(),
+            callers,
+            balancing,
+            oracle: Oracle::default(),
+            violation: None,
+            tally: Tally::default(),
+            timeline: None,
+        };
+        world.start(setup.balancers.clamp(1, BALANCERS_MAX));
+        world
+    }
+
+    /// Applies one step.
+    pub fn apply(&mut self, step: &Step) {
+        self.note(|| format!("step {step:?}"));
+        if !step.is_planned() {
+            self.see(Seen::Fault);
+        }
+        self.change(step);
+    }
+
+    /// Lets time pass and handles what falls due.
+    pub fn advance(&mut self, ms: u64) {
+        let until_ms = self.now_ms + ms;
+        while self.violation.is_none() {
+            let next_ms = self.queue.peek().map(|Reverse(queued)| queued.due_ms);
+            if next_ms.is_none_or(|next_ms| next_ms > until_ms) {
+                break;
+            }
+            if let Some(Reverse(queued)) = self.queue.pop() {
+                self.now_ms = queued.due_ms;
+                self.handle(queued.what);
+            }
+        }
+        self.now_ms = until_ms;
+    }
+
+    /// The first broken promise.
+    pub fn violation(&self) -> Option<&Violation> {
+        self.violation.as_ref()
+    }
+
+    /// What the run has cost and achieved.
+    pub fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    /// Milliseconds of true time since the start.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Records a time line from now on.
+    pub fn record(&mut self) {
+        self.timeline = Some(Vec::new());
+    }
+
+    /// The recorded time line.
+    pub fn timeline(&self) -> &[String] {
+        self.timeline.as_deref().unwrap_or_default()
+    }
+
+    fn start(&mut self, balancers: usize) {
+        for service in 0..self.fleet.service_count() {
+            for listed in self.fleet.listed(service).to_vec() {
+                self.start_host(listed.host, Some((service, listed.name)));
+            }
+        }
+        let view = self.fleet.view(self.fleet.newest());
+        let newest = self.fleet.newest();
+        self.balancers = (0..balancers).map(|_| Balancer::new(newest, view.clone())).collect();
+        self.advance(WARM_UP_MS);
+    }
+
+    fn handle(&mut self, due: Due) {
+        match due {
+            Due::AtBalancer { balancer, carried } => self.at_balancer(balancer, carried),
+            Due::AtAgent { from, host, incoming } => {
+                if !self.network.cuts(self.now_ms, from, Node::Host(host)) {
+                    self.at_agent(host, incoming);
+                }
+            }
+            Due::AtCaller { caller, reply } => self.at_caller(caller, reply),
+            Due::Timer { caller, timer } if self.callers[caller].timer == timer => {
+                self.transmit(caller);
+            }
+            Due::Timer { .. } => {}
+            Due::Tick { host, life } => self.tick(host, life),
+            Due::Wake { node } => self.wake(node),
+            Due::Settings { node, versions } => self.settings_arrive(node, versions),
+            Due::StartAgent { host } => self.start_agent(host, true),
+            Due::StartHost { host, occupant } => self.start_host(host, occupant),
+            Due::StopAgent { host, life, gap_ms } => self.stop_agent(host, life, gap_ms),
+            Due::StopHost { host, life } => self.stop_host(host, life),
+        }
+    }
+
+    fn schedule(&mut self, delay_ms: u64, what: Due) {
+        self.sequence += 1;
+        let due_ms = self.now_ms + delay_ms;
+        self.queue.push(Reverse(Queued { due_ms, sequence: self.sequence, what }));
+    }
+
+    /// Schedules the copies of a packet that the network lets through.
+    fn transmit_over(&mut self, hash: u64, what: impl Fn() -> Due) {
+        let hash = mix(hash ^ self.seed ^ mix(self.now_ms));
+        for delay_ms in self.network.fates(self.now_ms, hash) {
+            self.schedule(delay_ms, what());
+        }
+    }
+
+    fn see(&mut self, seen: Seen) {
+        if let Err(violation) = self.oracle.see(self.now_ms, seen) {
+            self.note(|| format!("VIOLATION {}: {:?}", violation.promise, violation.seen));
+            self.violation.get_or_insert(violation);
+        }
+    }
+
+    fn note(&mut self, line: impl FnOnce() -> String) {
+        if let Some(timeline) = &mut self.timeline {
+            timeline.push(format!("{:>8} ms  {}", self.now_ms, line()));
+        }
+    }
+
+    fn new_life(&mut self) -> Life {
+        self.lives += 1;
+        self.lives
+    }
+
+    fn promise(service: usize) -> crate::oracle::Promise {
+        let kind = SERVICES[service];
+        crate::oracle::Promise {
+            at_most_once: kind.when_in_doubt == decision::view::WhenInDoubt::Refuse,
+            datagram: kind.is_datagram(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fuzzing/src/world/upstreams.rs
@@ -0,0 +1,144 @@
+//! Upstreams: servers with their own connections, which reset what they don't know.
+
+use decision::keys::FlowId;
+
+use super::callers::{Inner, Reply};
+use crate::oracle::{Life, Request};
+
+/// Names one connection of one life of an upstream, as its initial sequence number would.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Token {
+    /// Life of the upstream.
+    pub life: Life,
+    /// Counts its connections.
+    pub number: u32,
+}
+
+/// A half-open connection is forgotten after this long.
+const HALF_OPEN_MS: u64 = 20_000;
+
+/// One connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Connection {
+    /// Flow.
+    pub flow: FlowId,
+    /// Opening that it came from.
+    pub request: Request,
+    /// Its name.
+    pub token: Token,
+    /// Whether the caller has finished the handshake.
+    pub established: bool,
+    since_ms: u64,
+}
+
+/// One life of an upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// This life.
+    pub life: Life,
+    /// Datagram requests are answered at once and leave no connection.
+    pub datagrams: bool,
+    /// Connections sorted by flow.
+    pub connections: Vec<Connection>,
+    /// Connections and requests that it ever began.
+    pub begun: u32,
+}
+
+/// What an upstream did with a packet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Effect {
+    /// An opening began.
+    pub ran: bool,
+    /// A handshake was finished.
+    pub established: bool,
+    /// A connection ended.
+    pub ended: bool,
+    /// Answer to the caller.
+    pub reply: Option<Reply>,
+}
+
+impl Upstream {
+    /// A fresh upstream.
+    pub fn new(life: Life, datagrams: bool) -> Self {
+        Self { life, datagrams, connections: Vec::new(), begun: 0 }
+    }
+
+    /// The connection called `token`, if this life still holds it.
+    pub fn connection(&self, token: Token) -> Option<&Connection> {
+        self.connections.iter().find(|connection| connection.token == token)
+    }
+
+    /// Takes in a packet.
+    pub fn receive(&mut self, now_ms: u64, flow: FlowId, inner: Inner) -> Effect {
+        self.connections.retain(|connection| {
+            connection.established || now_ms < connection.since_ms + HALF_OPEN_MS
+        });
+        match inner {
+            Inner::Open(request) if self.datagrams => self.run(request),
+            Inner::Open(request) => self.open(now_ms, flow, request),
+            Inner::Middle(_, token) => self.middle(flow, token),
+            Inner::Finish(_, token) => self.end(flow, token, Some(Reply::Finished { token })),
+            Inner::Reset(_, token) => self.end(flow, token, None),
+        }
+    }
+
+    fn run(&mut self, request: Request) -> Effect {
+        self.begun += 1;
+        Effect { ran: true, reply: Some(Reply::Done { request }), ..Effect::default() }
+    }
+
+    fn open(&mut self, now_ms: u64, flow: FlowId, request: Request) -> Effect {
+        let found = self.connections.binary_search_by_key(&flow, |connection| connection.flow);
+        if let Ok(index) = found {
+            let known = self.connections[index];
+            if known.request == request {
+                return reply(Reply::Accepted { request, token: known.token });
+            }
+            if known.established {
+                return reply(Reply::Challenge { request, token: known.token });
+            }
+            self.connections.remove(index);
+        }
+        self.begun += 1;
+        let token = Token { life: self.life, number: self.begun };
+        let connection =
+            Connection { flow, request, token, established: false, since_ms: now_ms };
+        let index = self.connections.partition_point(|known| known.flow < flow);
+        self.connections.insert(index, connection);
+        Effect { ran: true, ..reply(Reply::Accepted { request, token }) }
+    }
+
+    fn middle(&mut self, flow: FlowId, token: Token) -> Effect {
+        match self.find(flow) {
+            Some(connection) if connection.token == token => {
+                let established = !connection.established;
+                connection.established = true;
+                Effect { established, ..reply(Reply::Acknowledged { token }) }
+            }
+            // Another connection of the same caller: outside of its window, no reset.
+            Some(connection) if connection.established => Effect::default(),
+            _ => reply(Reply::Reset { token }),
+        }
+    }
+
+    fn end(&mut self, flow: FlowId, token: Token, answer: Option<Reply>) -> Effect {
+        let index = self.connections.iter().position(|known| known.token == token);
+        match index {
+            Some(index) => {
+                self.connections.remove(index);
+                Effect { ended: true, reply: answer, ..Effect::default() }
+            }
+            None if self.find(flow).is_some() => Effect::default(),
+            None => Effect { reply: answer.map(|_| Reply::Reset { token }), ..Effect::default() },
+        }
+    }
+
+    fn find(&mut self, flow: FlowId) -> Option<&mut Connection> {
+        let index = self.connections.binary_search_by_key(&flow, |known| known.flow).ok()?;
+        Some(&mut self.connections[index])
+    }
+}
+
+fn reply(reply: Reply) -> Effect {
+    Effect { reply: Some(reply), ..Effect::default() }
+}
--- /dev/null
+++ b/crates/fuzzing/src/world/verdicts.rs
@@ -0,0 +1,163 @@
+//! What the shell does with an agent's verdicts, and what upstreams and callers answer.
+
+use decision::agent::{HoldKey, Note, Packet, PacketKind, Passed, Verdict};
+
+use super::agents::{Incoming, address_of};
+use super::balancers::hash_of;
+use super::callers::{Inner, Phase, Reply};
+use super::network::mix;
+use super::upstreams::Token;
+use super::{Carried, Due, Node, World};
+use crate::oracle::Seen;
+
+impl World {
+    /// Carries out the verdict about a packet.
+    pub(super) fn decide(
+        &mut self,
+        host: usize,
+        packet: Packet,
+        carried: Carried,
+        verdict: Verdict,
+    ) {
+        self.note(|| format!("host {host}: {:?} {:?} -> {verdict:?}", carried.inner, packet));
+        match verdict {
+            Verdict::Deliver => self.deliver(host, carried, packet.passed),
+            Verdict::Drop(_) => {}
+            Verdict::Refuse(_) => self.refuse(&packet, carried),
+            Verdict::Hold(key) => {
+                let now_ms = self.now_ms;
+                let Some(shell) = &mut self.hosts[host].agent else { return };
+                shell.held.push((key, packet, carried, now_ms));
+            }
+            Verdict::Forward { to, passed } => {
+                let Some(shell) = &self.hosts[host].agent else { return };
+                let Some(target) = address_of(shell, to) else { return };
+                let Some(service) = shell.view.find_service(shell.service) else { return };
+                let view = shell.view.account(shell.view.service(service).account).version;
+                let packet = Packet { hops: packet.hops.saturating_add(1), passed, view, ..packet };
+                self.tally.forwarded += 1;
+                self.send(Node::Host(host), target, Incoming::Packet { packet, carried });
+            }
+        }
+    }
+
+    /// Carries out the late verdict about a held packet.
+    pub(super) fn resolve(&mut self, host: usize, key: HoldKey, verdict: Verdict) {
+        let Some(shell) = &mut self.hosts[host].agent else { return };
+        let Some(index) = shell.held.iter().position(|(held, ..)| *held == key) else { return };
+        let (_, packet, carried, _) = shell.held.remove(index);
+        self.decide(host, packet, carried, verdict);
+    }
+
+    /// Shows the oracle what an agent has noted.
+    pub(super) fn observe(&mut self, host: usize, note: Note) {
+        self.note(|| format!("host {host}: {note:?}"));
+        let Some(shell) = &self.hosts[host].agent else { return };
+        if let Note::ViewInstalled(version) = note {
+            let agent = shell.life;
+            self.see(Seen::InForce { agent, version: version.0 });
+        }
+    }
+
+    /// Hands a packet to the upstream of a host.
+    pub(super) fn deliver(&mut self, host: usize, carried: Carried, passed: Passed) {
+        let now_ms = self.now_ms;
+        let request = carried.inner.request();
+        let flow = self.callers[request.caller].flow;
+        let target = &mut self.hosts[host];
+        let agent = target.agent.as_ref().map_or(0, |shell| shell.life);
+        let (Some((reached, _)), Some(upstream)) = (target.occupant, &mut target.upstream) else {
+            return;
+        };
+        let effect = upstream.receive(now_ms, flow, carried.inner);
+        let upstream = upstream.life;
+        self.see(Seen::Delivered { meant: request.service, reached });
+        if effect.ran {
+            self.tally.ran += 1;
+            let promise = Self::promise(request.service);
+            let assigned = passed == Passed::Assigned;
+            self.see(Seen::Ran { request, promise, upstream, agent, assigned });
+        }
+        if effect.established {
+            self.tally.established += 1;
+            self.see(Seen::Established { request, upstream });
+        }
+        if effect.ended {
+            self.see(Seen::Closed { request });
+        }
+        if let Some(reply) = effect.reply {
+            self.answer(request.caller, reply);
+        }
+    }
+
+    fn refuse(&mut self, packet: &Packet, carried: Carried) {
+        let request = carried.inner.request();
+        if matches!(packet.kind, PacketKind::Opening { .. }) {
+            self.tally.refused += 1;
+            let promise = Self::promise(request.service);
+            self.see(Seen::Refused { request, promise });
+            self.answer(request.caller, Reply::Refused { request });
+        } else if let Some(token) = carried.inner.token() {
+            self.answer(request.caller, Reply::Reset { token });
+        }
+    }
+
+    /// Sends an answer to a caller. Upstreams answer directly, past the balancers.
+    fn answer(&mut self, caller: usize, reply: Reply) {
+        if let Reply::Reset { token } = reply {
+            self.check_reset(caller, token);
+        }
+        self.note(|| format!("caller {caller} <- {reply:?}"));
+        let hash = hash_of(&(caller, reply));
+        self.transmit_over(hash, || Due::AtCaller { caller, reply });
+    }
+
+    /// A reset is a broken flow if the caller's connection still lives at its upstream.
+    fn check_reset(&mut self, caller: usize, token: Token) {
+        let known = match self.callers[caller].phase {
+            Phase::Open { token, .. } | Phase::Closing { token } => token,
+            Phase::Idle | Phase::Opening => return,
+        };
+        if known == token && self.is_held(token) {
+            let request = self.callers[caller].request();
+            self.tally.broken += 1;
+            self.see(Seen::Broken { request, upstream: token.life });
+        }
+    }
+
+    /// Whether the upstream that a connection belongs to still holds it.
+    pub(super) fn is_held(&self, token: Token) -> bool {
+        let mut upstreams = self.hosts.iter().filter_map(|host| host.upstream.as_ref());
+        let holder = upstreams.find(|upstream| upstream.life == token.life);
+        holder.is_some_and(|upstream| upstream.connection(token).is_some())
+    }
+
+    pub(super) fn at_caller(&mut self, caller: usize, reply: Reply) {
+        let before = self.callers[caller].timer;
+        let extra = self.callers[caller].hear(self.now_ms, reply);
+        if let Some(inner) = extra {
+            self.emit(caller, inner);
+        }
+        if self.callers[caller].timer != before {
+            self.transmit(caller);
+        }
+    }
+
+    /// Transmits what the caller waits for, and schedules the retransmission.
+    pub(super) fn transmit(&mut self, caller: usize) {
+        let Some(inner) = self.callers[caller].pending() else { return };
+        let Some(delay_ms) = self.callers[caller].transmit() else { return };
+        let timer = self.callers[caller].timer;
+        self.emit(caller, inner);
+        self.schedule(delay_ms, Due::Timer { caller, timer });
+    }
+
+    /// Sends a packet by way of the fabric, which picks any balancer.
+    pub(super) fn emit(&mut self, caller: usize, inner: Inner) {
+        let carried = Carried { inner, sent_ms: self.now_ms };
+        let hash = hash_of(&(caller, carried));
+        let balancer = (mix(hash ^ self.seed) % self.balancers.len() as u64) as usize;
+        self.note(|| format!("caller {caller} -> balancer {balancer}: {inner:?}"));
+        self.transmit_over(hash, || Due::AtBalancer { balancer, carried });
+    }
+}
