--- a/crates/fuzzing/src/campaign.rs
+++ b/crates/fuzzing/src/campaign.rs
@@ -1,1 +1,170 @@
-//! Campaigns.
+//! Long runs: one episode after the other, each from its own seed, until a promise breaks.
+
+use proptest::strategy::{Strategy, ValueTree as _};
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+use crate::oracle::Violation;
+use crate::shrink;
+use crate::step::{FAULTS, Profile, Step, profiles, steps};
+use crate::world::{Balancing, Sabotage, Setup, Tally, World};
+
+/// A replayable run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Episode {
+    /// Seed from which it was drawn.
+    pub seed: u64,
+    /// What it starts from.
+    pub setup: Setup,
+    /// What it draws from.
+    pub profile: Profile,
+    /// Its steps.
+    pub steps: Vec<Step>,
+}
+
+/// How an episode ended.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// The first broken promise.
+    pub violation: Option<Violation>,
+    /// Steps that were applied.
+    pub steps: usize,
+    /// What the run has cost and achieved.
+    pub tally: Tally,
+}
+
+/// Steps of an episode: most are short, since a fresh world reaches more, and some are long.
+const LENGTHS: [usize; 4] = [60, 150, 400, 1_500];
+
+/// Draws an episode.
+///
+/// ```
+/// use fuzzing::campaign;
+/// assert_eq!(campaign::draw(7), campaign::draw(7));
+/// ```
+pub fn draw(seed: u64) -> Episode {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut bytes = [0; 32];
+    rng.fill(&mut bytes);
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let mut runner = TestRunner::new_with_rng(Config::default(), rng);
+    let setup = pick(&mut runner, &setups());
+    let profile = pick(&mut runner, &profiles());
+    let length = pick(&mut runner, &(0..LENGTHS.len()).prop_map(|index| LENGTHS[index]));
+    let strategy = steps(profile);
+    let steps = (0..length).map(|_| pick(&mut runner, &strategy)).collect();
+    Episode { seed, setup, profile, steps }
+}
+
+/// Strategy over setups.
+pub fn setups() -> impl Strategy<Value = Setup> {
+    let sizes = proptest::collection::vec(3..=7usize, 1..=3);
+    let max_flows = proptest::sample::select(vec![3u32, 2_000]);
+    (proptest::num::u64::ANY, sizes, 1..=4usize, 4..=10usize, max_flows).prop_map(
+        |(seed, sizes, balancers, callers, max_flows)| Setup {
+            seed,
+            sizes,
+            balancers,
+            callers,
+            max_flows,
+        },
+    )
+}
+
+fn pick<S: Strategy>(runner: &mut TestRunner, strategy: &S) -> S::Value {
+    match strategy.new_tree(runner) {
+        Ok(tree) => tree.current(),
+        Err(reason) => unreachable!("strategies without filters never reject: {reason}"),
+    }
+}
+
+/// Plays an episode; `record` keeps a time line.
+pub fn play(episode: &Episode, sabotage: Sabotage, record: bool) -> (Outcome, World) {
+    let mut world = World::new(&episode.setup, Balancing::Core, sabotage);
+    if record {
+        world.record();
+    }
+    let mut applied = 0;
+    for step in &episode.steps {
+        if world.violation().is_some() {
+            break;
+        }
+        world.apply(step);
+        applied += 1;
+    }
+    if world.violation().is_none() {
+        world.heal();
+    }
+    let violation = world.violation().copied();
+    (Outcome { violation, steps: applied, tally: *world.tally() }, world)
+}
+
+/// Deletes steps while the same promise still breaks.
+pub fn shrunk(episode: &Episode, sabotage: Sabotage, promise: &str) -> Episode {
+    let breaks = |steps: &[Step]| {
+        let shorter = Episode { steps: steps.to_vec(), ..episode.clone() };
+        let (outcome, _) = play(&shorter, sabotage, false);
+        outcome.violation.is_some_and(|violation| violation.promise == promise)
+    };
+    let steps = shrink::shrink(episode.steps.clone(), SHRINK_TRIES, breaks);
+    Episode { steps, ..episode.clone() }
+}
+
+/// Runs that a shrinking may take; it takes seconds.
+const SHRINK_TRIES: usize = 3_000;
+
+/// Result of many episodes.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Steps applied.
+    pub steps: usize,
+    /// Episodes begun.
+    pub episodes: usize,
+    /// Steps by kind of fault or planned change, in the order of [`FAULTS`].
+    pub faults: [u64; FAULTS.len()],
+    /// Faults that began while another was at work; the smaller number first.
+    pub pairs: [[u64; FAULTS.len()]; FAULTS.len()],
+    /// What all runs have cost and achieved.
+    pub tally: Tally,
+    /// The episode that broke a promise, as drawn.
+    pub failure: Option<(Episode, Violation)>,
+}
+
+/// Plays episodes until `steps` are applied or a promise breaks.
+///
+/// Seeds of the episodes follow one another from `seed`, so that any one can be drawn again.
+pub fn run(steps: usize, seed: u64, sabotage: Sabotage) -> Report {
+    let mut report = Report::default();
+    while report.steps < steps && report.failure.is_none() {
+        let episode = draw(seed.wrapping_add(report.episodes as u64));
+        let (outcome, _) = play(&episode, sabotage, false);
+        report.episodes += 1;
+        report.steps += outcome.steps;
+        report.tally.add(&outcome.tally);
+        report.count(&episode.steps[..outcome.steps]);
+        report.failure = outcome.violation.map(|violation| (episode, violation));
+    }
+    report
+}
+
+impl Report {
+    fn count(&mut self, steps: &[Step]) {
+        let mut now_ms = 0;
+        let mut ends_ms = [0u64; FAULTS.len()];
+        for step in steps {
+            if let Step::Advance { ms } = step {
+                now_ms += u64::from(*ms);
+            }
+            let Some((fault, lasts_ms)) = step.fault() else { continue };
+            let fault = fault as usize;
+            self.faults[fault] += 1;
+            for other in (0..FAULTS.len()).filter(|other| ends_ms[*other] > now_ms) {
+                self.pairs[fault.min(other)][fault.max(other)] += 1;
+            }
+            let end_ms = &mut ends_ms[fault];
+            *end_ms = (*end_ms).max(now_ms + lasts_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fuzzing/src/command.rs
@@ -0,0 +1,155 @@
+//! The command line of long runs.
+
+use std::path::{Path, PathBuf};
+use std::time::Instant;
+
+use anyhow::Context as _;
+use lexopt::ValueExt as _;
+
+use crate::campaign::{self, Episode, Report};
+use crate::oracle::Violation;
+use crate::step::FAULTS;
+use crate::world::Sabotage;
+
+const HELP: &str = "\
+Usage: cargo xtask fuzz [OPTIONS]
+
+Options:
+  --steps N      steps to apply, 100000 unless given
+  --seed S       seed of the first episode, 1 unless given; the next ones follow
+  --replay FILE  play the episode in FILE and print its time line
+  --trace FILE   where a failing episode is written, fuzz-trace.json unless given
+  --mutants      take out one safeguard after the other and print what catches it
+";
+
+struct Options {
+    steps: usize,
+    seed: u64,
+    replay: Option<PathBuf>,
+    trace: PathBuf,
+    mutants: bool,
+}
+
+/// Runs the command; true if no promise broke.
+pub fn run() -> anyhow::Result<bool> {
+    let Some(options) = parse()? else {
+        print!("{HELP}");
+        return Ok(true);
+    };
+    if options.mutants {
+        return mutants();
+    }
+    if let Some(path) = &options.replay {
+        return replay(path);
+    }
+    long_run(&options)
+}
+
+fn parse() -> anyhow::Result<Option<Options>> {
+    let mut options = Options {
+        steps: 100_000,
+        seed: 1,
+        replay: None,
+        trace: "fuzz-trace.json".into(),
+        mutants: false,
+    };
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            lexopt::Arg::Long("steps") => options.steps = parser.value()?.parse()?,
+            lexopt::Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+            lexopt::Arg::Long("replay") => options.replay = Some(parser.value()?.into()),
+            lexopt::Arg::Long("trace") => options.trace = parser.value()?.into(),
+            lexopt::Arg::Long("mutants") => options.mutants = true,
+            lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => return Ok(None),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Some(options))
+}
+
+fn long_run(options: &Options) -> anyhow::Result<bool> {
+    let begun = Instant::now();
+    let report = campaign::run(options.steps, options.seed, Sabotage::default());
+    let seconds = begun.elapsed().as_secs_f64();
+    print_counts(&report);
+    println!(
+        "{} steps in {} episodes from seed {}, {seconds:.1} s, {:.0} steps/s",
+        report.steps,
+        report.episodes,
+        options.seed,
+        report.steps as f64 / seconds
+    );
+    let Some((episode, violation)) = &report.failure else {
+        println!("result: every promise held");
+        return Ok(true);
+    };
+    print_failure(episode, violation, &options.trace)?;
+    Ok(false)
+}
+
+fn print_counts(report: &Report) {
+    println!("faults and changes, and those that began while another was at work:");
+    for (fault, count) in FAULTS.into_iter().zip(report.faults) {
+        println!("  {fault:?}: {count}");
+    }
+    for (index, one) in FAULTS.into_iter().enumerate() {
+        let pairs: Vec<String> = FAULTS
+            .into_iter()
+            .zip(report.pairs[index])
+            .skip(index)
+            .map(|(other, count)| format!("{other:?} {count}"))
+            .collect();
+        println!("  {one:?} with {}", pairs.join(", "));
+    }
+    println!("{:?}", report.tally);
+}
+
+fn print_failure(episode: &Episode, violation: &Violation, trace: &Path) -> anyhow::Result<()> {
+    println!("result: BROKEN PROMISE {} in episode seed {}", violation.promise, episode.seed);
+    let small = campaign::shrunk(episode, Sabotage::default(), violation.promise);
+    println!("shrunk from {} to {} steps:", episode.steps.len(), small.steps.len());
+    print_timeline(&small);
+    let text = serde_json::to_string_pretty(&small)?;
+    std::fs::write(trace, text).with_context(|| format!("writing {}", trace.display()))?;
+    println!("replay: cargo xtask fuzz --replay {}", trace.display());
+    Ok(())
+}
+
+fn print_timeline(episode: &Episode) -> bool {
+    let (outcome, world) = campaign::play(episode, Sabotage::default(), true);
+    for line in world.timeline() {
+        println!("{line}");
+    }
+    outcome.violation.is_none()
+}
+
+fn replay(path: &Path) -> anyhow::Result<bool> {
+    let text =
+        std::fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
+    let episode: Episode = serde_json::from_str(&text)?;
+    Ok(print_timeline(&episode))
+}
+
+#[cfg(not(feature = "mutants"))]
+fn mutants() -> anyhow::Result<bool> {
+    anyhow::bail!("built without the feature `mutants`; run `cargo xtask fuzz --mutants`")
+}
+
+#[cfg(feature = "mutants")]
+fn mutants() -> anyhow::Result<bool> {
+    let mut all_caught = true;
+    println!("{:<24} {:>8} {:>8}  promise", "mutant", "seed", "steps");
+    for (mutant, seed) in crate::mutants::TABLE {
+        match crate::mutants::hunt(mutant, seed) {
+            Some(catch) => {
+                println!("{mutant:<24?} {seed:>8} {:>8}  {}", catch.steps, catch.promise);
+            }
+            None => {
+                all_caught = false;
+                println!("{mutant:<24?} {seed:>8}  escaped");
+            }
+        }
+    }
+    Ok(all_caught)
+}
--- a/crates/fuzzing/src/lib.rs
+++ b/crates/fuzzing/src/lib.rs
@@ -6,6 +6,9 @@
 //! without making the rest invalid, so that any failing sequence shrinks.
 
 pub mod campaign;
+pub mod command;
+#[cfg(feature = "mutants")]
+pub mod mutants;
 pub mod oracle;
 pub mod shrink;
 pub mod step;
--- a/crates/fuzzing/src/oracle.rs
+++ b/crates/fuzzing/src/oracle.rs
@@ -53,6 +53,10 @@
     Stuck { request: Request },
     /// Long after all faults have ended, an opening gets no answer.
     Unanswered { request: Request },
+    /// Long after all faults have ended, a service refuses every opening.
+    Shut { service: usize },
+    /// Long after all faults have ended, an agent still holds a packet back.
+    HeldBack { agent: Life },
 }
 
 /// A broken promise.
@@ -119,8 +123,8 @@
             Seen::Established { request, upstream } => put(&mut self.open, (request, upstream)),
             Seen::Broken { request, upstream } => {
                 let alive = !self.dead.contains(&upstream);
-                let open = has(&self.open, request);
-                let excused = self.split.contains(&request) || !(open || !self.faulted);
+                let in_handshake = !has(&self.open, request);
+                let excused = self.split.contains(&request) || (in_handshake && self.faulted);
                 ensure(!alive || excused, "1: an open flow was cut")?;
             }
             Seen::Closed { request } => self.open.retain(|(known, _)| *known != request),
@@ -144,6 +148,8 @@
                 ensure(self.split.contains(&request), "1: a living flow is never found again")?;
             }
             Seen::Unanswered { .. } => return Err("1: an opening is never answered"),
+            Seen::Shut { .. } => return Err("1: a well service refuses everything"),
+            Seen::HeldBack { .. } => return Err("8: a held packet is never resolved"),
         }
         Ok(())
     }
--- a/crates/fuzzing/src/step.rs
+++ b/crates/fuzzing/src/step.rs
@@ -155,9 +155,7 @@
             }
             Self::CrashHost { gap_ms, .. } => (Fault::CrashHost, AFTERMATH_MS + u64::from(gap_ms)),
             Self::Outage { lasts_ms } => (Fault::Outage, lasts_ms.into()),
-            Self::StaleRead { .. } | Self::StaleBalancer { .. } => {
-                (Fault::StaleRead, AFTERMATH_MS)
-            }
+            Self::StaleRead { .. } | Self::StaleBalancer { .. } => (Fault::StaleRead, AFTERMATH_MS),
             Self::Lie { .. } => (Fault::Lie, AFTERMATH_MS),
             Self::Hint { .. } => (Fault::Hint, AFTERMATH_MS),
             Self::Suspect { .. } => (Fault::Suspect, AFTERMATH_MS),
@@ -203,8 +201,7 @@
     /// let profile = fuzzing::step::Profile::PLANNED;
     /// assert!(!profile.draws(fuzzing::step::Fault::Pause));
     /// ```
-    pub const PLANNED: Self =
-        Self { faults: 0b1_1100_0000_0000, advance_ms: 400, lasts_ms: 5_000 };
+    pub const PLANNED: Self = Self { faults: 0b1_1100_0000_0000, advance_ms: 400, lasts_ms: 5_000 };
 
     /// Everything.
     pub const ALL: Self = Self { faults: 0b1_1111_1111_1111, advance_ms: 400, lasts_ms: 5_000 };
@@ -264,10 +261,9 @@
                 .boxed(),
         ),
         Fault::Pause => (2, pause(longest_ms)),
-        Fault::CrashAgent => (
-            2,
-            (pick, lasts).prop_map(|(pick, gap_ms)| Step::CrashAgent { pick, gap_ms }).boxed(),
-        ),
+        Fault::CrashAgent => {
+            (2, (pick, lasts).prop_map(|(pick, gap_ms)| Step::CrashAgent { pick, gap_ms }).boxed())
+        }
         Fault::CrashHost => {
             (1, (pick, lasts).prop_map(|(pick, gap_ms)| Step::CrashHost { pick, gap_ms }).boxed())
         }
--- a/crates/fuzzing/src/world/agents.rs
+++ b/crates/fuzzing/src/world/agents.rs
@@ -12,7 +12,7 @@
 
 use super::balancers::hash_of;
 use super::fleet::{self, Occupant, SERVICES, Versions};
-use super::network::{PACKET_LIFETIME_MS, mix};
+use super::network::mix;
 use super::upstreams::Upstream;
 use super::{Carried, Due, Node, World};
 use crate::oracle::{Life, Seen};
@@ -45,7 +45,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Process<T> {
     pub(super) paused_until_ms: u64,
-    pub(super) backlog: Vec<(u64, T)>,
+    pub(super) backlog: Vec<T>,
 }
 
 impl<T> Default for Process<T> {
@@ -64,18 +64,17 @@
             return true;
         }
         if self.backlog.len() < BACKLOG_MAX {
-            self.backlog.push((now_ms, item));
+            self.backlog.push(item);
         }
         false
     }
 
-    /// What has queued up; the shell drops packets older than their lifetime by their time stamps.
+    /// What has queued up.
     pub(super) fn wake(&mut self, now_ms: u64) -> Vec<T> {
         if self.paused_until_ms > now_ms {
             return Vec::new();
         }
-        let young = |(since_ms, _): &(u64, T)| since_ms + PACKET_LIFETIME_MS >= now_ms;
-        std::mem::take(&mut self.backlog).into_iter().filter(young).map(|(_, item)| item).collect()
+        std::mem::take(&mut self.backlog)
     }
 }
 
@@ -99,7 +98,7 @@
     pub(super) view: Arc<View>,
     pub(super) held: Vec<(HoldKey, Packet, Carried, u64)>,
     pub(super) fetching: bool,
-    agent: Agent,
+    pub(super) agent: Agent,
     clock_offset_ms: u64,
     leaving: bool,
     reported_draining: bool,
@@ -130,7 +129,7 @@
 
 /// Ticks between two reports of the upstream.
 const TICKS_PER_REPORT: u64 = 20;
-/// Bytes of clock difference between machines are arbitrary; this keeps them readable.
+/// Clocks of machines differ by any amount; this keeps them readable.
 const CLOCK_SPREAD_MS: u64 = 1_000_000_000;
 
 impl World {
@@ -163,17 +162,21 @@
         };
         let clock_offset_ms = mix(self.seed ^ life << 20) % CLOCK_SPREAD_MS;
         let now = Millis(clock_offset_ms + self.now_ms);
-        self.note(|| format!("host {host}: agent life {life}, settings {versions:?}, may_have_past {may_have_past}"));
+        self.note(|| format!("host {host}: agent starts, {config:?}, settings {versions:?}"));
+        #[allow(unused_mut, reason = "only mutants change it")]
+        let mut agent = Agent::new(config.clone(), view.clone(), now);
+        #[cfg(feature = "mutants")]
+        agent.set_mutant(self.sabotage.mutant);
         self.hosts[host].process = Process::default();
         self.hosts[host].agent = Some(Shell {
             life,
             id: config.upstream,
             service: config.service,
             versions,
-            view: view.clone(),
+            view,
             held: Vec::new(),
             fetching: false,
-            agent: Agent::new(config, view, now),
+            agent,
             clock_offset_ms,
             leaving: false,
             reported_draining: false,
@@ -220,6 +223,9 @@
 
     fn take_packet(&mut self, host: usize, packet: Packet, carried: Carried) {
         let now_ms = self.now_ms;
+        if carried.is_dead(now_ms) {
+            return;
+        }
         let Some(shell) = &mut self.hosts[host].agent else { return };
         let mut actions = Vec::new();
         let verdict = shell.agent.packet(shell.clock(now_ms), &packet, &mut actions);
@@ -286,8 +292,7 @@
 
     fn weigh(&mut self, host: usize) {
         let Some(shell) = &self.hosts[host].agent else { return };
-        let flows_begun =
-            self.callers.iter().map(|caller| caller.nonce as usize).sum::<usize>();
+        let flows_begun = self.callers.iter().map(|caller| caller.nonce as usize).sum::<usize>();
         let seen = Seen::Tables {
             agent: shell.life,
             flows: shell.open_flows(),
--- a/crates/fuzzing/src/world/balancers.rs
+++ b/crates/fuzzing/src/world/balancers.rs
@@ -1,12 +1,13 @@
 //! Balancers, and the policies that can take the place of the core's.
 
-use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+use std::hash::Hasher as _;
 use std::sync::Arc;
 
 use decision::agent::{Packet, PacketKind, Passed};
 use decision::keys::{FlowId, ServiceKey, UpstreamKey};
 use decision::router::Router;
 use decision::view::View;
+use siphasher::sip::SipHasher13;
 
 use super::agents::{Incoming, Process};
 use super::callers::Inner;
@@ -69,6 +70,9 @@
     }
 
     pub(super) fn forward(&mut self, balancer: usize, carried: Carried) {
+        if carried.is_dead(self.now_ms) {
+            return;
+        }
         let request = carried.inner.request();
         let flow = self.callers[request.caller].flow;
         let router = &self.balancers[balancer].router;
@@ -106,9 +110,9 @@
     }
 }
 
-/// A hash that is the same in every run of one build, as the hasher has fixed keys.
+/// A hash that is the same in every run and with every compiler.
 pub(super) fn hash_of(value: &impl std::hash::Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
+    let mut hasher = SipHasher13::new();
     value.hash(&mut hasher);
     hasher.finish()
 }
@@ -116,9 +120,9 @@
 fn kind(inner: Inner) -> PacketKind {
     match inner {
         // Nonces differ between callers as initial sequence numbers do.
-        Inner::Open(request) => PacketKind::Opening {
-            nonce: (request.caller as u32) << 16 | request.nonce,
-        },
+        Inner::Open(request) => {
+            PacketKind::Opening { nonce: (request.caller as u32) << 16 | request.nonce }
+        }
         Inner::Middle(..) => PacketKind::Middle,
         Inner::Finish(..) => PacketKind::Finish,
         Inner::Reset(..) => PacketKind::Reset,
--- a/crates/fuzzing/src/world/callers.rs
+++ b/crates/fuzzing/src/world/callers.rs
@@ -8,7 +8,7 @@
 
 /// A packet of a caller as the upstream sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Inner {
+pub(super) enum Inner {
     /// A SYN, or a request to a datagram service.
     Open(Request),
     /// A packet in the middle of a flow.
@@ -21,7 +21,7 @@
 
 impl Inner {
     /// The request whose flow the packet belongs to.
-    pub fn request(&self) -> Request {
+    pub(super) fn request(&self) -> Request {
         match *self {
             Self::Open(request)
             | Self::Middle(request, _)
@@ -31,7 +31,7 @@
     }
 
     /// The connection that the packet belongs to; an opening has none.
-    pub fn token(&self) -> Option<Token> {
+    pub(super) fn token(&self) -> Option<Token> {
         match *self {
             Self::Open(_) => None,
             Self::Middle(_, token) | Self::Finish(_, token) | Self::Reset(_, token) => Some(token),
@@ -42,7 +42,7 @@
 /// An answer to a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[allow(missing_docs, reason = "the fields repeat: which request, which connection")]
-pub enum Reply {
+pub(super) enum Reply {
     /// SYN-ACK.
     Accepted { request: Request, token: Token },
     /// Answer to a datagram request.
@@ -61,7 +61,7 @@
 
 /// Where a caller stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
+pub(super) enum Phase {
     /// Nothing open.
     Idle,
     /// Waits for the answer to its opening.
@@ -82,47 +82,75 @@
 
 /// One caller of one service, always on the same ports.
 #[derive(Clone, Copy, Debug)]
-pub struct Caller {
+pub(super) struct Caller {
     /// Its number.
-    pub number: usize,
+    pub(super) number: usize,
     /// The service that it calls.
-    pub service: usize,
+    pub(super) service: usize,
     /// Its flow.
-    pub flow: FlowId,
+    pub(super) flow: FlowId,
     /// Where it stands.
-    pub phase: Phase,
+    pub(super) phase: Phase,
     /// Counts its openings.
-    pub nonce: u32,
+    pub(super) nonce: u32,
     /// Transmissions of what it waits for.
-    pub tries: u32,
+    pub(super) tries: u32,
     /// Counts its timers; an older one is void.
-    pub timer: u32,
+    pub(super) timer: u32,
+    /// True time of its opening's first transmission.
+    pub(super) born_ms: u64,
     /// True time of the last answer in its flow.
-    pub answered_ms: u64,
+    pub(super) answered_ms: u64,
+    /// What became of its last opening.
+    pub(super) outcome: Outcome,
 }
 
-/// Transmissions before a caller gives up, as large as the packets' lifetime allows.
+/// What a caller knows about its last opening.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Outcome {
+    /// Nothing yet.
+    Unknown,
+    /// Accepted, or answered.
+    Served,
+    /// Refused.
+    Refused,
+}
+
+/// Transmissions before a caller gives up: the last SYN of Linux is sent after 31 s.
 const TRIES_MAX: u32 = 6;
-/// First retransmission; doubled each time.
-const RETRANSMIT_MS: u64 = 400;
-/// Longest time between two transmissions.
+/// First retransmission of an opening or FIN; doubled each time.
+const OPENING_MS: u64 = 1_000;
+/// First retransmission in an open flow; doubled each time.
+const RETRANSMIT_MS: u64 = 200;
+/// Longest time between two transmissions in an open flow.
 const RETRANSMIT_MAX_MS: u64 = 4_000;
 
 impl Caller {
     /// An idle caller.
-    pub fn new(number: usize, service: usize, seed: u64) -> Self {
+    pub(super) fn new(number: usize, service: usize, seed: u64) -> Self {
         let flow = FlowId(mix(seed ^ (number as u64) << 8));
         let phase = Phase::Idle;
-        Self { number, service, flow, phase, nonce: 0, tries: 0, timer: 0, answered_ms: 0 }
+        Self {
+            number,
+            service,
+            flow,
+            phase,
+            nonce: 0,
+            tries: 0,
+            timer: 0,
+            born_ms: 0,
+            answered_ms: 0,
+            outcome: Outcome::Unknown,
+        }
     }
 
     /// What it wants to be served now.
-    pub fn request(&self) -> Request {
+    pub(super) fn request(&self) -> Request {
         Request { service: self.service, caller: self.number, nonce: self.nonce }
     }
 
     /// The packet that it transmits, again and again, until it is answered.
-    pub fn pending(&self) -> Option<Inner> {
+    pub(super) fn pending(&self) -> Option<Inner> {
         match self.phase {
             Phase::Idle | Phase::Open { waits: false, .. } => None,
             Phase::Opening => Some(Inner::Open(self.request())),
@@ -131,34 +159,49 @@
         }
     }
 
+    /// Begins an opening.
+    pub(super) fn open(&mut self, now_ms: u64) {
+        self.nonce += 1;
+        self.born_ms = now_ms;
+        self.outcome = Outcome::Unknown;
+        self.enter(Phase::Opening);
+    }
+
     /// Enters a phase; its first transmission is due.
-    pub fn enter(&mut self, phase: Phase) {
+    pub(super) fn enter(&mut self, phase: Phase) {
         self.phase = phase;
         self.tries = 0;
         self.timer += 1;
     }
 
     /// Counts a transmission and says when the next is due; `None` once it gives up.
-    pub fn transmit(&mut self) -> Option<u64> {
+    pub(super) fn transmit(&mut self) -> Option<u64> {
         let persistent = matches!(self.phase, Phase::Open { .. });
         if self.tries >= TRIES_MAX && !persistent {
             self.enter(Phase::Idle);
             return None;
         }
         self.tries += 1;
-        Some((RETRANSMIT_MS << self.tries.min(5)).min(RETRANSMIT_MAX_MS))
+        if persistent {
+            return Some((RETRANSMIT_MS << self.tries.min(5)).min(RETRANSMIT_MAX_MS));
+        }
+        Some(OPENING_MS << (self.tries - 1))
     }
 
     /// Takes in an answer; returns a packet that it sends at once besides the pending one.
-    pub fn hear(&mut self, now_ms: u64, reply: Reply) -> Option<Inner> {
+    pub(super) fn hear(&mut self, now_ms: u64, reply: Reply) -> Option<Inner> {
         let request = self.request();
         match (self.phase, reply) {
             (Phase::Opening, Reply::Accepted { request: known, token }) if known == request => {
+                self.outcome = Outcome::Served;
                 self.enter(Phase::Open { token, waits: true });
             }
-            (Phase::Opening, Reply::Done { request: known } | Reply::Refused { request: known })
-                if known == request =>
-            {
+            (Phase::Opening, Reply::Done { request: known }) if known == request => {
+                self.outcome = Outcome::Served;
+                self.enter(Phase::Idle);
+            }
+            (Phase::Opening, Reply::Refused { request: known }) if known == request => {
+                self.outcome = Outcome::Refused;
                 self.enter(Phase::Idle);
             }
             (Phase::Opening, Reply::Challenge { request: known, token }) if known == request => {
--- a/crates/fuzzing/src/world/faults.rs
+++ b/crates/fuzzing/src/world/faults.rs
@@ -64,8 +64,7 @@
         let idle = |caller: &usize| self.callers[*caller].phase == Phase::Idle;
         let idle: Vec<usize> = (0..self.callers.len()).filter(idle).collect();
         let Some(&caller) = pick_of(&idle, pick) else { return };
-        self.callers[caller].nonce += 1;
-        self.callers[caller].enter(Phase::Opening);
+        self.callers[caller].open(self.now_ms);
         self.transmit(caller);
     }
 
@@ -99,7 +98,6 @@
         let paused_until_ms = match node {
             Node::Balancer(balancer) => &mut self.balancers[balancer].process.paused_until_ms,
             Node::Host(host) => &mut self.hosts[host].process.paused_until_ms,
-            Node::Outside => return,
         };
         *paused_until_ms = until_ms.max(*paused_until_ms);
         self.schedule(lasts_ms, Due::Wake { node });
@@ -118,7 +116,6 @@
                     self.take_in(host, incoming);
                 }
             }
-            Node::Outside => {}
         }
     }
 
--- a/crates/fuzzing/src/world/fleet.rs
+++ b/crates/fuzzing/src/world/fleet.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
-use decision::keys::{AccountId, ServiceId, UpstreamId, Version};
+use decision::keys::{ServiceId, UpstreamId, Version};
 use decision::view::{
     self, AccountSpec, Endpoint, ServiceSpec, Transport, UpstreamSpec, UpstreamState, View,
     WhenInDoubt,
@@ -12,30 +12,30 @@
 use crate::step::Change;
 
 /// Names of the accounts; each is one unit of settings.
-pub const ACCOUNTS: [&str; 2] = ["cascadia", "bajio"];
+pub(super) const ACCOUNTS: [&str; 2] = ["cascadia", "bajio"];
 /// Listed upstreams of a service that are not retired, at most.
 const LISTED_MAX: usize = 7;
 /// Highest name of an upstream; bounds what an episode can add.
 const NAMES_MAX: usize = 12;
 
 /// Version of each account at one process.
-pub type Versions = [usize; ACCOUNTS.len()];
+pub(super) type Versions = [usize; ACCOUNTS.len()];
 
 /// What never changes about a service.
 #[derive(Clone, Copy, Debug)]
-pub struct Kind {
+pub(super) struct Kind {
     /// Name.
-    pub name: &'static str,
+    pub(super) name: &'static str,
     /// Index into [`ACCOUNTS`].
-    pub account: usize,
+    pub(super) account: usize,
     /// Protocol of its endpoint.
-    pub transport: Transport,
+    pub(super) transport: Transport,
     /// What it does in doubt.
-    pub when_in_doubt: WhenInDoubt,
+    pub(super) when_in_doubt: WhenInDoubt,
 }
 
 /// The services, one for each kind of promise.
-pub const SERVICES: [Kind; 3] = [
+pub(super) const SERVICES: [Kind; 3] = [
     Kind {
         name: "shelf",
         account: 0,
@@ -58,39 +58,39 @@
 
 impl Kind {
     /// Id of the service.
-    pub fn id(&self) -> ServiceId {
+    pub(super) fn id(&self) -> ServiceId {
         ServiceId::of(ACCOUNTS[self.account], self.name)
     }
 
     /// Id of the upstream with this number.
-    pub fn upstream(&self, name: usize) -> UpstreamId {
+    pub(super) fn upstream(&self, name: usize) -> UpstreamId {
         UpstreamId::of(ACCOUNTS[self.account], self.name, &upstream_name(name))
     }
 
     /// Whether a datagram is a whole request.
-    pub fn is_datagram(&self) -> bool {
+    pub(super) fn is_datagram(&self) -> bool {
         self.transport == Transport::Udp
     }
 }
 
 /// An upstream as listed in the newest settings.
 #[derive(Clone, Copy, Debug)]
-pub struct Listed {
+pub(super) struct Listed {
     /// Number that makes its name.
-    pub name: usize,
+    pub(super) name: usize,
     /// Host on which it runs.
-    pub host: usize,
+    pub(super) host: usize,
     /// Published state.
-    pub state: UpstreamState,
+    pub(super) state: UpstreamState,
     /// Published weight.
-    pub weight: u32,
+    pub(super) weight: u32,
     since: usize,
     retired: Option<usize>,
 }
 
 /// What a published change asks the hosts to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Demand {
+pub(super) enum Demand {
     /// Only the settings change.
     Nothing,
     /// Start this upstream on this host.
@@ -104,7 +104,7 @@
 
 /// All published settings.
 #[derive(Debug)]
-pub struct Fleet {
+pub(super) struct Fleet {
     services: Vec<Vec<Listed>>,
     history: Vec<Vec<AccountSpec>>,
     views: Vec<(Versions, Arc<View>)>,
@@ -112,11 +112,11 @@
 }
 
 /// What runs on a host: service and number of the upstream.
-pub type Occupant = Option<(usize, usize)>;
+pub(super) type Occupant = Option<(usize, usize)>;
 
 impl Fleet {
     /// Version 1: `sizes` upstreams for each service, on consecutive hosts.
-    pub fn new(sizes: &[usize], max_flows: u32) -> Self {
+    pub(super) fn new(sizes: &[usize], max_flows: u32) -> Self {
         let mut host = 0;
         let mut services = Vec::new();
         for &size in sizes {
@@ -124,7 +124,8 @@
             services.push(listed);
             host += size;
         }
-        let mut fleet = Self { services, history: vec![vec![]; ACCOUNTS.len()], views: vec![], max_flows };
+        let mut fleet =
+            Self { services, history: vec![vec![]; ACCOUNTS.len()], views: vec![], max_flows };
         for account in 0..ACCOUNTS.len() {
             let spec = fleet.spec(account, 1);
             fleet.history[account].push(spec);
@@ -133,22 +134,22 @@
     }
 
     /// Services in use.
-    pub fn service_count(&self) -> usize {
+    pub(super) fn service_count(&self) -> usize {
         self.services.len()
     }
 
     /// Upstreams of a service in the newest settings.
-    pub fn listed(&self, service: usize) -> &[Listed] {
+    pub(super) fn listed(&self, service: usize) -> &[Listed] {
         &self.services[service]
     }
 
     /// Newest versions.
-    pub fn newest(&self) -> Versions {
+    pub(super) fn newest(&self) -> Versions {
         std::array::from_fn(|account| self.history[account].len())
     }
 
     /// The view of a process that has these versions.
-    pub fn view(&mut self, versions: Versions) -> Arc<View> {
+    pub(super) fn view(&mut self, versions: Versions) -> Arc<View> {
         match self.views.binary_search_by(|(known, _)| known.cmp(&versions)) {
             Ok(index) => self.views[index].1.clone(),
             Err(index) => {
@@ -165,7 +166,7 @@
     }
 
     /// Publishes a change; `None` if nothing can be changed that way.
-    pub fn publish(
+    pub(super) fn publish(
         &mut self,
         service: usize,
         change: Change,
@@ -272,7 +273,10 @@
                 endpoints: vec![endpoint(index)],
                 when_in_doubt: kind.when_in_doubt,
                 zone_spill_percent: 25,
-                upstreams: listed.iter().map(|listed| upstream_spec(listed, self.max_flows)).collect(),
+                upstreams: listed
+                    .iter()
+                    .map(|listed| upstream_spec(listed, self.max_flows))
+                    .collect(),
             })
             .collect();
         AccountSpec { name: ACCOUNTS[account].into(), version: Version(version as u64), services }
@@ -280,7 +284,7 @@
 }
 
 /// The endpoint of a service.
-pub fn endpoint(service: usize) -> Endpoint {
+pub(super) fn endpoint(service: usize) -> Endpoint {
     Endpoint {
         address: IpAddr::V4(Ipv4Addr::new(203, 0, 113, 1 + service as u8)),
         port: 8443,
@@ -289,7 +293,7 @@
 }
 
 /// The host behind an agent's address.
-pub fn host_at(address: SocketAddr) -> usize {
+pub(super) fn host_at(address: SocketAddr) -> usize {
     match address.ip() {
         IpAddr::V4(ip) => usize::from(ip.octets()[3]),
         IpAddr::V6(_) => usize::MAX,
@@ -297,7 +301,7 @@
 }
 
 /// Picks one of `candidates`, if there is any.
-pub fn pick_of<T>(candidates: &[T], pick: u8) -> Option<&T> {
+pub(super) fn pick_of<T>(candidates: &[T], pick: u8) -> Option<&T> {
     candidates.get(usize::from(pick).checked_rem(candidates.len())?)
 }
 
@@ -324,8 +328,3 @@
         retired: listed.retired.map(|version| Version(version as u64)),
     }
 }
-
-/// The account whose settings a service belongs to.
-pub fn account_id(service: usize) -> AccountId {
-    AccountId::of(ACCOUNTS[SERVICES[service].account])
-}
--- a/crates/fuzzing/src/world/heal.rs
+++ b/crates/fuzzing/src/world/heal.rs
@@ -1,7 +1,6 @@
 //! The end of an episode: all faults end, and every living flow must be found again.
 
-use super::callers::Phase;
-use super::fleet::SERVICES;
+use super::callers::{Outcome, Phase};
 use super::{Due, Node, World};
 use crate::oracle::Seen;
 use crate::step::Report;
@@ -10,6 +9,8 @@
 const SETTLE_MS: u64 = 12_000;
 /// Time for a caller to be answered once the fleet has settled.
 const ANSWER_MS: u64 = 20_000;
+/// Longest time that an agent holds a packet.
+const HELD_MS: u64 = 5_000;
 
 impl World {
     /// Ends all faults, gives the fleet time, and checks that flows live and openings are answered.
@@ -30,7 +31,6 @@
             match node {
                 Node::Balancer(index) => self.balancers[index].process.paused_until_ms = 0,
                 Node::Host(index) => self.hosts[index].process.paused_until_ms = 0,
-                Node::Outside => {}
             }
             self.wake(node);
         }
@@ -67,8 +67,7 @@
                     self.transmit(caller);
                 }
                 Phase::Idle => {
-                    self.callers[caller].nonce += 1;
-                    self.callers[caller].enter(Phase::Opening);
+                    self.callers[caller].open(self.now_ms);
                     self.transmit(caller);
                     opened.push(caller);
                 }
@@ -79,30 +78,46 @@
     }
 
     fn check_answers(&mut self, asked_ms: u64, probes: &[usize]) {
-        for index in 0..self.callers.len() {
-            let caller = self.callers[index];
+        if self.violation.is_some() {
+            return;
+        }
+        for caller in self.callers.clone() {
             let request = caller.request();
             match caller.phase {
-                Phase::Open { token, .. } if self.is_held(token) => {
-                    if caller.answered_ms < asked_ms {
-                        self.see(Seen::Stuck { request });
-                    }
-                }
-                Phase::Idle if probes.contains(&index) && !self.was_answered(index) => {
-                    self.see(Seen::Unanswered { request });
+                Phase::Open { token, .. }
+                    if self.is_held(token) && caller.answered_ms < asked_ms =>
+                {
+                    self.see(Seen::Stuck { request });
                 }
-                Phase::Opening if probes.contains(&index) => {
+                _ if probes.contains(&caller.number) && caller.outcome == Outcome::Unknown => {
                     self.see(Seen::Unanswered { request });
                 }
                 _ => {}
             }
         }
+        self.check_held();
+        for service in 0..self.fleet.service_count() {
+            let mut probes = probes
+                .iter()
+                .map(|probe| &self.callers[*probe])
+                .filter(|caller| caller.service == service)
+                .peekable();
+            let tried = probes.peek().is_some();
+            if tried && probes.all(|caller| caller.outcome == Outcome::Refused) {
+                self.see(Seen::Shut { service });
+            }
+        }
     }
 
-    /// A caller that is idle after its opening was answered, refused, or has given up.
-    fn was_answered(&self, caller: usize) -> bool {
-        let caller = &self.callers[caller];
-        let _ = SERVICES[caller.service];
-        caller.answered_ms > 0
+    /// A packet may wait for a second or so, not for ever.
+    fn check_held(&mut self) {
+        for host in 0..self.hosts.len() {
+            let Some(shell) = &self.hosts[host].agent else { continue };
+            let agent = shell.life;
+            let old = |since_ms: u64| since_ms + HELD_MS < self.now_ms;
+            if shell.held.iter().any(|(.., since_ms)| old(*since_ms)) {
+                self.see(Seen::HeldBack { agent });
+            }
+        }
     }
 }
--- a/crates/fuzzing/src/world/mod.rs
+++ b/crates/fuzzing/src/world/mod.rs
@@ -6,9 +6,9 @@
 
 mod agents;
 mod balancers;
-pub mod callers;
+mod callers;
 mod faults;
-pub mod fleet;
+mod fleet;
 mod heal;
 mod network;
 mod settings;
@@ -28,7 +28,7 @@
 use balancers::Balancer;
 use callers::{Caller, Inner, Reply};
 use fleet::{Fleet, Occupant, SERVICES, Versions};
-use network::{Network, mix};
+use network::{LIFETIME_MS, Network, mix};
 
 /// What an episode starts from.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,15 +45,13 @@
     pub max_flows: u32,
 }
 
-/// A process of the system, or the outside.
+/// A process of the system.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Node {
+enum Node {
     /// A balancer.
     Balancer(usize),
     /// The agent on a host.
     Host(usize),
-    /// Callers.
-    Outside,
 }
 
 /// Balancers at most, so that every node has its bit in a partition.
@@ -62,23 +60,28 @@
 const SPARE_HOSTS: usize = 3;
 
 impl Node {
-    /// Bit of the node in a partition; the outside is on both sides.
-    pub fn bit(self) -> Option<u32> {
+    /// Bit of the node in a partition.
+    fn bit(self) -> u32 {
         match self {
-            Self::Balancer(index) => Some(index as u32),
-            Self::Host(index) => Some((BALANCERS_MAX + index) as u32),
-            Self::Outside => None,
+            Self::Balancer(index) => index as u32,
+            Self::Host(index) => (BALANCERS_MAX + index) as u32,
         }
     }
 }
 
 /// A caller's packet on its way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Carried {
+struct Carried {
     /// The packet.
-    pub inner: Inner,
-    /// True time at which the caller sent it.
-    pub sent_ms: u64,
+    inner: Inner,
+    /// True time at which the caller sent it; for an opening, sent it first.
+    sent_ms: u64,
+}
+
+impl Carried {
+    fn is_dead(&self, now_ms: u64) -> bool {
+        self.sent_ms + LIFETIME_MS < now_ms
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -144,6 +147,27 @@
     pub ran_again: u64,
 }
 
+impl Tally {
+    /// Adds another run's counts.
+    ///
+    /// ```
+    /// use fuzzing::world::Tally;
+    /// let mut total = Tally { ran: 1, ..Tally::default() };
+    /// total.add(&Tally { ran: 2, ..Tally::default() });
+    /// assert_eq!(total.ran, 3);
+    /// ```
+    pub fn add(&mut self, other: &Self) {
+        self.ran += other.ran;
+        self.refused += other.refused;
+        self.established += other.established;
+        self.delivered += other.delivered;
+        self.forwarded += other.forwarded;
+        self.control += other.control;
+        self.broken += other.broken;
+        self.ran_again += other.ran_again;
+    }
+}
+
 /// The whole world.
 pub struct World {
     now_ms: u64,
@@ -162,6 +186,16 @@
     violation: Option<Violation>,
     tally: Tally,
     timeline: Option<Vec<String>>,
+    #[cfg_attr(not(feature = "mutants"), expect(dead_code, reason = "nothing to take out"))]
+    sabotage: Sabotage,
+}
+
+/// What is broken on purpose; nothing unless the feature `mutants` is on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sabotage {
+    /// A safeguard that is taken out of every agent.
+    #[cfg(feature = "mutants")]
+    pub mutant: Option<decision::agent::Mutant>,
 }
 
 /// Time for the agents to get to know one another before the first step.
@@ -169,7 +203,7 @@
 
 impl World {
     /// A world in which all agents have just started beside fresh upstreams.
-    pub fn new(setup: &Setup, balancing: Balancing) -> Self {
+    pub fn new(setup: &Setup, balancing: Balancing, sabotage: Sabotage) -> Self {
         let hosts = setup.sizes.iter().sum::<usize>() + SPARE_HOSTS;
         let callers = (0..setup.sizes.len() * setup.callers)
             .map(|number| Caller::new(number, number % setup.sizes.len(), setup.seed))
@@ -191,6 +225,7 @@
             violation: None,
             tally: Tally::default(),
             timeline: None,
+            sabotage,
         };
         world.start(setup.balancers.clamp(1, BALANCERS_MAX));
         world
--- a/crates/fuzzing/src/world/network.rs
+++ b/crates/fuzzing/src/world/network.rs
@@ -7,51 +7,53 @@
 
 /// Network trouble between all processes, while it lasts.
 #[derive(Clone, Copy, Debug)]
-pub struct Weather {
+pub(super) struct Weather {
     /// Lost packets.
-    pub loss_percent: u8,
+    pub(super) loss_percent: u8,
     /// Doubled packets.
-    pub copy_percent: u8,
+    pub(super) copy_percent: u8,
     /// Longest added delay.
-    pub delay_ms: u64,
+    pub(super) delay_ms: u64,
     /// True time at which it ends.
-    pub until_ms: u64,
+    pub(super) until_ms: u64,
 }
 
 /// Processes in `side` can't reach the others, while it lasts.
 #[derive(Clone, Copy, Debug)]
-pub struct Partition {
+pub(super) struct Partition {
     /// Bit set over the nodes.
-    pub side: u32,
+    pub(super) side: u32,
     /// True time at which it ends.
-    pub until_ms: u64,
+    pub(super) until_ms: u64,
 }
 
-/// Oldest packet that still arrives. The core has to forget, so packets have to die before: TCP
-/// and the callers' retransmissions count on the same bound.
-pub const PACKET_LIFETIME_MS: u64 = 60_000;
+/// No copy of an opening arrives later than this after the caller first sent it, and no other
+/// packet later than this after it was sent. The core can't remember for ever, so copies must die
+/// out before it forgets (`CLAIM_TTL_MS`); TCP itself relies on the same bound.
+pub(super) const LIFETIME_MS: u64 = 110_000;
 /// Longest delay of a packet without any trouble.
 const JITTER_MS: u64 = 2;
 
 /// State of the network.
 #[derive(Clone, Debug, Default)]
-pub struct Network {
+pub(super) struct Network {
     /// Trouble at work; several kinds add up.
-    pub weather: Vec<Weather>,
+    pub(super) weather: Vec<Weather>,
     /// Partitions at work.
-    pub partitions: Vec<Partition>,
+    pub(super) partitions: Vec<Partition>,
 }
 
 impl Network {
     /// Whether a packet between two processes is stopped by a partition.
-    pub fn cuts(&self, now_ms: u64, from: Node, to: Node) -> bool {
-        let (Some(from), Some(to)) = (from.bit(), to.bit()) else { return false };
-        let cut = |partition: &Partition| (partition.side >> from ^ partition.side >> to) & 1 == 1;
+    pub(super) fn cuts(&self, now_ms: u64, from: Node, to: Node) -> bool {
+        let (from, to) = (from.bit(), to.bit());
+        let cut =
+            |partition: &Partition| ((partition.side >> from) ^ (partition.side >> to)) & 1 == 1;
         self.partitions.iter().any(|partition| partition.until_ms > now_ms && cut(partition))
     }
 
     /// Delays of the copies that arrive, none to two, for a packet with this hash.
-    pub fn fates(&self, now_ms: u64, hash: u64) -> Vec<u64> {
+    pub(super) fn fates(&self, now_ms: u64, hash: u64) -> Vec<u64> {
         let mut copies = 1;
         let mut delay_ms = 1 + mix(hash) % JITTER_MS;
         for (index, weather) in self.weather.iter().enumerate() {
@@ -72,7 +74,7 @@
     }
 
     /// Ends all trouble.
-    pub fn heal(&mut self) {
+    pub(super) fn heal(&mut self) {
         *self = Self::default();
     }
 }
@@ -84,7 +86,7 @@
 }
 
 /// Finishing step of a 64-bit hash (splitmix64).
-pub fn mix(value: u64) -> u64 {
+pub(super) fn mix(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     let value = (value ^ value >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/fuzzing/src/world/settings.rs
+++ b/crates/fuzzing/src/world/settings.rs
@@ -55,7 +55,6 @@
                     self.at_agent(host, Incoming::View(view));
                 }
             }
-            Node::Outside => {}
         }
     }
 
--- a/crates/fuzzing/src/world/upstreams.rs
+++ b/crates/fuzzing/src/world/upstreams.rs
@@ -7,11 +7,11 @@
 
 /// Names one connection of one life of an upstream, as its initial sequence number would.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Token {
+pub(super) struct Token {
     /// Life of the upstream.
-    pub life: Life,
+    pub(super) life: Life,
     /// Counts its connections.
-    pub number: u32,
+    pub(super) number: u32,
 }
 
 /// A half-open connection is forgotten after this long.
@@ -19,57 +19,57 @@
 
 /// One connection.
 #[derive(Clone, Copy, Debug)]
-pub struct Connection {
+pub(super) struct Connection {
     /// Flow.
-    pub flow: FlowId,
+    pub(super) flow: FlowId,
     /// Opening that it came from.
-    pub request: Request,
+    pub(super) request: Request,
     /// Its name.
-    pub token: Token,
+    pub(super) token: Token,
     /// Whether the caller has finished the handshake.
-    pub established: bool,
+    pub(super) established: bool,
     since_ms: u64,
 }
 
 /// One life of an upstream.
 #[derive(Clone, Debug)]
-pub struct Upstream {
+pub(super) struct Upstream {
     /// This life.
-    pub life: Life,
+    pub(super) life: Life,
     /// Datagram requests are answered at once and leave no connection.
-    pub datagrams: bool,
+    pub(super) datagrams: bool,
     /// Connections sorted by flow.
-    pub connections: Vec<Connection>,
+    pub(super) connections: Vec<Connection>,
     /// Connections and requests that it ever began.
-    pub begun: u32,
+    pub(super) begun: u32,
 }
 
 /// What an upstream did with a packet.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Effect {
+pub(super) struct Effect {
     /// An opening began.
-    pub ran: bool,
+    pub(super) ran: bool,
     /// A handshake was finished.
-    pub established: bool,
+    pub(super) established: bool,
     /// A connection ended.
-    pub ended: bool,
+    pub(super) ended: bool,
     /// Answer to the caller.
-    pub reply: Option<Reply>,
+    pub(super) reply: Option<Reply>,
 }
 
 impl Upstream {
     /// A fresh upstream.
-    pub fn new(life: Life, datagrams: bool) -> Self {
+    pub(super) fn new(life: Life, datagrams: bool) -> Self {
         Self { life, datagrams, connections: Vec::new(), begun: 0 }
     }
 
     /// The connection called `token`, if this life still holds it.
-    pub fn connection(&self, token: Token) -> Option<&Connection> {
+    pub(super) fn connection(&self, token: Token) -> Option<&Connection> {
         self.connections.iter().find(|connection| connection.token == token)
     }
 
     /// Takes in a packet.
-    pub fn receive(&mut self, now_ms: u64, flow: FlowId, inner: Inner) -> Effect {
+    pub(super) fn receive(&mut self, now_ms: u64, flow: FlowId, inner: Inner) -> Effect {
         self.connections.retain(|connection| {
             connection.established || now_ms < connection.since_ms + HALF_OPEN_MS
         });
@@ -101,8 +101,7 @@
         }
         self.begun += 1;
         let token = Token { life: self.life, number: self.begun };
-        let connection =
-            Connection { flow, request, token, established: false, since_ms: now_ms };
+        let connection = Connection { flow, request, token, established: false, since_ms: now_ms };
         let index = self.connections.partition_point(|known| known.flow < flow);
         self.connections.insert(index, connection);
         Effect { ran: true, ..reply(Reply::Accepted { request, token }) }
--- a/crates/fuzzing/src/world/verdicts.rs
+++ b/crates/fuzzing/src/world/verdicts.rs
@@ -69,6 +69,7 @@
         let (Some((reached, _)), Some(upstream)) = (target.occupant, &mut target.upstream) else {
             return;
         };
+        self.tally.delivered += 1;
         let effect = upstream.receive(now_ms, flow, carried.inner);
         let upstream = upstream.life;
         self.see(Seen::Delivered { meant: request.service, reached });
@@ -154,7 +155,11 @@
 
     /// Sends a packet by way of the fabric, which picks any balancer.
     pub(super) fn emit(&mut self, caller: usize, inner: Inner) {
-        let carried = Carried { inner, sent_ms: self.now_ms };
+        let sent_ms = match inner {
+            Inner::Open(_) => self.callers[caller].born_ms,
+            _ => self.now_ms,
+        };
+        let carried = Carried { inner, sent_ms };
         let hash = hash_of(&(caller, carried));
         let balancer = (mix(hash ^ self.seed) % self.balancers.len() as u64) as usize;
         self.note(|| format!("caller {caller} -> balancer {balancer}: {inner:?}"));
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Project automation. `cargo xtask --help` lists the commands.
 
+mod fuzz;
 mod gate;
 
 use std::process::ExitCode;
@@ -8,6 +9,7 @@
 Usage: cargo xtask COMMAND [OPTIONS]
 
 Commands:
+  fuzz    stateful fuzzing of the decision core; `cargo xtask fuzz --help`
   test    formatter check, linter, all tests and doc examples
 ";
 
@@ -28,6 +30,7 @@
         return Ok(());
     };
     match command.to_string_lossy().as_ref() {
+        "fuzz" => fuzz::run(&parser.raw_args()?.collect::<Vec<_>>()),
         "test" => gate::run(),
         other => anyhow::bail!("unknown command `{other}`\n\n{HELP}"),
     }
