Let flows idle for hours and shorten the durations of a failing trace

Cause: state that expires after half an hour is out of reach of short steps, and a shrunk trace with long durations is hard to read. Change: Step::Idle in one of forty episodes, a second pass of shrinking, and the check that ended flows leave every table where nothing but planned change was.

--- a/crates/fuzzing/src/campaign.rs
+++ b/crates/fuzzing/src/campaign.rs
@@ -154,9 +154,7 @@
         let mut now_ms = 0;
         let mut ends_ms = [0u64; FAULTS.len()];
         for step in steps {
-            if let Step::Advance { ms } = step {
-                now_ms += u64::from(*ms);
-            }
+            now_ms += step.takes_ms();
             let Some((fault, lasts_ms)) = step.fault() else { continue };
             let fault = fault as usize;
             self.faults[fault] += 1;
--- a/crates/fuzzing/src/oracle.rs
+++ b/crates/fuzzing/src/oracle.rs
@@ -55,6 +55,8 @@
     Unanswered { request: Request },
     /// Long after all faults have ended, a service refuses every opening.
     Shut { service: usize },
+    /// Long after all flows have ended, an agent still counts some.
+    Remembered { agent: Life, flows: usize },
     /// Long after all faults have ended, an agent still holds a packet back.
     HeldBack { agent: Life },
 }
@@ -149,6 +151,7 @@
             }
             Seen::Unanswered { .. } => return Err("1: an opening is never answered"),
             Seen::Shut { .. } => return Err("1: a well service refuses everything"),
+            Seen::Remembered { .. } => return Err("8: ended flows stay in a table"),
             Seen::HeldBack { .. } => return Err("8: a held packet is never resolved"),
         }
         Ok(())
--- a/crates/fuzzing/src/shrink.rs
+++ b/crates/fuzzing/src/shrink.rs
@@ -12,24 +12,52 @@
 /// assert_eq!(small, needed);
 /// ```
 pub fn shrink(steps: Vec<Step>, tries: usize, mut fails: impl FnMut(&[Step]) -> bool) -> Vec<Step> {
-    let mut best = steps;
     let mut left = tries;
+    let mut fails = |steps: &[Step]| {
+        left = left.saturating_sub(1);
+        left > 0 && fails(steps)
+    };
+    let mut best = steps;
+    loop {
+        let before = best.clone();
+        best = shorten(best, &mut fails);
+        best = simplify(best, &mut fails);
+        if best == before {
+            return best;
+        }
+    }
+}
+
+/// Deletes runs of steps, from half of all down to single ones.
+fn shorten(mut best: Vec<Step>, fails: &mut impl FnMut(&[Step]) -> bool) -> Vec<Step> {
     let mut chunk = best.len().div_ceil(2);
-    while chunk > 0 && left > 0 {
-        let before = best.len();
+    while chunk > 0 {
         let mut start = 0;
-        while start < best.len() && left > 0 {
+        while start < best.len() {
             let end = (start + chunk).min(best.len());
             let shorter = [&best[..start], &best[end..]].concat();
-            left -= 1;
             if fails(&shorter) {
                 best = shorter;
             } else {
                 start = end;
             }
         }
-        let stuck = best.len() == before;
-        chunk = if chunk > 1 || stuck { chunk / 2 } else { 1 };
+        chunk /= 2;
+    }
+    best
+}
+
+/// Shortens the durations of the steps that are left.
+fn simplify(mut best: Vec<Step>, fails: &mut impl FnMut(&[Step]) -> bool) -> Vec<Step> {
+    for index in 0..best.len() {
+        while let Some(simpler) = best[index].simpler() {
+            let mut candidate = best.clone();
+            candidate[index] = simpler;
+            if !fails(&candidate) {
+                break;
+            }
+            best = candidate;
+        }
     }
     best
 }
--- a/crates/fuzzing/src/step.rs
+++ b/crates/fuzzing/src/step.rs
@@ -47,6 +47,8 @@
 pub enum Step {
     /// Time passes.
     Advance { ms: u32 },
+    /// Nobody does anything for a long time, as on a feed at night.
+    Idle { minutes: u8 },
     /// A caller opens a flow, or sends a request to a datagram service.
     Open { pick: u8 },
     /// A caller with an open flow sends a packet in its middle.
@@ -140,6 +142,7 @@
     pub fn fault(&self) -> Option<(Fault, u64)> {
         let (fault, lasts_ms) = match *self {
             Self::Advance { .. }
+            | Self::Idle { .. }
             | Self::Open { .. }
             | Self::Send { .. }
             | Self::Finish { .. }
@@ -168,6 +171,45 @@
         Some((fault, lasts_ms))
     }
 
+    /// Milliseconds of true time that the step takes.
+    ///
+    /// ```
+    /// assert_eq!(fuzzing::step::Step::Idle { minutes: 1 }.takes_ms(), 60_000);
+    /// ```
+    pub fn takes_ms(&self) -> u64 {
+        match *self {
+            Self::Advance { ms } => ms.into(),
+            Self::Idle { minutes } => u64::from(minutes) * 60_000,
+            _ => 0,
+        }
+    }
+
+    /// A step that does less of the same, if there is one.
+    ///
+    /// ```
+    /// use fuzzing::step::Step;
+    /// assert_eq!(Step::Advance { ms: 9 }.simpler(), Some(Step::Advance { ms: 4 }));
+    /// assert_eq!(Step::Advance { ms: 0 }.simpler(), None);
+    /// ```
+    pub fn simpler(&self) -> Option<Self> {
+        let mut step = self.clone();
+        let duration = match &mut step {
+            Self::Advance { ms } => ms,
+            Self::Publish { lag_ms, .. } => lag_ms,
+            Self::RedeployAgent { gap_ms, .. }
+            | Self::CrashAgent { gap_ms, .. }
+            | Self::CrashHost { gap_ms, .. } => gap_ms,
+            Self::Weather { lasts_ms, .. }
+            | Self::Partition { lasts_ms, .. }
+            | Self::Pause { lasts_ms, .. }
+            | Self::PauseAll { lasts_ms }
+            | Self::Outage { lasts_ms } => lasts_ms,
+            _ => return None,
+        };
+        *duration /= 2;
+        (step != *self).then_some(step)
+    }
+
     /// Whether the step is a planned change, under which every promise holds without exception.
     ///
     /// ```
@@ -192,6 +234,8 @@
     pub advance_ms: u32,
     /// Longest duration of a fault.
     pub lasts_ms: u32,
+    /// Whether flows idle for up to hours. Few episodes do, as ticks go on all the while.
+    pub idles: bool,
 }
 
 impl Profile {
@@ -201,10 +245,12 @@
     /// let profile = fuzzing::step::Profile::PLANNED;
     /// assert!(!profile.draws(fuzzing::step::Fault::Pause));
     /// ```
-    pub const PLANNED: Self = Self { faults: 0b1_1100_0000_0000, advance_ms: 400, lasts_ms: 5_000 };
+    pub const PLANNED: Self =
+        Self { faults: 0b1_1100_0000_0000, advance_ms: 400, lasts_ms: 5_000, idles: false };
 
     /// Everything.
-    pub const ALL: Self = Self { faults: 0b1_1111_1111_1111, advance_ms: 400, lasts_ms: 5_000 };
+    pub const ALL: Self =
+        Self { faults: 0b1_1111_1111_1111, advance_ms: 400, lasts_ms: 5_000, idles: false };
 
     /// Whether faults of this kind are drawn.
     ///
@@ -225,14 +271,23 @@
     ];
     let advance_ms = prop_oneof![Just(60u32), Just(400), Just(2_500)];
     let lasts_ms = prop_oneof![Just(600u32), Just(5_000), Just(40_000)];
-    (faults, advance_ms, lasts_ms)
-        .prop_map(|(faults, advance_ms, lasts_ms)| Profile { faults, advance_ms, lasts_ms })
+    let idles = prop_oneof![40 => Just(false), 1 => Just(true)];
+    (faults, advance_ms, lasts_ms, idles)
+        .prop_map(|(faults, advance_ms, lasts_ms, idles)| Profile {
+            faults,
+            advance_ms,
+            lasts_ms,
+            idles,
+        })
         .boxed()
 }
 
 /// Strategy over the steps of a profile.
 pub fn steps(profile: Profile) -> BoxedStrategy<Step> {
     let mut arms: Vec<(u32, BoxedStrategy<Step>)> = load(profile);
+    if profile.idles {
+        arms.push((1, (1..=95u8).prop_map(|minutes| Step::Idle { minutes }).boxed()));
+    }
     for fault in FAULTS.into_iter().filter(|fault| profile.draws(*fault)) {
         arms.push(fault_arm(fault, profile.lasts_ms));
     }
--- a/crates/fuzzing/src/world/faults.rs
+++ b/crates/fuzzing/src/world/faults.rs
@@ -16,7 +16,7 @@
     pub(super) fn change(&mut self, step: &Step) {
         let now_ms = self.now_ms;
         match *step {
-            Step::Advance { ms } => self.advance(ms.into()),
+            Step::Advance { .. } | Step::Idle { .. } => self.advance(step.takes_ms()),
             Step::Open { pick } => self.open(pick),
             Step::Send { pick } => self.speak(pick, |token| Phase::Open { token, waits: true }),
             Step::Finish { pick } => self.speak(pick, |token| Phase::Closing { token }),
--- a/crates/fuzzing/src/world/heal.rs
+++ b/crates/fuzzing/src/world/heal.rs
@@ -9,6 +9,8 @@
 const SETTLE_MS: u64 = 12_000;
 /// Time for a caller to be answered once the fleet has settled.
 const ANSWER_MS: u64 = 20_000;
+/// Time after which ended flows are out of every table.
+const FORGET_MS: u64 = 200_000;
 /// Longest time that an agent holds a packet.
 const HELD_MS: u64 = 5_000;
 
@@ -22,6 +24,7 @@
         let probes = self.probe();
         self.advance(ANSWER_MS);
         self.check_answers(asked_ms, &probes);
+        self.check_forgetting();
     }
 
     fn end_faults(&mut self) {
@@ -109,6 +112,29 @@
         }
     }
 
+    /// Ended flows leave the agents' tables. Faults may leave entries without a flow behind, which
+    /// only time or room removes, so only planned change is judged.
+    fn check_forgetting(&mut self) {
+        if self.violation.is_some() || self.faulted {
+            return;
+        }
+        for caller in 0..self.callers.len() {
+            if let Phase::Open { token, .. } = self.callers[caller].phase {
+                self.callers[caller].enter(Phase::Closing { token });
+                self.transmit(caller);
+            }
+        }
+        self.advance(FORGET_MS);
+        for host in 0..self.hosts.len() {
+            let target = &self.hosts[host];
+            let (Some(shell), Some(upstream)) = (&target.agent, &target.upstream) else { continue };
+            let flows = shell.agent.open_flows();
+            if !upstream.datagrams && flows > upstream.connections.len() {
+                self.see(Seen::Remembered { agent: shell.life, flows });
+            }
+        }
+    }
+
     /// A packet may wait for a second or so, not for ever.
     fn check_held(&mut self) {
         for host in 0..self.hosts.len() {
--- a/crates/fuzzing/src/world/mod.rs
+++ b/crates/fuzzing/src/world/mod.rs
@@ -183,6 +183,7 @@
     callers: Vec<Caller>,
     balancing: Balancing,
     oracle: Oracle,
+    faulted: bool,
     violation: Option<Violation>,
     tally: Tally,
     timeline: Option<Vec<String>>,
@@ -222,6 +223,7 @@
             callers,
             balancing,
             oracle: Oracle::default(),
+            faulted: false,
             violation: None,
             tally: Tally::default(),
             timeline: None,
@@ -235,6 +237,7 @@
     pub fn apply(&mut self, step: &Step) {
         self.note(|| format!("step {step:?}"));
         if !step.is_planned() {
+            self.faulted = true;
             self.see(Seen::Fault);
         }
         self.change(step);
