--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Project automation. `cargo xtask --help` lists the commands.
 
+mod codegen;
 mod fuzz;
 mod gate;
 
@@ -9,6 +10,9 @@
 Usage: cargo xtask COMMAND [OPTIONS]
 
 Commands:
+  codegen [--check]
+          write the files generated from schema/ and from the result codes; with --check only
+          compare them
   fuzz    stateful fuzzing of the decision core; `cargo xtask fuzz --help`
   test    formatter check, linter, all tests and doc examples
 ";
@@ -30,8 +34,17 @@
         return Ok(());
     };
     match command.to_string_lossy().as_ref() {
+        "codegen" => codegen::run(codegen_mode(&mut parser)?),
         "fuzz" => fuzz::run(&parser.raw_args()?.collect::<Vec<_>>()),
         "test" => gate::run(),
         other => anyhow::bail!("unknown command `{other}`\n\n{HELP}"),
     }
 }
+
+fn codegen_mode(parser: &mut lexopt::Parser) -> anyhow::Result<codegen::Mode> {
+    match parser.next()? {
+        None => Ok(codegen::Mode::Write),
+        Some(lexopt::Arg::Long("check")) => Ok(codegen::Mode::Check),
+        Some(argument) => Err(argument.unexpected().into()),
+    }
+}
