--- a/crates/fuzzing/src/campaign.rs
+++ b/crates/fuzzing/src/campaign.rs
@@ -128,23 +128,32 @@
     pub pairs: [[u64; FAULTS.len()]; FAULTS.len()],
     /// What all runs have cost and achieved.
     pub tally: Tally,
-    /// The episode that broke a promise, as drawn.
-    pub failure: Option<(Episode, Violation)>,
+    /// The episodes that broke a promise, as drawn.
+    pub failures: Vec<(Episode, Violation)>,
 }
 
-/// Plays episodes until `steps` are applied or a promise breaks.
+/// When a run of many episodes ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// After this many steps.
+    pub steps: usize,
+    /// After this many episodes that broke a promise.
+    pub failures: usize,
+}
+
+/// Plays episodes until a limit is reached.
 ///
 /// Seeds of the episodes follow one another from `seed`, so that any one can be drawn again.
-pub fn run(steps: usize, seed: u64, sabotage: Sabotage) -> Report {
+pub fn run(limits: Limits, seed: u64, sabotage: Sabotage) -> Report {
     let mut report = Report::default();
-    while report.steps < steps && report.failure.is_none() {
+    while report.steps < limits.steps && report.failures.len() < limits.failures {
         let episode = draw(seed.wrapping_add(report.episodes as u64));
         let (outcome, _) = play(&episode, sabotage, false);
         report.episodes += 1;
         report.steps += outcome.steps;
         report.tally.add(&outcome.tally);
         report.count(&episode.steps[..outcome.steps]);
-        report.failure = outcome.violation.map(|violation| (episode, violation));
+        report.failures.extend(outcome.violation.map(|violation| (episode, violation)));
     }
     report
 }
--- a/crates/fuzzing/src/command.rs
+++ b/crates/fuzzing/src/command.rs
@@ -6,9 +6,9 @@
 use anyhow::Context as _;
 use lexopt::ValueExt as _;
 
-use crate::campaign::{self, Episode, Report};
+use crate::campaign::{self, Episode, Limits, Report};
 use crate::oracle::Violation;
-use crate::step::FAULTS;
+use crate::step::{FAULTS, Step};
 use crate::world::Sabotage;
 
 const HELP: &str = "\
@@ -19,12 +19,14 @@
   --seed S       seed of the first episode, 1 unless given; the next ones follow
   --replay FILE  play the episode in FILE and print its time line
   --trace FILE   where a failing episode is written, fuzz-trace.json unless given
+  --failures N   go on until N episodes have broken a promise, 1 unless given
   --mutants      take out one safeguard after the other and print what catches it
 ";
 
 struct Options {
     steps: usize,
     seed: u64,
+    failures: usize,
     replay: Option<PathBuf>,
     trace: PathBuf,
     mutants: bool,
@@ -49,6 +51,7 @@
     let mut options = Options {
         steps: 100_000,
         seed: 1,
+        failures: 1,
         replay: None,
         trace: "fuzz-trace.json".into(),
         mutants: false,
@@ -58,6 +61,7 @@
         match argument {
             lexopt::Arg::Long("steps") => options.steps = parser.value()?.parse()?,
             lexopt::Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+            lexopt::Arg::Long("failures") => options.failures = parser.value()?.parse()?,
             lexopt::Arg::Long("replay") => options.replay = Some(parser.value()?.into()),
             lexopt::Arg::Long("trace") => options.trace = parser.value()?.into(),
             lexopt::Arg::Long("mutants") => options.mutants = true,
@@ -69,8 +73,9 @@
 }
 
 fn long_run(options: &Options) -> anyhow::Result<bool> {
+    let limits = Limits { steps: options.steps, failures: options.failures };
     let begun = Instant::now();
-    let report = campaign::run(options.steps, options.seed, Sabotage::default());
+    let report = campaign::run(limits, options.seed, Sabotage::default());
     let seconds = begun.elapsed().as_secs_f64();
     print_counts(&report);
     println!(
@@ -80,10 +85,15 @@
         options.seed,
         report.steps as f64 / seconds
     );
-    let Some((episode, violation)) = &report.failure else {
+    let Some((episode, violation)) = report.failures.first() else {
         println!("result: every promise held");
         return Ok(true);
     };
+    for (episode, violation) in &report.failures {
+        let planned = episode.steps.iter().all(Step::is_planned);
+        let kind = if planned { "planned change only" } else { "with faults" };
+        println!("broken: {} (episode {}, {kind})", violation.promise, episode.seed);
+    }
     print_failure(episode, violation, &options.trace)?;
     Ok(false)
 }
--- a/crates/fuzzing/src/mutants.rs
+++ b/crates/fuzzing/src/mutants.rs
@@ -2,7 +2,7 @@
 
 use decision::agent::Mutant;
 
-use crate::campaign;
+use crate::campaign::{self, Limits};
 use crate::world::Sabotage;
 
 /// Each mutant and the seed from which it is hunted.
@@ -35,7 +35,8 @@
 
 /// Runs episodes with a safeguard taken out; `None` if no promise broke.
 pub fn hunt(mutant: Mutant, seed: u64) -> Option<Catch> {
-    let report = campaign::run(STEPS_MAX, seed, Sabotage { mutant: Some(mutant) });
-    let (_, violation) = report.failure?;
+    let limits = Limits { steps: STEPS_MAX, failures: 1 };
+    let report = campaign::run(limits, seed, Sabotage { mutant: Some(mutant) });
+    let (_, violation) = report.failures.first()?;
     Some(Catch { steps: report.steps, promise: violation.promise })
 }
--- a/crates/fuzzing/src/world/faults.rs
+++ b/crates/fuzzing/src/world/faults.rs
@@ -10,7 +10,7 @@
 use crate::step::{Report, Step};
 
 /// Time that a leaving agent has before its process ends.
-const GRACE_MS: u64 = 3_000;
+pub(super) const GRACE_MS: u64 = 3_000;
 
 impl World {
     pub(super) fn change(&mut self, step: &Step) {
--- a/crates/fuzzing/src/world/heal.rs
+++ b/crates/fuzzing/src/world/heal.rs
@@ -1,6 +1,7 @@
 //! The end of an episode: all faults end, and every living flow must be found again.
 
 use super::callers::{Outcome, Phase};
+use super::faults::GRACE_MS;
 use super::{Due, Node, World};
 use crate::oracle::Seen;
 use crate::step::Report;
@@ -17,6 +18,8 @@
 impl World {
     /// Ends all faults, gives the fleet time, and checks that flows live and openings are answered.
     pub fn heal(&mut self) {
+        // Agents that are already leaving go first, so that each is started again below.
+        self.advance(GRACE_MS + 1);
         self.note(|| "all faults end".to_owned());
         self.end_faults();
         self.advance(SETTLE_MS);
--- /dev/null
+++ b/crates/fuzzing/tests/campaign.rs
@@ -0,0 +1,31 @@
+//! Long runs in small: fixed seeds, the same verdict every time.
+
+use fuzzing::campaign::{self, Limits};
+use fuzzing::world::Sabotage;
+use rstest::rstest;
+
+fn check(steps: usize, seed: u64) {
+    let report = campaign::run(Limits { steps, failures: 1 }, seed, Sabotage::default());
+    let broken = report.failures.iter().map(|(episode, violation)| (episode.seed, violation));
+    assert_eq!(broken.collect::<Vec<_>>(), []);
+    assert!(report.steps >= steps);
+}
+
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_1001(1_001)]
+#[case::seed_2001(2_001)]
+#[case::seed_3001(3_001)]
+fn promises_over_steps(#[case] seed: u64) {
+    check(4_000, seed);
+}
+
+#[test]
+fn same_seed_same_run() {
+    let episode = campaign::draw(5);
+    let run = || {
+        let (outcome, world) = campaign::play(&episode, Sabotage::default(), true);
+        (outcome.steps, outcome.violation, world.timeline().to_vec())
+    };
+    assert_eq!(run(), run());
+}
