--- a/crates/fuzzing/src/campaign.rs
+++ b/crates/fuzzing/src/campaign.rs
@@ -101,15 +101,43 @@
     (Outcome { violation, steps: applied, tally: *world.tally() }, world)
 }
 
-/// Deletes steps while the same promise still breaks.
+/// Leaves out what it can while the same promise still breaks.
 pub fn shrunk(episode: &Episode, sabotage: Sabotage, promise: &str) -> Episode {
-    let breaks = |steps: &[Step]| {
-        let shorter = Episode { steps: steps.to_vec(), ..episode.clone() };
-        let (outcome, _) = play(&shorter, sabotage, false);
+    let breaks = |episode: &Episode| {
+        let (outcome, _) = play(episode, sabotage, false);
         outcome.violation.is_some_and(|violation| violation.promise == promise)
     };
-    let steps = shrink::shrink(episode.steps.clone(), SHRINK_TRIES, breaks);
-    Episode { steps, ..episode.clone() }
+    let mut best = smaller_setup(episode.clone(), &breaks);
+    let with = |steps: &[Step]| Episode { steps: steps.to_vec(), ..best.clone() };
+    let steps = shrink::shrink(best.steps.clone(), SHRINK_TRIES, |steps| breaks(&with(steps)));
+    best.steps = steps;
+    smaller_setup(best, &breaks)
+}
+
+/// Fewer services, balancers, upstreams and callers.
+fn smaller_setup(mut best: Episode, breaks: &impl Fn(&Episode) -> bool) -> Episode {
+    loop {
+        let setup = &best.setup;
+        let mut candidates = Vec::new();
+        if setup.sizes.len() > 1 {
+            let sizes = setup.sizes[..setup.sizes.len() - 1].to_vec();
+            candidates.push(Setup { sizes, ..setup.clone() });
+        }
+        for service in (0..setup.sizes.len()).filter(|service| setup.sizes[*service] > 3) {
+            let mut sizes = setup.sizes.clone();
+            sizes[service] -= 1;
+            candidates.push(Setup { sizes, ..setup.clone() });
+        }
+        if setup.balancers > 1 {
+            candidates.push(Setup { balancers: setup.balancers - 1, ..setup.clone() });
+        }
+        if setup.callers > 1 {
+            candidates.push(Setup { callers: setup.callers - 1, ..setup.clone() });
+        }
+        let tried = candidates.into_iter().map(|setup| Episode { setup, ..best.clone() });
+        let Some(smaller) = tried.into_iter().find(breaks) else { return best };
+        best = smaller;
+    }
 }
 
 /// Runs that a shrinking may take; it takes seconds.
--- a/crates/fuzzing/src/oracle.rs
+++ b/crates/fuzzing/src/oracle.rs
@@ -61,6 +61,29 @@
     HeldBack { agent: Life },
 }
 
+impl Seen {
+    /// The request that it is about, if it is about one.
+    ///
+    /// ```
+    /// use fuzzing::oracle::{Request, Seen};
+    /// let request = Request { service: 0, caller: 1, nonce: 1 };
+    /// assert_eq!(Seen::Closed { request }.request(), Some(request));
+    /// assert_eq!(Seen::Fault.request(), None);
+    /// ```
+    pub fn request(&self) -> Option<Request> {
+        match *self {
+            Self::Ran { request, .. }
+            | Self::Refused { request, .. }
+            | Self::Established { request, .. }
+            | Self::Broken { request, .. }
+            | Self::Closed { request }
+            | Self::Stuck { request }
+            | Self::Unanswered { request } => Some(request),
+            _ => None,
+        }
+    }
+}
+
 /// A broken promise.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Violation {
--- a/crates/fuzzing/src/world/balancers.rs
+++ b/crates/fuzzing/src/world/balancers.rs
@@ -74,7 +74,7 @@
             return;
         }
         let request = carried.inner.request();
-        let flow = self.callers[request.caller].flow;
+        let flow = carried.flow;
         let router = &self.balancers[balancer].router;
         let Some(service) = router.service(fleet::endpoint(request.service)) else { return };
         if let Balancing::Direct(policy) = &mut self.balancing {
--- a/crates/fuzzing/src/world/faults.rs
+++ b/crates/fuzzing/src/world/faults.rs
@@ -77,8 +77,8 @@
     fn abort(&mut self, pick: u8) {
         let Some((caller, token)) = self.pick_open(pick) else { return };
         let request = self.callers[caller].request();
-        self.callers[caller].enter(Phase::Idle);
         self.emit(caller, super::callers::Inner::Reset(request, token));
+        self.callers[caller].abort();
     }
 
     fn pick_open(&self, pick: u8) -> Option<(usize, super::upstreams::Token)> {
--- a/xtask/src/gate.rs
+++ b/xtask/src/gate.rs
@@ -11,6 +11,8 @@
     &["fmt", "--all", "--check"],
     &["clippy", "--locked", "--workspace", "--all-targets", "--", "-D", "warnings"],
     &["test", "--locked", "--workspace"],
+    // A build of its own: together with the workspace, the mutants would be in every binary.
+    &["test", "--locked", "-p", "fuzzing", "--features", "mutants", "--test", "mutants"],
 ];
 
 /// Runs every step in order and fails on the first that does.
