Challenge any SYN on ports that are in use

Cause: Linux answers a SYN on the ports of a half-open connection with a challenge ACK too; the model replaced the connection. Change: upstreams.rs.

--- a/crates/fuzzing/src/world/upstreams.rs
+++ b/crates/fuzzing/src/world/upstreams.rs
@@ -94,10 +94,7 @@
             if known.request == request {
                 return reply(Reply::Accepted { request, token: known.token });
             }
-            if known.established {
-                return reply(Reply::Challenge { request, token: known.token });
-            }
-            self.connections.remove(index);
+            return reply(Reply::Challenge { request, token: known.token });
         }
         self.begun += 1;
         let token = Token { life: self.life, number: self.begun };
