Excuse flows whose every witness has died together

Cause: agents keep nothing on disk; once the holder's agent and all who were told of a flow have died at a time, no one is left who could know it. Change: losses.rs counts unrepaired deaths by service; more than two with the holder among them, or the loss of all agents of a service, excuse these flows. Conclusion: one death and any second one must still be survived.

--- a/crates/fuzzing/src/world/mod.rs
+++ b/crates/fuzzing/src/world/mod.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod fleet;
 mod heal;
+mod losses;
 mod network;
 mod settings;
 mod timeline;
@@ -187,6 +188,7 @@
     balancing: Balancing,
     oracle: Oracle,
     faulted: bool,
+    losses: losses::Losses,
     violation: Option<Violation>,
     tally: Tally,
     timeline: Option<Vec<String>>,
@@ -228,6 +230,7 @@
             balancing,
             oracle: Oracle::default(),
             faulted: false,
+            losses: losses::Losses::default(),
             violation: None,
             tally: Tally::default(),
             timeline: None,
@@ -245,6 +248,7 @@
             self.faulted = true;
             self.see(Seen::Fault);
         }
+        self.losses.hinder(self.now_ms, step);
         self.change(step);
     }
 
