--- a/crates/fuzzing/src/world/agents.rs
+++ b/crates/fuzzing/src/world/agents.rs
@@ -149,6 +149,9 @@
         if self.hosts[host].agent.is_some() || self.hosts[host].upstream.is_none() {
             return;
         }
+        if self.now_ms > 0 {
+            self.started_ms = self.now_ms;
+        }
         let life = self.new_life();
         let versions = self.known_settings();
         let view = self.fleet.view(versions);
--- a/crates/fuzzing/src/world/callers.rs
+++ b/crates/fuzzing/src/world/callers.rs
@@ -122,6 +122,8 @@
     Served,
     /// Refused.
     Refused,
+    /// An older connection of its own is in the way; the caller has to end that first.
+    Challenged,
 }
 
 /// Transmissions before a caller gives up: the last SYN of Linux is sent after 31 s.
@@ -237,6 +239,7 @@
                 self.enter(Phase::Idle);
             }
             (Phase::Opening, Reply::Challenge { request: known, token }) if known == request => {
+                self.outcome = Outcome::Challenged;
                 return Some(Inner::Reset(request, token));
             }
             (Phase::Open { token, .. }, Reply::Acknowledged { token: known }) if known == token => {
