Tell a renewed handshake from a second run

Cause: a SYN that reaches the same upstream after its half-open connection has expired renews the handshake; no application saw the first. An earlier start event could also restart a host that ran again already.

--- a/crates/fuzzing/src/world/fleet.rs
+++ b/crates/fuzzing/src/world/fleet.rs
@@ -108,7 +108,8 @@
     services: Vec<Vec<Listed>>,
     history: Vec<Vec<AccountSpec>>,
     views: Vec<(Versions, Arc<View>)>,
-    max_flows: u32,
+    /// Published limit of each upstream.
+    pub(super) max_flows: u32,
 }
 
 /// What runs on a host: service and number of the upstream.
--- a/crates/fuzzing/src/world/mod.rs
+++ b/crates/fuzzing/src/world/mod.rs
@@ -320,7 +320,11 @@
             Due::Wake { node } => self.wake(node),
             Due::Settings { node, versions } => self.settings_arrive(node, versions),
             Due::StartAgent { host } => self.start_agent(host, true),
-            Due::StartHost { host, occupant } => self.start_host(host, occupant),
+            Due::StartHost { host, occupant } => {
+                if self.hosts[host].upstream.is_none() {
+                    self.start_host(host, occupant);
+                }
+            }
             Due::StopAgent { host, life, gap_ms } => self.stop_agent(host, life, gap_ms),
             Due::StopHost { host, life } => self.stop_host(host, life),
         }
--- a/crates/fuzzing/tests/oracle.rs
+++ b/crates/fuzzing/tests/oracle.rs
@@ -6,6 +6,7 @@
 const ONE: Request = Request { service: 0, caller: 1, nonce: 1 };
 const ADMIT: Promise = Promise { at_most_once: false, datagram: false };
 const REFUSE: Promise = Promise { at_most_once: true, datagram: true };
+const REFUSE_TCP: Promise = Promise { at_most_once: true, datagram: false };
 
 const fn ran(promise: Promise, upstream: u64) -> Seen {
     Seen::Ran { request: ONE, promise, upstream, agent: 10 + upstream, assigned: false }
@@ -53,6 +54,9 @@
 #[case::twice_at_one_upstream(&[ran(REFUSE, 1), ran(REFUSE, 1)], Some("3"))]
 #[case::twice_at_two(&[Seen::Fault, ran(REFUSE, 1), ran(REFUSE, 2)], Some("3"))]
 #[case::twice_over_two_lives(&[Seen::Fault, ran(REFUSE, 1), DIED, ran(REFUSE, 2)], Some("3"))]
+#[case::handshake_renewed(&[ran(REFUSE_TCP, 1), ran(REFUSE_TCP, 1)], None)]
+#[case::accepted_then_again(&[ran(REFUSE_TCP, 1), ESTABLISHED, ran(REFUSE_TCP, 1)], Some("3"))]
+#[case::handshake_at_two(&[Seen::Fault, ran(REFUSE_TCP, 1), ran(REFUSE_TCP, 2)], Some("3"))]
 #[case::refused_after_run(&[ran(REFUSE, 1), REFUSED], Some("4"))]
 #[case::run_after_refused(&[REFUSED, ran(REFUSE, 1)], Some("4"))]
 #[case::refused_twice(&[REFUSED, REFUSED], None)]
