Repair the build of the oracle

Cause: the commit before did not compile (type of a partition); its tests were not run before it was committed. Change: one list of other lives in place of two.

--- a/crates/fuzzing/src/oracle.rs
+++ b/crates/fuzzing/src/oracle.rs
@@ -196,16 +196,18 @@
         promise: Promise,
         upstream: Life,
     ) -> Result<(), &'static str> {
-        let others =
-            self.runs.iter().filter(|(known, life)| *known == request && *life != upstream);
-        let (died, elsewhere): (Vec<_>, Vec<_>) =
-            others.partition(|(_, life)| self.dead.contains(life));
-        let (died, elsewhere) = (!died.is_empty(), !elsewhere.is_empty());
+        let others: Vec<Life> = self
+            .runs
+            .iter()
+            .filter(|(known, life)| *known == request && *life != upstream)
+            .map(|(_, life)| *life)
+            .collect();
+        let elsewhere = others.iter().any(|life| !self.dead.contains(life));
         if promise.at_most_once {
             ensure(!self.refused.contains(&request), "4: a refused request ran")?;
             // A SYN that only renews a handshake given up unfinished is no second run.
             let seen = promise.datagram || self.accepted.contains(&request);
-            let again = has(&self.runs, request) && (elsewhere || died || seen);
+            let again = has(&self.runs, request) && (seen || !others.is_empty());
             ensure(!again, "3: a request ran twice")?;
         } else if elsewhere {
             // In doubt such a service admits, and the caller finishes one handshake only. The
