--- /dev/null
+++ b/crates/balancer/src/worker.rs
@@ -0,0 +1,101 @@
+//! A receiving thread: batch in, batch out, nothing else.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
+use std::time::Duration;
+
+use shell::udp::{self, PayloadRef, Receiver, Sender};
+
+use crate::counters::{Counters, Counts, Dropped};
+use crate::forward::{self, Identity, PAYLOAD_START};
+use crate::notices::{self, AgentNotice};
+use crate::snapshot::{Published, Snapshot, Subscription};
+
+/// How often an idle thread looks whether it should end.
+const IDLE_CHECK: Duration = Duration::from_millis(100);
+
+/// One receiving thread.
+pub(crate) struct Worker {
+    pub(crate) socket: UdpSocket,
+    pub(crate) identity: Identity,
+    pub(crate) published: Arc<Published>,
+    pub(crate) counters: Counters,
+    /// Takes what agents tell to the thread that publishes snapshots.
+    pub(crate) notices: mpsc::Sender<AgentNotice>,
+    pub(crate) end: Arc<AtomicBool>,
+}
+
+/// Binds the sockets that share the data address.
+///
+/// A socket that shares its port can be bound beside those of another process of ours, which would
+/// then lose a part of its packets unnoticed. A socket that does not share it is therefore bound
+/// first, and closed again: it fails if anybody has the port.
+pub(crate) fn bind(address: SocketAddr, count: usize) -> io::Result<Vec<UdpSocket>> {
+    drop(udp::bind(address, false, IDLE_CHECK)?);
+    (0..count).map(|_| udp::bind(address, true, IDLE_CHECK)).collect()
+}
+
+impl Worker {
+    /// Forwards until told to end.
+    pub(crate) fn run(self) {
+        let mut receiver = Receiver::default();
+        let mut sender = Sender::default();
+        let mut subscription = Subscription::new(self.published.clone());
+        let mut counts = Counts::default();
+        while !self.end.load(Ordering::Relaxed) {
+            match receiver.receive(&self.socket) {
+                Ok(0) => continue,
+                Ok(received) => counts.received += received as u64,
+                Err(error) => {
+                    log::error!("receive failed: {error}");
+                    std::thread::sleep(IDLE_CHECK);
+                    continue;
+                }
+            }
+            subscription.refresh();
+            self.forward_batch(&receiver, &mut sender, &subscription, &mut counts);
+            self.counters.add(&mut counts);
+        }
+    }
+
+    fn forward_batch(
+        &self,
+        receiver: &Receiver,
+        sender: &mut Sender,
+        subscription: &Subscription,
+        counts: &mut Counts,
+    ) {
+        let snapshot = subscription.snapshot();
+        for (slot, datagram) in receiver.datagrams().enumerate() {
+            match forward::forward(snapshot, &self.identity, datagram, sender.next_prefix()) {
+                Ok(home) => {
+                    sender.queue_next(PayloadRef { slot, start: PAYLOAD_START }, home);
+                    counts.forwarded += 1;
+                }
+                Err(reason) => self.not_forwarded(reason, snapshot, datagram, counts),
+            }
+        }
+        let failed = sender.flush(&self.socket, receiver) as u64;
+        counts.forwarded -= failed;
+        counts.drop(Dropped::SendFailed, failed);
+    }
+
+    fn not_forwarded(
+        &self,
+        reason: Dropped,
+        snapshot: &Snapshot,
+        datagram: &[u8],
+        counts: &mut Counts,
+    ) {
+        let is_control = reason == Dropped::UnsupportedProtocol;
+        match is_control.then(|| notices::read(snapshot, datagram)).flatten() {
+            Some(notice) => {
+                // The publisher lives as long as the process.
+                let _ = self.notices.send(notice);
+            }
+            None => counts.drop(reason, 1),
+        }
+    }
+}
--- a/crates/decision/src/agent/flows.rs
+++ b/crates/decision/src/agent/flows.rs
@@ -29,6 +29,9 @@
     pub(super) last_seen: Millis,
     /// Whether the caller has sent anything after the opening.
     pub(super) answered: bool,
+    /// Whether only peers say so, after a restart. The first packet leads to a lookup, since the
+    /// peer may not have heard of the end of the flow, and a later one may live elsewhere.
+    pub(super) hearsay: bool,
 }
 
 /// How long flows without a sign of life are kept.
@@ -95,11 +98,15 @@
         None
     }
 
-    /// The fast path: marks a packet of a known flow, false if the flow is unknown.
-    pub(super) fn touch(&mut self, now: Millis, id: FlowId) -> bool {
+    /// The fast path: marks a packet of a flow that is certainly open; false for all others.
+    /// A reset is no `progress`: a caller sends it when its opening was not understood, too.
+    pub(super) fn touch(&mut self, now: Millis, id: FlowId, progress: bool) -> bool {
         let Some(flow) = self.flows.get_mut(&id) else { return false };
+        if !flow.is_certainly_open() {
+            return false;
+        }
         flow.last_seen = now;
-        if !flow.answered {
+        if progress && !flow.answered {
             flow.answered = true;
             self.last_progress = now;
             self.unanswered -= usize::from(flow.state == FlowState::Open && flow.nonce.is_some());
@@ -124,7 +131,14 @@
     ) -> Option<(FlowId, Flow)> {
         self.remove(id);
         let evicted = self.make_room();
-        let flow = Flow { nonce, state: FlowState::Open, opened_at: now, last_seen: now, answered };
+        let flow = Flow {
+            nonce,
+            state: FlowState::Open,
+            opened_at: now,
+            last_seen: now,
+            answered,
+            hearsay: false,
+        };
         self.flows.insert(id, flow);
         self.open += 1;
         if !answered {
@@ -134,6 +148,25 @@
         evicted
     }
 
+    /// Takes in a flow of an earlier life that a peer has named. Its age is unknown, and it never
+    /// passes for the younger one of two.
+    pub(super) fn insert_hearsay(&mut self, now: Millis, opening: Opening) {
+        self.insert(now, opening.flow, Some(opening.nonce), true);
+        if let Some(flow) = self.flows.get_mut(&opening.flow) {
+            flow.hearsay = true;
+            flow.opened_at = Millis(0);
+        }
+    }
+
+    /// Marks a packet of a flow that nobody else holds: hearsay becomes certainty. False if the
+    /// flow is unknown.
+    pub(super) fn make_certain(&mut self, now: Millis, id: FlowId) -> bool {
+        let Some(flow) = self.flows.get_mut(&id) else { return false };
+        flow.hearsay = false;
+        flow.last_seen = now;
+        true
+    }
+
     /// The caller ends the flow; false if it is unknown or already closing this way.
     pub(super) fn close(&mut self, now: Millis, id: FlowId, state: FlowState) -> bool {
         let Some(flow) = self.flows.get_mut(&id) else { return false };
@@ -145,7 +178,6 @@
         self.unanswered -= usize::from(flow.is_unanswered() && flow.nonce.is_some());
         self.open -= usize::from(was_open);
         flow.state = state;
-        flow.answered = true;
         self.closing.push_back((now, id));
         was_open
     }
@@ -221,7 +253,13 @@
         Opening { flow, nonce: self.nonce.unwrap_or(0) }
     }
 
-    pub(super) fn is_open(&self) -> bool {
+    /// Whether the upstream certainly has the flow open, as far as the caller's packets tell.
+    pub(super) fn is_certainly_open(&self) -> bool {
+        self.state == FlowState::Open && !self.hearsay
+    }
+
+    /// Whether the flow is announced.
+    pub(super) fn is_announced(&self) -> bool {
         self.state == FlowState::Open && self.nonce.is_some()
     }
 
--- a/crates/decision/src/agent/limits.rs
+++ b/crates/decision/src/agent/limits.rs
@@ -29,6 +29,10 @@
 /// Peers remembered, listed or not.
 pub const MAX_PEERS: usize = 256;
 
+/// How long copies of a SYN that has run are still delivered to the same upstream: its TCP knows
+/// them while the handshake lasts, and the caller's first three timeouts fall within it.
+pub const COPY_MS: u64 = 10_000;
+
 /// How long a claim is remembered and a restarted witness abstains. It must exceed the longest
 /// time for which copies of one opening exist: a Linux caller sends its last SYN after 63 s.
 pub const CLAIM_TTL_MS: u64 = 120_000;
@@ -37,6 +41,13 @@
 /// round trip of 3 ms, and well under the caller's first retransmission after 1 s.
 pub const WITNESS_WAIT_MS: u64 = 200;
 
+/// How long a restarted witness waits before it asks for records: over three times the time in which a
+/// claimant may count a grant of its earlier life, so that clocks may differ in rate by as much.
+pub const RECALL_WAIT_MS: u64 = 1_000;
+
+/// Records in one page for a restarted witness: 39 bytes each, under 1,200 bytes together.
+pub const RECORDS_PER_PAGE: usize = 28;
+
 /// How long a claimant waits for a majority, and then again for a majority to refuse.
 pub const QUORUM_WAIT_MS: u64 = 300;
 
@@ -93,8 +104,9 @@
 /// announced when it died. Callers of such flows have sent again several times by then.
 pub const DOUBT_MS: u64 = 60_000;
 
-/// Longest time for which a restarted agent stays unsure because peers never answer.
-pub const UNSURE_MAX_MS: u64 = 1_800_000;
+/// Longest time for which a restarted agent stays unsure because its peers cannot tell: feeds that
+/// it held may be idle for as long.
+pub const UNSURE_MAX_MS: u64 = IDLE_MS;
 
 /// How long a retired, silent peer must still be heard out about unknown flows.
 pub const RETIRED_SILENT_MS: u64 = 60_000;
@@ -116,6 +128,10 @@
 /// starts this time anew.
 pub const FINISH_LINGER_MS: u64 = 600_000;
 
+/// How long after its last packet a closing flow is believed without asking. A caller's ports
+/// rest for 60 s after its FIN.
+pub const CLOSING_CERTAIN_MS: u64 = 30_000;
+
 /// After the caller's RST only stray packets follow.
 pub const RESET_LINGER_MS: u64 = 60_000;
 
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -23,6 +23,7 @@
 mod peers;
 mod pending;
 mod quorum;
+mod recall;
 mod redirects;
 mod relearn;
 mod sorted;
@@ -39,7 +40,7 @@
 pub use mutant::Mutant;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
-pub use redirects::Redirect;
+pub use redirects::{Evidence, Redirect};
 pub use status::{Explanation, Stats, Whereabouts};
 pub use types::*;
 
@@ -70,8 +71,9 @@
     doubts: home::Doubts,
     health: health::Health,
     past: relearn::Past,
-    /// Targets by bucket to which the flows have been announced.
-    announced_to: Vec<install::Targets>,
+    recall: recall::Recall,
+    /// By bucket: agents to which the flows are announced.
+    targets: Vec<announce::Targets>,
     heartbeat_at: Millis,
     refresh_at: Millis,
     refresh_bucket: u16,
@@ -128,7 +130,8 @@
             doubts: home::Doubts::default(),
             health: health::Health::default(),
             past,
-            announced_to: Vec::new(),
+            recall: recall::Recall::default(),
+            targets: Vec::new(),
             heartbeat_at: now,
             refresh_at: now,
             refresh_bucket: 0,
@@ -141,7 +144,7 @@
         };
         if let Some(key) = view.find_service(agent.config.service) {
             agent.adopt_view(now, view, key);
-            agent.announced_to = agent.settings.targets.clone();
+            agent.retarget();
         }
         agent
     }
@@ -186,6 +189,7 @@
         self.refresh_announcements(now);
         self.send_announcements(now, out);
         self.relearn(now, out);
+        self.recall(now, out);
     }
 
     fn leave(&mut self, now: Millis, out: &mut Vec<Action>) {
@@ -233,6 +237,13 @@
                 let page = relearn::Page { incarnation, from: first, openings, next, complete };
                 self.page_received(now, from, page, out);
             }
+            Message::Recall { incarnation, from: first } => {
+                self.recall_asked(now, from, incarnation, first, out);
+            }
+            Message::RecallReply { incarnation, from: first, records, next, complete, reborn } => {
+                let page = recall::Page { incarnation, first, records, next, complete, reborn };
+                self.records_received(now, from, page, out);
+            }
             Message::Heartbeat(heartbeat) => self.heartbeat_received(now, from, heartbeat, out),
         }
     }
--- a/crates/decision/src/agent/once.rs
+++ b/crates/decision/src/agent/once.rs
@@ -10,7 +10,7 @@
 use super::flows::FlowState;
 use super::mutant::mutated;
 use super::pending::Attempt;
-use super::{Action, Agent, Packet, Passed, Reason, Verdict};
+use super::{Action, Agent, Packet, Passed, Reason, Verdict, limits};
 use crate::message::{Claim, Opening};
 use crate::time::Millis;
 
@@ -22,28 +22,31 @@
         opening: Opening,
         out: &mut Vec<Action>,
     ) -> Verdict {
+        if self.pending.get(opening).is_some() {
+            return Verdict::Drop(Reason::Duplicate);
+        }
         if let Some(record) = self.claims.get(now, opening) {
             return self.follow_record(now, packet, opening, record, out);
         }
         let held = self.flows.get(opening.flow).copied();
         if held.is_some_and(|flow| flow.nonce == Some(opening.nonce)) {
-            return self.copy_of_run(now, opening);
+            return self.copy_of_run(now, opening, out);
         }
         let me = self.config.upstream;
         // A datagram on an open flow is new work, which a draining upstream does not get. Of a SYN
         // on the ports of an open connection, the upstream's TCP has to judge.
         let wanted = !self.settings.datagrams || !self.must_not_admit();
-        if wanted && held.is_some_and(|flow| flow.state == FlowState::Open) {
+        if wanted && held.is_some_and(|flow| flow.is_certainly_open()) {
             return self.claim_once(now, packet.hops, opening, Claim::Run(me), out);
         }
-        let holder = self.redirect_of_opening(now, opening);
-        if let Some(holder) = holder.filter(|holder| self.is_up(*holder)) {
-            return self.propose(now, packet.hops, opening, Claim::Run(holder), out);
-        }
         if packet.passed == Passed::Assigned {
             let claim = self.claim_of_assigned(now, packet.hops);
             return self.propose(now, packet.hops, opening, claim, out);
         }
+        let holder = self.redirect_of_opening(now, opening);
+        if let Some(holder) = holder.filter(|holder| self.is_up(*holder)) {
+            return self.propose(now, packet.hops, opening, Claim::Run(holder), out);
+        }
         if let Some(home) = self.other_home(now, packet, out) {
             self.flows.remove(opening.flow);
             return self.forward(packet.hops, home, Passed::Redirected);
@@ -80,18 +83,26 @@
     ) -> Verdict {
         let me = self.config.upstream;
         match (record.stage, record.claim) {
-            (Stage::Pending, _) => Verdict::Drop(Reason::Duplicate),
             (Stage::Decided, Claim::Refuse) if mutated!(self, TombstoneForgotten) => {
                 self.claims.remove(opening);
                 self.admit(now, opening, out)
             }
             (Stage::Decided, Claim::Refuse) => Verdict::Refuse(Reason::Tombstone),
-            (Stage::Decided, Claim::Run(_)) => self.copy_of_run(now, opening),
-            (Stage::Undecided, claim) => self.claim_once(now, packet.hops, opening, claim, out),
-            (Stage::Witnessed, Claim::Run(holder)) if holder != me => {
+            (Stage::Decided, Claim::Run(_)) => self.copy_of_run(now, opening, out),
+            (Stage::Pending | Stage::Undecided, claim) => {
+                self.claim_once(now, packet.hops, opening, claim, out)
+            }
+            // Whoever has assigned it to this agent may know that the other one cannot take it.
+            // The vote that this agent has given to that one stands.
+            (Stage::Witnessed, Claim::Run(holder))
+                if holder == me || packet.passed == Passed::Assigned || !self.is_up(holder) =>
+            {
+                let claim = self.claim_of_assigned(now, packet.hops);
+                self.propose(now, packet.hops, opening, claim, out)
+            }
+            (Stage::Witnessed, Claim::Run(holder)) => {
                 self.hand_to(now, packet.hops, opening, holder, out)
             }
-            (Stage::Witnessed, Claim::Run(_)) => Verdict::Drop(Reason::HolderSilent),
             (Stage::Witnessed, Claim::Refuse) => {
                 self.claim_once(now, packet.hops, opening, Claim::Refuse, out)
             }
@@ -100,14 +111,18 @@
 
     /// A copy of an opening that has run here. At the same upstream, TCP recognises a SYN while
     /// the connection exists, and the caller may need the answer to it once more.
-    fn copy_of_run(&mut self, now: Millis, opening: Opening) -> Verdict {
+    fn copy_of_run(&mut self, now: Millis, opening: Opening, out: &mut Vec<Action>) -> Verdict {
         if mutated!(self, DuplicateDelivered) {
             return Verdict::Deliver;
         }
+        if self.was_not_understood(opening) {
+            return self.admit(now, opening, out);
+        }
         let open = self
             .flows
             .get(opening.flow)
-            .is_some_and(|flow| flow.state == FlowState::Open && flow.nonce == Some(opening.nonce));
+            .filter(|flow| flow.state == FlowState::Open && flow.nonce == Some(opening.nonce))
+            .is_some_and(|flow| now.since(flow.opened_at) < limits::COPY_MS);
         if self.settings.datagrams || !open {
             return Verdict::Drop(Reason::Duplicate);
         }
@@ -115,6 +130,18 @@
         Verdict::Deliver
     }
 
+    /// A SYN on the ports of an older connection that its upstream still has: the upstream answers
+    /// for the older one, the caller resets that and sends the same SYN again. It has not run.
+    fn was_not_understood(&self, opening: Opening) -> bool {
+        let flow = self.flows.get(opening.flow);
+        !self.settings.datagrams
+            && flow.is_some_and(|flow| {
+                flow.nonce == Some(opening.nonce)
+                    && flow.state == FlowState::Reset
+                    && !flow.answered
+            })
+    }
+
     /// Claims the opening for this agent, or its refusal, from all witnesses.
     pub(super) fn claim_once(
         &mut self,
--- a/crates/decision/src/agent/peers.rs
+++ b/crates/decision/src/agent/peers.rs
@@ -22,9 +22,13 @@
     pub(super) incarnation: Option<Incarnation>,
     /// When this life of the peer was first heard from.
     pub(super) incarnation_at: Millis,
+    /// When an earlier life was followed by this one.
+    pub(super) reborn_at: Option<Millis>,
     pub(super) view: Version,
     pub(super) heartbeat: Option<Heartbeat>,
     pub(super) suspected: bool,
+    /// Whether the balancers were told that it is down; the next heartbeat takes that back.
+    pub(super) reported_down: bool,
     /// Openings assigned to it since its last heartbeat.
     pub(super) assigned: u32,
     /// Highest batch of announcements taken in from its present life.
--- a/crates/decision/src/agent/witness.rs
+++ b/crates/decision/src/agent/witness.rs
@@ -1,8 +1,9 @@
 //! Claims of other agents, which this one records as a witness.
 
 use super::claims::{Record, Stage};
+use super::flows::Flow;
 use super::mutant::mutated;
-use super::{Action, Agent, limits};
+use super::{Action, Agent};
 use crate::keys::{Incarnation, UpstreamId, Version};
 use crate::message::{Claim, ClaimAnswer, Message, Opening};
 use crate::time::Millis;
@@ -38,11 +39,17 @@
     /// Whether this agent may have promised something that it no longer knows.
     ///
     /// Failure: a witness grants one claim, restarts and grants another. Symptom: an opening runs
-    /// at two upstreams. Abstaining is enough because whatever it granted before it died would
-    /// have been forgotten by then.
+    /// at two upstreams. Abstaining is enough because whatever it granted before it died is either
+    /// recalled from the other witnesses or would have been forgotten by then.
     pub(super) fn abstains(&self, now: Millis) -> bool {
-        let restarted = self.config.may_have_past && !mutated!(self, AbstainForgotten);
-        restarted && now.since(self.started_at) < limits::CLAIM_TTL_MS
+        let forgot = self.may_have_voted(now) && !self.recall.complete || self.is_unvouched(now);
+        forgot && !mutated!(self, AbstainForgotten)
+    }
+
+    /// Whether this agent cannot tell which claim for the opening had its vote.
+    pub(super) fn has_lost_vote(&self, now: Millis, opening: Opening) -> bool {
+        let disputed = self.may_have_voted(now) && self.recall.is_disputed(opening);
+        self.abstains(now) || disputed
     }
 
     fn witness_once(&mut self, now: Millis, request: Request) -> ClaimAnswer {
@@ -51,7 +58,11 @@
             return ClaimAnswer::Abstained;
         }
         // A record made while abstaining is this agent's own wish and counts as nobody's vote.
-        if self.abstains(now) {
+        if self.has_lost_vote(now, request.opening) {
+            return ClaimAnswer::Abstained;
+        }
+        // Newer settings may name a membership whose records were not asked for.
+        if self.may_have_voted(now) && request.view > self.settings.version {
             return ClaimAnswer::Abstained;
         }
         match self.claims.get(now, request.opening) {
@@ -91,22 +102,34 @@
         self.record(now, request, stage)
     }
 
-    /// The holder of the flow that came from exactly this opening.
+    /// The agent to which the opening belongs: the holder of its flow, or of an open flow on the
+    /// same ports, whose upstream has to judge whether that one is over.
     fn holder_of(&self, now: Millis, opening: Opening) -> Option<UpstreamId> {
         let nonce = Some(opening.nonce);
-        if self.flows.get(opening.flow).is_some_and(|flow| flow.nonce == nonce) {
+        let belongs = |flow: &Flow| flow.is_certainly_open() || flow.nonce == nonce;
+        if self.flows.get(opening.flow).is_some_and(belongs) {
             return Some(self.config.upstream);
         }
-        let redirect = self.redirects.get(now, opening.flow)?;
-        (redirect.nonce == nonce).then_some(redirect.holder)
+        self.redirect_of_opening(now, opening)
+    }
+
+    /// The caller opens a flow elsewhere on the ports of one that is closing here. Were the closing
+    /// one kept, packets of the new one could reach the own upstream, which would reset it.
+    fn forget_closing(&mut self, opening: Opening, claim: Claim) {
+        let old = |flow: &Flow| !flow.is_certainly_open() && flow.nonce != Some(opening.nonce);
+        let elsewhere = claim != Claim::Refuse && claim != Claim::Run(self.config.upstream);
+        if elsewhere && self.flows.get(opening.flow).is_some_and(old) {
+            self.flows.remove(opening.flow);
+        }
     }
 
     fn record(&mut self, now: Millis, request: Request, stage: Stage) -> ClaimAnswer {
         let Request { opening, claim, incarnation, .. } = request;
-        match self.claims.put(now, opening, claim, incarnation, stage) {
-            true => ClaimAnswer::Granted,
-            false => ClaimAnswer::Abstained,
+        if !self.claims.put(now, opening, claim, incarnation, stage) {
+            return ClaimAnswer::Abstained;
         }
+        self.forget_closing(opening, claim);
+        ClaimAnswer::Granted
     }
 }
 
--- a/crates/fuzzing/src/world/agents.rs
+++ b/crates/fuzzing/src/world/agents.rs
@@ -311,6 +311,8 @@
                 Action::Send { to, message } => self.send_control(host, to, message),
                 Action::Resolve { hold, verdict } => self.resolve(host, hold, verdict),
                 Action::FetchSettings { .. } => self.fetch(host),
+                // Balancers take agents for down when a step says so, rightly or wrongly.
+                Action::Report(_) => {}
                 Action::Note(note) => self.observe(host, note),
             }
         }
--- a/crates/loadgen/src/main.rs
+++ b/crates/loadgen/src/main.rs
@@ -4,13 +4,28 @@
 use std::process::ExitCode;
 
 use anyhow::{Context as _, bail};
-use lexopt::Arg;
+use lexopt::{Arg, ValueExt as _};
+use loadgen::flows::Experiment;
+use loadgen::traffic::{Relay, serve_counts};
 
 const HELP: &str = "\
 Usage: gooseberrysill-load COMMAND [OPTIONS]
 
 Commands:
-  control    slopes and storms of control traffic, with many nodes in one process
+  control    slopes and storms of spreading among balancers, many nodes in one process
+  agent      slopes and storms of the agents of one service, in one process
+  tree       cost of the settings tree, its changes and what is exchanged about it
+  agent-memory FLOWS
+             memory of an agent that holds FLOWS flows, in bytes
+  tree-memory SERVICES
+             memory of a balancer's settings with SERVICES services, in bytes
+  flows --experiment FILE
+             packets at set rates through a running process: latency and loss; needs --out,
+             and writes a plot beside it. `cargo xtask bench --experiment FILE` starts the
+             processes as well
+  relay LISTEN TO...
+             move datagrams from LISTEN to each TO in turn, and print the count for each line
+             of standard input until it ends
 
 Options:
   --out FILE   write the results there as JSON (default: standard output)
@@ -30,28 +45,33 @@
     }
 }
 
+/// The command line, taken apart.
+#[derive(Debug, Default)]
+struct Arguments {
+    help: bool,
+    out: Option<PathBuf>,
+    experiment: Option<PathBuf>,
+    values: Vec<String>,
+}
+
 fn run() -> anyhow::Result<()> {
-    let mut parser = lexopt::Parser::from_env();
-    let mut command = None;
-    let mut out: Option<PathBuf> = None;
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Long("help") => {
-                print!("{HELP}");
-                return Ok(());
-            }
-            Arg::Long("out") => out = Some(parser.value()?.into()),
-            Arg::Value(value) if command.is_none() => {
-                command = Some(value.to_string_lossy().into_owned())
-            }
-            other => return Err(other.unexpected().into()),
-        }
+    let arguments = parse()?;
+    if arguments.help {
+        print!("{HELP}");
+        return Ok(());
     }
-    let results = match command.context(HELP)?.as_str() {
+    let (command, values) = arguments.values.split_first().context(HELP)?;
+    let results = match command.as_str() {
         "control" => loadgen::control::spread::measure(),
+        "agent" => loadgen::cost::agent::measure(),
+        "tree" => loadgen::cost::tree::measure(),
+        "agent-memory" => return print_memory(values, loadgen::cost::agent::memory),
+        "tree-memory" => return print_memory(values, loadgen::cost::tree::memory),
+        "relay" => return relay(values),
+        "flows" => return flows(&arguments),
         other => bail!("unknown command `{other}`\n\n{HELP}"),
     };
-    match out {
+    match arguments.out {
         Some(path) => results.write(&path),
         None => {
             println!("{}", serde_json::to_string_pretty(&results)?);
@@ -59,3 +79,47 @@
         }
     }
 }
+
+fn parse() -> anyhow::Result<Arguments> {
+    let mut parser = lexopt::Parser::from_env();
+    let mut arguments = Arguments::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("help") => arguments.help = true,
+            Arg::Long("out") => arguments.out = Some(parser.value()?.into()),
+            Arg::Long("experiment") => arguments.experiment = Some(parser.value()?.into()),
+            Arg::Value(value) => arguments.values.push(value.string()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(arguments)
+}
+
+fn print_memory(values: &[String], measure: fn(u64) -> anyhow::Result<f64>) -> anyhow::Result<()> {
+    let size = values.first().context("the size is missing")?;
+    println!("{}", measure(size.parse()?)?);
+    Ok(())
+}
+
+fn flows(arguments: &Arguments) -> anyhow::Result<()> {
+    let file = arguments.experiment.as_deref().context("--experiment FILE is missing")?;
+    let out = arguments.out.as_deref().context("--out FILE is missing")?;
+    let experiment = Experiment::read(file)?;
+    let results = loadgen::flows::run(&experiment)?;
+    results.write(out)?;
+    loadgen::flows::plot(&results, &experiment.name, &out.with_extension("svg"))
+}
+
+/// Relays in a thread of its own name, so that its processor time can be told from this one's.
+fn relay(values: &[String]) -> anyhow::Result<()> {
+    let (listen, receivers) = values.split_first().context("LISTEN is missing")?;
+    let receivers = receivers.iter().map(|it| it.parse()).collect::<Result<_, _>>()?;
+    let relay = Relay::bind(listen.parse()?, receivers)?;
+    let moved = relay.moved();
+    std::thread::Builder::new().name("relay".into()).spawn(move || {
+        if let Err(error) = relay.run() {
+            eprintln!("gooseberrysill-load: relay: {error:#}");
+        }
+    })?;
+    serve_counts(&moved)
+}
--- /dev/null
+++ b/crates/shell/src/http/server.rs
@@ -0,0 +1,101 @@
+//! Serving [`Routes`] by gotham on a thread of its own.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::thread;
+
+use futures_util::future;
+use gotham::handler::HandlerFuture;
+use gotham::helpers::http::Body;
+use gotham::helpers::http::response::create_response;
+use gotham::http_body_util::{BodyExt as _, Limited};
+use gotham::hyper::{StatusCode, Uri};
+use gotham::prelude::*;
+use gotham::router::Router;
+use gotham::router::builder::build_simple_router;
+use gotham::state::State;
+
+use super::routes::{Handler, Method, REQUEST_BYTES_MAX, Reply, Request, Route, Routes};
+use crate::fault::StartFault;
+
+/// Threads that answer. Two, so that one slow answer does not keep a probe of `/healthz` waiting.
+const WORKERS: usize = 2;
+
+/// Binds `address`, serves `routes` until the process ends and returns the address bound.
+///
+/// The socket is bound before this returns, so that a taken port is known at the start.
+///
+/// ```
+/// use std::time::Duration;
+/// use shell::http::{client::Client, routes::{Reply, Routes}, start};
+/// let routes = Routes::default().get("/healthz", |_| Reply::text("ok"));
+/// let address = start("127.0.0.1:0".parse().unwrap(), routes).unwrap();
+/// assert_eq!(Client::new(Duration::from_secs(5)).get(address, "/healthz").unwrap(), b"ok");
+/// ```
+pub fn start(address: SocketAddr, routes: Routes) -> Result<SocketAddr, StartFault> {
+    let bind_fault = |error: io::Error| StartFault::bind(address, &error);
+    let listener = TcpListener::bind(address).map_err(bind_fault)?;
+    let bound = listener.local_addr().map_err(bind_fault)?;
+    listener.set_nonblocking(true).map_err(|e| StartFault::thread(&e))?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKERS)
+        .thread_name("http")
+        .enable_all()
+        .build()
+        .map_err(|e| StartFault::thread(&e))?;
+    let serve = move || {
+        runtime.block_on(async move {
+            match tokio::net::TcpListener::from_std(listener) {
+                Ok(listener) => gotham::bind_server(listener, router(routes), future::ok).await,
+                Err(error) => log::error!("cannot serve HTTP: {error}"),
+            }
+        });
+    };
+    let spawned = thread::Builder::new().name("http-accept".into()).spawn(serve);
+    spawned.map(|_| bound).map_err(|e| StartFault::thread(&e))
+}
+
+fn router(routes: Routes) -> Router {
+    build_simple_router(|builder| {
+        for route in routes.routes {
+            let Route { method, path, handler } = route;
+            // A handler that panics leaves its locks poisoned, which every lock of ours tolerates.
+            let handler = AssertUnwindSafe(handler);
+            let new_handler = move || {
+                let handler = Arc::clone(&handler);
+                Ok(move |state: State| answer(state, method, handler))
+            };
+            match method {
+                Method::Get => builder.get(path).to_new_handler(new_handler),
+                Method::Post => builder.post(path).to_new_handler(new_handler),
+            }
+        }
+    })
+}
+
+fn answer(mut state: State, method: Method, handler: Handler) -> Pin<Box<HandlerFuture>> {
+    Box::pin(async move {
+        let query = state.borrow::<Uri>().query().unwrap_or_default().to_owned();
+        let body = match method {
+            Method::Get => Some(Vec::new()),
+            Method::Post => read_body(state.take::<Body>()).await,
+        };
+        let reply = match body {
+            Some(body) => handler(&Request { query, body }),
+            None => Reply::error(413, "body too large or cut off"),
+        };
+        let status = StatusCode::from_u16(reply.status);
+        let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let mime = reply.content_type.parse().unwrap_or(mime::TEXT_PLAIN);
+        let response = create_response(&state, status, mime, reply.body);
+        Ok((state, response))
+    })
+}
+
+async fn read_body(body: Body) -> Option<Vec<u8>> {
+    let collected = Limited::new(body, REQUEST_BYTES_MAX).collect().await.ok()?;
+    Some(collected.to_bytes().to_vec())
+}
--- /dev/null
+++ b/crates/shell/tests/peers.rs
@@ -0,0 +1,169 @@
+//! Contract of the exchange between instances: a real store serves, another one asks.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use common::{nobody, serve, store, versions};
+use decision::keys::{AccountId, Version};
+use rstest::rstest;
+use shell::http::client::ClientError;
+use shell::http::routes::{Reply, Routes};
+use shell::settings_sync::peers::{PeerError, PeerReader};
+use shell::settings_sync::{Keyrings, Scope, Source, Store, serve as exchange};
+use wire::exchange::{Digest, DigestEntry, Kind, Question};
+use wire::sealed::{AccountKeyring, KeyId};
+
+const MASTERS: [(KeyId, [u8; 32]); 1] = [(KeyId(1), [7; 32])];
+
+/// The keyrings of a balancer.
+fn keyrings() -> Keyrings {
+    Arc::new(|account| AccountKeyring::derive(&MASTERS, AccountId::of(account)))
+}
+
+fn reader(store: &Arc<Store>, peers: Vec<SocketAddr>) -> PeerReader {
+    PeerReader::new(store.clone(), Arc::new(move || peers.clone()), keyrings())
+}
+
+/// An instance that serves what `store` holds.
+fn serve_store(store: &Arc<Store>) -> SocketAddr {
+    serve(exchange::routes(Routes::default(), store, &keyrings()))
+}
+
+/// `theirs` and `ours` are versions in force at the peer and here before the comparison.
+#[rstest]
+#[case::all_new(Scope::All, &[("bajio", 2), ("cascadia", 7)], &[], &[("bajio", 2), ("cascadia", 7)])]
+#[case::one_newer(
+    Scope::All, &[("bajio", 2), ("cascadia", 7)], &[("bajio", 4), ("cascadia", 6)],
+    &[("bajio", 4), ("cascadia", 7)],
+)]
+#[case::peer_behind(Scope::All, &[("cascadia", 5)], &[("cascadia", 6)], &[("cascadia", 6)])]
+#[case::peer_empty(Scope::All, &[], &[("cascadia", 6)], &[("cascadia", 6)])]
+#[case::agent_takes_its_own(
+    Scope::Account("cascadia".into()), &[("bajio", 2), ("cascadia", 7)], &[], &[("cascadia", 7)],
+)]
+fn compare_with_peer(
+    #[case] scope: Scope,
+    #[case] theirs: &[(&str, u64)],
+    #[case] ours: &[(&str, u64)],
+    #[case] expected: &[(&str, u64)],
+) {
+    let (peer, own) = (store(Scope::All, theirs), store(scope, ours));
+    let address = serve_store(&peer);
+    reader(&own, vec![]).compare(address).unwrap();
+    let expected: Vec<(String, u64)> =
+        expected.iter().map(|(name, version)| ((*name).to_owned(), *version)).collect();
+    assert_eq!(versions(&own), expected);
+}
+
+/// The peer replaced version 6 by 7. Who has 6 gets the lines that differ, who has another version,
+/// or none, gets the whole; both end with the peer's text.
+#[rstest]
+#[case::one_behind(&[("cascadia", 6)])]
+#[case::two_behind(&[("cascadia", 5)])]
+#[case::nothing(&[])]
+fn fetch_after_replacement(#[case] ours: &[(&str, u64)]) {
+    let (peer, own) = (store(Scope::All, &[("cascadia", 6)]), store(Scope::All, ours));
+    own.offer_root(&common::root(3), Source::Platform);
+    peer.offer_account("cascadia", &common::subtree("cascadia", 7), Source::Platform);
+    reader(&own, vec![]).fetch(serve_store(&peer), "cascadia").unwrap();
+    assert_eq!(own.subtree("cascadia"), peer.subtree("cascadia"));
+    assert!(peer.replaced("cascadia", Version(6)).is_some());
+}
+
+/// A storm of changes: several accounts come in one exchange, each as a change or whole as fits. An
+/// account that the peer does not have is left out. An agent may not ask for others' accounts.
+#[rstest]
+#[case::balancer("", Ok(()), &[("bajio", 4), ("cascadia", 7)])]
+#[case::agent("bajio", Err(PeerError::Client(ClientError::Status(403))), &[("bajio", 3), ("cascadia", 5)])]
+fn fetch_all_in_one_exchange(
+    #[case] asker: &'static str,
+    #[case] expected: Result<(), PeerError>,
+    #[case] in_force: &[(&str, u64)],
+) {
+    let peer = store(Scope::All, &[("bajio", 3), ("cascadia", 7)]);
+    peer.offer_account("bajio", &common::subtree("bajio", 4), Source::Platform);
+    let own = store(Scope::All, &[("bajio", 3), ("cascadia", 5)]);
+    // Every question of this asker is sealed with its own key.
+    let as_asker: Keyrings = Arc::new(move |_| keyrings()(asker));
+    let reader = PeerReader::new(own.clone(), Arc::new(Vec::new), as_asker);
+    let names = ["bajio".into(), "cascadia".into(), "ghost".into()];
+    let result = reader.fetch_all(serve_store(&peer), &names);
+    assert_eq!(result, expected);
+    let expected: Vec<(String, u64)> =
+        in_force.iter().map(|(name, version)| ((*name).to_owned(), *version)).collect();
+    assert_eq!(versions(&own), expected);
+}
+
+/// A peer that is itself not current must not make us believe that we are: two instances that
+/// start together would otherwise confirm each other with nothing in hand.
+#[rstest]
+#[case::current(true)]
+#[case::not_current(false)]
+fn compare_passes_on_currency(#[case] current: bool) {
+    let (peer, own) = (store(Scope::All, &[("cascadia", 7)]), store(Scope::All, &[]));
+    peer.mark_peers_asked();
+    own.mark_peers_asked();
+    if current {
+        peer.confirm(0);
+    }
+    let address = serve_store(&peer);
+    reader(&own, vec![]).compare(address).unwrap();
+    assert_eq!(own.is_current(), current);
+}
+
+#[rstest]
+#[case::not_message_pack(Reply::text("\u{1}\u{2}\u{3}"))]
+#[case::html(Reply::text("<html>"))]
+fn compare_with_garbage(#[case] reply: Reply) {
+    let own = store(Scope::All, &[("cascadia", 6)]);
+    let address = serve(Routes::default().get("/v1/settings/digest", move |_| reply.clone()));
+    assert!(matches!(reader(&own, vec![]).compare(address), Err(PeerError::Decode(_))));
+    assert_eq!(versions(&own), [("cascadia".to_owned(), 6)]);
+}
+
+/// A peer that offers a version and then does not deliver it changes nothing.
+#[test]
+fn compare_with_peer_that_lost_document() {
+    let own = store(Scope::All, &[]);
+    own.mark_peers_asked();
+    let accounts = vec![DigestEntry { account: "cascadia".into(), version: 7 }];
+    let digest = Digest { current: true, confirmed_age_ms: 0, root_version: 3, accounts };
+    let routes = Routes::default().get(Kind::Digest.path(), move |request| {
+        let parameter = |name: &str| request.parameter(name);
+        let (question, ring) = Question::check(Kind::Digest, parameter, &*keyrings()).unwrap();
+        let body = question.answer(&ring, &digest).unwrap();
+        Reply { status: 200, content_type: "application/msgpack", body }
+    });
+    let result = reader(&own, vec![]).compare(serve(routes));
+    assert_eq!(result, Err(PeerError::Client(ClientError::Status(404))));
+    assert!(!own.is_current());
+}
+
+/// An agent of one account asks an agent of another, whose address it got from somewhere. It is
+/// refused, and what it is told by such an agent it does not believe.
+#[rstest]
+#[case::same_account("cascadia", Ok(()))]
+#[case::rival("bajio", Err(PeerError::Client(ClientError::Status(403))))]
+fn compare_between_agents(#[case] peer_account: &str, #[case] expected: Result<(), PeerError>) {
+    let only = |account: &str| -> Keyrings {
+        let (name, all) = (account.to_owned(), keyrings());
+        Arc::new(move |account| all(account).filter(|_| account == name))
+    };
+    let peer = store(Scope::Account(peer_account.into()), &[(peer_account, 7)]);
+    let own = store(Scope::Account("cascadia".into()), &[("cascadia", 6)]);
+    let address = serve(exchange::routes(Routes::default(), &peer, &only(peer_account)));
+    let reader = PeerReader::new(own.clone(), Arc::new(Vec::new), only("cascadia"));
+    assert_eq!(reader.compare(address), expected);
+    let version = if expected.is_ok() { 7 } else { 6 };
+    assert_eq!(versions(&own), [("cascadia".to_owned(), version)]);
+}
+
+#[test]
+fn compare_some_passes_over_dead_peers() {
+    let (peer, own) = (store(Scope::All, &[("cascadia", 7)]), store(Scope::All, &[]));
+    let address = serve_store(&peer);
+    reader(&own, vec![nobody(), address, nobody()]).compare_some(3);
+    assert_eq!(versions(&own), [("cascadia".to_owned(), 7)]);
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,8 +1,11 @@
 //! Project automation. `cargo xtask --help` lists the commands.
 
+mod bench;
+mod capacity;
 mod codegen;
 mod fuzz;
 mod gate;
+mod lab;
 
 use std::process::ExitCode;
 
@@ -10,10 +13,17 @@
 Usage: cargo xtask COMMAND [OPTIONS]
 
 Commands:
+  bench [--experiment FILE] [--out FOLDER]
+          packets a second per core of balancer and agent against a bare relay, on loopback; or
+          an experiment of experiments/ against the same processes
+  capacity [--check | --measure]
+          write docs/CAPACITY.md from docs/results; with --check only compare it, with
+          --measure take all slopes anew first
   codegen [--check]
           write the files generated from schema/ and from the result codes; with --check only
           compare them
   fuzz    stateful fuzzing of the decision core; `cargo xtask fuzz --help`
+  lab     build and start everything on loopback, replace things under load, report
   test    formatter check, linter, all tests and doc examples
 ";
 
@@ -34,8 +44,11 @@
         return Ok(());
     };
     match command.to_string_lossy().as_ref() {
+        "bench" => bench::run(&mut parser),
+        "capacity" => capacity::run(capacity::mode(&mut parser)?),
         "codegen" => codegen::run(codegen_mode(&mut parser)?),
         "fuzz" => fuzz::run(&parser.raw_args()?.collect::<Vec<_>>()),
+        "lab" => lab::run(&mut parser),
         "test" => gate::run(),
         other => anyhow::bail!("unknown command `{other}`\n\n{HELP}"),
     }
