--- /dev/null
+++ b/crates/fuzzing/src/world/heal.rs
@@ -0,0 +1,189 @@
+//! The end of an episode: all faults end, and every living flow must be found again.
+
+use decision::view::UpstreamState;
+
+use super::callers::{Outcome, Phase};
+use super::faults::GRACE_MS;
+use super::{Due, Node, World};
+use crate::oracle::{Promise, Seen};
+use crate::step::Report;
+
+/// Time for the fleet to settle after the last fault.
+const SETTLE_MS: u64 = 12_000;
+/// Time for a caller to be answered once the fleet has settled.
+const ANSWER_MS: u64 = 20_000;
+/// Time after which ended flows are out of every table.
+const FORGET_MS: u64 = 200_000;
+/// Longer than a restarted witness abstains (`CLAIM_TTL_MS`).
+const ABSTAIN_MS: u64 = 125_000;
+/// Longest time that an agent holds a packet.
+const HELD_MS: u64 = 5_000;
+
+impl World {
+    /// Ends all faults, gives the fleet time, and checks that flows live and openings are answered.
+    ///
+    /// Witnesses of a service that refuses when in doubt abstain for a while after a restart, and
+    /// an opening without a majority can neither run nor be refused. It is judged once that is over.
+    pub fn heal(&mut self) {
+        // Agents that are already leaving go first, so that each is started again below.
+        self.advance(GRACE_MS + 1);
+        self.note(|| "all faults end".to_owned());
+        self.end_faults();
+        self.advance(SETTLE_MS);
+        let abstains = self.started_ms > 0 && self.now_ms < self.started_ms + ABSTAIN_MS;
+        self.check_service(|promise| !(promise.at_most_once && abstains));
+        self.check_held();
+        if self.patient {
+            self.advance(ABSTAIN_MS);
+            self.check_service(|promise| promise.at_most_once);
+            self.check_forgetting();
+        }
+    }
+
+    /// Probes open flows and the services for which `openings` holds, and judges the answers.
+    fn check_service(&mut self, openings: impl Fn(Promise) -> bool) {
+        let asked_ms = self.now_ms;
+        let probes = self.probe(openings);
+        self.advance(ANSWER_MS);
+        if self.violation.is_none() {
+            self.check_answers(asked_ms, &probes);
+            self.check_refusals(&probes);
+        }
+    }
+
+    fn end_faults(&mut self) {
+        self.network.heal();
+        self.outage_until_ms = 0;
+        for node in self.nodes() {
+            match node {
+                Node::Balancer(index) => self.balancers[index].process.paused_until_ms = 0,
+                Node::Host(index) => self.hosts[index].process.paused_until_ms = 0,
+            }
+            self.wake(node);
+        }
+        let versions = self.fleet.newest();
+        for node in self.nodes() {
+            self.schedule(0, Due::Settings { node, versions });
+        }
+        for balancer in &mut self.balancers {
+            balancer.down.clear();
+        }
+        for host in 0..self.hosts.len() {
+            self.hosts[host].report = Some(Report::Honest);
+            self.revive(host);
+        }
+    }
+
+    fn revive(&mut self, host: usize) {
+        let target = &self.hosts[host];
+        let occupant = target.occupant;
+        if target.upstream.is_some() {
+            self.schedule(0, Due::StartAgent { host });
+        } else if self.is_listed(occupant) {
+            self.schedule(0, Due::StartHost { host, occupant });
+        }
+    }
+
+    /// Every open flow sends, and every service gets openings from idle callers.
+    fn probe(&mut self, openings: impl Fn(Promise) -> bool) -> Vec<usize> {
+        let mut opened = Vec::new();
+        for caller in 0..self.callers.len() {
+            match self.callers[caller].phase {
+                Phase::Open { token, .. } => {
+                    self.callers[caller].enter(Phase::Open { token, waits: true });
+                    self.transmit(caller);
+                }
+                Phase::Idle if openings(Self::promise(self.callers[caller].service)) => {
+                    self.callers[caller].open(self.now_ms);
+                    self.transmit(caller);
+                    opened.push(caller);
+                }
+                Phase::Idle | Phase::Opening | Phase::Closing { .. } => {}
+            }
+        }
+        opened
+    }
+
+    fn check_answers(&mut self, asked_ms: u64, probes: &[usize]) {
+        for caller in self.callers.clone() {
+            let request = caller.request();
+            match caller.phase {
+                Phase::Open { token, .. }
+                    if self.is_held(token) && caller.answered_ms < asked_ms =>
+                {
+                    self.see(Seen::Stuck { request });
+                }
+                _ if probes.contains(&caller.number) && caller.outcome == Outcome::Unknown => {
+                    self.see(Seen::Unanswered { request });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn check_refusals(&mut self, probes: &[usize]) {
+        for service in 0..self.fleet.service_count() {
+            let mut probes = probes
+                .iter()
+                .map(|probe| &self.callers[*probe])
+                .filter(|caller| caller.service == service)
+                .peekable();
+            let tried = probes.peek().is_some();
+            if tried
+                && self.has_room(service)
+                && probes.all(|caller| caller.outcome == Outcome::Refused)
+            {
+                self.see(Seen::Shut { service });
+            }
+        }
+    }
+
+    /// Whether some active upstream holds fewer flows than it may.
+    fn has_room(&self, service: usize) -> bool {
+        let mut active = self
+            .fleet
+            .listed(service)
+            .iter()
+            .filter(|listed| listed.state == UpstreamState::Active)
+            .filter_map(|listed| self.hosts[listed.host].upstream.as_ref());
+        active.any(|upstream| upstream.connections.len() < self.fleet.max_flows as usize)
+    }
+
+    /// Ended flows leave the agents' tables. Faults may leave entries without a flow behind, which
+    /// only time or room removes, so only planned change is judged.
+    fn check_forgetting(&mut self) {
+        if self.violation.is_some() || self.faulted {
+            return;
+        }
+        for caller in 0..self.callers.len() {
+            if let Phase::Open { token, .. } = self.callers[caller].phase {
+                self.callers[caller].enter(Phase::Closing { token });
+                self.transmit(caller);
+            }
+        }
+        self.advance(FORGET_MS);
+        for host in 0..self.hosts.len() {
+            let target = &self.hosts[host];
+            let (Some(shell), Some(upstream)) = (&target.agent, &target.upstream) else { continue };
+            let flows = shell.agent.open_flows();
+            if !upstream.datagrams && flows > upstream.connections.len() {
+                self.see(Seen::Remembered { agent: shell.life, flows });
+            }
+        }
+    }
+
+    /// A packet may wait for a second or so, not for ever.
+    fn check_held(&mut self) {
+        if self.violation.is_some() {
+            return;
+        }
+        for host in 0..self.hosts.len() {
+            let Some(shell) = &self.hosts[host].agent else { continue };
+            let agent = shell.life;
+            let old = |since_ms: u64| since_ms + HELD_MS < self.now_ms;
+            if shell.held.iter().any(|(.., since_ms)| old(*since_ms)) {
+                self.see(Seen::HeldBack { agent });
+            }
+        }
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod capacity;
 mod codegen;
+mod fuzz;
 mod gate;
 mod lab;
 
@@ -21,6 +22,7 @@
   codegen [--check]
           write the files generated from schema/ and from the result codes; with --check only
           compare them
+  fuzz    stateful fuzzing of the decision core; `cargo xtask fuzz --help`
   lab     build and start everything on loopback, replace things under load, report
   test    formatter check, linter, all tests and doc examples
 ";
@@ -45,6 +47,7 @@
         "bench" => bench::run(&mut parser),
         "capacity" => capacity::run(capacity::mode(&mut parser)?),
         "codegen" => codegen::run(codegen_mode(&mut parser)?),
+        "fuzz" => fuzz::run(&parser.raw_args()?.collect::<Vec<_>>()),
         "lab" => lab::run(&mut parser),
         "test" => gate::run(),
         other => anyhow::bail!("unknown command `{other}`\n\n{HELP}"),
