Decide anew about an opening that comes back

Ruled out: heartbeats as the cause, since the records outlive them. Change: an assigned opening that this agent has given away itself (two hops) is decided anew, never in favour of the same holder; none left means refused.

--- a/crates/decision/src/agent/early.rs
+++ b/crates/decision/src/agent/early.rs
@@ -30,6 +30,9 @@
         if let Some(record) = self.claims.get(now, opening) {
             return match record.stage {
                 Stage::Pending => self.copy_of_pending(now, packet, opening, out),
+                _ if has_returned(packet) => {
+                    self.take_returned(now, packet.hops, opening, record.claim, out)
+                }
                 _ => self.follow_claim(now, packet, opening, record.claim, out),
             };
         }
@@ -130,6 +133,27 @@
         self.decide_early(now, Attempt { opening, claim, refusal, hops }, out)
     }
 
+    /// An opening that this agent has given away has come back: who got it could not take it.
+    ///
+    /// Failure: two agents, each believing the other to accept, follow their own records. Symptom:
+    /// every copy of the opening runs around between them until its hops are used up, and the
+    /// caller never gets an answer. Deciding anew ends it, since the new record replaces the old.
+    fn take_returned(
+        &mut self,
+        now: Millis,
+        hops: u8,
+        opening: Opening,
+        given: Claim,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let claim = match self.claim_of_assigned(now, hops) {
+            again if again == given => Claim::Refuse,
+            claim => claim,
+        };
+        let refusal = Reason::AllFull;
+        self.decide_early(now, Attempt { opening, claim, refusal, hops }, out)
+    }
+
     pub(super) fn claim_of_assigned(&mut self, now: Millis, hops: u8) -> Claim {
         if !self.must_not_admit() && !self.is_full() {
             return Claim::Run(self.config.upstream);
@@ -255,3 +279,8 @@
         self.redirects.insert(now, opening.flow, redirect);
     }
 }
+
+/// Whether a packet was assigned by an agent that had itself been given it.
+fn has_returned(packet: &Packet) -> bool {
+    packet.passed == Passed::Assigned && packet.hops >= 2
+}
--- a/crates/decision/src/agent/tests/early.rs
+++ b/crates/decision/src/agent/tests/early.rs
@@ -118,3 +118,18 @@
     fleet.paused.clear();
     assert_eq!(fleet.send(ranking[0], flow(5), opening(1)), stand_in);
 }
+
+/// Both agents begin to drain, and neither has heard it of the other yet. An opening that is assigned to
+/// one goes to the other and comes back. The caller is refused at once; before, each copy of the
+/// opening ran between the two until its hops were used up (fuzzing, seeds 6 and 132).
+#[test]
+fn returned_opening_is_answered() {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 2));
+    fleet.cut = vec![0, 1];
+    for index in 0..2 {
+        fleet.event(index, Event::Upstream(UpstreamReport { draining: true, ..report() }));
+    }
+    fleet.cut.clear();
+    let assigned = Packet { passed: Passed::Assigned, hops: 1, ..packet(flow(1), opening(1)) };
+    assert_eq!(fleet.send_packet(0, assigned), Outcome::Refused(Reason::AllFull));
+}
