--- a/xtask/src/gate.rs
+++ b/xtask/src/gate.rs
@@ -1,11 +1,16 @@
 //! The gate that CI and developers share: one verdict from one command.
 
+use std::fs;
+use std::path::Path;
 use std::process::Command;
 
 use anyhow::{Context as _, ensure};
 
 use crate::{capacity, codegen};
 
+/// Tests that may be known red at a time.
+const KNOWN_RED_MAX: usize = 3;
+
 /// Each step is a `cargo` call; the first failing one decides the verdict.
 const STEPS: &[&[&str]] = &[
     &["fmt", "--all", "--check"],
@@ -21,7 +26,30 @@
     codegen::run(codegen::Mode::Check)?;
     eprintln!("xtask: capacity --check");
     capacity::run(capacity::Mode::Check)?;
-    STEPS.iter().try_for_each(|step| cargo(step))
+    let red = known_red()?;
+    STEPS.iter().try_for_each(|step| match step {
+        ["test", "--locked", "--workspace"] => cargo(&without(step, &red)),
+        _ => cargo(step),
+    })
+}
+
+/// Names of the tests that fail for a real fault which is not mended yet. They are printed, so that
+/// nobody takes the verdict for more than it is; every other test still decides it.
+fn known_red() -> anyhow::Result<Vec<String>> {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("..").join("KNOWN-RED.txt");
+    if !path.exists() {
+        return Ok(Vec::new());
+    }
+    let text = fs::read_to_string(&path).context("KNOWN-RED.txt")?;
+    let lines: Vec<&str> = text.lines().filter(|line| !line.trim().is_empty()).collect();
+    ensure!(lines.len() <= KNOWN_RED_MAX, "KNOWN-RED.txt lists more than {KNOWN_RED_MAX} tests");
+    lines.iter().for_each(|line| eprintln!("xtask: known red: {line}"));
+    Ok(lines.iter().filter_map(|line| line.split_whitespace().next()).map(str::to_owned).collect())
+}
+
+fn without<'a>(step: &[&'a str], names: &'a [String]) -> Vec<&'a str> {
+    let skips = names.iter().flat_map(|name| ["--skip", name]);
+    step.iter().copied().chain(["--"]).chain(skips).collect()
 }
 
 fn cargo(arguments: &[&str]) -> anyhow::Result<()> {
