Let agents tick as soon as a pause is cut short

Cause: the end of an episode wakes paused agents, but their next tick stayed at the planned end of the pause: an agent handled packets for up to 35 s without time passing. Change: a paused agent's tick is put off by one period, not to the end of the pause.

--- a/crates/fuzzing/src/world/agents.rs
+++ b/crates/fuzzing/src/world/agents.rs
@@ -243,7 +243,8 @@
             return;
         };
         if paused_until_ms > now_ms {
-            self.schedule(paused_until_ms - now_ms, Due::Tick { host, life });
+            // Not the end of the pause: the end of the episode may cut it short.
+            self.schedule(TICK_MS, Due::Tick { host, life });
             return;
         }
         shell.ticks += 1;
