Count an agent as ready only once it votes

Change: Agent::is_ready, which /readyz follows; control datagrams are sealed in one place (wire::sealed::control_datagram).

--- a/crates/agent/src/plane/mod.rs
+++ b/crates/agent/src/plane/mod.rs
@@ -53,6 +53,8 @@
     /// Raised once a leaving agent's peers have acknowledged all that it knows, no balancer sends
     /// to it any more and no packet waits here for a verdict.
     pub(crate) handed_over: Arc<AtomicBool>,
+    /// Kept up to date: whether the agent does all its work.
+    pub(crate) ready: Arc<AtomicBool>,
     pub(crate) end: Arc<AtomicBool>,
 }
 
@@ -161,6 +163,7 @@
         self.agent.handle(now, Event::Tick, &mut self.actions);
         self.run_actions();
         self.config.counters.show(&self.agent.stats(now));
+        self.config.ready.store(self.agent.is_ready(now), Ordering::Release);
         self.tell_balancers(now);
         let idle = self.leave.is_quiet(now) && self.held.is_empty();
         if idle && self.agent.is_handed_over() {
--- a/crates/agent/src/plane/tests.rs
+++ b/crates/agent/src/plane/tests.rs
@@ -122,6 +122,7 @@
         counters: Counters::new(&Metrics::default()),
         fetch: mpsc::channel().0,
         handed_over: handed_over.clone(),
+        ready: Arc::default(),
         end: end.clone(),
     };
     let agent_config = AgentConfig {
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -46,7 +46,7 @@
     metrics: Arc<Metrics>,
     counters: Counters,
     shutdown: Shutdown,
-    /// True once the data thread serves.
+    /// True while the data thread serves and the agent votes.
     serving: Arc<AtomicBool>,
 }
 
@@ -107,6 +107,7 @@
             counters: self.counters.clone(),
             fetch,
             handed_over: handed_over.clone(),
+            ready: self.serving.clone(),
             end: end.clone(),
         };
         let data = self.start_plane(config, inbox, status.read())?;
@@ -213,7 +214,6 @@
         let plane = Plane::new(config, agent, view, generation, inbox);
         let handle = spawn("data", move || plane.run())?;
         self.timeline.record(self.settings.account.clone(), "started", Fields::default());
-        self.serving.store(true, Ordering::Release);
         log::info!("started");
         Ok(handle)
     }
--- a/crates/balancer/src/spreading/link.rs
+++ b/crates/balancer/src/spreading/link.rs
@@ -9,12 +9,11 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 
-use decision::agent::Passed;
-use decision::keys::{AccountId, FlowId, ServiceId, Version};
+use decision::keys::{AccountId, ServiceId, Version};
 use decision::spread::{NodeId, ROUND_MS, SpreadMessage};
 use wire::exchange::FLEET;
 use wire::gue::{self, Content};
-use wire::sealed::{AccountKeyring, Header, Payload, SEALED_BYTES, SenderId};
+use wire::sealed::{AccountKeyring, Header, Payload, SenderId, control_datagram};
 use wire::spread;
 
 /// Longest wait for a datagram. A fraction of a round, so that rounds are on time.
@@ -49,14 +48,12 @@
 
     /// Sends a message. One that is lost is repeated by the next comparison.
     pub fn send(&self, to: SocketAddr, message: &SpreadMessage) {
+        let header =
+            Header::control(AccountId::of(FLEET), ServiceId(0), Version(0), SenderId(self.own.0));
         let body = spread::encode(message);
-        let mut private = [0; SEALED_BYTES];
-        if self.ring.seal(&self.header(), Payload::Control(&body), &mut private).is_err() {
-            return;
+        if let Ok(datagram) = control_datagram(&self.ring, &header, spread::CONTROL_TYPE, &body) {
+            let _ = self.socket.send_to(&datagram, to);
         }
-        let mut datagram = Vec::with_capacity(gue::HEADER_BYTES + SEALED_BYTES + body.len());
-        gue::encode(Content::Control(spread::CONTROL_TYPE), &private, &body, &mut datagram);
-        let _ = self.socket.send_to(&datagram, to);
     }
 
     /// Waits a while for a message. Anything that is not a balancer's is passed over.
@@ -76,16 +73,4 @@
         let message = spread::decode(frame.payload).ok()?;
         Some((NodeId(opened.header.sender.0), message))
     }
-
-    fn header(&self) -> Header {
-        Header {
-            hops: 0,
-            passed: Passed::Fresh,
-            account: AccountId::of(FLEET),
-            service: ServiceId(0),
-            flow: FlowId(0),
-            version: Version(0),
-            sender: SenderId(self.own.0),
-        }
-    }
 }
--- a/crates/balancer/src/spreading/tell.rs
+++ b/crates/balancer/src/spreading/tell.rs
@@ -2,12 +2,10 @@
 
 use std::net::UdpSocket;
 
-use decision::agent::Passed;
-use decision::keys::{AccountId, FlowId, UpstreamId, Version};
+use decision::keys::{AccountId, UpstreamId, Version};
 use decision::view::View;
-use wire::gue::{self, Content};
 use wire::notice::{self, Notice};
-use wire::sealed::{AccountKeyring, Header, KeyId, Payload, SEALED_BYTES, SenderId};
+use wire::sealed::{AccountKeyring, Header, KeyId, SenderId, control_datagram};
 
 /// Sends notices to agents.
 pub(crate) struct Teller {
@@ -30,21 +28,9 @@
         let Some(key) = view.find_account(account) else { return };
         let body = notice::encode(Notice::Settings { version: version.0 });
         for service in view.services().iter().filter(|service| service.account == key) {
-            let header = Header {
-                hops: 0,
-                passed: Passed::Fresh,
-                account,
-                service: service.id,
-                flow: FlowId(0),
-                version,
-                sender: self.sender,
-            };
-            let mut private = [0; SEALED_BYTES];
-            if ring.seal(&header, Payload::Control(&body), &mut private).is_err() {
-                return;
-            }
-            let mut datagram = Vec::new();
-            gue::encode(Content::Control(notice::CONTROL_TYPE), &private, &body, &mut datagram);
+            let header = Header::control(account, service.id, version, self.sender);
+            let sealed = control_datagram(&ring, &header, notice::CONTROL_TYPE, &body);
+            let Ok(datagram) = sealed else { return };
             for upstream in service.upstream_keys().map(|key| view.upstream(key)) {
                 if is_notifier(upstream.id) {
                     let _ = self.socket.send_to(&datagram, upstream.spec.agent_address);
--- a/crates/decision/src/agent/tests/once.rs
+++ b/crates/decision/src/agent/tests/once.rs
@@ -260,6 +260,24 @@
     assert!(matches!(outcome, Outcome::Delivered(_)), "{outcome:?}");
 }
 
+/// An operator rolls the agents of a service and waits for each to be ready. One that cannot vote yet is
+/// not: with the next one restarted as well, the service would have no majority.
+#[rstest]
+#[case::refuse_restarted(WhenInDoubt::Refuse, 500, false)]
+#[case::refuse_recalled(WhenInDoubt::Refuse, 3_000, true)]
+#[case::admit_restarted(WhenInDoubt::Admit, 0, true)]
+fn is_ready_after_restart(
+    #[case] when_in_doubt: WhenInDoubt,
+    #[case] after_ms: u64,
+    #[case] ready: bool,
+) {
+    let spec = Spec::new(when_in_doubt, 3);
+    let mut fleet = Fleet::settled(&spec);
+    fleet.restart(1, &spec);
+    fleet.pass(after_ms);
+    assert_eq!(fleet.agents[1].is_ready(fleet.now), ready);
+}
+
 /// The whole service dies at once and starts anew, upstreams included, under settings that are no
 /// longer its first. Nobody remembers what ran, so nothing runs while copies of it may exist.
 #[rstest]
--- a/crates/decision/src/agent/witness.rs
+++ b/crates/decision/src/agent/witness.rs
@@ -46,6 +46,12 @@
         forgot && !mutated!(self, AbstainForgotten)
     }
 
+    /// Whether this agent does all its work, its votes included. A rollout that waits for this before
+    /// it goes on to the next agent never takes away the majority of a service.
+    pub fn is_ready(&self, now: Millis) -> bool {
+        self.settings.when_in_doubt == WhenInDoubt::Admit || !self.abstains(now)
+    }
+
     /// Whether this agent cannot tell which claim for the opening had its vote.
     pub(super) fn has_lost_vote(&self, now: Millis, opening: Opening) -> bool {
         let disputed = self.may_have_voted(now) && self.recall.is_disputed(opening);
--- a/crates/wire/src/sealed/mod.rs
+++ b/crates/wire/src/sealed/mod.rs
@@ -25,8 +25,11 @@
 //! **Keys.** Each account has its own key, derived from the fleet's master key, which only
 //! balancers hold. Two key ids may be valid at once, so that keys are rotated without a gap.
 
+mod control;
 mod tag;
 
+pub use control::control_datagram;
+
 use std::hash::Hasher as _;
 
 use decision::agent::Passed;
