Let a young witness catch up before it answers

Witnesses younger than 120 s abstained on claims under newer settings, and an abstention is final. Change: such a witness stays silent; the claimant asks again after 80 ms, when the settings are in force there as well.

--- a/crates/decision/src/agent/tests/once.rs
+++ b/crates/decision/src/agent/tests/once.rs
@@ -260,6 +260,36 @@
     assert!(matches!(outcome, Outcome::Delivered(_)), "{outcome:?}");
 }
 
+/// Settings are published while the agents are young, and reach the claimant first. A witness that
+/// abstained at once took away the majority, and datagrams of that moment were lost (lab --quick,
+/// seeds 21 to 23). It says nothing until it has caught up, and then grants.
+#[test]
+fn young_witness_catches_up_before_it_answers() {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, 3);
+    let mut fleet = Fleet::started(&spec);
+    fleet.pass(3_000);
+    let message = Message::ClaimRequest {
+        opening: Opening { flow: FlowId(flow(1)), nonce: 1 },
+        claim: Claim::Run(id(1)),
+        view: Version(2),
+        incarnation: Incarnation(1),
+    };
+    let answers = |agent: &mut Agent, now: Millis| {
+        let mut out = Vec::new();
+        agent.handle(now, Event::Message { from: id(1), message: message.clone() }, &mut out);
+        let reply = |action| match action {
+            Action::Send { message: Message::ClaimReply { answer, .. }, .. } => Some(answer),
+            _ => None,
+        };
+        out.into_iter().filter_map(reply).collect::<Vec<_>>()
+    };
+    let now = fleet.now;
+    assert_eq!(answers(&mut fleet.agents[0], now), []);
+    spec.version = 2;
+    fleet.install(0, &spec);
+    assert_eq!(answers(&mut fleet.agents[0], now), [ClaimAnswer::Granted]);
+}
+
 /// An operator rolls the agents of a service and waits for each to be ready. One that cannot vote yet is
 /// not: with the next one restarted as well, the service would have no majority.
 #[rstest]
--- a/crates/decision/src/agent/witness.rs
+++ b/crates/decision/src/agent/witness.rs
@@ -22,6 +22,9 @@
 impl Agent {
     pub(super) fn claim_requested(&mut self, now: Millis, request: Request, out: &mut Vec<Action>) {
         self.saw_version(now, request.view, out);
+        if self.must_catch_up(now, request.view) {
+            return;
+        }
         let answer = match self.settings.when_in_doubt {
             WhenInDoubt::Admit => self.witness_early(now, request, out),
             WhenInDoubt::Refuse => self.witness_once(now, request),
@@ -46,6 +49,14 @@
         forgot && !mutated!(self, AbstainForgotten)
     }
 
+    /// Newer settings may name a membership whose records this witness has not recalled, so it cannot
+    /// vote under them. It stays silent rather than abstain: an abstention is final, and a moment later
+    /// the settings are in force here as well, when the claimant asks again.
+    fn must_catch_up(&self, now: Millis, view: Version) -> bool {
+        let once = self.settings.when_in_doubt == WhenInDoubt::Refuse;
+        once && self.may_have_voted(now) && view > self.settings.version
+    }
+
     /// Whether this agent does all its work, its votes included. A rollout that waits for this before
     /// it goes on to the next agent never takes away the majority of a service.
     pub fn is_ready(&self, now: Millis) -> bool {
@@ -67,10 +78,6 @@
         if self.has_lost_vote(now, request.opening) {
             return ClaimAnswer::Abstained;
         }
-        // Newer settings may name a membership whose records were not asked for.
-        if self.may_have_voted(now) && request.view > self.settings.version {
-            return ClaimAnswer::Abstained;
-        }
         match self.claims.get(now, request.opening) {
             Some(record) if is_same(record, request) => self.record(now, request, record.stage),
             Some(record) if is_given_up(record, request) => {
