Put a fetched update in force in one place

Cause: PeerReader::fetch and fetch_all each looked up the own text, applied the update and offered the result.

--- a/crates/shell/src/settings_sync/peers.rs
+++ b/crates/shell/src/settings_sync/peers.rs
@@ -131,45 +131,47 @@
 
     /// Fetches one account's subtree from `peer`, as a change to our own where that fits.
     pub fn fetch(&self, peer: SocketAddr, account: &str) -> Result<(), PeerError> {
-        let own = self.store.subtree(account);
-        let have = own.as_ref().map_or(Version(0), |(version, _)| *version);
-        let have = have.0.to_string();
+        let have = self.version(account).0.to_string();
         let update: Update = self.ask_having(peer, Kind::Subtree, account, &have)?;
-        let own_text = own.as_ref().map(|(version, yaml)| (*version, &**yaml));
-        let yaml = match update.text(own_text) {
-            Some(yaml) => yaml,
-            // Ours was replaced while we asked, so the change does not fit: take the whole.
-            None => {
-                let update: Update = self.ask(peer, Kind::Subtree, account)?;
-                update.text(None).ok_or(ExchangeError)?
-            }
-        };
-        self.store.offer_account(account, &yaml, Source::Peer);
-        Ok(())
+        if self.offer(account, &update) {
+            return Ok(());
+        }
+        // Ours was replaced while we asked, so the change does not fit: take the whole.
+        let whole: Update = self.ask(peer, Kind::Subtree, account)?;
+        self.offer(account, &whole).then_some(()).ok_or(ExchangeError.into())
     }
 
     /// Fetches several accounts' subtrees from `peer`, many in one exchange: a storm of changes would
     /// otherwise cost an exchange each. Only a balancer may ask for accounts of its choice.
     pub fn fetch_all(&self, peer: SocketAddr, accounts: &[Arc<str>]) -> Result<(), PeerError> {
         for some in accounts.chunks(SUBTREES_MAX) {
-            let have = |name: &Arc<str>| self.store.subtree(name).map_or(Version(0), |own| own.0);
-            let wanted: Vec<_> = some.iter().map(|name| (name.clone(), have(name))).collect();
+            let wanted: Vec<_> =
+                some.iter().map(|name| (name.clone(), self.version(name))).collect();
             let have = format_wanted(&wanted);
             let Updates(updates) = self.ask_having(peer, Kind::Subtrees, FLEET, &have)?;
             for (name, update) in &updates {
-                let own = self.store.subtree(name);
-                let own_text = own.as_ref().map(|(version, yaml)| (*version, &**yaml));
-                match update.text(own_text) {
-                    Some(yaml) => {
-                        self.store.offer_account(name, &yaml, Source::Peer);
-                    }
-                    None => self.fetch(peer, name)?,
+                if !self.offer(name, update) {
+                    self.fetch(peer, name)?;
                 }
             }
         }
         Ok(())
     }
 
+    /// Version in force here, zero if there is none.
+    fn version(&self, account: &str) -> Version {
+        self.store.subtree(account).map_or(Version(0), |(version, _)| version)
+    }
+
+    /// Offers an update to the store; false if it is a change that does not fit what is in force.
+    fn offer(&self, account: &str, update: &Update) -> bool {
+        let own = self.store.subtree(account);
+        let own_text = own.as_ref().map(|(version, yaml)| (*version, &**yaml));
+        let Some(yaml) = update.text(own_text) else { return false };
+        self.store.offer_account(account, &yaml, Source::Peer);
+        true
+    }
+
     fn ask<T: DeserializeOwned>(
         &self,
         peer: SocketAddr,
