--- /dev/null
+++ b/crates/settings/src/account/check.rs
@@ -0,0 +1,217 @@
+//! What a subtree must be beyond its schema.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use decision::keys::Version;
+use decision::view::{
+    AccountSpec, Endpoint, ServiceSpec, UpstreamSpec, UpstreamState, WhenInDoubt,
+};
+
+use crate::codes;
+use crate::document::Cursor;
+use crate::fault::Fault;
+use crate::fields;
+use crate::generated::account as border;
+use crate::root::{Ownership, Root};
+
+/// What was seen so far while a subtree is checked.
+pub(super) struct Checker<'a> {
+    root: &'a Root,
+    name: &'a str,
+    version: Version,
+    endpoints: Vec<(Endpoint, Arc<str>)>,
+    machine_addresses: Vec<SocketAddr>,
+}
+
+impl<'a> Checker<'a> {
+    /// A checker for the subtree published for the account called `name`.
+    pub(super) fn new(root: &'a Root, name: &'a str) -> Self {
+        let version = Version(0);
+        Self { root, name, version, endpoints: Vec::new(), machine_addresses: Vec::new() }
+    }
+
+    /// Checks the whole subtree.
+    pub(super) fn account(
+        mut self,
+        border: &border::AccountDocument,
+        at: &Cursor<'_>,
+        faults: &mut Vec<Fault>,
+    ) -> AccountSpec {
+        let name = fields::name(&border.account, &at.field("account"), faults);
+        self.check_owner(&name, &at.field("account"), faults);
+        self.version = Version(border.version.get());
+        let list = at.field("services");
+        let mut services: Vec<ServiceSpec> = Vec::with_capacity(border.services.len());
+        for (index, service) in border.services.iter().enumerate() {
+            let at = list.element(index);
+            let service = self.service(service, &at, faults);
+            let is_taken = services.iter().any(|earlier| earlier.name == service.name);
+            check_unique(is_taken, &service.name, &at.field("name"), faults);
+            services.push(service);
+        }
+        AccountSpec { name, version: self.version, services }
+    }
+
+    fn check_owner(&self, name: &str, at: &Cursor<'_>, faults: &mut Vec<Fault>) {
+        if name != self.name {
+            let text = format!("published for `{}` but names `{name}`", self.name);
+            faults.push(at.fault(codes::OTHER_ACCOUNT, text));
+        } else if self.root.account(name).is_none() {
+            let text = format!("`{name}` is not in version {} of the root", self.root.version.0);
+            faults.push(at.fault(codes::UNKNOWN_ACCOUNT, text));
+        }
+    }
+
+    fn service(
+        &mut self,
+        border: &border::Service,
+        at: &Cursor<'_>,
+        faults: &mut Vec<Fault>,
+    ) -> ServiceSpec {
+        let name = fields::name(&border.name, &at.field("name"), faults);
+        let endpoints = self.endpoints(&name, &border.addresses, &at.field("addresses"), faults);
+        let list = at.field("upstreams");
+        let mut upstreams: Vec<UpstreamSpec> = Vec::with_capacity(border.upstreams.len());
+        for (index, upstream) in border.upstreams.iter().enumerate() {
+            let at = list.element(index);
+            let upstream = self.upstream(upstream, &at, faults);
+            let is_taken = upstreams.iter().any(|earlier| earlier.name == upstream.name);
+            check_unique(is_taken, &upstream.name, &at.field("name"), faults);
+            upstreams.push(upstream);
+        }
+        ServiceSpec {
+            name,
+            endpoints,
+            when_in_doubt: when_in_doubt(border.when_in_doubt),
+            zone_spill_percent: border.zone_spill_percent,
+            upstreams,
+        }
+    }
+
+    fn endpoints(
+        &mut self,
+        service: &Arc<str>,
+        texts: &[String],
+        at: &Cursor<'_>,
+        faults: &mut Vec<Fault>,
+    ) -> Vec<Endpoint> {
+        let mut endpoints = Vec::with_capacity(texts.len());
+        for (index, text) in texts.iter().enumerate() {
+            let at = at.element(index);
+            let Some(endpoint) = fields::endpoint(text, &at, faults) else { continue };
+            self.check_ownership(endpoint, &at, faults);
+            if let Some((_, holder)) = self.endpoints.iter().find(|(known, _)| *known == endpoint) {
+                let text = format!("`{text}` is already an address of service `{holder}`");
+                faults.push(at.fault(codes::ENDPOINT_TAKEN, text));
+            }
+            self.endpoints.push((endpoint, service.clone()));
+            endpoints.push(endpoint);
+        }
+        endpoints
+    }
+
+    fn check_ownership(&self, endpoint: Endpoint, at: &Cursor<'_>, faults: &mut Vec<Fault>) {
+        let address = endpoint.address;
+        match self.root.ownership(self.name, address) {
+            Ownership::Owned => {}
+            Ownership::Quarantined => {
+                let text = format!("{address} is in quarantine");
+                faults.push(at.fault(codes::QUARANTINED_ADDRESS, text));
+            }
+            Ownership::Foreign => {
+                let text = format!("{address} does not belong to `{}`", self.name);
+                faults.push(at.fault(codes::FOREIGN_ADDRESS, text));
+            }
+        }
+    }
+
+    fn upstream(
+        &mut self,
+        border: &border::Upstream,
+        at: &Cursor<'_>,
+        faults: &mut Vec<Fault>,
+    ) -> UpstreamSpec {
+        let name = fields::name(&border.name, &at.field("name"), faults);
+        let zone = fields::name(&border.zone, &at.field("zone"), faults);
+        let mut address = |text: &str, field: &str| {
+            let at = at.field(field);
+            let address = fields::address(text, &at, faults);
+            self.check_machine_address(address, &at, faults);
+            address
+        };
+        let agent_address = address(&border.agent_address, "agent_address");
+        let control_address = address(&border.control_address, "control_address");
+        let upstream_address = address(&border.address, "address");
+        let spec = UpstreamSpec {
+            name,
+            zone,
+            weight: border.weight.get(),
+            max_flows: border.max_flows.get(),
+            agent_address,
+            control_address,
+            address: upstream_address,
+            state: state(border.state),
+            since: Version(border.since.get()),
+            retired: border.retired.as_ref().map(|version| Version(version.get())),
+        };
+        self.check_life(&spec, at, faults);
+        spec
+    }
+
+    /// Two processes behind one address would take each other's packets.
+    fn check_machine_address(
+        &mut self,
+        address: SocketAddr,
+        at: &Cursor<'_>,
+        faults: &mut Vec<Fault>,
+    ) {
+        if self.machine_addresses.contains(&address) {
+            let text = format!("{address} is used twice in this subtree");
+            faults.push(at.fault(codes::DUPLICATE_NAME, text));
+        }
+        self.machine_addresses.push(address);
+    }
+
+    fn check_life(&self, spec: &UpstreamSpec, at: &Cursor<'_>, faults: &mut Vec<Fault>) {
+        if spec.since > self.version {
+            let text =
+                format!("since {} but the document is version {}", spec.since.0, self.version.0);
+            faults.push(at.field("since").fault(codes::VERSION_IN_FUTURE, text));
+        }
+        let is_retired = spec.state == UpstreamState::Retired;
+        if is_retired != spec.retired.is_some() {
+            let text = "`state: retired` and `retired: VERSION` must come together";
+            faults.push(at.field("state").fault(codes::RETIRED_MISMATCH, text));
+        }
+        let Some(retired) = spec.retired else { return };
+        if retired <= spec.since || retired > self.version {
+            let text = format!(
+                "retired in {} is not after {} and up to {}",
+                retired.0, spec.since.0, self.version.0
+            );
+            faults.push(at.field("retired").fault(codes::VERSION_IN_FUTURE, text));
+        }
+    }
+}
+
+fn check_unique(is_taken: bool, name: &str, at: &Cursor<'_>, faults: &mut Vec<Fault>) {
+    if is_taken {
+        faults.push(at.fault(codes::DUPLICATE_NAME, format!("`{name}` is listed twice")));
+    }
+}
+
+fn when_in_doubt(border: border::WhenInDoubt) -> WhenInDoubt {
+    match border {
+        border::WhenInDoubt::Admit => WhenInDoubt::Admit,
+        border::WhenInDoubt::Refuse => WhenInDoubt::Refuse,
+    }
+}
+
+fn state(border: border::UpstreamState) -> UpstreamState {
+    match border {
+        border::UpstreamState::Active => UpstreamState::Active,
+        border::UpstreamState::Draining => UpstreamState::Draining,
+        border::UpstreamState::Retired => UpstreamState::Retired,
+    }
+}
--- /dev/null
+++ b/crates/settings/src/document/mod.rs
@@ -0,0 +1,41 @@
+//! YAML documents as trees of nodes with positions.
+
+mod cursor;
+mod node;
+mod read;
+mod shape;
+mod unit;
+
+use serde::de::DeserializeOwned;
+
+pub(crate) use cursor::Cursor;
+pub(crate) use node::{Entry, Node, Position, Value};
+pub(crate) use shape::Schema;
+
+use crate::codes;
+use crate::fault::Fault;
+
+/// Largest document, in bytes: the platform holds values up to a megabyte.
+pub const MAX_SUBTREE_BYTES: usize = 1_000_000;
+
+/// Reads a document, compares it with its schema and hands its border type and its tree to `check`.
+///
+/// Structural faults are all reported at once. `check` runs only without any, so that it may take
+/// the border type at its word.
+pub(crate) fn parse<Border: DeserializeOwned, Checked>(
+    yaml: &str,
+    schema: &Schema,
+    check: impl FnOnce(&Border, &Cursor<'_>, &mut Vec<Fault>) -> Checked,
+) -> Result<Checked, Vec<Fault>> {
+    let tree = read::read(yaml).map_err(|fault| vec![fault])?;
+    let root = Cursor::root(&tree);
+    let mut faults = Vec::new();
+    schema.check(&root, &mut faults);
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    let border: Border = serde_json::from_value(tree.to_json())
+        .map_err(|error| vec![root.fault(codes::WRONG_TYPE, error.to_string())])?;
+    let checked = check(&border, &root, &mut faults);
+    if faults.is_empty() { Ok(checked) } else { Err(faults) }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,24 @@
 //! Published settings tree and process settings: parsing, checks, versions.
+//!
+//! Every document is YAML. Text becomes a tree of nodes with positions ([`document`]), the tree is
+//! compared with its JSON Schema from `schema/`, decoded into border types generated from the same
+//! schema, and checked into plain structs. A document with any fault is refused whole; each fault
+//! has a numbered [`Code`], a line, a column and a path.
+
+pub mod account;
+mod book;
+pub mod codes;
+mod document;
+mod fault;
+mod fields;
+mod generated;
+mod prefix;
+pub mod process;
+pub mod root;
+
+pub use book::{Book, Outcome};
+pub use codes::Code;
+pub use document::MAX_SUBTREE_BYTES;
+pub use fault::Fault;
+pub use prefix::{Prefix, PrefixError};
+pub use root::Root;
--- /dev/null
+++ b/crates/settings/src/process/agent.rs
@@ -0,0 +1,99 @@
+//! Settings of one agent process.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, LazyLock};
+
+use super::shared::{self, Key};
+use crate::document::{self, Cursor, Schema};
+use crate::fault::Fault;
+use crate::fields;
+use crate::generated::agent::AgentDocument;
+
+static SCHEMA: LazyLock<Schema> =
+    LazyLock::new(|| Schema::from_json(include_str!("../../../../schema/agent.json")));
+
+/// Checked settings of an agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// Name of the instance.
+    pub instance: Arc<str>,
+    /// Client account of the upstream.
+    pub account: Arc<str>,
+    /// Service of the upstream.
+    pub service: Arc<str>,
+    /// Name of the upstream.
+    pub upstream: Arc<str>,
+    /// Where the upstream takes plain GUE.
+    pub upstream_address: SocketAddr,
+    /// Where the upstream's status endpoint answers.
+    pub upstream_status_address: SocketAddr,
+    /// Where refusals leave for callers.
+    pub gateway_address: SocketAddr,
+    /// Availability zone where it runs.
+    pub zone: Arc<str>,
+    /// Region of that availability zone.
+    pub region: Arc<str>,
+    /// Where encapsulated packets arrive.
+    pub data_address: SocketAddr,
+    /// Where the HTTP endpoint listens.
+    pub control_address: SocketAddr,
+    /// Where the platform answers.
+    pub platform_address: SocketAddr,
+    /// Control addresses to ask for settings at the start.
+    pub peers: Vec<SocketAddr>,
+    /// Keys of the account. One or two; the first one signs.
+    pub keys: Vec<Key>,
+    /// Key of the flow hash.
+    pub flow_key: [u8; 16],
+    /// Threads that receive packets.
+    pub receive_threads: usize,
+    /// Longest time from the termination signal to the exit, in milliseconds.
+    pub shutdown_grace_ms: u64,
+}
+
+/// Parses and checks the file of an agent; reports the first fault.
+///
+/// ```
+/// let fault = settings::process::agent::parse("instance: x\n").unwrap_err();
+/// assert_eq!(fault.code, settings::codes::MISSING_FIELD);
+/// ```
+pub fn parse(yaml: &str) -> Result<AgentSettings, Fault> {
+    shared::first_fault(document::parse(yaml, &SCHEMA, check))
+}
+
+fn check(border: &AgentDocument, at: &Cursor<'_>, faults: &mut Vec<Fault>) -> AgentSettings {
+    let mut name = |text: &str, field: &str| fields::name(text, &at.field(field), faults);
+    let instance = name(&border.instance, "instance");
+    let account = name(&border.account, "account");
+    let service = name(&border.service, "service");
+    let upstream = name(&border.upstream, "upstream");
+    let zone = name(&border.zone, "zone");
+    let region = name(&border.region, "region");
+    let mut address = |text: &str, field: &str| fields::address(text, &at.field(field), faults);
+    AgentSettings {
+        instance,
+        zone,
+        region,
+        account,
+        service,
+        upstream,
+        upstream_address: address(&border.upstream_address, "upstream_address"),
+        upstream_status_address: address(
+            &border.upstream_status_address,
+            "upstream_status_address",
+        ),
+        gateway_address: address(&border.gateway_address, "gateway_address"),
+        data_address: address(&border.data_address, "data_address"),
+        control_address: address(&border.control_address, "control_address"),
+        platform_address: address(&border.platform_address, "platform_address"),
+        peers: shared::peers(&border.peers, &at.field("peers"), faults),
+        keys: shared::keys(
+            border.keys.iter().map(|key| (key.id, key.secret_hex.as_str())),
+            &at.field("keys"),
+            faults,
+        ),
+        flow_key: fields::hex(&border.flow_key_hex, &at.field("flow_key_hex"), faults),
+        receive_threads: border.receive_threads.get() as usize,
+        shutdown_grace_ms: border.shutdown_grace_ms.into(),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/process/balancer.rs
@@ -0,0 +1,75 @@
+//! Settings of one balancer process.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, LazyLock};
+
+use super::shared::{self, Key};
+use crate::document::{self, Cursor, Schema};
+use crate::fault::Fault;
+use crate::fields;
+use crate::generated::balancer::BalancerDocument;
+
+static SCHEMA: LazyLock<Schema> =
+    LazyLock::new(|| Schema::from_json(include_str!("../../../../schema/balancer.json")));
+
+/// Checked settings of a balancer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BalancerSettings {
+    /// Name of the instance.
+    pub instance: Arc<str>,
+    /// Availability zone where it runs.
+    pub zone: Arc<str>,
+    /// Region of that availability zone.
+    pub region: Arc<str>,
+    /// Where encapsulated packets arrive.
+    pub data_address: SocketAddr,
+    /// Where the HTTP endpoint listens.
+    pub control_address: SocketAddr,
+    /// Where the platform answers.
+    pub platform_address: SocketAddr,
+    /// Control addresses to ask for settings at the start.
+    pub peers: Vec<SocketAddr>,
+    /// Master keys of the fleet. One or two; the first one signs.
+    pub keys: Vec<Key>,
+    /// Key of the flow hash.
+    pub flow_key: [u8; 16],
+    /// Threads that receive packets.
+    pub receive_threads: usize,
+    /// Longest time from the termination signal to the exit, in milliseconds.
+    pub shutdown_grace_ms: u64,
+}
+
+/// Parses and checks the file of a balancer; reports the first fault.
+///
+/// ```
+/// let fault = settings::process::balancer::parse("instance: x\n").unwrap_err();
+/// assert_eq!(fault.code, settings::codes::MISSING_FIELD);
+/// ```
+pub fn parse(yaml: &str) -> Result<BalancerSettings, Fault> {
+    shared::first_fault(document::parse(yaml, &SCHEMA, check))
+}
+
+fn check(border: &BalancerDocument, at: &Cursor<'_>, faults: &mut Vec<Fault>) -> BalancerSettings {
+    let mut name = |text: &str, field: &str| fields::name(text, &at.field(field), faults);
+    let instance = name(&border.instance, "instance");
+    let zone = name(&border.zone, "zone");
+    let region = name(&border.region, "region");
+    let mut address = |text: &str, field: &str| fields::address(text, &at.field(field), faults);
+    BalancerSettings {
+        instance,
+        zone,
+        region,
+        data_address: address(&border.data_address, "data_address"),
+        control_address: address(&border.control_address, "control_address"),
+        platform_address: address(&border.platform_address, "platform_address"),
+        peers: shared::peers(&border.peers, &at.field("peers"), faults),
+        keys: shared::keys(
+            border.keys.iter().map(|key| (key.id, key.secret_hex.as_str())),
+            &at.field("keys"),
+            faults,
+        ),
+        flow_key: fields::hex(&border.flow_key_hex, &at.field("flow_key_hex"), faults),
+        receive_threads: border.receive_threads.get() as usize,
+        shutdown_grace_ms: border.shutdown_grace_ms.into(),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/process/mod.rs
@@ -0,0 +1,7 @@
+//! Settings of a single process, read from its own file at the start.
+
+pub mod agent;
+pub mod balancer;
+mod shared;
+
+pub use shared::Key;
--- /dev/null
+++ b/crates/settings/src/root/mod.rs
@@ -0,0 +1,152 @@
+//! The root of the published tree: which accounts exist and which addresses each one owns.
+
+mod change;
+
+use std::net::IpAddr;
+use std::sync::{Arc, LazyLock};
+
+use decision::keys::Version;
+
+pub use change::check_change;
+
+use crate::codes;
+use crate::document::{self, Cursor, Schema};
+use crate::fault::Fault;
+use crate::fields;
+use crate::generated::root as border;
+use crate::prefix::Prefix;
+
+static SCHEMA: LazyLock<Schema> =
+    LazyLock::new(|| Schema::from_json(include_str!("../../../../schema/root.json")));
+
+/// The checked root.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Root {
+    /// Version; only grows.
+    pub version: Version,
+    /// Accounts sorted by name.
+    pub accounts: Vec<RootAccount>,
+}
+
+/// One account in the root.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RootAccount {
+    /// Name of the client account.
+    pub name: Arc<str>,
+    /// Ranges that it may use.
+    pub prefixes: Vec<Prefix>,
+    /// Ranges that it will own, which nobody may use yet.
+    pub quarantine: Vec<Prefix>,
+}
+
+/// Whether an account may use an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ownership {
+    /// The account owns it.
+    Owned,
+    /// Some account will own it, nobody may use it yet.
+    Quarantined,
+    /// It belongs to somebody else or nobody.
+    Foreign,
+}
+
+impl Root {
+    /// The account called `name`.
+    ///
+    /// ```
+    /// let root = settings::root::parse("version: 1\naccounts: []\n").unwrap();
+    /// assert!(root.account("cascadia").is_none());
+    /// ```
+    pub fn account(&self, name: &str) -> Option<&RootAccount> {
+        let index = self.accounts.binary_search_by(|account| (*account.name).cmp(name)).ok()?;
+        Some(&self.accounts[index])
+    }
+
+    /// Whether the account called `name` may use `address`.
+    ///
+    /// ```
+    /// use settings::root::{self, Ownership};
+    /// let yaml = "version: 1\naccounts: [{name: cascadia, prefixes: [203.0.113.0/28]}]\n";
+    /// let root = root::parse(yaml).unwrap();
+    /// assert_eq!(root.ownership("cascadia", "203.0.113.1".parse().unwrap()), Ownership::Owned);
+    /// assert_eq!(root.ownership("bajio", "203.0.113.1".parse().unwrap()), Ownership::Foreign);
+    /// ```
+    pub fn ownership(&self, name: &str, address: IpAddr) -> Ownership {
+        let covers = |prefixes: &[Prefix]| prefixes.iter().any(|prefix| prefix.contains(address));
+        if self.account(name).is_some_and(|account| covers(&account.prefixes)) {
+            return Ownership::Owned;
+        }
+        if self.accounts.iter().any(|account| covers(&account.quarantine)) {
+            return Ownership::Quarantined;
+        }
+        Ownership::Foreign
+    }
+}
+
+/// Parses and checks a root document; reports every fault.
+///
+/// ```
+/// let yaml = "version: 3\naccounts: [{name: cascadia, prefixes: [203.0.113.0/28]}]\n";
+/// let root = settings::root::parse(yaml).unwrap();
+/// assert_eq!(&*root.accounts[0].name, "cascadia");
+/// ```
+pub fn parse(yaml: &str) -> Result<Root, Vec<Fault>> {
+    document::parse(yaml, &SCHEMA, check)
+}
+
+fn check(border: &border::RootDocument, at: &Cursor<'_>, faults: &mut Vec<Fault>) -> Root {
+    let list = at.field("accounts");
+    let mut ranges = Ranges::default();
+    let mut accounts: Vec<RootAccount> = Vec::with_capacity(border.accounts.len());
+    for (index, account) in border.accounts.iter().enumerate() {
+        let at = list.element(index);
+        let account = check_account(account, &at, &mut ranges, faults);
+        if accounts.iter().any(|earlier| earlier.name == account.name) {
+            let text = format!("account `{}` is listed twice", account.name);
+            faults.push(at.field("name").fault(codes::DUPLICATE_NAME, text));
+        }
+        accounts.push(account);
+    }
+    accounts.sort_by(|a, b| a.name.cmp(&b.name));
+    Root { version: Version(border.version.get()), accounts }
+}
+
+fn check_account(
+    border: &border::Account,
+    at: &Cursor<'_>,
+    ranges: &mut Ranges,
+    faults: &mut Vec<Fault>,
+) -> RootAccount {
+    let name = fields::name(&border.name, &at.field("name"), faults);
+    let prefixes = ranges.check(&name, &border.prefixes, &at.field("prefixes"), faults);
+    let quarantine = ranges.check(&name, &border.quarantine, &at.field("quarantine"), faults);
+    RootAccount { name, prefixes, quarantine }
+}
+
+/// Ranges seen so far, with their owners.
+#[derive(Default)]
+struct Ranges(Vec<(Prefix, Arc<str>)>);
+
+impl Ranges {
+    fn check(
+        &mut self,
+        owner: &Arc<str>,
+        texts: &[String],
+        at: &Cursor<'_>,
+        faults: &mut Vec<Fault>,
+    ) -> Vec<Prefix> {
+        let mut prefixes = Vec::with_capacity(texts.len());
+        for (index, text) in texts.iter().enumerate() {
+            let at = at.element(index);
+            let Some(prefix) = fields::prefix(text, &at, faults) else { continue };
+            if let Some((other, holder)) = self.0.iter().find(|(other, _)| other.overlaps(&prefix))
+            {
+                let text = format!("{prefix} overlaps {other} of account `{holder}`");
+                faults.push(at.fault(codes::PREFIX_OVERLAP, text));
+            }
+            self.0.push((prefix, owner.clone()));
+            prefixes.push(prefix);
+        }
+        prefixes
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Project automation. `cargo xtask --help` lists the commands.
 
+mod codegen;
 mod gate;
 
 use std::process::ExitCode;
@@ -8,6 +9,9 @@
 Usage: cargo xtask COMMAND [OPTIONS]
 
 Commands:
+  codegen [--check]
+          write the files generated from schema/ and from the result codes; with --check only
+          compare them
   test    formatter check, linter, all tests and doc examples
 ";
 
@@ -28,7 +32,16 @@
         return Ok(());
     };
     match command.to_string_lossy().as_ref() {
+        "codegen" => codegen::run(codegen_mode(&mut parser)?),
         "test" => gate::run(),
         other => anyhow::bail!("unknown command `{other}`\n\n{HELP}"),
     }
 }
+
+fn codegen_mode(parser: &mut lexopt::Parser) -> anyhow::Result<codegen::Mode> {
+    match parser.next()? {
+        None => Ok(codegen::Mode::Write),
+        Some(lexopt::Arg::Long("check")) => Ok(codegen::Mode::Check),
+        Some(argument) => Err(argument.unexpected().into()),
+    }
+}
