--- /dev/null
+++ b/crates/goosectl/src/exit.rs
@@ -0,0 +1,80 @@
+//! How a command ends.
+
+use std::fmt;
+use std::process::ExitCode;
+
+use settings::{Code, codes};
+
+/// Exit codes, for `--help`.
+pub(crate) const HELP: &str = "\
+Exit codes:
+  0  done, and nothing was found wrong
+  1  done, but something was found wrong (faults, lagging or silent instances)
+  2  the command line is wrong
+  3  a file cannot be read, or the output cannot be written
+  4  no instance could be reached
+";
+
+/// Exit code of a command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// Done, and nothing was found wrong.
+    Success = 0,
+    /// Done, but something was found wrong.
+    Findings = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// A file cannot be read, or the output cannot be written.
+    File = 3,
+    /// No instance could be reached.
+    Unreachable = 4,
+}
+
+/// Why a command could not do its work.
+#[derive(Debug)]
+pub struct Failure {
+    /// Result code, 5xxx.
+    pub code: Code,
+    /// Exit code.
+    pub exit: Exit,
+    /// Explanation for people.
+    pub text: String,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+impl Failure {
+    /// A failure with its codes.
+    pub(crate) fn new(code: Code, exit: Exit, text: impl Into<String>) -> Self {
+        Self { code, exit, text: text.into() }
+    }
+
+    /// A command line that cannot be understood.
+    pub(crate) fn usage(error: impl fmt::Display) -> Self {
+        Self::new(codes::USAGE, Exit::Usage, error.to_string())
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.code, self.text)
+    }
+}
+
+impl std::error::Error for Failure {}
+
+impl From<lexopt::Error> for Failure {
+    fn from(error: lexopt::Error) -> Self {
+        Self::usage(error)
+    }
+}
+
+impl From<std::io::Error> for Failure {
+    fn from(error: std::io::Error) -> Self {
+        Self::new(codes::OUTPUT_FAILED, Exit::File, error.to_string())
+    }
+}
--- a/crates/settings/src/account/change.rs
+++ b/crates/settings/src/account/change.rs
@@ -1,10 +1,135 @@
 //! From one version of a subtree to the next.
+//!
+//! The upstreams of a service are the witnesses of its claims. A claim counts once a majority has
+//! recorded it, and while witnesses change, once a majority of the former *and* of the present
+//! ones has: so any two claims on one opening share a witness, whichever versions their claimants
+//! run. Each subtree must therefore tell both sets by itself. The present one are the upstreams
+//! that are not retired; the former one leaves out those with `since` equal to the version and
+//! takes in those with `retired` equal to it. The rules here keep that true: an upstream enters
+//! with `since` as its first version, leaves by being listed as retired for at least one version,
+//! never returns under the same `since`, and neither date is ever rewritten. Without them an
+//! opening could gather two disjoint majorities in successive versions and run twice.
 
-use decision::view::AccountSpec;
+use decision::view::{AccountSpec, ServiceSpec, UpstreamSpec, WhenInDoubt};
 
+use crate::codes;
+use crate::document::Cursor;
 use crate::fault::Fault;
+use crate::step::Step;
 
-/// Checks a new subtree against the one that it replaces.
-pub fn check_change(_old: &AccountSpec, _new: &AccountSpec) -> Vec<Fault> {
-    Vec::new()
+/// Checks a new subtree against the one that it replaces. The faults have paths, but, as the text
+/// is not at hand, no positions; [`parse_next`](super::parse_next) reports these too.
+///
+/// ```
+/// use decision::{keys::Version, view::AccountSpec};
+/// let old = AccountSpec { name: "cascadia".into(), version: Version(7), services: vec![] };
+/// let new = AccountSpec { version: Version(6), ..old.clone() };
+/// let faults = settings::account::check_change(&old, &new);
+/// assert_eq!(faults[0].code, settings::codes::VERSION_NOT_GROWN);
+/// ```
+pub fn check_change(old: &AccountSpec, new: &AccountSpec) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    check(old, new, &Cursor::without_text(), &mut faults);
+    faults
+}
+
+/// Like [`check_change`], with positions from the document of `new`.
+pub(super) fn check(
+    old: &AccountSpec,
+    new: &AccountSpec,
+    at: &Cursor<'_>,
+    faults: &mut Vec<Fault>,
+) {
+    let versions = (old.version, new.version);
+    let Some(step) = Step::forward(versions, old == new, at, faults) else { return };
+    let list = at.field("services");
+    for service in &old.services {
+        let successor = new.services.iter().find(|candidate| candidate.name == service.name);
+        let at = if successor.is_some() { list.named(&service.name) } else { list.clone() };
+        check_removals(step, service, successor, &at, faults);
+    }
+    for service in &new.services {
+        let former = old.services.iter().find(|candidate| candidate.name == service.name);
+        let at = list.named(&service.name).field("upstreams");
+        for upstream in &service.upstreams {
+            let former = former.and_then(|former| find(&former.upstreams, &upstream.name));
+            check_upstream(step, former, upstream, &at.named(&upstream.name), faults);
+        }
+    }
+}
+
+/// Failure: an upstream vanishes in one step, and its claims with it. Symptom: an opening that it
+/// witnessed is granted again and runs twice. Listing it as retired first is enough, since for
+/// that one version its majority still counts.
+fn check_removals(
+    step: Step,
+    old: &ServiceSpec,
+    new: Option<&ServiceSpec>,
+    at: &Cursor<'_>,
+    faults: &mut Vec<Fault>,
+) {
+    let needs_quorum = |service: &ServiceSpec| service.when_in_doubt == WhenInDoubt::Refuse;
+    if step.has_gap() || !(needs_quorum(old) || new.is_some_and(needs_quorum)) {
+        return;
+    }
+    for upstream in old.upstreams.iter().filter(|upstream| upstream.retired.is_none()) {
+        if new.is_some_and(|new| find(&new.upstreams, &upstream.name).is_some()) {
+            continue;
+        }
+        let text = format!("`{}` of `{}` was removed, but never retired", upstream.name, old.name);
+        let at = if new.is_some() { at.field("upstreams") } else { at.clone() };
+        faults.push(at.fault(codes::REMOVED_BEFORE_RETIRED, text));
+    }
+}
+
+fn check_upstream(
+    step: Step,
+    old: Option<&UpstreamSpec>,
+    new: &UpstreamSpec,
+    at: &Cursor<'_>,
+    faults: &mut Vec<Fault>,
+) {
+    let Some(old) = old else { return check_new(step, new, at, faults) };
+    if new.since == old.since {
+        return check_retirement(step, old, new, at, faults);
+    }
+    let may_have_returned = step.has_gap() && step.covers(new.since);
+    if !may_have_returned {
+        let text = format!("`since` was {} and is now {}", old.since.0, new.since.0);
+        faults.push(at.field("since").fault(codes::SINCE_CHANGED, text));
+    }
+}
+
+fn check_new(step: Step, new: &UpstreamSpec, at: &Cursor<'_>, faults: &mut Vec<Fault>) {
+    if !step.covers(new.since) {
+        let text = format!("`{}` is new, but says `since: {}`", new.name, new.since.0);
+        faults.push(at.field("since").fault(codes::SINCE_NOT_NEW, text));
+    }
+}
+
+fn check_retirement(
+    step: Step,
+    old: &UpstreamSpec,
+    new: &UpstreamSpec,
+    at: &Cursor<'_>,
+    faults: &mut Vec<Fault>,
+) {
+    let text = match (old.retired, new.retired) {
+        (None, Some(retired)) if !step.covers(retired) => {
+            format!("`{}` was not retired in {}", new.name, retired.0)
+        }
+        (Some(former), None) => {
+            format!("`{}` was retired in {} and cannot return so", new.name, former.0)
+        }
+        (Some(former), Some(retired)) if former != retired => {
+            format!("`retired` was {} and is now {}", former.0, retired.0)
+        }
+        _ => return,
+    };
+    let field = if new.retired.is_some() { "retired" } else { "state" };
+    faults.push(at.field(field).fault(codes::RETIRED_NOT_NEW, text));
+}
+
+fn find<'a>(upstreams: &'a [UpstreamSpec], name: &str) -> Option<&'a UpstreamSpec> {
+    upstreams.iter().find(|upstream| &*upstream.name == name)
 }
--- a/crates/settings/src/account/check.rs
+++ b/crates/settings/src/account/check.rs
@@ -17,7 +17,7 @@
 
 /// What was seen so far while a subtree is checked.
 pub(super) struct Checker<'a> {
-    root: &'a Root,
+    root: Option<&'a Root>,
     name: &'a str,
     version: Version,
     endpoints: Vec<(Endpoint, Arc<str>)>,
@@ -25,8 +25,9 @@
 }
 
 impl<'a> Checker<'a> {
-    /// A checker for the subtree published for the account called `name`.
-    pub(super) fn new(root: &'a Root, name: &'a str) -> Self {
+    /// A checker for the subtree published for the account called `name`. Without a root, every
+    /// address counts as owned.
+    pub(super) fn new(root: Option<&'a Root>, name: &'a str) -> Self {
         let version = Version(0);
         Self { root, name, version, endpoints: Vec::new(), machine_addresses: Vec::new() }
     }
@@ -57,10 +58,11 @@
         if name != self.name {
             let text = format!("published for `{}` but names `{name}`", self.name);
             faults.push(at.fault(codes::OTHER_ACCOUNT, text));
-        } else if self.root.account(name).is_none() {
-            let text = format!("`{name}` is not in version {} of the root", self.root.version.0);
-            faults.push(at.fault(codes::UNKNOWN_ACCOUNT, text));
+            return;
         }
+        let Some(root) = self.root.filter(|root| root.account(name).is_none()) else { return };
+        let text = format!("`{name}` is not in version {} of the root", root.version.0);
+        faults.push(at.fault(codes::UNKNOWN_ACCOUNT, text));
     }
 
     fn service(
@@ -113,7 +115,8 @@
 
     fn check_ownership(&self, endpoint: Endpoint, at: &Cursor<'_>, faults: &mut Vec<Fault>) {
         let address = endpoint.address;
-        match self.root.ownership(self.name, address) {
+        let Some(root) = self.root else { return };
+        match root.ownership(self.name, address) {
             Ownership::Owned => {}
             Ownership::Quarantined => {
                 let text = format!("{address} is in quarantine");
--- a/crates/settings/src/account/mod.rs
+++ b/crates/settings/src/account/mod.rs
@@ -8,6 +8,7 @@
 use decision::view::AccountSpec;
 
 pub use change::check_change;
+use check::Checker;
 
 use crate::document::{self, Schema};
 use crate::fault::Fault;
@@ -26,7 +27,53 @@
 /// assert_eq!(spec.version.0, 7);
 /// ```
 pub fn parse(yaml: &str, root: &Root, name: &str) -> Result<AccountSpec, Vec<Fault>> {
+    parse_step(yaml, Some(root), name, None)
+}
+
+/// Like [`parse`], but also checks the step from the version `old`, with positions in `yaml`.
+///
+/// `old` may be any older version: a step over several versions is checked as far as its two ends
+/// allow. The same version with the same content is no fault, with other content it is.
+///
+/// ```
+/// use settings::{account, codes, root};
+/// let root = root::parse("version: 1\naccounts: [{name: cascadia, prefixes: []}]\n").unwrap();
+/// let yaml = "account: cascadia\nversion: 7\nservices: []\n";
+/// let old = account::parse(yaml, &root, "cascadia").unwrap();
+/// let yaml = yaml.replace("7", "6");
+/// let faults = account::parse_next(&yaml, Some(&root), "cascadia", &old).unwrap_err();
+/// assert_eq!((faults[0].code, faults[0].line), (codes::VERSION_NOT_GROWN, 2));
+/// ```
+pub fn parse_next(
+    yaml: &str,
+    root: Option<&Root>,
+    name: &str,
+    old: &AccountSpec,
+) -> Result<AccountSpec, Vec<Fault>> {
+    parse_step(yaml, root, name, Some(old))
+}
+
+/// Like [`parse`], but takes every address as owned: for looking at a subtree without its root.
+///
+/// ```
+/// let yaml = "account: cascadia\nversion: 7\nservices: []\n";
+/// assert!(settings::account::parse_without_root(yaml, "cascadia").is_ok());
+/// ```
+pub fn parse_without_root(yaml: &str, name: &str) -> Result<AccountSpec, Vec<Fault>> {
+    parse_step(yaml, None, name, None)
+}
+
+fn parse_step(
+    yaml: &str,
+    root: Option<&Root>,
+    name: &str,
+    old: Option<&AccountSpec>,
+) -> Result<AccountSpec, Vec<Fault>> {
     document::parse(yaml, &SCHEMA, |border, at, faults| {
-        check::Checker::new(root, name).account(border, at, faults)
+        let new = Checker::new(root, name).account(border, at, faults);
+        if let Some(old) = old {
+            change::check(old, &new, at, faults);
+        }
+        new
     })
 }
--- a/crates/settings/src/book/mod.rs
+++ b/crates/settings/src/book/mod.rs
@@ -1,13 +1,22 @@
 //! The settings in force.
+//!
+//! A book never goes back: the highest version of each document wins, whatever the order in which
+//! documents arrive from platform and peers. It never takes half a document: one with a fault
+//! leaves the older version in force.
 
-use std::sync::Arc;
+mod pending;
+
+use std::sync::{Arc, OnceLock};
 
 use decision::keys::Version;
 use decision::view::{self, AccountSpec, View};
 
 use crate::account;
+use crate::codes;
+use crate::document;
 use crate::fault::Fault;
-use crate::root::{self, Root};
+use crate::root::{self, Ownership, Root};
+use pending::Pending;
 
 /// What became of a published document.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,69 +27,98 @@
     Unchanged(Version),
     /// A newer version, given here, is in force and stays.
     Older(Version),
-    /// It waits for a newer root, which may make it valid; the older version stays in force.
+    /// The root in force does not allow it; a newer one may. The older version stays in force and
+    /// the document is tried again with the next root.
     Deferred(Vec<Fault>),
     /// It is refused whole; the older version stays in force.
     Refused(Vec<Fault>),
 }
 
-/// All accounts in force in this process: the highest version heard of wins.
+/// All accounts in force in this process.
+///
+/// ```
+/// use settings::{Book, Outcome};
+/// let mut book = Book::default();
+/// book.accept_root("version: 1\naccounts: [{name: cascadia, prefixes: []}]\n");
+/// let yaml = "account: cascadia\nversion: 7\nservices: []\n";
+/// assert!(matches!(book.accept_account("cascadia", yaml), Outcome::Accepted(_)));
+/// assert_eq!(book.versions().len(), 1);
+/// assert_eq!(book.view().accounts().len(), 1);
+/// ```
 #[derive(Debug, Default)]
 pub struct Book {
     root: Option<Held<Root>>,
     /// Sorted by name.
     accounts: Vec<Held<AccountSpec>>,
-    view: Arc<View>,
+    pending: Pending,
+    /// Built on demand, since a start brings in hundreds of subtrees at once.
+    view: OnceLock<Arc<View>>,
 }
 
 /// A document in force with the text that it came from.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Held<T> {
     spec: T,
     yaml: Arc<str>,
 }
 
 impl Book {
-    /// Takes in a root.
+    /// Takes in a root document.
+    ///
+    /// Subtrees that waited for it come into force with it. Addresses that it takes from an account
+    /// leave the view at once, though the account's subtree stays in force: the address may be
+    /// somebody else's by now, and serving it would hand one account's packets to another. The
+    /// account's other addresses are served as before, and a later root may give this one back.
     pub fn accept_root(&mut self, yaml: &str) -> Outcome {
-        let root = match root::parse(yaml) {
-            Ok(root) => root,
-            Err(faults) => return Outcome::Refused(faults),
+        let held = self.root.as_ref();
+        if held.is_some_and(|held| *held.yaml == *yaml) {
+            return Outcome::Unchanged(self.root_version());
+        }
+        let parsed = match held {
+            Some(held) => root::parse_next(yaml, &held.spec),
+            None => root::parse(yaml),
         };
-        if let Some(held) = &self.root
-            && root.version <= held.spec.version
-        {
-            return Outcome::Older(held.spec.version);
+        match parsed {
+            Ok(root) if root.version == self.root_version() => Outcome::Unchanged(root.version),
+            Ok(root) => self.install_root(root, yaml),
+            Err(faults) => refusal(faults, yaml, self.root_version()),
         }
-        let version = root.version;
-        self.root = Some(Held { spec: root, yaml: yaml.into() });
-        Outcome::Accepted(version)
     }
 
-    /// Takes in the subtree of an account.
+    /// Takes in the subtree that was published for the account called `name`.
     pub fn accept_account(&mut self, name: &str, yaml: &str) -> Outcome {
-        let Some(root) = &self.root else { return Outcome::Deferred(Vec::new()) };
-        let spec = match account::parse(yaml, &root.spec, name) {
-            Ok(spec) => spec,
-            Err(faults) => return Outcome::Refused(faults),
+        let in_force = self.find(name).map(|index| &self.accounts[index]);
+        if let Some(held) = in_force.filter(|held| *held.yaml == *yaml) {
+            return Outcome::Unchanged(held.spec.version);
+        }
+        let version = in_force.map_or(Version(0), |held| held.spec.version);
+        let Some(root) = self.root.as_ref().map(|held| &held.spec) else {
+            return self.defer(name, yaml, Vec::new());
         };
-        let version = spec.version;
-        let held = Held { spec, yaml: yaml.into() };
-        match self.accounts.binary_search_by(|held| (*held.spec.name).cmp(name)) {
-            Ok(index) if self.accounts[index].spec.version >= version => {
-                return Outcome::Older(self.accounts[index].spec.version);
-            }
-            Ok(index) => self.accounts[index] = held,
-            Err(index) => self.accounts.insert(index, held),
+        let parsed = match in_force {
+            Some(held) => account::parse_next(yaml, Some(root), name, &held.spec),
+            None => account::parse(yaml, root, name),
+        };
+        match parsed {
+            Ok(spec) if spec.version == version => Outcome::Unchanged(version),
+            Ok(spec) => self.install_account(spec, yaml),
+            Err(faults) => match refusal(faults, yaml, version) {
+                Outcome::Refused(faults) if faults.iter().all(depends_on_root) => {
+                    self.defer(name, yaml, faults)
+                }
+                outcome => outcome,
+            },
         }
-        let specs: Vec<AccountSpec> = self.accounts.iter().map(|held| held.spec.clone()).collect();
-        self.view = Arc::new(view::build(&specs));
-        Outcome::Accepted(version)
     }
 
-    /// The view of everything in force.
+    /// The view of everything in force. It is built on the first call after a change.
     pub fn view(&self) -> Arc<View> {
-        self.view.clone()
+        let build = || {
+            let specs: Vec<AccountSpec> =
+                self.accounts.iter().map(|held| self.usable(&held.spec)).collect();
+            Arc::new(view::build(&specs))
+        };
+        self.view.get_or_init(build).clone()
     }
 
     /// Names and versions of the accounts in force, sorted by name.
@@ -88,15 +126,81 @@
         self.accounts.iter().map(|held| (held.spec.name.clone(), held.spec.version)).collect()
     }
 
-    /// The root in force with its text.
+    /// The root in force with its text, to be passed on to peers.
     pub fn root(&self) -> Option<(Version, Arc<str>)> {
         self.root.as_ref().map(|held| (held.spec.version, held.yaml.clone()))
     }
 
-    /// The subtree in force of the account called `name`, to be passed on to peers.
+    /// The subtree in force of the account called `name` with its text, to be passed on to peers.
     pub fn subtree(&self, name: &str) -> Option<(Version, Arc<str>)> {
-        let index = self.accounts.binary_search_by(|held| (*held.spec.name).cmp(name)).ok()?;
-        let held = &self.accounts[index];
+        let held = &self.accounts[self.find(name)?];
         Some((held.spec.version, held.yaml.clone()))
     }
+
+    fn root_version(&self) -> Version {
+        self.root.as_ref().map_or(Version(0), |held| held.spec.version)
+    }
+
+    fn find(&self, name: &str) -> Option<usize> {
+        self.accounts.binary_search_by(|held| (*held.spec.name).cmp(name)).ok()
+    }
+
+    fn install_root(&mut self, root: Root, yaml: &str) -> Outcome {
+        let version = root.version;
+        self.root = Some(Held { spec: root, yaml: yaml.into() });
+        self.view = OnceLock::new();
+        for (name, yaml) in self.pending.take() {
+            self.accept_account(&name, &yaml);
+        }
+        Outcome::Accepted(version)
+    }
+
+    fn install_account(&mut self, spec: AccountSpec, yaml: &str) -> Outcome {
+        let version = spec.version;
+        self.pending.forget_older(&spec.name, version);
+        let held = Held { spec, yaml: yaml.into() };
+        match self.accounts.binary_search_by(|known| known.spec.name.cmp(&held.spec.name)) {
+            Ok(index) => self.accounts[index] = held,
+            Err(index) => self.accounts.insert(index, held),
+        }
+        self.view = OnceLock::new();
+        Outcome::Accepted(version)
+    }
+
+    fn defer(&mut self, name: &str, yaml: &str, faults: Vec<Fault>) -> Outcome {
+        let version = document::stated_version(yaml).unwrap_or_default();
+        if self.pending.keep(name, Version(version), yaml) {
+            Outcome::Deferred(faults)
+        } else {
+            Outcome::Refused(faults)
+        }
+    }
+
+    /// The subtree without the addresses that the root in force does not give to its account.
+    fn usable(&self, spec: &AccountSpec) -> AccountSpec {
+        let mut usable = spec.clone();
+        let Some(root) = &self.root else { return usable };
+        for service in &mut usable.services {
+            service.endpoints.retain(|endpoint| {
+                root.spec.ownership(&spec.name, endpoint.address) == Ownership::Owned
+            });
+        }
+        usable
+    }
+}
+
+/// An older document is no fault of its publisher, whatever else is wrong with it: a stale reader
+/// or peer sent it.
+fn refusal(faults: Vec<Fault>, yaml: &str, in_force: Version) -> Outcome {
+    match document::stated_version(yaml) {
+        Some(version) if version < in_force.0 => Outcome::Older(in_force),
+        _ => Outcome::Refused(faults),
+    }
+}
+
+/// Whether a fault may go away with a newer root. Updates reach instances unevenly, so a subtree
+/// may arrive before the root that allows it.
+fn depends_on_root(fault: &Fault) -> bool {
+    [codes::UNKNOWN_ACCOUNT, codes::FOREIGN_ADDRESS, codes::QUARANTINED_ADDRESS]
+        .contains(&fault.code)
 }
--- a/crates/settings/src/codes/table.rs
+++ b/crates/settings/src/codes/table.rs
@@ -3,7 +3,10 @@
 use super::{Class, Code, Entry};
 
 macro_rules! codes {
-    ($($name:ident = $number:literal, $class:ident, $text:literal, $action:literal;)*) => {
+    ($(
+        $name:ident = $number:literal, $text_name:literal, $class:ident,
+            $text:literal, $action:literal;
+    )*) => {
         $(
             #[doc = $text]
             pub const $name: Code = Code($number);
@@ -12,7 +15,7 @@
         /// Every result code of the product, sorted by number.
         pub const TABLE: &[Entry] = &[$(Entry {
             code: $name,
-            name: name::$name,
+            name: $text_name,
             class: Class::$class,
             text: $text,
             action: $action,
@@ -21,324 +24,244 @@
 }
 
 codes! {
-    SYNTAX = 1001, Settings,
+    SYNTAX = 1001, "syntax", Settings,
         "The document is not valid YAML.",
         "Correct the syntax at the given position.";
-    TOO_LARGE = 1002, Settings,
+    TOO_LARGE = 1002, "too_large", Settings,
         "The document is larger than the platform's value size.",
         "Split the account or shorten the document.";
-    UNKNOWN_FIELD = 1003, Settings,
+    UNKNOWN_FIELD = 1003, "unknown_field", Settings,
         "The field does not exist.",
         "Remove the field or correct its name.";
-    DUPLICATE_KEY = 1004, Settings,
+    DUPLICATE_KEY = 1004, "duplicate_key", Settings,
         "The field is given twice.",
         "Keep one of the two.";
-    MISSING_FIELD = 1005, Settings,
+    MISSING_FIELD = 1005, "missing_field", Settings,
         "A required field is missing.",
         "Add the field.";
-    WRONG_TYPE = 1006, Settings,
+    WRONG_TYPE = 1006, "wrong_type", Settings,
         "The value is of another type than the field.",
         "Give a value of the expected type; put digits that are text into quotes.";
-    WRONG_UNIT = 1007, Settings,
+    WRONG_UNIT = 1007, "wrong_unit", Settings,
         "The field or its value is given in another unit.",
         "Give a bare number in the unit that the field's suffix names.";
-    OUT_OF_RANGE = 1008, Settings,
+    OUT_OF_RANGE = 1008, "out_of_range", Settings,
         "The number is outside the range of the field.",
         "Choose a number in the range.";
-    UNKNOWN_CHOICE = 1009, Settings,
+    UNKNOWN_CHOICE = 1009, "unknown_choice", Settings,
         "The value is none of the field's choices.",
         "Choose one of the listed values.";
-    EMPTY_LIST = 1010, Settings,
+    EMPTY_LIST = 1010, "empty_list", Settings,
         "The list must not be empty.",
         "Add an entry; to close a service, retire its upstreams first.";
-    TOO_MANY = 1011, Settings,
+    TOO_MANY = 1011, "too_many", Settings,
         "The list is longer than its bound.",
         "Split the list over several services or accounts.";
-    BAD_NAME = 1012, Settings,
+    BAD_NAME = 1012, "bad_name", Settings,
         "The name is empty, too long or has forbidden characters.",
         "Use 1 to 63 lower-case letters, digits and hyphens, beginning with a letter.";
-    BAD_ADDRESS = 1013, Settings,
+    BAD_ADDRESS = 1013, "bad_address", Settings,
         "The address is not of the form that the field needs.",
         "Write IP:PORT, or IP:PORT/tcp and IP:PORT/udp for services, IPv6 in brackets.";
-    BAD_PREFIX = 1014, Settings,
+    BAD_PREFIX = 1014, "bad_prefix", Settings,
         "The address range is not a prefix in its shortest form.",
         "Write ADDRESS/LENGTH with all bits after LENGTH zero.";
-    BAD_KEY = 1015, Settings,
+    BAD_KEY = 1015, "bad_key", Settings,
         "The key has the wrong number of hexadecimal digits.",
         "Give exactly the stated number of hexadecimal digits, in quotes.";
-    DUPLICATE_NAME = 1016, Settings,
+    DUPLICATE_NAME = 1016, "duplicate_name", Settings,
         "The name, key number or address occurs twice in one list.",
         "Choose another one.";
-    TOO_COMPLEX = 1017, Settings,
+    TOO_COMPLEX = 1017, "too_complex", Settings,
         "The document is nested too deeply or uses anchors.",
         "Write the document out without anchors, aliases and merge keys.";
-    OTHER_ACCOUNT = 1020, Settings,
+    OTHER_ACCOUNT = 1020, "other_account", Settings,
         "The subtree names another account than the one it is published for.",
         "Publish it under its own account or correct the field `account`.";
-    UNKNOWN_ACCOUNT = 1021, Settings,
+    UNKNOWN_ACCOUNT = 1021, "unknown_account", Settings,
         "The root does not list the account.",
         "Have the platform's operators add the account to the root first.";
-    FOREIGN_ADDRESS = 1022, Settings,
+    FOREIGN_ADDRESS = 1022, "foreign_address", Settings,
         "The address does not belong to the account.",
         "Use an address within the account's prefixes in the root.";
-    ENDPOINT_TAKEN = 1023, Settings,
+    ENDPOINT_TAKEN = 1023, "endpoint_taken", Settings,
         "Two services claim the same address, port and protocol.",
         "Give each service its own endpoint.";
-    PREFIX_OVERLAP = 1024, Settings,
+    PREFIX_OVERLAP = 1024, "prefix_overlap", Settings,
         "Two address ranges of the root overlap.",
         "Give each address to one account, once.";
-    QUARANTINED_ADDRESS = 1025, Settings,
+    QUARANTINED_ADDRESS = 1025, "quarantined_address", Settings,
         "The address is in quarantine and may not be used yet.",
         "Wait until the root moves it from `quarantine` to `prefixes`.";
-    RETIRED_MISMATCH = 1026, Settings,
+    RETIRED_MISMATCH = 1026, "retired_mismatch", Settings,
         "`state: retired` and `retired:` must come together.",
         "Give both or neither.";
-    VERSION_IN_FUTURE = 1027, Settings,
+    VERSION_IN_FUTURE = 1027, "version_in_future", Settings,
         "The version of an entry lies outside the life of the document.",
         "Give versions from 1 up to the document's own; `retired` must be larger than `since`.";
-    VERSION_NOT_GROWN = 1030, Settings,
+    VERSION_NOT_GROWN = 1030, "version_not_grown", Settings,
         "The version is not larger than the one in force.",
         "Publish with a larger version.";
-    SPLIT_PUBLICATION = 1031, Settings,
+    SPLIT_PUBLICATION = 1031, "split_publication", Settings,
         "Two documents with the same version differ.",
         "Publish once more with a larger version, from one place.";
-    REMOVED_BEFORE_RETIRED = 1032, Settings,
+    REMOVED_BEFORE_RETIRED = 1032, "removed_before_retired", Settings,
         "An upstream of a service with `when_in_doubt: refuse` was removed without being listed as retired.",
         "List it with `state: retired` for one version, then remove it.";
-    SINCE_NOT_NEW = 1033, Settings,
+    SINCE_NOT_NEW = 1033, "since_not_new", Settings,
         "A new upstream's `since` is not the version that adds it.",
         "Set `since` to the document's version.";
-    SINCE_CHANGED = 1034, Settings,
+    SINCE_CHANGED = 1034, "since_changed", Settings,
         "The `since` of an existing upstream changed.",
         "Restore the former value; to start afresh use another name.";
-    RETIRED_NOT_NEW = 1035, Settings,
+    RETIRED_NOT_NEW = 1035, "retired_not_new", Settings,
         "The `retired` of an upstream is not the version that retired it.",
         "Set `retired` to the version that retires the upstream and keep it.";
-    MOVED_WITHOUT_QUARANTINE = 1036, Settings,
+    MOVED_WITHOUT_QUARANTINE = 1036, "moved_without_quarantine", Settings,
         "An address range moved to another account without quarantine.",
         "List it under the new account's `quarantine` for one version of the root.";
-    WRONG_SERVICE = 2001, Packets,
+    WRONG_SERVICE = 2001, "wrong_service", Packets,
         "The service is not the one that this agent serves.",
         "None if rare: a sender had older settings. Otherwise compare `goosectl settings`.";
-    ALL_FULL = 2002, Packets,
+    ALL_FULL = 2002, "all_full", Packets,
         "Every upstream of the service is full or not accepting.",
         "Add upstreams or raise `max_flows`.";
-    IN_DOUBT = 2003, Packets,
+    IN_DOUBT = 2003, "in_doubt", Packets,
         "Too few witnesses answered and the service refuses when in doubt.",
         "See which agents are silent with `goosectl status`; callers may retry.";
-    TOMBSTONE = 2004, Packets,
+    TOMBSTONE = 2004, "tombstone", Packets,
         "The opening was refused before.",
         "None: the caller opens a new connection.";
-    UNKNOWN_FLOW = 2005, Packets,
+    UNKNOWN_FLOW = 2005, "unknown_flow", Packets,
         "No agent of the service knows the flow.",
         "None if the flow had ended; otherwise see `goosectl timeline`.";
-    HOLDER_SILENT = 2006, Packets,
+    HOLDER_SILENT = 2006, "holder_silent", Packets,
         "Some agent that may hold the flow has not answered yet.",
         "None: the caller retransmits.";
-    TOO_MANY_HOPS = 2007, Packets,
+    TOO_MANY_HOPS = 2007, "too_many_hops", Packets,
         "The packet was passed on too often.",
         "Compare the settings in force with `goosectl settings`.";
-    OVERLOAD = 2008, Packets,
+    OVERLOAD = 2008, "overload", Packets,
         "A bounded table or queue is full.",
         "Add instances or raise the limits of the upstreams.";
-    DUPLICATE = 2009, Packets,
+    DUPLICATE = 2009, "duplicate", Packets,
         "A copy of an opening that has already run.",
         "None: this is the safeguard against running it twice.";
-    STALE_VIEW = 2010, Packets,
+    STALE_VIEW = 2010, "stale_view", Packets,
         "The sender's settings are older than a quarantine of the address.",
         "Find out why the sender lags with `goosectl settings`.";
-    MALFORMED = 2101, Packets,
+    MALFORMED = 2101, "malformed", Packets,
         "The packet cannot be parsed.",
         "None if rare; otherwise look at the fabric.";
-    FRAGMENT = 2102, Packets,
+    FRAGMENT = 2102, "fragment", Packets,
         "The packet is an IP fragment.",
         "Lower the path's packet size so that callers do not fragment.";
-    NO_SERVICE = 2103, Packets,
+    NO_SERVICE = 2103, "no_service", Packets,
         "No service answers on the destination.",
         "Check the service's `addresses`.";
-    BAD_MAC = 2104, Packets,
+    BAD_MAC = 2104, "bad_mac", Packets,
         "The packet's authentication code is wrong.",
         "Compare the keys of sender and receiver; look for a forger.";
-    UNKNOWN_KEY = 2105, Packets,
+    UNKNOWN_KEY = 2105, "unknown_key", Packets,
         "The packet was signed with a key that is not valid here.",
         "Finish the rotation: give the new key to receivers before senders sign with it.";
-    FOREIGN_ACCOUNT = 2106, Packets,
+    FOREIGN_ACCOUNT = 2106, "foreign_account", Packets,
         "The packet belongs to another account.",
         "Compare the settings in force with `goosectl settings`.";
-    NO_AGENT = 2107, Packets,
+    NO_AGENT = 2107, "no_agent", Packets,
         "The service has no agent that takes packets.",
         "Add upstreams that are not retired.";
-    SEND_FAILED = 2108, Packets,
+    SEND_FAILED = 2108, "send_failed", Packets,
         "The operating system did not take the packet.",
         "Look at routes, buffers and limits of the instance.";
-    PACKET_TOO_LARGE = 2109, Packets,
+    PACKET_TOO_LARGE = 2109, "packet_too_large", Packets,
         "The packet does not fit the path after encapsulation.",
         "Lower the callers' segment size.";
-    REPLAYED = 2110, Packets,
+    REPLAYED = 2110, "replayed", Packets,
         "The sealed packet is older than the replay window or was seen before.",
         "None if rare; otherwise compare the clocks.";
-    UNSUPPORTED_PROTOCOL = 2111, Packets,
+    UNSUPPORTED_PROTOCOL = 2111, "unsupported_protocol", Packets,
         "The packet is neither TCP nor UDP.",
         "None: other protocols are not served.";
-    BAD_ARGUMENTS = 3001, Start,
+    BAD_ARGUMENTS = 3001, "bad_arguments", Start,
         "The command line of the process is wrong.",
         "See `--help`.";
-    SETTINGS_UNREADABLE = 3002, Start,
+    SETTINGS_UNREADABLE = 3002, "settings_unreadable", Start,
         "The settings file cannot be read.",
         "Check path and permissions.";
-    SETTINGS_REFUSED = 3003, Start,
+    SETTINGS_REFUSED = 3003, "settings_refused", Start,
         "The settings file has a fault.",
         "Correct the fault that the line names.";
-    PORT_TAKEN = 3004, Start,
+    PORT_TAKEN = 3004, "port_taken", Start,
         "An address of the process cannot be bound.",
         "Stop the other process or choose another address.";
-    KEY_MISSING = 3005, Start,
+    KEY_MISSING = 3005, "key_missing", Start,
         "A key that the process needs is missing or empty.",
         "Add the key to the settings file.";
-    PLATFORM_UNREACHABLE = 3006, Start,
+    PLATFORM_UNREACHABLE = 3006, "platform_unreachable", Start,
         "The platform does not answer and no peer has the settings.",
         "Nothing: the process stays not ready and tries again. Check `platform_address`.";
-    NOT_IN_SETTINGS = 3007, Start,
+    NOT_IN_SETTINGS = 3007, "not_in_settings", Start,
         "The published settings do not list this instance's account, service or upstream.",
         "Publish it or correct the process's settings file.";
-    THREAD_FAILED = 3008, Start,
+    THREAD_FAILED = 3008, "thread_failed", Start,
         "A thread or runtime could not be started.",
         "Raise the limits of the instance.";
-    NOT_READY = 4001, Control,
+    NOT_READY = 4001, "not_ready", Control,
         "The process is not ready: its settings are not known to be current enough.",
         "Wait; see `/status` for what is missing.";
-    BAD_REQUEST = 4002, Control,
+    BAD_REQUEST = 4002, "bad_request", Control,
         "The request cannot be decoded.",
         "Compare the versions of the two programs.";
-    UNKNOWN_RESOURCE = 4003, Control,
+    UNKNOWN_RESOURCE = 4003, "unknown_resource", Control,
         "The path or the named object does not exist.",
         "Correct the name.";
-    BODY_TOO_LARGE = 4004, Control,
+    BODY_TOO_LARGE = 4004, "body_too_large", Control,
         "The body is larger than the bound.",
         "Send less at once.";
-    OVER_READ_BUDGET = 4005, Control,
+    OVER_READ_BUDGET = 4005, "over_read_budget", Control,
         "The platform refused a read that was over budget.",
         "None: the reader backs off as told.";
-    PEER_UNREACHABLE = 4006, Control,
+    PEER_UNREACHABLE = 4006, "peer_unreachable", Control,
         "A peer's control address does not answer.",
         "None if rare; otherwise check the peer and the path.";
-    PLATFORM_STALE = 4007, Control,
+    PLATFORM_STALE = 4007, "platform_stale", Control,
         "The platform answered with an older version than the one in force.",
         "None: the newer version stays in force.";
-    LEAVING = 4008, Control,
+    LEAVING = 4008, "leaving", Control,
         "The process is shutting down.",
         "Ask another instance.";
-    SETTINGS_REJECTED = 4009, Control,
+    SETTINGS_REJECTED = 4009, "settings_rejected", Control,
         "A published document was refused; the older version stays in force.",
         "Correct the document; `goosectl check` shows every fault.";
-    USAGE = 5001, Command,
+    USAGE = 5001, "usage", Command,
         "The command line is wrong.",
         "See `goosectl --help`.";
-    FILE_UNREADABLE = 5002, Command,
+    FILE_UNREADABLE = 5002, "file_unreadable", Command,
         "A file cannot be read.",
         "Check path and permissions.";
-    FAULTS_FOUND = 5003, Command,
+    FAULTS_FOUND = 5003, "faults_found", Command,
         "The checked document has faults.",
         "Correct the listed faults.";
-    INSTANCE_UNREACHABLE = 5004, Command,
+    INSTANCE_UNREACHABLE = 5004, "instance_unreachable", Command,
         "An instance does not answer.",
         "Check the instance; the rest of the output is valid.";
-    ANSWER_UNREADABLE = 5005, Command,
+    ANSWER_UNREADABLE = 5005, "answer_unreadable", Command,
         "An instance's answer cannot be decoded.",
         "Compare the versions of the programs.";
-    BAD_TUPLE = 5006, Command,
+    BAD_TUPLE = 5006, "bad_tuple", Command,
         "The packet tuple cannot be parsed.",
         "Write it as in the command's `--help`.";
-    NOT_FOUND = 5007, Command,
+    NOT_FOUND = 5007, "not_found", Command,
         "The named object does not exist.",
         "Correct the name.";
-    INSTANCES_LAG = 5008, Command,
+    INSTANCES_LAG = 5008, "instances_lag", Command,
         "Not every instance runs the newest settings.",
         "Wait, or look at the instances listed as lagging.";
-    TIMED_OUT = 5009, Command,
+    TIMED_OUT = 5009, "timed_out", Command,
         "What was waited for has not happened in time.",
         "Wait longer, or look at the status.";
-}
-
-/// Names as they appear in logs and metrics.
-mod name {
-    pub(super) const SYNTAX: &str = "syntax";
-    pub(super) const TOO_LARGE: &str = "too_large";
-    pub(super) const UNKNOWN_FIELD: &str = "unknown_field";
-    pub(super) const DUPLICATE_KEY: &str = "duplicate_key";
-    pub(super) const MISSING_FIELD: &str = "missing_field";
-    pub(super) const WRONG_TYPE: &str = "wrong_type";
-    pub(super) const WRONG_UNIT: &str = "wrong_unit";
-    pub(super) const OUT_OF_RANGE: &str = "out_of_range";
-    pub(super) const UNKNOWN_CHOICE: &str = "unknown_choice";
-    pub(super) const EMPTY_LIST: &str = "empty_list";
-    pub(super) const TOO_MANY: &str = "too_many";
-    pub(super) const BAD_NAME: &str = "bad_name";
-    pub(super) const BAD_ADDRESS: &str = "bad_address";
-    pub(super) const BAD_PREFIX: &str = "bad_prefix";
-    pub(super) const BAD_KEY: &str = "bad_key";
-    pub(super) const DUPLICATE_NAME: &str = "duplicate_name";
-    pub(super) const TOO_COMPLEX: &str = "too_complex";
-    pub(super) const OTHER_ACCOUNT: &str = "other_account";
-    pub(super) const UNKNOWN_ACCOUNT: &str = "unknown_account";
-    pub(super) const FOREIGN_ADDRESS: &str = "foreign_address";
-    pub(super) const ENDPOINT_TAKEN: &str = "endpoint_taken";
-    pub(super) const PREFIX_OVERLAP: &str = "prefix_overlap";
-    pub(super) const QUARANTINED_ADDRESS: &str = "quarantined_address";
-    pub(super) const RETIRED_MISMATCH: &str = "retired_mismatch";
-    pub(super) const VERSION_IN_FUTURE: &str = "version_in_future";
-    pub(super) const VERSION_NOT_GROWN: &str = "version_not_grown";
-    pub(super) const SPLIT_PUBLICATION: &str = "split_publication";
-    pub(super) const REMOVED_BEFORE_RETIRED: &str = "removed_before_retired";
-    pub(super) const SINCE_NOT_NEW: &str = "since_not_new";
-    pub(super) const SINCE_CHANGED: &str = "since_changed";
-    pub(super) const RETIRED_NOT_NEW: &str = "retired_not_new";
-    pub(super) const MOVED_WITHOUT_QUARANTINE: &str = "moved_without_quarantine";
-    pub(super) const WRONG_SERVICE: &str = "wrong_service";
-    pub(super) const ALL_FULL: &str = "all_full";
-    pub(super) const IN_DOUBT: &str = "in_doubt";
-    pub(super) const TOMBSTONE: &str = "tombstone";
-    pub(super) const UNKNOWN_FLOW: &str = "unknown_flow";
-    pub(super) const HOLDER_SILENT: &str = "holder_silent";
-    pub(super) const TOO_MANY_HOPS: &str = "too_many_hops";
-    pub(super) const OVERLOAD: &str = "overload";
-    pub(super) const DUPLICATE: &str = "duplicate";
-    pub(super) const STALE_VIEW: &str = "stale_view";
-    pub(super) const MALFORMED: &str = "malformed";
-    pub(super) const FRAGMENT: &str = "fragment";
-    pub(super) const NO_SERVICE: &str = "no_service";
-    pub(super) const BAD_MAC: &str = "bad_mac";
-    pub(super) const UNKNOWN_KEY: &str = "unknown_key";
-    pub(super) const FOREIGN_ACCOUNT: &str = "foreign_account";
-    pub(super) const NO_AGENT: &str = "no_agent";
-    pub(super) const SEND_FAILED: &str = "send_failed";
-    pub(super) const PACKET_TOO_LARGE: &str = "packet_too_large";
-    pub(super) const REPLAYED: &str = "replayed";
-    pub(super) const UNSUPPORTED_PROTOCOL: &str = "unsupported_protocol";
-    pub(super) const BAD_ARGUMENTS: &str = "bad_arguments";
-    pub(super) const SETTINGS_UNREADABLE: &str = "settings_unreadable";
-    pub(super) const SETTINGS_REFUSED: &str = "settings_refused";
-    pub(super) const PORT_TAKEN: &str = "port_taken";
-    pub(super) const KEY_MISSING: &str = "key_missing";
-    pub(super) const PLATFORM_UNREACHABLE: &str = "platform_unreachable";
-    pub(super) const NOT_IN_SETTINGS: &str = "not_in_settings";
-    pub(super) const THREAD_FAILED: &str = "thread_failed";
-    pub(super) const NOT_READY: &str = "not_ready";
-    pub(super) const BAD_REQUEST: &str = "bad_request";
-    pub(super) const UNKNOWN_RESOURCE: &str = "unknown_resource";
-    pub(super) const BODY_TOO_LARGE: &str = "body_too_large";
-    pub(super) const OVER_READ_BUDGET: &str = "over_read_budget";
-    pub(super) const PEER_UNREACHABLE: &str = "peer_unreachable";
-    pub(super) const PLATFORM_STALE: &str = "platform_stale";
-    pub(super) const LEAVING: &str = "leaving";
-    pub(super) const SETTINGS_REJECTED: &str = "settings_rejected";
-    pub(super) const USAGE: &str = "usage";
-    pub(super) const FILE_UNREADABLE: &str = "file_unreadable";
-    pub(super) const FAULTS_FOUND: &str = "faults_found";
-    pub(super) const INSTANCE_UNREACHABLE: &str = "instance_unreachable";
-    pub(super) const ANSWER_UNREADABLE: &str = "answer_unreadable";
-    pub(super) const BAD_TUPLE: &str = "bad_tuple";
-    pub(super) const NOT_FOUND: &str = "not_found";
-    pub(super) const INSTANCES_LAG: &str = "instances_lag";
-    pub(super) const TIMED_OUT: &str = "timed_out";
+    OUTPUT_FAILED = 5010, "output_failed", Command,
+        "The output cannot be written.",
+        "Check where the output goes.";
 }
--- a/crates/settings/src/document/cursor.rs
+++ b/crates/settings/src/document/cursor.rs
@@ -2,10 +2,13 @@
 
 use std::sync::Arc;
 
-use super::{Entry, Node, Position};
+use super::{Entry, Node, Position, Value};
 use crate::codes::Code;
 use crate::fault::Fault;
 
+/// Stands for a document whose text is not at hand: every position in it is the start.
+static NO_TEXT: Node = Node { position: Position::START, value: Value::Null };
+
 /// A node of a document with its path, for reporting faults about it.
 #[derive(Clone, Debug)]
 pub(crate) struct Cursor<'a> {
@@ -19,6 +22,11 @@
         Self { node, path: String::new() }
     }
 
+    /// A whole document without its text. Faults get their path, but no position.
+    pub(crate) fn without_text() -> Cursor<'static> {
+        Cursor::root(&NO_TEXT)
+    }
+
     /// The node itself.
     pub(crate) fn node(&self) -> &'a Node {
         self.node
@@ -41,6 +49,18 @@
         Self { node, path: format!("{}[{index}]", self.path) }
     }
 
+    /// The element of a list whose field `name` is `name`.
+    pub(crate) fn named(&self, name: &str) -> Self {
+        let has_name = |node: &Node| {
+            let entry = node.entry("name");
+            entry.is_some_and(|entry| matches!(&entry.node.value, Value::Text(t) if &**t == name))
+        };
+        let Value::List(nodes) = &self.node.value else {
+            return Self { node: self.node, path: format!("{}[{name}]", self.path) };
+        };
+        nodes.iter().position(has_name).map_or_else(|| self.clone(), |index| self.element(index))
+    }
+
     /// A fault at the node's position.
     pub(crate) fn fault(&self, code: Code, text: impl Into<Arc<str>>) -> Fault {
         self.fault_at(self.node.position, code, text)
--- a/crates/settings/src/document/mod.rs
+++ b/crates/settings/src/document/mod.rs
@@ -39,3 +39,12 @@
     let checked = check(&border, &root, &mut faults);
     if faults.is_empty() { Ok(checked) } else { Err(faults) }
 }
+
+/// The version that a document states, even if the rest is faulty.
+pub(crate) fn stated_version(yaml: &str) -> Option<u64> {
+    let tree = read::read(yaml).ok()?;
+    match tree.entry("version")?.node.value {
+        Value::Integer(version) => u64::try_from(version).ok(),
+        _ => None,
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,6 +15,7 @@
 mod prefix;
 pub mod process;
 pub mod root;
+mod step;
 
 pub use book::{Book, Outcome};
 pub use codes::Code;
--- a/crates/settings/src/root/mod.rs
+++ b/crates/settings/src/root/mod.rs
@@ -94,6 +94,25 @@
     document::parse(yaml, &SCHEMA, check)
 }
 
+/// Like [`parse`], but also checks the step from the root `old`, with positions in `yaml`.
+///
+/// `old` may be any older root: a step over several versions is checked as far as its two ends
+/// allow. The same version with the same content is no fault, with other content it is.
+///
+/// ```
+/// use settings::{codes, root};
+/// let old = root::parse("version: 2\naccounts: []\n").unwrap();
+/// let faults = root::parse_next("version: 1\naccounts: []\n", &old).unwrap_err();
+/// assert_eq!(faults[0].code, codes::VERSION_NOT_GROWN);
+/// ```
+pub fn parse_next(yaml: &str, old: &Root) -> Result<Root, Vec<Fault>> {
+    document::parse(yaml, &SCHEMA, |border, at, faults| {
+        let new = check(border, at, faults);
+        change::check(old, &new, at, faults);
+        new
+    })
+}
+
 fn check(border: &border::RootDocument, at: &Cursor<'_>, faults: &mut Vec<Fault>) -> Root {
     let list = at.field("accounts");
     let mut ranges = Ranges::default();
--- a/xtask/src/codegen.rs
+++ b/xtask/src/codegen.rs
@@ -6,11 +6,19 @@
 use std::process::{Command, Stdio};
 
 use anyhow::{Context as _, ensure};
+use settings::codes::{self, Entry};
 use typify::{TypeSpace, TypeSpaceSettings};
 
 /// Documents whose border types are generated: `schema/NAME.json` becomes `generated/NAME.rs`.
 const SCHEMAS: &[&str] = &["account", "agent", "balancer", "root"];
 
+const RESULT_CODES_HEAD: &str = "\
+# Result codes
+
+Generated from `settings::codes::TABLE` by `cargo xtask codegen`: change it there. Logs, HTTP answers and `goosectl`
+name faults and refusals by these codes; a number never gets a second meaning.
+";
+
 /// What `cargo xtask codegen` does with the generated text.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Mode {
@@ -48,9 +56,25 @@
         let text = border_types(&source).with_context(|| source.display().to_string())?;
         outputs.push(Output { path, text });
     }
+    outputs.push(Output { path: root.join("docs/result-codes.md"), text: result_codes() });
     Ok(outputs)
 }
 
+/// The page of result codes: one table for each class.
+fn result_codes() -> String {
+    let mut text = String::from(RESULT_CODES_HEAD);
+    let mut class = None;
+    for Entry { code, name, class: of, text: what, action } in codes::TABLE {
+        if class != Some(*of) {
+            text += &format!("\n## {}\n\n", of.title());
+            text += "| code | name | what has happened | what to do |\n|---|---|---|---|\n";
+            class = Some(*of);
+        }
+        text += &format!("| {code} | `{name}` | {what} | {action} |\n");
+    }
+    text
+}
+
 fn border_types(source: &Path) -> anyhow::Result<String> {
     let schema: schemars::schema::RootSchema = serde_json::from_slice(&std::fs::read(source)?)?;
     let mut types = TypeSpace::new(TypeSpaceSettings::default().with_struct_builder(false));
--- a/xtask/src/gate.rs
+++ b/xtask/src/gate.rs
@@ -4,6 +4,8 @@
 
 use anyhow::{Context as _, ensure};
 
+use crate::codegen;
+
 /// Each step is a `cargo` call; the first failing one decides the verdict.
 const STEPS: &[&[&str]] = &[
     &["fmt", "--all", "--check"],
@@ -13,6 +15,8 @@
 
 /// Runs every step in order and fails on the first that does.
 pub(crate) fn run() -> anyhow::Result<()> {
+    eprintln!("xtask: codegen --check");
+    codegen::run(codegen::Mode::Check)?;
     STEPS.iter().try_for_each(|step| cargo(step))
 }
 
