--- a/crates/settings/src/account/check.rs
+++ b/crates/settings/src/account/check.rs
@@ -20,7 +20,9 @@
     root: Option<&'a Root>,
     name: &'a str,
     version: Version,
+    /// Sorted, with the service of each.
     endpoints: Vec<(Endpoint, Arc<str>)>,
+    /// Sorted addresses of agents and upstreams.
     machine_addresses: Vec<SocketAddr>,
 }
 
@@ -103,11 +105,14 @@
             let at = at.element(index);
             let Some(endpoint) = fields::endpoint(text, &at, faults) else { continue };
             self.check_ownership(endpoint, &at, faults);
-            if let Some((_, holder)) = self.endpoints.iter().find(|(known, _)| *known == endpoint) {
-                let text = format!("`{text}` is already an address of service `{holder}`");
-                faults.push(at.fault(codes::ENDPOINT_TAKEN, text));
+            match self.endpoints.binary_search_by_key(&endpoint, |(known, _)| *known) {
+                Ok(index) => {
+                    let holder = &self.endpoints[index].1;
+                    let text = format!("`{text}` is already an address of service `{holder}`");
+                    faults.push(at.fault(codes::ENDPOINT_TAKEN, text));
+                }
+                Err(index) => self.endpoints.insert(index, (endpoint, service.clone())),
             }
-            self.endpoints.push((endpoint, service.clone()));
             endpoints.push(endpoint);
         }
         endpoints
@@ -169,11 +174,12 @@
         at: &Cursor<'_>,
         faults: &mut Vec<Fault>,
     ) {
-        if self.machine_addresses.contains(&address) {
+        let Err(index) = self.machine_addresses.binary_search(&address) else {
             let text = format!("{address} is used twice in this subtree");
             faults.push(at.fault(codes::DUPLICATE_NAME, text));
-        }
-        self.machine_addresses.push(address);
+            return;
+        };
+        self.machine_addresses.insert(index, address);
     }
 
     fn check_life(&self, spec: &UpstreamSpec, at: &Cursor<'_>, faults: &mut Vec<Fault>) {
--- a/crates/settings/src/document/read.rs
+++ b/crates/settings/src/document/read.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use serde::de::{Deserialize, Deserializer, Error as _, MapAccess, SeqAccess, Visitor};
+use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
 use serde_saphyr::{DuplicateKeyPolicy, MergeKeyPolicy, Options, Spanned};
 
 use super::{Entry, MAX_SUBTREE_BYTES, Node, Position, Value};
@@ -35,7 +35,6 @@
             max_nodes: MAX_NODES,
             max_anchors: 0,
             max_aliases: 0,
-            max_documents: 1,
         },
         duplicate_keys: DuplicateKeyPolicy::PassThrough,
         merge_keys: MergeKeyPolicy::Error,
@@ -57,7 +56,19 @@
         _ => codes::SYNTAX,
     };
     let position = error.location().map_or(Position::START, |location| position(&location));
-    fault(position, code, error.to_string())
+    let text = match error {
+        Error::MultipleDocuments { .. } => "more than one document".to_owned(),
+        _ => without_position(error.to_string()),
+    };
+    fault(position, code, text)
+}
+
+/// The reader's messages end with the position, which a fault has already.
+fn without_position(mut text: String) -> String {
+    if let Some(end) = text.rfind(" at line ") {
+        text.truncate(end);
+    }
+    text
 }
 
 fn fault(position: Position, code: Code, text: String) -> Fault {
@@ -125,16 +136,10 @@
 
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Value, A::Error> {
         let mut entries = Vec::new();
-        while let Some(key) = map.next_key::<Node>()? {
-            let Value::Text(text) = key.value else {
-                return Err(A::Error::custom("a field name must be text"));
-            };
-            entries.push(entry(text, key.position, map.next_value()?));
+        while let Some(key) = map.next_key::<Spanned<Arc<str>>>()? {
+            let position = position(&key.referenced);
+            entries.push(Entry { key: key.value, position, node: map.next_value()? });
         }
         Ok(Value::Map(entries))
     }
 }
-
-fn entry(key: Arc<str>, position: Position, node: Node) -> Entry {
-    Entry { key, position, node }
-}
--- a/crates/settings/src/root/mod.rs
+++ b/crates/settings/src/root/mod.rs
@@ -142,7 +142,7 @@
     RootAccount { name, prefixes, quarantine }
 }
 
-/// Ranges seen so far, with their owners.
+/// Disjoint ranges seen so far, sorted, with their owners.
 #[derive(Default)]
 struct Ranges(Vec<(Prefix, Arc<str>)>);
 
@@ -158,14 +158,24 @@
         for (index, text) in texts.iter().enumerate() {
             let at = at.element(index);
             let Some(prefix) = fields::prefix(text, &at, faults) else { continue };
-            if let Some((other, holder)) = self.0.iter().find(|(other, _)| other.overlaps(&prefix))
-            {
+            if let Err((other, holder)) = self.insert(prefix, owner) {
                 let text = format!("{prefix} overlaps {other} of account `{holder}`");
                 faults.push(at.fault(codes::PREFIX_OVERLAP, text));
             }
-            self.0.push((prefix, owner.clone()));
             prefixes.push(prefix);
         }
         prefixes
     }
+
+    /// Inserts a range, or gives the one that it overlaps. Two prefixes overlap only if one holds
+    /// the other, so among sorted disjoint ones it is enough to look at both neighbours.
+    fn insert(&mut self, prefix: Prefix, owner: &Arc<str>) -> Result<(), (Prefix, Arc<str>)> {
+        let index = self.0.partition_point(|(known, _)| *known < prefix);
+        let neighbours = &self.0[index.saturating_sub(1)..self.0.len().min(index + 1)];
+        if let Some(found) = neighbours.iter().find(|(known, _)| known.overlaps(&prefix)) {
+            return Err(found.clone());
+        }
+        self.0.insert(index, (prefix, owner.clone()));
+        Ok(())
+    }
 }
