Add the direct-return path for the users' platform

Cause: the users' platform returns packets of unknown flows, opens a flow at one upstream only and lets upstreams answer callers directly, so claims and majorities buy nothing there.

--- /dev/null
+++ b/crates/steering/src/edge/flows.rs
@@ -0,0 +1,142 @@
+//! The balancer's table of flows: a shortcut, bounded, and forgotten without harm.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+
+use crate::flow::{FlowKey, Millis, Segment};
+
+/// Most flows remembered. With 120 bytes each this is 8 MB, far above today's need.
+pub const FLOWS_MAX: usize = 65_536;
+/// A flow without packets for this long is forgotten; finding it again costs some round trips.
+const IDLE_MS: Millis = 30_000;
+/// A flow that a caller has ended is forgotten after this time, so that late packets still find it.
+const CLOSING_MS: Millis = 2_000;
+/// Pause between two looks for flows to forget.
+const SWEEP_MS: Millis = 1_000;
+
+/// What is known about a flow.
+#[derive(Debug, Default)]
+pub(super) struct Entry {
+    /// Where its packets go.
+    pub(super) target: Option<Ipv4Addr>,
+    /// Whether the upstream there has answered on this flow.
+    pub(super) confirmed: bool,
+    /// Sequence number of the opening, if it was seen.
+    pub(super) sequence: Option<u32>,
+    /// Upstreams that do not hold the flow, and when the first of them said so.
+    pub(super) denials: Vec<Ipv4Addr>,
+    asked: Vec<Ipv4Addr>,
+    denied_ms: Millis,
+    expires_ms: Millis,
+    last_data: Option<(u32, Millis)>,
+}
+
+impl Entry {
+    /// Begins anew for another opening of the same flow.
+    pub(super) fn restart(&mut self, sequence: u32) {
+        *self = Self { sequence: Some(sequence), expires_ms: self.expires_ms, ..Self::default() };
+    }
+
+    /// Notes that the upstream at `address` is asked.
+    pub(super) fn ask(&mut self, address: Ipv4Addr) {
+        if self.target != Some(address) {
+            self.target = Some(address);
+            self.confirmed = false;
+        }
+        if !self.has_asked(address) {
+            self.asked.push(address);
+        }
+    }
+
+    /// Notes that the upstream at `address` does not hold the flow.
+    pub(super) fn deny(&mut self, address: Ipv4Addr, now_ms: Millis, valid_ms: Millis) {
+        self.forget_old_denials(now_ms, valid_ms);
+        if self.denials.is_empty() {
+            self.denied_ms = now_ms;
+        }
+        if !self.has_denied(address) {
+            self.denials.push(address);
+        }
+        if self.target == Some(address) {
+            self.target = None;
+            self.confirmed = false;
+        }
+    }
+
+    /// Forgets denials that are too old to prove anything.
+    pub(super) fn forget_old_denials(&mut self, now_ms: Millis, valid_ms: Millis) {
+        if now_ms.saturating_sub(self.denied_ms) >= valid_ms {
+            self.denials.clear();
+        }
+    }
+
+    /// Whether the upstream at `address` was asked.
+    pub(super) fn has_asked(&self, address: Ipv4Addr) -> bool {
+        self.asked.contains(&address)
+    }
+
+    /// Whether the upstream at `address` has denied the flow.
+    pub(super) fn has_denied(&self, address: Ipv4Addr) -> bool {
+        self.denials.contains(&address)
+    }
+
+    /// Notes the data of a packet and says whether the same came before, some time ago.
+    pub(super) fn note_data(&mut self, now_ms: Millis, segment: &Segment, after_ms: Millis) -> bool {
+        if segment.data_bytes == 0 {
+            return false;
+        }
+        if let Some((sequence, at_ms)) = self.last_data
+            && sequence == segment.sequence
+        {
+            return now_ms.saturating_sub(at_ms) >= after_ms;
+        }
+        self.last_data = Some((segment.sequence, now_ms));
+        false
+    }
+}
+
+/// All flows known.
+#[derive(Default)]
+pub(super) struct FlowTable {
+    entries: HashMap<FlowKey, Entry>,
+    swept_ms: Millis,
+}
+
+impl FlowTable {
+    /// The entry of a flow, new if there is none. A full table starts anew: entries are shortcuts,
+    /// and a flood must not cost more than that.
+    pub(super) fn entry(&mut self, flow: FlowKey, now_ms: Millis) -> &mut Entry {
+        if self.entries.len() >= FLOWS_MAX && !self.entries.contains_key(&flow) {
+            self.entries = HashMap::new();
+        }
+        let entry = self.entries.entry(flow).or_default();
+        entry.expires_ms = now_ms + IDLE_MS;
+        entry
+    }
+
+    /// The entry of a flow, if there is one.
+    pub(super) fn get(&mut self, flow: FlowKey) -> Option<&mut Entry> {
+        self.entries.get_mut(&flow)
+    }
+
+    /// Forgets a flow soon.
+    pub(super) fn closing(&mut self, flow: FlowKey, now_ms: Millis) {
+        if let Some(entry) = self.entries.get_mut(&flow) {
+            entry.expires_ms = now_ms + CLOSING_MS;
+        }
+    }
+
+    /// Forgets what is old.
+    pub(super) fn expire(&mut self, now_ms: Millis) {
+        if now_ms.saturating_sub(self.swept_ms) < SWEEP_MS {
+            return;
+        }
+        self.swept_ms = now_ms;
+        self.entries.retain(|_, entry| entry.expires_ms > now_ms);
+    }
+
+    /// Number of flows.
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+}
--- /dev/null
+++ b/crates/steering/src/edge/mod.rs
@@ -0,0 +1,449 @@
+//! A balancer's decisions: where each packet of a caller goes, and what follows when an agent
+//! returns it.
+//!
+//! The table of flows is a shortcut only. A balancer without an entry asks the upstreams of the
+//! service one after the other, in an order that all balancers share; an upstream that does not
+//! hold the flow returns the packet, and the one that holds it says so once.
+
+mod flows;
+mod loads;
+
+use std::net::Ipv4Addr;
+
+use crate::flow::{FlowKey, Millis, OpeningBytes, Segment, SegmentKind};
+use crate::membership;
+use crate::rank;
+use crate::view::{ServiceStamp, Standing, Upstream, View};
+
+pub use flows::FLOWS_MAX;
+use flows::{Entry, FlowTable};
+use loads::LoadTable;
+
+/// How long an opening may stay unanswered by one agent before the next is asked. A calm round
+/// trip takes under 5 ms; the rest is room for a busy instance. Callers repeat after 200 ms.
+pub const OPENING_PATIENCE_MS: Millis = 60;
+/// Upstreams of the first ranks among which load decides. More would spread flows further from
+/// their first rank, and a balancer without memory would ask longer.
+const PLACEMENT_RANKS: usize = 3;
+/// Copies of a repeated packet that go to further upstreams at once.
+const FAN_OUT: usize = 3;
+/// After this time, that an upstream once denied a flow says nothing any more.
+const DENIAL_MS: Millis = 1_000;
+/// A packet with the same data that comes again after this time is taken as repeated because
+/// nobody answered; the callers' first pause is 200 ms.
+const REPEAT_MS: Millis = 150;
+/// An upstream that has been silent for this long, beside an agent that lives, counts as one that
+/// denies. Upstreams answer at once or return the packet.
+const SILENCE_PROVES_MS: Millis = 400;
+
+/// What an agent says about a packet that it got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The upstream answers on this flow; `busy` requests are at work there.
+    Held {
+        /// Requests at work.
+        busy: u8,
+    },
+    /// The upstream does not hold the flow, or cannot take it.
+    Denied,
+    /// The upstream has answered nothing for that long; the packet went to it all the same.
+    Silent {
+        /// How long it has been silent.
+        for_ms: Millis,
+    },
+}
+
+/// Why something was done, for logs and metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    /// A new flow was placed.
+    Placed,
+    /// An opening went to another upstream, since one denied it or stayed silent.
+    Replaced,
+    /// The flow's upstream is known.
+    Known,
+    /// The flow's upstream is being looked for.
+    Asked,
+    /// No route leads from the endpoint.
+    NoRoute,
+    /// All upstreams deny the opening.
+    Refused,
+    /// All upstreams deny the flow.
+    Lost,
+    /// Nothing is known about routes or upstreams, or a proof is missing.
+    Unknown,
+}
+
+/// What is to be done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send the packet at hand to the agent at `to`.
+    Forward {
+        /// Address of the agent's instance.
+        to: Ipv4Addr,
+        /// The service whose upstream may take it.
+        service: ServiceStamp,
+        /// Whether the agent is to say so when its upstream answers.
+        ask: bool,
+        /// Why.
+        reason: Reason,
+    },
+    /// Send an earlier opening once more.
+    Replay {
+        /// The opening.
+        opening: OpeningBytes,
+        /// Address of the agent's instance.
+        to: Ipv4Addr,
+        /// The service whose upstream may take it.
+        service: ServiceStamp,
+    },
+    /// Tell the caller that the flow does not exist.
+    Reset {
+        /// Why.
+        reason: Reason,
+    },
+    /// Nothing more is done with the packet.
+    Drop {
+        /// Why.
+        reason: Reason,
+    },
+}
+
+struct Pending {
+    flow: FlowKey,
+    opening: OpeningBytes,
+    due_ms: Millis,
+}
+
+/// The state of a balancer.
+#[derive(Default)]
+pub struct Edge {
+    flows: FlowTable,
+    loads: LoadTable,
+    pending: Vec<Pending>,
+}
+
+impl Edge {
+    /// Decides about a packet of a caller; `bytes` is the packet itself.
+    ///
+    /// `resets_from_ms` is the moment from which the list of upstreams is known to be whole.
+    pub fn on_packet(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        segment: &Segment,
+        bytes: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
+        match segment.kind {
+            SegmentKind::Opening { .. } => self.open(now_ms, view, segment, bytes, actions),
+            SegmentKind::Later => self.carry(now_ms, view, segment, actions),
+            SegmentKind::Reset => self.close(now_ms, view, segment, actions),
+        }
+    }
+
+    /// Takes what the agent at `from` says about a packet; the packet itself comes along.
+    pub fn on_verdict(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        from: Ipv4Addr,
+        verdict: Verdict,
+        segment: &Segment,
+        actions: &mut Vec<Action>,
+    ) {
+        match verdict {
+            Verdict::Held { busy } => self.held(now_ms, from, busy, segment.flow),
+            Verdict::Denied => {
+                self.denied(now_ms, view, from, segment, actions);
+            }
+            Verdict::Silent { for_ms } => {
+                self.loads.silent(now_ms, from);
+                if for_ms >= SILENCE_PROVES_MS || segment.kind != SegmentKind::Later {
+                    self.denied(now_ms, view, from, segment, actions);
+                }
+            }
+        }
+    }
+
+    /// Sends unanswered openings to the next upstream and forgets what is old.
+    pub fn on_tick(&mut self, now_ms: Millis, view: &View, actions: &mut Vec<Action>) {
+        let due = self.pending.partition_point(|pending| pending.due_ms <= now_ms);
+        let overdue: Vec<Pending> = self.pending.drain(..due).collect();
+        for pending in overdue {
+            self.reopen(now_ms, view, &pending, actions);
+        }
+        self.flows.expire(now_ms);
+    }
+
+    /// Number of flows in the table.
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    fn open(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        segment: &Segment,
+        bytes: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(service) = service_of(view, segment.flow) else {
+            let known = view.routes.version > 0;
+            actions.push(if known {
+                Action::Reset { reason: Reason::NoRoute }
+            } else {
+                Action::Drop { reason: Reason::Unknown }
+            });
+            return;
+        };
+        let entry = self.flows.entry(segment.flow, now_ms);
+        if entry.sequence != Some(segment.sequence) {
+            entry.restart(segment.sequence);
+        }
+        let copied = entry.target.is_some();
+        if let (Some(to), true) = (entry.target, entry.confirmed) {
+            actions.push(Action::Forward { to, service, ask: true, reason: Reason::Known });
+            return;
+        }
+        let reason = if copied { Reason::Replaced } else { Reason::Placed };
+        let Some(to) = place(now_ms, view, service, segment.flow, entry, &self.loads) else {
+            actions.push(Action::Drop { reason: Reason::Unknown });
+            return;
+        };
+        entry.ask(to);
+        self.loads.placed(now_ms, to);
+        actions.push(Action::Forward { to, service, ask: true, reason });
+        if let Some(opening) = OpeningBytes::keep(bytes) {
+            self.await_answer(now_ms, segment.flow, opening);
+        }
+    }
+
+    fn await_answer(&mut self, now_ms: Millis, flow: FlowKey, opening: OpeningBytes) {
+        self.pending.retain(|pending| pending.flow != flow);
+        self.pending.push(Pending { flow, opening, due_ms: now_ms + OPENING_PATIENCE_MS });
+    }
+
+    fn reopen(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        pending: &Pending,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(service) = service_of(view, pending.flow) else { return };
+        let Some(entry) = self.flows.get(pending.flow) else { return };
+        if entry.confirmed {
+            return;
+        }
+        if let Some(silent) = entry.target {
+            self.loads.silent(now_ms, silent);
+        }
+        let Some(to) = place(now_ms, view, service, pending.flow, entry, &self.loads) else {
+            return;
+        };
+        if entry.has_asked(to) {
+            return;
+        }
+        entry.ask(to);
+        self.loads.placed(now_ms, to);
+        actions.push(Action::Replay { opening: pending.opening, to, service });
+        self.await_answer(now_ms, pending.flow, pending.opening);
+    }
+
+    fn carry(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        segment: &Segment,
+        actions: &mut Vec<Action>,
+    ) {
+        let candidates = candidates(view, segment.flow, now_ms);
+        let entry = self.flows.entry(segment.flow, now_ms);
+        let repeated = entry.note_data(now_ms, segment, REPEAT_MS);
+        let target = entry.target.or_else(|| next_unasked(&candidates, entry, now_ms));
+        let Some(to) = target else {
+            actions.push(Action::Drop { reason: Reason::Unknown });
+            return;
+        };
+        let service = service_at(view, to).or_else(|| service_of(view, segment.flow));
+        let Some(service) = service else {
+            actions.push(Action::Drop { reason: Reason::NoRoute });
+            return;
+        };
+        let ask = !entry.confirmed || repeated;
+        let reason = if entry.confirmed { Reason::Known } else { Reason::Asked };
+        entry.ask(to);
+        actions.push(Action::Forward { to, service, ask, reason });
+        if repeated {
+            fan_out(&candidates, entry, now_ms, actions);
+        }
+    }
+
+    fn close(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        segment: &Segment,
+        actions: &mut Vec<Action>,
+    ) {
+        self.carry(now_ms, view, segment, actions);
+        self.flows.closing(segment.flow, now_ms);
+    }
+
+    fn held(&mut self, now_ms: Millis, from: Ipv4Addr, busy: u8, flow: FlowKey) {
+        self.loads.report(now_ms, from, busy);
+        self.pending.retain(|pending| pending.flow != flow);
+        let entry = self.flows.entry(flow, now_ms);
+        entry.target = Some(from);
+        entry.confirmed = true;
+        entry.denials.clear();
+    }
+
+    fn denied(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        from: Ipv4Addr,
+        segment: &Segment,
+        actions: &mut Vec<Action>,
+    ) {
+        let flow = segment.flow;
+        let entry = self.flows.entry(flow, now_ms);
+        entry.deny(from, now_ms, DENIAL_MS);
+        match segment.kind {
+            SegmentKind::Opening { .. } => {
+                let Some(service) = service_of(view, flow) else { return };
+                let Some(to) = place(now_ms, view, service, flow, entry, &self.loads) else {
+                    actions.push(Action::Reset { reason: Reason::Refused });
+                    self.flows.closing(flow, now_ms);
+                    return;
+                };
+                if entry.confirmed {
+                    return;
+                }
+                entry.ask(to);
+                self.loads.placed(now_ms, to);
+                let reason = Reason::Replaced;
+                actions.push(Action::Forward { to, service, ask: true, reason });
+            }
+            SegmentKind::Reset => {}
+            SegmentKind::Later => {
+                let candidates = candidates(view, flow, now_ms);
+                if let Some(next) = next_undenied(&candidates, entry) {
+                    entry.ask(next.address);
+                    let (to, service) = (next.address, next.service);
+                    actions.push(Action::Forward { to, service, ask: true, reason: Reason::Asked });
+                    return;
+                }
+                let proven = !candidates.is_empty() && now_ms >= view.whole_from_ms;
+                actions.push(if proven {
+                    self.flows.closing(flow, now_ms);
+                    Action::Reset { reason: Reason::Lost }
+                } else {
+                    Action::Drop { reason: Reason::Unknown }
+                });
+            }
+        }
+    }
+}
+
+/// The service of a flow's endpoint.
+fn service_of(view: &View, flow: FlowKey) -> Option<ServiceStamp> {
+    view.routes.find(flow.endpoint)?.service_of(flow)
+}
+
+fn service_at(view: &View, address: Ipv4Addr) -> Option<ServiceStamp> {
+    let upstream = view.upstreams().iter().find(|upstream| upstream.address == address)?;
+    Some(upstream.service)
+}
+
+/// Upstreams that may hold a flow, best guess first.
+fn candidates(view: &View, flow: FlowKey, now_ms: Millis) -> Vec<Upstream> {
+    let Some(route) = view.routes.find(flow.endpoint) else { return Vec::new() };
+    let mut ranked: Vec<(u64, Upstream)> = route
+        .shares
+        .iter()
+        .flat_map(|share| view.upstreams_of(share.service))
+        .filter(|upstream| !membership::is_gone(upstream.standing, now_ms))
+        .map(|upstream| (rank::score(flow, upstream.address), *upstream))
+        .collect();
+    ranked.sort_by_key(|(score, upstream)| (std::cmp::Reverse(*score), upstream.address));
+    ranked.into_iter().map(|(_, upstream)| upstream).collect()
+}
+
+/// Chooses the upstream of a new flow among those that did not deny it; one that was asked before
+/// comes only after all others.
+fn place(
+    now_ms: Millis,
+    view: &View,
+    service: ServiceStamp,
+    flow: FlowKey,
+    entry: &Entry,
+    loads: &LoadTable,
+) -> Option<Ipv4Addr> {
+    let usable = |upstream: &&Upstream| !entry.has_denied(upstream.address);
+    let is_ready = |upstream: &&Upstream| upstream.standing == Standing::Ready;
+    let all = view.upstreams_of(service);
+    let mut open: Vec<&Upstream> = all.iter().filter(is_ready).filter(usable).collect();
+    if open.is_empty() && !all.iter().any(|upstream| upstream.standing == Standing::Ready) {
+        // All entries of a service go at once only when the list itself had a fault.
+        open = all.iter().filter(|u| is_silent(u, now_ms)).filter(usable).collect();
+    }
+    open.sort_by_key(|upstream| {
+        (
+            entry.has_asked(upstream.address),
+            loads.is_suspect(now_ms, upstream.address),
+            std::cmp::Reverse(rank::score(flow, upstream.address)),
+        )
+    });
+    let first = open.first()?;
+    let class = |upstream: &Upstream| {
+        (entry.has_asked(upstream.address), loads.is_suspect(now_ms, upstream.address))
+    };
+    let best = open
+        .iter()
+        .take(PLACEMENT_RANKS)
+        .filter(|upstream| class(upstream) == class(first))
+        .min_by_key(|upstream| loads.load(now_ms, upstream))?;
+    Some(best.address)
+}
+
+fn is_silent(upstream: &Upstream, now_ms: Millis) -> bool {
+    let missing = matches!(upstream.standing, Standing::Missing { drained: false, .. });
+    missing && !membership::is_gone(upstream.standing, now_ms)
+}
+
+fn next_undenied<'a>(candidates: &'a [Upstream], entry: &Entry) -> Option<&'a Upstream> {
+    let open = |upstream: &&Upstream| !entry.has_denied(upstream.address);
+    let fresh = candidates.iter().filter(open).find(|u| !entry.has_asked(u.address));
+    fresh.or_else(|| candidates.iter().find(open))
+}
+
+fn next_unasked(candidates: &[Upstream], entry: &mut Entry, now_ms: Millis) -> Option<Ipv4Addr> {
+    entry.forget_old_denials(now_ms, DENIAL_MS);
+    let next = next_undenied(candidates, entry).or(candidates.first())?;
+    Some(next.address)
+}
+
+/// Sends copies of a packet that nobody answers to upstreams that were not asked yet: the flow's
+/// upstream may be behind an agent or a link that is dead, or the entry may be wrong.
+fn fan_out(
+    candidates: &[Upstream],
+    entry: &mut Entry,
+    now_ms: Millis,
+    actions: &mut Vec<Action>,
+) {
+    entry.forget_old_denials(now_ms, DENIAL_MS);
+    let others: Vec<Upstream> = candidates
+        .iter()
+        .filter(|upstream| Some(upstream.address) != entry.target)
+        .filter(|upstream| !entry.has_denied(upstream.address))
+        .take(FAN_OUT)
+        .copied()
+        .collect();
+    for Upstream { address: to, service, .. } in others {
+        actions.push(Action::Forward { to, service, ask: true, reason: Reason::Asked });
+    }
+}
--- /dev/null
+++ b/crates/steering/src/flow/mod.rs
@@ -0,0 +1,74 @@
+//! Flows and the parts of a packet that decisions look at.
+
+use std::net::SocketAddrV4;
+
+/// Steady time in milliseconds since some moment before the process started.
+pub type Millis = u64;
+
+/// A flow: the caller's end and the service's end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FlowKey {
+    /// Address and port of the caller.
+    pub caller: SocketAddrV4,
+    /// Address and port that the caller wrote to.
+    pub endpoint: SocketAddrV4,
+}
+
+/// What a packet does to its flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SegmentKind {
+    /// The opening packet; `copy` counts the caller's repetitions of it, from zero.
+    Opening {
+        /// Which copy of the opening this is.
+        copy: u32,
+    },
+    /// Any later packet.
+    Later,
+    /// The caller gives the flow up.
+    Reset,
+}
+
+/// A packet of a caller, reduced to what decides about it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Segment {
+    /// The flow it belongs to.
+    pub flow: FlowKey,
+    /// What it does.
+    pub kind: SegmentKind,
+    /// First sequence number of its data.
+    pub sequence: u32,
+    /// Number of data bytes.
+    pub data_bytes: u16,
+}
+
+/// Bytes of an opening packet, kept so that it can be sent once more. Openings carry no data; a
+/// longer one is not kept, and then only the caller's own copies open the flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpeningBytes {
+    bytes: [u8; OpeningBytes::CAPACITY],
+    length: u8,
+}
+
+impl OpeningBytes {
+    /// Longest packet kept: the platform's head of 36 bytes and some room.
+    pub const CAPACITY: usize = 48;
+
+    /// Keeps a packet, if it is short enough.
+    ///
+    /// ```
+    /// use steering::flow::OpeningBytes;
+    /// assert_eq!(OpeningBytes::keep(&[1, 2]).unwrap().as_bytes(), [1, 2]);
+    /// assert!(OpeningBytes::keep(&[0; 49]).is_none());
+    /// ```
+    pub fn keep(packet: &[u8]) -> Option<Self> {
+        let mut bytes = [0; Self::CAPACITY];
+        bytes.get_mut(..packet.len())?.copy_from_slice(packet);
+        let length = u8::try_from(packet.len()).ok()?;
+        Some(Self { bytes, length })
+    }
+
+    /// The packet.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.bytes[..usize::from(self.length)]
+    }
+}
--- /dev/null
+++ b/crates/steering/src/membership/mod.rs
@@ -0,0 +1,128 @@
+//! Which upstreams there are: the published list, read by many hands and at times incomplete.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use crate::flow::Millis;
+use crate::view::{RouteTable, ServiceStamp, Standing, Upstream, View};
+
+/// How long an upstream whose entry went without notice may still hold flows: entries that expired
+/// while the configuration service was away are published again within two seconds of its return,
+/// and the notice takes some time to come here.
+pub const SILENT_LINGER_MS: Millis = 2_500;
+/// How long an upstream whose entry went while it was draining may still hold flows. Upstreams go on
+/// for many seconds after the notice and leave the list when they have left; the rest is delay.
+pub const DRAINED_LINGER_MS: Millis = 5_000;
+
+/// An entry of the published list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamRecord {
+    /// Name of this life of the upstream.
+    pub id: Arc<str>,
+    /// Address of its instance.
+    pub address: Ipv4Addr,
+    /// The service that it runs.
+    pub service: ServiceStamp,
+    /// Whether it leaves.
+    pub draining: bool,
+    /// How much longer it is slow after its start.
+    pub warmup_left_ms: Millis,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    id: Arc<str>,
+    upstream: Upstream,
+}
+
+/// The list as this process knows it, with the entries that went lately.
+#[derive(Clone, Debug, Default)]
+pub struct Membership {
+    members: Vec<Member>,
+}
+
+impl Membership {
+    /// Takes a whole list; entries that are not in it count as removed now.
+    pub fn replace(&mut self, now_ms: Millis, records: &[UpstreamRecord]) {
+        let listed = |id: &Arc<str>| records.iter().any(|record| record.id == *id);
+        let gone: Vec<Arc<str>> = self
+            .members
+            .iter()
+            .filter(|member| !listed(&member.id))
+            .map(|member| Arc::clone(&member.id))
+            .collect();
+        gone.iter().for_each(|id| self.remove(now_ms, id));
+        records.iter().for_each(|record| self.insert(now_ms, record));
+    }
+
+    /// Takes a new or changed entry.
+    pub fn insert(&mut self, now_ms: Millis, record: &UpstreamRecord) {
+        let standing = if record.draining { Standing::Draining } else { Standing::Ready };
+        let upstream = Upstream {
+            address: record.address,
+            service: record.service,
+            standing,
+            warm_at_ms: now_ms + record.warmup_left_ms,
+            slots: record.slots,
+        };
+        // An address has one user at a time: whoever had it before is gone for certain.
+        self.members.retain(|member| {
+            member.id == record.id || member.upstream.address != record.address
+        });
+        match self.members.binary_search_by(|member| member.id.cmp(&record.id)) {
+            Ok(index) => self.members[index].upstream = upstream,
+            Err(index) => {
+                self.members.insert(index, Member { id: Arc::clone(&record.id), upstream });
+            }
+        }
+    }
+
+    /// Takes the removal of an entry.
+    pub fn remove(&mut self, now_ms: Millis, id: &str) {
+        let Ok(index) = self.members.binary_search_by(|member| (*member.id).cmp(id)) else {
+            return;
+        };
+        let standing = &mut self.members[index].upstream.standing;
+        let drained = match standing {
+            Standing::Missing { .. } => return,
+            Standing::Draining => true,
+            Standing::Ready => false,
+        };
+        *standing = Standing::Missing { since_ms: now_ms, drained };
+    }
+
+    /// Forgets the entries that went long enough ago; says whether there were any.
+    pub fn expire(&mut self, now_ms: Millis) -> bool {
+        let before = self.members.len();
+        self.members.retain(|member| !is_gone(member.upstream.standing, now_ms));
+        self.members.len() != before
+    }
+
+    /// The upstreams with these routes.
+    pub fn view(&self, routes: Arc<RouteTable>) -> View {
+        View::new(routes, self.members.iter().map(|member| member.upstream).collect())
+    }
+
+    /// Number of entries, those that went lately included.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+}
+
+/// Whether an upstream has been missing for so long that it holds no flow.
+pub fn is_gone(standing: Standing, now_ms: Millis) -> bool {
+    match standing {
+        Standing::Ready | Standing::Draining => false,
+        Standing::Missing { since_ms, drained } => {
+            let linger_ms = if drained { DRAINED_LINGER_MS } else { SILENT_LINGER_MS };
+            now_ms.saturating_sub(since_ms) >= linger_ms
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/view/mod.rs
@@ -0,0 +1,158 @@
+//! What a balancer believes: routes, services and their upstreams, as immutable sorted tables.
+
+use std::hash::Hasher as _;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use siphasher::sip::SipHasher13;
+
+use crate::flow::{FlowKey, Millis};
+use crate::rank;
+
+/// Identity of a service that packets carry between balancer and agent, so that an agent whose
+/// address was used by another service before never delivers that service's packets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceStamp(pub u32);
+
+impl ServiceStamp {
+    /// The stamp of a service's name. Zero stands for no service and is never a stamp.
+    ///
+    /// ```
+    /// use steering::view::ServiceStamp;
+    /// assert_ne!(ServiceStamp::of("shelf"), ServiceStamp::of("manifest"));
+    /// ```
+    pub fn of(name: &str) -> Self {
+        let mut hasher = SipHasher13::new();
+        hasher.write(name.as_bytes());
+        Self((hasher.finish() as u32).max(1))
+    }
+}
+
+/// Whether an upstream takes new flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Takes new flows.
+    Ready,
+    /// Keeps its flows and takes no new ones.
+    Draining,
+    /// No longer listed, since that moment. Its flows may still live.
+    Missing {
+        /// When the entry went.
+        since_ms: Millis,
+        /// Whether it had announced that it leaves.
+        drained: bool,
+    },
+}
+
+/// An upstream as balancers see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Upstream {
+    /// Address of its instance.
+    pub address: Ipv4Addr,
+    /// The service that it runs.
+    pub service: ServiceStamp,
+    /// Whether it takes new flows.
+    pub standing: Standing,
+    /// Until when it is slow after its start.
+    pub warm_at_ms: Millis,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+}
+
+/// A share of a route's flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The service that gets it.
+    pub service: ServiceStamp,
+    /// Its weight among the route's shares.
+    pub weight: u32,
+}
+
+/// Where new flows to an endpoint go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Address and port that callers write to.
+    pub endpoint: SocketAddrV4,
+    /// One or more shares.
+    pub shares: Arc<[Share]>,
+}
+
+/// Routes of one configuration version.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RouteTable {
+    /// Version of the configuration; only grows within a process's life.
+    pub version: u64,
+    routes: Vec<Route>,
+}
+
+impl RouteTable {
+    /// A table of these routes. Of two routes for one endpoint the first is kept.
+    pub fn new(version: u64, mut routes: Vec<Route>) -> Self {
+        routes.sort_by_key(|route| route.endpoint);
+        routes.dedup_by_key(|route| route.endpoint);
+        Self { version, routes }
+    }
+
+    /// The route of an endpoint.
+    pub fn find(&self, endpoint: SocketAddrV4) -> Option<&Route> {
+        let index = self.routes.binary_search_by_key(&endpoint, |route| route.endpoint).ok()?;
+        Some(&self.routes[index])
+    }
+
+    /// All routes, by endpoint.
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+}
+
+impl Route {
+    /// The service that a new flow goes to, by the shares' weights; `None` if all weights are zero.
+    pub fn service_of(&self, flow: FlowKey) -> Option<ServiceStamp> {
+        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let mut point = rank::flow_hash(flow).checked_rem(total)?;
+        for share in self.shares.iter() {
+            let weight = u64::from(share.weight);
+            if point < weight {
+                return Some(share.service);
+            }
+            point -= weight;
+        }
+        None
+    }
+}
+
+/// Routes and upstreams at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Routes in force.
+    pub routes: Arc<RouteTable>,
+    /// From when on the list of upstreams counts as whole: right after an outage of the
+    /// configuration service it may lack upstreams that live, and proves nothing by absence.
+    pub whole_from_ms: Millis,
+    upstreams: Vec<Upstream>,
+}
+
+impl View {
+    /// A view of these routes and upstreams.
+    pub fn new(routes: Arc<RouteTable>, mut upstreams: Vec<Upstream>) -> Self {
+        upstreams.sort_by_key(|upstream| (upstream.service, upstream.address));
+        Self { routes, whole_from_ms: 0, upstreams }
+    }
+
+    /// The upstreams of a service.
+    pub fn upstreams_of(&self, service: ServiceStamp) -> &[Upstream] {
+        let start = self.upstreams.partition_point(|upstream| upstream.service < service);
+        let count = self.upstreams[start..].partition_point(|upstream| upstream.service == service);
+        &self.upstreams[start..start + count]
+    }
+
+    /// Whether an address belongs to an instance beside an upstream.
+    pub fn is_upstream(&self, address: Ipv4Addr) -> bool {
+        self.upstreams.iter().any(|upstream| upstream.address == address)
+    }
+
+    /// All upstreams, by service and address.
+    pub fn upstreams(&self) -> &[Upstream] {
+        &self.upstreams
+    }
+}
