--- a/crates/settings/src/codes/table.rs
+++ b/crates/settings/src/codes/table.rs
@@ -183,6 +183,36 @@
     UNSUPPORTED_PROTOCOL = 2111, "unsupported_protocol", Packets,
         "The packet is neither TCP nor UDP.",
         "None: other protocols are not served.";
+    PLACED = 2201, "placed", Packets,
+        "A new flow was sent to an upstream.",
+        "None.";
+    REPLACED = 2202, "replaced", Packets,
+        "An opening went to another upstream, since one denied it or did not answer.",
+        "None if rare; otherwise look at the upstreams that are named.";
+    ASKED = 2203, "asked", Packets,
+        "The upstream of a flow is being looked for; this balancer does not know the flow.",
+        "None: usual after a balancer joined, left or started.";
+    REFUSED = 2204, "refused", Packets,
+        "Every upstream of the service denied the opening; the caller was reset.",
+        "Add upstreams, or find out why all are full.";
+    LOST = 2205, "lost", Packets,
+        "Every upstream of the service denied the flow; the caller was reset.",
+        "None if an upstream crashed; otherwise follow the flow with `goosectl explain`.";
+    NOTHING_KNOWN = 2206, "nothing_known", Packets,
+        "The packet was dropped: no route or upstream is known, or a denial is not proven.",
+        "None during a start or an outage; the sender repeats it.";
+    UPSTREAM_SILENT = 2207, "upstream_silent", Packets,
+        "The upstream beside this agent leaves openings unanswered.",
+        "Look at the upstream's process.";
+    UPSTREAM_ANSWERS = 2208, "upstream_answers", Packets,
+        "The upstream beside this agent answers again.",
+        "None.";
+    FOREIGN_SERVICE = 2209, "foreign_service", Packets,
+        "A packet for another service's upstream came here and was given back.",
+        "None: usual for a moment after an address was used again.";
+    LINES_SUPPRESSED = 2210, "lines_suppressed", Packets,
+        "Log lines of this code were left out to keep within the bound.",
+        "None; the metrics count every event.";
     BAD_ARGUMENTS = 3001, "bad_arguments", Start,
         "The command line of the process is wrong.",
         "See `--help`.";
@@ -207,6 +237,18 @@
     THREAD_FAILED = 3008, "thread_failed", Start,
         "A thread or runtime could not be started.",
         "Raise the limits of the instance.";
+    SETTINGS_RELOADED = 3009, "settings_reloaded", Start,
+        "The settings file was read again and is in force.",
+        "None.";
+    SETTINGS_KEPT = 3010, "settings_kept", Start,
+        "The changed settings file was refused; the settings in force stay.",
+        "Correct the file.";
+    STARTED = 3101, "started", Start,
+        "The process serves.",
+        "None.";
+    STOPPED = 3102, "stopped", Start,
+        "The process was told to stop and ends.",
+        "None.";
     NOT_READY = 4001, "not_ready", Control,
         "The process is not ready: its settings are not known to be current enough.",
         "Wait; see `/status` for what is missing.";
@@ -234,6 +276,24 @@
     SETTINGS_REJECTED = 4009, "settings_rejected", Control,
         "A published document was refused; the older version stays in force.",
         "Correct the document; `goosectl check` shows every fault.";
+    VIEW_COMPLETE = 4101, "view_complete", Control,
+        "Routes and upstreams are known; the balancer is ready.",
+        "None.";
+    STORE_LOST = 4102, "store_lost", Control,
+        "The configuration service does not answer; the last view stays in force.",
+        "Check the service and the path to it.";
+    STORE_REGAINED = 4103, "store_regained", Control,
+        "The configuration service answers again.",
+        "None.";
+    ITEM_REFUSED = 4104, "item_refused", Control,
+        "An item of the configuration service makes no sense; the last good one stays in force.",
+        "Correct the item.";
+    VIEW_CHANGED = 4105, "view_changed", Control,
+        "Another configuration or list of upstreams is in force.",
+        "None.";
+    PEER_VIEW = 4106, "peer_view", Control,
+        "A view came from another balancer.",
+        "None.";
     USAGE = 5001, "usage", Command,
         "The command line is wrong.",
         "See `goosectl --help`.";
--- a/crates/shell/src/signals.rs
+++ b/crates/shell/src/signals.rs
@@ -1,10 +1,10 @@
-//! Termination signals as a flag.
+//! Signals as flags.
 
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::flag;
 
 /// Whether the process was told to shut down. Clones share one flag.
@@ -43,3 +43,37 @@
         self.flag.load(Ordering::Relaxed)
     }
 }
+
+/// Whether the process was told that its settings have changed. Clones share one flag.
+#[derive(Clone, Debug, Default)]
+pub struct Reload {
+    flag: Arc<AtomicBool>,
+}
+
+impl Reload {
+    /// A flag that SIGHUP raises; without it, the signal would end the process.
+    ///
+    /// Errors: those of the system call.
+    pub fn on_signal() -> io::Result<Self> {
+        let reload = Self::default();
+        flag::register(SIGHUP, reload.flag.clone())?;
+        Ok(reload)
+    }
+
+    /// Raises the flag.
+    pub fn request(&self) {
+        self.flag.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether the flag was raised since the last call.
+    ///
+    /// ```
+    /// let reload = shell::signals::Reload::default();
+    /// reload.request();
+    /// assert!(reload.take());
+    /// assert!(!reload.take());
+    /// ```
+    pub fn take(&self) -> bool {
+        self.flag.swap(false, Ordering::Relaxed)
+    }
+}
