Let two balancers read the configuration service for all

Ruled out: longer waits alone, since a silent connection must be noticed within the bound for configuration. Change: readers tell the others by beacon what they know; the others fetch a view over HTTP when its digests differ, and read themselves when readers fall silent. Conclusion: kept, for calls no longer grow with the number of balancers.

--- a/crates/shell/src/http/routes.rs
+++ b/crates/shell/src/http/routes.rs
@@ -115,6 +115,11 @@
         Self { status: 200, content_type: "text/plain; charset=utf-8", body }
     }
 
+    /// Bytes of our own protocols.
+    pub fn bytes(body: Vec<u8>) -> Self {
+        Self { status: 200, content_type: "application/octet-stream", body }
+    }
+
     /// An error with a line of text.
     pub fn error(status: u16, text: impl Into<String>) -> Self {
         Self { status, ..Self::text(text) }
--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -81,7 +81,12 @@
     }
 
     /// Notes the data of a packet and says whether the same came before, some time ago.
-    pub(super) fn note_data(&mut self, now_ms: Millis, segment: &Segment, after_ms: Millis) -> bool {
+    pub(super) fn note_data(
+        &mut self,
+        now_ms: Millis,
+        segment: &Segment,
+        after_ms: Millis,
+    ) -> bool {
         if segment.data_bytes == 0 {
             return false;
         }
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -269,13 +269,7 @@
         self.await_answer(now_ms, pending.flow, pending.opening);
     }
 
-    fn carry(
-        &mut self,
-        now_ms: Millis,
-        view: &View,
-        segment: &Segment,
-        actions: &mut Vec<Action>,
-    ) {
+    fn carry(&mut self, now_ms: Millis, view: &View, segment: &Segment, actions: &mut Vec<Action>) {
         let candidates = candidates(view, segment.flow, now_ms);
         let entry = self.flows.entry(segment.flow, now_ms);
         let repeated = entry.note_data(now_ms, segment, REPEAT_MS);
@@ -299,13 +293,7 @@
         }
     }
 
-    fn close(
-        &mut self,
-        now_ms: Millis,
-        view: &View,
-        segment: &Segment,
-        actions: &mut Vec<Action>,
-    ) {
+    fn close(&mut self, now_ms: Millis, view: &View, segment: &Segment, actions: &mut Vec<Action>) {
         self.carry(now_ms, view, segment, actions);
         self.flows.closing(segment.flow, now_ms);
     }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod edge;
 pub mod flow;
 pub mod membership;
+pub mod peers;
 pub mod rank;
 pub mod side;
 pub mod view;
--- a/crates/steering/src/membership/mod.rs
+++ b/crates/steering/src/membership/mod.rs
@@ -1,8 +1,11 @@
 //! Which upstreams there are: the published list, read by many hands and at times incomplete.
 
+use std::hash::{Hash as _, Hasher as _};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
+use siphasher::sip::SipHasher13;
+
 use crate::flow::Millis;
 use crate::view::{RouteTable, ServiceStamp, Standing, Upstream, View};
 
@@ -15,7 +18,7 @@
 pub const DRAINED_LINGER_MS: Millis = 5_000;
 
 /// An entry of the published list.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct UpstreamRecord {
     /// Name of this life of the upstream.
     pub id: Arc<str>,
@@ -68,9 +71,8 @@
             slots: record.slots,
         };
         // An address has one user at a time: whoever had it before is gone for certain.
-        self.members.retain(|member| {
-            member.id == record.id || member.upstream.address != record.address
-        });
+        self.members
+            .retain(|member| member.id == record.id || member.upstream.address != record.address);
         match self.members.binary_search_by(|member| member.id.cmp(&record.id)) {
             Ok(index) => self.members[index].upstream = upstream,
             Err(index) => {
@@ -105,6 +107,31 @@
         View::new(routes, self.members.iter().map(|member| member.upstream).collect())
     }
 
+    /// The entries that are listed now, with the time that upstreams are still slow.
+    pub fn records(&self, now_ms: Millis) -> Vec<UpstreamRecord> {
+        let listed = self.members.iter().filter(|member| {
+            matches!(member.upstream.standing, Standing::Ready | Standing::Draining)
+        });
+        let record = |member: &Member| UpstreamRecord {
+            id: Arc::clone(&member.id),
+            address: member.upstream.address,
+            service: member.upstream.service,
+            draining: member.upstream.standing == Standing::Draining,
+            warmup_left_ms: member.upstream.warm_at_ms.saturating_sub(now_ms),
+            slots: member.upstream.slots,
+        };
+        listed.map(record).collect()
+    }
+
+    /// Digest of what is listed; how long upstreams are still slow is left out.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = SipHasher13::new();
+        for record in self.records(Millis::MAX) {
+            record.hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
     /// Number of entries, those that went lately included.
     pub fn len(&self) -> usize {
         self.members.len()
--- /dev/null
+++ b/crates/steering/src/peers/mod.rs
@@ -0,0 +1,193 @@
+//! Which balancers read the configuration service for all, and how the others keep up.
+//!
+//! Every balancer starts as a reader. A reader tells all balancers it has heard of, twice a second
+//! and at each change, what it knows (a beacon). A balancer that hears enough readers of better rank
+//! stops reading, and fetches from them what its own view lacks. One that no longer hears them reads
+//! again. Nobody is elected and nothing is agreed upon: two readers more than needed cost some
+//! calls, one fewer costs a second.
+
+use std::hash::Hasher as _;
+use std::net::Ipv4Addr;
+
+use siphasher::sip::SipHasher13;
+
+use crate::flow::Millis;
+
+/// Readers that are enough for all balancers: one may be cut off or paused without a gap.
+pub const READERS: usize = 2;
+/// Pause between two beacons of a reader.
+pub const BEACON_MS: Millis = 500;
+/// Pause between two hellos.
+pub const HELLO_MS: Millis = 1_000;
+/// A reader that was not heard for this long counts no more: two beacons may get lost.
+const READER_SILENT_MS: Millis = 1_300;
+/// A balancer that was not heard of for this long is told nothing more.
+const PEER_SILENT_MS: Millis = 10_000;
+/// A reader that has not reached the configuration service for this long doesn't count as one:
+/// twice the time for which a watch waits.
+const STORE_SILENT_MS: Millis = 4_000;
+/// Most balancers that are remembered.
+const PEERS_MAX: usize = 4_096;
+
+/// What a balancer knows, in short: equal digests are equal contents.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Revision of the configuration service.
+    pub revision: u64,
+    /// Version of the routes.
+    pub routes_version: u64,
+    /// Digest of the routes.
+    pub routes_digest: u64,
+    /// Digest of the list of upstreams.
+    pub upstreams_digest: u64,
+}
+
+/// What follows from a beacon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lesson {
+    /// The sender knows nothing newer.
+    Nothing,
+    /// The sender is ahead, and its contents are ours.
+    Same,
+    /// The sender is ahead, and its view should be fetched.
+    Fetch,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    address: Ipv4Addr,
+    at_ms: Millis,
+}
+
+/// Other balancers, as one of them knows them.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    own: Ipv4Addr,
+    known: Vec<Heard>,
+    readers: Vec<Heard>,
+    store_ms: Option<Millis>,
+    hello_ms: Millis,
+    beacon_ms: Millis,
+}
+
+impl Peers {
+    /// A balancer at `own` that knows nobody.
+    pub fn new(own: Ipv4Addr) -> Self {
+        let (known, readers) = (Vec::new(), Vec::new());
+        Self { own, known, readers, store_ms: None, hello_ms: 0, beacon_ms: 0 }
+    }
+
+    /// Takes a hello, and returns the balancers that its sender should know.
+    pub fn on_hello(&mut self, now_ms: Millis, from: Ipv4Addr) -> Vec<Ipv4Addr> {
+        self.note(now_ms, from);
+        self.alive(now_ms).filter(|address| *address != from).collect()
+    }
+
+    /// Takes the list of balancers that another one knows.
+    pub fn on_peers(&mut self, now_ms: Millis, from: Ipv4Addr, peers: &[Ipv4Addr]) {
+        self.note(now_ms, from);
+        peers.iter().for_each(|peer| self.note(now_ms, *peer));
+    }
+
+    /// Takes a beacon, and compares what its sender knows with what this balancer knows.
+    pub fn on_beacon(
+        &mut self,
+        now_ms: Millis,
+        from: Ipv4Addr,
+        theirs: Summary,
+        ours: Summary,
+    ) -> Lesson {
+        self.note(now_ms, from);
+        hear(&mut self.readers, now_ms, from);
+        // An older version in force there must not come back here, whatever the revision says.
+        if theirs.revision <= ours.revision || theirs.routes_version < ours.routes_version {
+            return Lesson::Nothing;
+        }
+        let same = theirs.routes_digest == ours.routes_digest
+            && theirs.upstreams_digest == ours.upstreams_digest;
+        if same { Lesson::Same } else { Lesson::Fetch }
+    }
+
+    /// Notes that the configuration service has answered.
+    pub fn on_store_answer(&mut self, now_ms: Millis) {
+        self.store_ms = Some(now_ms);
+    }
+
+    /// Whether this balancer has to read the configuration service itself.
+    pub fn must_read(&self, now_ms: Millis) -> bool {
+        let own = rank(self.own);
+        let better = self
+            .readers
+            .iter()
+            .filter(|reader| now_ms.saturating_sub(reader.at_ms) < READER_SILENT_MS)
+            .filter(|reader| rank(reader.address) < own);
+        better.count() < READERS
+    }
+
+    /// Whom to send a hello now, if it is time: the given instances, and the readers.
+    pub fn hellos_due(&mut self, now_ms: Millis, seeds: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
+        if self.hello_ms > 0 && now_ms.saturating_sub(self.hello_ms) < HELLO_MS {
+            return Vec::new();
+        }
+        self.hello_ms = now_ms.max(1);
+        let readers = self.readers.iter().map(|reader| reader.address);
+        let mut targets: Vec<Ipv4Addr> = readers.chain(seeds.iter().copied()).collect();
+        targets.sort_unstable();
+        targets.dedup();
+        targets.retain(|target| *target != self.own);
+        targets
+    }
+
+    /// Whom to send a beacon now, if it is time or something has changed.
+    pub fn beacons_due(&mut self, now_ms: Millis, changed: bool) -> Vec<Ipv4Addr> {
+        let in_touch = self.store_ms.is_some_and(|at| now_ms.saturating_sub(at) < STORE_SILENT_MS);
+        let due = changed || now_ms.saturating_sub(self.beacon_ms) >= BEACON_MS;
+        if !due || !in_touch || !self.must_read(now_ms) {
+            return Vec::new();
+        }
+        self.beacon_ms = now_ms;
+        self.forget(now_ms);
+        self.alive(now_ms).collect()
+    }
+
+    /// Number of other balancers known.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether no other balancer is known.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    fn note(&mut self, now_ms: Millis, address: Ipv4Addr) {
+        if address != self.own && self.known.len() < PEERS_MAX {
+            hear(&mut self.known, now_ms, address);
+        }
+    }
+
+    fn alive(&self, now_ms: Millis) -> impl Iterator<Item = Ipv4Addr> {
+        let alive = move |peer: &&Heard| now_ms.saturating_sub(peer.at_ms) < PEER_SILENT_MS;
+        self.known.iter().filter(alive).map(|peer| peer.address)
+    }
+
+    fn forget(&mut self, now_ms: Millis) {
+        let recent = |peer: &Heard| now_ms.saturating_sub(peer.at_ms) < PEER_SILENT_MS;
+        self.known.retain(recent);
+        self.readers.retain(recent);
+    }
+}
+
+fn hear(list: &mut Vec<Heard>, now_ms: Millis, address: Ipv4Addr) {
+    match list.binary_search_by_key(&address, |heard| heard.address) {
+        Ok(index) => list[index].at_ms = now_ms,
+        Err(index) => list.insert(index, Heard { address, at_ms: now_ms }),
+    }
+}
+
+/// Order in which balancers read; hashed, so that readers are not all in the zone numbered first.
+fn rank(address: Ipv4Addr) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write_u32(address.to_bits());
+    hasher.finish()
+}
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -314,7 +314,8 @@
     /// Whether this data was handed on before: a caller repeats what it has no answer to, and an
     /// answer may have crossed the repetition. Counted again, it would stay at work forever.
     fn has_seen(&self, segment: &Segment) -> bool {
-        self.next_sequence.is_some_and(|next| (segment.next_sequence().wrapping_sub(next) as i32) <= 0)
+        self.next_sequence
+            .is_some_and(|next| (segment.next_sequence().wrapping_sub(next) as i32) <= 0)
     }
 
     fn see(&mut self, segment: &Segment) {
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -1,6 +1,6 @@
 //! What a balancer believes: routes, services and their upstreams, as immutable sorted tables.
 
-use std::hash::Hasher as _;
+use std::hash::{Hash as _, Hasher as _};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 
@@ -63,7 +63,7 @@
 }
 
 /// A share of a route's flows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Share {
     /// The service that gets it.
     pub service: ServiceStamp,
@@ -72,7 +72,7 @@
 }
 
 /// Where new flows to an endpoint go.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Route {
     /// Address and port that callers write to.
     pub endpoint: SocketAddrV4,
@@ -102,6 +102,13 @@
         Some(&self.routes[index])
     }
 
+    /// Digest of the routes; the version is left out, as most versions change time-outs only.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = SipHasher13::new();
+        self.routes.hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// All routes, by endpoint.
     pub fn routes(&self) -> &[Route] {
         &self.routes
--- /dev/null
+++ b/crates/steering/tests/edge.rs
@@ -0,0 +1,266 @@
+//! A balancer with and without memory: where openings go, how flows are found, when they are reset.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use rstest::rstest;
+use steering::edge::{Action, Edge, OPENING_PATIENCE_MS, Reason, Verdict};
+use steering::flow::{FlowKey, Millis, Segment, SegmentKind};
+use steering::view::{Route, RouteTable, ServiceStamp, Share, Standing, Upstream, View};
+
+const SERVICE: ServiceStamp = ServiceStamp(1);
+const UPSTREAMS: u8 = 5;
+const READY: Standing = Standing::Ready;
+
+fn flow(number: u16) -> FlowKey {
+    FlowKey {
+        caller: format!("100.64.0.1:{number}").parse().unwrap(),
+        endpoint: "198.18.0.1:443".parse().unwrap(),
+    }
+}
+
+fn upstream(number: u8, standing: Standing) -> Upstream {
+    let address = Ipv4Addr::new(10, 0, 0, number);
+    Upstream { address, service: SERVICE, standing, warm_at_ms: 0, slots: 7 }
+}
+
+fn view_of(standings: &[Standing]) -> View {
+    let shares = [Share { service: SERVICE, weight: 1 }].into();
+    let route = Route { endpoint: flow(1).endpoint, shares };
+    let routes = Arc::new(RouteTable::new(1, vec![route]));
+    let numbered = standings.iter().zip(1..);
+    View::new(routes, numbered.map(|(standing, number)| upstream(number, *standing)).collect())
+}
+
+fn calm_view() -> View {
+    view_of(&[READY; UPSTREAMS as usize])
+}
+
+fn opening(number: u16, copy: u32) -> Segment {
+    let kind = SegmentKind::Opening { copy };
+    Segment { flow: flow(number), kind, sequence: 1, data_bytes: 0 }
+}
+
+fn data(number: u16, sequence: u32) -> Segment {
+    Segment { flow: flow(number), kind: SegmentKind::Later, sequence, data_bytes: 100 }
+}
+
+fn packet(edge: &mut Edge, now_ms: Millis, view: &View, segment: &Segment) -> Vec<Action> {
+    let mut actions = Vec::new();
+    edge.on_packet(now_ms, view, segment, &[7; 36], &mut actions);
+    actions
+}
+
+fn verdict(
+    edge: &mut Edge,
+    now_ms: Millis,
+    view: &View,
+    from: Ipv4Addr,
+    verdict: Verdict,
+    segment: &Segment,
+) -> Vec<Action> {
+    let mut actions = Vec::new();
+    edge.on_verdict(now_ms, view, from, verdict, segment, &mut actions);
+    actions
+}
+
+fn target(action: &Action) -> Option<Ipv4Addr> {
+    match action {
+        Action::Forward { to, .. } | Action::Replay { to, .. } => Some(to.address),
+        Action::Reset { .. } | Action::Drop { .. } => None,
+    }
+}
+
+/// Asks upstream after upstream until `holder` is reached; `None` if there was a reset instead.
+fn hops_to(
+    edge: &mut Edge,
+    view: &View,
+    segment: &Segment,
+    holder: Option<Ipv4Addr>,
+) -> Option<usize> {
+    let mut actions = packet(edge, 0, view, segment);
+    for hop in 1..=usize::from(UPSTREAMS) + 1 {
+        let to = target(actions.first()?)?;
+        if Some(to) == holder {
+            return Some(hop);
+        }
+        actions = verdict(edge, 0, view, to, Verdict::Denied, segment);
+    }
+    panic!("asked longer than there are upstreams");
+}
+
+/// The fabric moves a caller's flow to a balancer that never saw it. Wherever the flow lives, it is
+/// found by asking, each upstream once, and the next packet goes there directly.
+#[rstest]
+fn flow_without_memory_is_found(#[values(1, 2, 3, 4, 5)] holder: u8) {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let holder = Ipv4Addr::new(10, 0, 0, holder);
+    assert!(hops_to(&mut edge, &view, &data(1, 5), Some(holder)).is_some());
+    verdict(&mut edge, 1, &view, holder, Verdict::Held { busy: 0 }, &data(1, 5));
+    let actions = packet(&mut edge, 2, &view, &data(1, 105));
+    assert_eq!(actions.iter().filter_map(target).collect::<Vec<_>>(), [holder]);
+}
+
+/// A balancer that knows an opening, and one that does not, ask the same upstreams first.
+#[test]
+fn placement_stays_within_the_first_ranks() {
+    let view = calm_view();
+    for number in 1..200 {
+        let placed = target(&packet(&mut Edge::default(), 0, &view, &opening(number, 0))[0]);
+        let hops = hops_to(&mut Edge::default(), &view, &data(number, 5), placed);
+        assert!(hops.is_some_and(|hops| hops <= 3), "flow {number}: {hops:?}");
+    }
+}
+
+/// All upstreams have crashed and started again: every one denies the flow. The caller would repeat
+/// its request until its time is up; a reset lets it ask anew at once.
+#[test]
+fn flow_that_all_deny_is_reset() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    assert_eq!(hops_to(&mut edge, &view, &data(1, 5), None), None);
+}
+
+/// A reset is sent only if it is proven that nobody holds the flow. An entry that went lately may
+/// belong to an upstream that lives, silence is no denial, and right after an outage of the
+/// configuration service the list may lack upstreams.
+#[rstest]
+#[case::all_deny(calm_view(), 0, true)]
+#[case::list_may_lack_some({ let mut view = calm_view(); view.whole_from_ms = 2_000; view }, 0, false)]
+#[case::one_went_lately(view_of(&[READY, READY, Standing::Missing { since_ms: 0, drained: false }]), 1, false)]
+#[case::one_drains(view_of(&[READY, Standing::Draining, READY]), 1, false)]
+#[case::nothing_known(View::default(), 0, false)]
+fn reset_needs_proof(#[case] view: View, #[case] silent: usize, #[case] reset: bool) {
+    let mut edge = Edge::default();
+    let segment = data(1, 5);
+    let mut actions = packet(&mut edge, 0, &view, &segment);
+    let quiet: Vec<Ipv4Addr> = view
+        .upstreams()
+        .iter()
+        .filter(|upstream| upstream.standing != READY)
+        .map(|upstream| upstream.address)
+        .collect();
+    assert_eq!(quiet.len(), silent);
+    let mut seen = Vec::new();
+    for _ in 0..20 {
+        let Some(to) = actions.first().and_then(target) else { break };
+        seen.extend(actions.iter().copied());
+        if quiet.contains(&to) {
+            break;
+        }
+        actions = verdict(&mut edge, 0, &view, to, Verdict::Denied, &segment);
+    }
+    seen.extend(actions.iter().copied());
+    let is_reset = |action: &Action| matches!(action, Action::Reset { .. });
+    assert_eq!(seen.iter().any(is_reset), reset, "{seen:?}");
+}
+
+/// A denial says something about now only: the upstream may have been too full a second ago, or the
+/// packet overtook the opening.
+#[test]
+fn old_denials_prove_nothing() {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY, READY]));
+    let segment = data(1, 5);
+    let first = target(&packet(&mut edge, 0, &view, &segment)[0]).unwrap();
+    let second =
+        target(&verdict(&mut edge, 0, &view, first, Verdict::Denied, &segment)[0]).unwrap();
+    let actions = verdict(&mut edge, 1_500, &view, second, Verdict::Denied, &segment);
+    assert_eq!(actions.iter().filter_map(target).collect::<Vec<_>>(), [first]);
+}
+
+/// An upstream is dead, its agent too: the opening vanishes. Waiting for the caller's next copy
+/// costs 200 ms, most of the time in which an answer is wanted.
+#[rstest]
+#[case::answered(true, 0)]
+#[case::unanswered(false, 1)]
+fn unanswered_opening_goes_to_the_next(#[case] answered: bool, #[case] replays: usize) {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let first = target(&packet(&mut edge, 0, &view, &opening(1, 0))[0]).unwrap();
+    if answered {
+        verdict(&mut edge, 2, &view, first, Verdict::Held { busy: 1 }, &opening(1, 0));
+    }
+    let mut actions = Vec::new();
+    edge.on_tick(OPENING_PATIENCE_MS - 1, &view, &mut actions);
+    assert!(actions.is_empty());
+    edge.on_tick(OPENING_PATIENCE_MS, &view, &mut actions);
+    assert_eq!(actions.len(), replays);
+    assert!(actions.iter().all(|action| target(action) != Some(first)));
+}
+
+/// After one opening stayed unanswered, the next flows pass that upstream over for a while.
+#[test]
+fn silent_upstream_is_passed_over() {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY, READY]));
+    let silent = target(&packet(&mut edge, 0, &view, &opening(1, 0))[0]).unwrap();
+    edge.on_tick(OPENING_PATIENCE_MS, &view, &mut Vec::new());
+    for number in 2..30 {
+        let actions = packet(&mut edge, 70, &view, &opening(number, 0));
+        assert_ne!(target(&actions[0]), Some(silent), "flow {number}");
+    }
+}
+
+/// An opening never goes to an upstream that leaves, is gone, or has denied it; if all have denied
+/// it, the caller learns so at once instead of repeating it for 1.4 s.
+#[rstest]
+#[case::draining(&[Standing::Draining, READY], &[2])]
+#[case::gone(&[Standing::Missing { since_ms: 0, drained: true }, READY], &[2])]
+#[case::both(&[READY, READY], &[1, 2])]
+#[case::list_lost_all(&[Standing::Missing { since_ms: 0, drained: false }], &[1])]
+fn opening_goes_to_ready_upstreams(#[case] standings: &[Standing], #[case] expected: &[u8]) {
+    let (mut edge, view) = (Edge::default(), view_of(standings));
+    let segment = opening(1, 0);
+    let mut asked = Vec::new();
+    let mut actions = packet(&mut edge, 0, &view, &segment);
+    while let Some(to) = actions.first().and_then(target) {
+        asked.push(to.octets()[3]);
+        actions = verdict(&mut edge, 0, &view, to, Verdict::Denied, &segment);
+    }
+    asked.sort_unstable();
+    assert_eq!(asked, expected);
+    assert_eq!(actions, [Action::Reset { reason: Reason::Refused }]);
+}
+
+#[rstest]
+#[case::known_version(calm_view(), Action::Reset { reason: Reason::NoRoute })]
+#[case::nothing_known(View::default(), Action::Drop { reason: Reason::Unknown })]
+fn opening_without_route(#[case] view: View, #[case] expected: Action) {
+    let endpoint = "198.18.0.9:443".parse().unwrap();
+    let segment = Segment { flow: FlowKey { endpoint, ..flow(1) }, ..opening(1, 0) };
+    assert_eq!(packet(&mut Edge::default(), 0, &view, &segment), [expected]);
+}
+
+/// Among the first ranks, the least loaded upstream gets the flow.
+#[test]
+fn load_decides_among_the_first_ranks() {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY, READY]));
+    let busy = Ipv4Addr::new(10, 0, 0, 1);
+    verdict(&mut edge, 0, &view, busy, Verdict::Held { busy: 50 }, &opening(1, 0));
+    for number in 2..30 {
+        let actions = packet(&mut edge, 10, &view, &opening(number, 0));
+        assert_ne!(target(&actions[0]), Some(busy), "flow {number}");
+    }
+}
+
+/// The caller repeats its data since the flow's agent is dead, or the entry is wrong: copies go to
+/// others as well, so that the flow is found without the one that is silent.
+#[test]
+fn repeated_data_asks_others_too() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    packet(&mut edge, 0, &view, &data(1, 5));
+    assert_eq!(packet(&mut edge, 20, &view, &data(1, 5)).len(), 1, "a copy of the network's");
+    assert_eq!(packet(&mut edge, 200, &view, &data(1, 5)).len(), 4);
+}
+
+/// Packets of flows that nobody knows cost no more memory than the bound allows.
+#[test]
+fn flood_of_unknown_flows_is_bounded() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    for number in 0..200_000_u32 {
+        let caller = std::net::SocketAddrV4::new(
+            Ipv4Addr::from_bits(number / 50_000),
+            (number % 50_000) as u16,
+        );
+        let segment = Segment { flow: FlowKey { caller, ..flow(1) }, ..data(1, 5) };
+        packet(&mut edge, 0, &view, &segment);
+    }
+    assert!(edge.flow_count() <= steering::edge::FLOWS_MAX);
+}
--- /dev/null
+++ b/crates/steering/tests/membership.rs
@@ -0,0 +1,90 @@
+//! The list of upstreams: changes, gaps, and addresses that are used again.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use rstest::rstest;
+use steering::flow::Millis;
+use steering::membership::{DRAINED_LINGER_MS, Membership, SILENT_LINGER_MS, UpstreamRecord};
+use steering::view::{RouteTable, ServiceStamp, Standing};
+
+const ADDRESS: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
+
+fn record(id: &str, draining: bool) -> UpstreamRecord {
+    UpstreamRecord {
+        id: id.into(),
+        address: ADDRESS,
+        service: ServiceStamp(1),
+        draining,
+        warmup_left_ms: 0,
+        slots: 7,
+    }
+}
+
+fn standings(membership: &Membership) -> Vec<Standing> {
+    let view = membership.view(Arc::new(RouteTable::default()));
+    view.upstreams().iter().map(|upstream| upstream.standing).collect()
+}
+
+/// An entry goes while its upstream may still hold flows: after an outage of the configuration
+/// service it comes back within two seconds, and one that drained may go on for some. Forgotten at
+/// once, its callers' packets would find nobody, and a reset would be sent on a living flow.
+#[rstest]
+#[case::silent(false, SILENT_LINGER_MS)]
+#[case::drained(true, DRAINED_LINGER_MS)]
+fn removed_entry_lingers(#[case] draining: bool, #[case] linger_ms: Millis) {
+    let mut membership = Membership::default();
+    membership.insert(0, &record("a", draining));
+    membership.remove(100, "a");
+    assert_eq!(standings(&membership), [Standing::Missing { since_ms: 100, drained: draining }]);
+    assert!(!membership.expire(100 + linger_ms - 1));
+    assert!(membership.expire(100 + linger_ms));
+    assert!(membership.is_empty());
+}
+
+#[test]
+fn removed_entry_comes_back() {
+    let mut membership = Membership::default();
+    membership.insert(0, &record("a", false));
+    membership.remove(100, "a");
+    membership.insert(1_900, &record("a", false));
+    assert_eq!(standings(&membership), [Standing::Ready]);
+}
+
+#[test]
+fn whole_list_removes_what_it_lacks() {
+    let mut membership = Membership::default();
+    membership.insert(0, &record("a", false));
+    membership.replace(50, &[]);
+    membership.replace(90, &[]);
+    assert_eq!(standings(&membership), [Standing::Missing { since_ms: 50, drained: false }]);
+}
+
+/// An address is given to another upstream: the one before is gone for certain, and two entries of
+/// one address would lead its callers to the wrong service.
+#[test]
+fn address_used_again_replaces_the_one_before() {
+    let mut membership = Membership::default();
+    membership.insert(0, &record("a", false));
+    membership.remove(10, "a");
+    membership.insert(20, &UpstreamRecord { service: ServiceStamp(2), ..record("b", false) });
+    assert_eq!(standings(&membership), [Standing::Ready]);
+    let view = membership.view(Arc::new(RouteTable::default()));
+    assert_eq!(view.upstreams()[0].service, ServiceStamp(2));
+}
+
+#[rstest]
+#[case::same("a", 900, false, true)]
+#[case::another("b", 0, false, false)]
+#[case::draining("a", 0, true, false)]
+fn digest_tells_lists_apart(
+    #[case] id: &str,
+    #[case] warmup_left_ms: Millis,
+    #[case] draining: bool,
+    #[case] same: bool,
+) {
+    let (mut ours, mut theirs) = (Membership::default(), Membership::default());
+    ours.insert(0, &record("a", false));
+    theirs.insert(0, &UpstreamRecord { warmup_left_ms, ..record(id, draining) });
+    assert_eq!(ours.digest() == theirs.digest(), same);
+}
--- /dev/null
+++ b/crates/steering/tests/peers.rs
@@ -0,0 +1,143 @@
+//! Balancers that find each other and share the reading of the configuration service.
+
+use std::net::Ipv4Addr;
+
+use rstest::rstest;
+use steering::flow::Millis;
+use steering::peers::{Lesson, Peers, READERS, Summary};
+
+const STEP_MS: Millis = 50;
+
+fn address(number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 1, 0, u8::try_from(number).unwrap() + 1)
+}
+
+/// Balancers that exchange hellos, lists and beacons without loss, but for those that are away.
+struct Fleet {
+    peers: Vec<Peers>,
+    away: Vec<usize>,
+    cut: Option<usize>,
+    now_ms: Millis,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let peers = (0..count).map(|number| Peers::new(address(number))).collect();
+        Self { peers, away: Vec::new(), cut: None, now_ms: 0 }
+    }
+
+    fn run(&mut self, for_ms: Millis) {
+        for _ in 0..for_ms / STEP_MS {
+            self.now_ms += STEP_MS;
+            for number in 0..self.peers.len() {
+                if !self.away.contains(&number) {
+                    self.step(number);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, number: usize) {
+        let now_ms = self.now_ms;
+        if self.peers[number].must_read(now_ms) {
+            self.peers[number].on_store_answer(now_ms);
+        }
+        for target in self.peers[number].hellos_due(now_ms, &[address(0), address(1)]) {
+            if let Some(other) = self.reached(number, target) {
+                let list = self.peers[other].on_hello(now_ms, address(number));
+                self.peers[number].on_peers(now_ms, target, &list);
+            }
+        }
+        for target in self.peers[number].beacons_due(now_ms, false) {
+            if let Some(other) = self.reached(number, target) {
+                let summary = Summary::default();
+                self.peers[other].on_beacon(now_ms, address(number), summary, summary);
+            }
+        }
+    }
+
+    fn reached(&self, from: usize, to: Ipv4Addr) -> Option<usize> {
+        let other = (0..self.peers.len()).find(|other| address(*other) == to)?;
+        let parted = self.cut.is_some_and(|cut| (from < cut) != (other < cut));
+        (!self.away.contains(&other) && !parted).then_some(other)
+    }
+
+    fn readers(&self) -> Vec<usize> {
+        let here = (0..self.peers.len()).filter(|number| !self.away.contains(number));
+        here.filter(|number| self.peers[*number].must_read(self.now_ms)).collect()
+    }
+}
+
+/// Each balancer that reads costs calls, which are rationed for all: two are enough for any number.
+#[rstest]
+#[case::one(1, 1)]
+#[case::two(2, 2)]
+#[case::ten(10, READERS)]
+#[case::sixty(60, READERS)]
+fn readers_settle(#[case] count: usize, #[case] readers: usize) {
+    let mut fleet = Fleet::new(count);
+    fleet.run(4_000);
+    assert_eq!(fleet.readers().len(), readers);
+}
+
+/// Both readers lose power. The others hear nothing more, and must read again before the bound for
+/// configuration (three seconds) is over.
+#[test]
+fn readers_die_and_others_step_in() {
+    let mut fleet = Fleet::new(10);
+    fleet.run(4_000);
+    fleet.away = fleet.readers();
+    fleet.run(1_500);
+    assert!(fleet.readers().len() >= READERS);
+    fleet.run(3_000);
+    assert_eq!(fleet.readers().len(), READERS);
+}
+
+/// The fleet is split: each part needs readers of its own, and only two remain after it has healed.
+#[test]
+fn partition_has_readers_on_both_sides() {
+    let mut fleet = Fleet::new(10);
+    fleet.run(4_000);
+    fleet.cut = Some(4);
+    fleet.run(2_000);
+    let readers = fleet.readers();
+    assert!(readers.iter().any(|number| *number < 4), "{readers:?}");
+    assert!(readers.iter().any(|number| *number >= 4), "{readers:?}");
+    fleet.cut = None;
+    fleet.run(4_000);
+    assert_eq!(fleet.readers().len(), READERS);
+}
+
+/// A reader is cut off from the configuration service only. Its beacons would keep the others from
+/// reading, while a change never comes: so it must fall silent.
+#[test]
+fn reader_without_store_sends_no_beacons() {
+    let mut peers = Peers::new(address(0));
+    peers.on_hello(0, address(1));
+    assert!(peers.beacons_due(600, true).is_empty(), "never reached it");
+    peers.on_store_answer(1_000);
+    assert_eq!(peers.beacons_due(1_600, false), [address(1)]);
+    peers.on_hello(5_000, address(1));
+    assert!(peers.beacons_due(5_100, true).is_empty(), "not for four seconds");
+}
+
+/// What a beacon leads to. A view may be old after a pause or a cut, so neither a lower revision nor
+/// an older version of the routes is ever taken, and equal contents are not fetched again.
+#[rstest]
+#[case::same_revision((5, 2, 1, 1), Lesson::Nothing)]
+#[case::behind((4, 2, 9, 9), Lesson::Nothing)]
+#[case::older_routes((6, 1, 9, 9), Lesson::Nothing)]
+#[case::new_upstreams((6, 2, 1, 9), Lesson::Fetch)]
+#[case::new_routes((6, 3, 9, 1), Lesson::Fetch)]
+#[case::new_version_same_routes((6, 3, 1, 1), Lesson::Same)]
+fn on_beacon(#[case] theirs: (u64, u64, u64, u64), #[case] lesson: Lesson) {
+    let summary = |(revision, routes_version, routes_digest, upstreams_digest)| Summary {
+        revision,
+        routes_version,
+        routes_digest,
+        upstreams_digest,
+    };
+    let mut peers = Peers::new(address(0));
+    let found = peers.on_beacon(0, address(1), summary(theirs), summary((5, 2, 1, 1)));
+    assert_eq!(found, lesson);
+}
--- a/crates/steering/tests/side.rs
+++ b/crates/steering/tests/side.rs
@@ -70,7 +70,11 @@
 #[case::late_ones_last(&[(3, 2, 0), (4, 0, 10), (5, 2, 20)], 30, &[4, 3, 5])]
 #[case::one_copy_is_not_late(&[(3, 1, 0), (4, 2, 10)], 30, &[3, 4])]
 #[case::waited_too_long(&[(3, 0, 0), (4, 0, 10), (5, 0, 190)], 200, &[5, 3, 4])]
-fn waiting_order(#[case] arrivals: &[(u16, u32, Millis)], #[case] at: Millis, #[case] order: &[u8]) {
+fn waiting_order(
+    #[case] arrivals: &[(u16, u32, Millis)],
+    #[case] at: Millis,
+    #[case] order: &[u8],
+) {
     let mut side = busy_side(0);
     for &(number, copy, at_ms) in arrivals {
         deliver(&mut side, at_ms, &opening(number, copy), 1);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod gue;
 pub mod inner;
 pub mod notice;
+pub mod peers;
 pub mod refusal;
 pub mod sealed;
 pub mod spread;
--- /dev/null
+++ b/crates/wire/src/peers.rs
@@ -0,0 +1,189 @@
+//! What balancers of the direct-return path tell each other: short messages in datagrams, and whole
+//! views over HTTP, both as MessagePack.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use steering::membership::UpstreamRecord;
+use steering::peers::Summary;
+use steering::view::{Route, RouteTable, ServiceStamp, Share};
+
+use crate::bounded;
+
+/// Most balancers named in one message: 240 addresses fit into a datagram of 1,300 bytes.
+pub const PEERS_MAX: usize = 240;
+/// Most routes of a view.
+const ROUTES_MAX: usize = 16_384;
+/// Most upstreams of a view.
+const UPSTREAMS_MAX: usize = 65_536;
+/// Most shares of a route.
+const SHARES_MAX: usize = 64;
+
+/// A message between balancers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Message {
+    /// The sender lives; the receiver answers with the balancers it knows.
+    Hello,
+    /// Balancers that the sender knows.
+    Peers(Vec<Ipv4Addr>),
+    /// The sender reads the configuration service, and this is what it knows.
+    Beacon(Summary),
+}
+
+/// Everything that a balancer needs to know, as another one gives it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ViewContents {
+    /// Revision of the configuration service.
+    pub revision: u64,
+    /// For how much longer the list of upstreams may lack some that live.
+    pub whole_in_ms: u64,
+    /// Routes in force.
+    pub routes: Arc<RouteTable>,
+    /// The listed upstreams.
+    pub upstreams: Vec<UpstreamRecord>,
+}
+
+#[derive(Serialize, Deserialize)]
+enum MessageBody {
+    Hello,
+    Peers(#[serde(deserialize_with = "peer_list")] Vec<u32>),
+    Beacon { revision: u64, routes_version: u64, routes_digest: u64, upstreams_digest: u64 },
+}
+
+#[derive(Serialize, Deserialize)]
+struct ViewBody {
+    revision: u64,
+    whole_in_ms: u64,
+    version: u64,
+    #[serde(deserialize_with = "route_list")]
+    routes: Vec<RouteBody>,
+    #[serde(deserialize_with = "upstream_list")]
+    upstreams: Vec<UpstreamBody>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct RouteBody {
+    address: u32,
+    port: u16,
+    #[serde(deserialize_with = "share_list")]
+    shares: Vec<(u32, u32)>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct UpstreamBody {
+    id: Arc<str>,
+    address: u32,
+    service: u32,
+    draining: bool,
+    warmup_left_ms: u64,
+    slots: u32,
+}
+
+fn peer_list<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<u32>, D::Error> {
+    bounded::list::<D, u32, PEERS_MAX>(deserializer)
+}
+
+fn route_list<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<RouteBody>, D::Error> {
+    bounded::list::<D, RouteBody, ROUTES_MAX>(deserializer)
+}
+
+fn upstream_list<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<UpstreamBody>, D::Error> {
+    bounded::list::<D, UpstreamBody, UPSTREAMS_MAX>(deserializer)
+}
+
+fn share_list<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<(u32, u32)>, D::Error> {
+    bounded::list::<D, (u32, u32), SHARES_MAX>(deserializer)
+}
+
+/// Encodes a message. A list of balancers is cut after [`PEERS_MAX`].
+///
+/// ```
+/// use wire::peers::{Message, decode, encode};
+/// assert_eq!(decode(&encode(&Message::Hello)), Some(Message::Hello));
+/// assert_eq!(decode(b"\xc1"), None);
+/// ```
+pub fn encode(message: &Message) -> Vec<u8> {
+    let body = match message {
+        Message::Hello => MessageBody::Hello,
+        Message::Peers(peers) => {
+            MessageBody::Peers(peers.iter().take(PEERS_MAX).map(|peer| peer.to_bits()).collect())
+        }
+        Message::Beacon(summary) => MessageBody::Beacon {
+            revision: summary.revision,
+            routes_version: summary.routes_version,
+            routes_digest: summary.routes_digest,
+            upstreams_digest: summary.upstreams_digest,
+        },
+    };
+    rmp_serde::to_vec(&body).expect("a plain enumeration always encodes")
+}
+
+/// Decodes a message; `None` if it is not one that this version knows.
+pub fn decode(bytes: &[u8]) -> Option<Message> {
+    Some(match rmp_serde::from_slice(bytes).ok()? {
+        MessageBody::Hello => Message::Hello,
+        MessageBody::Peers(peers) => {
+            Message::Peers(peers.into_iter().map(Ipv4Addr::from_bits).collect())
+        }
+        MessageBody::Beacon { revision, routes_version, routes_digest, upstreams_digest } => {
+            Message::Beacon(Summary { revision, routes_version, routes_digest, upstreams_digest })
+        }
+    })
+}
+
+/// Encodes a view.
+pub fn encode_view(view: &ViewContents) -> Vec<u8> {
+    let route = |route: &Route| RouteBody {
+        address: route.endpoint.ip().to_bits(),
+        port: route.endpoint.port(),
+        shares: route.shares.iter().map(|share| (share.service.0, share.weight)).collect(),
+    };
+    let upstream = |record: &UpstreamRecord| UpstreamBody {
+        id: Arc::clone(&record.id),
+        address: record.address.to_bits(),
+        service: record.service.0,
+        draining: record.draining,
+        warmup_left_ms: record.warmup_left_ms,
+        slots: record.slots,
+    };
+    let body = ViewBody {
+        revision: view.revision,
+        whole_in_ms: view.whole_in_ms,
+        version: view.routes.version,
+        routes: view.routes.routes().iter().map(route).collect(),
+        upstreams: view.upstreams.iter().map(upstream).collect(),
+    };
+    rmp_serde::to_vec(&body).expect("plain structs always encode")
+}
+
+/// Decodes a view; `None` if it makes no sense.
+pub fn decode_view(bytes: &[u8]) -> Option<ViewContents> {
+    let body: ViewBody = rmp_serde::from_slice(bytes).ok()?;
+    let share = |(service, weight): (u32, u32)| Share { service: ServiceStamp(service), weight };
+    let route = |route: RouteBody| Route {
+        endpoint: SocketAddrV4::new(Ipv4Addr::from_bits(route.address), route.port),
+        shares: route.shares.into_iter().map(share).collect(),
+    };
+    let upstream = |body: UpstreamBody| UpstreamRecord {
+        id: body.id,
+        address: Ipv4Addr::from_bits(body.address),
+        service: ServiceStamp(body.service),
+        draining: body.draining,
+        warmup_left_ms: body.warmup_left_ms,
+        slots: body.slots,
+    };
+    let routes = body.routes.into_iter().map(route).collect();
+    Some(ViewContents {
+        revision: body.revision,
+        whole_in_ms: body.whole_in_ms,
+        routes: Arc::new(RouteTable::new(body.version, routes)),
+        upstreams: body.upstreams.into_iter().map(upstream).collect(),
+    })
+}
