Let a leaving balancer end as soon as the fabric has stopped

Found by the log: edge-pnw-a-1 ended at 20.10 while edge-pnw-a-2 was leaving until 21.32. Ruled out: the release, it was over. Change: it ends once two probes were refused and no caller's packet came for 100 ms, after 4.5 s at the latest.

--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod edge;
 pub mod flow;
+pub mod leave;
 pub mod membership;
 pub mod peers;
 pub mod rank;
--- /dev/null
+++ b/crates/steering/tests/leave.rs
@@ -0,0 +1,23 @@
+//! A balancer that was told to stop.
+
+use rstest::rstest;
+use steering::flow::Millis;
+use steering::leave::{Departure, may_end};
+
+/// During a rolling restart a balancer must go on until the fabric has stopped sending, or callers'
+/// packets are lost; and no longer, or it is away together with the next one, the fabric takes the
+/// whole zone into use, and packets go to instances that have ended.
+#[rstest]
+#[case::still_probed_once(900, 1, 500, false)]
+#[case::still_in_use(1_500, 3, 20, false)]
+#[case::out_and_quiet(1_100, 2, 100, true)]
+#[case::never_quiet(4_500, 9, 0, true)]
+#[case::never_probed(4_499, 0, 4_499, false)]
+fn may_end_after(
+    #[case] told_for_ms: Millis,
+    #[case] refused_probes: u32,
+    #[case] quiet_for_ms: Millis,
+    #[case] expected: bool,
+) {
+    assert_eq!(may_end(Departure { told_for_ms, refused_probes, quiet_for_ms }), expected);
+}
