Ask again for flows whose upstreams are starting

Ruled out: a bar on resets after a failed store call, there was none. Change: a balancer keeps one unanswered packet a flow (256 KiB in all) and asks the silent upstreams again every 60 to 120 ms until the flow is found, proven lost, or 1.4 s are over. A request that waits beside the upstream that holds it is reported at once.

--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -26,6 +26,7 @@
     /// Upstreams that do not hold the flow, and when the first of them said so.
     pub(super) denials: Vec<Ipv4Addr>,
     asked: Vec<Ipv4Addr>,
+    round: usize,
     denied_ms: Millis,
     expires_ms: Millis,
     last_data: Option<(u32, Millis)>,
@@ -70,6 +71,13 @@
         }
     }
 
+    /// Where in a list of this length the next round of copies begins.
+    pub(super) fn next_round(&mut self, length: usize, copies: usize) -> usize {
+        let start = self.round.checked_rem(length).unwrap_or(0);
+        self.round = self.round.wrapping_add(copies);
+        start
+    }
+
     /// Whether the upstream at `address` was asked.
     pub(super) fn has_asked(&self, address: Ipv4Addr) -> bool {
         self.asked.contains(&address)
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -7,10 +7,12 @@
 
 mod flows;
 mod loads;
+mod pending;
 
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 
-use crate::flow::{FlowKey, Millis, OpeningBytes, Segment, SegmentKind};
+use crate::flow::{FlowKey, Millis, Segment, SegmentKind};
 use crate::membership;
 use crate::rank;
 use crate::view::{ServiceStamp, Standing, Upstream, View};
@@ -18,10 +20,9 @@
 pub use flows::FLOWS_MAX;
 use flows::{Entry, FlowTable};
 use loads::LoadTable;
+use pending::{Due, PendingTable};
+pub use pending::{PENDING_BYTES_MAX, REPEAT_AFTER_MS};
 
-/// How long an opening may stay unanswered by one agent before the next is asked. A calm round
-/// trip takes under 5 ms; the rest is room for a busy instance. Callers repeat after 200 ms.
-pub const OPENING_PATIENCE_MS: Millis = 60;
 /// Upstreams of the first ranks among which load decides. More would spread flows further from
 /// their first rank, and a balancer without memory would ask longer.
 const PLACEMENT_RANKS: usize = 3;
@@ -106,13 +107,6 @@
         /// Why.
         reason: Reason,
     },
-    /// Send an earlier opening once more.
-    Replay {
-        /// The opening.
-        opening: OpeningBytes,
-        /// The agent.
-        to: Destination,
-    },
     /// Tell the caller that the flow does not exist.
     Reset {
         /// Why.
@@ -125,18 +119,12 @@
     },
 }
 
-struct Pending {
-    flow: FlowKey,
-    opening: OpeningBytes,
-    due_ms: Millis,
-}
-
 /// The state of a balancer.
 #[derive(Default)]
 pub struct Edge {
     flows: FlowTable,
     loads: LoadTable,
-    pending: Vec<Pending>,
+    pending: PendingTable,
 }
 
 impl Edge {
@@ -151,8 +139,8 @@
     ) {
         match segment.kind {
             SegmentKind::Opening { .. } => self.open(now_ms, view, segment, bytes, actions),
-            SegmentKind::Later => self.carry(now_ms, view, segment, actions),
-            SegmentKind::Reset => self.close(now_ms, view, segment, actions),
+            SegmentKind::Later => self.carry(now_ms, view, segment, bytes, actions),
+            SegmentKind::Reset => self.close(now_ms, view, segment, bytes, actions),
         }
     }
 
@@ -180,12 +168,17 @@
         }
     }
 
-    /// Sends unanswered openings to the next upstream and forgets what is old.
-    pub fn on_tick(&mut self, now_ms: Millis, view: &View, actions: &mut Vec<Action>) {
-        let due = self.pending.partition_point(|pending| pending.due_ms <= now_ms);
-        let overdue: Vec<Pending> = self.pending.drain(..due).collect();
-        for pending in overdue {
-            self.reopen(now_ms, view, &pending, actions);
+    /// Repeats packets that nobody has answered, to other upstreams first, and forgets what is old.
+    /// Each action goes with the packet that it is about.
+    pub fn on_tick(&mut self, now_ms: Millis, view: &View, actions: &mut Vec<(Arc<[u8]>, Action)>) {
+        for due in self.pending.take_due(now_ms) {
+            let mut own = Vec::new();
+            match due.segment.kind {
+                SegmentKind::Opening { .. } => self.reopen(now_ms, view, &due, &mut own),
+                SegmentKind::Later => self.ask_again(now_ms, view, &due, &mut own),
+                SegmentKind::Reset => {}
+            }
+            actions.extend(own.into_iter().map(|action| (Arc::clone(&due.packet), action)));
         }
         self.flows.expire(now_ms);
     }
@@ -231,45 +224,63 @@
         self.loads.placed(now_ms, to);
         let to = Destination::of(view, to, service);
         actions.push(Action::Forward { to, ask: true, reason });
-        if let Some(opening) = OpeningBytes::keep(bytes) {
-            self.await_answer(now_ms, segment.flow, opening);
+        self.pending.insert(now_ms, segment, bytes);
+    }
+
+    fn reopen(&mut self, now_ms: Millis, view: &View, due: &Due, actions: &mut Vec<Action>) {
+        let flow = due.segment.flow;
+        let Some(service) = service_of(view, flow) else { return };
+        let Some(entry) = self.flows.get(flow) else { return };
+        if let Some(silent) = entry.target {
+            self.loads.silent(now_ms, silent);
         }
+        let Some(to) = place(now_ms, view, service, flow, entry, &self.loads) else { return };
+        entry.ask(to);
+        self.loads.placed(now_ms, to);
+        let to = Destination::of(view, to, service);
+        actions.push(Action::Forward { to, ask: true, reason: Reason::Replaced });
     }
 
-    fn await_answer(&mut self, now_ms: Millis, flow: FlowKey, opening: OpeningBytes) {
-        self.pending.retain(|pending| pending.flow != flow);
-        self.pending.push(Pending { flow, opening, due_ms: now_ms + OPENING_PATIENCE_MS });
+    /// The upstreams that have not denied the flow are silent: they are down, start just now, or
+    /// their agents do. Asked again soon, the flow is found or proven lost as soon as they answer;
+    /// the caller's own repetition may come a second later, too late for its request.
+    fn ask_again(&mut self, now_ms: Millis, view: &View, due: &Due, actions: &mut Vec<Action>) {
+        let candidates = candidates(view, due.segment.flow, now_ms);
+        let Some(entry) = self.flows.get(due.segment.flow) else { return };
+        entry.forget_old_denials(now_ms, DENIAL_MS);
+        let before = actions.len();
+        fan_out(view, &candidates, entry, None, actions);
+        if actions.len() == before {
+            self.give_up(now_ms, view, due.segment.flow, &candidates, actions);
+        }
     }
 
-    fn reopen(
+    fn give_up(
         &mut self,
         now_ms: Millis,
         view: &View,
-        pending: &Pending,
+        flow: FlowKey,
+        candidates: &[Upstream],
         actions: &mut Vec<Action>,
     ) {
-        let Some(service) = service_of(view, pending.flow) else { return };
-        let Some(entry) = self.flows.get(pending.flow) else { return };
-        if entry.confirmed {
-            return;
-        }
-        if let Some(silent) = entry.target {
-            self.loads.silent(now_ms, silent);
-        }
-        let Some(to) = place(now_ms, view, service, pending.flow, entry, &self.loads) else {
-            return;
-        };
-        if entry.has_asked(to) {
+        let proven = !candidates.is_empty() && now_ms >= view.whole_from_ms;
+        if !proven {
+            actions.push(Action::Drop { reason: Reason::Unknown });
             return;
         }
-        entry.ask(to);
-        self.loads.placed(now_ms, to);
-        let to = Destination::of(view, to, service);
-        actions.push(Action::Replay { opening: pending.opening, to });
-        self.await_answer(now_ms, pending.flow, pending.opening);
+        self.flows.closing(flow, now_ms);
+        self.pending.remove(flow);
+        actions.push(Action::Reset { reason: Reason::Lost });
     }
 
-    fn carry(&mut self, now_ms: Millis, view: &View, segment: &Segment, actions: &mut Vec<Action>) {
+    fn carry(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        segment: &Segment,
+        bytes: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
         let candidates = candidates(view, segment.flow, now_ms);
         let entry = self.flows.entry(segment.flow, now_ms);
         let repeated = entry.note_data(now_ms, segment, REPEAT_MS);
@@ -289,18 +300,31 @@
         let to = Destination::of(view, to, service);
         actions.push(Action::Forward { to, ask, reason });
         if repeated {
-            fan_out(view, &candidates, entry, now_ms, actions);
+            entry.forget_old_denials(now_ms, DENIAL_MS);
+            let target = entry.target;
+            fan_out(view, &candidates, entry, target, actions);
+        }
+        if !entry.confirmed && segment.data_bytes > 0 {
+            self.pending.insert(now_ms, segment, bytes);
         }
     }
 
-    fn close(&mut self, now_ms: Millis, view: &View, segment: &Segment, actions: &mut Vec<Action>) {
-        self.carry(now_ms, view, segment, actions);
+    fn close(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        segment: &Segment,
+        bytes: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
+        self.carry(now_ms, view, segment, bytes, actions);
+        self.pending.remove(segment.flow);
         self.flows.closing(segment.flow, now_ms);
     }
 
     fn held(&mut self, now_ms: Millis, from: Ipv4Addr, busy: u8, flow: FlowKey) {
         self.loads.report(now_ms, from, busy);
-        self.pending.retain(|pending| pending.flow != flow);
+        self.pending.remove(flow);
         let entry = self.flows.entry(flow, now_ms);
         entry.target = Some(from);
         entry.confirmed = true;
@@ -323,6 +347,7 @@
                 let Some(service) = service_of(view, flow) else { return };
                 let Some(to) = place(now_ms, view, service, flow, entry, &self.loads) else {
                     actions.push(Action::Reset { reason: Reason::Refused });
+                    self.pending.remove(flow);
                     self.flows.closing(flow, now_ms);
                     return;
                 };
@@ -343,13 +368,7 @@
                     actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
                     return;
                 }
-                let proven = !candidates.is_empty() && now_ms >= view.whole_from_ms;
-                actions.push(if proven {
-                    self.flows.closing(flow, now_ms);
-                    Action::Reset { reason: Reason::Lost }
-                } else {
-                    Action::Drop { reason: Reason::Unknown }
-                });
+                self.give_up(now_ms, view, flow, &candidates, actions);
             }
         }
     }
@@ -433,25 +452,27 @@
     Some(next.address)
 }
 
-/// Sends copies of a packet that nobody answers to upstreams that were not asked yet: the flow's
-/// upstream may be behind an agent or a link that is dead, or the entry may be wrong.
+/// Sends copies of a packet that nobody answers to upstreams that did not deny the flow, but for the
+/// one at `except`: the flow's upstream may be behind an agent or a link that is dead, or the entry
+/// may be wrong. Which of them are asked changes from time to time.
 fn fan_out(
     view: &View,
     candidates: &[Upstream],
     entry: &mut Entry,
-    now_ms: Millis,
+    except: Option<Ipv4Addr>,
     actions: &mut Vec<Action>,
 ) {
-    entry.forget_old_denials(now_ms, DENIAL_MS);
     let others: Vec<Upstream> = candidates
         .iter()
-        .filter(|upstream| Some(upstream.address) != entry.target)
+        .filter(|upstream| Some(upstream.address) != except)
         .filter(|upstream| !entry.has_denied(upstream.address))
-        .take(FAN_OUT)
         .copied()
         .collect();
-    for Upstream { address, service, .. } in others {
-        let to = Destination::of(view, address, service);
+    let skip = entry.next_round(others.len(), FAN_OUT);
+    for Upstream { address, service, .. } in
+        others.iter().cycle().skip(skip).take(FAN_OUT.min(others.len()))
+    {
+        let to = Destination::of(view, *address, *service);
         actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
     }
 }
--- a/crates/steering/src/flow/mod.rs
+++ b/crates/steering/src/flow/mod.rs
@@ -47,35 +47,3 @@
         self.sequence.wrapping_add(u32::from(self.data_bytes))
     }
 }
-
-/// Bytes of an opening packet, kept so that it can be sent once more. Openings carry no data; a
-/// longer one is not kept, and then only the caller's own copies open the flow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OpeningBytes {
-    bytes: [u8; OpeningBytes::CAPACITY],
-    length: u8,
-}
-
-impl OpeningBytes {
-    /// Longest packet kept: the platform's head of 36 bytes and some room.
-    pub const CAPACITY: usize = 48;
-
-    /// Keeps a packet, if it is short enough.
-    ///
-    /// ```
-    /// use steering::flow::OpeningBytes;
-    /// assert_eq!(OpeningBytes::keep(&[1, 2]).unwrap().as_bytes(), [1, 2]);
-    /// assert!(OpeningBytes::keep(&[0; 49]).is_none());
-    /// ```
-    pub fn keep(packet: &[u8]) -> Option<Self> {
-        let mut bytes = [0; Self::CAPACITY];
-        bytes.get_mut(..packet.len())?.copy_from_slice(packet);
-        let length = u8::try_from(packet.len()).ok()?;
-        Some(Self { bytes, length })
-    }
-
-    /// The packet.
-    pub fn as_bytes(&self) -> &[u8] {
-        &self.bytes[..usize::from(self.length)]
-    }
-}
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -55,8 +55,12 @@
     },
     /// It goes back to the balancer: it is meant for another service.
     Foreign,
-    /// It waits here until the upstream has room.
-    Wait,
+    /// It waits here until the upstream has room. A balancer that asked is told if the upstream is
+    /// known to hold the flow, so that it does not go on looking elsewhere.
+    Wait {
+        /// Who is told.
+        report: Option<Report>,
+    },
 }
 
 /// A packet of the upstream's, as far as it decides something.
@@ -83,6 +87,8 @@
 struct Flow {
     report_to: Option<Ipv4Addr>,
     late: bool,
+    /// Whether the upstream has answered on it, so that it holds it.
+    held: bool,
     /// Number after the last data seen.
     next_sequence: Option<u32>,
     busy_since_ms: Option<Millis>,
@@ -140,7 +146,7 @@
             return Delivery::DeliverSilent { for_ms };
         }
         if self.must_wait(now_ms, segment, bytes) {
-            return Delivery::Wait;
+            return Delivery::Wait { report: self.report_if_held(segment.flow) };
         }
         self.start(now_ms, segment);
         Delivery::Deliver
@@ -178,6 +184,7 @@
         self.unanswered = 0;
         let flow = self.flows.get_mut(&answer.flow)?;
         flow.seen_ms = now_ms;
+        flow.held = true;
         if answer.data_bytes > 0 && flow.busy_since_ms.take().is_some() {
             flow.late = false;
             self.busy = self.busy.saturating_sub(1);
@@ -186,7 +193,7 @@
         if answer.last {
             self.forget(answer.flow);
         }
-        let busy = u8::try_from(self.busy).unwrap_or(u8::MAX);
+        let busy = self.busy_in_short();
         balancer.map(|balancer| Report { balancer, busy })
     }
 
@@ -285,6 +292,16 @@
         true
     }
 
+    fn report_if_held(&mut self, key: FlowKey) -> Option<Report> {
+        let flow = self.flows.get_mut(&key).filter(|flow| flow.held)?;
+        let balancer = flow.report_to.take()?;
+        Some(Report { balancer, busy: self.busy_in_short() })
+    }
+
+    fn busy_in_short(&self) -> u8 {
+        u8::try_from(self.busy).unwrap_or(u8::MAX)
+    }
+
     fn has_slot(&self) -> bool {
         self.slots == 0 || self.busy < u32::from(self.slots) + AHEAD
     }
--- a/crates/steering/tests/edge.rs
+++ b/crates/steering/tests/edge.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use rstest::rstest;
-use steering::edge::{Action, Edge, OPENING_PATIENCE_MS, Reason, Verdict};
+use steering::edge::{Action, Edge, REPEAT_AFTER_MS, Reason, Verdict};
 use steering::flow::{FlowKey, Millis, Segment, SegmentKind};
 use steering::view::{Route, RouteTable, ServiceStamp, Share, Standing, Upstream, View};
 
@@ -64,9 +64,15 @@
     actions
 }
 
+fn tick(edge: &mut Edge, now_ms: Millis, view: &View) -> Vec<Action> {
+    let mut actions = Vec::new();
+    edge.on_tick(now_ms, view, &mut actions);
+    actions.into_iter().map(|(_, action)| action).collect()
+}
+
 fn target(action: &Action) -> Option<Ipv4Addr> {
     match action {
-        Action::Forward { to, .. } | Action::Replay { to, .. } => Some(to.address),
+        Action::Forward { to, .. } => Some(to.address),
         Action::Reset { .. } | Action::Drop { .. } => None,
     }
 }
@@ -178,10 +184,8 @@
     if answered {
         verdict(&mut edge, 2, &view, first, Verdict::Held { busy: 1 }, &opening(1, 0));
     }
-    let mut actions = Vec::new();
-    edge.on_tick(OPENING_PATIENCE_MS - 1, &view, &mut actions);
-    assert!(actions.is_empty());
-    edge.on_tick(OPENING_PATIENCE_MS, &view, &mut actions);
+    assert!(tick(&mut edge, REPEAT_AFTER_MS - 1, &view).is_empty());
+    let actions = tick(&mut edge, REPEAT_AFTER_MS, &view);
     assert_eq!(actions.len(), replays);
     assert!(actions.iter().all(|action| target(action) != Some(first)));
 }
@@ -191,7 +195,7 @@
 fn silent_upstream_is_passed_over() {
     let (mut edge, view) = (Edge::default(), view_of(&[READY, READY]));
     let silent = target(&packet(&mut edge, 0, &view, &opening(1, 0))[0]).unwrap();
-    edge.on_tick(OPENING_PATIENCE_MS, &view, &mut Vec::new());
+    tick(&mut edge, REPEAT_AFTER_MS, &view);
     for number in 2..30 {
         let actions = packet(&mut edge, 70, &view, &opening(number, 0));
         assert_ne!(target(&actions[0]), Some(silent), "flow {number}");
@@ -264,3 +268,47 @@
     }
     assert!(edge.flow_count() <= steering::edge::FLOWS_MAX);
 }
+
+/// All instances lost power and come back one after the other. A request of a flow that is lost finds
+/// four upstreams that deny it, and one that is still down. Once that one is up and denies it too,
+/// the caller learns it by a reset, without having to repeat its request first.
+#[test]
+fn flow_is_proven_lost_when_the_last_upstream_is_back() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let segment = data(1, 5);
+    let down = Ipv4Addr::new(10, 0, 0, 3);
+    let mut actions = packet(&mut edge, 0, &view, &segment);
+    while let Some(to) = actions.first().and_then(target) {
+        if to == down {
+            // Nobody answers; others are asked only when the packet is repeated.
+            actions = tick(&mut edge, REPEAT_AFTER_MS, &view);
+            actions.retain(|action| target(action) != Some(down));
+            continue;
+        }
+        actions = verdict(&mut edge, REPEAT_AFTER_MS, &view, to, Verdict::Denied, &segment);
+        if actions.first().and_then(target) == Some(down) && actions.len() == 1 {
+            break;
+        }
+    }
+    for now_ms in (REPEAT_AFTER_MS..900).step_by(20) {
+        for action in tick(&mut edge, now_ms, &view) {
+            assert!(target(&action).is_some(), "no proof yet: {action:?}");
+            if let Some(to) = target(&action).filter(|to| *to != down) {
+                verdict(&mut edge, now_ms, &view, to, Verdict::Denied, &segment);
+            }
+        }
+    }
+    let actions = verdict(&mut edge, 900, &view, down, Verdict::Denied, &segment);
+    assert_eq!(actions, [Action::Reset { reason: Reason::Lost }]);
+}
+
+/// A flood of packets of unknown flows is not kept for repetition beyond the bound.
+#[test]
+fn repetition_of_a_flood_is_bounded() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    for number in 1..20_000 {
+        packet(&mut edge, 0, &view, &data(number, 5));
+    }
+    let repeated = tick(&mut edge, REPEAT_AFTER_MS, &view);
+    assert!(repeated.len() <= 3 * steering::edge::PENDING_BYTES_MAX / 36);
+}
--- a/crates/steering/tests/side.rs
+++ b/crates/steering/tests/side.rs
@@ -79,7 +79,7 @@
     for &(number, copy, at_ms) in arrivals {
         deliver(&mut side, at_ms, &opening(number, copy), 1);
         side.on_answer(at_ms, Answer { flow: flow(number), data_bytes: 0, last: false });
-        assert_eq!(deliver(&mut side, at_ms, &data(number, 2), 1), Delivery::Wait);
+        assert_eq!(deliver(&mut side, at_ms, &data(number, 2), 1), Delivery::Wait { report: None });
     }
     assert_eq!(releases(&mut side, at), order);
 }
@@ -103,9 +103,9 @@
 fn repeated_data_while_waiting_is_kept_once() {
     let mut side = busy_side(0);
     for at_ms in [0, 200] {
-        assert_eq!(deliver(&mut side, at_ms, &data(3, 1), 1), Delivery::Wait);
+        assert_eq!(deliver(&mut side, at_ms, &data(3, 1), 1), Delivery::Wait { report: None });
     }
-    assert_eq!(deliver(&mut side, 201, &data(3, 101), 1), Delivery::Wait);
+    assert_eq!(deliver(&mut side, 201, &data(3, 101), 1), Delivery::Wait { report: None });
     side.on_answer(210, answer(1));
     let packets = side.next_released(210).unwrap();
     assert_eq!(packets.iter().map(|packet| packet[1]).collect::<Vec<u8>>(), [1, 101]);
@@ -190,3 +190,20 @@
     assert_eq!((report.balancer, report.busy), (BALANCER, 0));
     assert!(side.on_answer(2, answer(1)).is_none());
 }
+
+/// A request waits here, and its balancer, new to the flow, asks where it lives. Without an answer it
+/// would go on asking all others until the upstream has room.
+#[rstest]
+#[case::known_to_be_held(true)]
+#[case::new_here(false)]
+fn waiting_request_is_reported_if_held(#[case] held: bool) {
+    let mut side = busy_side(0);
+    if held {
+        deliver(&mut side, 0, &opening(3, 0), 1);
+        side.on_answer(1, Answer { flow: flow(3), data_bytes: 0, last: false });
+    }
+    let ask = Ask { report: true, ..ask(1) };
+    let delivery = side.on_packet(2, &data(3, 2), &[], ask);
+    let Delivery::Wait { report } = delivery else { panic!("{delivery:?}") };
+    assert_eq!(report.is_some(), held);
+}
