Learn the view within milliseconds of the store's return

Found by the balancers' log. Change: without a view, short waits alternate with long ones (a slow store answers in 300 ms), begun at another place by each balancer, with pauses of 100 ms at most; hellos go to the seeds every 100 ms, and whoever knows more says so. With a view, pauses are 1.5 s at most.

--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod flow;
 pub mod leave;
 pub mod membership;
+pub mod patience;
 pub mod peers;
 pub mod rank;
 pub mod side;
--- a/crates/steering/src/peers/mod.rs
+++ b/crates/steering/src/peers/mod.rs
@@ -19,6 +19,8 @@
 pub const BEACON_MS: Millis = 500;
 /// Pause between two hellos.
 pub const HELLO_MS: Millis = 1_000;
+/// The same for a balancer that knows nothing yet: callers wait for it.
+const HELLO_BLIND_MS: Millis = 100;
 /// A reader that was not heard for this long counts no more: two beacons may get lost.
 const READER_SILENT_MS: Millis = 1_300;
 /// A balancer that was not heard of for this long is told nothing more.
@@ -97,8 +99,19 @@
         theirs: Summary,
         ours: Summary,
     ) -> Lesson {
-        self.note(now_ms, from);
         hear(&mut self.readers, now_ms, from);
+        self.compare(now_ms, from, theirs, ours)
+    }
+
+    /// Compares what another balancer knows, reader or not, with what this balancer knows.
+    pub fn compare(
+        &mut self,
+        now_ms: Millis,
+        from: Ipv4Addr,
+        theirs: Summary,
+        ours: Summary,
+    ) -> Lesson {
+        self.note(now_ms, from);
         // An older version in force there must not come back here, whatever the revision says.
         if theirs.revision <= ours.revision || theirs.routes_version < ours.routes_version {
             return Lesson::Nothing;
@@ -124,9 +137,11 @@
         better.count() < READERS
     }
 
-    /// Whom to send a hello now, if it is time: the given instances, and the readers.
-    pub fn hellos_due(&mut self, now_ms: Millis, seeds: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
-        if self.hello_ms > 0 && now_ms.saturating_sub(self.hello_ms) < HELLO_MS {
+    /// Whom to send a hello now, if it is time: the given instances, and the readers. A balancer that
+    /// is `blind` knows nothing yet.
+    pub fn hellos_due(&mut self, now_ms: Millis, seeds: &[Ipv4Addr], blind: bool) -> Vec<Ipv4Addr> {
+        let pause_ms = if blind { HELLO_BLIND_MS } else { HELLO_MS };
+        if self.hello_ms > 0 && now_ms.saturating_sub(self.hello_ms) < pause_ms {
             return Vec::new();
         }
         self.hello_ms = now_ms.max(1);
--- a/crates/steering/tests/peers.rs
+++ b/crates/steering/tests/peers.rs
@@ -42,7 +42,7 @@
         if self.peers[number].must_read(now_ms) {
             self.peers[number].on_store_answer(now_ms);
         }
-        for target in self.peers[number].hellos_due(now_ms, &[address(0), address(1)]) {
+        for target in self.peers[number].hellos_due(now_ms, &[address(0), address(1)], false) {
             if let Some(other) = self.reached(number, target) {
                 let list = self.peers[other].on_hello(now_ms, address(number));
                 self.peers[number].on_peers(now_ms, target, &list);
@@ -141,3 +141,19 @@
     let found = peers.on_beacon(0, address(1), summary(theirs), summary((5, 2, 1, 1)));
     assert_eq!(found, lesson);
 }
+
+/// A balancer that starts during an outage of the configuration service learns everything from
+/// another one, which need not be a reader. Its callers wait, so it asks often.
+#[rstest]
+#[case::blind(true, 10)]
+#[case::informed(false, 1)]
+fn hellos_within_a_second(#[case] blind: bool, #[case] hellos: usize) {
+    let mut peers = Peers::new(address(0));
+    let seeds = [address(1)];
+    let sent = (1..=1_000).map(|now_ms| peers.hellos_due(now_ms, &seeds, blind).len());
+    assert_eq!(sent.sum::<usize>(), hellos);
+    let theirs = Summary { revision: 1, routes_version: 1, routes_digest: 1, upstreams_digest: 1 };
+    let lesson = peers.compare(1_000, address(1), theirs, Summary::default());
+    assert_eq!(lesson, Lesson::Fetch);
+    assert!(peers.must_read(1_000), "who knows something is no reader");
+}
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -23,12 +23,18 @@
 /// A message between balancers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Message {
-    /// The sender lives; the receiver answers with the balancers it knows.
-    Hello,
+    /// The sender lives and knows this revision; the receiver answers with the balancers it knows,
+    /// and with what it knows itself, if that is more.
+    Hello {
+        /// Revision that the sender knows; zero if it knows nothing.
+        revision: u64,
+    },
     /// Balancers that the sender knows.
     Peers(Vec<Ipv4Addr>),
     /// The sender reads the configuration service, and this is what it knows.
     Beacon(Summary),
+    /// The sender knows this, but need not be a reader.
+    Knows(Summary),
 }
 
 /// Everything that a balancer needs to know, as another one gives it.
@@ -46,9 +52,18 @@
 
 #[derive(Serialize, Deserialize)]
 enum MessageBody {
-    Hello,
+    Hello { revision: u64 },
     Peers(#[serde(deserialize_with = "peer_list")] Vec<u32>),
-    Beacon { revision: u64, routes_version: u64, routes_digest: u64, upstreams_digest: u64 },
+    Beacon(SummaryBody),
+    Knows(SummaryBody),
+}
+
+#[derive(Serialize, Deserialize)]
+struct SummaryBody {
+    revision: u64,
+    routes_version: u64,
+    routes_digest: u64,
+    upstreams_digest: u64,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -106,21 +121,18 @@
 ///
 /// ```
 /// use wire::peers::{Message, decode, encode};
-/// assert_eq!(decode(&encode(&Message::Hello)), Some(Message::Hello));
+/// let hello = Message::Hello { revision: 7 };
+/// assert_eq!(decode(&encode(&hello)), Some(hello));
 /// assert_eq!(decode(b"\xc1"), None);
 /// ```
 pub fn encode(message: &Message) -> Vec<u8> {
     let body = match message {
-        Message::Hello => MessageBody::Hello,
+        Message::Hello { revision } => MessageBody::Hello { revision: *revision },
         Message::Peers(peers) => {
             MessageBody::Peers(peers.iter().take(PEERS_MAX).map(|peer| peer.to_bits()).collect())
         }
-        Message::Beacon(summary) => MessageBody::Beacon {
-            revision: summary.revision,
-            routes_version: summary.routes_version,
-            routes_digest: summary.routes_digest,
-            upstreams_digest: summary.upstreams_digest,
-        },
+        Message::Beacon(summary) => MessageBody::Beacon(summary_body(summary)),
+        Message::Knows(summary) => MessageBody::Knows(summary_body(summary)),
     };
     rmp_serde::to_vec(&body).expect("a plain enumeration always encodes")
 }
@@ -128,16 +140,33 @@
 /// Decodes a message; `None` if it is not one that this version knows.
 pub fn decode(bytes: &[u8]) -> Option<Message> {
     Some(match rmp_serde::from_slice(bytes).ok()? {
-        MessageBody::Hello => Message::Hello,
+        MessageBody::Hello { revision } => Message::Hello { revision },
         MessageBody::Peers(peers) => {
             Message::Peers(peers.into_iter().map(Ipv4Addr::from_bits).collect())
         }
-        MessageBody::Beacon { revision, routes_version, routes_digest, upstreams_digest } => {
-            Message::Beacon(Summary { revision, routes_version, routes_digest, upstreams_digest })
-        }
+        MessageBody::Beacon(body) => Message::Beacon(summary(&body)),
+        MessageBody::Knows(body) => Message::Knows(summary(&body)),
     })
 }
 
+fn summary_body(summary: &Summary) -> SummaryBody {
+    SummaryBody {
+        revision: summary.revision,
+        routes_version: summary.routes_version,
+        routes_digest: summary.routes_digest,
+        upstreams_digest: summary.upstreams_digest,
+    }
+}
+
+fn summary(body: &SummaryBody) -> Summary {
+    Summary {
+        revision: body.revision,
+        routes_version: body.routes_version,
+        routes_digest: body.routes_digest,
+        upstreams_digest: body.upstreams_digest,
+    }
+}
+
 /// Encodes a view.
 pub fn encode_view(view: &ViewContents) -> Vec<u8> {
     let route = |route: &Route| RouteBody {
