Log and count every decision about a flow

Cause: a failed request could be explained with a debugger only. An agent forgot lost answers and old flows only when it was idle: now under traffic too (test first).

--- a/crates/settings/src/codes/table.rs
+++ b/crates/settings/src/codes/table.rs
@@ -213,6 +213,15 @@
     LINES_SUPPRESSED = 2210, "lines_suppressed", Packets,
         "Log lines of this code were left out to keep within the bound.",
         "None; the metrics count every event.";
+    WAITED = 2211, "waited", Packets,
+        "A request had to wait beside its upstream, which had no free slot.",
+        "Add upstreams if this goes on; after an outage it is usual for some seconds.";
+    SLOW_ANSWER = 2212, "slow_answer", Packets,
+        "The upstream took long to begin its answer.",
+        "Look at the upstream: it is slow, starting, or overloaded.";
+    NO_ROUTE = 2213, "no_route", Packets,
+        "No route leads from the address and port; the caller was reset.",
+        "None if the route was removed; otherwise add it.";
     BAD_ARGUMENTS = 3001, "bad_arguments", Start,
         "The command line of the process is wrong.",
         "See `--help`.";
--- a/crates/shell/src/http/mod.rs
+++ b/crates/shell/src/http/mod.rs
@@ -4,4 +4,4 @@
 pub mod routes;
 mod server;
 
-pub use server::start;
+pub use server::{start, start_all};
--- a/crates/shell/src/http/server.rs
+++ b/crates/shell/src/http/server.rs
@@ -1,6 +1,5 @@
 //! Serving [`Routes`] by gotham on a thread of its own.
 
-use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
@@ -36,26 +35,48 @@
 /// assert_eq!(Client::new(Duration::from_secs(5)).get(address, "/healthz").unwrap(), b"ok");
 /// ```
 pub fn start(address: SocketAddr, routes: Routes) -> Result<SocketAddr, StartFault> {
-    let bind_fault = |error: io::Error| StartFault::bind(address, &error);
-    let listener = TcpListener::bind(address).map_err(bind_fault)?;
-    let bound = listener.local_addr().map_err(bind_fault)?;
+    let listener = listen(address)?;
+    let bound = listener.local_addr().map_err(|error| StartFault::bind(address, &error))?;
+    serve(vec![listener], routes)?;
+    Ok(bound)
+}
+
+/// Binds several addresses and serves `routes` on all of them with the threads of one endpoint.
+pub fn start_all(addresses: &[SocketAddr], routes: Routes) -> Result<(), StartFault> {
+    let listeners: Result<Vec<TcpListener>, StartFault> =
+        addresses.iter().map(|address| listen(*address)).collect();
+    serve(listeners?, routes)
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, StartFault> {
+    let listener = TcpListener::bind(address).map_err(|error| StartFault::bind(address, &error))?;
     listener.set_nonblocking(true).map_err(|e| StartFault::thread(&e))?;
+    Ok(listener)
+}
+
+fn serve(listeners: Vec<TcpListener>, routes: Routes) -> Result<(), StartFault> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKERS)
         .thread_name("http")
         .enable_all()
         .build()
         .map_err(|e| StartFault::thread(&e))?;
+    let router = router(routes);
     let serve = move || {
         runtime.block_on(async move {
-            match tokio::net::TcpListener::from_std(listener) {
-                Ok(listener) => gotham::bind_server(listener, router(routes), future::ok).await,
-                Err(error) => log::error!("cannot serve HTTP: {error}"),
-            }
+            let servers = listeners.into_iter().map(|listener| accept(listener, router.clone()));
+            future::join_all(servers).await;
         });
     };
     let spawned = thread::Builder::new().name("http-accept".into()).spawn(serve);
-    spawned.map(|_| bound).map_err(|e| StartFault::thread(&e))
+    spawned.map(|_| ()).map_err(|e| StartFault::thread(&e))
+}
+
+async fn accept(listener: TcpListener, router: Router) {
+    match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => gotham::bind_server(listener, router, future::ok).await,
+        Err(error) => log::error!("cannot serve HTTP: {error}"),
+    }
 }
 
 fn router(routes: Routes) -> Router {
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -74,6 +74,24 @@
     pub last: bool,
 }
 
+/// What follows from a packet of the upstream's.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Answered {
+    /// Who is told.
+    pub report: Option<Report>,
+    /// If the packet begins the answer to a request: the time since that was handed on.
+    pub worked_ms: Option<Millis>,
+}
+
+/// A request that has waited and may go to the upstream now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Released {
+    /// Its packets in the order of arrival.
+    pub packets: Vec<Box<[u8]>>,
+    /// How long it has waited.
+    pub waited_ms: Millis,
+}
+
 /// What a balancer is told beside the packet that goes to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -153,7 +171,7 @@
     }
 
     /// Packets of the request that may go to the upstream now, if one may.
-    pub fn next_released(&mut self, now_ms: Millis) -> Option<Vec<Box<[u8]>>> {
+    pub fn next_released(&mut self, now_ms: Millis) -> Option<Released> {
         let waiting = if self.unanswered >= SILENT_OPENINGS {
             // What is silent frees no slot: the packets go on, so that the balancers learn of it.
             self.queue.take_any()
@@ -168,7 +186,8 @@
                 self.busy += 1;
             }
         }
-        Some(waiting.packets)
+        let waited_ms = waiting.waited_ms(now_ms);
+        Some(Released { packets: waiting.packets, waited_ms })
     }
 
     /// Takes note of a packet that the upstream returned: it lives and does not hold the flow.
@@ -179,13 +198,14 @@
     }
 
     /// Takes note of a packet that the upstream sends to a caller, and says who is told.
-    pub fn on_answer(&mut self, now_ms: Millis, answer: Answer) -> Option<Report> {
+    pub fn on_answer(&mut self, now_ms: Millis, answer: Answer) -> Answered {
         self.wake(now_ms);
         self.unanswered = 0;
-        let flow = self.flows.get_mut(&answer.flow)?;
+        let Some(flow) = self.flows.get_mut(&answer.flow) else { return Answered::default() };
         flow.seen_ms = now_ms;
         flow.held = true;
-        if answer.data_bytes > 0 && flow.busy_since_ms.take().is_some() {
+        let started_ms = if answer.data_bytes > 0 { flow.busy_since_ms.take() } else { None };
+        if started_ms.is_some() {
             flow.late = false;
             self.busy = self.busy.saturating_sub(1);
         }
@@ -194,24 +214,15 @@
             self.forget(answer.flow);
         }
         let busy = self.busy_in_short();
-        balancer.map(|balancer| Report { balancer, busy })
+        Answered {
+            report: balancer.map(|balancer| Report { balancer, busy }),
+            worked_ms: started_ms.map(|started_ms| now_ms.saturating_sub(started_ms)),
+        }
     }
 
-    /// Notes that the process runs, and forgets what is old.
+    /// Notes that the process runs.
     pub fn on_tick(&mut self, now_ms: Millis) {
         self.wake(now_ms);
-        if now_ms.saturating_sub(self.swept_ms) < SWEEP_MS {
-            return;
-        }
-        self.swept_ms = now_ms;
-        self.flows.retain(|_, flow| now_ms.saturating_sub(flow.seen_ms) < IDLE_MS);
-        for flow in self.flows.values_mut() {
-            if flow.busy_since_ms.is_some_and(|since| now_ms.saturating_sub(since) >= BUSY_MS) {
-                flow.busy_since_ms = None;
-            }
-        }
-        let busy = self.flows.values().filter(|flow| flow.busy_since_ms.is_some()).count();
-        self.busy = u32::try_from(busy).unwrap_or(u32::MAX);
     }
 
     /// Whether something waits, so that the process must not sleep for long.
@@ -236,6 +247,23 @@
             self.unanswered = 0;
         }
         self.awake_ms = now_ms;
+        if now_ms.saturating_sub(self.swept_ms) >= SWEEP_MS {
+            self.sweep(now_ms);
+        }
+    }
+
+    /// Forgets old flows, and requests whose answers were lost: counted on, they would keep others
+    /// waiting beside an idle upstream.
+    fn sweep(&mut self, now_ms: Millis) {
+        self.swept_ms = now_ms;
+        self.flows.retain(|_, flow| now_ms.saturating_sub(flow.seen_ms) < IDLE_MS);
+        for flow in self.flows.values_mut() {
+            if flow.busy_since_ms.is_some_and(|since| now_ms.saturating_sub(since) >= BUSY_MS) {
+                flow.busy_since_ms = None;
+            }
+        }
+        let busy = self.flows.values().filter(|flow| flow.busy_since_ms.is_some()).count();
+        self.busy = u32::try_from(busy).unwrap_or(u32::MAX);
     }
 
     /// How long the upstream has been silent, if it has.
--- a/crates/steering/src/side/queue.rs
+++ b/crates/steering/src/side/queue.rs
@@ -28,6 +28,13 @@
     late: bool,
 }
 
+impl Waiting {
+    /// How long it has waited.
+    pub(super) fn waited_ms(&self, now_ms: Millis) -> Millis {
+        now_ms.saturating_sub(self.since_ms)
+    }
+}
+
 /// Requests by arrival.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
@@ -68,18 +75,14 @@
 
     /// Takes the next request that has waited too long, if any.
     pub(super) fn take_overdue(&mut self, now_ms: Millis) -> Option<Waiting> {
-        let index = self
-            .requests
-            .iter()
-            .position(|waiting| now_ms.saturating_sub(waiting.since_ms) >= WAIT_MAX_MS)?;
+        let index =
+            self.requests.iter().position(|waiting| waiting.waited_ms(now_ms) >= WAIT_MAX_MS)?;
         Some(self.requests.remove(index))
     }
 
     /// Takes the request to be worked on next: the newest that can be on time, else the oldest.
     pub(super) fn take_next(&mut self, now_ms: Millis) -> Option<Waiting> {
-        let hopeful = |waiting: &Waiting| {
-            !waiting.late && now_ms.saturating_sub(waiting.since_ms) < HOPEFUL_MS
-        };
+        let hopeful = |waiting: &Waiting| !waiting.late && waiting.waited_ms(now_ms) < HOPEFUL_MS;
         let newest = self.requests.iter().rposition(hopeful);
         let index = newest.or_else(|| (!self.requests.is_empty()).then_some(0))?;
         Some(self.requests.remove(index))
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -139,6 +139,10 @@
     /// From when on the list of upstreams counts as whole: right after an outage of the
     /// configuration service it may lack upstreams that live, and proves nothing by absence.
     pub whole_from_ms: Millis,
+    /// Revision of the configuration service that it was made of.
+    pub revision: u64,
+    /// Since when it is in force.
+    pub since_ms: Millis,
     upstreams: Vec<Upstream>,
 }
 
@@ -146,7 +150,7 @@
     /// A view of these routes and upstreams.
     pub fn new(routes: Arc<RouteTable>, mut upstreams: Vec<Upstream>) -> Self {
         upstreams.sort_by_key(|upstream| (upstream.service, upstream.address));
-        Self { routes, whole_from_ms: 0, upstreams }
+        Self { routes, whole_from_ms: 0, revision: 0, since_ms: 0, upstreams }
     }
 
     /// The upstreams of a service.
--- a/crates/steering/tests/side.rs
+++ b/crates/steering/tests/side.rs
@@ -55,10 +55,11 @@
     let mut answered = 1;
     loop {
         side.on_answer(now_ms, answer(answered));
-        let Some(packets) = side.next_released(now_ms) else { return order };
+        let Some(released) = side.next_released(now_ms) else { return order };
         assert!(side.next_released(now_ms).is_none(), "one slot, one request");
-        order.push(packets[0][0]);
-        answered = u16::from(packets[0][0]);
+        let first = released.packets[0][0];
+        order.push(first);
+        answered = u16::from(first);
     }
 }
 
@@ -107,8 +108,9 @@
     }
     assert_eq!(deliver(&mut side, 201, &data(3, 101), 1), Delivery::Wait { report: None });
     side.on_answer(210, answer(1));
-    let packets = side.next_released(210).unwrap();
-    assert_eq!(packets.iter().map(|packet| packet[1]).collect::<Vec<u8>>(), [1, 101]);
+    let released = side.next_released(210).unwrap();
+    assert_eq!(released.waited_ms, 210);
+    assert_eq!(released.packets.iter().map(|packet| packet[1]).collect::<Vec<u8>>(), [1, 101]);
 }
 
 #[rstest]
@@ -186,9 +188,9 @@
 fn report_goes_once_to_the_balancer_that_asked() {
     let mut side = Side::new(SERVICE);
     side.on_packet(0, &opening(1, 0), &[], Ask { report: true, ..ask(7) });
-    let report = side.on_answer(1, answer(1)).unwrap();
+    let report = side.on_answer(1, answer(1)).report.unwrap();
     assert_eq!((report.balancer, report.busy), (BALANCER, 0));
-    assert!(side.on_answer(2, answer(1)).is_none());
+    assert!(side.on_answer(2, answer(1)).report.is_none());
 }
 
 /// A request waits here, and its balancer, new to the flow, asks where it lives. Without an answer it
@@ -207,3 +209,23 @@
     let Delivery::Wait { report } = delivery else { panic!("{delivery:?}") };
     assert_eq!(report.is_some(), held);
 }
+
+/// Two answers are lost with the link of the instance. Packets of other flows come all the time, so
+/// the process never sleeps; the two requests must not count as at work forever.
+#[test]
+fn lost_answers_are_forgotten_under_traffic() {
+    let mut side = busy_side(0);
+    for now_ms in (0..5_000).step_by(10) {
+        deliver(&mut side, now_ms, &opening(7, 0), 1);
+        side.on_answer(now_ms, Answer { flow: flow(7), data_bytes: 0, last: false });
+    }
+    assert_eq!(side.busy(), 0);
+}
+
+#[test]
+fn answer_tells_how_long_the_work_took() {
+    let mut side = Side::new(SERVICE);
+    deliver(&mut side, 10, &data(1, 1), 7);
+    assert_eq!(side.on_answer(75, answer(1)).worked_ms, Some(65));
+    assert_eq!(side.on_answer(76, answer(1)).worked_ms, None);
+}
