--- a/crates/settings/src/codes/table.rs
+++ b/crates/settings/src/codes/table.rs
@@ -222,6 +222,12 @@
     NO_ROUTE = 2213, "no_route", Packets,
         "No route leads from the address and port; the caller was reset.",
         "None if the route was removed; otherwise add it.";
+    UPSTREAM_SLOW = 2214, "upstream_slow", Packets,
+        "The upstream beside this agent takes at least twice as long as before.",
+        "Look at the upstream; flows that are open there stay there.";
+    UPSTREAM_WELL = 2215, "upstream_well", Packets,
+        "The upstream beside this agent works as fast as before.",
+        "None.";
     BAD_ARGUMENTS = 3001, "bad_arguments", Start,
         "The command line of the process is wrong.",
         "See `--help`.";
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -1,5 +1,6 @@
 //! An agent's decisions: what goes to its upstream, what goes back to a balancer, what to a caller.
 
+mod pace;
 mod queue;
 
 use std::collections::HashMap;
@@ -7,6 +8,7 @@
 
 use crate::flow::{FlowKey, Millis, Segment, SegmentKind};
 use crate::view::ServiceStamp;
+pub use pace::{Pace, PaceChange};
 use queue::Queue;
 
 /// An upstream that has left packets unanswered for this long, without any packet of its own, counts
--- a/crates/steering/tests/side.rs
+++ b/crates/steering/tests/side.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use steering::flow::{FlowKey, Millis, Segment, SegmentKind};
-use steering::side::{Answer, Ask, Delivery, Side};
+use steering::side::{Answer, Ask, Delivery, Pace, Side};
 use steering::view::ServiceStamp;
 
 const SERVICE: ServiceStamp = ServiceStamp(7);
@@ -229,3 +229,20 @@
     assert_eq!(side.on_answer(75, answer(1)).worked_ms, Some(65));
     assert_eq!(side.on_answer(76, answer(1)).worked_ms, None);
 }
+
+/// The on-call engineer finds late answers and nothing else in the logs: the upstream worked four
+/// times as long as before, which no single answer shows.
+#[rstest]
+#[case::steady(&[(200, 40)], &[])]
+#[case::uneven(&[(100, 40), (1, 330), (100, 40)], &[])]
+#[case::slow_and_well_again(&[(200, 40), (60, 160), (60, 40)], &[true, false])]
+#[case::slow_from_its_start(&[(30, 160), (200, 40)], &[])]
+#[case::slow_for_long(&[(200, 40), (900, 160)], &[true])]
+fn pace_changes(#[case] answers: &[(usize, Millis)], #[case] expected: &[bool]) {
+    let mut pace = Pace::default();
+    let times =
+        answers.iter().flat_map(|&(count, worked_ms)| std::iter::repeat_n(worked_ms, count));
+    let changes: Vec<bool> =
+        times.filter_map(|worked_ms| pace.take(worked_ms)).map(|c| c.slow).collect();
+    assert_eq!(changes, expected);
+}
