--- a/crates/goosectl/src/commands/explain/mod.rs
+++ b/crates/goosectl/src/commands/explain/mod.rs
@@ -12,7 +12,7 @@
 
 use std::io::Write;
 
-use super::Command;
+use super::{Command, logs};
 use crate::exit::{Exit, Failure};
 use crate::fleet::{Fleet, OPTIONS_HELP};
 use crate::output;
@@ -51,8 +51,11 @@
 ";
 
 fn run(parser: &mut lexopt::Parser, out: &mut dyn Write) -> Result<Exit, Failure> {
+    if logs::is_asked(parser) {
+        return logs::explain(parser, out);
+    }
     let Some(arguments) = arguments::parse(parser)? else {
-        write!(out, "{HELP}{OPTIONS_HELP}{EXAMPLES}")?;
+        write!(out, "{HELP}{OPTIONS_HELP}{}{EXAMPLES}", logs::EXPLAIN_HELP)?;
         return Ok(Exit::Success);
     };
     let fleet = Fleet::find(&arguments.options)?;
--- /dev/null
+++ b/crates/goosectl/src/commands/logs/mod.rs
@@ -0,0 +1,116 @@
+//! Reading the JSON lines that processes log: for `explain --logs` and `timeline --logs`.
+
+mod parse;
+mod walk;
+
+use std::ffi::OsString;
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
+
+use lexopt::ValueExt as _;
+use lexopt::prelude::{Long, Short, Value};
+use settings::codes;
+
+use crate::exit::{Exit, Failure};
+use parse::Line;
+
+/// Option that selects this way of working.
+const OPTION: &str = "--logs";
+/// Most bytes of a line that are looked at; a longer one is none of ours.
+const LINE_BYTES_MAX: usize = 16 << 10;
+
+/// Help of `explain --logs`.
+pub(crate) const EXPLAIN_HELP: &str = "
+With logs instead of running instances:
+  goosectl explain --logs FILE [--logs FILE]... ID
+
+Prints the decisions about one request or flow in causal order, with what decided and what came of
+it, from the log lines of many processes together; FILE may be `-` for standard input, and text
+before a line's `{` is passed over. ID is a request's id, or ADDRESS:PORT of its caller.
+";
+
+/// Help of `timeline --logs`.
+pub(crate) const TIMELINE_HELP: &str = "
+With logs instead of running instances:
+  goosectl timeline --logs FILE [--logs FILE]...
+
+Prints what processes logged about themselves (starts, views, the configuration service, slow and
+silent upstreams) in the order of time; lines about single flows are counted only.
+";
+
+/// Whether a command line asks for logs.
+pub(crate) fn is_asked(parser: &lexopt::Parser) -> bool {
+    let mut rest = parser.clone();
+    let Ok(mut arguments) = rest.raw_args() else { return false };
+    arguments.any(|argument| argument == OPTION)
+}
+
+/// Runs `explain --logs`.
+pub(crate) fn explain(parser: &mut lexopt::Parser, out: &mut dyn Write) -> Result<Exit, Failure> {
+    let Some((files, Some(id))) = arguments(parser)? else {
+        return Err(Failure::usage("give an id and at least one file"));
+    };
+    let lines = read(&files)?;
+    let found = walk::of_request(&lines, &id);
+    if found.is_empty() {
+        let text =
+            format!("no line names {id}; lines over the bound are left out, see `suppressed`");
+        return Err(Failure::new(codes::NOT_FOUND, Exit::Findings, text));
+    }
+    for line in found {
+        writeln!(out, "{}", line.text())?;
+    }
+    Ok(Exit::Success)
+}
+
+/// Runs `timeline --logs`.
+pub(crate) fn timeline(parser: &mut lexopt::Parser, out: &mut dyn Write) -> Result<Exit, Failure> {
+    let Some((files, _)) = arguments(parser)? else {
+        return Err(Failure::usage("give at least one file"));
+    };
+    let lines = read(&files)?;
+    for line in walk::of_processes(&lines) {
+        writeln!(out, "{}", line.text())?;
+    }
+    for (event, count) in walk::counts(&lines) {
+        writeln!(out, "flows: {event} {count}")?;
+    }
+    Ok(Exit::Success)
+}
+
+type Asked = (Vec<OsString>, Option<String>);
+
+fn arguments(parser: &mut lexopt::Parser) -> Result<Option<Asked>, Failure> {
+    let (mut files, mut id) = (Vec::new(), None);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("help") | Short('h') => return Ok(None),
+            Long("logs") => files.push(parser.value()?),
+            Value(value) if id.is_none() => id = Some(value.string()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok((!files.is_empty()).then_some((files, id)))
+}
+
+fn read(files: &[OsString]) -> Result<Vec<Line>, Failure> {
+    let mut lines = Vec::new();
+    for file in files {
+        let unreadable = |error: std::io::Error| {
+            let text = format!("{}: {error}", file.to_string_lossy());
+            Failure::new(codes::FILE_UNREADABLE, Exit::File, text)
+        };
+        let reader: Box<dyn BufRead> = if file == "-" {
+            Box::new(std::io::stdin().lock())
+        } else {
+            Box::new(BufReader::new(File::open(file).map_err(unreadable)?))
+        };
+        for line in reader.split(b'\n') {
+            let line = line.map_err(unreadable)?;
+            let text = String::from_utf8_lossy(&line[..line.len().min(LINE_BYTES_MAX)]);
+            lines.extend(parse::line(&text));
+        }
+    }
+    walk::sort(&mut lines);
+    Ok(lines)
+}
--- /dev/null
+++ b/crates/goosectl/src/commands/logs/walk.rs
@@ -0,0 +1,54 @@
+//! Which lines belong together, and in which order.
+
+use super::parse::Line;
+
+/// Sorts lines by time. Lines of one process keep their order, also if its time of day jumps back
+/// between two of them: within an instance, order in the file is order in time.
+pub(super) fn sort(lines: &mut [Line]) {
+    let mut latest: Vec<(String, String)> = Vec::new();
+    let mut keys = Vec::with_capacity(lines.len());
+    for line in lines.iter() {
+        let index = latest.iter().position(|(instance, _)| instance == line.instance());
+        let index = index.unwrap_or_else(|| {
+            latest.push((line.instance().to_owned(), String::new()));
+            latest.len() - 1
+        });
+        if latest[index].1 < line.timestamp {
+            latest[index].1.clone_from(&line.timestamp);
+        }
+        keys.push(latest[index].1.clone());
+    }
+    let mut order: Vec<usize> = (0..lines.len()).collect();
+    order.sort_by(|a, b| keys[*a].cmp(&keys[*b]).then(a.cmp(b)));
+    let sorted: Vec<Line> = order.into_iter().map(|index| lines[index].clone()).collect();
+    lines.clone_from_slice(&sorted);
+}
+
+/// The lines about a request or about a caller's flow. A request's id leads to its flows, and these
+/// to all lines about them.
+pub(super) fn of_request<'a>(lines: &'a [Line], id: &str) -> Vec<&'a Line> {
+    let flows = || lines.iter().filter_map(|line| line.flow.as_ref());
+    let named = flows().filter(|flow| flow.request == id || flow.caller == id);
+    let callers: Vec<&str> = named.map(|flow| flow.caller.as_str()).collect();
+    let concerns = |line: &&Line| {
+        line.flow.as_ref().is_some_and(|flow| callers.contains(&flow.caller.as_str()))
+    };
+    lines.iter().filter(concerns).collect()
+}
+
+/// The lines of processes about themselves.
+pub(super) fn of_processes(lines: &[Line]) -> impl Iterator<Item = &Line> {
+    lines.iter().filter(|line| line.flow.is_none())
+}
+
+/// How many lines there are about flows, by event; those left out count.
+pub(super) fn counts(lines: &[Line]) -> Vec<(String, u64)> {
+    let mut counts: Vec<(String, u64)> = Vec::new();
+    for flow in lines.iter().filter_map(|line| line.flow.as_ref()) {
+        match counts.binary_search_by(|(event, _)| event.cmp(&flow.event)) {
+            Ok(index) => counts[index].1 += 1 + flow.suppressed,
+            Err(index) => counts.insert(index, (flow.event.clone(), 1 + flow.suppressed)),
+        }
+    }
+    counts
+}
--- a/crates/goosectl/src/commands/mod.rs
+++ b/crates/goosectl/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod drain_watch;
 mod explain;
 mod flows;
+mod logs;
 mod settings;
 mod status;
 mod timeline;
--- a/crates/goosectl/src/commands/timeline/mod.rs
+++ b/crates/goosectl/src/commands/timeline/mod.rs
@@ -16,7 +16,7 @@
 use settings::codes::{self, INSTANCE_UNREACHABLE};
 use telemetry::clock::{self, Timestamp};
 
-use super::Command;
+use super::{Command, logs};
 use crate::exit::{Exit, Failure};
 use crate::fleet::{Event, Fleet, OPTIONS_HELP};
 use crate::output;
@@ -70,8 +70,11 @@
 }
 
 fn run(parser: &mut lexopt::Parser, out: &mut dyn Write) -> Result<Exit, Failure> {
+    if logs::is_asked(parser) {
+        return logs::timeline(parser, out);
+    }
     let Some(arguments) = arguments::parse(parser)? else {
-        write!(out, "{HELP}{OPTIONS_HELP}{EXAMPLES}")?;
+        write!(out, "{HELP}{OPTIONS_HELP}{}{EXAMPLES}", logs::TIMELINE_HELP)?;
         return Ok(Exit::Success);
     };
     let Gathered { events, names, notes, silent } = gather(&arguments)?;
