--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -44,8 +44,10 @@
     pub revision: u64,
     /// For how much longer the list of upstreams may lack some that live.
     pub whole_in_ms: u64,
-    /// Routes in force.
-    pub routes: Arc<RouteTable>,
+    /// Routes in force; `None` if the receiver has the same ones.
+    pub routes: Option<Arc<RouteTable>>,
+    /// Their version.
+    pub routes_version: u64,
     /// The listed upstreams.
     pub upstreams: Vec<UpstreamRecord>,
 }
@@ -71,12 +73,14 @@
     revision: u64,
     whole_in_ms: u64,
     version: u64,
-    #[serde(deserialize_with = "route_list")]
-    routes: Vec<RouteBody>,
+    routes: Option<RoutesBody>,
     #[serde(deserialize_with = "upstream_list")]
     upstreams: Vec<UpstreamBody>,
 }
 
+#[derive(Serialize, Deserialize)]
+struct RoutesBody(#[serde(deserialize_with = "route_list")] Vec<RouteBody>);
+
 #[derive(Serialize, Deserialize)]
 struct RouteBody {
     address: u32,
@@ -185,8 +189,11 @@
     let body = ViewBody {
         revision: view.revision,
         whole_in_ms: view.whole_in_ms,
-        version: view.routes.version,
-        routes: view.routes.routes().iter().map(route).collect(),
+        version: view.routes_version,
+        routes: view
+            .routes
+            .as_ref()
+            .map(|routes| RoutesBody(routes.routes().iter().map(route).collect())),
         upstreams: view.upstreams.iter().map(upstream).collect(),
     };
     rmp_serde::to_vec(&body).expect("plain structs always encode")
@@ -208,11 +215,14 @@
         warmup_left_ms: body.warmup_left_ms,
         slots: body.slots,
     };
-    let routes = body.routes.into_iter().map(route).collect();
+    let table = |RoutesBody(routes)| {
+        Arc::new(RouteTable::new(body.version, routes.into_iter().map(route).collect()))
+    };
     Some(ViewContents {
         revision: body.revision,
         whole_in_ms: body.whole_in_ms,
-        routes: Arc::new(RouteTable::new(body.version, routes)),
+        routes: body.routes.map(table),
+        routes_version: body.version,
         upstreams: body.upstreams.into_iter().map(upstream).collect(),
     })
 }
--- /dev/null
+++ b/crates/wire/tests/peers.rs
@@ -0,0 +1,76 @@
+//! Messages between balancers of the direct-return path, there and back, and what is refused.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use rstest::rstest;
+use steering::membership::UpstreamRecord;
+use steering::peers::Summary;
+use steering::view::{Route, RouteTable, ServiceStamp, Share};
+use wire::peers::{Message, PEERS_MAX, ViewContents, decode, decode_view, encode, encode_view};
+
+const SUMMARY: Summary =
+    Summary { revision: 9, routes_version: 7, routes_digest: u64::MAX, upstreams_digest: 1 };
+
+fn view(routes: bool) -> ViewContents {
+    let shares = [Share { service: ServiceStamp(5), weight: 90 }].into();
+    let route = Route { endpoint: "198.18.0.1:443".parse().unwrap(), shares };
+    ViewContents {
+        revision: 9,
+        whole_in_ms: 2_000,
+        routes: routes.then(|| Arc::new(RouteTable::new(7, vec![route]))),
+        routes_version: 7,
+        upstreams: vec![UpstreamRecord {
+            id: "i-7f3a91c2".into(),
+            address: Ipv4Addr::new(10, 1, 0, 12),
+            service: ServiceStamp(5),
+            draining: true,
+            warmup_left_ms: 900,
+            slots: 7,
+        }],
+    }
+}
+
+#[rstest]
+#[case::hello(Message::Hello { revision: 3 })]
+#[case::peers(Message::Peers(vec![Ipv4Addr::new(10, 1, 0, 1)]))]
+#[case::beacon(Message::Beacon(SUMMARY))]
+#[case::knows(Message::Knows(SUMMARY))]
+fn message_there_and_back(#[case] message: Message) {
+    assert_eq!(decode(&encode(&message)), Some(message));
+}
+
+#[rstest]
+#[case::whole(true)]
+#[case::without_routes(false)]
+fn view_there_and_back(#[case] routes: bool) {
+    assert_eq!(decode_view(&encode_view(&view(routes))), Some(view(routes)));
+}
+
+#[test]
+fn peers_are_cut_to_a_datagram() {
+    let peers = vec![Ipv4Addr::new(10, 1, 0, 1); 2 * PEERS_MAX];
+    let bytes = encode(&Message::Peers(peers));
+    assert!(bytes.len() < 1_400, "{}", bytes.len());
+    assert!(matches!(decode(&bytes), Some(Message::Peers(peers)) if peers.len() == PEERS_MAX));
+}
+
+/// Whatever arrives on the internal port is refused whole, without a panic.
+#[rstest]
+#[case::nothing(b"")]
+#[case::no_messagepack(b"\xc1\xc1")]
+#[case::text(b"GET / HTTP/1.1\r\n")]
+#[case::unknown_kind(b"\x81\xa4What\x01")]
+#[case::endless_list(b"\x81\xa5Peers\xdd\xff\xff\xff\xff")]
+fn malformed_message_is_refused(#[case] bytes: &[u8]) {
+    assert_eq!(decode(bytes), None);
+    assert_eq!(decode_view(bytes), None);
+}
+
+#[test]
+fn cut_messages_are_refused() {
+    let whole = encode(&Message::Beacon(SUMMARY));
+    assert!((0..whole.len()).all(|length| decode(&whole[..length]).is_none()));
+    let whole = encode_view(&view(true));
+    assert!((0..whole.len()).all(|length| decode_view(&whole[..length]).is_none()));
+}
