--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -54,6 +54,15 @@
     },
 }
 
+/// A verdict and the instance whose agent gave it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Said {
+    /// Address of the agent's instance.
+    pub from: Ipv4Addr,
+    /// What it says.
+    pub verdict: Verdict,
+}
+
 /// Why something was done, for logs and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reason {
@@ -88,10 +97,8 @@
 
 impl Destination {
     fn of(view: &View, address: Ipv4Addr, service: ServiceStamp) -> Self {
-        let mut upstreams = view.upstreams_of(service).iter();
-        let slots = upstreams.find(|upstream| upstream.address == address).map(|u| u.slots);
-        let slots = slots.map_or(0, |slots| u8::try_from(slots).unwrap_or(u8::MAX));
-        Self { address, service, slots }
+        let slots = view.upstream_at(address).map_or(0, |upstream| upstream.slots);
+        Self { address, service, slots: u8::try_from(slots).unwrap_or(u8::MAX) }
     }
 }
 
@@ -144,16 +151,16 @@
         }
     }
 
-    /// Takes what the agent at `from` says about a packet; the packet itself comes along.
+    /// Takes what an agent says about a packet; the packet itself comes along.
     pub fn on_verdict(
         &mut self,
         now_ms: Millis,
         view: &View,
-        from: Ipv4Addr,
-        verdict: Verdict,
+        said: Said,
         segment: &Segment,
         actions: &mut Vec<Action>,
     ) {
+        let Said { from, verdict } = said;
         match verdict {
             Verdict::Held { busy } => self.held(now_ms, from, busy, segment.flow),
             Verdict::Denied => {
@@ -281,15 +288,21 @@
         bytes: &[u8],
         actions: &mut Vec<Action>,
     ) {
-        let candidates = candidates(view, segment.flow, now_ms);
         let entry = self.flows.entry(segment.flow, now_ms);
         let repeated = entry.note_data(now_ms, segment, REPEAT_MS);
+        // Most packets go where the last one went; ranking all upstreams is for the others.
+        let candidates = if repeated || entry.target.is_none() {
+            candidates(view, segment.flow, now_ms)
+        } else {
+            Vec::new()
+        };
         let target = entry.target.or_else(|| next_unasked(&candidates, entry, now_ms));
         let Some(to) = target else {
             actions.push(Action::Drop { reason: Reason::Unknown });
             return;
         };
-        let service = service_at(view, to).or_else(|| service_of(view, segment.flow));
+        let service = view.upstream_at(to).map(|upstream| upstream.service);
+        let service = service.or_else(|| service_of(view, segment.flow));
         let Some(service) = service else {
             actions.push(Action::Drop { reason: Reason::NoRoute });
             return;
@@ -379,11 +392,6 @@
     view.routes.find(flow.endpoint)?.service_of(flow)
 }
 
-fn service_at(view: &View, address: Ipv4Addr) -> Option<ServiceStamp> {
-    let upstream = view.upstreams().iter().find(|upstream| upstream.address == address)?;
-    Some(upstream.service)
-}
-
 /// Upstreams that may hold a flow, best guess first.
 fn candidates(view: &View, flow: FlowKey, now_ms: Millis) -> Vec<Upstream> {
     let Some(route) = view.routes.find(flow.endpoint) else { return Vec::new() };
@@ -440,10 +448,14 @@
     missing && !membership::is_gone(upstream.standing, now_ms)
 }
 
+/// The upstream to ask next. If the flow's opening went through here, it lives at one of those that
+/// got a copy; otherwise those that were asked have not answered, and others come first.
 fn next_undenied<'a>(candidates: &'a [Upstream], entry: &Entry) -> Option<&'a Upstream> {
+    let opened_here = entry.sequence.is_some();
     let open = |upstream: &&Upstream| !entry.has_denied(upstream.address);
-    let fresh = candidates.iter().filter(open).find(|u| !entry.has_asked(u.address));
-    fresh.or_else(|| candidates.iter().find(open))
+    let likely = |upstream: &&Upstream| entry.has_asked(upstream.address) == opened_here;
+    let first = candidates.iter().filter(open).find(likely);
+    first.or_else(|| candidates.iter().find(open))
 }
 
 fn next_unasked(candidates: &[Upstream], entry: &mut Entry, now_ms: Millis) -> Option<Ipv4Addr> {
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -192,6 +192,12 @@
         Some(Released { packets: waiting.packets, waited_ms })
     }
 
+    /// Packets of the oldest request that waits, if any, whatever the upstream is doing: a process
+    /// that ends must not keep them.
+    pub fn release_any(&mut self) -> Option<Vec<Box<[u8]>>> {
+        self.queue.take_any().map(|waiting| waiting.packets)
+    }
+
     /// Takes note of a packet that the upstream returned: it lives and does not hold the flow.
     pub fn on_returned(&mut self, now_ms: Millis, flow: FlowKey) {
         self.wake(now_ms);
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -144,13 +144,19 @@
     /// Since when it is in force.
     pub since_ms: Millis,
     upstreams: Vec<Upstream>,
+    /// Positions in `upstreams`, by address.
+    by_address: Vec<(Ipv4Addr, usize)>,
 }
 
 impl View {
     /// A view of these routes and upstreams.
     pub fn new(routes: Arc<RouteTable>, mut upstreams: Vec<Upstream>) -> Self {
         upstreams.sort_by_key(|upstream| (upstream.service, upstream.address));
-        Self { routes, whole_from_ms: 0, revision: 0, since_ms: 0, upstreams }
+        let positions = upstreams.iter().zip(0..);
+        let mut by_address: Vec<(Ipv4Addr, usize)> =
+            positions.map(|(upstream, position)| (upstream.address, position)).collect();
+        by_address.sort_unstable();
+        Self { routes, whole_from_ms: 0, revision: 0, since_ms: 0, upstreams, by_address }
     }
 
     /// The upstreams of a service.
@@ -160,9 +166,10 @@
         &self.upstreams[start..start + count]
     }
 
-    /// Whether an address belongs to an instance beside an upstream.
-    pub fn is_upstream(&self, address: Ipv4Addr) -> bool {
-        self.upstreams.iter().any(|upstream| upstream.address == address)
+    /// The upstream at an address.
+    pub fn upstream_at(&self, address: Ipv4Addr) -> Option<&Upstream> {
+        let index = self.by_address.binary_search_by_key(&address, |(at, _)| *at).ok()?;
+        Some(&self.upstreams[self.by_address[index].1])
     }
 
     /// All upstreams, by service and address.
--- a/crates/steering/tests/edge.rs
+++ b/crates/steering/tests/edge.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use rstest::rstest;
-use steering::edge::{Action, Edge, REPEAT_AFTER_MS, Reason, Verdict};
+use steering::edge::{Action, Edge, REPEAT_AFTER_MS, Reason, Said, Verdict};
 use steering::flow::{FlowKey, Millis, Segment, SegmentKind};
 use steering::view::{Route, RouteTable, ServiceStamp, Share, Standing, Upstream, View};
 
@@ -60,7 +60,7 @@
     segment: &Segment,
 ) -> Vec<Action> {
     let mut actions = Vec::new();
-    edge.on_verdict(now_ms, view, from, verdict, segment, &mut actions);
+    edge.on_verdict(now_ms, view, Said { from, verdict }, segment, &mut actions);
     actions
 }
 
@@ -312,3 +312,19 @@
     let repeated = tick(&mut edge, REPEAT_AFTER_MS, &view);
     assert!(repeated.len() <= 3 * steering::edge::PENDING_BYTES_MAX / 36);
 }
+
+/// Two copies of an opening were answered by two upstreams, the second later. The caller took the
+/// first; its packets, sent to the second and denied there, go back to the first at once.
+#[test]
+fn flow_opened_twice_returns_to_the_first() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let first = target(&packet(&mut edge, 0, &view, &opening(1, 0))[0]).unwrap();
+    let second = target(&packet(&mut edge, 200, &view, &opening(1, 1))[0]).unwrap();
+    assert_ne!(first, second);
+    verdict(&mut edge, 210, &view, first, Verdict::Held { busy: 0 }, &opening(1, 0));
+    verdict(&mut edge, 211, &view, second, Verdict::Held { busy: 0 }, &opening(1, 1));
+    let segment = data(1, 2);
+    assert_eq!(target(&packet(&mut edge, 215, &view, &segment)[0]), Some(second));
+    let actions = verdict(&mut edge, 216, &view, second, Verdict::Denied, &segment);
+    assert_eq!(actions.iter().filter_map(target).collect::<Vec<_>>(), [first]);
+}
--- a/crates/steering/tests/side.rs
+++ b/crates/steering/tests/side.rs
@@ -246,3 +246,13 @@
         times.filter_map(|worked_ms| pace.take(worked_ms)).map(|c| c.slow).collect();
     assert_eq!(changes, expected);
 }
+
+/// The agent is told to stop while requests wait: they go to the upstream, which lives on.
+#[test]
+fn ending_agent_releases_what_waits() {
+    let mut side = busy_side(0);
+    deliver(&mut side, 0, &data(3, 1), 1);
+    deliver(&mut side, 0, &data(4, 1), 1);
+    let released: Vec<u8> = std::iter::from_fn(|| side.release_any()).map(|p| p[0][0]).collect();
+    assert_eq!(released, [3, 4]);
+}
