Fuzz the direct-return path; relieve readers that are turned away

Ruled out: lost beacons. Also: resets need a list that was confirmed within 5 s, and a starting balancer asks the others first whether entries may be missing. Both were found by the new fuzzing of edge and side against a model (bounces, drains, reuse, lapses, cuts, pauses, loss of all memory), five mutants caught.

--- a/crates/fuzzing/src/command.rs
+++ b/crates/fuzzing/src/command.rs
@@ -7,6 +7,7 @@
 use lexopt::ValueExt as _;
 
 use crate::campaign::{self, Episode, Limits, Report};
+use crate::direct;
 use crate::oracle::Violation;
 use crate::step::{FAULTS, Step};
 use crate::world::Sabotage;
@@ -20,6 +21,7 @@
   --replay FILE  play the episode in FILE and print its whole time line
   --trace FILE   where a failing episode is written, fuzz-trace.json unless given
   --failures N   go on until N episodes have broken a promise, 1 unless given
+  --direct N     play N minutes of the direct-return path instead, each from a seed of its own
   --mutants      take out one safeguard after the other and print what catches it
 ";
 
@@ -30,8 +32,12 @@
     replay: Option<PathBuf>,
     trace: PathBuf,
     mutants: bool,
+    direct: Option<u64>,
 }
 
+/// Length of an episode of the direct-return path, in simulated time.
+const DIRECT_MS: u64 = 60_000;
+
 /// Runs the command; true if no promise broke.
 pub fn run() -> anyhow::Result<bool> {
     let Some(options) = parse()? else {
@@ -41,6 +47,9 @@
     if options.mutants {
         return mutants(options.steps);
     }
+    if let Some(episodes) = options.direct {
+        return Ok(direct_run(options.seed, episodes));
+    }
     if let Some(path) = &options.replay {
         return replay(path);
     }
@@ -55,6 +64,7 @@
         replay: None,
         trace: "fuzz-trace.json".into(),
         mutants: false,
+        direct: None,
     };
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
@@ -64,6 +74,7 @@
             lexopt::Arg::Long("failures") => options.failures = parser.value()?.parse()?,
             lexopt::Arg::Long("replay") => options.replay = Some(parser.value()?.into()),
             lexopt::Arg::Long("trace") => options.trace = parser.value()?.into(),
+            lexopt::Arg::Long("direct") => options.direct = Some(parser.value()?.parse()?),
             lexopt::Arg::Long("mutants") => options.mutants = true,
             lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => return Ok(None),
             other => return Err(other.unexpected().into()),
@@ -72,6 +83,25 @@
     Ok(Some(options))
 }
 
+/// Plays the direct-return path and prints each episode that breaks a promise.
+fn direct_run(first_seed: u64, episodes: u64) -> bool {
+    let (mut answered, mut resets, mut broken) = (0, 0, 0);
+    for seed in first_seed..first_seed + episodes {
+        let outcome = direct::play(seed, DIRECT_MS, None);
+        answered += outcome.answered;
+        resets += outcome.resets;
+        let Some((at_ms, violation)) = outcome.violations.first() else { continue };
+        broken += 1;
+        let before: Vec<_> = outcome.played.iter().filter(|(time, _)| time <= at_ms).collect();
+        let last = &before[before.len().saturating_sub(10)..];
+        println!("seed {seed}: {violation:?} at {at_ms} ms, after {last:?}");
+    }
+    println!(
+        "{episodes} episodes, {answered} requests answered, {resets} resets, {broken} broke a promise"
+    );
+    broken == 0
+}
+
 fn long_run(options: &Options) -> anyhow::Result<bool> {
     let limits = Limits { steps: options.steps, failures: options.failures };
     let begun = Instant::now();
--- /dev/null
+++ b/crates/fuzzing/src/direct/caller.rs
@@ -0,0 +1,118 @@
+//! A caller: opens a flow, sends requests one after the other, repeats what is not answered.
+
+use steering::flow::{FlowKey, Segment, SegmentKind};
+
+use super::world::Packet;
+
+/// Copies of an opening after these times.
+const COPIES_MS: [u64; 2] = [200, 600];
+/// An opening without an answer is given up after this time.
+const OPENING_MS: u64 = 1_400;
+/// First pause before data is repeated; it doubles.
+const REPEAT_MS: u64 = 200;
+/// Longest pause.
+const REPEAT_MAX_MS: u64 = 1_600;
+/// A request is given up after this time.
+const REQUEST_MS: u64 = 4_000;
+/// Bytes of a request.
+const DATA_BYTES: u16 = 100;
+
+/// Where a caller stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum State {
+    /// It has sent `copies` openings since `since_ms`.
+    Opening { since_ms: u64, copies: u32 },
+    /// It waits for an answer.
+    Asking { since_ms: u64, pause_ms: u64 },
+    /// It has an answer, and pauses.
+    Resting,
+    /// It has ended this flow.
+    Ended,
+}
+
+/// One caller with its present flow.
+#[derive(Clone, Debug)]
+pub(super) struct Caller {
+    pub(super) flow: FlowKey,
+    pub(super) state: State,
+    /// The upstream's address index and life that the caller has acknowledged.
+    pub(super) holder: Option<(usize, u64)>,
+    /// When the caller has to act next.
+    pub(super) due_ms: u64,
+    sequence: u32,
+}
+
+impl Caller {
+    /// A caller that opens a flow now.
+    pub(super) fn open(flow: FlowKey, now_ms: u64) -> Self {
+        let state = State::Opening { since_ms: now_ms, copies: 0 };
+        Self { flow, state, holder: None, due_ms: now_ms, sequence: 1 }
+    }
+
+    /// What the caller sends now that its time has come.
+    pub(super) fn act(&mut self, now_ms: u64) -> Option<Packet> {
+        match self.state {
+            State::Opening { since_ms, copies } => self.open_again(now_ms, since_ms, copies),
+            State::Asking { since_ms, pause_ms } => self.ask_again(now_ms, since_ms, pause_ms),
+            State::Resting => {
+                self.sequence += u32::from(DATA_BYTES);
+                Some(self.ask(now_ms))
+            }
+            State::Ended => None,
+        }
+    }
+
+    /// Takes an answer to its opening; the first one counts.
+    pub(super) fn on_accept(&mut self, now_ms: u64, upstream: usize, boot: u64) -> Option<Packet> {
+        if !matches!(self.state, State::Opening { .. }) {
+            return None;
+        }
+        self.holder = Some((upstream, boot));
+        Some(self.ask(now_ms))
+    }
+
+    /// Takes an answer to its data, and rests for a while.
+    pub(super) fn on_answer(&mut self, now_ms: u64, rest_ms: u64) -> bool {
+        if !matches!(self.state, State::Asking { .. }) {
+            return false;
+        }
+        self.state = State::Resting;
+        self.due_ms = now_ms + rest_ms;
+        true
+    }
+
+    fn open_again(&mut self, now_ms: u64, since_ms: u64, copies: u32) -> Option<Packet> {
+        let age_ms = now_ms - since_ms;
+        if age_ms >= OPENING_MS {
+            self.state = State::Ended;
+            return None;
+        }
+        let next = COPIES_MS.get(copies as usize).copied().unwrap_or(OPENING_MS);
+        self.due_ms = since_ms + next;
+        self.state = State::Opening { since_ms, copies: copies + 1 };
+        Some(self.packet(SegmentKind::Opening { copy: copies }, 0, 0))
+    }
+
+    fn ask(&mut self, now_ms: u64) -> Packet {
+        self.state = State::Asking { since_ms: now_ms, pause_ms: REPEAT_MS };
+        self.due_ms = now_ms + REPEAT_MS;
+        self.packet(SegmentKind::Later, self.sequence, DATA_BYTES)
+    }
+
+    fn ask_again(&mut self, now_ms: u64, since_ms: u64, pause_ms: u64) -> Option<Packet> {
+        if now_ms - since_ms >= REQUEST_MS {
+            self.state = State::Ended;
+            return None;
+        }
+        let pause_ms = (pause_ms * 2).min(REPEAT_MAX_MS);
+        self.state = State::Asking { since_ms, pause_ms };
+        self.due_ms = now_ms + pause_ms;
+        Some(self.packet(SegmentKind::Later, self.sequence, DATA_BYTES))
+    }
+
+    fn packet(&self, kind: SegmentKind, sequence: u32, data_bytes: u16) -> Packet {
+        let segment = Segment { flow: self.flow, kind, sequence, data_bytes };
+        let acknowledged_boot = self.holder.map_or(0, |(_, boot)| boot);
+        Packet { segment, acknowledged_boot }
+    }
+}
--- /dev/null
+++ b/crates/fuzzing/src/direct/plan.rs
@@ -0,0 +1,43 @@
+//! What happens to the world besides traffic.
+
+use rand::{Rng, RngExt as _};
+
+/// A planned change or a fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The fabric spreads flows anew over the balancers.
+    Reshuffle,
+    /// A balancer ends and starts without memory.
+    RestartBalancer(usize),
+    /// A balancer hears nothing of membership for some time.
+    CutBalancer(usize),
+    /// A balancer stands still and wakes up with all packets waiting.
+    PauseBalancer(usize),
+    /// An agent ends, and starts some time later without memory.
+    RestartAgent(usize),
+    /// An upstream loses everything, and starts anew some time later.
+    CrashUpstream(usize),
+    /// An upstream leaves as planned; its address goes to the other service.
+    DrainUpstream(usize),
+    /// The published list loses entries of upstreams that live, for two seconds.
+    Lapse,
+    /// All balancers and agents end and start without memory.
+    LoseAllMemory,
+}
+
+/// Draws the next change.
+pub(super) fn draw(rng: &mut impl Rng, balancers: usize, upstreams: usize) -> Change {
+    let balancer = rng.random_range(0..balancers);
+    let upstream = rng.random_range(0..upstreams);
+    match rng.random_range(0..12) {
+        0..=2 => Change::Reshuffle,
+        3 => Change::RestartBalancer(balancer),
+        4 => Change::CutBalancer(balancer),
+        5 => Change::PauseBalancer(balancer),
+        6 => Change::RestartAgent(upstream),
+        7 => Change::CrashUpstream(upstream),
+        8..=9 => Change::DrainUpstream(upstream),
+        10 => Change::Lapse,
+        _ => Change::LoseAllMemory,
+    }
+}
--- /dev/null
+++ b/crates/fuzzing/src/direct/upstream.rs
@@ -0,0 +1,86 @@
+//! An upstream as the platform describes it.
+
+use std::collections::BTreeMap;
+
+use steering::flow::{FlowKey, SegmentKind};
+
+use super::world::Packet;
+
+/// What an upstream does with a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reaction {
+    /// It is down.
+    Nothing,
+    /// It answers an opening.
+    Accept,
+    /// It answers data.
+    Answer,
+    /// It takes the packet without a word.
+    Take,
+    /// It does not hold the flow.
+    Return,
+}
+
+/// One address with whatever runs there.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Upstream {
+    /// Number of this life; zero while it is down.
+    pub(super) boot: u64,
+    /// Index of its service.
+    pub(super) service: usize,
+    /// Since when it leaves.
+    pub(super) leaving_ms: Option<u64>,
+    /// Flows, and whether they are open.
+    flows: BTreeMap<FlowKey, bool>,
+}
+
+impl Upstream {
+    /// Starts a life without flows.
+    pub(super) fn start(&mut self, boot: u64, service: usize) {
+        *self = Self { boot, service, leaving_ms: None, flows: BTreeMap::new() };
+    }
+
+    /// Ends a life.
+    pub(super) fn end(&mut self) {
+        self.boot = 0;
+        self.flows.clear();
+    }
+
+    /// Whether it holds an open flow since the life `boot`.
+    pub(super) fn holds(&self, flow: FlowKey, boot: u64) -> bool {
+        self.boot == boot && boot != 0 && self.flows.get(&flow) == Some(&true)
+    }
+
+    /// Whether it holds any open flow.
+    pub(super) fn is_empty(&self) -> bool {
+        !self.flows.values().any(|open| *open)
+    }
+
+    /// Takes a packet.
+    pub(super) fn take(&mut self, packet: &Packet) -> Reaction {
+        if self.boot == 0 {
+            return Reaction::Nothing;
+        }
+        let segment = packet.segment;
+        match segment.kind {
+            SegmentKind::Opening { .. } => {
+                self.flows.entry(segment.flow).or_insert(false);
+                Reaction::Accept
+            }
+            SegmentKind::Reset => {
+                let held = self.flows.remove(&segment.flow);
+                held.map_or(Reaction::Return, |_| Reaction::Take)
+            }
+            SegmentKind::Later => self.take_later(packet),
+        }
+    }
+
+    fn take_later(&mut self, packet: &Packet) -> Reaction {
+        let Some(open) = self.flows.get_mut(&packet.segment.flow) else { return Reaction::Return };
+        if !*open && packet.acknowledged_boot != self.boot {
+            return Reaction::Return;
+        }
+        *open = true;
+        if packet.segment.data_bytes > 0 { Reaction::Answer } else { Reaction::Take }
+    }
+}
--- a/crates/fuzzing/src/lib.rs
+++ b/crates/fuzzing/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod campaign;
 pub mod command;
+pub mod direct;
 #[cfg(feature = "mutants")]
 pub mod mutants;
 pub mod oracle;
--- /dev/null
+++ b/crates/fuzzing/tests/direct.rs
@@ -0,0 +1,44 @@
+//! Episodes of the direct-return path: the promises hold, and each safeguard is needed for them.
+
+use fuzzing::direct::{Mutant, Violation, play};
+use rstest::rstest;
+
+/// A minute of each world: about 150 changes, planned and unplanned, two or three at a time.
+const LENGTH_MS: u64 = 60_000;
+const EPISODES: u64 = 40;
+
+#[test]
+fn promises_hold() {
+    let (mut answered, mut resets) = (0, 0);
+    for seed in 1..=EPISODES {
+        let outcome = play(seed, LENGTH_MS, None);
+        let first = outcome.violations.first().map_or(0, |(at_ms, _)| *at_ms);
+        let before: Vec<_> = outcome.played.iter().filter(|(at_ms, _)| *at_ms <= first).collect();
+        let last = &before[before.len().saturating_sub(12)..];
+        assert_eq!(outcome.violations, [], "seed {seed}, after {last:?}");
+        answered += outcome.answered;
+        resets += outcome.resets;
+    }
+    assert!(answered > EPISODES * 1_000, "traffic flows: {answered}");
+    assert!(resets > EPISODES, "lost flows are told: {resets}");
+}
+
+#[test]
+fn episodes_repeat() {
+    assert_eq!(play(7, 20_000, None), play(7, 20_000, None));
+}
+
+/// Without the safeguard, some episode breaks the promise that it is there for.
+#[rstest]
+#[case::reset_without_proof(Mutant::ResetWithoutProof, Violation::LivingFlowReset)]
+#[case::service_not_checked(Mutant::ServiceNotChecked, Violation::WrongService)]
+#[case::drain_ignored(Mutant::DrainIgnored, Violation::OpeningOnLeaving)]
+#[case::missing_forgotten(Mutant::MissingForgotten, Violation::LivingFlowReset)]
+#[case::never_asked(Mutant::NeverAsked, Violation::FlowNotFound)]
+fn mutant_is_caught(#[case] mutant: Mutant, #[case] promise: Violation) {
+    let broken = |seed| {
+        let outcome = play(seed, LENGTH_MS, Some(mutant));
+        outcome.violations.iter().any(|(_, violation)| *violation == promise)
+    };
+    assert!((1..=EPISODES).any(broken));
+}
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -33,6 +33,10 @@
 /// A packet with the same data that comes again after this time is taken as repeated because
 /// nobody answered; the callers' first pause is 200 ms.
 const REPEAT_MS: Millis = 150;
+/// A view that nobody has confirmed for this long proves nothing by what it lacks: this balancer may
+/// be cut off, and flows may live at upstreams that it has never heard of. A reader hears from the
+/// configuration service every 2.5 s, all others from a reader twice a second.
+const CONFIRMED_MS: Millis = 5_000;
 /// An upstream that has been silent for this long, beside an agent that lives, counts as one that
 /// denies. Upstreams answer at once or return the packet.
 const SILENCE_PROVES_MS: Millis = 400;
@@ -54,6 +58,23 @@
     },
 }
 
+/// How far the list of upstreams can be trusted to name all that may hold a flow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Trust {
+    /// When the view was last confirmed by whoever reads the configuration service.
+    pub confirmed_ms: Millis,
+    /// From when on the list counts as whole: right after an outage of the configuration service, and
+    /// until other balancers could tell of one, it may lack upstreams that live.
+    pub whole_from_ms: Millis,
+}
+
+impl Trust {
+    fn proves_absence(self, now_ms: Millis) -> bool {
+        let confirmed = now_ms.saturating_sub(self.confirmed_ms) < CONFIRMED_MS;
+        confirmed && now_ms >= self.whole_from_ms
+    }
+}
+
 /// A verdict and the instance whose agent gave it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Said {
@@ -132,6 +153,7 @@
     flows: FlowTable,
     loads: LoadTable,
     pending: PendingTable,
+    trust: Trust,
 }
 
 impl Edge {
@@ -151,6 +173,11 @@
         }
     }
 
+    /// Notes how far the list of upstreams can be trusted from now on.
+    pub fn trust(&mut self, trust: Trust) {
+        self.trust = trust;
+    }
+
     /// Takes what an agent says about a packet; the packet itself comes along.
     pub fn on_verdict(
         &mut self,
@@ -258,19 +285,18 @@
         let before = actions.len();
         fan_out(view, &candidates, entry, None, actions);
         if actions.len() == before {
-            self.give_up(now_ms, view, due.segment.flow, &candidates, actions);
+            self.give_up(now_ms, due.segment.flow, &candidates, actions);
         }
     }
 
     fn give_up(
         &mut self,
         now_ms: Millis,
-        view: &View,
         flow: FlowKey,
         candidates: &[Upstream],
         actions: &mut Vec<Action>,
     ) {
-        let proven = !candidates.is_empty() && now_ms >= view.whole_from_ms;
+        let proven = self.trust.proves_absence(now_ms) && !candidates.is_empty();
         if !proven {
             actions.push(Action::Drop { reason: Reason::Unknown });
             return;
@@ -381,7 +407,7 @@
                     actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
                     return;
                 }
-                self.give_up(now_ms, view, flow, &candidates, actions);
+                self.give_up(now_ms, flow, &candidates, actions);
             }
         }
     }
--- a/crates/steering/src/peers/mod.rs
+++ b/crates/steering/src/peers/mod.rs
@@ -1,7 +1,7 @@
 //! Which balancers read the configuration service for all, and how the others keep up.
 //!
-//! Every balancer starts as a reader. A reader tells all balancers it has heard of, twice a second
-//! and at each change, what it knows (a beacon). A balancer that hears enough readers of better rank
+//! Every balancer starts as a reader. A reader tells all balancers it has heard of, four times a
+//! second and at each change, what it knows (a beacon). A balancer that hears enough readers of better rank
 //! stops reading, and fetches from them what its own view lacks. One that no longer hears them reads
 //! again. Nobody is elected and nothing is agreed upon: two readers more than needed cost some
 //! calls, one fewer costs a second.
@@ -16,18 +16,20 @@
 /// Readers that are enough for all balancers: one may be cut off or paused without a gap.
 pub const READERS: usize = 2;
 /// Pause between two beacons of a reader.
-pub const BEACON_MS: Millis = 500;
+pub const BEACON_MS: Millis = 250;
 /// Pause between two hellos.
 pub const HELLO_MS: Millis = 1_000;
 /// The same for a balancer that knows nothing yet: callers wait for it.
 const HELLO_BLIND_MS: Millis = 100;
-/// A reader that was not heard for this long counts no more: two beacons may get lost.
-const READER_SILENT_MS: Millis = 1_300;
+/// A reader that was not heard for this long counts no more: one beacon may get lost. A change must be
+/// in force within three seconds, also if it is made right after the service began to hang for all
+/// readers: their calls fail after 1.5 s, they fall silent, and others read 0.7 s later.
+const READER_SILENT_MS: Millis = 650;
 /// A balancer that was not heard of for this long is told nothing more.
 const PEER_SILENT_MS: Millis = 10_000;
-/// A reader that has not reached the configuration service for this long doesn't count as one:
-/// twice the time for which a watch waits.
-const STORE_SILENT_MS: Millis = 4_000;
+/// A reader that has not reached the configuration service for this long doesn't count as one, also
+/// if no call has failed: twice the time for which a watch waits.
+const STORE_SILENT_MS: Millis = 2_000;
 /// Most balancers that are remembered.
 const PEERS_MAX: usize = 4_096;
 
@@ -126,6 +128,12 @@
         self.store_ms = Some(now_ms);
     }
 
+    /// Notes that a call to the configuration service has failed: until the next answer, this balancer
+    /// does not pose as a reader.
+    pub fn on_store_failure(&mut self) {
+        self.store_ms = None;
+    }
+
     /// Whether this balancer has to read the configuration service itself.
     pub fn must_read(&self, now_ms: Millis) -> bool {
         let own = rank(self.own);
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -136,9 +136,6 @@
 pub struct View {
     /// Routes in force.
     pub routes: Arc<RouteTable>,
-    /// From when on the list of upstreams counts as whole: right after an outage of the
-    /// configuration service it may lack upstreams that live, and proves nothing by absence.
-    pub whole_from_ms: Millis,
     /// Revision of the configuration service that it was made of.
     pub revision: u64,
     /// Since when it is in force.
@@ -156,7 +153,7 @@
         let mut by_address: Vec<(Ipv4Addr, usize)> =
             positions.map(|(upstream, position)| (upstream.address, position)).collect();
         by_address.sort_unstable();
-        Self { routes, whole_from_ms: 0, revision: 0, since_ms: 0, upstreams, by_address }
+        Self { routes, revision: 0, since_ms: 0, upstreams, by_address }
     }
 
     /// The upstreams of a service.
--- a/crates/steering/tests/edge.rs
+++ b/crates/steering/tests/edge.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use rstest::rstest;
-use steering::edge::{Action, Edge, REPEAT_AFTER_MS, Reason, Said, Verdict};
+use steering::edge::{Action, Edge, REPEAT_AFTER_MS, Reason, Said, Trust, Verdict};
 use steering::flow::{FlowKey, Millis, Segment, SegmentKind};
 use steering::view::{Route, RouteTable, ServiceStamp, Share, Standing, Upstream, View};
 
@@ -131,7 +131,6 @@
 /// configuration service the list may lack upstreams.
 #[rstest]
 #[case::all_deny(calm_view(), 0, true)]
-#[case::list_may_lack_some({ let mut view = calm_view(); view.whole_from_ms = 2_000; view }, 0, false)]
 #[case::one_went_lately(view_of(&[READY, READY, Standing::Missing { since_ms: 0, drained: false }]), 1, false)]
 #[case::one_drains(view_of(&[READY, Standing::Draining, READY]), 1, false)]
 #[case::nothing_known(View::default(), 0, false)]
@@ -328,3 +327,26 @@
     let actions = verdict(&mut edge, 216, &view, second, Verdict::Denied, &segment);
     assert_eq!(actions.iter().filter_map(target).collect::<Vec<_>>(), [first]);
 }
+
+/// This balancer is cut off from all others, and knows no upstream that started since; or it has
+/// just started, or the configuration service has just returned, and entries may be missing. A flow
+/// that lives at an unknown upstream finds only denials here: silence costs its caller time, a reset
+/// costs the flow.
+#[rstest]
+#[case::trusted(9_000, 0, true)]
+#[case::cut_off(3_000, 0, false)]
+#[case::list_may_lack_some(9_900, 10_001, false)]
+#[case::list_is_whole_again(9_900, 10_000, true)]
+fn reset_needs_a_trusted_list(
+    #[case] confirmed_ms: Millis,
+    #[case] whole_from_ms: Millis,
+    #[case] reset: bool,
+) {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY]));
+    edge.trust(Trust { confirmed_ms, whole_from_ms });
+    let now_ms = 10_000;
+    let segment = data(1, 5);
+    let only = target(&packet(&mut edge, now_ms, &view, &segment)[0]).unwrap();
+    let actions = verdict(&mut edge, now_ms, &view, only, Verdict::Denied, &segment);
+    assert_eq!(actions == [Action::Reset { reason: Reason::Lost }], reset, "{actions:?}");
+}
--- a/crates/steering/tests/peers.rs
+++ b/crates/steering/tests/peers.rs
@@ -7,6 +7,10 @@
 use steering::peers::{Lesson, Peers, READERS, Summary};
 
 const STEP_MS: Millis = 50;
+/// After this time a call that hangs has failed: the wait of a watch, and the time for its answer.
+const CALL_MS: Millis = 1_500;
+/// A change must be in force three seconds after it was made; the rest is for the calls themselves.
+const TAKEOVER_MS: Millis = 2_300;
 
 fn address(number: usize) -> Ipv4Addr {
     Ipv4Addr::new(10, 1, 0, u8::try_from(number).unwrap() + 1)
@@ -16,6 +20,8 @@
 struct Fleet {
     peers: Vec<Peers>,
     away: Vec<usize>,
+    /// Balancers whose calls to the configuration service hang since that time.
+    hanging: Vec<(usize, Millis)>,
     cut: Option<usize>,
     now_ms: Millis,
 }
@@ -23,7 +29,7 @@
 impl Fleet {
     fn new(count: usize) -> Self {
         let peers = (0..count).map(|number| Peers::new(address(number))).collect();
-        Self { peers, away: Vec::new(), cut: None, now_ms: 0 }
+        Self { peers, away: Vec::new(), hanging: Vec::new(), cut: None, now_ms: 0 }
     }
 
     fn run(&mut self, for_ms: Millis) {
@@ -39,8 +45,13 @@
 
     fn step(&mut self, number: usize) {
         let now_ms = self.now_ms;
-        if self.peers[number].must_read(now_ms) {
-            self.peers[number].on_store_answer(now_ms);
+        let hanging = self.hanging.iter().find(|(other, _)| *other == number);
+        match hanging.map(|(_, since_ms)| now_ms - since_ms) {
+            None if self.peers[number].must_read(now_ms) => {
+                self.peers[number].on_store_answer(now_ms);
+            }
+            Some(for_ms) if for_ms >= CALL_MS => self.peers[number].on_store_failure(),
+            _ => {}
         }
         for target in self.peers[number].hellos_due(now_ms, &[address(0), address(1)], false) {
             if let Some(other) = self.reached(number, target) {
@@ -93,6 +104,22 @@
     assert_eq!(fleet.readers().len(), READERS);
 }
 
+/// The configuration service turns both readers away, or hangs for them, and serves all others. The
+/// readers live and talk: believed for too long, they kept a dropped route in force on all balancers
+/// for more than three seconds.
+#[rstest]
+fn readers_turned_away_are_relieved_in_time(
+    #[values(0, 100, 200, 300, 400, 450)] phase_ms: Millis,
+) {
+    let mut fleet = Fleet::new(5);
+    fleet.run(4_000 + phase_ms);
+    let readers = fleet.readers();
+    fleet.hanging = readers.iter().map(|number| (*number, fleet.now_ms)).collect();
+    fleet.run(TAKEOVER_MS);
+    let relief = fleet.readers().into_iter().filter(|number| !readers.contains(number));
+    assert!(relief.count() >= READERS);
+}
+
 /// The fleet is split: each part needs readers of its own, and only two remain after it has healed.
 #[test]
 fn partition_has_readers_on_both_sides() {
@@ -118,7 +145,10 @@
     peers.on_store_answer(1_000);
     assert_eq!(peers.beacons_due(1_600, false), [address(1)]);
     peers.on_hello(5_000, address(1));
-    assert!(peers.beacons_due(5_100, true).is_empty(), "not for four seconds");
+    assert!(peers.beacons_due(5_100, true).is_empty(), "not for seconds");
+    peers.on_store_answer(6_000);
+    peers.on_store_failure();
+    assert!(peers.beacons_due(6_100, true).is_empty(), "the last call failed");
 }
 
 /// What a beacon leads to. A view may be old after a pause or a cut, so neither a lower revision nor
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -32,9 +32,18 @@
     /// Balancers that the sender knows.
     Peers(Vec<Ipv4Addr>),
     /// The sender reads the configuration service, and this is what it knows.
-    Beacon(Summary),
+    Beacon(News),
     /// The sender knows this, but need not be a reader.
-    Knows(Summary),
+    Knows(News),
+}
+
+/// What a balancer knows, and how far its list can be trusted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct News {
+    /// What it knows, in short.
+    pub summary: Summary,
+    /// For how much longer its list of upstreams may lack some that live.
+    pub whole_in_ms: u64,
 }
 
 /// Everything that a balancer needs to know, as another one gives it.
@@ -66,6 +75,7 @@
     routes_version: u64,
     routes_digest: u64,
     upstreams_digest: u64,
+    whole_in_ms: u64,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -135,8 +145,8 @@
         Message::Peers(peers) => {
             MessageBody::Peers(peers.iter().take(PEERS_MAX).map(|peer| peer.to_bits()).collect())
         }
-        Message::Beacon(summary) => MessageBody::Beacon(summary_body(summary)),
-        Message::Knows(summary) => MessageBody::Knows(summary_body(summary)),
+        Message::Beacon(news) => MessageBody::Beacon(news_body(news)),
+        Message::Knows(news) => MessageBody::Knows(news_body(news)),
     };
     rmp_serde::to_vec(&body).expect("a plain enumeration always encodes")
 }
@@ -148,27 +158,29 @@
         MessageBody::Peers(peers) => {
             Message::Peers(peers.into_iter().map(Ipv4Addr::from_bits).collect())
         }
-        MessageBody::Beacon(body) => Message::Beacon(summary(&body)),
-        MessageBody::Knows(body) => Message::Knows(summary(&body)),
+        MessageBody::Beacon(body) => Message::Beacon(news(&body)),
+        MessageBody::Knows(body) => Message::Knows(news(&body)),
     })
 }
 
-fn summary_body(summary: &Summary) -> SummaryBody {
+fn news_body(news: &News) -> SummaryBody {
     SummaryBody {
-        revision: summary.revision,
-        routes_version: summary.routes_version,
-        routes_digest: summary.routes_digest,
-        upstreams_digest: summary.upstreams_digest,
+        revision: news.summary.revision,
+        routes_version: news.summary.routes_version,
+        routes_digest: news.summary.routes_digest,
+        upstreams_digest: news.summary.upstreams_digest,
+        whole_in_ms: news.whole_in_ms,
     }
 }
 
-fn summary(body: &SummaryBody) -> Summary {
-    Summary {
+fn news(body: &SummaryBody) -> News {
+    let summary = Summary {
         revision: body.revision,
         routes_version: body.routes_version,
         routes_digest: body.routes_digest,
         upstreams_digest: body.upstreams_digest,
-    }
+    };
+    News { summary, whole_in_ms: body.whole_in_ms }
 }
 
 /// Encodes a view.
--- a/crates/wire/tests/peers.rs
+++ b/crates/wire/tests/peers.rs
@@ -7,8 +7,11 @@
 use steering::membership::UpstreamRecord;
 use steering::peers::Summary;
 use steering::view::{Route, RouteTable, ServiceStamp, Share};
-use wire::peers::{Message, PEERS_MAX, ViewContents, decode, decode_view, encode, encode_view};
+use wire::peers::{
+    Message, News, PEERS_MAX, ViewContents, decode, decode_view, encode, encode_view,
+};
 
+const NEWS: News = News { summary: SUMMARY, whole_in_ms: 900 };
 const SUMMARY: Summary =
     Summary { revision: 9, routes_version: 7, routes_digest: u64::MAX, upstreams_digest: 1 };
 
@@ -34,8 +37,8 @@
 #[rstest]
 #[case::hello(Message::Hello { revision: 3 })]
 #[case::peers(Message::Peers(vec![Ipv4Addr::new(10, 1, 0, 1)]))]
-#[case::beacon(Message::Beacon(SUMMARY))]
-#[case::knows(Message::Knows(SUMMARY))]
+#[case::beacon(Message::Beacon(NEWS))]
+#[case::knows(Message::Knows(NEWS))]
 fn message_there_and_back(#[case] message: Message) {
     assert_eq!(decode(&encode(&message)), Some(message));
 }
@@ -69,7 +72,7 @@
 
 #[test]
 fn cut_messages_are_refused() {
-    let whole = encode(&Message::Beacon(SUMMARY));
+    let whole = encode(&Message::Beacon(NEWS));
     assert!((0..whole.len()).all(|length| decode(&whole[..length]).is_none()));
     let whole = encode_view(&view(true));
     assert!((0..whole.len()).all(|length| decode_view(&whole[..length]).is_none()));
