Count a cut or a pause as over when it ends

Cause: the 19 episodes in which a flow was not found began more than five seconds after the start of a cut or a pause that was still going on; the flow lived at an upstream that the cut balancer had never heard of. Change: the oracle's calm begins at the end of the disturbance.

--- a/crates/fuzzing/src/direct/world.rs
+++ b/crates/fuzzing/src/direct/world.rs
@@ -542,7 +542,7 @@
         self.at(delay_ms + pause_ms, Event::Change);
         let change = plan::draw(&mut self.rng, BALANCERS, UPSTREAMS);
         if !matches!(change, Change::Reshuffle | Change::DrainUpstream(_)) {
-            self.disturbed_ms = self.now_ms;
+            self.disturbed_ms = self.disturbed_ms.max(self.now_ms);
         }
         self.outcome.played.push((self.now_ms, change));
         self.play(change);
@@ -555,11 +555,13 @@
             Change::CutBalancer(balancer) => {
                 let for_ms = self.rng.random_range(500..15_000);
                 self.balancers[balancer].cut_until_ms = self.now_ms + for_ms;
+                self.disturbed_ms = self.disturbed_ms.max(self.now_ms + for_ms);
                 self.at(for_ms, Event::List(balancer));
             }
             Change::PauseBalancer(balancer) => {
                 let for_ms = self.rng.random_range(100..4_000);
                 self.balancers[balancer].paused_until_ms = self.now_ms + for_ms;
+                self.disturbed_ms = self.disturbed_ms.max(self.now_ms + for_ms);
             }
             Change::RestartAgent(upstream) => self.restart_agent(upstream),
             Change::CrashUpstream(upstream) => {
