Search for one flow once at a time

Each denial of a copy led to another upstream, so searches multiplied (over 1,000 questions a second at a balancer) and led packets away from upstreams that were at work. Found by the balancers' log. Change: only a denial of the upstream that is asked leads on; data waits 150 ms before it is repeated; a flow at which the caller repeats its data in vain twice is looked for anew; packets without data are searched for too; of two upstreams that answered an opening, the caller's number decides; nothing is proven after a pause before the view was confirmed; time counts suspension.

--- a/crates/fuzzing/src/direct/caller.rs
+++ b/crates/fuzzing/src/direct/caller.rs
@@ -2,6 +2,7 @@
 
 use steering::flow::{FlowKey, Segment, SegmentKind};
 
+use super::upstream;
 use super::world::Packet;
 
 /// Copies of an opening after these times.
@@ -111,8 +112,9 @@
     }
 
     fn packet(&self, kind: SegmentKind, sequence: u32, data_bytes: u16) -> Packet {
-        let segment = Segment { flow: self.flow, kind, sequence, data_bytes };
         let acknowledged_boot = self.holder.map_or(0, |(_, boot)| boot);
+        let acknowledged = upstream::number_of(acknowledged_boot).wrapping_add(1);
+        let segment = Segment { flow: self.flow, kind, sequence, acknowledged, data_bytes };
         Packet { segment, acknowledged_boot }
     }
 }
--- a/crates/fuzzing/src/direct/upstream.rs
+++ b/crates/fuzzing/src/direct/upstream.rs
@@ -6,6 +6,11 @@
 
 use super::world::Packet;
 
+/// The number with which a life of an upstream answers openings.
+pub(super) fn number_of(boot: u64) -> u32 {
+    (boot.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as u32
+}
+
 /// What an upstream does with a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Reaction {
@@ -77,8 +82,9 @@
 
     fn take_later(&mut self, packet: &Packet) -> Reaction {
         let Some(open) = self.flows.get_mut(&packet.segment.flow) else { return Reaction::Return };
+        // Half open, and the caller acknowledges another upstream: nothing comes back at all.
         if !*open && packet.acknowledged_boot != self.boot {
-            return Reaction::Return;
+            return Reaction::Take;
         }
         *open = true;
         if packet.segment.data_bytes > 0 { Reaction::Answer } else { Reaction::Take }
--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -11,6 +11,8 @@
 const IDLE_MS: Millis = 30_000;
 /// A flow that a caller has ended is forgotten after this time, so that late packets still find it.
 const CLOSING_MS: Millis = 2_000;
+/// Repetitions in vain after which an upstream that answered before is doubted.
+const REPEATS_MAX: u32 = 2;
 /// Pause between two looks for flows to forget.
 const SWEEP_MS: Millis = 1_000;
 
@@ -25,7 +27,12 @@
     pub(super) sequence: Option<u32>,
     /// Upstreams that do not hold the flow, and when the first of them said so.
     pub(super) denials: Vec<Ipv4Addr>,
+    /// How often the caller has repeated its data in vain.
+    pub(super) repeats: u32,
+    /// Upstreams that have answered the opening, with their numbers.
+    answers: Vec<(Ipv4Addr, u32)>,
     asked: Vec<Ipv4Addr>,
+    copied: Vec<Ipv4Addr>,
     round: usize,
     denied_ms: Millis,
     expires_ms: Millis,
@@ -71,6 +78,49 @@
         }
     }
 
+    /// Whether the flow has to be looked for elsewhere, since its caller repeats its data in vain. An
+    /// upstream that has answered on the flow before is believed once more; but it may have been one
+    /// that holds the flow half open, and takes its packets without a word.
+    pub(super) fn loses_target(&mut self) -> bool {
+        let loses = !self.confirmed || self.repeats >= REPEATS_MAX;
+        self.confirmed &= !loses;
+        loses
+    }
+
+    /// Notes that the upstream at `address` has answered the opening with this number.
+    pub(super) fn note_answer(&mut self, address: Ipv4Addr, sequence: u32) {
+        self.answers.retain(|(answered, _)| *answered != address);
+        self.answers.push((address, sequence));
+    }
+
+    /// Decides between several upstreams that have answered the opening: the flow is open at the one
+    /// whose number the caller acknowledges. The others keep a half-open flow, and take its packets
+    /// without a word.
+    pub(super) fn settle(&mut self, acknowledged: u32) {
+        if self.answers.len() < 2 {
+            return;
+        }
+        let ahead = |(_, sequence): &&(Ipv4Addr, u32)| acknowledged.wrapping_sub(*sequence);
+        if let Some((address, _)) = self.answers.iter().min_by_key(ahead) {
+            self.target = Some(*address);
+            self.confirmed = true;
+        }
+        self.answers.clear();
+    }
+
+    /// Notes that the upstream at `address` gets a copy beside the one that is asked.
+    pub(super) fn note_copy(&mut self, address: Ipv4Addr) {
+        if !self.copied.contains(&address) {
+            self.copied.push(address);
+        }
+    }
+
+    /// Whether the upstream at `address` got a copy; it counts once.
+    pub(super) fn take_copied(&mut self, address: Ipv4Addr) -> bool {
+        let index = self.copied.iter().position(|copied| *copied == address);
+        index.map(|index| self.copied.swap_remove(index)).is_some()
+    }
+
     /// Where in a list of this length the next round of copies begins.
     pub(super) fn next_round(&mut self, length: usize, copies: usize) -> usize {
         let start = self.round.checked_rem(length).unwrap_or(0);
@@ -101,8 +151,11 @@
         if let Some((sequence, at_ms)) = self.last_data
             && sequence == segment.sequence
         {
-            return now_ms.saturating_sub(at_ms) >= after_ms;
+            let repeated = now_ms.saturating_sub(at_ms) >= after_ms;
+            self.repeats += u32::from(repeated);
+            return repeated;
         }
+        self.repeats = 0;
         self.last_data = Some((segment.sequence, now_ms));
         false
     }
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -37,6 +37,8 @@
 /// be cut off, and flows may live at upstreams that it has never heard of. A reader hears from the
 /// configuration service every 2.5 s, all others from a reader twice a second.
 const CONFIRMED_MS: Millis = 5_000;
+/// A balancer looks after its flows at least every 60 ms; after this time without, it was paused.
+const PAUSE_MS: Millis = 300;
 /// An upstream that has been silent for this long, beside an agent that lives, counts as one that
 /// denies. Upstreams answer at once or return the packet.
 const SILENCE_PROVES_MS: Millis = 400;
@@ -48,6 +50,8 @@
     Held {
         /// Requests at work.
         busy: u8,
+        /// The number with which the upstream has answered an opening, if that is what it did.
+        opening_sequence: Option<u32>,
     },
     /// The upstream does not hold the flow, or cannot take it.
     Denied,
@@ -154,6 +158,8 @@
     loads: LoadTable,
     pending: PendingTable,
     trust: Trust,
+    called_ms: Millis,
+    woken_ms: Millis,
 }
 
 impl Edge {
@@ -166,6 +172,7 @@
         bytes: &[u8],
         actions: &mut Vec<Action>,
     ) {
+        self.wake(now_ms);
         match segment.kind {
             SegmentKind::Opening { .. } => self.open(now_ms, view, segment, bytes, actions),
             SegmentKind::Later => self.carry(now_ms, view, segment, bytes, actions),
@@ -187,9 +194,13 @@
         segment: &Segment,
         actions: &mut Vec<Action>,
     ) {
+        self.wake(now_ms);
         let Said { from, verdict } = said;
         match verdict {
-            Verdict::Held { busy } => self.held(now_ms, from, busy, segment.flow),
+            Verdict::Held { busy, opening_sequence } => {
+                self.loads.report(now_ms, from, busy);
+                self.held(now_ms, from, opening_sequence, segment.flow);
+            }
             Verdict::Denied => {
                 self.denied(now_ms, view, from, segment, actions);
             }
@@ -205,6 +216,7 @@
     /// Repeats packets that nobody has answered, to other upstreams first, and forgets what is old.
     /// Each action goes with the packet that it is about.
     pub fn on_tick(&mut self, now_ms: Millis, view: &View, actions: &mut Vec<(Arc<[u8]>, Action)>) {
+        self.wake(now_ms);
         for due in self.pending.take_due(now_ms) {
             let mut own = Vec::new();
             match due.segment.kind {
@@ -217,6 +229,15 @@
         self.flows.expire(now_ms);
     }
 
+    /// After a pause of the process, packets that have waited come before any news: upstreams may have
+    /// started meanwhile, and entries gone. Nothing is proven until the view was confirmed again.
+    fn wake(&mut self, now_ms: Millis) {
+        if now_ms.saturating_sub(self.called_ms) >= PAUSE_MS {
+            self.woken_ms = now_ms;
+        }
+        self.called_ms = now_ms;
+    }
+
     /// Number of flows in the table.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
@@ -282,11 +303,14 @@
         let candidates = candidates(view, due.segment.flow, now_ms);
         let Some(entry) = self.flows.get(due.segment.flow) else { return };
         entry.forget_old_denials(now_ms, DENIAL_MS);
-        let before = actions.len();
-        fan_out(view, &candidates, entry, None, actions);
-        if actions.len() == before {
+        let Some(next) = next_of_silent(&candidates, entry) else {
             self.give_up(now_ms, due.segment.flow, &candidates, actions);
-        }
+            return;
+        };
+        entry.ask(next.address);
+        let to = Destination::of(view, next.address, next.service);
+        actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
+        fan_out(view, &candidates, entry, actions);
     }
 
     fn give_up(
@@ -296,7 +320,8 @@
         candidates: &[Upstream],
         actions: &mut Vec<Action>,
     ) {
-        let proven = self.trust.proves_absence(now_ms) && !candidates.is_empty();
+        let informed = self.trust.confirmed_ms >= self.woken_ms;
+        let proven = informed && self.trust.proves_absence(now_ms) && !candidates.is_empty();
         if !proven {
             actions.push(Action::Drop { reason: Reason::Unknown });
             return;
@@ -315,6 +340,7 @@
         actions: &mut Vec<Action>,
     ) {
         let entry = self.flows.entry(segment.flow, now_ms);
+        entry.settle(segment.acknowledged);
         let repeated = entry.note_data(now_ms, segment, REPEAT_MS);
         // Most packets go where the last one went; ranking all upstreams is for the others.
         let candidates = if repeated || entry.target.is_none() {
@@ -322,6 +348,12 @@
         } else {
             Vec::new()
         };
+        if repeated {
+            entry.forget_old_denials(now_ms, DENIAL_MS);
+            if let Some(next) = entry.loses_target().then(|| next_of_silent(&candidates, entry)) {
+                entry.target = next.map(|upstream| upstream.address);
+            }
+        }
         let target = entry.target.or_else(|| next_unasked(&candidates, entry, now_ms));
         let Some(to) = target else {
             actions.push(Action::Drop { reason: Reason::Unknown });
@@ -339,11 +371,11 @@
         let to = Destination::of(view, to, service);
         actions.push(Action::Forward { to, ask, reason });
         if repeated {
-            entry.forget_old_denials(now_ms, DENIAL_MS);
-            let target = entry.target;
-            fan_out(view, &candidates, entry, target, actions);
+            fan_out(view, &candidates, entry, actions);
         }
-        if !entry.confirmed && segment.data_bytes > 0 {
+        // Also packets without data: an upstream that misses its caller's acknowledgements repeats its
+        // answer until it gives up.
+        if !entry.confirmed {
             self.pending.insert(now_ms, segment, bytes);
         }
     }
@@ -361,13 +393,25 @@
         self.flows.closing(segment.flow, now_ms);
     }
 
-    fn held(&mut self, now_ms: Millis, from: Ipv4Addr, busy: u8, flow: FlowKey) {
-        self.loads.report(now_ms, from, busy);
+    fn held(
+        &mut self,
+        now_ms: Millis,
+        from: Ipv4Addr,
+        opening_sequence: Option<u32>,
+        flow: FlowKey,
+    ) {
         self.pending.remove(flow);
         let entry = self.flows.entry(flow, now_ms);
+        entry.denials.clear();
+        entry.repeats = 0;
+        if let Some(sequence) = opening_sequence {
+            entry.note_answer(from, sequence);
+            if entry.confirmed {
+                return;
+            }
+        }
         entry.target = Some(from);
         entry.confirmed = true;
-        entry.denials.clear();
     }
 
     fn denied(
@@ -378,38 +422,76 @@
         segment: &Segment,
         actions: &mut Vec<Action>,
     ) {
-        let flow = segment.flow;
-        let entry = self.flows.entry(flow, now_ms);
-        entry.deny(from, now_ms, DENIAL_MS);
         match segment.kind {
             SegmentKind::Opening { .. } => {
-                let Some(service) = service_of(view, flow) else { return };
-                let Some(to) = place(now_ms, view, service, flow, entry, &self.loads) else {
-                    actions.push(Action::Reset { reason: Reason::Refused });
-                    self.pending.remove(flow);
-                    self.flows.closing(flow, now_ms);
-                    return;
-                };
-                if entry.confirmed {
-                    return;
-                }
-                entry.ask(to);
-                self.loads.placed(now_ms, to);
-                let to = Destination::of(view, to, service);
-                actions.push(Action::Forward { to, ask: true, reason: Reason::Replaced });
+                self.opening_denied(now_ms, view, from, segment, actions)
             }
+            SegmentKind::Later => self.later_denied(now_ms, view, from, segment, actions),
             SegmentKind::Reset => {}
-            SegmentKind::Later => {
-                let candidates = candidates(view, flow, now_ms);
-                if let Some(next) = next_undenied(&candidates, entry) {
-                    entry.ask(next.address);
-                    let to = Destination::of(view, next.address, next.service);
-                    actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
-                    return;
-                }
-                self.give_up(now_ms, flow, &candidates, actions);
+        }
+    }
+
+    fn opening_denied(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        from: Ipv4Addr,
+        segment: &Segment,
+        actions: &mut Vec<Action>,
+    ) {
+        let flow = segment.flow;
+        let entry = self.flows.entry(flow, now_ms);
+        entry.deny(from, now_ms, DENIAL_MS);
+        if entry.confirmed {
+            return;
+        }
+        let Some(service) = service_of(view, flow) else { return };
+        let Some(to) = place(now_ms, view, service, flow, entry, &self.loads) else {
+            actions.push(Action::Reset { reason: Reason::Refused });
+            self.pending.remove(flow);
+            self.flows.closing(flow, now_ms);
+            return;
+        };
+        entry.ask(to);
+        self.loads.placed(now_ms, to);
+        let to = Destination::of(view, to, service);
+        actions.push(Action::Forward { to, ask: true, reason: Reason::Replaced });
+    }
+
+    /// One search at a time: only a denial of the upstream that is asked leads to the next. Denials of
+    /// copies are noted; if each led on, searches would multiply, and packets wander away from an
+    /// upstream that holds the flow and is at work.
+    fn later_denied(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        from: Ipv4Addr,
+        segment: &Segment,
+        actions: &mut Vec<Action>,
+    ) {
+        let flow = segment.flow;
+        let entry = self.flows.entry(flow, now_ms);
+        let copied = entry.take_copied(from);
+        entry.deny(from, now_ms, DENIAL_MS);
+        if let Some(to) = entry.target {
+            if !copied
+                && segment.data_bytes > 0
+                && let Some(upstream) = view.upstream_at(to)
+            {
+                let (ask, reason) = (!entry.confirmed, Reason::Asked);
+                let to = Destination::of(view, to, upstream.service);
+                actions.push(Action::Forward { to, ask, reason });
             }
+            return;
         }
+        let candidates = candidates(view, flow, now_ms);
+        let Some(next) = next_undenied(&candidates, entry) else {
+            self.give_up(now_ms, flow, &candidates, actions);
+            return;
+        };
+        entry.ask(next.address);
+        let to = Destination::of(view, next.address, next.service);
+        actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
     }
 }
 
@@ -490,26 +572,33 @@
     Some(next.address)
 }
 
+/// The upstream to ask after the one that is asked has been silent: one that was not asked, else any
+/// that has not denied, by turns.
+fn next_of_silent<'a>(candidates: &'a [Upstream], entry: &mut Entry) -> Option<&'a Upstream> {
+    let open: Vec<&Upstream> =
+        candidates.iter().filter(|upstream| !entry.has_denied(upstream.address)).collect();
+    let fresh = open.iter().find(|upstream| !entry.has_asked(upstream.address));
+    if let Some(fresh) = fresh {
+        return Some(fresh);
+    }
+    let turn = entry.next_round(open.len(), 1);
+    open.get(turn).copied()
+}
+
 /// Sends copies of a packet that nobody answers to upstreams that did not deny the flow, but for the
-/// one at `except`: the flow's upstream may be behind an agent or a link that is dead, or the entry
+/// one that is asked: the flow's upstream may be behind an agent or a link that is dead, or the entry
 /// may be wrong. Which of them are asked changes from time to time.
-fn fan_out(
-    view: &View,
-    candidates: &[Upstream],
-    entry: &mut Entry,
-    except: Option<Ipv4Addr>,
-    actions: &mut Vec<Action>,
-) {
+fn fan_out(view: &View, candidates: &[Upstream], entry: &mut Entry, actions: &mut Vec<Action>) {
     let others: Vec<Upstream> = candidates
         .iter()
-        .filter(|upstream| Some(upstream.address) != except)
+        .filter(|upstream| Some(upstream.address) != entry.target)
         .filter(|upstream| !entry.has_denied(upstream.address))
         .copied()
         .collect();
     let skip = entry.next_round(others.len(), FAN_OUT);
-    for Upstream { address, service, .. } in
-        others.iter().cycle().skip(skip).take(FAN_OUT.min(others.len()))
-    {
+    let copies = FAN_OUT.min(others.len());
+    for Upstream { address, service, .. } in others.iter().cycle().skip(skip).take(copies) {
+        entry.note_copy(*address);
         let to = Destination::of(view, *address, *service);
         actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
     }
--- a/crates/steering/src/edge/pending.rs
+++ b/crates/steering/src/edge/pending.rs
@@ -3,11 +3,14 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::flow::{FlowKey, Millis, Segment};
+use crate::flow::{FlowKey, Millis, Segment, SegmentKind};
 
 /// First pause before a packet goes to another upstream. A calm round trip takes under 5 ms; the
 /// rest is room for a busy instance. Callers repeat after 200 ms, most of the time that they have.
 pub const REPEAT_AFTER_MS: Millis = 60;
+/// The same for data: an upstream that holds the flow says nothing before its answer, which takes most
+/// of this time or less.
+const REPEAT_DATA_AFTER_MS: Millis = 150;
 /// Longest pause: each repetition doubles it up to here.
 const REPEAT_MAX_MS: Millis = 120;
 /// A caller gives an opening up after this time, and repeats data with longer and longer pauses.
@@ -48,11 +51,15 @@
             return;
         }
         self.bytes += packet.len();
+        let pause_ms = match segment.kind {
+            SegmentKind::Opening { .. } => REPEAT_AFTER_MS,
+            SegmentKind::Later | SegmentKind::Reset => REPEAT_DATA_AFTER_MS,
+        };
         let pending = Pending {
             packet: packet.into(),
             segment: *segment,
-            due_ms: now_ms + REPEAT_AFTER_MS,
-            pause_ms: REPEAT_AFTER_MS,
+            due_ms: now_ms + pause_ms,
+            pause_ms,
             expires_ms: now_ms + KEEP_MS,
         };
         self.packets.insert(segment.flow, pending);
--- a/crates/steering/src/flow/mod.rs
+++ b/crates/steering/src/flow/mod.rs
@@ -37,6 +37,8 @@
     pub kind: SegmentKind,
     /// First sequence number of its data.
     pub sequence: u32,
+    /// The number that the caller expects next from the upstream; on an opening, nothing.
+    pub acknowledged: u32,
     /// Number of data bytes.
     pub data_bytes: u16,
 }
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -74,6 +74,8 @@
     pub data_bytes: u16,
     /// Whether the flow ends with it.
     pub last: bool,
+    /// Its number, if it answers an opening.
+    pub opening_sequence: Option<u32>,
 }
 
 /// What follows from a packet of the upstream's.
@@ -101,6 +103,8 @@
     pub balancer: Ipv4Addr,
     /// Requests at work.
     pub busy: u8,
+    /// The number with which the upstream has answered the opening, if this is about one.
+    pub opening_sequence: Option<u32>,
 }
 
 #[derive(Debug, Default)]
@@ -223,7 +227,11 @@
         }
         let busy = self.busy_in_short();
         Answered {
-            report: balancer.map(|balancer| Report { balancer, busy }),
+            report: balancer.map(|balancer| Report {
+                balancer,
+                busy,
+                opening_sequence: answer.opening_sequence,
+            }),
             worked_ms: started_ms.map(|started_ms| now_ms.saturating_sub(started_ms)),
         }
     }
@@ -331,7 +339,7 @@
     fn report_if_held(&mut self, key: FlowKey) -> Option<Report> {
         let flow = self.flows.get_mut(&key).filter(|flow| flow.held)?;
         let balancer = flow.report_to.take()?;
-        Some(Report { balancer, busy: self.busy_in_short() })
+        Some(Report { balancer, busy: self.busy_in_short(), opening_sequence: None })
     }
 
     fn busy_in_short(&self) -> u8 {
