Keep an open flow when a copy of its opening is denied

Cause: a caller's copy of an opening that arrives late is returned by the upstream that has opened the flow already; this counted as a denial of the flow, the opening was placed elsewhere, and the flow's packets followed. Also: the upstream that is asked keeps its packets, others get copies (the search led away from upstreams at work before).

--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -11,8 +11,6 @@
 const IDLE_MS: Millis = 30_000;
 /// A flow that a caller has ended is forgotten after this time, so that late packets still find it.
 const CLOSING_MS: Millis = 2_000;
-/// Repetitions in vain after which an upstream that answered before is doubted.
-const REPEATS_MAX: u32 = 2;
 /// Pause between two looks for flows to forget.
 const SWEEP_MS: Millis = 1_000;
 
@@ -27,8 +25,6 @@
     pub(super) sequence: Option<u32>,
     /// Upstreams that do not hold the flow, and when the first of them said so.
     pub(super) denials: Vec<Ipv4Addr>,
-    /// How often the caller has repeated its data in vain.
-    pub(super) repeats: u32,
     /// Upstreams that have answered the opening, with their numbers.
     answers: Vec<(Ipv4Addr, u32)>,
     asked: Vec<Ipv4Addr>,
@@ -78,15 +74,6 @@
         }
     }
 
-    /// Whether the flow has to be looked for elsewhere, since its caller repeats its data in vain. An
-    /// upstream that has answered on the flow before is believed once more; but it may have been one
-    /// that holds the flow half open, and takes its packets without a word.
-    pub(super) fn loses_target(&mut self) -> bool {
-        let loses = !self.confirmed || self.repeats >= REPEATS_MAX;
-        self.confirmed &= !loses;
-        loses
-    }
-
     /// Notes that the upstream at `address` has answered the opening with this number.
     pub(super) fn note_answer(&mut self, address: Ipv4Addr, sequence: u32) {
         self.answers.retain(|(answered, _)| *answered != address);
@@ -151,11 +138,8 @@
         if let Some((sequence, at_ms)) = self.last_data
             && sequence == segment.sequence
         {
-            let repeated = now_ms.saturating_sub(at_ms) >= after_ms;
-            self.repeats += u32::from(repeated);
-            return repeated;
+            return now_ms.saturating_sub(at_ms) >= after_ms;
         }
-        self.repeats = 0;
         self.last_data = Some((segment.sequence, now_ms));
         false
     }
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -296,20 +296,26 @@
         actions.push(Action::Forward { to, ask: true, reason: Reason::Replaced });
     }
 
-    /// The upstreams that have not denied the flow are silent: they are down, start just now, or
+    /// The upstream that is asked gets the packet again, for it may be at work, and three others get
+    /// copies. The upstreams that have not denied the flow are silent: they are down, start just now, or
     /// their agents do. Asked again soon, the flow is found or proven lost as soon as they answer;
     /// the caller's own repetition may come a second later, too late for its request.
     fn ask_again(&mut self, now_ms: Millis, view: &View, due: &Due, actions: &mut Vec<Action>) {
         let candidates = candidates(view, due.segment.flow, now_ms);
         let Some(entry) = self.flows.get(due.segment.flow) else { return };
         entry.forget_old_denials(now_ms, DENIAL_MS);
-        let Some(next) = next_of_silent(&candidates, entry) else {
-            self.give_up(now_ms, due.segment.flow, &candidates, actions);
+        let Some(target) = entry.target.or_else(|| next_unasked(&candidates, entry, now_ms)) else {
             return;
         };
-        entry.ask(next.address);
-        let to = Destination::of(view, next.address, next.service);
-        actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
+        if candidates.iter().all(|upstream| entry.has_denied(upstream.address)) {
+            self.give_up(now_ms, due.segment.flow, &candidates, actions);
+            return;
+        }
+        entry.ask(target);
+        if let Some(upstream) = view.upstream_at(target) {
+            let to = Destination::of(view, target, upstream.service);
+            actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
+        }
         fan_out(view, &candidates, entry, actions);
     }
 
@@ -350,9 +356,6 @@
         };
         if repeated {
             entry.forget_old_denials(now_ms, DENIAL_MS);
-            if let Some(next) = entry.loses_target().then(|| next_of_silent(&candidates, entry)) {
-                entry.target = next.map(|upstream| upstream.address);
-            }
         }
         let target = entry.target.or_else(|| next_unasked(&candidates, entry, now_ms));
         let Some(to) = target else {
@@ -373,9 +376,8 @@
         if repeated {
             fan_out(view, &candidates, entry, actions);
         }
-        // Also packets without data: an upstream that misses its caller's acknowledgements repeats its
-        // answer until it gives up.
-        if !entry.confirmed {
+        // An upstream that holds the flow answers data sooner or later, and says nothing to the rest.
+        if !entry.confirmed && segment.data_bytes > 0 {
             self.pending.insert(now_ms, segment, bytes);
         }
     }
@@ -403,7 +405,6 @@
         self.pending.remove(flow);
         let entry = self.flows.entry(flow, now_ms);
         entry.denials.clear();
-        entry.repeats = 0;
         if let Some(sequence) = opening_sequence {
             entry.note_answer(from, sequence);
             if entry.confirmed {
@@ -441,10 +442,11 @@
     ) {
         let flow = segment.flow;
         let entry = self.flows.entry(flow, now_ms);
-        entry.deny(from, now_ms, DENIAL_MS);
+        // An upstream that holds the flow takes no second opening of it.
         if entry.confirmed {
             return;
         }
+        entry.deny(from, now_ms, DENIAL_MS);
         let Some(service) = service_of(view, flow) else { return };
         let Some(to) = place(now_ms, view, service, flow, entry, &self.loads) else {
             actions.push(Action::Reset { reason: Reason::Refused });
@@ -572,19 +574,6 @@
     Some(next.address)
 }
 
-/// The upstream to ask after the one that is asked has been silent: one that was not asked, else any
-/// that has not denied, by turns.
-fn next_of_silent<'a>(candidates: &'a [Upstream], entry: &mut Entry) -> Option<&'a Upstream> {
-    let open: Vec<&Upstream> =
-        candidates.iter().filter(|upstream| !entry.has_denied(upstream.address)).collect();
-    let fresh = open.iter().find(|upstream| !entry.has_asked(upstream.address));
-    if let Some(fresh) = fresh {
-        return Some(fresh);
-    }
-    let turn = entry.next_round(open.len(), 1);
-    open.get(turn).copied()
-}
-
 /// Sends copies of a packet that nobody answers to upstreams that did not deny the flow, but for the
 /// one that is asked: the flow's upstream may be behind an agent or a link that is dead, or the entry
 /// may be wrong. Which of them are asked changes from time to time.
