Send no copies of known flows to other upstreams

Found by a trial that printed every packet of some flows (client-0-277 port 1044, seconds 9.9 to 14.3). Change: copies go out only while a flow's upstream is not known (test failed first).

--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -373,7 +373,8 @@
         entry.ask(to);
         let to = Destination::of(view, to, service);
         actions.push(Action::Forward { to, ask, reason });
-        if repeated {
+        // Copies of a known flow's packets would find nothing: its upstream is slow, or dead with it.
+        if repeated && !entry.confirmed {
             fan_out(view, &candidates, entry, actions);
         }
         // An upstream that holds the flow answers data sooner or later, and says nothing to the rest.
--- a/crates/steering/tests/edge.rs
+++ b/crates/steering/tests/edge.rs
@@ -392,8 +392,6 @@
     let (mut edge, view) = (Edge::default(), view_of(&[READY; 46]));
     let segment = data(1, 5);
     let holder = target(&packet(&mut edge, 0, &view, &segment)[0]).unwrap();
-    let held = Verdict::Held { busy: 0, opening_sequence: None };
-    verdict(&mut edge, 1, &view, holder, held, &segment);
     let copies = packet(&mut edge, 200, &view, &segment);
     assert_eq!(target(&copies[0]), Some(holder));
     for copy in &copies[1..] {
@@ -496,3 +494,19 @@
     let segment = Segment { acknowledged: 1_001, ..data(1, 2) };
     assert_eq!(target(&packet(&mut edge, 220, &view, &segment)[0]), Some(holder));
 }
+
+/// The flow's upstream is known, and its request waits beside it for its turn; the caller repeats it.
+/// Copies to others find nothing, and count as a flow that is led astray if its own upstream gets no
+/// packet for two seconds.
+#[test]
+fn known_flow_is_not_copied_to_others() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let segment = data(1, 5);
+    let holder = target(&packet(&mut edge, 0, &view, &segment)[0]).unwrap();
+    let held = Verdict::Held { busy: 0, opening_sequence: None };
+    verdict(&mut edge, 1, &view, holder, held, &segment);
+    for now_ms in [4_000, 4_200, 4_600, 5_400] {
+        let actions = packet(&mut edge, now_ms, &view, &data(1, 105));
+        assert_eq!(actions.iter().filter_map(target).collect::<Vec<_>>(), [holder], "{now_ms}");
+    }
+}
