--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -8,149 +8,36 @@
 mod flows;
 mod loads;
 mod pending;
+mod placement;
+mod search;
+mod types;
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
 use crate::flow::{FlowKey, Millis, Segment, SegmentKind};
-use crate::membership;
-use crate::rank;
-use crate::view::{ServiceStamp, Standing, Upstream, View};
+use crate::view::{Upstream, View};
 
 pub use flows::FLOWS_MAX;
-use flows::{Entry, FlowTable};
+use flows::FlowTable;
 use loads::LoadTable;
 use pending::{Due, PendingTable};
 pub use pending::{PENDING_BYTES_MAX, REPEAT_AFTER_MS};
+use placement::{place, service_of};
+use search::{candidates, fan_out, next_unasked, next_undenied};
+pub use types::{Action, Destination, Reason, Said, Trust, Verdict};
 
-/// Upstreams of the first ranks among which load decides. More would spread flows further from
-/// their first rank, and a balancer without memory would ask longer.
-const PLACEMENT_RANKS: usize = 3;
-/// Copies of a repeated packet that go to further upstreams at once.
-const FAN_OUT: usize = 3;
 /// After this time, that an upstream once denied a flow says nothing any more.
 const DENIAL_MS: Millis = 1_000;
 /// A packet with the same data that comes again after this time is taken as repeated because
 /// nobody answered; the callers' first pause is 200 ms.
 const REPEAT_MS: Millis = 150;
-/// A view that nobody has confirmed for this long proves nothing by what it lacks: this balancer may
-/// be cut off, and flows may live at upstreams that it has never heard of. A reader hears from the
-/// configuration service every 2.5 s, all others from a reader twice a second.
-const CONFIRMED_MS: Millis = 5_000;
 /// A balancer looks after its flows at least every 60 ms; after this time without, it was paused.
 const PAUSE_MS: Millis = 300;
 /// An upstream that has been silent for this long, beside an agent that lives, counts as one that
 /// denies. Upstreams answer at once or return the packet.
 const SILENCE_PROVES_MS: Millis = 400;
 
-/// What an agent says about a packet that it got.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// The upstream answers on this flow; `busy` requests are at work there.
-    Held {
-        /// Requests at work.
-        busy: u8,
-        /// The number with which the upstream has answered an opening, if that is what it did.
-        opening_sequence: Option<u32>,
-    },
-    /// The upstream does not hold the flow, or cannot take it.
-    Denied,
-    /// The upstream has answered nothing for that long; the packet went to it all the same.
-    Silent {
-        /// How long it has been silent.
-        for_ms: Millis,
-    },
-}
-
-/// How far the list of upstreams can be trusted to name all that may hold a flow.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Trust {
-    /// When the view was last confirmed by whoever reads the configuration service.
-    pub confirmed_ms: Millis,
-    /// From when on the list counts as whole: right after an outage of the configuration service, and
-    /// until other balancers could tell of one, it may lack upstreams that live.
-    pub whole_from_ms: Millis,
-}
-
-impl Trust {
-    fn proves_absence(self, now_ms: Millis) -> bool {
-        let confirmed = now_ms.saturating_sub(self.confirmed_ms) < CONFIRMED_MS;
-        confirmed && now_ms >= self.whole_from_ms
-    }
-}
-
-/// A verdict and the instance whose agent gave it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Said {
-    /// Address of the agent's instance.
-    pub from: Ipv4Addr,
-    /// What it says.
-    pub verdict: Verdict,
-}
-
-/// Why something was done, for logs and metrics.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Reason {
-    /// A new flow was placed.
-    Placed,
-    /// An opening went to another upstream, since one denied it or stayed silent.
-    Replaced,
-    /// The flow's upstream is known.
-    Known,
-    /// The flow's upstream is being looked for.
-    Asked,
-    /// No route leads from the endpoint.
-    NoRoute,
-    /// All upstreams deny the opening.
-    Refused,
-    /// All upstreams deny the flow.
-    Lost,
-    /// Nothing is known about routes or upstreams, or a proof is missing.
-    Unknown,
-}
-
-/// An agent and what it is told with a packet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Destination {
-    /// Address of the agent's instance.
-    pub address: Ipv4Addr,
-    /// The service whose upstream may take the packet.
-    pub service: ServiceStamp,
-    /// Requests that the upstream works on at a time; zero if not known.
-    pub slots: u8,
-}
-
-impl Destination {
-    fn of(view: &View, address: Ipv4Addr, service: ServiceStamp) -> Self {
-        let slots = view.upstream_at(address).map_or(0, |upstream| upstream.slots);
-        Self { address, service, slots: u8::try_from(slots).unwrap_or(u8::MAX) }
-    }
-}
-
-/// What is to be done.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Send the packet at hand to the agent at `to`.
-    Forward {
-        /// The agent.
-        to: Destination,
-        /// Whether the agent is to say so when its upstream answers.
-        ask: bool,
-        /// Why.
-        reason: Reason,
-    },
-    /// Tell the caller that the flow does not exist.
-    Reset {
-        /// Why.
-        reason: Reason,
-    },
-    /// Nothing more is done with the packet.
-    Drop {
-        /// Why.
-        reason: Reason,
-    },
-}
-
 /// The state of a balancer.
 #[derive(Default)]
 pub struct Edge {
@@ -497,99 +384,3 @@
         actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
     }
 }
-
-/// The service of a flow's endpoint.
-fn service_of(view: &View, flow: FlowKey) -> Option<ServiceStamp> {
-    view.routes.find(flow.endpoint)?.service_of(flow)
-}
-
-/// Upstreams that may hold a flow, best guess first.
-fn candidates(view: &View, flow: FlowKey, now_ms: Millis) -> Vec<Upstream> {
-    let Some(route) = view.routes.find(flow.endpoint) else { return Vec::new() };
-    let mut ranked: Vec<(u64, Upstream)> = route
-        .shares
-        .iter()
-        .flat_map(|share| view.upstreams_of(share.service))
-        .filter(|upstream| !membership::is_gone(upstream.standing, now_ms))
-        .map(|upstream| (rank::score(flow, upstream.address), *upstream))
-        .collect();
-    ranked.sort_by_key(|(score, upstream)| (std::cmp::Reverse(*score), upstream.address));
-    ranked.into_iter().map(|(_, upstream)| upstream).collect()
-}
-
-/// Chooses the upstream of a new flow among those that did not deny it; one that was asked before
-/// comes only after all others.
-fn place(
-    now_ms: Millis,
-    view: &View,
-    service: ServiceStamp,
-    flow: FlowKey,
-    entry: &Entry,
-    loads: &LoadTable,
-) -> Option<Ipv4Addr> {
-    let usable = |upstream: &&Upstream| !entry.has_denied(upstream.address);
-    let is_ready = |upstream: &&Upstream| upstream.standing == Standing::Ready;
-    let all = view.upstreams_of(service);
-    let mut open: Vec<&Upstream> = all.iter().filter(is_ready).filter(usable).collect();
-    if open.is_empty() && !all.iter().any(|upstream| upstream.standing == Standing::Ready) {
-        // All entries of a service go at once only when the list itself had a fault.
-        open = all.iter().filter(|u| is_silent(u, now_ms)).filter(usable).collect();
-    }
-    open.sort_by_key(|upstream| {
-        (
-            entry.has_asked(upstream.address),
-            loads.is_suspect(now_ms, upstream.address),
-            std::cmp::Reverse(rank::score(flow, upstream.address)),
-        )
-    });
-    let first = open.first()?;
-    let class = |upstream: &Upstream| {
-        (entry.has_asked(upstream.address), loads.is_suspect(now_ms, upstream.address))
-    };
-    let best = open
-        .iter()
-        .take(PLACEMENT_RANKS)
-        .filter(|upstream| class(upstream) == class(first))
-        .min_by_key(|upstream| loads.load(now_ms, upstream))?;
-    Some(best.address)
-}
-
-fn is_silent(upstream: &Upstream, now_ms: Millis) -> bool {
-    let missing = matches!(upstream.standing, Standing::Missing { drained: false, .. });
-    missing && !membership::is_gone(upstream.standing, now_ms)
-}
-
-/// The upstream to ask next. If the flow's opening went through here, it lives at one of those that
-/// got a copy; otherwise those that were asked have not answered, and others come first.
-fn next_undenied<'a>(candidates: &'a [Upstream], entry: &Entry) -> Option<&'a Upstream> {
-    let opened_here = entry.sequence.is_some();
-    let open = |upstream: &&Upstream| !entry.has_denied(upstream.address);
-    let likely = |upstream: &&Upstream| entry.has_asked(upstream.address) == opened_here;
-    let first = candidates.iter().filter(open).find(likely);
-    first.or_else(|| candidates.iter().find(open))
-}
-
-fn next_unasked(candidates: &[Upstream], entry: &mut Entry, now_ms: Millis) -> Option<Ipv4Addr> {
-    entry.forget_old_denials(now_ms, DENIAL_MS);
-    let next = next_undenied(candidates, entry).or(candidates.first())?;
-    Some(next.address)
-}
-
-/// Sends copies of a packet that nobody answers to upstreams that did not deny the flow, but for the
-/// one that is asked: the flow's upstream may be behind an agent or a link that is dead, or the entry
-/// may be wrong. Which of them are asked changes from time to time.
-fn fan_out(view: &View, candidates: &[Upstream], entry: &mut Entry, actions: &mut Vec<Action>) {
-    let others: Vec<Upstream> = candidates
-        .iter()
-        .filter(|upstream| Some(upstream.address) != entry.target)
-        .filter(|upstream| !entry.has_denied(upstream.address))
-        .copied()
-        .collect();
-    let skip = entry.next_round(others.len(), FAN_OUT);
-    let copies = FAN_OUT.min(others.len());
-    for Upstream { address, service, .. } in others.iter().cycle().skip(skip).take(copies) {
-        entry.note_copy(*address);
-        let to = Destination::of(view, *address, *service);
-        actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
-    }
-}
--- /dev/null
+++ b/crates/steering/src/edge/types.rs
@@ -0,0 +1,119 @@
+//! What goes in and out of a balancer's decisions.
+
+use std::net::Ipv4Addr;
+
+use crate::flow::Millis;
+use crate::view::{ServiceStamp, View};
+
+/// A view that nobody has confirmed for this long proves nothing by what it lacks: this balancer may
+/// be cut off, and flows may live at upstreams that it has never heard of. A reader hears from the
+/// configuration service every 2.5 s, all others from a reader twice a second.
+const CONFIRMED_MS: Millis = 5_000;
+
+/// What an agent says about a packet that it got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The upstream answers on this flow; `busy` requests are at work there.
+    Held {
+        /// Requests at work.
+        busy: u8,
+        /// The number with which the upstream has answered an opening, if that is what it did.
+        opening_sequence: Option<u32>,
+    },
+    /// The upstream does not hold the flow, or cannot take it.
+    Denied,
+    /// The upstream has answered nothing for that long; the packet went to it all the same.
+    Silent {
+        /// How long it has been silent.
+        for_ms: Millis,
+    },
+}
+
+/// How far the list of upstreams can be trusted to name all that may hold a flow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Trust {
+    /// When the view was last confirmed by whoever reads the configuration service.
+    pub confirmed_ms: Millis,
+    /// From when on the list counts as whole: right after an outage of the configuration service, and
+    /// until other balancers could tell of one, it may lack upstreams that live.
+    pub whole_from_ms: Millis,
+}
+
+impl Trust {
+    pub(super) fn proves_absence(self, now_ms: Millis) -> bool {
+        let confirmed = now_ms.saturating_sub(self.confirmed_ms) < CONFIRMED_MS;
+        confirmed && now_ms >= self.whole_from_ms
+    }
+}
+
+/// A verdict and the instance whose agent gave it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Said {
+    /// Address of the agent's instance.
+    pub from: Ipv4Addr,
+    /// What it says.
+    pub verdict: Verdict,
+}
+
+/// Why something was done, for logs and metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    /// A new flow was placed.
+    Placed,
+    /// An opening went to another upstream, since one denied it or stayed silent.
+    Replaced,
+    /// The flow's upstream is known.
+    Known,
+    /// The flow's upstream is being looked for.
+    Asked,
+    /// No route leads from the endpoint.
+    NoRoute,
+    /// All upstreams deny the opening.
+    Refused,
+    /// All upstreams deny the flow.
+    Lost,
+    /// Nothing is known about routes or upstreams, or a proof is missing.
+    Unknown,
+}
+
+/// An agent and what it is told with a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Destination {
+    /// Address of the agent's instance.
+    pub address: Ipv4Addr,
+    /// The service whose upstream may take the packet.
+    pub service: ServiceStamp,
+    /// Requests that the upstream works on at a time; zero if not known.
+    pub slots: u8,
+}
+
+impl Destination {
+    pub(super) fn of(view: &View, address: Ipv4Addr, service: ServiceStamp) -> Self {
+        let slots = view.upstream_at(address).map_or(0, |upstream| upstream.slots);
+        Self { address, service, slots: u8::try_from(slots).unwrap_or(u8::MAX) }
+    }
+}
+
+/// What is to be done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send the packet at hand to the agent at `to`.
+    Forward {
+        /// The agent.
+        to: Destination,
+        /// Whether the agent is to say so when its upstream answers.
+        ask: bool,
+        /// Why.
+        reason: Reason,
+    },
+    /// Tell the caller that the flow does not exist.
+    Reset {
+        /// Why.
+        reason: Reason,
+    },
+    /// Nothing more is done with the packet.
+    Drop {
+        /// Why.
+        reason: Reason,
+    },
+}
