Doubt an upstream that takes a flow's packets without a word

Change: after three repetitions of its caller, 1.4 s, copies go to others again (test failed first); by then a request that waits beside its upstream has been handed on.

--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -11,6 +11,9 @@
 const IDLE_MS: Millis = 30_000;
 /// A flow that a caller has ended is forgotten after this time, so that late packets still find it.
 const CLOSING_MS: Millis = 2_000;
+/// Repetitions without an answer after which an upstream is doubted: 1.4 s after the first sending,
+/// twice as long as a request waits beside its upstream.
+const REPEATS_MAX: u32 = 3;
 /// Pause between two looks for flows to forget.
 const SWEEP_MS: Millis = 1_000;
 
@@ -25,6 +28,8 @@
     pub(super) sequence: Option<u32>,
     /// Upstreams that do not hold the flow, and when the first of them said so.
     pub(super) denials: Vec<Ipv4Addr>,
+    /// How often the caller has repeated its data without an answer.
+    pub(super) repeats: u32,
     /// Upstreams that have answered the opening, with their numbers.
     answers: Vec<(Ipv4Addr, u32)>,
     asked: Vec<Ipv4Addr>,
@@ -74,6 +79,14 @@
         }
     }
 
+    /// Doubts an upstream that answered before and takes packets without a word now: it may hold the
+    /// flow half open only. It keeps getting the flow's packets, and others get copies.
+    pub(super) fn doubt_if_mute(&mut self) {
+        if self.repeats >= REPEATS_MAX {
+            self.confirmed = false;
+        }
+    }
+
     /// Notes that the upstream at `address` has answered the opening with this number.
     pub(super) fn note_answer(&mut self, address: Ipv4Addr, sequence: u32) {
         self.answers.retain(|(answered, _)| *answered != address);
@@ -138,8 +151,11 @@
         if let Some((sequence, at_ms)) = self.last_data
             && sequence == segment.sequence
         {
-            return now_ms.saturating_sub(at_ms) >= after_ms;
+            let repeated = now_ms.saturating_sub(at_ms) >= after_ms;
+            self.repeats += u32::from(repeated);
+            return repeated;
         }
+        self.repeats = 0;
         self.last_data = Some((segment.sequence, now_ms));
         false
     }
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -235,6 +235,7 @@
         let entry = self.flows.entry(segment.flow, now_ms);
         entry.settle(segment.acknowledged);
         let repeated = entry.note_data(now_ms, segment, REPEAT_MS);
+        entry.doubt_if_mute();
         // Most packets go where the last one went; ranking all upstreams is for the others.
         let candidates = if repeated || entry.target.is_none() {
             candidates(view, segment.flow, now_ms)
@@ -293,6 +294,7 @@
         self.pending.remove(flow);
         let entry = self.flows.entry(flow, now_ms);
         entry.denials.clear();
+        entry.repeats = 0;
         if let Some(sequence) = opening_sequence {
             entry.note_answer(from, sequence);
             if entry.confirmed {
