Compute the digest of routes once, and share the start of logging

Cause, from reading the whole change: the digest of all routes was hashed anew for every hello, beacon and fetch, though a table never changes; a new version of the same routes copied, sorted and hashed them; the filter and the fields of the log stood twice; two constants travelled as arguments to the only type that uses them. Change: RouteTable keeps its digest and is renumbered; queued::start calls log::start_to; DENIAL_MS and REPEAT_MS live beside Entry. No change of behaviour; all assertions as they were. Ruled out: sharing the two flow tables of balancer and agent, they forget by different rules.

--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -11,6 +11,11 @@
 const IDLE_MS: Millis = 30_000;
 /// A flow that a caller has ended is forgotten after this time, so that late packets still find it.
 const CLOSING_MS: Millis = 2_000;
+/// After this time, that an upstream once denied a flow says nothing any more.
+const DENIAL_MS: Millis = 1_000;
+/// A packet with the same data that comes again after this time is taken as repeated because
+/// nobody answered; the callers' first pause is 200 ms.
+const REPEAT_MS: Millis = 150;
 /// Repetitions without an answer after which an upstream is doubted: 1.4 s after the first sending,
 /// twice as long as a request waits beside its upstream.
 const REPEATS_MAX: u32 = 3;
@@ -58,8 +63,8 @@
     }
 
     /// Notes that the upstream at `address` does not hold the flow.
-    pub(super) fn deny(&mut self, address: Ipv4Addr, now_ms: Millis, valid_ms: Millis) {
-        self.forget_old_denials(now_ms, valid_ms);
+    pub(super) fn deny(&mut self, address: Ipv4Addr, now_ms: Millis) {
+        self.forget_old_denials(now_ms);
         if self.denials.is_empty() {
             self.denied_ms = now_ms;
         }
@@ -73,8 +78,8 @@
     }
 
     /// Forgets denials that are too old to prove anything.
-    pub(super) fn forget_old_denials(&mut self, now_ms: Millis, valid_ms: Millis) {
-        if now_ms.saturating_sub(self.denied_ms) >= valid_ms {
+    pub(super) fn forget_old_denials(&mut self, now_ms: Millis) {
+        if now_ms.saturating_sub(self.denied_ms) >= DENIAL_MS {
             self.denials.clear();
         }
     }
@@ -139,19 +144,14 @@
     }
 
     /// Notes the data of a packet and says whether the same came before, some time ago.
-    pub(super) fn note_data(
-        &mut self,
-        now_ms: Millis,
-        segment: &Segment,
-        after_ms: Millis,
-    ) -> bool {
+    pub(super) fn note_data(&mut self, now_ms: Millis, segment: &Segment) -> bool {
         if segment.data_bytes == 0 {
             return false;
         }
         if let Some((sequence, at_ms)) = self.last_data
             && sequence == segment.sequence
         {
-            let repeated = now_ms.saturating_sub(at_ms) >= after_ms;
+            let repeated = now_ms.saturating_sub(at_ms) >= REPEAT_MS;
             self.repeats += u32::from(repeated);
             return repeated;
         }
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -27,11 +27,6 @@
 use search::{candidates, fan_out, next_unasked, next_undenied};
 pub use types::{Action, Destination, Reason, Said, Trust, Verdict};
 
-/// After this time, that an upstream once denied a flow says nothing any more.
-const DENIAL_MS: Millis = 1_000;
-/// A packet with the same data that comes again after this time is taken as repeated because
-/// nobody answered; the callers' first pause is 200 ms.
-const REPEAT_MS: Millis = 150;
 /// A balancer looks after its flows at least every 60 ms; after this time without, it was paused.
 const PAUSE_MS: Millis = 300;
 /// An upstream that has been silent for this long, beside an agent that lives, counts as one that
@@ -190,7 +185,7 @@
     fn ask_again(&mut self, now_ms: Millis, view: &View, due: &Due, actions: &mut Vec<Action>) {
         let candidates = candidates(view, due.segment.flow, now_ms);
         let Some(entry) = self.flows.get(due.segment.flow) else { return };
-        entry.forget_old_denials(now_ms, DENIAL_MS);
+        entry.forget_old_denials(now_ms);
         let Some(target) = entry.target.or_else(|| next_unasked(&candidates, entry, now_ms)) else {
             return;
         };
@@ -234,7 +229,7 @@
     ) {
         let entry = self.flows.entry(segment.flow, now_ms);
         entry.settle(segment.acknowledged);
-        let repeated = entry.note_data(now_ms, segment, REPEAT_MS);
+        let repeated = entry.note_data(now_ms, segment);
         entry.doubt_if_mute();
         // Most packets go where the last one went; ranking all upstreams is for the others.
         let candidates = if repeated || entry.target.is_none() {
@@ -243,7 +238,7 @@
             Vec::new()
         };
         if repeated {
-            entry.forget_old_denials(now_ms, DENIAL_MS);
+            entry.forget_old_denials(now_ms);
         }
         let target = entry.target.or_else(|| next_unasked(&candidates, entry, now_ms));
         let Some(to) = target else {
@@ -336,7 +331,7 @@
         if entry.confirmed {
             return;
         }
-        entry.deny(from, now_ms, DENIAL_MS);
+        entry.deny(from, now_ms);
         let Some(service) = service_of(view, flow) else { return };
         let Some(to) = place(now_ms, view, service, flow, entry, &self.loads) else {
             actions.push(Action::Reset { reason: Reason::Refused });
@@ -364,7 +359,7 @@
         let flow = segment.flow;
         let entry = self.flows.entry(flow, now_ms);
         let copied = entry.take_copied(from);
-        entry.deny(from, now_ms, DENIAL_MS);
+        entry.deny(from, now_ms);
         if let Some(to) = entry.target {
             if !copied
                 && segment.data_bytes > 0
--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -42,7 +42,7 @@
     entry: &mut Entry,
     now_ms: Millis,
 ) -> Option<Ipv4Addr> {
-    entry.forget_old_denials(now_ms, super::DENIAL_MS);
+    entry.forget_old_denials(now_ms);
     let next = next_undenied(candidates, entry).or(candidates.first())?;
     Some(next.address)
 }
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -81,11 +81,18 @@
 }
 
 /// Routes of one configuration version.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RouteTable {
     /// Version of the configuration; only grows within a process's life.
     pub version: u64,
     routes: Vec<Route>,
+    digest: u64,
+}
+
+impl Default for RouteTable {
+    fn default() -> Self {
+        Self::new(0, Vec::new())
+    }
 }
 
 impl RouteTable {
@@ -93,7 +100,15 @@
     pub fn new(version: u64, mut routes: Vec<Route>) -> Self {
         routes.sort_by_key(|route| route.endpoint);
         routes.dedup_by_key(|route| route.endpoint);
-        Self { version, routes }
+        let mut hasher = SipHasher13::new();
+        routes.hash(&mut hasher);
+        Self { version, routes, digest: hasher.finish() }
+    }
+
+    /// The same routes under another version.
+    #[must_use]
+    pub fn renumbered(&self, version: u64) -> Self {
+        Self { version, ..self.clone() }
     }
 
     /// The route of an endpoint.
@@ -104,9 +119,7 @@
 
     /// Digest of the routes; the version is left out, as most versions change time-outs only.
     pub fn digest(&self) -> u64 {
-        let mut hasher = SipHasher13::new();
-        self.routes.hash(&mut hasher);
-        hasher.finish()
+        self.digest
     }
 
     /// All routes, by endpoint.
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -20,16 +20,16 @@
 /// log::info!(account = "cascadia", version = 7; "settings accepted");
 /// ```
 pub fn start(instance: &str) -> bool {
+    start_to(instance, append::Stderr::default().with_layout(JsonLayout::default()))
+}
+
+/// Sends the log of this process to an appender, as [`start`] does to standard error.
+pub(crate) fn start_to(instance: &str, appender: impl append::Append) -> bool {
     let mut fields = StaticDiagnostic::default();
     fields.insert("instance", instance);
     let filter = RustLogFilterBuilder::from_default_env_or(DEFAULT_FILTER).build();
     logforth::starter_log::builder()
-        .dispatch(|dispatch| {
-            dispatch
-                .filter(filter)
-                .diagnostic(fields)
-                .append(append::Stderr::default().with_layout(JsonLayout::default()))
-        })
+        .dispatch(|dispatch| dispatch.filter(filter).diagnostic(fields).append(appender))
         .try_apply()
         .is_ok()
 }
--- a/crates/telemetry/src/queued.rs
+++ b/crates/telemetry/src/queued.rs
@@ -10,8 +10,6 @@
 use std::thread;
 
 use logforth::append::Append;
-use logforth::diagnostic::StaticDiagnostic;
-use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::JsonLayout;
 use logforth::{Diagnostic, Layout};
 
@@ -19,7 +17,6 @@
 pub const LINES_MAX: usize = 256;
 /// Lines written with one call.
 const BATCH_BYTES: usize = 4 << 10;
-const DEFAULT_FILTER: &str = "info,gotham=warn,ureq=warn,ureq_proto=warn";
 
 /// Appends lines to a queue.
 #[derive(Debug)]
@@ -76,13 +73,7 @@
 ///
 /// Errors: the thread that writes could not be started.
 pub fn start(instance: &str) -> std::io::Result<bool> {
-    let mut fields = StaticDiagnostic::default();
-    fields.insert("instance", instance);
-    let filter = RustLogFilterBuilder::from_default_env_or(DEFAULT_FILTER).build();
-    let appender = Queued::before(std::io::stdout())?;
-    let built = logforth::starter_log::builder()
-        .dispatch(|dispatch| dispatch.filter(filter).diagnostic(fields).append(appender));
-    Ok(built.try_apply().is_ok())
+    Ok(crate::log::start_to(instance, Queued::before(std::io::stdout())?))
 }
 
 fn write_all(mut out: impl Write, lines: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
