Search for a flow past silent and busy upstreams

Where the first rank lived, the packet waited beside it for a slot, 100 ms and more, although that upstream did not hold the flow. Change: an upstream that was asked and stays silent costs one pause, then the search goes on to the next one, whose denial leads on at once; and an agent that has run for as long as it remembers flows hands packets of flows that it does not know to its upstream without a wait.

Tried and left out: an agent that denies flows whose caller has acknowledged another upstream's number.

--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -178,15 +178,17 @@
         actions.push(Action::Forward { to, ask: true, reason: Reason::Replaced });
     }
 
-    /// The upstream that is asked gets the packet again, for it may be at work, and three others get
-    /// copies. The upstreams that have not denied the flow are silent: they are down, start just now, or
-    /// their agents do. Asked again soon, the flow is found or proven lost as soon as they answer;
-    /// the caller's own repetition may come a second later, too late for its request.
+    /// The upstream that is asked is silent: it is down, starts just now, is at work, or its agent is one
+    /// of these. The search goes on to one that was not asked yet, and whose denial leads to the next; the
+    /// silent ones get copies from time to time. Asked again soon, the flow is found or proven lost as
+    /// soon as they answer; the caller's own repetition may come a second later, too late for its request.
     fn ask_again(&mut self, now_ms: Millis, view: &View, due: &Due, actions: &mut Vec<Action>) {
         let candidates = candidates(view, due.segment.flow, now_ms);
         let Some(entry) = self.flows.get(due.segment.flow) else { return };
         entry.forget_old_denials(now_ms);
-        let Some(target) = entry.target.or_else(|| next_unasked(&candidates, entry, now_ms)) else {
+        let opened_here = entry.sequence.is_some();
+        let silent = entry.target.filter(|_| opened_here);
+        let Some(target) = silent.or_else(|| next_unasked(&candidates, entry, now_ms)) else {
             return;
         };
         if candidates.iter().all(|upstream| entry.has_denied(upstream.address)) {
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -128,6 +128,7 @@
     busy: u32,
     unanswered: u32,
     unanswered_since_ms: Millis,
+    started_ms: Option<Millis>,
     awake_ms: Millis,
     swept_ms: Millis,
 }
@@ -143,6 +144,7 @@
             busy: 0,
             unanswered: 0,
             unanswered_since_ms: 0,
+            started_ms: None,
             awake_ms: 0,
             swept_ms: 0,
         }
@@ -259,6 +261,7 @@
     /// After a pause of the process, the upstream's answers may still wait unread, and the time that
     /// has passed says nothing about it.
     fn wake(&mut self, now_ms: Millis) {
+        self.started_ms.get_or_insert(now_ms);
         if now_ms.saturating_sub(self.awake_ms) >= PAUSE_MS {
             self.unanswered = 0;
         }
@@ -327,6 +330,11 @@
         if flow.is_some_and(|flow| flow.has_seen(segment)) {
             return false;
         }
+        // A balancer that looks for a flow loses a slot's time at each busy upstream that does not hold it.
+        let held = flow.is_some_and(|flow| flow.held);
+        if !held && self.knows_its_flows(now_ms) {
+            return false;
+        }
         let at_work = flow.is_some_and(|flow| flow.busy_since_ms.is_some());
         if at_work || self.has_slot() || !self.queue.has_room() {
             return false;
@@ -336,6 +344,12 @@
         true
     }
 
+    /// Whether this process has run for as long as it remembers flows: one that it does not know is held
+    /// elsewhere, or has been idle for longer.
+    fn knows_its_flows(&self, now_ms: Millis) -> bool {
+        self.started_ms.is_some_and(|started_ms| now_ms.saturating_sub(started_ms) >= IDLE_MS)
+    }
+
     fn report_if_held(&mut self, key: FlowKey) -> Option<Report> {
         let flow = self.flows.get_mut(&key).filter(|flow| flow.held)?;
         let balancer = flow.report_to.take()?;
--- a/crates/steering/tests/side.rs
+++ b/crates/steering/tests/side.rs
@@ -41,6 +41,10 @@
     Answer { flow: flow(number), data_bytes: 500, last: false, opening_sequence: None }
 }
 
+fn accepted(number: u16) -> Answer {
+    Answer { flow: flow(number), data_bytes: 0, last: false, opening_sequence: None }
+}
+
 fn deliver(side: &mut Side, now_ms: Millis, segment: &Segment, slots: u8) -> Delivery {
     let bytes = [segment.flow.caller.port() as u8, segment.sequence as u8];
     side.on_packet(now_ms, segment, &bytes, ask(slots))
@@ -108,6 +112,31 @@
     assert_eq!(side.busy(), 1);
 }
 
+/// A balancer without memory looks for a flow and asks a busy upstream that does not hold it. If the packet
+/// waited here for a slot, each busy upstream would cost the search some hundred milliseconds, and the
+/// caller's packets would go astray for seconds. An agent that has just started cannot know.
+#[rstest]
+#[case::just_started(1_000, false, true)]
+#[case::knows_its_flows(25_000, false, false)]
+#[case::knows_this_flow(25_000, true, true)]
+fn search_does_not_wait(#[case] at_ms: Millis, #[case] held: bool, #[case] waits: bool) {
+    let mut side = Side::new(SERVICE);
+    for now_ms in (0..=at_ms).step_by(50) {
+        side.on_tick(now_ms);
+    }
+    for number in [1, 2] {
+        deliver(&mut side, at_ms, &opening(number, 0), 1);
+        side.on_answer(at_ms, accepted(number));
+        assert_eq!(deliver(&mut side, at_ms, &data(number, 1), 1), Delivery::Deliver);
+    }
+    if held {
+        deliver(&mut side, at_ms, &opening(3, 0), 1);
+        side.on_answer(at_ms, accepted(3));
+    }
+    let expected = if waits { Delivery::Wait { report: None } } else { Delivery::Deliver };
+    assert_eq!(deliver(&mut side, at_ms, &data(3, 1), 1), expected);
+}
+
 /// The caller repeats a request while it waits here: the upstream must get it once.
 #[test]
 fn repeated_data_while_waiting_is_kept_once() {
