Run the two programs of the direct-return path in the lab, over stand-ins of the platform

Judged by the books of callers and upstreams: no request runs twice or at another service, no packet is altered, no living flow reset. The start of a process stood twice in xtask's lab and here; it is one module now.

--- a/xtask/src/lab/actions.rs
+++ b/xtask/src/lab/actions.rs
@@ -9,9 +9,9 @@
 
 use super::fleet::{Daemon, Fleet, Listed, Upstream};
 use super::journal::{Drain, Publication};
-use super::process::Process;
 use super::topology::{self, ACCOUNTS, CLIENT_DELAY_US, Place};
 use super::{Lab, documents};
+use crate::process::Process;
 
 /// The platform's list shows a change after this long.
 const INSTANCE_LAG_MS: u64 = 1_000;
@@ -302,7 +302,8 @@
     fn start(&self, program: &str, name: &str, arguments: &[String]) -> anyhow::Result<Process> {
         let log = self.out.join(format!("{name}.log"));
         let mutant = self.options.mutant.as_deref();
-        Process::start(name, &self.programs.join(program), arguments, mutant, &log)
+        let variable = mutant.map(|mutant| ("GOOSEBERRYSILL_MUTANT", mutant));
+        Process::start(name, &self.programs.join(program), arguments, variable, &log)
     }
 
     pub(super) fn await_answer(
--- a/xtask/src/lab/fleet.rs
+++ b/xtask/src/lab/fleet.rs
@@ -4,9 +4,9 @@
 
 use standins::fabric::Faults;
 
-use super::process::Process;
 use super::scenario::Target;
 use super::topology::{ACCOUNTS, AccountPlan, BALANCERS, Net, Place, ServicePlan};
+use crate::process::Process;
 
 /// Every machine of the run.
 pub(super) struct Fleet {
--- a/xtask/src/lab/mod.rs
+++ b/xtask/src/lab/mod.rs
@@ -11,7 +11,6 @@
 mod journal;
 mod observer;
 mod options;
-mod process;
 mod report;
 mod scenario;
 mod steps;
@@ -30,13 +29,13 @@
 use standins::clock;
 use standins::shell::lock;
 
+use crate::process::Process;
 use documents::Secrets;
 use fleet::Fleet;
 use http::Http;
 use journal::Journal;
 pub(crate) use options::HELP;
 use options::Options;
-use process::Process;
 use topology::Net;
 
 /// How often something that is waited for is looked at.
@@ -67,6 +66,9 @@
         print!("{HELP}");
         return Ok(());
     };
+    if options.direct {
+        return crate::direct::run(options.seed, options.out);
+    }
     let interrupted = Arc::new(AtomicBool::new(false));
     for signal in [SIGINT, SIGTERM] {
         signal_hook::flag::register(signal, Arc::clone(&interrupted))?;
--- a/xtask/src/lab/options.rs
+++ b/xtask/src/lab/options.rs
@@ -13,6 +13,8 @@
 through them, and judges by the ledgers of callers and upstreams. Ends everything that it started.
 
 Options:
+  --direct         the two programs of the direct-return path, over stand-ins of the users'
+                   platform, for half a minute; takes --seed and --out only
   --quick          the small size and the scenario `quick`: at most 45 s after the build
   --seed N         decides targets, spraying, losses and request times (default 1)
   --scenario NAME  quick, full, planned, faults, calm or wire (default full)
@@ -39,17 +41,20 @@
     pub(super) release: bool,
     /// Safeguard that is taken out of the agents.
     pub(super) mutant: Option<String>,
+    /// Run the direct-return path instead.
+    pub(super) direct: bool,
 }
 
 /// Reads the remaining arguments; `None` for `--help`.
 pub(super) fn parse(parser: &mut lexopt::Parser) -> anyhow::Result<Option<Options>> {
     use lexopt::prelude::*;
 
-    let (mut quick, mut release, mut seed) = (false, false, 1);
+    let (mut quick, mut release, mut direct, mut seed) = (false, false, false, 1);
     let (mut out, mut scenario, mut mutant) = (None, None, None);
     while let Some(argument) = parser.next()? {
         match argument {
             Long("quick") => quick = true,
+            Long("direct") => direct = true,
             Long("release") => release = true,
             Long("seed") => seed = parser.value()?.parse()?,
             Long("scenario") => scenario = Some(parser.value()?.string()?),
@@ -64,5 +69,5 @@
     let scenario = SCENARIOS.iter().find(|known| known.name == name);
     let scenario = scenario.with_context(|| format!("unknown scenario `{name}`"))?;
     let scale = if quick { 1 } else { FULL_SCALE };
-    Ok(Some(Options { seed, scenario, scale, out, release, mutant }))
+    Ok(Some(Options { seed, scenario, scale, out, release, mutant, direct }))
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,9 +3,11 @@
 mod bench;
 mod capacity;
 mod codegen;
+mod direct;
 mod fuzz;
 mod gate;
 mod lab;
+mod process;
 
 use std::process::ExitCode;
 
@@ -23,7 +25,8 @@
           write the files generated from schema/ and from the result codes; with --check only
           compare them
   fuzz    stateful fuzzing of the decision core; `cargo xtask fuzz --help`
-  lab     build and start everything on loopback, replace things under load, report
+  lab     build and start everything on loopback, replace things under load, report;
+          with --direct the two programs of the direct-return path
   test    formatter check, linter, all tests and doc examples
 ";
 
--- a/xtask/src/lab/process.rs
+++ b/xtask/src/process.rs
@@ -9,24 +9,25 @@
 use nix::unistd::Pid;
 
 /// A running process. Dropping it kills it and waits until it is gone.
-pub(super) struct Process {
+pub(crate) struct Process {
     name: String,
     child: Child,
 }
 
 impl Process {
-    /// Starts `program`; its output goes to `log`.
-    pub(super) fn start(
+    /// Starts `program` with a variable more in its environment, if one is given; its output goes to
+    /// `log`.
+    pub(crate) fn start(
         name: &str,
         program: &Path,
         arguments: &[String],
-        mutant: Option<&str>,
+        variable: Option<(&str, &str)>,
         log: &Path,
     ) -> anyhow::Result<Self> {
         let log = File::create(log).with_context(|| format!("cannot write {}", log.display()))?;
         let child = Command::new(program)
             .args(arguments)
-            .envs(mutant.map(|mutant| ("GOOSEBERRYSILL_MUTANT", mutant)))
+            .envs(variable)
             .env("RUST_BACKTRACE", "1")
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
@@ -36,18 +37,18 @@
         Ok(Self { name: name.to_owned(), child })
     }
 
-    pub(super) fn name(&self) -> &str {
+    pub(crate) fn name(&self) -> &str {
         &self.name
     }
 
     /// Sends a signal; a process that has just ended doesn't mind.
-    pub(super) fn signal(&self, signal: Signal) {
+    pub(crate) fn signal(&self, signal: Signal) {
         // The child is not reaped before `exited` says so, so the id can't be another process's.
         let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
     }
 
     /// The exit status, once it has ended.
-    pub(super) fn exited(&mut self) -> Option<ExitStatus> {
+    pub(crate) fn exited(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
     }
 }
