--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -133,6 +133,11 @@
         start
     }
 
+    /// Number of upstreams that were asked.
+    pub(super) fn asked_count(&self) -> u64 {
+        self.asked.len() as u64
+    }
+
     /// Whether the upstream at `address` was asked.
     pub(super) fn has_asked(&self, address: Ipv4Addr) -> bool {
         self.asked.contains(&address)
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -25,7 +25,7 @@
 pub use pending::{PENDING_BYTES_MAX, REPEAT_AFTER_MS};
 use placement::{place, service_of};
 use search::{candidates, fan_out, next_unasked, next_undenied};
-pub use types::{Action, Destination, Reason, Said, Trust, Verdict};
+pub use types::{Action, Destination, Reason, Said, Tally, Trust, Verdict};
 
 /// A balancer looks after its flows at least every 60 ms; after this time without, it was paused.
 const PAUSE_MS: Millis = 300;
@@ -42,6 +42,7 @@
     trust: Trust,
     called_ms: Millis,
     woken_ms: Millis,
+    tally: Tally,
 }
 
 impl Edge {
@@ -125,6 +126,16 @@
         self.flows.len()
     }
 
+    /// Bytes of packets that are kept to be sent once more.
+    pub fn kept_bytes(&self) -> usize {
+        self.pending.bytes()
+    }
+
+    /// What this balancer has done so far.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
     fn open(
         &mut self,
         now_ms: Millis,
@@ -200,7 +211,7 @@
             let to = Destination::of(view, target, upstream.service);
             actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
         }
-        fan_out(view, &candidates, entry, actions);
+        self.tally.copies += fan_out(view, &candidates, entry, actions);
     }
 
     fn give_up(
@@ -260,7 +271,7 @@
         actions.push(Action::Forward { to, ask, reason });
         // Copies of a known flow's packets would find nothing: its upstream is slow, or dead with it.
         if repeated && !entry.confirmed {
-            fan_out(view, &candidates, entry, actions);
+            self.tally.copies += fan_out(view, &candidates, entry, actions);
         }
         // An upstream that holds the flow answers data sooner or later, and says nothing to the rest.
         if !entry.confirmed && segment.data_bytes > 0 {
@@ -298,6 +309,10 @@
                 return;
             }
         }
+        if !entry.confirmed && entry.sequence.is_none() {
+            self.tally.found += 1;
+            self.tally.asked += entry.asked_count();
+        }
         entry.target = Some(from);
         entry.confirmed = true;
     }
@@ -310,6 +325,7 @@
         segment: &Segment,
         actions: &mut Vec<Action>,
     ) {
+        self.tally.denials += 1;
         match segment.kind {
             SegmentKind::Opening { .. } => {
                 self.opening_denied(now_ms, view, from, segment, actions)
--- a/crates/steering/src/edge/pending.rs
+++ b/crates/steering/src/edge/pending.rs
@@ -65,6 +65,11 @@
         self.packets.insert(segment.flow, pending);
     }
 
+    /// Bytes of all packets kept.
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Forgets the packet of a flow that was answered or given up.
     pub(super) fn remove(&mut self, flow: FlowKey) {
         if let Some(pending) = self.packets.remove(&flow) {
--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -49,13 +49,13 @@
 
 /// Sends copies of a packet that nobody answers to upstreams that did not deny the flow, but for the
 /// one that is asked: the flow's upstream may be behind an agent or a link that is dead, or the entry
-/// may be wrong. Which of them are asked changes from time to time.
+/// may be wrong. Which of them are asked changes from time to time. Returns the number of copies.
 pub(super) fn fan_out(
     view: &View,
     candidates: &[Upstream],
     entry: &mut Entry,
     actions: &mut Vec<Action>,
-) {
+) -> u64 {
     let others: Vec<Upstream> = candidates
         .iter()
         .filter(|upstream| Some(upstream.address) != entry.target)
@@ -69,4 +69,5 @@
         let to = Destination::of(view, *address, *service);
         actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
     }
+    copies as u64
 }
--- a/crates/steering/src/edge/types.rs
+++ b/crates/steering/src/edge/types.rs
@@ -117,3 +117,16 @@
         reason: Reason,
     },
 }
+
+/// What the balancer has done since its start, for its metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Flows without memory that were found.
+    pub found: u64,
+    /// Upstreams that were asked one after the other until these were found.
+    pub asked: u64,
+    /// Copies of unanswered packets beside the upstream that is asked.
+    pub copies: u64,
+    /// Packets that came back from upstreams that do not hold their flows.
+    pub denials: u64,
+}
--- a/crates/steering/tests/edge.rs
+++ b/crates/steering/tests/edge.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use rstest::rstest;
-use steering::edge::{Action, Edge, REPEAT_AFTER_MS, Reason, Said, Trust, Verdict};
+use steering::edge::{Action, Edge, REPEAT_AFTER_MS, Reason, Said, Tally, Trust, Verdict};
 use steering::flow::{FlowKey, Millis, Segment, SegmentKind};
 use steering::view::{Route, RouteTable, ServiceStamp, Share, Standing, Upstream, View};
 
@@ -566,3 +566,22 @@
         .map(|now_ms| packet(&mut edge, now_ms, &view, &data(1, 105)).len() - 1);
     assert_eq!(copies, [0, 0, 0, 3]);
 }
+
+/// The on-call engineer wants to know how far flows are looked for after balancers were replaced: the
+/// mean number of upstreams that are asked for each flow that is found.
+#[rstest]
+#[case::at_the_first(1, Tally { found: 1, asked: 1, copies: 0, denials: 0 })]
+#[case::at_the_third(3, Tally { found: 1, asked: 3, copies: 0, denials: 2 })]
+fn tally_of_a_search(#[case] rank: u64, #[case] expected: Tally) {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let segment = data(1, 5);
+    let mut asked = target(&packet(&mut edge, 0, &view, &segment)[0]).unwrap();
+    for _ in 1..rank {
+        let next = verdict(&mut edge, 0, &view, asked, Verdict::Denied, &segment);
+        asked = target(&next[0]).unwrap();
+    }
+    let held = Verdict::Held { busy: 0, opening_sequence: None };
+    verdict(&mut edge, 1, &view, asked, held, &segment);
+    verdict(&mut edge, 2, &view, asked, held, &segment);
+    assert_eq!(edge.tally(), expected);
+}
