Refuse no opening that waited while the balancer was paused

Their callers have opened the flows through another balancer with a copy. Every upstream returns the old opening, the flow's own too, and the balancer refused it with a reset. Change: an opening that came within 100 ms after a pause is dropped instead of refused; a caller whose flow is not open sends a copy. Table test failed first.

--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -19,7 +19,7 @@
 use crate::view::{Upstream, View};
 
 pub use flows::FLOWS_MAX;
-use flows::FlowTable;
+use flows::{Entry, FlowTable};
 use loads::LoadTable;
 use pending::{Due, PendingTable};
 pub use pending::{PENDING_BYTES_MAX, REPEAT_AFTER_MS};
@@ -29,6 +29,9 @@
 
 /// A balancer looks after its flows at least every 60 ms; after this time without, it was paused.
 const PAUSE_MS: Millis = 300;
+/// Time in which a process that was paused works off the packets that have waited meanwhile: its socket
+/// holds some hundreds, and each takes well under 0.1 ms.
+const BACKLOG_MS: Millis = 100;
 /// An upstream that has been silent for this long, beside an agent that lives, counts as one that
 /// denies. Upstreams answer at once or return the packet.
 const SILENCE_PROVES_MS: Millis = 400;
@@ -156,6 +159,7 @@
         let entry = self.flows.entry(segment.flow, now_ms);
         if entry.sequence != Some(segment.sequence) {
             entry.restart(segment.sequence);
+            entry.waited = self.woken_ms > 0 && now_ms.saturating_sub(self.woken_ms) < BACKLOG_MS;
         }
         let copied = entry.target.is_some();
         if let (Some(to), true) = (entry.target, entry.confirmed) {
@@ -352,7 +356,7 @@
         entry.deny(from, now_ms);
         let Some(service) = service_of(view, flow) else { return };
         let Some(to) = place(now_ms, view, service, flow, entry, &self.loads) else {
-            actions.push(Action::Reset { reason: Reason::Refused });
+            actions.push(refusal(entry));
             self.pending.remove(flow);
             self.flows.closing(flow, now_ms);
             return;
@@ -399,3 +403,15 @@
         actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
     }
 }
+
+/// The answer to an opening that every upstream has returned.
+///
+/// Failure: the opening waited while this process was paused, and the caller has opened the flow through
+/// another balancer with a copy. Symptom: its upstream returns the second opening as well, and a refusal
+/// resets the open flow. Silence is enough: a caller whose flow is not open sends a copy.
+fn refusal(entry: &Entry) -> Action {
+    if entry.waited {
+        return Action::Drop { reason: Reason::Unknown };
+    }
+    Action::Reset { reason: Reason::Refused }
+}
--- a/crates/steering/tests/edge.rs
+++ b/crates/steering/tests/edge.rs
@@ -585,3 +585,30 @@
     verdict(&mut edge, 2, &view, asked, held, &segment);
     assert_eq!(edge.tally(), expected);
 }
+
+/// A balancer was frozen with an opening in its queue. The caller has opened the flow through another one
+/// meanwhile, with a copy. Woken, the balancer hands the opening on, and every upstream returns it, the
+/// flow's own too, since it takes no second opening. A refusal would reset the open flow.
+#[rstest]
+#[case::waited_in_the_queue(3, false)]
+#[case::came_later(200, true)]
+fn opening_after_a_pause_is_not_refused(#[case] after_ms: Millis, #[case] refused: bool) {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    for now_ms in (0..1_000).step_by(50) {
+        tick(&mut edge, now_ms, &view);
+    }
+    for now_ms in (4_000..=4_000 + after_ms).step_by(50) {
+        tick(&mut edge, now_ms, &view);
+    }
+    let now_ms = 4_000 + after_ms;
+    let mut actions = packet(&mut edge, now_ms, &view, &opening(1, 0));
+    while let Some(to) = actions.first().and_then(target) {
+        actions = verdict(&mut edge, now_ms + 1, &view, to, Verdict::Denied, &opening(1, 0));
+    }
+    let expected = if refused {
+        Action::Reset { reason: Reason::Refused }
+    } else {
+        Action::Drop { reason: Reason::Unknown }
+    };
+    assert_eq!(actions, [expected]);
+}
