--- a/xtask/src/direct/verdict.rs
+++ b/xtask/src/direct/verdict.rs
@@ -3,7 +3,7 @@
 use platform_standins::ledger::{Counts, Ledger};
 
 /// Least share of requests that are served over a run with faults, in percent. Runs of the seeds 1 to
-/// 3 served over 99.
+/// 10 served over 99.
 const SERVED_MIN_PERCENT: u64 = 95;
 /// The same for the calm end, in tenths of a percent: a datagram may get lost on a busy machine.
 const SERVED_CALM_MIN_PERMILLE: u64 = 995;
