Let witnesses say nothing while they ask newly listed members

Settings that list one more member took that away until the newcomer had answered; for some 20 ms every witness abstained, which is final, and claimants gave openings up. Ruled out: losses between processes, a race in the agent's plane (one thread), the retired upstream. Change: the newcomer is asked at once, and until it has answered, 200 ms at most, a witness says nothing, and a claimant does not count its own vote; claimants ask again after 80 ms. Table test failed first (both cases).

--- a/crates/decision/src/agent/claimant.rs
+++ b/crates/decision/src/agent/claimant.rs
@@ -100,6 +100,7 @@
             let Some(mut pending) = self.pending.remove(opening) else { continue };
             if now < pending.deadline {
                 pending.resend_at = now.after(limits::RESEND_MS);
+                self.vote_myself(now, &mut pending);
                 self.request(&pending, out);
             }
             self.settle_or_keep(now, pending, out);
@@ -152,6 +153,9 @@
     /// had voted for another one before: that vote stands.
     fn vote_myself(&self, now: Millis, pending: &mut PendingClaim) {
         let Attempt { opening, claim, .. } = pending.attempt;
+        if self.is_catching_up(now) {
+            return;
+        }
         let vote = match self.claims.get(now, opening) {
             _ if self.has_lost_vote(now, opening) => Vote::Abstained,
             Some(record) if self.has_voted_otherwise(now, opening, claim) => {
--- a/crates/decision/src/agent/install.rs
+++ b/crates/decision/src/agent/install.rs
@@ -39,7 +39,7 @@
         let homes = self.homes();
         self.adopt_view(now, view, key);
         self.doubt_former_homes(now, &homes);
-        self.check_recall();
+        self.reopen_recall(now, out);
         out.push(Action::Note(Note::ViewInstalled(version)));
         self.retarget();
         self.recount_pending(now, out);
--- a/crates/decision/src/agent/limits.rs
+++ b/crates/decision/src/agent/limits.rs
@@ -45,6 +45,10 @@
 /// claimant may count a grant of its earlier life, so that clocks may differ in rate by as much.
 pub const RECALL_WAIT_MS: u64 = 1_000;
 
+/// How long a witness says nothing rather than abstain while it asks newly listed members: their answers
+/// take a round trip of 3 ms, and a claimant asks again after 80 ms and waits for 300.
+pub const CATCH_UP_MS: u64 = 200;
+
 /// Records in one page for a restarted witness: 39 bytes each, under 1,200 bytes together.
 pub const RECORDS_PER_PAGE: usize = 28;
 
--- a/crates/decision/src/agent/recall.rs
+++ b/crates/decision/src/agent/recall.rs
@@ -42,6 +42,8 @@
     pub(super) listed_new: bool,
     /// Whether enough witnesses have told everything, under the settings in force.
     pub(super) complete: bool,
+    /// When newer settings took that away, with members that have not been asked yet.
+    reopened_at: Option<Millis>,
 }
 
 /// A page, as received.
@@ -160,8 +162,28 @@
         self.recall(now, out);
     }
 
-    /// Newer settings may name memberships of which too few have told their records.
-    pub(super) fn check_recall(&mut self) {
+    /// Newer settings may name memberships of which too few have told their records: the others are
+    /// asked at once.
+    pub(super) fn reopen_recall(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let before = self.recall.complete;
+        self.check_recall();
+        if before && !self.recall.complete {
+            self.recall.reopened_at = Some(now);
+            self.recall(now, out);
+        }
+    }
+
+    /// Whether this agent could vote a moment ago, and will again once the newly listed have answered.
+    ///
+    /// Failure: settings list one more member while all agents are young. Symptom: every witness
+    /// abstains, which is final, and an opening of that moment is given up, a datagram for good. Saying
+    /// nothing is enough, since claimants ask again.
+    pub(super) fn is_catching_up(&self, now: Millis) -> bool {
+        let reopened_at = self.recall.reopened_at.filter(|_| !self.recall.complete);
+        reopened_at.is_some_and(|at| now.since(at) < limits::CATCH_UP_MS)
+    }
+
+    fn check_recall(&mut self) {
         let done = |id| self.recall.cursors.get(id).is_some_and(|cursor| cursor.done);
         let me = self.config.upstream;
         let any = self.recall.cursors.iter().any(|(_, cursor)| cursor.done);
--- a/crates/decision/src/agent/tests/once.rs
+++ b/crates/decision/src/agent/tests/once.rs
@@ -383,3 +383,32 @@
     fleet.pass(1_000);
     assert_eq!(fleet.holder(flow(1)), None);
 }
+
+/// A service has begun a moment ago, and one more upstream is listed. For some milliseconds no witness has
+/// heard of the newcomer what it may know. A clerk's datagram that arrives just then, which is never sent
+/// again, was given up at once, since every witness abstained for good.
+#[rstest]
+#[case::added(&[], 5)]
+#[case::replaced(&[3], 5)]
+fn datagram_during_a_change_is_answered(#[case] retired: &[usize], #[case] upstreams: usize) {
+    let mut spec =
+        Spec { transport: Transport::Udp, ..Spec::new(WhenInDoubt::Refuse, upstreams - 1) };
+    let mut fleet = Fleet::started(&spec);
+    fleet.pass(4_000);
+    spec.version = 2;
+    spec.states.push(UpstreamState::Active);
+    spec.listed.push((2, None));
+    for index in retired {
+        spec.states[*index] = UpstreamState::Retired;
+        spec.listed[*index].1 = Some(2);
+    }
+    fleet.agents.push(agent(upstreams - 1, 1, false, spec.view(), fleet.now));
+    for index in 0..upstreams - 1 {
+        fleet.event(index, Event::View(spec.view()));
+    }
+    for number in 0..20 {
+        let newer = Packet { view: Version(2), ..packet(flow(number), opening(1)) };
+        let outcome = fleet.send_packet(number as usize % 3, newer);
+        assert!(matches!(outcome, Outcome::Delivered(_)), "{number}: {outcome:?}");
+    }
+}
--- a/crates/decision/src/agent/witness.rs
+++ b/crates/decision/src/agent/witness.rs
@@ -22,7 +22,7 @@
 impl Agent {
     pub(super) fn claim_requested(&mut self, now: Millis, request: Request, out: &mut Vec<Action>) {
         self.saw_version(now, request.view, out);
-        if self.must_catch_up(now, request.view) {
+        if self.must_catch_up(now, request.view) || self.is_catching_up(now) {
             return;
         }
         let answer = match self.settings.when_in_doubt {
