Split the largest test and fuzzing files by their jobs

Change: `world/` (state and events, packets, changes); tests of openings, proofs and searches over one fixture, which the agent's tests use too. No assertion changed.

--- /dev/null
+++ b/crates/fuzzing/src/direct/world/changes.rs
@@ -0,0 +1,233 @@
+//! What changes in the world, and how its parts learn of it.
+
+use rand::RngExt as _;
+use std::sync::Arc;
+use steering::edge::Trust;
+use steering::membership::{SILENT_LINGER_MS, UpstreamRecord};
+use steering::side::Side;
+use steering::view::{Standing, Upstream as Listed, View};
+
+use super::{
+    BALANCERS, Balancer, CALM_MS, CHANGE_MS, Event, SERVICES, TICK_MS, UPSTREAMS, World, address,
+};
+use crate::direct::upstream::Upstream;
+use crate::direct::{Change, Mutant, plan};
+
+impl World {
+    pub(super) fn tick(&mut self) {
+        self.at(TICK_MS, Event::Tick);
+        for balancer in 0..BALANCERS {
+            self.tick_balancer(balancer);
+        }
+        for side in self.agents.iter_mut().flatten() {
+            side.on_tick(self.now_ms);
+        }
+    }
+
+    fn tick_balancer(&mut self, balancer: usize) {
+        let mutant = self.mutant;
+        let Balancer {
+            edge,
+            view,
+            up,
+            paused_until_ms,
+            cut_until_ms,
+            whole_from_ms,
+            confirmed_ms,
+            ..
+        } = &mut self.balancers[balancer];
+        if !*up || *paused_until_ms > self.now_ms {
+            return;
+        }
+        if *cut_until_ms <= self.now_ms {
+            *confirmed_ms = self.now_ms;
+        }
+        let forgets = mutant == Some(Mutant::MissingForgotten);
+        let whole_from_ms = if forgets { 0 } else { *whole_from_ms };
+        edge.trust(Trust { confirmed_ms: *confirmed_ms, whole_from_ms });
+        let mut actions = Vec::new();
+        edge.on_tick(self.now_ms, view, &mut actions);
+        for (bytes, action) in actions {
+            let index = u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]);
+            let packet = self.packets[index as usize];
+            self.apply(balancer, packet, vec![action]);
+        }
+    }
+
+    pub(super) fn change(&mut self) {
+        let delay_ms = self.rng.random_range(1..2 * CHANGE_MS);
+        // Now and then the world is left alone, so that what must calm down can be judged.
+        let pause_ms = if self.rng.random_bool(0.05) { 2 * CALM_MS } else { 0 };
+        self.at(delay_ms + pause_ms, Event::Change);
+        let change = plan::draw(&mut self.rng, BALANCERS, UPSTREAMS);
+        if !matches!(change, Change::Reshuffle | Change::DrainUpstream(_)) {
+            self.disturbed_ms = self.disturbed_ms.max(self.now_ms);
+        }
+        self.outcome.played.push((self.now_ms, change));
+        self.play(change);
+    }
+
+    fn play(&mut self, change: Change) {
+        match change {
+            Change::Reshuffle => self.salt = self.rng.random(),
+            Change::RestartBalancer(balancer) => self.restart_balancer(balancer),
+            Change::CutBalancer(balancer) => {
+                let for_ms = self.rng.random_range(500..15_000);
+                self.balancers[balancer].cut_until_ms = self.now_ms + for_ms;
+                self.disturbed_ms = self.disturbed_ms.max(self.now_ms + for_ms);
+                self.at(for_ms, Event::List(balancer));
+            }
+            Change::PauseBalancer(balancer) => {
+                let for_ms = self.rng.random_range(100..4_000);
+                self.balancers[balancer].paused_until_ms = self.now_ms + for_ms;
+                self.disturbed_ms = self.disturbed_ms.max(self.now_ms + for_ms);
+            }
+            Change::RestartAgent(upstream) => self.restart_agent(upstream),
+            Change::CrashUpstream(upstream) => {
+                if self.upstreams[upstream].leaving_ms.is_none() {
+                    self.upstreams[upstream].end();
+                    let delay_ms = self.rng.random_range(200..3_000);
+                    self.at(delay_ms, Event::StartUpstream(upstream));
+                }
+            }
+            Change::DrainUpstream(upstream) => self.drain(upstream),
+            Change::Lapse => self.lapse(),
+            Change::LoseAllMemory => {
+                (0..BALANCERS).for_each(|balancer| self.restart_balancer(balancer));
+                (0..UPSTREAMS).for_each(|upstream| self.restart_agent(upstream));
+            }
+        }
+    }
+
+    /// What waits for a process is lost with it.
+    fn restart_balancer(&mut self, balancer: usize) {
+        self.balancers[balancer].up = false;
+        self.events.retain(|_, event| !event.is_for(balancer));
+        let delay_ms = self.rng.random_range(100..800);
+        self.at(delay_ms, Event::StartBalancer(balancer));
+    }
+
+    fn restart_agent(&mut self, upstream: usize) {
+        self.agents[upstream] = None;
+        let delay_ms = self.rng.random_range(100..800);
+        self.at(delay_ms, Event::StartAgent(upstream));
+    }
+
+    pub(super) fn start_agent(&mut self, upstream: usize) {
+        self.agents[upstream] = Some(Side::new(SERVICES[self.upstreams[upstream].service]));
+    }
+
+    pub(super) fn start_upstream(&mut self, upstream: usize, service: usize) {
+        self.boots += 1;
+        self.upstreams[upstream].start(self.boots, service);
+        self.listed[upstream] = Some(UpstreamRecord {
+            id: format!("u-{:06}", self.boots).into(),
+            address: address(upstream),
+            service: SERVICES[service],
+            draining: false,
+            warmup_left_ms: 0,
+            slots: 7,
+        });
+    }
+
+    /// At least two upstreams of a service stay, as operators keep it.
+    fn drain(&mut self, upstream: usize) {
+        let service = self.upstreams[upstream].service;
+        let staying = |other: &&Upstream| {
+            other.service == service && other.leaving_ms.is_none() && other.boot > 0
+        };
+        let leaves = self.upstreams[upstream].leaving_ms.is_some();
+        if leaves || self.upstreams.iter().filter(staying).count() < 3 {
+            return;
+        }
+        self.upstreams[upstream].leaving_ms = Some(self.now_ms);
+        if let Some(record) = &mut self.listed[upstream] {
+            record.draining = true;
+        }
+        self.publish();
+        let delay_ms = self.rng.random_range(3_500..6_000);
+        self.at(delay_ms, Event::EndUpstream(upstream));
+    }
+
+    /// The address goes to the other service after two seconds, with an agent of its own.
+    pub(super) fn end_upstream(&mut self, upstream: usize) {
+        if !self.upstreams[upstream].is_empty() && self.rng.random_bool(0.5) {
+            self.at(500, Event::EndUpstream(upstream));
+            return;
+        }
+        self.upstreams[upstream].end();
+        self.agents[upstream] = None;
+        self.listed[upstream] = None;
+        self.publish();
+        let service = 1 - self.upstreams[upstream].service;
+        self.upstreams[upstream].service = service;
+        self.upstreams[upstream].leaving_ms = None;
+        self.at(2_000, Event::StartAgent(upstream));
+        self.at(2_001, Event::StartUpstream(upstream));
+    }
+
+    /// Entries of upstreams that live go, and come back within two seconds. Balancers notice the
+    /// outage that is behind it: they cannot reach the configuration service.
+    fn lapse(&mut self) {
+        for upstream in 0..UPSTREAMS {
+            if self.upstreams[upstream].boot > 0 && self.rng.random_bool(0.5) {
+                self.listed[upstream] = None;
+                let delay_ms = self.rng.random_range(100..2_000);
+                self.at(delay_ms, Event::Relist(upstream));
+            }
+        }
+        for balancer in &mut self.balancers {
+            balancer.whole_from_ms = self.now_ms + SILENT_LINGER_MS;
+        }
+        self.publish();
+    }
+
+    pub(super) fn relist(&mut self, upstream: usize) {
+        let Upstream { boot, service, leaving_ms, .. } = self.upstreams[upstream];
+        if boot == 0 || self.listed[upstream].is_some() {
+            return;
+        }
+        self.listed[upstream] = Some(UpstreamRecord {
+            id: format!("u-{boot:06}").into(),
+            address: address(upstream),
+            service: SERVICES[service],
+            draining: leaving_ms.is_some(),
+            warmup_left_ms: 0,
+            slots: 7,
+        });
+        self.publish();
+    }
+
+    /// The list reaches each balancer at another moment.
+    pub(super) fn publish(&mut self) {
+        for balancer in 0..BALANCERS {
+            let delay_ms = self.rng.random_range(1..30);
+            self.at(delay_ms, Event::List(balancer));
+        }
+    }
+
+    pub(super) fn take_list(&mut self, balancer: usize) {
+        let now_ms = self.now_ms;
+        if self.balancers[balancer].cut_until_ms > now_ms {
+            return;
+        }
+        let records: Vec<UpstreamRecord> = self.listed.iter().flatten().cloned().collect();
+        let balancer = &mut self.balancers[balancer];
+        balancer.membership.replace(now_ms, &records);
+        balancer.membership.expire(now_ms);
+        let view = balancer.membership.view(Arc::clone(&self.routes));
+        let listed = view.upstreams().iter().filter_map(|upstream| altered(*upstream, self.mutant));
+        balancer.view = View::new(Arc::clone(&self.routes), listed.collect());
+    }
+}
+
+/// An upstream as a balancer without the safeguard would see it.
+fn altered(upstream: Listed, mutant: Option<Mutant>) -> Option<Listed> {
+    match (mutant, upstream.standing) {
+        (Some(Mutant::MissingForgotten), Standing::Missing { .. }) => None,
+        (Some(Mutant::DrainIgnored), Standing::Draining) => {
+            Some(Listed { standing: Standing::Ready, ..upstream })
+        }
+        _ => Some(upstream),
+    }
+}
--- /dev/null
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -0,0 +1,347 @@
+//! The world: an order of events, the processes of the core, and the oracle.
+
+mod changes;
+mod packets;
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use steering::edge::{Edge, Verdict};
+use steering::flow::{FlowKey, Segment};
+use steering::membership::{Membership, UpstreamRecord};
+use steering::side::Side;
+use steering::view::{Route, RouteTable, ServiceStamp, Share, View};
+
+use super::caller::{Caller, State};
+use super::upstream::Upstream;
+use super::{Mutant, Outcome, Violation};
+
+const BALANCERS: usize = 3;
+const UPSTREAMS: usize = 7;
+const CALLERS: usize = 24;
+const SERVICES: [ServiceStamp; 2] = [ServiceStamp(1), ServiceStamp(2)];
+const TICK_MS: u64 = 20;
+/// Time for which a starting balancer waits for what others know.
+const ASK_OTHERS_MS: u64 = 100;
+/// Mean pause between two changes.
+const CHANGE_MS: u64 = 400;
+/// Time after a disturbance in which a flow may stay unfound.
+const CALM_MS: u64 = 5_000;
+/// An upstream that leaves gets no openings after this time.
+const LEAVING_MS: u64 = 3_000;
+
+/// A caller's packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Packet {
+    pub(super) segment: Segment,
+    /// The life of the upstream whose number the caller acknowledges; zero before that.
+    pub(super) acknowledged_boot: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Caller(usize),
+    ToBalancer(usize, Packet),
+    ToAgent {
+        upstream: usize,
+        balancer: usize,
+        packet: Packet,
+        service: ServiceStamp,
+        report: bool,
+    },
+    Said {
+        balancer: usize,
+        upstream: usize,
+        verdict: Verdict,
+        packet: Packet,
+    },
+    Accepted {
+        caller: usize,
+        flow: FlowKey,
+        upstream: usize,
+        boot: u64,
+    },
+    Answered {
+        caller: usize,
+        flow: FlowKey,
+    },
+    ResetCaller {
+        caller: usize,
+        flow: FlowKey,
+    },
+    Tick,
+    Change,
+    List(usize),
+    StartBalancer(usize),
+    StartAgent(usize),
+    StartUpstream(usize),
+    EndUpstream(usize),
+    Relist(usize),
+}
+
+impl Event {
+    /// Whether it is a packet that waits for this balancer.
+    fn is_for(&self, number: usize) -> bool {
+        matches!(self,
+            Self::ToBalancer(balancer, _) | Self::Said { balancer, .. } if *balancer == number)
+    }
+}
+
+struct Balancer {
+    edge: Edge,
+    membership: Membership,
+    view: View,
+    up: bool,
+    cut_until_ms: u64,
+    paused_until_ms: u64,
+    whole_from_ms: u64,
+    confirmed_ms: u64,
+    /// Since when it runs, if no other balancer could tell it then what went before.
+    alone_since_ms: Option<u64>,
+}
+
+/// Everything there is.
+pub struct World {
+    /// What has come of it so far.
+    pub outcome: Outcome,
+    rng: Pcg64Mcg,
+    mutant: Option<Mutant>,
+    now_ms: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    next_event: u64,
+    balancers: Vec<Balancer>,
+    agents: Vec<Option<Side>>,
+    upstreams: Vec<Upstream>,
+    listed: Vec<Option<UpstreamRecord>>,
+    callers: Vec<Caller>,
+    packets: Vec<Packet>,
+    routes: Arc<RouteTable>,
+    salt: u64,
+    boots: u64,
+    ports: u16,
+    disturbed_ms: u64,
+}
+
+fn address(upstream: usize) -> Ipv4Addr {
+    Ipv4Addr::from_bits(0x0a00_0001 + u32::try_from(upstream).unwrap_or_default())
+}
+
+fn upstream_of(address: Ipv4Addr) -> usize {
+    (address.to_bits() - 0x0a00_0001) as usize
+}
+
+fn balancer_address(balancer: usize) -> Ipv4Addr {
+    Ipv4Addr::from_bits(0x0a01_0001 + u32::try_from(balancer).unwrap_or_default())
+}
+
+fn endpoint(service: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), [443, 8443][service])
+}
+
+impl World {
+    /// A calm world in which all callers open their flows.
+    pub fn new(seed: u64, mutant: Option<Mutant>) -> Self {
+        let route = |service: usize| Route {
+            endpoint: endpoint(service),
+            shares: [Share { service: SERVICES[service], weight: 1 }].into(),
+        };
+        let mut world = Self {
+            outcome: Outcome::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            mutant,
+            now_ms: 0,
+            events: BTreeMap::new(),
+            next_event: 0,
+            balancers: Vec::new(),
+            agents: Vec::new(),
+            upstreams: vec![Upstream::default(); UPSTREAMS],
+            listed: vec![None; UPSTREAMS],
+            callers: Vec::new(),
+            packets: Vec::new(),
+            routes: Arc::new(RouteTable::new(1, vec![route(0), route(1)])),
+            salt: seed,
+            boots: 0,
+            ports: 1_024,
+            disturbed_ms: 0,
+        };
+        world.populate();
+        world
+    }
+
+    /// Plays for so many milliseconds.
+    pub fn run(&mut self, length_ms: u64) {
+        while let Some(((at_ms, _), event)) = self.events.pop_first() {
+            if at_ms > length_ms {
+                return;
+            }
+            self.now_ms = at_ms;
+            self.on_event(event);
+        }
+    }
+
+    fn populate(&mut self) {
+        for upstream in 0..UPSTREAMS {
+            self.agents.push(None);
+            self.start_upstream(upstream, usize::from(upstream >= 4));
+            self.start_agent(upstream);
+        }
+        for _ in 0..BALANCERS {
+            let balancer = self.blank_balancer();
+            self.balancers.push(balancer);
+        }
+        for caller in 0..CALLERS {
+            let flow = self.new_flow();
+            self.callers.push(Caller::open(flow, 0));
+            self.at(caller as u64 * 7, Event::Caller(caller));
+        }
+        self.at(TICK_MS, Event::Tick);
+        self.at(1_000, Event::Change);
+    }
+
+    fn blank_balancer(&self) -> Balancer {
+        let mut membership = Membership::default();
+        let records: Vec<UpstreamRecord> = self.listed.iter().flatten().cloned().collect();
+        membership.replace(self.now_ms, &records);
+        let view = membership.view(Arc::clone(&self.routes));
+        Balancer {
+            edge: Edge::default(),
+            membership,
+            view,
+            up: true,
+            cut_until_ms: 0,
+            paused_until_ms: 0,
+            whole_from_ms: self.doubts_of_others(),
+            confirmed_ms: self.now_ms,
+            alone_since_ms: self.nobody_remembers().then_some(self.now_ms),
+        }
+    }
+
+    /// Whether no balancer in touch has run for longer than the time in which entries come back.
+    fn nobody_remembers(&self) -> bool {
+        !self.balancers.iter().any(|balancer| {
+            let in_touch = balancer.up && balancer.cut_until_ms <= self.now_ms;
+            let alone = balancer.alone_since_ms.is_some_and(|since| self.now_ms - since < CALM_MS);
+            in_touch && !alone
+        })
+    }
+
+    /// What a starting balancer hears from the others within its first moments.
+    fn doubts_of_others(&self) -> u64 {
+        let in_touch = |balancer: &&Balancer| balancer.up && balancer.cut_until_ms <= self.now_ms;
+        let others = self.balancers.iter().filter(in_touch).map(|balancer| balancer.whole_from_ms);
+        others.max().unwrap_or(0).max(self.now_ms + ASK_OTHERS_MS)
+    }
+
+    fn at(&mut self, delay_ms: u64, event: Event) {
+        self.next_event += 1;
+        self.events.insert((self.now_ms + delay_ms, self.next_event), event);
+    }
+
+    fn hop(&mut self) -> u64 {
+        self.rng.random_range(1..4)
+    }
+
+    fn new_flow(&mut self) -> FlowKey {
+        self.ports = self.ports.wrapping_add(1).max(1_024);
+        let caller = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), self.ports);
+        FlowKey { caller, endpoint: endpoint(usize::from(self.rng.random_bool(0.3))) }
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Caller(caller) => self.caller_acts(caller),
+            Event::ToBalancer(balancer, packet) => self.at_balancer(balancer, packet),
+            Event::ToAgent { upstream, balancer, packet, service, report } => {
+                self.at_agent(upstream, balancer, packet, service, report);
+            }
+            Event::Said { balancer, upstream, verdict, packet } => {
+                self.on_said(balancer, upstream, verdict, packet);
+            }
+            Event::Accepted { caller, flow, upstream, boot } => {
+                if self.callers[caller].flow == flow {
+                    let packet = self.callers[caller].on_accept(self.now_ms, upstream, boot);
+                    self.send(caller, packet);
+                }
+            }
+            Event::Answered { caller, flow } => {
+                let rest_ms = self.rng.random_range(50..1_500);
+                let now_ms = self.now_ms;
+                let current = &mut self.callers[caller];
+                if current.flow == flow && current.on_answer(now_ms, rest_ms) {
+                    self.outcome.answered += 1;
+                    self.at(rest_ms, Event::Caller(caller));
+                }
+            }
+            Event::ResetCaller { caller, flow } => {
+                if self.callers[caller].flow == flow {
+                    self.reopen(caller);
+                }
+            }
+            Event::Tick => self.tick(),
+            Event::Change => self.change(),
+            Event::List(balancer) => self.take_list(balancer),
+            Event::StartBalancer(balancer) => self.balancers[balancer] = self.blank_balancer(),
+            Event::StartAgent(upstream) => self.start_agent(upstream),
+            Event::StartUpstream(upstream) => {
+                let service = self.upstreams[upstream].service;
+                self.start_upstream(upstream, service);
+                self.publish();
+            }
+            Event::EndUpstream(upstream) => self.end_upstream(upstream),
+            Event::Relist(upstream) => self.relist(upstream),
+        }
+    }
+
+    fn caller_acts(&mut self, caller: usize) {
+        if self.callers[caller].due_ms > self.now_ms {
+            return;
+        }
+        let before = self.callers[caller].state;
+        let packet = self.callers[caller].act(self.now_ms);
+        if self.callers[caller].state == State::Ended {
+            self.judge_end(caller, before);
+            self.reopen(caller);
+            return;
+        }
+        self.send(caller, packet);
+    }
+
+    /// A request that nobody answered: its flow must not live where nothing is disturbed.
+    fn judge_end(&mut self, caller: usize, before: State) {
+        let State::Asking { .. } = before else { return };
+        let calm = self.now_ms.saturating_sub(self.disturbed_ms) >= CALM_MS;
+        if calm && self.is_held(caller) {
+            self.violate(Violation::FlowNotFound);
+        }
+    }
+
+    fn is_held(&self, caller: usize) -> bool {
+        let caller = &self.callers[caller];
+        let holds =
+            |(upstream, boot): (usize, u64)| self.upstreams[upstream].holds(caller.flow, boot);
+        caller.holder.is_some_and(holds)
+    }
+
+    fn reopen(&mut self, caller: usize) {
+        let flow = self.new_flow();
+        self.callers[caller] = Caller::open(flow, self.now_ms);
+        self.at(0, Event::Caller(caller));
+    }
+
+    fn send(&mut self, caller: usize, packet: Option<Packet>) {
+        let Some(packet) = packet else { return };
+        let due_ms = self.callers[caller].due_ms;
+        self.at(due_ms - self.now_ms, Event::Caller(caller));
+        let port = u64::from(packet.segment.flow.caller.port());
+        let balancer = (port.wrapping_mul(0x9e37_79b9).wrapping_add(self.salt) >> 7) as usize;
+        let delay_ms = self.hop();
+        self.at(delay_ms, Event::ToBalancer(balancer % BALANCERS, packet));
+    }
+
+    fn violate(&mut self, violation: Violation) {
+        self.outcome.violations.push((self.now_ms, violation));
+    }
+}
--- /dev/null
+++ b/crates/steering/tests/common/mod.rs
@@ -0,0 +1,108 @@
+//! What the tests of balancer and agent share: flows, packets, views.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use steering::edge::{Action, Edge, Said, Verdict};
+use steering::flow::{FlowKey, Millis, Segment, SegmentKind};
+use steering::view::{Route, RouteTable, ServiceStamp, Share, Standing, Upstream, View};
+
+pub(crate) const SERVICE: ServiceStamp = ServiceStamp(1);
+pub(crate) const UPSTREAMS: u8 = 5;
+pub(crate) const READY: Standing = Standing::Ready;
+
+pub(crate) fn flow(number: u16) -> FlowKey {
+    FlowKey {
+        caller: format!("100.64.0.1:{number}").parse().unwrap(),
+        endpoint: "198.18.0.1:443".parse().unwrap(),
+    }
+}
+
+pub(crate) fn upstream(number: u8, standing: Standing) -> Upstream {
+    let address = Ipv4Addr::new(10, 0, 0, number);
+    Upstream { address, service: SERVICE, standing, warm_at_ms: 0, slots: 7 }
+}
+
+pub(crate) fn view_of(standings: &[Standing]) -> View {
+    let shares = [Share { service: SERVICE, weight: 1 }].into();
+    let route = Route { endpoint: flow(1).endpoint, shares };
+    let routes = Arc::new(RouteTable::new(1, vec![route]));
+    let numbered = standings.iter().zip(1..);
+    View::new(routes, numbered.map(|(standing, number)| upstream(number, *standing)).collect())
+}
+
+pub(crate) fn calm_view() -> View {
+    view_of(&[READY; UPSTREAMS as usize])
+}
+
+pub(crate) fn opening(number: u16, copy: u32) -> Segment {
+    let kind = SegmentKind::Opening { copy };
+    Segment { flow: flow(number), kind, sequence: 1, acknowledged: 0, data_bytes: 0 }
+}
+
+pub(crate) fn data(number: u16, sequence: u32) -> Segment {
+    Segment {
+        flow: flow(number),
+        kind: SegmentKind::Later,
+        sequence,
+        acknowledged: 0,
+        data_bytes: 100,
+    }
+}
+
+pub(crate) fn packet(
+    edge: &mut Edge,
+    now_ms: Millis,
+    view: &View,
+    segment: &Segment,
+) -> Vec<Action> {
+    let mut actions = Vec::new();
+    edge.on_packet(now_ms, view, segment, &[7; 36], &mut actions);
+    actions
+}
+
+pub(crate) fn verdict(
+    edge: &mut Edge,
+    now_ms: Millis,
+    view: &View,
+    from: Ipv4Addr,
+    verdict: Verdict,
+    segment: &Segment,
+) -> Vec<Action> {
+    let mut actions = Vec::new();
+    edge.on_verdict(now_ms, view, Said { from, verdict }, segment, &mut actions);
+    actions
+}
+
+pub(crate) fn tick(edge: &mut Edge, now_ms: Millis, view: &View) -> Vec<Action> {
+    let mut actions = Vec::new();
+    edge.on_tick(now_ms, view, &mut actions);
+    actions.into_iter().map(|(_, action)| action).collect()
+}
+
+pub(crate) fn target(action: &Action) -> Option<Ipv4Addr> {
+    match action {
+        Action::Forward { to, .. } => Some(to.address),
+        Action::Reset { .. } | Action::Drop { .. } => None,
+    }
+}
+
+/// Asks upstream after upstream until `holder` is reached; `None` if there was a reset instead.
+pub(crate) fn hops_to(
+    edge: &mut Edge,
+    view: &View,
+    segment: &Segment,
+    holder: Option<Ipv4Addr>,
+) -> Option<usize> {
+    let mut actions = packet(edge, 0, view, segment);
+    for hop in 1..=usize::from(UPSTREAMS) + 1 {
+        let to = target(actions.first()?)?;
+        if Some(to) == holder {
+            return Some(hop);
+        }
+        actions = verdict(edge, 0, view, to, Verdict::Denied, segment);
+    }
+    panic!("asked longer than there are upstreams");
+}
--- /dev/null
+++ b/crates/steering/tests/edge_openings.rs
@@ -0,0 +1,182 @@
+//! Where a balancer sends openings, and what becomes of them.
+
+mod common;
+
+use std::net::Ipv4Addr;
+
+use common::{
+    READY, calm_view, data, flow, hops_to, opening, packet, target, tick, verdict, view_of,
+};
+use rstest::rstest;
+use steering::edge::{Action, Edge, REPEAT_AFTER_MS, Reason, Verdict};
+use steering::flow::{FlowKey, Millis, Segment};
+use steering::view::{Standing, View};
+
+/// A balancer that knows an opening, and one that does not, ask the same upstreams first.
+#[test]
+fn placement_stays_within_the_first_ranks() {
+    let view = calm_view();
+    for number in 1..200 {
+        let placed = target(&packet(&mut Edge::default(), 0, &view, &opening(number, 0))[0]);
+        let hops = hops_to(&mut Edge::default(), &view, &data(number, 5), placed);
+        assert!(hops.is_some_and(|hops| hops <= 3), "flow {number}: {hops:?}");
+    }
+}
+
+/// An upstream is dead, its agent too: the opening vanishes. Waiting for the caller's next copy
+/// costs 200 ms, most of the time in which an answer is wanted.
+#[rstest]
+#[case::answered(true, 0)]
+#[case::unanswered(false, 1)]
+fn unanswered_opening_goes_to_the_next(#[case] answered: bool, #[case] replays: usize) {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let first = target(&packet(&mut edge, 0, &view, &opening(1, 0))[0]).unwrap();
+    if answered {
+        verdict(
+            &mut edge,
+            2,
+            &view,
+            first,
+            Verdict::Held { busy: 1, opening_sequence: None },
+            &opening(1, 0),
+        );
+    }
+    assert!(tick(&mut edge, REPEAT_AFTER_MS - 1, &view).is_empty());
+    let actions = tick(&mut edge, REPEAT_AFTER_MS, &view);
+    assert_eq!(actions.len(), replays);
+    assert!(actions.iter().all(|action| target(action) != Some(first)));
+}
+
+/// After one opening stayed unanswered, the next flows pass that upstream over for a while.
+#[test]
+fn silent_upstream_is_passed_over() {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY, READY]));
+    let silent = target(&packet(&mut edge, 0, &view, &opening(1, 0))[0]).unwrap();
+    tick(&mut edge, REPEAT_AFTER_MS, &view);
+    for number in 2..30 {
+        let actions = packet(&mut edge, 70, &view, &opening(number, 0));
+        assert_ne!(target(&actions[0]), Some(silent), "flow {number}");
+    }
+}
+
+/// An opening never goes to an upstream that leaves, is gone, or has denied it; if all have denied
+/// it, the caller learns so at once instead of repeating it for 1.4 s.
+#[rstest]
+#[case::draining(&[Standing::Draining, READY], &[2])]
+#[case::gone(&[Standing::Missing { since_ms: 0, drained: true }, READY], &[2])]
+#[case::both(&[READY, READY], &[1, 2])]
+#[case::list_lost_all(&[Standing::Missing { since_ms: 0, drained: false }], &[1])]
+fn opening_goes_to_ready_upstreams(#[case] standings: &[Standing], #[case] expected: &[u8]) {
+    let (mut edge, view) = (Edge::default(), view_of(standings));
+    let segment = opening(1, 0);
+    let mut asked = Vec::new();
+    let mut actions = packet(&mut edge, 0, &view, &segment);
+    while let Some(to) = actions.first().and_then(target) {
+        asked.push(to.octets()[3]);
+        actions = verdict(&mut edge, 0, &view, to, Verdict::Denied, &segment);
+    }
+    asked.sort_unstable();
+    assert_eq!(asked, expected);
+    assert_eq!(actions, [Action::Reset { reason: Reason::Refused }]);
+}
+
+#[rstest]
+#[case::known_version(calm_view(), Action::Reset { reason: Reason::NoRoute })]
+#[case::nothing_known(View::default(), Action::Drop { reason: Reason::Unknown })]
+fn opening_without_route(#[case] view: View, #[case] expected: Action) {
+    let endpoint = "198.18.0.9:443".parse().unwrap();
+    let segment = Segment { flow: FlowKey { endpoint, ..flow(1) }, ..opening(1, 0) };
+    assert_eq!(packet(&mut Edge::default(), 0, &view, &segment), [expected]);
+}
+
+/// Among the first ranks, the least loaded upstream gets the flow.
+#[test]
+fn load_decides_among_the_first_ranks() {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY, READY]));
+    let busy = Ipv4Addr::new(10, 0, 0, 1);
+    verdict(
+        &mut edge,
+        0,
+        &view,
+        busy,
+        Verdict::Held { busy: 50, opening_sequence: None },
+        &opening(1, 0),
+    );
+    for number in 2..30 {
+        let actions = packet(&mut edge, 10, &view, &opening(number, 0));
+        assert_ne!(target(&actions[0]), Some(busy), "flow {number}");
+    }
+}
+
+/// Two copies of an opening were answered by two upstreams. The caller took one of them, and its next
+/// packet says which; the other would take the flow's packets without a word.
+#[rstest]
+#[case::the_first(1_001, 0)]
+#[case::the_second(77_301, 1)]
+#[case::the_second_across_zero(2, 2)]
+fn flow_opened_twice_is_where_the_caller_says(#[case] acknowledged: u32, #[case] expected: usize) {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let first = target(&packet(&mut edge, 0, &view, &opening(1, 0))[0]).unwrap();
+    let second = target(&packet(&mut edge, 200, &view, &opening(1, 1))[0]).unwrap();
+    assert_ne!(first, second);
+    let numbers = if expected == 2 { (70_000, u32::MAX) } else { (1_000, 77_000) };
+    for (from, number) in [(first, numbers.0), (second, numbers.1)] {
+        let held = Verdict::Held { busy: 0, opening_sequence: Some(number) };
+        verdict(&mut edge, 210, &view, from, held, &opening(1, 0));
+    }
+    let segment = Segment { acknowledged, ..data(1, 2) };
+    let actions = packet(&mut edge, 215, &view, &segment);
+    assert_eq!(target(&actions[0]), Some([first, second, second][expected]));
+}
+
+/// The flow is open. A copy of its opening was under way for long, and its upstream returns it, since it
+/// takes no second one. Taken for a denial of the flow, this placed the opening elsewhere, and all
+/// further packets went there for seconds.
+#[test]
+fn denied_copy_of_an_opening_leaves_the_open_flow() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let holder = target(&packet(&mut edge, 0, &view, &opening(1, 0))[0]).unwrap();
+    let held = Verdict::Held { busy: 0, opening_sequence: Some(1_000) };
+    verdict(&mut edge, 2, &view, holder, held, &opening(1, 0));
+    let late = opening(1, 1);
+    assert_eq!(target(&packet(&mut edge, 210, &view, &late)[0]), Some(holder));
+    assert_eq!(verdict(&mut edge, 211, &view, holder, Verdict::Denied, &late), []);
+    let segment = Segment { acknowledged: 1_001, ..data(1, 2) };
+    assert_eq!(target(&packet(&mut edge, 220, &view, &segment)[0]), Some(holder));
+}
+
+/// A balancer was frozen with an opening in its queue, or has got a copy only, and the caller has opened the
+/// flow through another one; or a silent upstream has taken the opening before it was sent on. Every
+/// upstream returns it, the flow's own too, since it takes no second one. A refusal would reset the flow.
+#[rstest]
+#[case::fresh(0, 200, 5, true)]
+#[case::waited_in_the_queue(0, 3, 5, false)]
+#[case::sent_on_after_a_silence(0, 200, 65, false)]
+#[case::copy(1, 200, 5, false)]
+fn opening_is_refused_while_fresh(
+    #[case] copy: u32,
+    #[case] awake_ms: Millis,
+    #[case] denied_after_ms: Millis,
+    #[case] refused: bool,
+) {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let run = |edge: &mut Edge, from_ms: Millis, to_ms: Millis| {
+        (from_ms..=to_ms).step_by(50).for_each(|now_ms| drop(tick(edge, now_ms, &view)));
+    };
+    run(&mut edge, 0, 1_000);
+    run(&mut edge, 4_000, 4_000 + awake_ms);
+    let arrived_ms = 4_000 + awake_ms;
+    let segment = opening(1, copy);
+    let mut actions = packet(&mut edge, arrived_ms, &view, &segment);
+    let now_ms = arrived_ms + denied_after_ms;
+    actions.extend(tick(&mut edge, now_ms, &view));
+    while let Some(to) = actions.first().and_then(target) {
+        actions = verdict(&mut edge, now_ms, &view, to, Verdict::Denied, &segment);
+    }
+    let expected = if refused {
+        Action::Reset { reason: Reason::Refused }
+    } else {
+        Action::Drop { reason: Reason::Unknown }
+    };
+    assert_eq!(actions, [expected]);
+}
--- /dev/null
+++ b/crates/steering/tests/edge_proof.rs
@@ -0,0 +1,138 @@
+//! When a balancer may tell a caller that its flow is lost.
+
+mod common;
+
+use std::net::Ipv4Addr;
+
+use common::{READY, calm_view, data, hops_to, packet, target, tick, verdict, view_of};
+use rstest::rstest;
+use steering::edge::{Action, Edge, REPEAT_AFTER_MS, Reason, Trust, Verdict};
+use steering::flow::Millis;
+use steering::view::{Standing, View};
+
+/// All upstreams have crashed and started again: every one denies the flow. The caller would repeat
+/// its request until its time is up; a reset lets it ask anew at once.
+#[test]
+fn flow_that_all_deny_is_reset() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    assert_eq!(hops_to(&mut edge, &view, &data(1, 5), None), None);
+}
+
+/// A reset is sent only if it is proven that nobody holds the flow. An entry that went lately may
+/// belong to an upstream that lives, silence is no denial, and right after an outage of the
+/// configuration service the list may lack upstreams.
+#[rstest]
+#[case::all_deny(calm_view(), 0, true)]
+#[case::one_went_lately(view_of(&[READY, READY, Standing::Missing { since_ms: 0, drained: false }]), 1, false)]
+#[case::one_drains(view_of(&[READY, Standing::Draining, READY]), 1, false)]
+#[case::nothing_known(View::default(), 0, false)]
+fn reset_needs_proof(#[case] view: View, #[case] silent: usize, #[case] reset: bool) {
+    let mut edge = Edge::default();
+    let segment = data(1, 5);
+    let mut actions = packet(&mut edge, 0, &view, &segment);
+    let quiet: Vec<Ipv4Addr> = view
+        .upstreams()
+        .iter()
+        .filter(|upstream| upstream.standing != READY)
+        .map(|upstream| upstream.address)
+        .collect();
+    assert_eq!(quiet.len(), silent);
+    let mut seen = Vec::new();
+    for _ in 0..20 {
+        let Some(to) = actions.first().and_then(target) else { break };
+        seen.extend(actions.iter().copied());
+        if quiet.contains(&to) {
+            break;
+        }
+        actions = verdict(&mut edge, 0, &view, to, Verdict::Denied, &segment);
+    }
+    seen.extend(actions.iter().copied());
+    let is_reset = |action: &Action| matches!(action, Action::Reset { .. });
+    assert_eq!(seen.iter().any(is_reset), reset, "{seen:?}");
+}
+
+/// A denial says something about now only: the upstream may have been too full a second ago, or the
+/// packet overtook the opening.
+#[test]
+fn old_denials_prove_nothing() {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY, READY]));
+    let segment = data(1, 5);
+    let first = target(&packet(&mut edge, 0, &view, &segment)[0]).unwrap();
+    let second =
+        target(&verdict(&mut edge, 0, &view, first, Verdict::Denied, &segment)[0]).unwrap();
+    let actions = verdict(&mut edge, 1_500, &view, second, Verdict::Denied, &segment);
+    assert_eq!(actions.iter().filter_map(target).collect::<Vec<_>>(), [first]);
+}
+
+/// All instances lost power and come back one after the other. A request of a flow that is lost finds
+/// four upstreams that deny it, and one that is still down. Once that one is up and denies it too,
+/// the caller learns it by a reset, without having to repeat its request first.
+#[test]
+fn flow_is_proven_lost_when_the_last_upstream_is_back() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let segment = data(1, 5);
+    let down = Ipv4Addr::new(10, 0, 0, 3);
+    let mut actions = packet(&mut edge, 0, &view, &segment);
+    while let Some(to) = actions.first().and_then(target) {
+        if to == down {
+            // Nobody answers; others are asked only when the packet is repeated.
+            actions = tick(&mut edge, REPEAT_AFTER_MS, &view);
+            actions.retain(|action| target(action) != Some(down));
+            continue;
+        }
+        actions = verdict(&mut edge, REPEAT_AFTER_MS, &view, to, Verdict::Denied, &segment);
+        if actions.first().and_then(target) == Some(down) && actions.len() == 1 {
+            break;
+        }
+    }
+    for now_ms in (REPEAT_AFTER_MS..900).step_by(20) {
+        for action in tick(&mut edge, now_ms, &view) {
+            assert!(target(&action).is_some(), "no proof yet: {action:?}");
+            if let Some(to) = target(&action).filter(|to| *to != down) {
+                verdict(&mut edge, now_ms, &view, to, Verdict::Denied, &segment);
+            }
+        }
+    }
+    let actions = verdict(&mut edge, 900, &view, down, Verdict::Denied, &segment);
+    assert_eq!(actions, [Action::Reset { reason: Reason::Lost }]);
+}
+
+/// This balancer is cut off from all others, and knows no upstream that started since; or it has
+/// just started, or the configuration service has just returned, and entries may be missing. A flow
+/// that lives at an unknown upstream finds only denials here: silence costs its caller time, a reset
+/// costs the flow.
+#[rstest]
+#[case::trusted(9_000, 0, true)]
+#[case::cut_off(3_000, 0, false)]
+#[case::list_may_lack_some(9_900, 10_001, false)]
+#[case::list_is_whole_again(9_900, 10_000, true)]
+fn reset_needs_a_trusted_list(
+    #[case] confirmed_ms: Millis,
+    #[case] whole_from_ms: Millis,
+    #[case] reset: bool,
+) {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY]));
+    edge.trust(Trust { confirmed_ms, whole_from_ms });
+    let now_ms = 10_000;
+    (0..now_ms).step_by(50).for_each(|tick_ms| drop(tick(&mut edge, tick_ms, &view)));
+    let segment = data(1, 5);
+    let only = target(&packet(&mut edge, now_ms, &view, &segment)[0]).unwrap();
+    let actions = verdict(&mut edge, now_ms, &view, only, Verdict::Denied, &segment);
+    assert_eq!(actions == [Action::Reset { reason: Reason::Lost }], reset, "{actions:?}");
+}
+
+/// The balancer was paused for two seconds and wakes up with packets waiting. What it believes is from
+/// before: an upstream may have started meanwhile, and the flow may live there. Only after news of its
+/// view does a denial by all others prove anything.
+#[rstest]
+#[case::before_any_news(2_900, false)]
+#[case::after_news(5_001, true)]
+fn reset_after_a_pause_needs_news(#[case] confirmed_ms: Millis, #[case] reset: bool) {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY]));
+    (0..3_000).step_by(50).for_each(|tick_ms| drop(tick(&mut edge, tick_ms, &view)));
+    let segment = data(1, 5);
+    let only = target(&packet(&mut edge, 5_000, &view, &segment)[0]).unwrap();
+    edge.trust(Trust { confirmed_ms, whole_from_ms: 0 });
+    let actions = verdict(&mut edge, 5_002, &view, only, Verdict::Denied, &segment);
+    assert_eq!(actions == [Action::Reset { reason: Reason::Lost }], reset, "{actions:?}");
+}
--- /dev/null
+++ b/crates/steering/tests/edge_search.rs
@@ -0,0 +1,236 @@
+//! How a balancer finds a flow that it does not know, and keeps one that it knows.
+
+mod common;
+
+use std::net::Ipv4Addr;
+
+use common::{READY, calm_view, data, flow, hops_to, packet, target, tick, verdict, view_of};
+use rstest::rstest;
+use steering::edge::{Edge, REPEAT_AFTER_MS, Tally, Verdict};
+use steering::flow::{FlowKey, Millis, Segment};
+use steering::view::View;
+
+/// The fabric moves a caller's flow to a balancer that never saw it. Wherever the flow lives, it is
+/// found by asking, each upstream once, and the next packet goes there directly.
+#[rstest]
+fn flow_without_memory_is_found(#[values(1, 2, 3, 4, 5)] holder: u8) {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let holder = Ipv4Addr::new(10, 0, 0, holder);
+    assert!(hops_to(&mut edge, &view, &data(1, 5), Some(holder)).is_some());
+    verdict(
+        &mut edge,
+        1,
+        &view,
+        holder,
+        Verdict::Held { busy: 0, opening_sequence: None },
+        &data(1, 5),
+    );
+    let actions = packet(&mut edge, 2, &view, &data(1, 105));
+    assert_eq!(actions.iter().filter_map(target).collect::<Vec<_>>(), [holder]);
+}
+
+/// The caller repeats its data since the flow's agent is dead, or the entry is wrong: copies go to
+/// others as well, so that the flow is found without the one that is silent.
+#[test]
+fn repeated_data_asks_others_too() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    packet(&mut edge, 0, &view, &data(1, 5));
+    assert_eq!(packet(&mut edge, 20, &view, &data(1, 5)).len(), 1, "a copy of the network's");
+    assert_eq!(packet(&mut edge, 200, &view, &data(1, 5)).len(), 4);
+}
+
+/// Packets of flows that nobody knows cost no more memory than the bound allows.
+#[test]
+fn flood_of_unknown_flows_is_bounded() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    for number in 0..200_000_u32 {
+        let caller = std::net::SocketAddrV4::new(
+            Ipv4Addr::from_bits(number / 50_000),
+            (number % 50_000) as u16,
+        );
+        let segment = Segment { flow: FlowKey { caller, ..flow(1) }, ..data(1, 5) };
+        packet(&mut edge, 0, &view, &segment);
+    }
+    assert!(edge.flow_count() <= steering::edge::FLOWS_MAX);
+}
+
+/// A flood of packets of unknown flows is not kept for repetition beyond the bound.
+#[test]
+fn repetition_of_a_flood_is_bounded() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    for number in 1..20_000 {
+        packet(&mut edge, 0, &view, &data(number, 5));
+    }
+    let repeated = tick(&mut edge, REPEAT_AFTER_MS, &view);
+    assert!(repeated.len() <= 3 * steering::edge::PENDING_BYTES_MAX / 36);
+}
+
+/// Forty-six upstreams, and a request whose upstream is at work: the balancer's copies are denied by
+/// others. Each such denial led to another upstream, so that the search multiplied, the flow's next
+/// packets went astray, and its upstream got none of them for two seconds.
+#[test]
+fn denied_copies_do_not_lead_on() {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY; 46]));
+    let segment = data(1, 5);
+    let holder = target(&packet(&mut edge, 0, &view, &segment)[0]).unwrap();
+    let copies = packet(&mut edge, 200, &view, &segment);
+    assert_eq!(target(&copies[0]), Some(holder));
+    for copy in &copies[1..] {
+        let from = target(copy).unwrap();
+        let actions = verdict(&mut edge, 201, &view, from, Verdict::Denied, &segment);
+        assert_eq!(actions, [], "a copy denied by {from}");
+    }
+    assert_eq!(target(&packet(&mut edge, 300, &view, &data(1, 105))[0]), Some(holder));
+}
+
+/// The flow was found; denials of upstreams that were asked before arrive late.
+#[test]
+fn late_denials_change_nothing_once_the_flow_is_found() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let segment = data(1, 5);
+    let first = target(&packet(&mut edge, 0, &view, &segment)[0]).unwrap();
+    let asked = tick(&mut edge, 150, &view);
+    let holder = asked.iter().filter_map(target).find(|to| *to != first).unwrap();
+    verdict(
+        &mut edge,
+        151,
+        &view,
+        holder,
+        Verdict::Held { busy: 1, opening_sequence: None },
+        &segment,
+    );
+    verdict(&mut edge, 152, &view, first, Verdict::Denied, &segment);
+    let actions = packet(&mut edge, 153, &view, &data(1, 105));
+    assert_eq!(actions.iter().filter_map(target).collect::<Vec<_>>(), [holder]);
+}
+
+/// Time from a balancer to an agent and back.
+const ROUND_TRIP_MS: Millis = 2;
+
+/// Looks for a flow from the first packet on, which comes at zero. Every upstream denies it but for the
+/// silent ones. Returns who gets a packet, and when.
+fn search(
+    edge: &mut Edge,
+    view: &View,
+    segment: &Segment,
+    silent: &[Ipv4Addr],
+    until_ms: Millis,
+) -> Vec<(Millis, Ipv4Addr)> {
+    let mut arrivals = Vec::new();
+    for now_ms in 0..until_ms {
+        let mut actions = if now_ms == 0 { packet(edge, 0, view, segment) } else { Vec::new() };
+        if now_ms % 20 == 0 {
+            actions.extend(tick(edge, now_ms, view));
+        }
+        let due = |arrival: &&(Millis, Ipv4Addr)| arrival.0 + ROUND_TRIP_MS == now_ms;
+        let answers: Vec<_> = arrivals.iter().filter(due).map(|(_, to)| *to).collect();
+        for from in answers.into_iter().filter(|from| !silent.contains(from)) {
+            actions.extend(verdict(edge, now_ms, view, from, Verdict::Denied, segment));
+        }
+        arrivals.extend(actions.iter().filter_map(target).map(|to| (now_ms, to)));
+    }
+    arrivals
+}
+
+/// The upstream that is asked first holds the flow and is at work for a while, beside an agent that has
+/// just started, among forty-six. The search goes on, but packets keep reaching it: led away for two
+/// seconds, its caller would see a flow that stalls although nothing is wrong.
+#[test]
+fn upstream_at_work_keeps_its_packets() {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY; 46]));
+    let segment = data(1, 5);
+    let holder = target(&packet(&mut Edge::default(), 0, &view, &segment)[0]).unwrap();
+    let arrivals = search(&mut edge, &view, &segment, &[holder], 1_400);
+    let own: Vec<Millis> =
+        arrivals.iter().filter(|(_, to)| *to == holder).map(|(at, _)| *at).collect();
+    assert!(own.windows(2).all(|pair| pair[1] - pair[0] < 1_000), "{own:?}");
+    assert!(own.len() >= 5, "{own:?}");
+    for (now_ms, sequence) in [(1_600, 5), (1_700, 105)] {
+        let actions = packet(&mut edge, now_ms, &view, &data(1, sequence));
+        assert!(actions.iter().filter_map(target).any(|to| to == holder), "{now_ms}");
+    }
+}
+
+/// The upstreams that are asked first are dead with their machines, and the flow lives at any of the
+/// others, among sixty. By copies alone, three at a time, the search takes longer than the two seconds
+/// after which the caller's flow counts as led astray; each dead one must cost one pause only.
+#[rstest]
+#[case::one(1, 400)]
+#[case::three(3, 800)]
+fn dead_upstreams_do_not_hold_up_the_search(#[case] dead: usize, #[case] within_ms: Millis) {
+    let view = view_of(&[READY; 60]);
+    let segment = data(1, 5);
+    let mut asked: Vec<Ipv4Addr> = Vec::new();
+    for _ in 0..dead {
+        let arrivals = search(&mut Edge::default(), &view, &segment, &asked, 1_400);
+        asked.extend(arrivals.iter().map(|(_, to)| *to).find(|to| !asked.contains(to)));
+    }
+    let arrivals = search(&mut Edge::default(), &view, &segment, &asked, within_ms);
+    let mut reached: Vec<Ipv4Addr> = arrivals.iter().map(|(_, to)| *to).collect();
+    reached.sort_unstable();
+    reached.dedup();
+    assert_eq!(reached.len(), 60);
+}
+
+/// A copy reaches the flow's upstream, which answers it: the flow stays there.
+#[test]
+fn flow_found_by_a_copy_stays_found() {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY; 46]));
+    let segment = data(1, 5);
+    let dead = target(&packet(&mut Edge::default(), 0, &view, &segment)[0]).unwrap();
+    let arrivals = search(&mut edge, &view, &segment, &[dead], 170);
+    let copied = arrivals.iter().map(|(_, to)| *to).find(|to| *to != dead).unwrap();
+    let found = Verdict::Held { busy: 0, opening_sequence: None };
+    verdict(&mut edge, 160, &view, copied, found, &segment);
+    assert_eq!(target(&packet(&mut edge, 161, &view, &data(1, 105))[0]), Some(copied));
+}
+
+/// The flow's upstream is known, and its request waits beside it for its turn; the caller repeats it.
+/// Copies to others find nothing, and count as a flow that is led astray if its own upstream gets no
+/// packet for two seconds.
+#[test]
+fn known_flow_is_not_copied_to_others() {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let segment = data(1, 5);
+    let holder = target(&packet(&mut edge, 0, &view, &segment)[0]).unwrap();
+    let held = Verdict::Held { busy: 0, opening_sequence: None };
+    verdict(&mut edge, 1, &view, holder, held, &segment);
+    for now_ms in [4_000, 4_200, 4_600] {
+        let actions = packet(&mut edge, now_ms, &view, &data(1, 105));
+        assert_eq!(actions.iter().filter_map(target).collect::<Vec<_>>(), [holder], "{now_ms}");
+    }
+}
+
+/// The balancer believes that the flow is open at an upstream that holds it half open only, and says
+/// nothing to its packets. When the caller has repeated its request for the third time, 1.4 s after it
+/// first sent it, copies go to others, and the flow's own upstream answers one of them.
+#[test]
+fn flow_at_a_mute_upstream_is_found_in_the_end() {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY; 4]));
+    let segment = data(1, 5);
+    let mute = target(&packet(&mut edge, 0, &view, &segment)[0]).unwrap();
+    let held = Verdict::Held { busy: 0, opening_sequence: None };
+    verdict(&mut edge, 1, &view, mute, held, &segment);
+    let copies = [1_000, 1_200, 1_600, 2_400]
+        .map(|now_ms| packet(&mut edge, now_ms, &view, &data(1, 105)).len() - 1);
+    assert_eq!(copies, [0, 0, 0, 3]);
+}
+
+/// The on-call engineer wants to know how far flows are looked for after balancers were replaced: the
+/// mean number of upstreams that are asked for each flow that is found.
+#[rstest]
+#[case::at_the_first(1, Tally { found: 1, asked: 1, copies: 0, denials: 0 })]
+#[case::at_the_third(3, Tally { found: 1, asked: 3, copies: 0, denials: 2 })]
+fn tally_of_a_search(#[case] rank: u64, #[case] expected: Tally) {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let segment = data(1, 5);
+    let mut asked = target(&packet(&mut edge, 0, &view, &segment)[0]).unwrap();
+    for _ in 1..rank {
+        let next = verdict(&mut edge, 0, &view, asked, Verdict::Denied, &segment);
+        asked = target(&next[0]).unwrap();
+    }
+    let held = Verdict::Held { busy: 0, opening_sequence: None };
+    verdict(&mut edge, 1, &view, asked, held, &segment);
+    verdict(&mut edge, 2, &view, asked, held, &segment);
+    assert_eq!(edge.tally(), expected);
+}
--- a/crates/steering/tests/side.rs
+++ b/crates/steering/tests/side.rs
@@ -1,42 +1,22 @@
 //! An agent beside a busy, silent or restarted upstream.
 
+mod common;
+
 use std::net::Ipv4Addr;
 
+use common::{SERVICE, data, flow, opening};
 use rstest::rstest;
-use steering::flow::{FlowKey, Millis, Segment, SegmentKind};
+use steering::flow::{Millis, Segment, SegmentKind};
 use steering::side::{Answer, Ask, Delivery, Pace, Side};
 use steering::view::ServiceStamp;
 
-const SERVICE: ServiceStamp = ServiceStamp(7);
 const OTHER_SERVICE: ServiceStamp = ServiceStamp(8);
 const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
 
-fn flow(number: u16) -> FlowKey {
-    FlowKey {
-        caller: format!("100.64.0.1:{number}").parse().unwrap(),
-        endpoint: "198.18.0.1:443".parse().unwrap(),
-    }
-}
-
 fn ask(slots: u8) -> Ask {
     Ask { balancer: BALANCER, service: SERVICE, slots, report: false }
 }
 
-fn opening(number: u16, copy: u32) -> Segment {
-    let kind = SegmentKind::Opening { copy };
-    Segment { flow: flow(number), kind, sequence: 1, acknowledged: 0, data_bytes: 0 }
-}
-
-fn data(number: u16, sequence: u32) -> Segment {
-    Segment {
-        flow: flow(number),
-        kind: SegmentKind::Later,
-        sequence,
-        acknowledged: 0,
-        data_bytes: 100,
-    }
-}
-
 fn answer(number: u16) -> Answer {
     Answer { flow: flow(number), data_bytes: 500, last: false, opening_sequence: None }
 }
