Tell no agent after its restart of openings that it never took

Change: an assignment that the holder has not announced, though it has announced others more than a second later, is left out.

--- a/crates/decision/src/agent/announce.rs
+++ b/crates/decision/src/agent/announce.rs
@@ -113,6 +113,7 @@
         let is_new = sequence > peer.applied;
         peer.applied = peer.applied.max(sequence);
         if is_new {
+            peer.announced_at = Some(now);
             notes.iter().for_each(|note| self.take_note(now, (from, incarnation), *note));
         }
         let message = Message::AnnounceAck { incarnation: self.config.incarnation, sequence };
--- a/crates/decision/src/agent/limits.rs
+++ b/crates/decision/src/agent/limits.rs
@@ -80,6 +80,10 @@
 /// Period of announcements to one peer, and of their repetition.
 pub const ANNOUNCE_MS: u64 = 250;
 
+/// Time within which a holder has announced what it has taken: four periods, so that three batches may
+/// get lost.
+pub const ANNOUNCED_WITHIN_MS: u64 = 1_000;
+
 /// Period of repetition towards a suspected peer.
 pub const ANNOUNCE_SUSPECTED_MS: u64 = 2_000;
 
--- a/crates/decision/src/agent/peers.rs
+++ b/crates/decision/src/agent/peers.rs
@@ -35,6 +35,8 @@
     pub(super) assigned: u32,
     /// Highest batch of announcements taken in from its present life.
     pub(super) applied: u64,
+    /// When the newest batch of any of its lives was taken in.
+    pub(super) announced_at: Option<Millis>,
     pub(super) outbox: Outbox,
     pub(super) cursor: Cursor,
 }
--- a/crates/decision/src/agent/redirects.rs
+++ b/crates/decision/src/agent/redirects.rs
@@ -153,21 +153,18 @@
         self.redirects.retain(|_, known| known.holder != holder || known.life >= born);
     }
 
-    /// One page of the openings of all holders that `wanted` names, from flow `from` on, and where the
+    /// One page of the openings of all redirects that are `wanted`, from flow `from` on, and where the
     /// next page begins. A scan: it runs only when a peer has restarted.
     pub(super) fn page(
         &self,
         now: Millis,
-        wanted: impl Fn(UpstreamId) -> bool,
+        wanted: impl Fn(&Redirect) -> bool,
         from: FlowId,
     ) -> (Vec<Entrusted>, Option<FlowId>) {
         let mut page: Vec<Entrusted> = self
             .iter()
             .filter(|(flow, redirect)| {
-                *flow >= from
-                    && wanted(redirect.holder)
-                    && !redirect.closing
-                    && redirect.expires_at > now
+                *flow >= from && wanted(redirect) && !redirect.closing && redirect.expires_at > now
             })
             .map(|(flow, redirect)| Entrusted {
                 opening: Opening { flow, nonce: redirect.nonce.unwrap_or(0) },
--- a/crates/decision/src/agent/relearn.rs
+++ b/crates/decision/src/agent/relearn.rs
@@ -1,6 +1,7 @@
 //! After a restart: asking the peers which flows the earlier life held.
 
 use super::peers::Peer;
+use super::redirects::{Evidence, Redirect};
 use super::{Action, Agent, Note, limits};
 use crate::keys::{FlowId, Incarnation, UpstreamId};
 use crate::message::{Entrusted, Message, Opening};
@@ -83,7 +84,9 @@
             return;
         }
         let silent = |id: UpstreamId| self.peers.get(id).is_some_and(|peer| peer.suspected);
-        let wanted = |id: UpstreamId| id == from || silent(id);
+        let wanted = |redirect: &Redirect| {
+            (redirect.holder == from || silent(redirect.holder)) && !self.never_ran(redirect)
+        };
         let (page, next) = self.redirects.page(now, wanted, first);
         let (own, entrusted): (Vec<_>, Vec<_>) =
             page.into_iter().partition(|entry| entry.holder == from);
@@ -94,6 +97,16 @@
         out.push(Action::Send { to: from, message });
     }
 
+    /// Whether the holder has announced other flows since this one was assigned to it, but not this one.
+    ///
+    /// Failure: an assigned opening is refused or lost. Symptom: its restarted holder is told that it has
+    /// the flow, and counts it for a day. A holder announces all that it has taken within a moment.
+    fn never_ran(&self, redirect: &Redirect) -> bool {
+        let announced_at = self.peers.get(redirect.holder).and_then(|peer| peer.announced_at);
+        let due_at = redirect.opened_at.after(limits::ANNOUNCED_WITHIN_MS);
+        redirect.evidence == Evidence::Assigned && announced_at.is_some_and(|at| at > due_at)
+    }
+
     pub(super) fn page_received(
         &mut self,
         now: Millis,
--- a/crates/decision/src/agent/tests/relearn.rs
+++ b/crates/decision/src/agent/tests/relearn.rs
@@ -118,3 +118,31 @@
     fleet.pass(2_000);
     assert_eq!(fleet.agents[holder].open_flows(), 0);
 }
+
+/// A home assigns a feed to an upstream, and the packet is lost on the way; the tablet goes on elsewhere.
+/// The upstream takes other feeds and announces them. When its agent restarts, the home must not tell it
+/// of the feed that never ran: it would fill the upstream for a day.
+#[rstest]
+fn assigned_feed_that_never_ran_is_not_relearned() {
+    let spec = Spec::new(WhenInDoubt::Admit, 3);
+    let mut fleet = Fleet::settled(&spec);
+    let assigned = |fleet: &Fleet| {
+        let notes = fleet.notes.iter();
+        notes.filter(|(at, note)| *at == 0 && matches!(note, Note::Assigned { .. })).count()
+    };
+    let homes = |fleet: &Fleet, number: &u64| fleet.ranking(flow(*number))[0] == 0;
+    let flows: Vec<u64> = (0..400).filter(|number| homes(&fleet, number)).map(flow).collect();
+    fleet.cut = vec![1, 2];
+    let lost = flows[..40].iter().filter(|flow| fleet.send(0, **flow, opening(1)) == Outcome::Lost);
+    assert!(lost.count() > 5 && assigned(&fleet) > 5);
+    fleet.cut.clear();
+    fleet.pass(2_000);
+    let opened: Vec<Outcome> =
+        flows[40..].iter().map(|flow| fleet.send(0, *flow, opening(1))).collect();
+    fleet.pass(1_000);
+    let held = opened.iter().filter(|outcome| **outcome == Outcome::Delivered(1)).count();
+    assert!(held > 0);
+    fleet.restart(1, &spec);
+    fleet.pass(2_000);
+    assert_eq!(fleet.agents[1].open_flows(), held);
+}
--- a/crates/fuzzing/tests/mended.rs
+++ b/crates/fuzzing/tests/mended.rs
@@ -7,12 +7,14 @@
 /// Flows of a dead upstream filled its restarted agent; a holder's agent came back after both
 /// agents that knew its flow had restarted; packets of a new flow were sent to the agent where an older
 /// one on the same ports was closing, while the holder was silent; an agent that had been told to end
-/// stayed beside an upstream that was wanted again.
+/// stayed beside an upstream that was wanted again; an opening that was refused was told to its
+/// restarted holder as its own.
 #[rstest]
 #[case::dead_flows_fill_the_upstream(181)]
 #[case::witnesses_restart(645)]
 #[case::closing_flow_believed(197)]
 #[case::told_to_end_and_kept(171)]
+#[case::relearned_but_never_ran(205)]
 fn mended_episode(#[case] seed: u64) {
     let (outcome, _) = campaign::play(&campaign::draw(seed), Sabotage::default(), false);
     assert_eq!(outcome.violation, None);
