Tell no restarted agent of flows that were only looked up

Change: answers to lookups are left out of what a restarted agent is told; homes and second ranks know the flow.

--- a/crates/decision/src/agent/relearn.rs
+++ b/crates/decision/src/agent/relearn.rs
@@ -85,7 +85,11 @@
         }
         let silent = |id: UpstreamId| self.peers.get(id).is_some_and(|peer| peer.suspected);
         let wanted = |redirect: &Redirect| {
-            (redirect.holder == from || silent(redirect.holder)) && !self.never_ran(redirect)
+            // An answer to a lookup names no opening. Whoever asked is not told when the flow ends.
+            let told = redirect.nonce.is_some();
+            (redirect.holder == from || silent(redirect.holder))
+                && told
+                && !self.never_ran(redirect)
         };
         let (page, next) = self.redirects.page(now, wanted, first);
         let (own, entrusted): (Vec<_>, Vec<_>) =
--- a/crates/decision/src/agent/tests/relearn.rs
+++ b/crates/decision/src/agent/tests/relearn.rs
@@ -146,3 +146,22 @@
     fleet.pass(2_000);
     assert_eq!(fleet.agents[1].open_flows(), held);
 }
+
+/// An agent that is neither home nor second rank has looked a feed up, and is not told of its end. When
+/// the holder's agent restarts, the looked-up answer must not bring the feed back.
+#[rstest]
+fn looked_up_feed_that_ended_is_not_relearned() {
+    let spec = Spec::new(WhenInDoubt::Admit, 6);
+    let mut fleet = Fleet::settled(&spec);
+    let opened = fleet.send(0, flow(1), opening(1));
+    fleet.pass(1_000);
+    let holder = fleet.holder(flow(1)).expect("a holder");
+    for index in 0..6 {
+        assert_eq!(fleet.send(index, flow(1), PacketKind::Middle), opened);
+    }
+    assert_eq!(fleet.send(holder, flow(1), PacketKind::Reset), opened);
+    fleet.pass(1_000);
+    fleet.restart(holder, &spec);
+    fleet.pass(2_000);
+    assert_eq!(fleet.agents[holder].open_flows(), 0);
+}
