Tell starting balancers of an outage that is not over

A balancer that started in that moment, and had read a list without the entry, reset living flows of its upstream. Ruled out: the linger of missing entries (the new balancer never knew the entry). Table test of the rule; the lab's scenario keeps the steps.

--- a/crates/steering/src/membership/mod.rs
+++ b/crates/steering/src/membership/mod.rs
@@ -153,3 +153,20 @@
         }
     }
 }
+
+/// For how much longer the list may lack upstreams that live, for other balancers: until `whole_from_ms`,
+/// and while the configuration service is `out_of_reach`, for as long as entries take to come back.
+///
+/// Failure: a balancer starts right after an outage that the others still believe in. Symptom: told that
+/// the list is whole, it resets flows of an upstream whose entry is not back yet. Counting an outage
+/// from its end is enough, since entries come back within that time.
+///
+/// ```
+/// use steering::membership::{SILENT_LINGER_MS, whole_in_ms};
+/// assert_eq!(whole_in_ms(7_000, 8_000, false), 1_000);
+/// assert_eq!(whole_in_ms(7_000, 0, true), SILENT_LINGER_MS);
+/// ```
+pub fn whole_in_ms(now_ms: Millis, whole_from_ms: Millis, out_of_reach: bool) -> Millis {
+    let known_ms = whole_from_ms.saturating_sub(now_ms);
+    if out_of_reach { known_ms.max(SILENT_LINGER_MS) } else { known_ms }
+}
--- a/crates/steering/tests/membership.rs
+++ b/crates/steering/tests/membership.rs
@@ -5,7 +5,9 @@
 
 use rstest::rstest;
 use steering::flow::Millis;
-use steering::membership::{DRAINED_LINGER_MS, Membership, SILENT_LINGER_MS, UpstreamRecord};
+use steering::membership::{
+    DRAINED_LINGER_MS, Membership, SILENT_LINGER_MS, UpstreamRecord, whole_in_ms,
+};
 use steering::view::{RouteTable, ServiceStamp, Standing};
 
 const ADDRESS: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
@@ -88,3 +90,19 @@
     theirs.insert(0, &UpstreamRecord { warmup_left_ms, ..record(id, draining) });
     assert_eq!(ours.digest() == theirs.digest(), same);
 }
+
+/// A balancer asks the others how far the list can be trusted: after an outage that they saw the end of,
+/// during one, or in calm.
+#[rstest]
+#[case::calm(10_000, 9_000, false, 0)]
+#[case::after_an_outage(10_000, 11_500, false, 1_500)]
+#[case::in_an_outage(10_000, 0, true, SILENT_LINGER_MS)]
+#[case::in_the_next_outage(10_000, 10_200, true, SILENT_LINGER_MS)]
+fn whole_in(
+    #[case] now_ms: Millis,
+    #[case] whole_from_ms: Millis,
+    #[case] out_of_reach: bool,
+    #[case] expected: Millis,
+) {
+    assert_eq!(whole_in_ms(now_ms, whole_from_ms, out_of_reach), expected);
+}
--- a/xtask/src/direct/fleet.rs
+++ b/xtask/src/direct/fleet.rs
@@ -144,6 +144,7 @@
             }
             Action::Crash(index) => self.upstreams[index] = None,
             Action::Forget(index) => self.store.remove(&key(index)),
+            Action::Relist(index) => self.list(index, "ready"),
             Action::Restart(index) => self.start_upstream(index)?,
             Action::StoreSilent => self.store.set_mode(Mode::Silent),
             Action::StoreRefuses => self.store.set_mode(Mode::Refusing),
--- a/xtask/src/direct/scenario.rs
+++ b/xtask/src/direct/scenario.rs
@@ -23,8 +23,10 @@
     Reuse(usize),
     /// An upstream dies; its agent lives, and its entry stays for a while.
     Crash(usize),
-    /// The entry goes.
+    /// The entry goes; the upstream may live all the same.
     Forget(usize),
+    /// The entry of an upstream that lives is back.
+    Relist(usize),
     /// It starts again, with another life.
     Restart(usize),
     /// The configuration service falls silent, or refuses.
@@ -61,19 +63,23 @@
     at(5_000, Action::Drain(1)),
     at(6_000, Action::KillBalancer(1)),
     at(7_500, Action::KillAgent(0)),
-    at(8_500, Action::Retire(1)),
+    // An address goes to another service while no balancer can learn of it.
     at(10_000, Action::StoreSilent),
+    at(10_300, Action::Retire(1)),
+    at(10_500, Action::Reuse(1)),
     at(11_000, Action::FreezeBalancer(2)),
     at(12_200, Action::WakeBalancer(2)),
     at(13_000, Action::StoreWell),
-    at(13_500, Action::Reuse(1)),
     at(15_000, Action::Crash(2)),
     at(16_000, Action::RollBalancer(1)),
     at(18_600, Action::Forget(2)),
     at(19_000, Action::Restart(2)),
+    // An entry expires during an outage, and a balancer without memory reads the list before it is back.
     at(20_000, Action::StoreRefuses),
-    at(20_500, Action::KillBalancer(0)),
+    at(20_200, Action::Forget(3)),
     at(21_500, Action::StoreWell),
+    at(21_600, Action::KillBalancer(0)),
+    at(22_900, Action::Relist(3)),
     at(23_500, Action::KillAll),
     at(26_500, Action::Calm),
     at(32_500, Action::Finish),
