--- a/xtask/src/direct/fleet.rs
+++ b/xtask/src/direct/fleet.rs
@@ -18,9 +18,8 @@
 use crate::process::Process;
 
 const BALANCERS: usize = 3;
-/// Services of the upstreams at the start; the last one is that of the reused address.
-const SERVICES: [&str; 7] =
-    ["shelf", "shelf", "shelf", "shelf", "manifest", "manifest", "manifest"];
+/// Services of the upstreams at the start.
+const SERVICES: [&str; 7] = ["shelf", "shelf", "shelf", "shelf", "shelf", "manifest", "manifest"];
 const SLOTS: usize = 7;
 const WORK: Duration = Duration::from_millis(20);
 /// Ports, the same on all addresses.
