Build with cargo from one place in xtask

Cause: the direct lab called cargo and guessed the folder of the binaries by itself, beside the old lab, which asks its own path. Change: both call one function; the folder follows a target directory that is set elsewhere too. Nothing of the product changed.

--- a/xtask/src/direct/mod.rs
+++ b/xtask/src/direct/mod.rs
@@ -6,13 +6,14 @@
 mod verdict;
 
 use std::path::PathBuf;
-use std::process::Command;
 use std::time::{Duration, Instant};
 
-use anyhow::{Context as _, ensure};
+use anyhow::ensure;
 use fleet::Fleet;
 use scenario::STEPS;
 
+use crate::process;
+
 /// Time within which all balancers must be ready at the start.
 const READY_MAX: Duration = Duration::from_secs(10);
 /// Pause between two looks at what is waited for.
@@ -20,7 +21,7 @@
 
 /// Builds and runs the lab; an error says which promise was broken.
 pub(crate) fn run(seed: u64, out: Option<PathBuf>) -> anyhow::Result<()> {
-    let programs = build()?;
+    let programs = process::build(&["--package", "platform", "--bins"])?.join("debug");
     let folder = || std::env::temp_dir().join(format!("gooseberrysill-{}", std::process::id()));
     let kept = out.is_some();
     let out = out.unwrap_or_else(folder);
@@ -53,13 +54,3 @@
     ensure!(!broken, "a promise was broken: {}", failures.join("; "));
     Ok(())
 }
-
-fn build() -> anyhow::Result<PathBuf> {
-    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
-    let status = Command::new(cargo)
-        .args(["build", "--locked", "--package", "platform", "--bins"])
-        .status()
-        .context("cargo build")?;
-    ensure!(status.success(), "cargo build: {status}");
-    Ok(PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../target/debug"))
-}
--- a/xtask/src/lab/driver.rs
+++ b/xtask/src/lab/driver.rs
@@ -1,9 +1,7 @@
 //! The course of a run: build, start, phases, end, verdict.
 
 use std::path::PathBuf;
-use std::process::{Command, Stdio};
 
-use anyhow::{Context as _, ensure};
 use standins::caller::{Report, Workload};
 use standins::clock;
 use standins::shell::lock;
@@ -15,6 +13,7 @@
 use super::topology::ACCOUNTS;
 use super::verdict::{self, Run};
 use super::{Lab, evidence, observer};
+use crate::process;
 
 /// Callers run this long before the first phase.
 const WARM_UP_MS: u64 = 2_000;
@@ -31,21 +30,17 @@
 
 /// Builds the binaries that the run needs and returns their folder.
 pub(super) fn build(options: &Options) -> anyhow::Result<PathBuf> {
-    let mut command = Command::new(env!("CARGO"));
-    command.args(["build", "--locked", "--bins", "-p", "standins"]);
+    let mut arguments = vec!["--bins", "-p", "standins"];
     if options.scenario.with_product {
-        command.args(["-p", "balancer", "-p", "agent"]);
+        arguments.extend(["-p", "balancer", "-p", "agent"]);
     }
     if options.mutant.is_some() {
-        command.args(["--features", "agent/mutants"]);
+        arguments.extend(["--features", "agent/mutants"]);
     }
     if options.release {
-        command.arg("--release");
+        arguments.push("--release");
     }
-    let status = command.stdin(Stdio::null()).status().context("cargo build")?;
-    ensure!(status.success(), "cargo build: {status}");
-    let own = std::env::current_exe()?;
-    let target = own.parent().and_then(|folder| folder.parent()).context("no target folder")?;
+    let target = process::build(&arguments)?;
     Ok(target.join(if options.release { "release" } else { "debug" }))
 }
 
--- a/xtask/src/process.rs
+++ b/xtask/src/process.rs
@@ -1,13 +1,24 @@
 //! Processes that the lab starts. Each is ended with the value that stands for it.
 
 use std::fs::File;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
-use anyhow::Context as _;
+use anyhow::{Context as _, ensure};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
+/// Builds with cargo and returns the folder that has one folder of binaries for each profile.
+pub(crate) fn build(arguments: &[&str]) -> anyhow::Result<PathBuf> {
+    let mut command = Command::new(env!("CARGO"));
+    command.args(["build", "--locked"]).args(arguments);
+    let status = command.stdin(Stdio::null()).status().context("cargo build")?;
+    ensure!(status.success(), "cargo build: {status}");
+    let own = std::env::current_exe()?;
+    let target = own.parent().and_then(Path::parent).context("no target folder")?;
+    Ok(target.to_owned())
+}
+
 /// A running process. Dropping it kills it and waits until it is gone.
 pub(crate) struct Process {
     name: String,
