Let only held flows wait beside the upstream, and count a request from its last packet

Ruled out: the number of slots told (right), waits of requests that the upstream does hold (mean 9 to 21 ms before the fault).

--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -29,6 +29,9 @@
 const SWEEP_MS: Millis = 1_000;
 /// Requests handed to the upstream beyond its slots, so that a slot never waits for the next one.
 const AHEAD: u32 = 1;
+/// Data bytes of a full packet. More of the same request follows one, with round trips between, and
+/// the upstream begins its work with the last packet only.
+const FULL_BYTES: u16 = 1_200;
 /// From this copy of an opening on, 600 ms have passed, and the flow's first request is late.
 const LATE_COPY: u32 = 2;
 
@@ -128,7 +131,6 @@
     busy: u32,
     unanswered: u32,
     unanswered_since_ms: Millis,
-    started_ms: Option<Millis>,
     awake_ms: Millis,
     swept_ms: Millis,
 }
@@ -144,7 +146,6 @@
             busy: 0,
             unanswered: 0,
             unanswered_since_ms: 0,
-            started_ms: None,
             awake_ms: 0,
             swept_ms: 0,
         }
@@ -261,7 +262,6 @@
     /// After a pause of the process, the upstream's answers may still wait unread, and the time that
     /// has passed says nothing about it.
     fn wake(&mut self, now_ms: Millis) {
-        self.started_ms.get_or_insert(now_ms);
         if now_ms.saturating_sub(self.awake_ms) >= PAUSE_MS {
             self.unanswered = 0;
         }
@@ -330,9 +330,7 @@
         if flow.is_some_and(|flow| flow.has_seen(segment)) {
             return false;
         }
-        // A balancer that looks for a flow loses a slot's time at each busy upstream that does not hold it.
-        let held = flow.is_some_and(|flow| flow.held);
-        if !held && self.knows_its_flows(now_ms) {
+        if !flow.is_some_and(|flow| flow.held) {
             return false;
         }
         let at_work = flow.is_some_and(|flow| flow.busy_since_ms.is_some());
@@ -344,12 +342,6 @@
         true
     }
 
-    /// Whether this process has run for as long as it remembers flows: one that it does not know is held
-    /// elsewhere, or has been idle for longer.
-    fn knows_its_flows(&self, now_ms: Millis) -> bool {
-        self.started_ms.is_some_and(|started_ms| now_ms.saturating_sub(started_ms) >= IDLE_MS)
-    }
-
     fn report_if_held(&mut self, key: FlowKey) -> Option<Report> {
         let flow = self.flows.get_mut(&key).filter(|flow| flow.held)?;
         let balancer = flow.report_to.take()?;
@@ -399,5 +391,6 @@
 }
 
 fn is_request_data(segment: &Segment) -> bool {
-    segment.data_bytes > 0 && segment.kind == SegmentKind::Later
+    let ends_request = (1..FULL_BYTES).contains(&segment.data_bytes);
+    ends_request && segment.kind == SegmentKind::Later
 }
