Let agents say at once whether their upstream holds a flow

Cause: a balancer without memory was told that a flow is held by the upstream's answer only, so a request at work for longer than 150 ms was searched for elsewhere; and an upstream whose flow is half open (a copy of the opening went to two) takes packets without a word. An agent sees every number that its upstream sends: what the caller acknowledges lies among them, or the flow is another upstream's. Tests: held_flow_is_reported_at_once, acknowledged_number_tells_the_holder, reopened_flow_counts_anew and restarted_agent_allows_for_what_it_has_not_seen (the field they need did not exist before).

--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -110,18 +110,30 @@
         let Some(side) = &mut self.agents[upstream] else { return };
         let service = if unchecked { own } else { service };
         let ask = Ask { balancer: balancer_address(balancer), service, slots: 0, report };
-        match side.on_packet(self.now_ms, &packet.segment, &[], ask) {
+        let received = side.on_packet(self.now_ms, &packet.segment, &[], ask);
+        if let Some(report) = received.report {
+            self.report(upstream, &report, packet);
+        }
+        match received.delivery {
             Delivery::Deliver => self.at_upstream(upstream, balancer, packet),
             Delivery::DeliverSilent { for_ms } => {
                 self.at_upstream(upstream, balancer, packet);
                 self.say(balancer, upstream, Verdict::Silent { for_ms }, packet);
             }
-            Delivery::Foreign => self.say(balancer, upstream, Verdict::Denied, packet),
+            Delivery::Foreign | Delivery::Denied => {
+                self.say(balancer, upstream, Verdict::Denied, packet);
+            }
             // Without known slots nothing waits.
-            Delivery::Wait { .. } => {}
+            Delivery::Wait => {}
         }
     }
 
+    fn report(&mut self, upstream: usize, report: &Report, packet: Packet) {
+        let balancer = (report.balancer.to_bits() - balancer_address(0).to_bits()) as usize;
+        let Report { busy, opening_sequence, .. } = *report;
+        self.say(balancer, upstream, Verdict::Held { busy, opening_sequence }, packet);
+    }
+
     fn say(&mut self, balancer: usize, upstream: usize, verdict: Verdict, packet: Packet) {
         let delay_ms = self.hop();
         self.at(delay_ms, Event::Said { balancer, upstream, verdict, packet });
@@ -163,13 +175,12 @@
     fn answer(&mut self, upstream: usize, packet: Packet, opening: bool) {
         let flow = packet.segment.flow;
         let data_bytes = if opening { 0 } else { 500 };
-        let opening_sequence = opening.then(|| number_of(self.upstreams[upstream].boot));
-        let answer = Answer { flow, data_bytes, last: false, opening_sequence };
+        let number = number_of(self.upstreams[upstream].boot);
+        let sequence = if opening { number } else { number.wrapping_add(1) };
+        let answer = Answer { flow, data_bytes, last: false, sequence, opening };
         let Some(side) = &mut self.agents[upstream] else { return };
         if let Some(report) = side.on_answer(self.now_ms, answer).report {
-            let balancer = (report.balancer.to_bits() - balancer_address(0).to_bits()) as usize;
-            let Report { busy, opening_sequence, .. } = report;
-            self.say(balancer, upstream, Verdict::Held { busy, opening_sequence }, packet);
+            self.report(upstream, &report, packet);
         }
         let Some(caller) = self.callers.iter().position(|caller| caller.flow == flow) else {
             return;
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -32,6 +32,8 @@
 /// Data bytes of a full packet. More of the same request follows one, with round trips between, and
 /// the upstream begins its work with the last packet only.
 const FULL_BYTES: u16 = 1_200;
+/// Bytes that may be under way to a caller: 16 packets, and one that ends the flow.
+const UNDER_WAY_BYTES: u32 = 16 * 1_200 + 1;
 /// From this copy of an opening on, 600 ms have passed, and the flow's first request is late.
 const LATE_COPY: u32 = 2;
 
@@ -60,12 +62,19 @@
     },
     /// It goes back to the balancer: it is meant for another service.
     Foreign,
-    /// It waits here until the upstream has room. A balancer that asked is told if the upstream is
-    /// known to hold the flow, so that it does not go on looking elsewhere.
-    Wait {
-        /// Who is told.
-        report: Option<Report>,
-    },
+    /// It goes back to the balancer: its caller has acknowledged a number of another upstream.
+    Denied,
+    /// It waits here until the upstream has room.
+    Wait,
+}
+
+/// What follows from a balancer's packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Received {
+    /// What becomes of the packet.
+    pub delivery: Delivery,
+    /// The balancer that asked for the flow and is told at once that it is here.
+    pub report: Option<Report>,
 }
 
 /// A packet of the upstream's, as far as it decides something.
@@ -77,8 +86,10 @@
     pub data_bytes: u16,
     /// Whether the flow ends with it.
     pub last: bool,
-    /// Its number, if it answers an opening.
-    pub opening_sequence: Option<u32>,
+    /// Number of its first byte.
+    pub sequence: u32,
+    /// Whether it answers an opening.
+    pub opening: bool,
 }
 
 /// What follows from a packet of the upstream's.
@@ -114,8 +125,8 @@
 struct Flow {
     report_to: Option<Ipv4Addr>,
     late: bool,
-    /// Whether the upstream has answered on it, so that it holds it.
-    held: bool,
+    /// What the upstream has sent on it; nothing if it may not hold it.
+    sent: Option<Sent>,
     /// Number after the last data seen.
     next_sequence: Option<u32>,
     busy_since_ms: Option<Millis>,
@@ -159,26 +170,49 @@
         segment: &Segment,
         bytes: &[u8],
         ask: Ask,
-    ) -> Delivery {
+    ) -> Received {
         self.wake(now_ms);
         if ask.service != self.service {
-            return Delivery::Foreign;
+            return Received { delivery: Delivery::Foreign, report: None };
         }
         if ask.slots > 0 {
             self.slots = ask.slots;
         }
+        let held = self.holds(segment);
+        if held == Some(false) {
+            return Received { delivery: Delivery::Denied, report: None };
+        }
         self.note_packet(now_ms, segment, ask);
+        let delivery = self.deliver(now_ms, segment, bytes);
+        let silent = matches!(delivery, Delivery::DeliverSilent { .. });
+        let report = if held.is_some() && !silent { self.take_report(segment.flow) } else { None };
+        Received { delivery, report }
+    }
+
+    fn deliver(&mut self, now_ms: Millis, segment: &Segment, bytes: &[u8]) -> Delivery {
         if let Some(for_ms) = self.silence(now_ms, segment.kind) {
             self.start(now_ms, segment);
             return Delivery::DeliverSilent { for_ms };
         }
         if self.must_wait(now_ms, segment, bytes) {
-            return Delivery::Wait { report: self.report_if_held(segment.flow) };
+            return Delivery::Wait;
         }
         self.start(now_ms, segment);
         Delivery::Deliver
     }
 
+    /// Whether the upstream holds the flow of a later packet, as far as its own packets tell.
+    ///
+    /// Failure: several upstreams have answered an opening, and the flow is open at one of them. Symptom:
+    /// the others take its packets without a word, and a balancer without memory believes that it has
+    /// found the flow. Comparing the number that the caller acknowledges is enough: it is one that the
+    /// upstream beside this agent has sent, or it is another's.
+    fn holds(&self, segment: &Segment) -> Option<bool> {
+        let sent = self.flows.get(&segment.flow)?.sent?;
+        let tells = segment.kind == SegmentKind::Later && segment.data_bytes > 0;
+        tells.then(|| sent.covers(segment.acknowledged))
+    }
+
     /// Packets of the request that may go to the upstream now, if one may.
     pub fn next_released(&mut self, now_ms: Millis) -> Option<Released> {
         let waiting = if self.unanswered >= SILENT_OPENINGS {
@@ -218,7 +252,7 @@
         self.unanswered = 0;
         let Some(flow) = self.flows.get_mut(&answer.flow) else { return Answered::default() };
         flow.seen_ms = now_ms;
-        flow.held = true;
+        flow.note_sent(&answer);
         let started_ms = if answer.data_bytes > 0 { flow.busy_since_ms.take() } else { None };
         if started_ms.is_some() {
             flow.late = false;
@@ -233,7 +267,7 @@
             report: balancer.map(|balancer| Report {
                 balancer,
                 busy,
-                opening_sequence: answer.opening_sequence,
+                opening_sequence: answer.opening.then_some(answer.sequence),
             }),
             worked_ms: started_ms.map(|started_ms| now_ms.saturating_sub(started_ms)),
         }
@@ -330,7 +364,7 @@
         if flow.is_some_and(|flow| flow.has_seen(segment)) {
             return false;
         }
-        if !flow.is_some_and(|flow| flow.held) {
+        if flow.is_none_or(|flow| flow.sent.is_none()) {
             return false;
         }
         let at_work = flow.is_some_and(|flow| flow.busy_since_ms.is_some());
@@ -342,9 +376,8 @@
         true
     }
 
-    fn report_if_held(&mut self, key: FlowKey) -> Option<Report> {
-        let flow = self.flows.get_mut(&key).filter(|flow| flow.held)?;
-        let balancer = flow.report_to.take()?;
+    fn take_report(&mut self, key: FlowKey) -> Option<Report> {
+        let balancer = self.flows.get_mut(&key)?.report_to.take()?;
         Some(Report { balancer, busy: self.busy_in_short(), opening_sequence: None })
     }
 
@@ -377,7 +410,36 @@
     }
 }
 
+/// Numbers of what an upstream has sent on a flow.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    first: u32,
+    next: u32,
+}
+
+impl Sent {
+    /// Whether this is the number of something that was sent, or of what comes next.
+    fn covers(self, acknowledged: u32) -> bool {
+        acknowledged.wrapping_sub(self.first) <= self.next.wrapping_sub(self.first)
+    }
+}
+
 impl Flow {
+    /// An agent that started while the flow was open has not seen what was under way before.
+    fn note_sent(&mut self, answer: &Answer) {
+        let counted = u32::from(answer.data_bytes) + u32::from(answer.opening || answer.last);
+        let next = answer.sequence.wrapping_add(counted);
+        let opened_anew = |sent: &Sent| answer.opening && sent.first != answer.sequence;
+        match self.sent.as_mut().filter(|sent| !opened_anew(sent)) {
+            Some(sent) if (next.wrapping_sub(sent.next) as i32) > 0 => sent.next = next,
+            Some(_) => {}
+            None => {
+                let under_way = if answer.opening { 0 } else { UNDER_WAY_BYTES };
+                self.sent = Some(Sent { first: answer.sequence.wrapping_sub(under_way), next });
+            }
+        }
+    }
+
     /// Whether this data was handed on before: a caller repeats what it has no answer to, and an
     /// answer may have crossed the repetition. Counted again, it would stay at work forever.
     fn has_seen(&self, segment: &Segment) -> bool {
--- a/crates/steering/tests/side.rs
+++ b/crates/steering/tests/side.rs
@@ -7,7 +7,7 @@
 use common::{SERVICE, data, flow, opening};
 use rstest::rstest;
 use steering::flow::{Millis, Segment, SegmentKind};
-use steering::side::{Answer, Ask, Delivery, Pace, Side};
+use steering::side::{Answer, Ask, Delivery, Pace, Received, Side};
 use steering::view::ServiceStamp;
 
 const OTHER_SERVICE: ServiceStamp = ServiceStamp(8);
@@ -18,16 +18,16 @@
 }
 
 fn answer(number: u16) -> Answer {
-    Answer { flow: flow(number), data_bytes: 500, last: false, opening_sequence: None }
+    Answer { flow: flow(number), data_bytes: 500, last: false, sequence: 0, opening: false }
 }
 
 fn accepted(number: u16) -> Answer {
-    Answer { flow: flow(number), data_bytes: 0, last: false, opening_sequence: None }
+    Answer { data_bytes: 0, opening: true, ..answer(number) }
 }
 
 fn deliver(side: &mut Side, now_ms: Millis, segment: &Segment, slots: u8) -> Delivery {
     let bytes = [segment.flow.caller.port() as u8, segment.sequence as u8];
-    side.on_packet(now_ms, segment, &bytes, ask(slots))
+    side.on_packet(now_ms, segment, &bytes, ask(slots)).delivery
 }
 
 /// The upstream has taken this flow.
@@ -80,11 +80,8 @@
     let mut side = busy_side(0);
     for &(number, copy, at_ms) in arrivals {
         deliver(&mut side, at_ms, &opening(number, copy), 1);
-        side.on_answer(
-            at_ms,
-            Answer { flow: flow(number), data_bytes: 0, last: false, opening_sequence: None },
-        );
-        assert_eq!(deliver(&mut side, at_ms, &data(number, 2), 1), Delivery::Wait { report: None });
+        side.on_answer(at_ms, accepted(number));
+        assert_eq!(deliver(&mut side, at_ms, &data(number, 2), 1), Delivery::Wait);
     }
     assert_eq!(releases(&mut side, at), order);
 }
@@ -124,7 +121,7 @@
     if held {
         hold(&mut side, at_ms, 3);
     }
-    let expected = if waits { Delivery::Wait { report: None } } else { Delivery::Deliver };
+    let expected = if waits { Delivery::Wait } else { Delivery::Deliver };
     assert_eq!(deliver(&mut side, at_ms, &data(3, 1), 1), expected);
 }
 
@@ -154,7 +151,7 @@
     }
     assert_eq!(side.busy(), 3, "two slots and one ahead");
     let last = data(3, 1 + (PACKETS - 1) * 1_200);
-    assert_eq!(deliver(&mut side, 4, &last, SLOTS), Delivery::Wait { report: None });
+    assert_eq!(deliver(&mut side, 4, &last, SLOTS), Delivery::Wait);
 }
 
 /// The caller repeats a request while it waits here: the upstream must get it once.
@@ -163,9 +160,9 @@
     let mut side = busy_side(0);
     hold(&mut side, 0, 3);
     for at_ms in [0, 200] {
-        assert_eq!(deliver(&mut side, at_ms, &data(3, 1), 1), Delivery::Wait { report: None });
+        assert_eq!(deliver(&mut side, at_ms, &data(3, 1), 1), Delivery::Wait);
     }
-    assert_eq!(deliver(&mut side, 201, &data(3, 101), 1), Delivery::Wait { report: None });
+    assert_eq!(deliver(&mut side, 201, &data(3, 101), 1), Delivery::Wait);
     side.on_answer(210, answer(1));
     let released = side.next_released(210).unwrap();
     assert_eq!(released.waited_ms, 210);
@@ -241,7 +238,8 @@
 fn foreign_service_is_given_back() {
     let mut side = Side::new(SERVICE);
     let ask = Ask { service: OTHER_SERVICE, ..ask(7) };
-    assert_eq!(side.on_packet(0, &opening(1, 0), &[], ask), Delivery::Foreign);
+    let received = side.on_packet(0, &opening(1, 0), &[], ask);
+    assert_eq!(received, Received { delivery: Delivery::Foreign, report: None });
     assert_eq!(side.flow_count(), 0);
 }
 
@@ -254,20 +252,77 @@
     assert!(side.on_answer(2, answer(1)).report.is_none());
 }
 
-/// A request waits here, and its balancer, new to the flow, asks where it lives. Without an answer it
-/// would go on asking all others until the upstream has room. What is not known to be held never waits.
+/// A balancer without memory asks for a flow, and the upstream works on it for as long as it takes. Told
+/// only by its answer, the balancer went on asking others meanwhile; told from what this agent knows, it
+/// has found the flow within one round trip, also while the request waits here. An agent that does not
+/// know the flow leaves it to the upstream.
 #[rstest]
-#[case::known_to_be_held(true)]
-#[case::new_here(false)]
-fn waiting_request_is_reported_if_held(#[case] held: bool) {
-    let mut side = busy_side(0);
+#[case::at_work(0, true, Delivery::Deliver)]
+#[case::waiting(2, true, Delivery::Wait)]
+#[case::new_here(2, false, Delivery::Deliver)]
+fn held_flow_is_reported_at_once(
+    #[case] busy: u16,
+    #[case] held: bool,
+    #[case] expected: Delivery,
+) {
+    let mut side = Side::new(SERVICE);
+    for number in 1..=busy {
+        deliver(&mut side, 0, &data(number, 1), 1);
+    }
     if held {
         hold(&mut side, 0, 3);
     }
     let ask = Ask { report: true, ..ask(1) };
-    let delivery = side.on_packet(2, &data(3, 2), &[], ask);
-    assert_eq!(matches!(delivery, Delivery::Wait { report: Some(_) }), held, "{delivery:?}");
-    assert_eq!(delivery == Delivery::Deliver, !held);
+    let received = side.on_packet(2, &data(3, 2), &[], ask);
+    assert_eq!(received.delivery, expected);
+    assert_eq!(received.report.map(|report| report.balancer), held.then_some(BALANCER));
+    assert!(!held || side.on_answer(60, answer(3)).report.is_none(), "told once");
+}
+
+/// Two upstreams have answered a caller's opening, one after the other was slow to. The caller has taken
+/// the other's number. A balancer without memory asks here first: this upstream, with a flow that is half
+/// open, would take the packet without a word, and the agent must not say that it holds the flow.
+#[rstest]
+#[case::of_this_upstream(1_001, true)]
+#[case::after_an_answer(1_501, true)]
+#[case::of_another(900_000, false)]
+#[case::of_another_before(900, false)]
+fn acknowledged_number_tells_the_holder(#[case] acknowledged: u32, #[case] held: bool) {
+    let mut side = Side::new(SERVICE);
+    deliver(&mut side, 0, &opening(1, 0), 7);
+    side.on_answer(1, Answer { sequence: 1_000, ..accepted(1) });
+    side.on_answer(2, Answer { sequence: 1_001, ..answer(1) });
+    let ask = Ask { report: true, ..ask(7) };
+    let received = side.on_packet(3, &Segment { acknowledged, ..data(1, 1) }, &[], ask);
+    let expected = if held { Delivery::Deliver } else { Delivery::Denied };
+    assert_eq!((received.delivery, received.report.is_some()), (expected, held));
+}
+
+/// The same port opens another flow: numbers of the first one say nothing about it.
+#[test]
+fn reopened_flow_counts_anew() {
+    let mut side = Side::new(SERVICE);
+    for sequence in [1_000, 70_000] {
+        deliver(&mut side, 0, &opening(1, 0), 7);
+        side.on_answer(1, Answer { sequence, ..accepted(1) });
+        let segment = Segment { acknowledged: sequence + 1, ..data(1, 1) };
+        assert_eq!(deliver(&mut side, 2, &segment, 7), Delivery::Deliver);
+    }
+    let segment = Segment { acknowledged: 1_001, ..data(1, 1) };
+    assert_eq!(deliver(&mut side, 3, &segment, 7), Delivery::Denied);
+}
+
+/// An agent restarts while a flow is open and hears the upstream's next packets only. The caller still
+/// acknowledges what was under way before.
+#[rstest]
+#[case::just_before(49_000, true)]
+#[case::of_another(1_000, false)]
+fn restarted_agent_allows_for_what_it_has_not_seen(#[case] acknowledged: u32, #[case] held: bool) {
+    let mut side = Side::new(SERVICE);
+    deliver(&mut side, 0, &data(1, 1), 7);
+    side.on_answer(1, Answer { sequence: 50_000, ..answer(1) });
+    let segment = Segment { acknowledged, ..data(1, 101) };
+    assert_eq!(deliver(&mut side, 2, &segment, 7) == Delivery::Deliver, held);
 }
 
 /// Two answers are lost with the link of the instance. Packets of other flows come all the time, so
@@ -277,10 +332,7 @@
     let mut side = busy_side(0);
     for now_ms in (0..5_000).step_by(10) {
         deliver(&mut side, now_ms, &opening(7, 0), 1);
-        side.on_answer(
-            now_ms,
-            Answer { flow: flow(7), data_bytes: 0, last: false, opening_sequence: None },
-        );
+        side.on_answer(now_ms, accepted(7));
     }
     assert_eq!(side.busy(), 0);
 }
