--- a/crates/fuzzing/src/direct/world/changes.rs
+++ b/crates/fuzzing/src/direct/world/changes.rs
@@ -8,7 +8,8 @@
 use steering::view::{Standing, Upstream as Listed, View};
 
 use super::{
-    BALANCERS, Balancer, CALM_MS, CHANGE_MS, Event, SERVICES, TICK_MS, UPSTREAMS, World, address,
+    BALANCERS, Balancer, CALM_MS, CHANGE_MS, Event, FOREIGN_SERVICE, SERVICES, TICK_MS, UPSTREAMS,
+    World, address,
 };
 use crate::direct::upstream::Upstream;
 use crate::direct::{Change, Mutant, plan};
@@ -121,7 +122,8 @@
         self.boots += 1;
         self.upstreams[upstream].start(self.boots, service);
         self.listed[upstream] = Some(UpstreamRecord {
-            id: format!("u-{:06}", self.boots).into(),
+            id: format!("u-{upstream}").into(),
+            born_ms: self.boots,
             address: address(upstream),
             service: SERVICES[service],
             draining: false,
@@ -188,7 +190,8 @@
             return;
         }
         self.listed[upstream] = Some(UpstreamRecord {
-            id: format!("u-{boot:06}").into(),
+            id: format!("u-{upstream}").into(),
+            born_ms: boot,
             address: address(upstream),
             service: SERVICES[service],
             draining: leaving_ms.is_some(),
@@ -198,6 +201,21 @@
         self.publish();
     }
 
+    /// The entries of upstreams, and for each address one that another writer has put there: it names a
+    /// service that there is not, and must hide nobody.
+    pub(super) fn published(&self) -> Vec<UpstreamRecord> {
+        let foreign = (0..UPSTREAMS).map(|upstream| UpstreamRecord {
+            id: format!("x-{upstream}").into(),
+            born_ms: u64::MAX,
+            address: address(upstream),
+            service: FOREIGN_SERVICE,
+            draining: false,
+            warmup_left_ms: 0,
+            slots: 7,
+        });
+        self.listed.iter().flatten().cloned().chain(foreign).collect()
+    }
+
     /// The list reaches each balancer at another moment.
     pub(super) fn publish(&mut self) {
         for balancer in 0..BALANCERS {
@@ -211,7 +229,7 @@
         if self.balancers[balancer].cut_until_ms > now_ms {
             return;
         }
-        let records: Vec<UpstreamRecord> = self.listed.iter().flatten().cloned().collect();
+        let records = self.published();
         let balancer = &mut self.balancers[balancer];
         balancer.membership.replace(now_ms, &records);
         balancer.membership.expire(now_ms);
--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -23,6 +23,8 @@
 const UPSTREAMS: usize = 7;
 const CALLERS: usize = 24;
 const SERVICES: [ServiceStamp; 2] = [ServiceStamp(1), ServiceStamp(2)];
+/// A service that no configuration names.
+const FOREIGN_SERVICE: ServiceStamp = ServiceStamp(3);
 const TICK_MS: u64 = 20;
 /// Time for which a starting balancer waits for what others know.
 const ASK_OTHERS_MS: u64 = 100;
@@ -161,7 +163,7 @@
             listed: vec![None; UPSTREAMS],
             callers: Vec::new(),
             packets: Vec::new(),
-            routes: Arc::new(RouteTable::new(1, vec![route(0), route(1)])),
+            routes: Arc::new(RouteTable::new(1, vec![route(0), route(1)], [])),
             salt: seed,
             boots: 0,
             ports: 1_024,
@@ -203,8 +205,7 @@
 
     fn blank_balancer(&self) -> Balancer {
         let mut membership = Membership::default();
-        let records: Vec<UpstreamRecord> = self.listed.iter().flatten().cloned().collect();
-        membership.replace(self.now_ms, &records);
+        membership.replace(self.now_ms, &self.published());
         let view = membership.view(Arc::clone(&self.routes));
         Balancer {
             edge: Edge::default(),
--- a/crates/steering/src/edge/loads.rs
+++ b/crates/steering/src/edge/loads.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use crate::flow::Millis;
-use crate::view::Upstream;
+use crate::view::{Upstream, View};
 
 /// After this time a report says nothing about the present load; requests take tens of milliseconds.
 const REPORT_MS: Millis = 500;
@@ -19,6 +19,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Load {
     address: Ipv4Addr,
+    /// The upstream's life: of another one, nothing here is true.
+    born_ms: u64,
     busy: u32,
     placed: u32,
     at_ms: Millis,
@@ -34,8 +36,8 @@
 
 impl LoadTable {
     /// Takes a report: `busy` requests are at work.
-    pub(super) fn report(&mut self, now_ms: Millis, address: Ipv4Addr, busy: u8) {
-        let load = self.entry(address);
+    pub(super) fn report(&mut self, now_ms: Millis, view: &View, address: Ipv4Addr, busy: u8) {
+        let load = self.entry(view, address);
         load.busy = u32::from(busy);
         load.placed = 0;
         load.at_ms = now_ms;
@@ -44,8 +46,8 @@
     }
 
     /// Notes that a flow was placed.
-    pub(super) fn placed(&mut self, now_ms: Millis, address: Ipv4Addr) {
-        let load = self.entry(address);
+    pub(super) fn placed(&mut self, now_ms: Millis, view: &View, address: Ipv4Addr) {
+        let load = self.entry(view, address);
         if now_ms.saturating_sub(load.at_ms) >= REPORT_MS {
             load.busy = 0;
             load.placed = 0;
@@ -55,8 +57,8 @@
     }
 
     /// Notes that an opening stayed unanswered.
-    pub(super) fn silent(&mut self, now_ms: Millis, address: Ipv4Addr) {
-        let load = self.entry(address);
+    pub(super) fn silent(&mut self, now_ms: Millis, view: &View, address: Ipv4Addr) {
+        let load = self.entry(view, address);
         if load.suspect_until_ms > now_ms {
             return;
         }
@@ -65,39 +67,45 @@
     }
 
     /// Whether an upstream is passed over.
-    pub(super) fn is_suspect(&self, now_ms: Millis, address: Ipv4Addr) -> bool {
-        self.find(address).is_some_and(|load| load.suspect_until_ms > now_ms)
+    pub(super) fn is_suspect(&self, now_ms: Millis, upstream: &Upstream) -> bool {
+        self.find(upstream).is_some_and(|load| load.suspect_until_ms > now_ms)
     }
 
     /// Load of an upstream; smaller is better.
     pub(super) fn load(&self, now_ms: Millis, upstream: &Upstream) -> u32 {
         let weight = if upstream.warm_at_ms > now_ms { COLD_WEIGHT } else { WARM_WEIGHT };
-        let load = self.find(upstream.address);
+        let load = self.find(upstream);
         let fresh = load.filter(|load| now_ms.saturating_sub(load.at_ms) < REPORT_MS);
         fresh.map_or(0, |load| load.busy + load.placed) * weight
     }
 
-    fn find(&self, address: Ipv4Addr) -> Option<&Load> {
-        let index = self.loads.binary_search_by_key(&address, |load| load.address).ok()?;
-        Some(&self.loads[index])
+    fn find(&self, upstream: &Upstream) -> Option<&Load> {
+        let key = |load: &Load| load.address;
+        let index = self.loads.binary_search_by_key(&upstream.address, key).ok()?;
+        Some(&self.loads[index]).filter(|load| load.born_ms == upstream.born_ms)
     }
 
-    fn entry(&mut self, address: Ipv4Addr) -> &mut Load {
+    fn entry(&mut self, view: &View, address: Ipv4Addr) -> &mut Load {
+        let born_ms = view.upstream_at(address).map_or(0, |upstream| upstream.born_ms);
+        let blank = Load {
+            address,
+            born_ms,
+            busy: 0,
+            placed: 0,
+            at_ms: 0,
+            suspect_until_ms: 0,
+            suspect_for_ms: 0,
+        };
         let index = match self.loads.binary_search_by_key(&address, |load| load.address) {
             Ok(index) => index,
             Err(index) => {
-                let load = Load {
-                    address,
-                    busy: 0,
-                    placed: 0,
-                    at_ms: 0,
-                    suspect_until_ms: 0,
-                    suspect_for_ms: 0,
-                };
-                self.loads.insert(index, load);
+                self.loads.insert(index, blank);
                 index
             }
         };
+        if self.loads[index].born_ms != born_ms {
+            self.loads[index] = blank;
+        }
         &mut self.loads[index]
     }
 }
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -98,14 +98,14 @@
         }
         match verdict {
             Verdict::Held { busy, opening_sequence } => {
-                self.loads.report(now_ms, from, busy);
+                self.loads.report(now_ms, view, from, busy);
                 self.held(now_ms, from, opening_sequence, segment.flow);
             }
             Verdict::Denied => {
                 self.denied(now_ms, view, from, segment, actions);
             }
             Verdict::Silent { for_ms } => {
-                self.loads.silent(now_ms, from);
+                self.loads.silent(now_ms, view, from);
                 if for_ms >= SILENCE_PROVES_MS || segment.kind != SegmentKind::Later {
                     self.denied(now_ms, view, from, segment, actions);
                 }
@@ -212,7 +212,7 @@
         if !copied {
             entry.await_word(now_ms, to);
         }
-        self.loads.placed(now_ms, to);
+        self.loads.placed(now_ms, view, to);
         let to = Destination::of(view, to, service);
         actions.push(Action::Forward { to, ask: true, reason });
         self.pending.insert(now_ms, segment, bytes);
@@ -224,11 +224,11 @@
         let Some(entry) = self.flows.get(flow) else { return };
         entry.refusable = false;
         if let Some(silent) = entry.target {
-            self.loads.silent(now_ms, silent);
+            self.loads.silent(now_ms, view, silent);
         }
         let Some(to) = place(now_ms, view, service, flow, entry, &self.loads) else { return };
         entry.ask(to);
-        self.loads.placed(now_ms, to);
+        self.loads.placed(now_ms, view, to);
         let to = Destination::of(view, to, service);
         actions.push(Action::Forward { to, ask: true, reason: Reason::Replaced });
     }
@@ -402,7 +402,7 @@
             return;
         };
         entry.ask(to);
-        self.loads.placed(now_ms, to);
+        self.loads.placed(now_ms, view, to);
         let to = Destination::of(view, to, service);
         actions.push(Action::Forward { to, ask: true, reason: Reason::Replaced });
     }
--- a/crates/steering/src/edge/placement.rs
+++ b/crates/steering/src/edge/placement.rs
@@ -40,13 +40,13 @@
     open.sort_by_key(|upstream| {
         (
             entry.has_asked(upstream.address),
-            loads.is_suspect(now_ms, upstream.address),
+            loads.is_suspect(now_ms, upstream),
             Reverse(rank::score(flow, upstream.address)),
         )
     });
     let first = open.first()?;
     let class = |upstream: &Upstream| {
-        (entry.has_asked(upstream.address), loads.is_suspect(now_ms, upstream.address))
+        (entry.has_asked(upstream.address), loads.is_suspect(now_ms, upstream))
     };
     let best = open
         .iter()
--- a/crates/steering/src/membership/mod.rs
+++ b/crates/steering/src/membership/mod.rs
@@ -1,5 +1,6 @@
 //! Which upstreams there are: the published list, read by many hands and at times incomplete.
 
+use std::cmp::Reverse;
 use std::hash::{Hash as _, Hasher as _};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -20,8 +21,11 @@
 /// An entry of the published list.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct UpstreamRecord {
-    /// Name of this life of the upstream.
+    /// Name of the upstream; it may keep it when it starts again.
     pub id: Arc<str>,
+    /// Start of this life of the upstream by its own clock, in milliseconds; zero if it does not say. It
+    /// tells lives of one name apart, and nothing else.
+    pub born_ms: u64,
     /// Address of its instance.
     pub address: Ipv4Addr,
     /// The service that it runs.
@@ -38,12 +42,15 @@
 struct Member {
     id: Arc<str>,
     upstream: Upstream,
+    /// Position among all entries that came.
+    arrival: u64,
 }
 
 /// The list as this process knows it, with the entries that went lately.
 #[derive(Clone, Debug, Default)]
 pub struct Membership {
     members: Vec<Member>,
+    arrivals: u64,
 }
 
 impl Membership {
@@ -60,7 +67,7 @@
         records.iter().for_each(|record| self.insert(now_ms, record));
     }
 
-    /// Takes a new or changed entry.
+    /// Takes a new or changed entry. One of an earlier life than the one that is known is old news.
     pub fn insert(&mut self, now_ms: Millis, record: &UpstreamRecord) {
         let standing = if record.draining { Standing::Draining } else { Standing::Ready };
         let upstream = Upstream {
@@ -69,15 +76,14 @@
             standing,
             warm_at_ms: now_ms + record.warmup_left_ms,
             slots: record.slots,
+            born_ms: record.born_ms,
         };
-        // An address has one user at a time: whoever had it before is gone for certain.
-        self.members
-            .retain(|member| member.id == record.id || member.upstream.address != record.address);
+        self.arrivals += 1;
+        let member = Member { id: Arc::clone(&record.id), upstream, arrival: self.arrivals };
         match self.members.binary_search_by(|member| member.id.cmp(&record.id)) {
-            Ok(index) => self.members[index].upstream = upstream,
-            Err(index) => {
-                self.members.insert(index, Member { id: Arc::clone(&record.id), upstream });
-            }
+            Ok(index) if record.born_ms < self.members[index].upstream.born_ms => {}
+            Ok(index) => self.members[index] = member,
+            Err(index) => self.members.insert(index, member),
         }
     }
 
@@ -103,8 +109,19 @@
     }
 
     /// The upstreams with these routes.
+    ///
+    /// An address has one user at a time: the one that started last, or else came last. An entry of a
+    /// service that the configuration does not name is of another writer; it names no upstream, and must
+    /// not hide the one that has the address.
     pub fn view(&self, routes: Arc<RouteTable>) -> View {
-        View::new(routes, self.members.iter().map(|member| member.upstream).collect())
+        let named = |member: &&Member| routes.names(member.upstream.service);
+        let mut users: Vec<&Member> = self.members.iter().filter(named).collect();
+        users.sort_by_key(|member| {
+            let Upstream { address, born_ms, .. } = member.upstream;
+            (address, Reverse((born_ms, member.arrival)))
+        });
+        users.dedup_by_key(|member| member.upstream.address);
+        View::new(routes, users.into_iter().map(|member| member.upstream).collect())
     }
 
     /// The entries that are listed now, with the time that upstreams are still slow.
@@ -119,6 +136,7 @@
             draining: member.upstream.standing == Standing::Draining,
             warmup_left_ms: member.upstream.warm_at_ms.saturating_sub(now_ms),
             slots: member.upstream.slots,
+            born_ms: member.upstream.born_ms,
         };
         listed.map(record).collect()
     }
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -21,6 +21,9 @@
 const PAUSE_MS: Millis = 80;
 /// Flows remembered at most. An upstream holds 2,000.
 const FLOWS_MAX: usize = 16_384;
+/// An upstream that lives keeps a flow for longer than this after its last packet on it; idle flows are
+/// closed after many seconds.
+const KEEPS_MS: Millis = 1_000;
 /// A flow without packets for this long is forgotten.
 const IDLE_MS: Millis = 20_000;
 /// A request counts as at work for this long at most; answers that were lost must not stay counted.
@@ -127,6 +130,8 @@
     late: bool,
     /// What the upstream has sent on it; nothing if it may not hold it.
     sent: Option<Sent>,
+    /// When it sent the last of it.
+    sent_ms: Option<Millis>,
     /// Number after the last data seen.
     next_sequence: Option<u32>,
     busy_since_ms: Option<Millis>,
@@ -240,9 +245,18 @@
     }
 
     /// Takes note of a packet that the upstream returned: it lives and does not hold the flow.
+    ///
+    /// Failure: the upstream has crashed and started again, under its name or another, while this process
+    /// ran on. Symptom: requests of its earlier life count as at work, and new ones wait beside an idle
+    /// upstream. An upstream keeps a flow that it has just answered; one that returns it has started anew.
     pub fn on_returned(&mut self, now_ms: Millis, flow: FlowKey) {
         self.wake(now_ms);
         self.unanswered = 0;
+        let answered_ms = self.flows.get(&flow).and_then(|flow| flow.sent_ms);
+        if answered_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < KEEPS_MS) {
+            self.flows.clear();
+            self.busy = 0;
+        }
         self.forget(flow);
     }
 
@@ -253,6 +267,7 @@
         let Some(flow) = self.flows.get_mut(&answer.flow) else { return Answered::default() };
         flow.seen_ms = now_ms;
         flow.note_sent(&answer);
+        flow.sent_ms = Some(now_ms);
         let started_ms = if answer.data_bytes > 0 { flow.busy_since_ms.take() } else { None };
         if started_ms.is_some() {
             flow.late = false;
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -60,6 +60,8 @@
     pub warm_at_ms: Millis,
     /// Requests that it works on at a time.
     pub slots: u32,
+    /// Start of its life by its own clock; tells lives apart, and nothing else.
+    pub born_ms: u64,
 }
 
 /// A share of a route's flows.
@@ -86,23 +88,43 @@
     /// Version of the configuration; only grows within a process's life.
     pub version: u64,
     routes: Vec<Route>,
+    services: Arc<[ServiceStamp]>,
     digest: u64,
 }
 
 impl Default for RouteTable {
     fn default() -> Self {
-        Self::new(0, Vec::new())
+        Self::new(0, Vec::new(), [])
     }
 }
 
 impl RouteTable {
-    /// A table of these routes. Of two routes for one endpoint the first is kept.
-    pub fn new(version: u64, mut routes: Vec<Route>) -> Self {
+    /// A table of these routes, and the services that there are. Of two routes for one endpoint the
+    /// first is kept. Services that routes lead to need not be named.
+    pub fn new(
+        version: u64,
+        mut routes: Vec<Route>,
+        services: impl IntoIterator<Item = ServiceStamp>,
+    ) -> Self {
         routes.sort_by_key(|route| route.endpoint);
         routes.dedup_by_key(|route| route.endpoint);
+        let led_to = routes.iter().flat_map(|route| route.shares.iter().map(|share| share.service));
+        let mut services: Vec<ServiceStamp> = services.into_iter().chain(led_to).collect();
+        services.sort_unstable();
+        services.dedup();
         let mut hasher = SipHasher13::new();
-        routes.hash(&mut hasher);
-        Self { version, routes, digest: hasher.finish() }
+        (&routes, &services).hash(&mut hasher);
+        Self { version, routes, services: services.into(), digest: hasher.finish() }
+    }
+
+    /// Whether there is such a service. Before a configuration is known, there may be any.
+    pub fn names(&self, service: ServiceStamp) -> bool {
+        self.version == 0 || self.services.binary_search(&service).is_ok()
+    }
+
+    /// All services, in order.
+    pub fn services(&self) -> &[ServiceStamp] {
+        &self.services
     }
 
     /// The same routes under another version.
--- a/crates/steering/tests/common/mod.rs
+++ b/crates/steering/tests/common/mod.rs
@@ -22,13 +22,13 @@
 
 pub(crate) fn upstream(number: u8, standing: Standing) -> Upstream {
     let address = Ipv4Addr::new(10, 0, 0, number);
-    Upstream { address, service: SERVICE, standing, warm_at_ms: 0, slots: 7 }
+    Upstream { address, service: SERVICE, standing, warm_at_ms: 0, slots: 7, born_ms: 0 }
 }
 
 pub(crate) fn view_of(standings: &[Standing]) -> View {
     let shares = [Share { service: SERVICE, weight: 1 }].into();
     let route = Route { endpoint: flow(1).endpoint, shares };
-    let routes = Arc::new(RouteTable::new(1, vec![route]));
+    let routes = Arc::new(RouteTable::new(1, vec![route], []));
     let numbered = standings.iter().zip(1..);
     View::new(routes, numbered.map(|(standing, number)| upstream(number, *standing)).collect())
 }
--- a/crates/steering/tests/edge_openings.rs
+++ b/crates/steering/tests/edge_openings.rs
@@ -10,7 +10,7 @@
 use rstest::rstest;
 use steering::edge::{Action, Edge, REPEAT_AFTER_MS, Reason, Verdict};
 use steering::flow::{FlowKey, Millis, Segment};
-use steering::view::{Standing, View};
+use steering::view::{Standing, Upstream, View};
 
 /// A balancer that knows an opening, and one that does not, ask the same upstreams first.
 #[test]
@@ -47,6 +47,25 @@
     assert!(actions.iter().all(|action| target(action) != Some(first)));
 }
 
+/// An upstream was silent since it had crashed. It starts again under its name and address, and the list
+/// says so: what was known of its earlier life must not keep new flows from it for seconds.
+#[rstest]
+#[case::same_life(0, false)]
+#[case::started_again(9, true)]
+fn restarted_upstream_gets_flows_at_once(#[case] born_ms: u64, #[case] gets_flows: bool) {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY, READY]));
+    let silent = target(&packet(&mut edge, 0, &view, &opening(1, 0))[0]).unwrap();
+    tick(&mut edge, REPEAT_AFTER_MS, &view);
+    let listed = view.upstreams().iter().map(|upstream| match upstream.address == silent {
+        true => Upstream { born_ms, ..*upstream },
+        false => *upstream,
+    });
+    let view = View::new(view.routes.clone(), listed.collect());
+    let mut targets = (2..30)
+        .map(|number| target(&packet(&mut edge, 70, &view, &opening(number, 0))[0]).unwrap());
+    assert_eq!(targets.any(|to| to == silent), gets_flows);
+}
+
 /// After one opening stayed unanswered, the next flows pass that upstream over for a while.
 #[test]
 fn silent_upstream_is_passed_over() {
--- a/crates/steering/tests/membership.rs
+++ b/crates/steering/tests/membership.rs
@@ -15,6 +15,7 @@
 fn record(id: &str, draining: bool) -> UpstreamRecord {
     UpstreamRecord {
         id: id.into(),
+        born_ms: 0,
         address: ADDRESS,
         service: ServiceStamp(1),
         draining,
@@ -75,6 +76,62 @@
     assert_eq!(view.upstreams()[0].service, ServiceStamp(2));
 }
 
+/// An upstream starts again under its name: it is another one, warms up anew and takes flows at once.
+/// News of its earlier life that come late, by another balancer or a page, change nothing.
+#[rstest]
+#[case::later(8, Standing::Ready, 2_100)]
+#[case::the_same(7, Standing::Ready, 2_100)]
+#[case::earlier(6, Standing::Draining, 500)]
+fn life_under_the_same_name(
+    #[case] born_ms: u64,
+    #[case] standing: Standing,
+    #[case] warm_at_ms: Millis,
+) {
+    let mut membership = Membership::default();
+    let first = UpstreamRecord { born_ms: 7, warmup_left_ms: 500, ..record("a", true) };
+    membership.insert(0, &first);
+    let again = UpstreamRecord { born_ms, warmup_left_ms: 2_000, ..record("a", false) };
+    membership.insert(100, &again);
+    let view = membership.view(Arc::new(RouteTable::default()));
+    let upstream = view.upstreams()[0];
+    assert_eq!((upstream.standing, upstream.warm_at_ms), (standing, warm_at_ms));
+}
+
+/// Another writer names a service that there is not, with the address of an upstream. Taken for the
+/// address's new user, it would hide the upstream, and its callers would find nobody.
+#[rstest]
+#[case::unknown_service(ServiceStamp(9), ServiceStamp(1))]
+#[case::known_service(ServiceStamp(2), ServiceStamp(2))]
+fn entry_of_an_unknown_service_hides_nobody(
+    #[case] service: ServiceStamp,
+    #[case] seen: ServiceStamp,
+) {
+    let mut membership = Membership::default();
+    membership.insert(0, &record("a", false));
+    membership.insert(10, &UpstreamRecord { service, ..record("b", false) });
+    let routes = RouteTable::new(1, Vec::new(), [ServiceStamp(1), ServiceStamp(2)]);
+    let view = membership.view(Arc::new(routes));
+    let services: Vec<ServiceStamp> = view.upstreams().iter().map(|u| u.service).collect();
+    assert_eq!(services, [seen]);
+}
+
+/// A list names the address's users in the order of their names: the one that started last counts.
+#[rstest]
+#[case::first_name_is_newer("a", "b")]
+#[case::last_name_is_newer("b", "a")]
+fn newer_life_has_the_address(#[case] newer: &str, #[case] older: &str) {
+    let mut records = [
+        UpstreamRecord { born_ms: 9, service: ServiceStamp(2), ..record(newer, false) },
+        UpstreamRecord { born_ms: 5, ..record(older, false) },
+    ];
+    records.sort_by_key(|record| Arc::clone(&record.id));
+    let mut membership = Membership::default();
+    membership.replace(0, &records);
+    let view = membership.view(Arc::new(RouteTable::default()));
+    assert_eq!(view.upstreams().len(), 1);
+    assert_eq!(view.upstreams()[0].service, ServiceStamp(2));
+}
+
 #[rstest]
 #[case::same("a", 900, false, true)]
 #[case::another("b", 0, false, false)]
--- a/crates/steering/tests/side.rs
+++ b/crates/steering/tests/side.rs
@@ -325,6 +325,24 @@
     assert_eq!(deliver(&mut side, 2, &segment, 7) == Delivery::Deliver, held);
 }
 
+/// The upstream crashes with two requests at work and starts again within a second, under its name. Its
+/// agent ran on: what was at work before must not keep the next request waiting beside an idle upstream.
+/// A flow that the upstream closed since it was idle says nothing of the kind.
+#[rstest]
+#[case::started_again(500, 0)]
+#[case::closed_an_idle_flow(2_500, 2)]
+fn restarted_upstream_has_nothing_at_work(#[case] returned_ms: Millis, #[case] busy: u32) {
+    let mut side = Side::new(SERVICE);
+    hold(&mut side, 0, 3);
+    let mut side_of = |number| {
+        hold(&mut side, returned_ms - 100, number);
+        deliver(&mut side, returned_ms - 100, &data(number, 1), 7);
+    };
+    [1, 2].into_iter().for_each(&mut side_of);
+    side.on_returned(returned_ms, flow(3));
+    assert_eq!(side.busy(), busy);
+}
+
 /// Two answers are lost with the link of the instance. Packets of other flows come all the time, so
 /// the process never sleeps; the two requests must not count as at work forever.
 #[test]
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -17,6 +17,8 @@
 const ROUTES_MAX: usize = 16_384;
 /// Most upstreams of a view.
 const UPSTREAMS_MAX: usize = 65_536;
+/// Most services of a view.
+const SERVICES_MAX: usize = 16_384;
 /// Most shares of a route.
 const SHARES_MAX: usize = 64;
 
@@ -89,7 +91,12 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct RoutesBody(#[serde(deserialize_with = "route_list")] Vec<RouteBody>);
+struct RoutesBody {
+    #[serde(deserialize_with = "route_list")]
+    routes: Vec<RouteBody>,
+    #[serde(deserialize_with = "service_list")]
+    services: Vec<u32>,
+}
 
 #[derive(Serialize, Deserialize)]
 struct RouteBody {
@@ -102,6 +109,7 @@
 #[derive(Serialize, Deserialize)]
 struct UpstreamBody {
     id: Arc<str>,
+    born_ms: u64,
     address: u32,
     service: u32,
     draining: bool,
@@ -119,6 +127,10 @@
     bounded::list::<D, RouteBody, ROUTES_MAX>(deserializer)
 }
 
+fn service_list<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<u32>, D::Error> {
+    bounded::list::<D, u32, SERVICES_MAX>(deserializer)
+}
+
 fn upstream_list<'de, D: serde::Deserializer<'de>>(
     deserializer: D,
 ) -> Result<Vec<UpstreamBody>, D::Error> {
@@ -192,6 +204,7 @@
     };
     let upstream = |record: &UpstreamRecord| UpstreamBody {
         id: Arc::clone(&record.id),
+        born_ms: record.born_ms,
         address: record.address.to_bits(),
         service: record.service.0,
         draining: record.draining,
@@ -202,10 +215,10 @@
         revision: view.revision,
         whole_in_ms: view.whole_in_ms,
         version: view.routes_version,
-        routes: view
-            .routes
-            .as_ref()
-            .map(|routes| RoutesBody(routes.routes().iter().map(route).collect())),
+        routes: view.routes.as_ref().map(|table| RoutesBody {
+            routes: table.routes().iter().map(route).collect(),
+            services: table.services().iter().map(|service| service.0).collect(),
+        }),
         upstreams: view.upstreams.iter().map(upstream).collect(),
     };
     rmp_serde::to_vec(&body).expect("plain structs always encode")
@@ -221,14 +234,17 @@
     };
     let upstream = |body: UpstreamBody| UpstreamRecord {
         id: body.id,
+        born_ms: body.born_ms,
         address: Ipv4Addr::from_bits(body.address),
         service: ServiceStamp(body.service),
         draining: body.draining,
         warmup_left_ms: body.warmup_left_ms,
         slots: body.slots,
     };
-    let table = |RoutesBody(routes)| {
-        Arc::new(RouteTable::new(body.version, routes.into_iter().map(route).collect()))
+    let table = |RoutesBody { routes, services }| {
+        let routes = routes.into_iter().map(route).collect();
+        let services = services.into_iter().map(ServiceStamp);
+        Arc::new(RouteTable::new(body.version, routes, services))
     };
     Some(ViewContents {
         revision: body.revision,
--- a/crates/wire/tests/peers.rs
+++ b/crates/wire/tests/peers.rs
@@ -21,10 +21,11 @@
     ViewContents {
         revision: 9,
         whole_in_ms: 2_000,
-        routes: routes.then(|| Arc::new(RouteTable::new(7, vec![route]))),
+        routes: routes.then(|| Arc::new(RouteTable::new(7, vec![route], [ServiceStamp(9)]))),
         routes_version: 7,
         upstreams: vec![UpstreamRecord {
             id: "i-7f3a91c2".into(),
+            born_ms: 1_770_000_000_123,
             address: Ipv4Addr::new(10, 1, 0, 12),
             service: ServiceStamp(5),
             draining: true,
