Take no openings under way for silence when requests wait

Two openings without an answer were enough for the agent to let everything go, however short the time; after an outage they come several in a millisecond. Ruled out: slots told wrongly, requests past the queue's end (never 64 waited), overdue ones (0.7 s were not over). Tests, failing before: openings_under_way_are_no_silence (several_at_once), restarted_upstream_has_nothing_at_work (opened_elsewhere).

--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -130,8 +130,8 @@
     late: bool,
     /// What the upstream has sent on it; nothing if it may not hold it.
     sent: Option<Sent>,
-    /// When it sent the last of it.
-    sent_ms: Option<Millis>,
+    /// When it last answered a request on it.
+    answered_ms: Option<Millis>,
     /// Number after the last data seen.
     next_sequence: Option<u32>,
     busy_since_ms: Option<Millis>,
@@ -220,7 +220,7 @@
 
     /// Packets of the request that may go to the upstream now, if one may.
     pub fn next_released(&mut self, now_ms: Millis) -> Option<Released> {
-        let waiting = if self.unanswered >= SILENT_OPENINGS {
+        let waiting = if self.silent_for(now_ms).is_some() {
             // What is silent frees no slot: the packets go on, so that the balancers learn of it.
             self.queue.take_any()
         } else if self.has_slot() {
@@ -248,11 +248,12 @@
     ///
     /// Failure: the upstream has crashed and started again, under its name or another, while this process
     /// ran on. Symptom: requests of its earlier life count as at work, and new ones wait beside an idle
-    /// upstream. An upstream keeps a flow that it has just answered; one that returns it has started anew.
+    /// upstream. An upstream keeps a flow whose request it has just answered; one that returns it has started
+    /// anew. An answer to an opening says less: the flow may have been opened at another upstream.
     pub fn on_returned(&mut self, now_ms: Millis, flow: FlowKey) {
         self.wake(now_ms);
         self.unanswered = 0;
-        let answered_ms = self.flows.get(&flow).and_then(|flow| flow.sent_ms);
+        let answered_ms = self.flows.get(&flow).and_then(|flow| flow.answered_ms);
         if answered_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < KEEPS_MS) {
             self.flows.clear();
             self.busy = 0;
@@ -267,7 +268,9 @@
         let Some(flow) = self.flows.get_mut(&answer.flow) else { return Answered::default() };
         flow.seen_ms = now_ms;
         flow.note_sent(&answer);
-        flow.sent_ms = Some(now_ms);
+        if answer.data_bytes > 0 {
+            flow.answered_ms = Some(now_ms);
+        }
         let started_ms = if answer.data_bytes > 0 { flow.busy_since_ms.take() } else { None };
         if started_ms.is_some() {
             flow.late = false;
@@ -341,6 +344,10 @@
             self.unanswered_since_ms = now_ms;
         }
         self.unanswered = self.unanswered.saturating_add(u32::from(opening));
+        self.silent_for(now_ms)
+    }
+
+    fn silent_for(&self, now_ms: Millis) -> Option<Millis> {
         let for_ms = now_ms.saturating_sub(self.unanswered_since_ms);
         (self.unanswered >= SILENT_OPENINGS && for_ms >= SILENT_MS).then_some(for_ms)
     }
--- a/crates/steering/tests/side.rs
+++ b/crates/steering/tests/side.rs
@@ -154,6 +154,28 @@
     assert_eq!(deliver(&mut side, 4, &last, SLOTS), Delivery::Wait);
 }
 
+/// After an outage, openings come several at a time. Three that have no answer yet in the same millisecond
+/// are no silence: taken for one, they let go of everything that waited, sixteen requests at once, and the
+/// upstream's own queue delayed all that came after. What is silent for long lets go, so that balancers
+/// learn of it.
+#[rstest]
+#[case::several_at_once(10, 10, false)]
+#[case::silent(10, 120, true)]
+fn openings_under_way_are_no_silence(
+    #[case] opened_ms: Millis,
+    #[case] at_ms: Millis,
+    #[case] released: bool,
+) {
+    let mut side = busy_side(0);
+    hold(&mut side, 0, 3);
+    assert_eq!(deliver(&mut side, 1, &data(3, 1), 1), Delivery::Wait);
+    for number in [4, 5, 6] {
+        deliver(&mut side, opened_ms, &opening(number, 0), 1);
+    }
+    (opened_ms..at_ms).step_by(40).for_each(|tick_ms| side.on_tick(tick_ms));
+    assert_eq!(side.next_released(at_ms).is_some(), released);
+}
+
 /// The caller repeats a request while it waits here: the upstream must get it once.
 #[test]
 fn repeated_data_while_waiting_is_kept_once() {
@@ -327,13 +349,23 @@
 
 /// The upstream crashes with two requests at work and starts again within a second, under its name. Its
 /// agent ran on: what was at work before must not keep the next request waiting beside an idle upstream.
-/// A flow that the upstream closed since it was idle says nothing of the kind.
+/// A flow that the upstream closed since it was idle says nothing of the kind, nor does one whose opening
+/// it answered beside another upstream, which holds it.
 #[rstest]
-#[case::started_again(500, 0)]
-#[case::closed_an_idle_flow(2_500, 2)]
-fn restarted_upstream_has_nothing_at_work(#[case] returned_ms: Millis, #[case] busy: u32) {
+#[case::started_again(500, true, 0)]
+#[case::closed_an_idle_flow(2_500, true, 2)]
+#[case::opened_elsewhere(500, false, 2)]
+fn restarted_upstream_has_nothing_at_work(
+    #[case] returned_ms: Millis,
+    #[case] answered: bool,
+    #[case] busy: u32,
+) {
     let mut side = Side::new(SERVICE);
     hold(&mut side, 0, 3);
+    if answered {
+        deliver(&mut side, 0, &data(3, 1), 7);
+        side.on_answer(1, answer(3));
+    }
     let mut side_of = |number| {
         hold(&mut side, returned_ms - 100, number);
         deliver(&mut side, returned_ms - 100, &data(number, 1), 7);
