Order what waits by the route's SLO and the usual work, and hand nothing on for having waited

The 150 ms after which a request counted as late, and the second copy of its opening, were figures of the first two customers. Change: a request waits until there is a slot, its caller gives up, or 6 s are over. Room for 256 requests, so that none goes past the queue.

--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -149,6 +149,7 @@
         let route = |service: usize| Route {
             endpoint: endpoint(service),
             shares: [Share { service: SERVICES[service], weight: 1 }].into(),
+            slo_ms: 0,
         };
         let mut world = Self {
             outcome: Outcome::default(),
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -199,7 +199,7 @@
         }
         let copied = entry.target.is_some();
         if let (Some(to), true) = (entry.target, entry.confirmed) {
-            let to = Destination::of(view, to, service);
+            let to = Destination::of(view, segment.flow, to, service);
             actions.push(Action::Forward { to, ask: true, reason: Reason::Known });
             return;
         }
@@ -213,7 +213,7 @@
             entry.await_word(now_ms, to);
         }
         self.loads.placed(now_ms, view, to);
-        let to = Destination::of(view, to, service);
+        let to = Destination::of(view, segment.flow, to, service);
         actions.push(Action::Forward { to, ask: true, reason });
         self.pending.insert(now_ms, segment, bytes);
     }
@@ -229,7 +229,7 @@
         let Some(to) = place(now_ms, view, service, flow, entry, &self.loads) else { return };
         entry.ask(to);
         self.loads.placed(now_ms, view, to);
-        let to = Destination::of(view, to, service);
+        let to = Destination::of(view, flow, to, service);
         actions.push(Action::Forward { to, ask: true, reason: Reason::Replaced });
     }
 
@@ -252,10 +252,11 @@
         }
         entry.ask(target);
         if let Some(upstream) = view.upstream_at(target) {
-            let to = Destination::of(view, target, upstream.service);
+            let to = Destination::of(view, due.segment.flow, target, upstream.service);
             actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
         }
-        self.tally.copies += fan_out(view, &candidates, entry, &mut self.budget, actions);
+        self.tally.copies +=
+            fan_out(view, due.segment.flow, &candidates, entry, &mut self.budget, actions);
     }
 
     fn give_up(
@@ -311,11 +312,12 @@
         let ask = !entry.confirmed || repeated;
         let reason = if entry.confirmed { Reason::Known } else { Reason::Asked };
         entry.ask(to);
-        let to = Destination::of(view, to, service);
+        let to = Destination::of(view, segment.flow, to, service);
         actions.push(Action::Forward { to, ask, reason });
         // Copies of a known flow's packets would find nothing: its upstream is slow, or dead with it.
         if repeated && !entry.confirmed && self.lag.value_ms(now_ms) < BEHIND_MS {
-            self.tally.copies += fan_out(view, &candidates, entry, &mut self.budget, actions);
+            self.tally.copies +=
+                fan_out(view, segment.flow, &candidates, entry, &mut self.budget, actions);
         }
         // An upstream that holds the flow answers data sooner or later, and says nothing to the rest.
         if !entry.confirmed && segment.data_bytes > 0 {
@@ -403,7 +405,7 @@
         };
         entry.ask(to);
         self.loads.placed(now_ms, view, to);
-        let to = Destination::of(view, to, service);
+        let to = Destination::of(view, flow, to, service);
         actions.push(Action::Forward { to, ask: true, reason: Reason::Replaced });
     }
 
@@ -428,7 +430,7 @@
                 && let Some(upstream) = view.upstream_at(to)
             {
                 let (ask, reason) = (!entry.confirmed, Reason::Asked);
-                let to = Destination::of(view, to, upstream.service);
+                let to = Destination::of(view, flow, to, upstream.service);
                 actions.push(Action::Forward { to, ask, reason });
             }
             return;
@@ -439,7 +441,7 @@
             return;
         };
         entry.ask(next.address);
-        let to = Destination::of(view, next.address, next.service);
+        let to = Destination::of(view, flow, next.address, next.service);
         actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
     }
 }
--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -53,6 +53,7 @@
 /// may be wrong. Which of them are asked changes from time to time. Returns the number of copies.
 pub(super) fn fan_out(
     view: &View,
+    flow: FlowKey,
     candidates: &[Upstream],
     entry: &mut Entry,
     budget: &mut Budget,
@@ -68,7 +69,7 @@
     let copies = (0..FAN_OUT.min(others.len())).take_while(|_| budget.spend()).count();
     for Upstream { address, service, .. } in others.iter().cycle().skip(skip).take(copies) {
         entry.note_copy(*address);
-        let to = Destination::of(view, *address, *service);
+        let to = Destination::of(view, flow, *address, *service);
         actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
     }
     copies as u64
--- a/crates/steering/src/edge/types.rs
+++ b/crates/steering/src/edge/types.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use crate::flow::Millis;
+use crate::flow::{FlowKey, Millis};
 use crate::view::{ServiceStamp, View};
 
 /// A view that nobody has confirmed for this long proves nothing by what it lacks: this balancer may
@@ -85,12 +85,15 @@
     pub service: ServiceStamp,
     /// Requests that the upstream works on at a time; zero if not known.
     pub slots: u8,
+    /// Time within which the flow's caller wants an answer; zero if not known.
+    pub slo_ms: u32,
 }
 
 impl Destination {
-    pub(super) fn of(view: &View, address: Ipv4Addr, service: ServiceStamp) -> Self {
+    pub(super) fn of(view: &View, flow: FlowKey, address: Ipv4Addr, service: ServiceStamp) -> Self {
         let slots = view.upstream_at(address).map_or(0, |upstream| upstream.slots);
-        Self { address, service, slots: u8::try_from(slots).unwrap_or(u8::MAX) }
+        let slo_ms = view.routes.find(flow.endpoint).map_or(0, |route| route.slo_ms);
+        Self { address, service, slots: u8::try_from(slots).unwrap_or(u8::MAX), slo_ms }
     }
 }
 
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -2,6 +2,7 @@
 
 mod pace;
 mod queue;
+mod work;
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
@@ -10,6 +11,7 @@
 use crate::view::ServiceStamp;
 pub use pace::{Pace, PaceChange};
 use queue::Queue;
+use work::Work;
 
 /// An upstream that has left packets unanswered for this long, without any packet of its own, counts
 /// as silent. It answers or returns a packet within a millisecond when it lives.
@@ -37,8 +39,12 @@
 const FULL_BYTES: u16 = 1_200;
 /// Bytes that may be under way to a caller: 16 packets, and one that ends the flow.
 const UNDER_WAY_BYTES: u32 = 16 * 1_200 + 1;
-/// From this copy of an opening on, 600 ms have passed, and the flow's first request is late.
-const LATE_COPY: u32 = 2;
+/// When callers send their openings: the first one, and its copies.
+const OPENINGS_MS: [Millis; 3] = [0, 200, 600];
+/// Time that callers give an answer where nobody says so: the shortest that is known of any.
+const SLO_DEFAULT_MS: Millis = 150;
+/// The way of an answer to its caller.
+const WAY_MS: Millis = 3;
 
 /// What a balancer asks of a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +55,8 @@
     pub service: ServiceStamp,
     /// Requests that the upstream works on at a time; zero if the balancer does not know.
     pub slots: u8,
+    /// Time within which the caller wants an answer; zero if the balancer does not know.
+    pub slo_ms: u32,
     /// Whether the balancer wants to know when the upstream answers.
     pub report: bool,
 }
@@ -127,7 +135,8 @@
 #[derive(Debug, Default)]
 struct Flow {
     report_to: Option<Ipv4Addr>,
-    late: bool,
+    /// Its opening, until the first request on it is answered.
+    opening: Option<Opening>,
     /// What the upstream has sent on it; nothing if it may not hold it.
     sent: Option<Sent>,
     /// When it last answered a request on it.
@@ -143,6 +152,7 @@
     service: ServiceStamp,
     flows: HashMap<FlowKey, Flow>,
     queue: Queue,
+    work: Work,
     slots: u8,
     busy: u32,
     unanswered: u32,
@@ -158,6 +168,7 @@
             service,
             flows: HashMap::new(),
             queue: Queue::default(),
+            work: Work::default(),
             slots: 0,
             busy: 0,
             unanswered: 0,
@@ -188,18 +199,24 @@
             return Received { delivery: Delivery::Denied, report: None };
         }
         self.note_packet(now_ms, segment, ask);
-        let delivery = self.deliver(now_ms, segment, bytes);
+        let delivery = self.deliver(now_ms, segment, bytes, ask.slo_ms);
         let silent = matches!(delivery, Delivery::DeliverSilent { .. });
         let report = if held.is_some() && !silent { self.take_report(segment.flow) } else { None };
         Received { delivery, report }
     }
 
-    fn deliver(&mut self, now_ms: Millis, segment: &Segment, bytes: &[u8]) -> Delivery {
+    fn deliver(
+        &mut self,
+        now_ms: Millis,
+        segment: &Segment,
+        bytes: &[u8],
+        slo_ms: u32,
+    ) -> Delivery {
         if let Some(for_ms) = self.silence(now_ms, segment.kind) {
             self.start(now_ms, segment);
             return Delivery::DeliverSilent { for_ms };
         }
-        if self.must_wait(now_ms, segment, bytes) {
+        if self.must_wait(now_ms, segment, bytes, slo_ms) {
             return Delivery::Wait;
         }
         self.start(now_ms, segment);
@@ -222,12 +239,12 @@
     pub fn next_released(&mut self, now_ms: Millis) -> Option<Released> {
         let waiting = if self.silent_for(now_ms).is_some() {
             // What is silent frees no slot: the packets go on, so that the balancers learn of it.
-            self.queue.take_any()
+            self.queue.take_any()?
         } else if self.has_slot() {
-            self.queue.take_next(now_ms)
+            self.queue.take_next(now_ms)?
         } else {
-            self.queue.take_overdue(now_ms)
-        }?;
+            return None;
+        };
         if let Some(flow) = self.flows.get_mut(&waiting.flow) {
             flow.next_sequence = Some(waiting.next_sequence);
             if flow.busy_since_ms.replace(now_ms).is_none() {
@@ -272,8 +289,11 @@
             flow.answered_ms = Some(now_ms);
         }
         let started_ms = if answer.data_bytes > 0 { flow.busy_since_ms.take() } else { None };
+        if let Some(started_ms) = started_ms {
+            self.work.take(now_ms.saturating_sub(started_ms));
+        }
         if started_ms.is_some() {
-            flow.late = false;
+            flow.opening = None;
             self.busy = self.busy.saturating_sub(1);
         }
         let balancer = flow.report_to.take();
@@ -327,6 +347,7 @@
     /// waiting beside an idle upstream.
     fn sweep(&mut self, now_ms: Millis) {
         self.swept_ms = now_ms;
+        self.queue.sweep(now_ms);
         self.flows.retain(|_, flow| now_ms.saturating_sub(flow.seen_ms) < IDLE_MS);
         for flow in self.flows.values_mut() {
             if flow.busy_since_ms.is_some_and(|since| now_ms.saturating_sub(since) >= BUSY_MS) {
@@ -364,7 +385,8 @@
         }
         match segment.kind {
             SegmentKind::Opening { copy } => {
-                flow.late = copy >= LATE_COPY;
+                let opening = Opening { seen_ms: now_ms, age_ms: opening_age_ms(copy) };
+                flow.opening.get_or_insert(opening);
                 flow.next_sequence = None;
             }
             SegmentKind::Later => {}
@@ -375,7 +397,7 @@
     }
 
     /// Whether data has to wait; if so, it was put into the queue.
-    fn must_wait(&mut self, now_ms: Millis, segment: &Segment, bytes: &[u8]) -> bool {
+    fn must_wait(&mut self, now_ms: Millis, segment: &Segment, bytes: &[u8], slo_ms: u32) -> bool {
         if !is_request_data(segment) {
             return false;
         }
@@ -393,8 +415,12 @@
         if at_work || self.has_slot() || !self.queue.has_room() {
             return false;
         }
-        let late = flow.is_some_and(|flow| flow.late);
-        self.queue.push(now_ms, segment, bytes, late);
+        let opening = flow.and_then(|flow| flow.opening);
+        let spent_ms = opening.map_or(0, |opening| opening.spent_ms(now_ms));
+        let slo_ms = if slo_ms == 0 { SLO_DEFAULT_MS } else { Millis::from(slo_ms) };
+        let needed_ms = self.work.usual_ms() + WAY_MS + spent_ms;
+        let start_by_ms = slo_ms.checked_sub(needed_ms).map(|left_ms| now_ms + left_ms);
+        self.queue.push(now_ms, segment, bytes, start_by_ms);
         true
     }
 
@@ -432,6 +458,20 @@
     }
 }
 
+/// An opening that tells when its caller began.
+#[derive(Clone, Copy, Debug)]
+struct Opening {
+    seen_ms: Millis,
+    /// How old it was when it was seen: this process may have started after the caller began.
+    age_ms: Millis,
+}
+
+impl Opening {
+    fn spent_ms(self, now_ms: Millis) -> Millis {
+        now_ms.saturating_sub(self.seen_ms) + self.age_ms
+    }
+}
+
 /// Numbers of what an upstream has sent on a flow.
 #[derive(Clone, Copy, Debug)]
 struct Sent {
@@ -474,6 +514,12 @@
     }
 }
 
+/// How long ago a caller has sent the first of its openings, going by the copy that has come.
+fn opening_age_ms(copy: u32) -> Millis {
+    let last = OPENINGS_MS.len() - 1;
+    OPENINGS_MS[usize::try_from(copy).map_or(last, |copy| copy.min(last))]
+}
+
 fn is_request_data(segment: &Segment) -> bool {
     let ends_request = (1..FULL_BYTES).contains(&segment.data_bytes);
     ends_request && segment.kind == SegmentKind::Later
--- a/crates/steering/src/side/queue.rs
+++ b/crates/steering/src/side/queue.rs
@@ -1,19 +1,19 @@
 //! Requests that wait beside a busy upstream.
 //!
-//! An upstream works off its own queue in the order of arrival. After an outage, that queue is full
-//! of requests that are late already, and every new one becomes late behind them. Here the newest
-//! goes first while it can still be on time; those that are late follow when there is room.
+//! Load pattern: after an outage, all callers come at once, to upstreams that are cold. An upstream works
+//! off its own queue in the order of arrival; full of requests that are late already, it makes every new
+//! one late too. So it gets no more than it has slots for, and of those that wait the newest goes first
+//! while it can be on time, going by what its callers expect and by how long works take; those that
+//! are late follow, oldest first, when there is room. None is handed on for having waited long: it
+//! would delay the others, and its caller says when it gives up.
 
 use crate::flow::{FlowKey, Millis, Segment};
 
-/// A request that has waited for this long is late whatever happens: callers expect most answers
-/// within 200 to 300 ms, and the work itself takes 40 to 70 ms.
-const HOPEFUL_MS: Millis = 150;
-/// Longest wait. Then the upstream's own queue takes the request or sheds it, so that its caller
-/// learns early enough to ask elsewhere.
-const WAIT_MAX_MS: Millis = 700;
 /// Requests that wait at most; further ones go straight to the upstream's own queue.
-const REQUESTS_MAX: usize = 64;
+const REQUESTS_MAX: usize = 256;
+/// A caller that has waited for this long has given up, and its word of it was lost: the longest time
+/// that callers of any route take is six seconds.
+const GIVEN_UP_MS: Millis = 6_000;
 /// Packets of one request kept at most; a caller has no more in flight.
 const PACKETS_MAX: usize = 16;
 
@@ -25,7 +25,8 @@
     /// Number after the last data.
     pub(super) next_sequence: u32,
     since_ms: Millis,
-    late: bool,
+    /// Started later, it is late; `None` if it is late whatever happens.
+    start_by_ms: Option<Millis>,
 }
 
 impl Waiting {
@@ -47,14 +48,20 @@
         self.requests.len() < REQUESTS_MAX
     }
 
-    /// Adds a request; `late` if it is known to be late already.
-    pub(super) fn push(&mut self, now_ms: Millis, segment: &Segment, packet: &[u8], late: bool) {
+    /// Adds a request that is late if it starts later than at `start_by_ms`.
+    pub(super) fn push(
+        &mut self,
+        now_ms: Millis,
+        segment: &Segment,
+        packet: &[u8],
+        start_by_ms: Option<Millis>,
+    ) {
         self.requests.push(Waiting {
             flow: segment.flow,
             packets: vec![packet.into()],
             next_sequence: segment.next_sequence(),
             since_ms: now_ms,
-            late,
+            start_by_ms,
         });
     }
 
@@ -73,16 +80,9 @@
         true
     }
 
-    /// Takes the next request that has waited too long, if any.
-    pub(super) fn take_overdue(&mut self, now_ms: Millis) -> Option<Waiting> {
-        let index =
-            self.requests.iter().position(|waiting| waiting.waited_ms(now_ms) >= WAIT_MAX_MS)?;
-        Some(self.requests.remove(index))
-    }
-
     /// Takes the request to be worked on next: the newest that can be on time, else the oldest.
     pub(super) fn take_next(&mut self, now_ms: Millis) -> Option<Waiting> {
-        let hopeful = |waiting: &Waiting| !waiting.late && waiting.waited_ms(now_ms) < HOPEFUL_MS;
+        let hopeful = |waiting: &Waiting| waiting.start_by_ms.is_some_and(|by_ms| now_ms <= by_ms);
         let newest = self.requests.iter().rposition(hopeful);
         let index = newest.or_else(|| (!self.requests.is_empty()).then_some(0))?;
         Some(self.requests.remove(index))
@@ -93,6 +93,11 @@
         (!self.requests.is_empty()).then(|| self.requests.remove(0))
     }
 
+    /// Forgets the requests whose callers must have given up.
+    pub(super) fn sweep(&mut self, now_ms: Millis) {
+        self.requests.retain(|waiting| waiting.waited_ms(now_ms) < GIVEN_UP_MS);
+    }
+
     /// Forgets the request of a flow whose caller has given up.
     pub(super) fn forget(&mut self, flow: FlowKey) {
         self.requests.retain(|waiting| waiting.flow != flow);
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -80,6 +80,8 @@
     pub endpoint: SocketAddrV4,
     /// One or more shares.
     pub shares: Arc<[Share]>,
+    /// Time within which callers want their answers; zero if not known.
+    pub slo_ms: u32,
 }
 
 /// Routes of one configuration version.
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -104,6 +104,7 @@
     port: u16,
     #[serde(deserialize_with = "share_list")]
     shares: Vec<(u32, u32)>,
+    slo_ms: u32,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -201,6 +202,7 @@
         address: route.endpoint.ip().to_bits(),
         port: route.endpoint.port(),
         shares: route.shares.iter().map(|share| (share.service.0, share.weight)).collect(),
+        slo_ms: route.slo_ms,
     };
     let upstream = |record: &UpstreamRecord| UpstreamBody {
         id: Arc::clone(&record.id),
@@ -231,6 +233,7 @@
     let route = |route: RouteBody| Route {
         endpoint: SocketAddrV4::new(Ipv4Addr::from_bits(route.address), route.port),
         shares: route.shares.into_iter().map(share).collect(),
+        slo_ms: route.slo_ms,
     };
     let upstream = |body: UpstreamBody| UpstreamRecord {
         id: body.id,
