Give each mechanism a name that switches it off, and a tool that plays without it

Cause: what each decision is worth could be said of some trials only, each a patch of the code. No change of behaviour with everything on.

--- a/crates/steering/src/edge/loads.rs
+++ b/crates/steering/src/edge/loads.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 
 use crate::flow::Millis;
+use crate::policy::Policy;
 use crate::view::{Upstream, View};
 
 /// After this time a report says nothing about the present load; requests take tens of milliseconds.
@@ -32,9 +33,15 @@
 #[derive(Default)]
 pub(super) struct LoadTable {
     loads: Vec<Load>,
+    policy: Policy,
 }
 
 impl LoadTable {
+    /// Nothing is known of any upstream.
+    pub(super) fn with(policy: Policy) -> Self {
+        Self { loads: Vec::new(), policy }
+    }
+
     /// Takes a report: `busy` requests are at work.
     pub(super) fn report(&mut self, now_ms: Millis, view: &View, address: Ipv4Addr, busy: u8) {
         let load = self.entry(view, address);
@@ -68,7 +75,8 @@
 
     /// Whether an upstream is passed over.
     pub(super) fn is_suspect(&self, now_ms: Millis, upstream: &Upstream) -> bool {
-        self.find(upstream).is_some_and(|load| load.suspect_until_ms > now_ms)
+        self.policy.suspicion
+            && self.find(upstream).is_some_and(|load| load.suspect_until_ms > now_ms)
     }
 
     /// Load of an upstream; smaller is better.
@@ -76,6 +84,7 @@
         let weight = if upstream.warm_at_ms > now_ms { COLD_WEIGHT } else { WARM_WEIGHT };
         let load = self.find(upstream);
         let fresh = load.filter(|load| now_ms.saturating_sub(load.at_ms) < REPORT_MS);
+        let weight = if self.policy.load { weight } else { 0 };
         fresh.map_or(0, |load| load.busy + load.placed) * weight
     }
 
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -18,6 +18,7 @@
 use std::sync::Arc;
 
 use crate::flow::{FlowKey, Millis, Segment, SegmentKind};
+use crate::policy::Policy;
 use crate::view::{Upstream, View};
 
 use budget::Budget;
@@ -46,6 +47,7 @@
 /// The state of a balancer.
 #[derive(Default)]
 pub struct Edge {
+    policy: Policy,
     flows: FlowTable,
     loads: LoadTable,
     pending: PendingTable,
@@ -58,6 +60,16 @@
 }
 
 impl Edge {
+    /// A balancer with this policy.
+    pub fn with(policy: Policy) -> Self {
+        Self {
+            policy,
+            loads: LoadTable::with(policy),
+            budget: Budget::with(policy),
+            ..Self::default()
+        }
+    }
+
     /// Decides about a packet of a caller; `bytes` is the packet itself.
     pub fn on_packet(
         &mut self,
@@ -117,7 +129,8 @@
     /// Each action goes with the packet that it is about.
     pub fn on_tick(&mut self, now_ms: Millis, view: &View, actions: &mut Vec<(Arc<[u8]>, Action)>) {
         self.wake(now_ms);
-        let due = if self.is_behind(now_ms) { Vec::new() } else { self.pending.take_due(now_ms) };
+        let repeats = self.policy.repeats && !self.is_behind(now_ms);
+        let due = if repeats { self.pending.take_due(now_ms) } else { Vec::new() };
         for due in due {
             if !self.budget.spend() {
                 self.tally.spared += 1;
@@ -160,7 +173,7 @@
     /// answers to all these packets make the backlog longer. Repeating nothing until words come soon
     /// again is enough: callers repeat by themselves, and seldom.
     fn is_behind(&mut self, now_ms: Millis) -> bool {
-        self.lag.value_ms(now_ms) >= BEHIND_MS
+        self.policy.lag && self.lag.value_ms(now_ms) >= BEHIND_MS
     }
 
     /// How far this process is behind the packets that come to it.
@@ -255,8 +268,10 @@
             let to = Destination::of(view, due.segment.flow, target, upstream.service);
             actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
         }
-        self.tally.copies +=
-            fan_out(view, due.segment.flow, &candidates, entry, &mut self.budget, actions);
+        if self.policy.copies {
+            self.tally.copies +=
+                fan_out(view, due.segment.flow, &candidates, entry, &mut self.budget, actions);
+        }
     }
 
     fn give_up(
@@ -285,6 +300,7 @@
         bytes: &[u8],
         actions: &mut Vec<Action>,
     ) {
+        let behind = self.is_behind(now_ms);
         let entry = self.flows.entry(segment.flow, now_ms);
         entry.settle(segment.acknowledged);
         let repeated = entry.note_data(now_ms, segment);
@@ -315,7 +331,7 @@
         let to = Destination::of(view, segment.flow, to, service);
         actions.push(Action::Forward { to, ask, reason });
         // Copies of a known flow's packets would find nothing: its upstream is slow, or dead with it.
-        if repeated && !entry.confirmed && self.lag.value_ms(now_ms) < BEHIND_MS {
+        if repeated && !entry.confirmed && !behind && self.policy.copies {
             self.tally.copies +=
                 fan_out(view, segment.flow, &candidates, entry, &mut self.budget, actions);
         }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod membership;
 pub mod patience;
 pub mod peers;
+pub mod policy;
 pub mod rank;
 pub mod rotation;
 pub mod side;
--- /dev/null
+++ b/crates/steering/src/policy/mod.rs
@@ -0,0 +1,85 @@
+//! Which mechanisms decide. All do, unless one is switched off by its name to see what it is worth.
+
+/// The mechanisms of balancers and agents that can be switched off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// Agents let requests wait beside a busy upstream.
+    pub waiting: bool,
+    /// Of those that wait, the newest that can be on time goes first.
+    pub hope: bool,
+    /// A request counts from its last packet on.
+    pub bodies: bool,
+    /// Agents say at once whether their upstream holds a flow.
+    pub word: bool,
+    /// Reported load decides among the first ranks.
+    pub load: bool,
+    /// Upstreams that were silent are passed over.
+    pub suspicion: bool,
+    /// Packets that nobody has answered are sent once more.
+    pub repeats: bool,
+    /// Repeated packets go to several upstreams.
+    pub copies: bool,
+    /// A balancer's own packets are bounded.
+    pub budget: bool,
+    /// Nothing is repeated while the process is behind.
+    pub lag: bool,
+    /// A balancer that cannot keep up leaves the rotation.
+    pub rotation: bool,
+}
+
+type Field = fn(&mut Policy) -> &mut bool;
+
+/// Names of the mechanisms.
+const FIELDS: [(&str, Field); 11] = [
+    ("waiting", |policy| &mut policy.waiting),
+    ("hope", |policy| &mut policy.hope),
+    ("bodies", |policy| &mut policy.bodies),
+    ("word", |policy| &mut policy.word),
+    ("load", |policy| &mut policy.load),
+    ("suspicion", |policy| &mut policy.suspicion),
+    ("repeats", |policy| &mut policy.repeats),
+    ("copies", |policy| &mut policy.copies),
+    ("budget", |policy| &mut policy.budget),
+    ("lag", |policy| &mut policy.lag),
+    ("rotation", |policy| &mut policy.rotation),
+];
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            waiting: true,
+            hope: true,
+            bodies: true,
+            word: true,
+            load: true,
+            suspicion: true,
+            repeats: true,
+            copies: true,
+            budget: true,
+            lag: true,
+            rotation: true,
+        }
+    }
+}
+
+impl Policy {
+    /// The policy without one mechanism; `None` if there is none of that name.
+    ///
+    /// ```
+    /// use steering::policy::Policy;
+    /// let policy = Policy::default().without("lag").unwrap();
+    /// assert!(!policy.lag && policy.waiting);
+    /// assert_eq!(policy.without("luck"), None);
+    /// ```
+    #[must_use]
+    pub fn without(mut self, name: &str) -> Option<Self> {
+        let (_, field) = FIELDS.iter().find(|(known, _)| *known == name)?;
+        *field(&mut self) = false;
+        Some(self)
+    }
+
+    /// Names of all mechanisms.
+    pub fn names() -> impl Iterator<Item = &'static str> {
+        FIELDS.iter().map(|(name, _)| *name)
+    }
+}
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -8,6 +8,7 @@
 use std::net::Ipv4Addr;
 
 use crate::flow::{FlowKey, Millis, Segment, SegmentKind};
+use crate::policy::Policy;
 use crate::view::ServiceStamp;
 pub use pace::{Pace, PaceChange};
 use queue::Queue;
@@ -150,6 +151,7 @@
 /// The state of an agent.
 pub struct Side {
     service: ServiceStamp,
+    policy: Policy,
     flows: HashMap<FlowKey, Flow>,
     queue: Queue,
     work: Work,
@@ -164,8 +166,14 @@
 impl Side {
     /// An agent beside an upstream of this service.
     pub fn new(service: ServiceStamp) -> Self {
+        Self::with(service, Policy::default())
+    }
+
+    /// The same with another policy.
+    pub fn with(service: ServiceStamp, policy: Policy) -> Self {
         Self {
             service,
+            policy,
             flows: HashMap::new(),
             queue: Queue::default(),
             work: Work::default(),
@@ -230,7 +238,7 @@
     /// found the flow. Comparing the number that the caller acknowledges is enough: it is one that the
     /// upstream beside this agent has sent, or it is another's.
     fn holds(&self, segment: &Segment) -> Option<bool> {
-        let sent = self.flows.get(&segment.flow)?.sent?;
+        let sent = self.flows.get(&segment.flow)?.sent.filter(|_| self.policy.word)?;
         let tells = segment.kind == SegmentKind::Later && segment.data_bytes > 0;
         tells.then(|| sent.covers(segment.acknowledged))
     }
@@ -241,7 +249,7 @@
             // What is silent frees no slot: the packets go on, so that the balancers learn of it.
             self.queue.take_any()?
         } else if self.has_slot() {
-            self.queue.take_next(now_ms)?
+            if self.policy.hope { self.queue.take_next(now_ms)? } else { self.queue.take_any()? }
         } else {
             return None;
         };
@@ -398,7 +406,7 @@
 
     /// Whether data has to wait; if so, it was put into the queue.
     fn must_wait(&mut self, now_ms: Millis, segment: &Segment, bytes: &[u8], slo_ms: u32) -> bool {
-        if !is_request_data(segment) {
+        if !self.policy.waiting || !self.is_request_data(segment) {
             return false;
         }
         if self.queue.append(segment, bytes) {
@@ -438,8 +446,9 @@
     }
 
     fn start(&mut self, now_ms: Millis, segment: &Segment) {
+        let counts = self.is_request_data(segment);
         let Some(flow) = self.flows.get_mut(&segment.flow) else { return };
-        if !is_request_data(segment) || flow.has_seen(segment) {
+        if !counts || flow.has_seen(segment) {
             return;
         }
         flow.see(segment);
@@ -449,6 +458,12 @@
         }
     }
 
+    /// Whether the upstream begins its work with this packet.
+    fn is_request_data(&self, segment: &Segment) -> bool {
+        let goes_on = self.policy.bodies && segment.data_bytes >= FULL_BYTES;
+        segment.kind == SegmentKind::Later && segment.data_bytes > 0 && !goes_on
+    }
+
     fn forget(&mut self, key: FlowKey) {
         self.queue.forget(key);
         let flow = self.flows.remove(&key);
@@ -519,8 +534,3 @@
     let last = OPENINGS_MS.len() - 1;
     OPENINGS_MS[usize::try_from(copy).map_or(last, |copy| copy.min(last))]
 }
-
-fn is_request_data(segment: &Segment) -> bool {
-    let ends_request = (1..FULL_BYTES).contains(&segment.data_bytes);
-    ends_request && segment.kind == SegmentKind::Later
-}
--- /dev/null
+++ b/xtask/src/ablate/mod.rs
@@ -0,0 +1,143 @@
+//! What each mechanism is worth: the users' days with one after the other switched off.
+//!
+//! Works on a clone of the last commit under `target/`, so that the tree stays as it is. The bench is
+//! named by its path; it builds and plays the days, and its table is read.
+
+mod report;
+mod table;
+
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+
+use anyhow::{Context as _, bail, ensure};
+use lexopt::ValueExt as _;
+use report::{Report, Row};
+use steering::policy::Policy;
+
+const HELP: &str = "\
+Usage: cargo xtask ablate --bench PATH --site FILE... [OPTIONS]
+
+Options:
+  --bench PATH   the users' bench
+  --site FILE    a site whose standard days are played; may be given several times
+  --seeds N      plays of each site and mechanism, 1 unless given
+  --only NAME    only this mechanism, beside the whole; may be given several times
+  --jobs N       days that are played at the same time, 4 unless given
+  --out FOLDER   where ablation.json and ablation.svg go, docs/results unless given
+";
+
+/// Where the clone lies.
+const COPY: &str = "target/ablate";
+/// The file that says how the programs are started.
+const DEPLOY_FILE: &str = "deploy/system.toml";
+/// Marks the lines of it that start a program.
+const RUN_PREFIX: &str = "run = \"";
+
+struct Options {
+    bench: PathBuf,
+    sites: Vec<PathBuf>,
+    seeds: u32,
+    only: Vec<String>,
+    jobs: u32,
+    out: PathBuf,
+}
+
+/// Plays all sites with the whole policy and without each mechanism, and writes the report.
+pub(crate) fn run(parser: &mut lexopt::Parser) -> anyhow::Result<()> {
+    let Some(options) = parse(parser)? else {
+        print!("{HELP}");
+        return Ok(());
+    };
+    let copy = Path::new(COPY);
+    clone_to(copy)?;
+    let deploy = std::fs::read_to_string(copy.join(DEPLOY_FILE))?;
+    let named = |name: &&str| options.only.is_empty() || options.only.iter().any(|o| o == name);
+    let mut rows = Vec::new();
+    for without in std::iter::once(None).chain(Policy::names().filter(named).map(Some)) {
+        std::fs::write(copy.join(DEPLOY_FILE), deploy_without(&deploy, without))?;
+        for site in &options.sites {
+            for seed in 1..=options.seeds {
+                let row = play(&options, copy, site, without, seed)?;
+                println!("{row}");
+                rows.push(row);
+            }
+        }
+    }
+    std::fs::write(copy.join(DEPLOY_FILE), deploy)?;
+    Report { rows }.write(&options.out)
+}
+
+fn parse(parser: &mut lexopt::Parser) -> anyhow::Result<Option<Options>> {
+    let (mut bench, mut sites, mut only) = (None, Vec::new(), Vec::new());
+    let (mut seeds, mut jobs, mut out) = (1, 4, PathBuf::from("docs/results"));
+    while let Some(argument) = parser.next()? {
+        match argument {
+            lexopt::Arg::Long("bench") => bench = Some(absolute(parser.value()?)?),
+            lexopt::Arg::Long("site") => sites.push(absolute(parser.value()?)?),
+            lexopt::Arg::Long("seeds") => seeds = parser.value()?.parse()?,
+            lexopt::Arg::Long("only") => only.push(parser.value()?.string()?),
+            lexopt::Arg::Long("jobs") => jobs = parser.value()?.parse()?,
+            lexopt::Arg::Long("out") => out = parser.value()?.into(),
+            lexopt::Arg::Long("help") => return Ok(None),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if let Some(name) = only.iter().find(|name| Policy::default().without(name).is_none()) {
+        bail!("no mechanism `{name}`");
+    }
+    let bench = bench.context("--bench is missing")?;
+    ensure!(!sites.is_empty(), "--site is missing");
+    Ok(Some(Options { bench, sites, seeds, only, jobs, out }))
+}
+
+/// The bench runs in the clone: paths must not depend on where this command runs.
+fn absolute(path: OsString) -> anyhow::Result<PathBuf> {
+    let path = PathBuf::from(path);
+    std::fs::canonicalize(&path).with_context(|| path.display().to_string())
+}
+
+fn clone_to(copy: &Path) -> anyhow::Result<()> {
+    if copy.exists() {
+        std::fs::remove_dir_all(copy)?;
+    }
+    let mut git = Command::new("git");
+    let status = git.args(["clone", "--quiet", "--local", "."]).arg(copy).status()?;
+    ensure!(status.success(), "git clone: {status}");
+    Ok(())
+}
+
+/// The deploy file with programs that run without this mechanism.
+fn deploy_without(deploy: &str, without: Option<&str>) -> String {
+    let Some(name) = without else { return deploy.to_owned() };
+    let line = |line: &str| match line.starts_with(RUN_PREFIX) {
+        true => format!("{} --without {name}\"\n", line.trim_end_matches('"')),
+        false => format!("{line}\n"),
+    };
+    deploy.lines().map(line).collect()
+}
+
+fn play(
+    options: &Options,
+    copy: &Path,
+    site: &Path,
+    without: Option<&str>,
+    seed: u32,
+) -> anyhow::Result<Row> {
+    let why = match without {
+        Some(name) => format!("ablation, play {seed}: without {name}"),
+        None => format!("ablation, play {seed}: everything"),
+    };
+    let output = Command::new(&options.bench)
+        .arg("score")
+        .arg(site)
+        .args(["--jobs", &options.jobs.to_string(), "--why", &why])
+        .current_dir(copy)
+        .stderr(Stdio::inherit())
+        .output()?;
+    let text = String::from_utf8_lossy(&output.stdout);
+    let days = table::standard_days(&text);
+    ensure!(!days.is_empty(), "the bench has played no day: {text}");
+    let site = site.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+    Ok(Row { site, without: without.map(str::to_owned), play: seed, days })
+}
--- /dev/null
+++ b/xtask/src/ablate/report.rs
@@ -0,0 +1,112 @@
+//! The report: every play as JSON, and a plot of what each mechanism is worth.
+
+use std::fmt;
+use std::fmt::Write as _;
+use std::path::Path;
+
+use serde::Serialize;
+
+use super::table::Day;
+
+/// Height of a bar with its label, and width of one hundredth of worth.
+const LINE_PX: usize = 22;
+const HUNDREDTH_PX: f64 = 60.0;
+/// Where the bars begin.
+const ZERO_PX: f64 = 420.0;
+const WIDTH_PX: f64 = 900.0;
+
+/// One play of a site's standard days.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Row {
+    /// The site.
+    pub(super) site: String,
+    /// The mechanism that was off.
+    pub(super) without: Option<String>,
+    /// Which play it was.
+    pub(super) play: u32,
+    /// Its days.
+    pub(super) days: Vec<Day>,
+}
+
+impl Row {
+    /// Mean worth of the days with trouble.
+    fn mean(&self) -> f64 {
+        mean(self.days.iter().filter(|day| day.is_troubled()).map(|day| day.worth))
+    }
+}
+
+impl fmt::Display for Row {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let without = self.without.as_deref().unwrap_or("nothing");
+        let broken = self.days.iter().filter(|day| day.broken).count();
+        let (site, play, mean) = (&self.site, self.play, self.mean());
+        write!(out, "{site}, without {without}, play {play}: {mean:.4}, {broken} broken")?;
+        self.days.iter().try_for_each(|day| write!(out, " {:.3}", day.worth))
+    }
+}
+
+/// All plays.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Report {
+    /// In the order of their playing.
+    pub(super) rows: Vec<Row>,
+}
+
+impl Report {
+    /// Writes `ablation.json` and `ablation.svg`.
+    pub(super) fn write(&self, folder: &Path) -> anyhow::Result<()> {
+        std::fs::create_dir_all(folder)?;
+        let json = serde_json::to_string_pretty(self)? + "\n";
+        std::fs::write(folder.join("ablation.json"), json)?;
+        std::fs::write(folder.join("ablation.svg"), self.svg())?;
+        Ok(())
+    }
+
+    /// Loss of mean worth without each mechanism, by site, in the order of the rows.
+    fn losses(&self) -> Vec<(String, f64)> {
+        let means = |site: &str, without: Option<&str>| {
+            let rows =
+                self.rows.iter().filter(|r| r.site == site && r.without.as_deref() == without);
+            mean(rows.map(Row::mean))
+        };
+        let first_plays = self.rows.iter().filter(|row| row.play == 1);
+        first_plays
+            .filter_map(|row| {
+                let name = row.without.as_deref()?;
+                let loss = means(&row.site, None) - means(&row.site, Some(name));
+                Some((format!("{}, without {name}", row.site), loss))
+            })
+            .collect()
+    }
+
+    fn svg(&self) -> String {
+        let losses = self.losses();
+        let height = LINE_PX * (losses.len() + 2);
+        let mut svg = format!(
+            "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{WIDTH_PX}\" height=\"{height}\" \
+             font-family=\"sans-serif\" font-size=\"13\">\n\
+             <text x=\"10\" y=\"16\">Loss of mean worth on the days with trouble</text>\n"
+        );
+        for (index, (label, loss)) in losses.iter().enumerate() {
+            let top = LINE_PX * (index + 1);
+            let length = loss.abs() * 100.0 * HUNDREDTH_PX;
+            let left = if *loss < 0.0 { ZERO_PX - length } else { ZERO_PX };
+            let colour = if *loss < 0.0 { "#c44" } else { "#48a" };
+            let _ = writeln!(
+                svg,
+                "<text x=\"10\" y=\"{}\">{label}</text><rect x=\"{left:.1}\" y=\"{top}\" \
+                 width=\"{length:.1}\" height=\"16\" fill=\"{colour}\"/>\
+                 <text x=\"{}\" y=\"{}\">{loss:.4}</text>",
+                top + 13,
+                WIDTH_PX - 70.0,
+                top + 13,
+            );
+        }
+        svg + "</svg>\n"
+    }
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
+    if count == 0.0 { 0.0 } else { sum / count }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Project automation. `cargo xtask --help` lists the commands.
 
+mod ablate;
 mod bench;
 mod capacity;
 mod codegen;
@@ -15,6 +16,7 @@
 Usage: cargo xtask COMMAND [OPTIONS]
 
 Commands:
+  ablate  what each mechanism is worth on the users' days; `cargo xtask ablate --help`
   bench [--experiment FILE] [--out FOLDER]
           packets a second per core of balancer and agent against a bare relay, on loopback; or
           an experiment of experiments/ against the same processes
@@ -47,6 +49,7 @@
         return Ok(());
     };
     match command.to_string_lossy().as_ref() {
+        "ablate" => ablate::run(&mut parser),
         "bench" => bench::run(&mut parser),
         "capacity" => capacity::run(capacity::mode(&mut parser)?),
         "codegen" => codegen::run(codegen_mode(&mut parser)?),
