Choose the upstream near by among those of the same load

Change: of the first three ranks the least loaded is chosen as before, and among equals one of the balancer's own availability zone (decoded from entry and settings, passed on between balancers). Search order and ranks stay. Ruled out: fewer hops or copies (none cross zones by choice). Test: near_upstream_is_chosen_among_equals (the field did not exist before).

--- a/crates/fuzzing/src/direct/world/changes.rs
+++ b/crates/fuzzing/src/direct/world/changes.rs
@@ -5,7 +5,7 @@
 use steering::edge::Trust;
 use steering::membership::{SILENT_LINGER_MS, UpstreamRecord};
 use steering::side::Side;
-use steering::view::{Standing, Upstream as Listed, View};
+use steering::view::{Standing, Upstream as Listed, View, ZoneStamp};
 
 use super::{
     BALANCERS, Balancer, CALM_MS, CHANGE_MS, Event, FOREIGN_SERVICE, SERVICES, TICK_MS, UPSTREAMS,
@@ -126,6 +126,7 @@
             born_ms: self.boots,
             address: address(upstream),
             service: SERVICES[service],
+            zone: ZoneStamp(0),
             draining: false,
             warmup_left_ms: 0,
             slots: 7,
@@ -194,6 +195,7 @@
             born_ms: boot,
             address: address(upstream),
             service: SERVICES[service],
+            zone: ZoneStamp(0),
             draining: leaving_ms.is_some(),
             warmup_left_ms: 0,
             slots: 7,
@@ -209,6 +211,7 @@
             born_ms: u64::MAX,
             address: address(upstream),
             service: FOREIGN_SERVICE,
+            zone: ZoneStamp(0),
             draining: false,
             warmup_left_ms: 0,
             slots: 7,
--- a/crates/steering/src/edge/loads.rs
+++ b/crates/steering/src/edge/loads.rs
@@ -4,7 +4,7 @@
 
 use crate::flow::Millis;
 use crate::policy::Policy;
-use crate::view::{Upstream, View};
+use crate::view::{Upstream, View, ZoneStamp};
 
 /// After this time a report says nothing about the present load; requests take tens of milliseconds.
 const REPORT_MS: Millis = 500;
@@ -34,12 +34,24 @@
 pub(super) struct LoadTable {
     loads: Vec<Load>,
     policy: Policy,
+    /// The balancer's own availability zone.
+    zone: ZoneStamp,
 }
 
 impl LoadTable {
     /// Nothing is known of any upstream.
     pub(super) fn with(policy: Policy) -> Self {
-        Self { loads: Vec::new(), policy }
+        Self { policy, ..Self::default() }
+    }
+
+    /// Prefers upstreams of this availability zone.
+    pub(super) fn prefer(&mut self, zone: ZoneStamp) {
+        self.zone = zone;
+    }
+
+    /// Whether an upstream is in another availability zone: bodies that cross zones cost, and take longer.
+    pub(super) fn is_far(&self, upstream: &Upstream) -> bool {
+        self.policy.near && upstream.zone != self.zone
     }
 
     /// Takes a report: `busy` requests are at work.
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::flow::{FlowKey, Millis, Segment, SegmentKind};
 use crate::policy::Policy;
-use crate::view::{Upstream, View};
+use crate::view::{Upstream, View, ZoneStamp};
 
 use budget::Budget;
 pub use flows::FLOWS_MAX;
@@ -70,6 +70,13 @@
         }
     }
 
+    /// The same in this availability zone.
+    #[must_use]
+    pub fn in_zone(mut self, zone: ZoneStamp) -> Self {
+        self.loads.prefer(zone);
+        self
+    }
+
     /// Decides about a packet of a caller; `bytes` is the packet itself.
     pub fn on_packet(
         &mut self,
--- a/crates/steering/src/edge/placement.rs
+++ b/crates/steering/src/edge/placement.rs
@@ -52,7 +52,7 @@
         .iter()
         .take(PLACEMENT_RANKS)
         .filter(|upstream| class(upstream) == class(first))
-        .min_by_key(|upstream| loads.load(now_ms, upstream))?;
+        .min_by_key(|upstream| (loads.load(now_ms, upstream), loads.is_far(upstream)))?;
     Some(best.address)
 }
 
--- a/crates/steering/src/membership/mod.rs
+++ b/crates/steering/src/membership/mod.rs
@@ -8,7 +8,7 @@
 use siphasher::sip::SipHasher13;
 
 use crate::flow::Millis;
-use crate::view::{RouteTable, ServiceStamp, Standing, Upstream, View};
+use crate::view::{RouteTable, ServiceStamp, Standing, Upstream, View, ZoneStamp};
 
 /// How long an upstream whose entry went without notice may still hold flows: entries that expired
 /// while the configuration service was away are published again within two seconds of its return,
@@ -30,6 +30,8 @@
     pub address: Ipv4Addr,
     /// The service that it runs.
     pub service: ServiceStamp,
+    /// Its availability zone.
+    pub zone: ZoneStamp,
     /// Whether it leaves.
     pub draining: bool,
     /// How much longer it is slow after its start.
@@ -73,6 +75,7 @@
         let upstream = Upstream {
             address: record.address,
             service: record.service,
+            zone: record.zone,
             standing,
             warm_at_ms: now_ms + record.warmup_left_ms,
             slots: record.slots,
@@ -133,6 +136,7 @@
             id: Arc::clone(&member.id),
             address: member.upstream.address,
             service: member.upstream.service,
+            zone: member.upstream.zone,
             draining: member.upstream.standing == Standing::Draining,
             warmup_left_ms: member.upstream.warm_at_ms.saturating_sub(now_ms),
             slots: member.upstream.slots,
--- a/crates/steering/src/policy/mod.rs
+++ b/crates/steering/src/policy/mod.rs
@@ -13,6 +13,8 @@
     pub word: bool,
     /// Reported load decides among the first ranks.
     pub load: bool,
+    /// Among upstreams with the same load, one in the balancer's own availability zone is chosen.
+    pub near: bool,
     /// Upstreams that were silent are passed over.
     pub suspicion: bool,
     /// Packets that nobody has answered are sent once more.
@@ -30,12 +32,13 @@
 type Field = fn(&mut Policy) -> &mut bool;
 
 /// Names of the mechanisms.
-const FIELDS: [(&str, Field); 11] = [
+const FIELDS: [(&str, Field); 12] = [
     ("waiting", |policy| &mut policy.waiting),
     ("hope", |policy| &mut policy.hope),
     ("bodies", |policy| &mut policy.bodies),
     ("word", |policy| &mut policy.word),
     ("load", |policy| &mut policy.load),
+    ("near", |policy| &mut policy.near),
     ("suspicion", |policy| &mut policy.suspicion),
     ("repeats", |policy| &mut policy.repeats),
     ("copies", |policy| &mut policy.copies),
@@ -52,6 +55,7 @@
             bodies: true,
             word: true,
             load: true,
+            near: true,
             suspicion: true,
             repeats: true,
             copies: true,
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -31,6 +31,24 @@
     }
 }
 
+/// Identity of an availability zone; zero if it is not known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneStamp(pub u32);
+
+impl ZoneStamp {
+    /// The stamp of an availability zone's name.
+    ///
+    /// ```
+    /// use steering::view::ZoneStamp;
+    /// assert_ne!(ZoneStamp::of("pnw-a"), ZoneStamp::of("pnw-b"));
+    /// ```
+    pub fn of(name: &str) -> Self {
+        let mut hasher = SipHasher13::new();
+        hasher.write(name.as_bytes());
+        Self((hasher.finish() as u32).max(1))
+    }
+}
+
 /// Whether an upstream takes new flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -54,6 +72,8 @@
     pub address: Ipv4Addr,
     /// The service that it runs.
     pub service: ServiceStamp,
+    /// Its availability zone.
+    pub zone: ZoneStamp,
     /// Whether it takes new flows.
     pub standing: Standing,
     /// Until when it is slow after its start.
--- a/crates/steering/tests/common/mod.rs
+++ b/crates/steering/tests/common/mod.rs
@@ -7,7 +7,7 @@
 
 use steering::edge::{Action, Edge, Said, Verdict};
 use steering::flow::{FlowKey, Millis, Segment, SegmentKind};
-use steering::view::{Route, RouteTable, ServiceStamp, Share, Standing, Upstream, View};
+use steering::view::{Route, RouteTable, ServiceStamp, Share, Standing, Upstream, View, ZoneStamp};
 
 pub(crate) const SERVICE: ServiceStamp = ServiceStamp(1);
 pub(crate) const UPSTREAMS: u8 = 5;
@@ -22,7 +22,15 @@
 
 pub(crate) fn upstream(number: u8, standing: Standing) -> Upstream {
     let address = Ipv4Addr::new(10, 0, 0, number);
-    Upstream { address, service: SERVICE, standing, warm_at_ms: 0, slots: 7, born_ms: 0 }
+    Upstream {
+        address,
+        service: SERVICE,
+        zone: ZoneStamp(0),
+        standing,
+        warm_at_ms: 0,
+        slots: 7,
+        born_ms: 0,
+    }
 }
 
 pub(crate) fn view_of(standings: &[Standing]) -> View {
--- a/crates/steering/tests/edge_openings.rs
+++ b/crates/steering/tests/edge_openings.rs
@@ -10,7 +10,7 @@
 use rstest::rstest;
 use steering::edge::{Action, Edge, REPEAT_AFTER_MS, Reason, Verdict};
 use steering::flow::{FlowKey, Millis, Segment};
-use steering::view::{Standing, Upstream, View};
+use steering::view::{Standing, Upstream, View, ZoneStamp};
 
 /// A balancer that knows an opening, and one that does not, ask the same upstreams first.
 #[test]
@@ -66,6 +66,32 @@
     assert_eq!(targets.any(|to| to == silent), gets_flows);
 }
 
+/// Bodies of 80 KB cross availability zones for nothing while an upstream near by is as idle. Load goes
+/// first: the near one must not get all flows of its zone, and no rank beyond the first three is used, so that a
+/// balancer without memory finds the flow.
+#[test]
+fn near_upstream_is_chosen_among_equals() {
+    let here = ZoneStamp(7);
+    let view = calm_view();
+    let near = view.upstreams()[2].address;
+    let zoned = view.upstreams().iter().map(|upstream| match upstream.address == near {
+        true => Upstream { zone: here, ..*upstream },
+        false => *upstream,
+    });
+    let zoned = View::new(view.routes.clone(), zoned.collect());
+    let placed = |edge: &mut Edge, view: &View, number| {
+        target(&packet(edge, 0, view, &opening(number, 0))[0]).unwrap()
+    };
+    let fresh = || Edge::default().in_zone(here);
+    let chosen = (1..400).filter(|number| placed(&mut fresh(), &zoned, *number) == near).count();
+    let by_rank = (1..400).filter(|number| placed(&mut fresh(), &view, *number) == near).count();
+    assert!((180..300).contains(&chosen), "three ranks of five: {chosen}");
+    assert!((50..110).contains(&by_rank), "one of five: {by_rank}");
+    let mut edge = fresh();
+    let in_a_row = (1..400).filter(|number| placed(&mut edge, &zoned, *number) == near).count();
+    assert!((50..130).contains(&in_a_row), "load decides: {in_a_row}");
+}
+
 /// After one opening stayed unanswered, the next flows pass that upstream over for a while.
 #[test]
 fn silent_upstream_is_passed_over() {
--- a/crates/steering/tests/membership.rs
+++ b/crates/steering/tests/membership.rs
@@ -8,7 +8,7 @@
 use steering::membership::{
     DRAINED_LINGER_MS, Membership, SILENT_LINGER_MS, UpstreamRecord, whole_in_ms,
 };
-use steering::view::{RouteTable, ServiceStamp, Standing};
+use steering::view::{RouteTable, ServiceStamp, Standing, ZoneStamp};
 
 const ADDRESS: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
 
@@ -18,6 +18,7 @@
         born_ms: 0,
         address: ADDRESS,
         service: ServiceStamp(1),
+        zone: ZoneStamp(1),
         draining,
         warmup_left_ms: 0,
         slots: 7,
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use steering::membership::UpstreamRecord;
 use steering::peers::Summary;
-use steering::view::{Route, RouteTable, ServiceStamp, Share};
+use steering::view::{Route, RouteTable, ServiceStamp, Share, ZoneStamp};
 
 use crate::bounded;
 
@@ -113,6 +113,7 @@
     born_ms: u64,
     address: u32,
     service: u32,
+    zone: u32,
     draining: bool,
     warmup_left_ms: u64,
     slots: u32,
@@ -209,6 +210,7 @@
         born_ms: record.born_ms,
         address: record.address.to_bits(),
         service: record.service.0,
+        zone: record.zone.0,
         draining: record.draining,
         warmup_left_ms: record.warmup_left_ms,
         slots: record.slots,
@@ -240,6 +242,7 @@
         born_ms: body.born_ms,
         address: Ipv4Addr::from_bits(body.address),
         service: ServiceStamp(body.service),
+        zone: ZoneStamp(body.zone),
         draining: body.draining,
         warmup_left_ms: body.warmup_left_ms,
         slots: body.slots,
--- a/crates/wire/tests/peers.rs
+++ b/crates/wire/tests/peers.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use steering::membership::UpstreamRecord;
 use steering::peers::Summary;
-use steering::view::{Route, RouteTable, ServiceStamp, Share};
+use steering::view::{Route, RouteTable, ServiceStamp, Share, ZoneStamp};
 use wire::peers::{
     Message, News, PEERS_MAX, ViewContents, decode, decode_view, encode, encode_view,
 };
@@ -28,6 +28,7 @@
             born_ms: 1_770_000_000_123,
             address: Ipv4Addr::new(10, 1, 0, 12),
             service: ServiceStamp(5),
+            zone: ZoneStamp(3),
             draining: true,
             warmup_left_ms: 900,
             slots: 7,
