Split the agent's file by its jobs

Cause: crates/steering/src/side/mod.rs had grown to 536 lines with types, the table entry of a flow and the decisions in one. Change: a move only: types.rs (what goes in and out), flow.rs (what is known of a flow); 372 lines of decisions stay.

--- /dev/null
+++ b/crates/steering/src/side/flow.rs
@@ -0,0 +1,88 @@
+//! What an agent knows of a flow, from the packets of both ends.
+
+use std::net::Ipv4Addr;
+
+use super::types::Answer;
+use crate::flow::{Millis, Segment};
+
+/// Bytes that may be under way to a caller: 16 packets, and one that ends the flow.
+const UNDER_WAY_BYTES: u32 = 16 * 1_200 + 1;
+/// When callers send their openings: the first one, and its copies.
+const OPENINGS_MS: [Millis; 3] = [0, 200, 600];
+
+#[derive(Debug, Default)]
+pub(super) struct Flow {
+    pub(super) report_to: Option<Ipv4Addr>,
+    /// Its opening, until the first request on it is answered.
+    pub(super) opening: Option<Opening>,
+    /// What the upstream has sent on it; nothing if it may not hold it.
+    pub(super) sent: Option<Sent>,
+    /// When it last answered a request on it.
+    pub(super) answered_ms: Option<Millis>,
+    /// Number after the last data seen.
+    pub(super) next_sequence: Option<u32>,
+    pub(super) busy_since_ms: Option<Millis>,
+    pub(super) seen_ms: Millis,
+}
+
+/// An opening that tells when its caller began.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Opening {
+    pub(super) seen_ms: Millis,
+    /// How old it was when it was seen: this process may have started after the caller began.
+    pub(super) age_ms: Millis,
+}
+
+impl Opening {
+    pub(super) fn spent_ms(self, now_ms: Millis) -> Millis {
+        now_ms.saturating_sub(self.seen_ms) + self.age_ms
+    }
+}
+
+/// Numbers of what an upstream has sent on a flow.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sent {
+    first: u32,
+    next: u32,
+}
+
+impl Sent {
+    /// Whether this is the number of something that was sent, or of what comes next.
+    pub(super) fn covers(self, acknowledged: u32) -> bool {
+        acknowledged.wrapping_sub(self.first) <= self.next.wrapping_sub(self.first)
+    }
+}
+
+impl Flow {
+    /// An agent that started while the flow was open has not seen what was under way before.
+    pub(super) fn note_sent(&mut self, answer: &Answer) {
+        let counted = u32::from(answer.data_bytes) + u32::from(answer.opening || answer.last);
+        let next = answer.sequence.wrapping_add(counted);
+        let opened_anew = |sent: &Sent| answer.opening && sent.first != answer.sequence;
+        match self.sent.as_mut().filter(|sent| !opened_anew(sent)) {
+            Some(sent) if (next.wrapping_sub(sent.next) as i32) > 0 => sent.next = next,
+            Some(_) => {}
+            None => {
+                let under_way = if answer.opening { 0 } else { UNDER_WAY_BYTES };
+                self.sent = Some(Sent { first: answer.sequence.wrapping_sub(under_way), next });
+            }
+        }
+    }
+
+    /// Whether this data was handed on before: a caller repeats what it has no answer to, and an
+    /// answer may have crossed the repetition. Counted again, it would stay at work forever.
+    pub(super) fn has_seen(&self, segment: &Segment) -> bool {
+        self.next_sequence
+            .is_some_and(|next| (segment.next_sequence().wrapping_sub(next) as i32) <= 0)
+    }
+
+    pub(super) fn see(&mut self, segment: &Segment) {
+        self.next_sequence = Some(segment.next_sequence());
+    }
+}
+
+/// How long ago a caller has sent the first of its openings, going by the copy that has come.
+pub(super) fn opening_age_ms(copy: u32) -> Millis {
+    let last = OPENINGS_MS.len() - 1;
+    OPENINGS_MS[usize::try_from(copy).map_or(last, |copy| copy.min(last))]
+}
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -1,17 +1,20 @@
 //! An agent's decisions: what goes to its upstream, what goes back to a balancer, what to a caller.
 
+mod flow;
 mod pace;
 mod queue;
+mod types;
 mod work;
 
 use std::collections::HashMap;
-use std::net::Ipv4Addr;
 
 use crate::flow::{FlowKey, Millis, Segment, SegmentKind};
 use crate::policy::Policy;
 use crate::view::ServiceStamp;
+use flow::{Flow, Opening, opening_age_ms};
 pub use pace::{Pace, PaceChange};
 use queue::Queue;
+pub use types::{Answer, Answered, Ask, Delivery, Received, Released, Report};
 use work::Work;
 
 /// An upstream that has left packets unanswered for this long, without any packet of its own, counts
@@ -38,116 +41,11 @@
 /// Data bytes of a full packet. More of the same request follows one, with round trips between, and
 /// the upstream begins its work with the last packet only.
 const FULL_BYTES: u16 = 1_200;
-/// Bytes that may be under way to a caller: 16 packets, and one that ends the flow.
-const UNDER_WAY_BYTES: u32 = 16 * 1_200 + 1;
-/// When callers send their openings: the first one, and its copies.
-const OPENINGS_MS: [Millis; 3] = [0, 200, 600];
 /// Time that callers give an answer where nobody says so: the shortest that is known of any.
 const SLO_DEFAULT_MS: Millis = 150;
 /// The way of an answer to its caller.
 const WAY_MS: Millis = 3;
 
-/// What a balancer asks of a packet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Ask {
-    /// The balancer.
-    pub balancer: Ipv4Addr,
-    /// The service that the packet is meant for.
-    pub service: ServiceStamp,
-    /// Requests that the upstream works on at a time; zero if the balancer does not know.
-    pub slots: u8,
-    /// Time within which the caller wants an answer; zero if the balancer does not know.
-    pub slo_ms: u32,
-    /// Whether the balancer wants to know when the upstream answers.
-    pub report: bool,
-}
-
-/// What becomes of a balancer's packet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Delivery {
-    /// It goes to the upstream.
-    Deliver,
-    /// It goes to the upstream, and back to the balancer, since the upstream has been silent.
-    DeliverSilent {
-        /// How long.
-        for_ms: Millis,
-    },
-    /// It goes back to the balancer: it is meant for another service.
-    Foreign,
-    /// It goes back to the balancer: its caller has acknowledged a number of another upstream.
-    Denied,
-    /// It waits here until the upstream has room.
-    Wait,
-}
-
-/// What follows from a balancer's packet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Received {
-    /// What becomes of the packet.
-    pub delivery: Delivery,
-    /// The balancer that asked for the flow and is told at once that it is here.
-    pub report: Option<Report>,
-}
-
-/// A packet of the upstream's, as far as it decides something.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Answer {
-    /// The flow.
-    pub flow: FlowKey,
-    /// Number of data bytes.
-    pub data_bytes: u16,
-    /// Whether the flow ends with it.
-    pub last: bool,
-    /// Number of its first byte.
-    pub sequence: u32,
-    /// Whether it answers an opening.
-    pub opening: bool,
-}
-
-/// What follows from a packet of the upstream's.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Answered {
-    /// Who is told.
-    pub report: Option<Report>,
-    /// If the packet begins the answer to a request: the time since that was handed on.
-    pub worked_ms: Option<Millis>,
-}
-
-/// A request that has waited and may go to the upstream now.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Released {
-    /// Its packets in the order of arrival.
-    pub packets: Vec<Box<[u8]>>,
-    /// How long it has waited.
-    pub waited_ms: Millis,
-}
-
-/// What a balancer is told beside the packet that goes to the caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Report {
-    /// The balancer that asked.
-    pub balancer: Ipv4Addr,
-    /// Requests at work.
-    pub busy: u8,
-    /// The number with which the upstream has answered the opening, if this is about one.
-    pub opening_sequence: Option<u32>,
-}
-
-#[derive(Debug, Default)]
-struct Flow {
-    report_to: Option<Ipv4Addr>,
-    /// Its opening, until the first request on it is answered.
-    opening: Option<Opening>,
-    /// What the upstream has sent on it; nothing if it may not hold it.
-    sent: Option<Sent>,
-    /// When it last answered a request on it.
-    answered_ms: Option<Millis>,
-    /// Number after the last data seen.
-    next_sequence: Option<u32>,
-    busy_since_ms: Option<Millis>,
-    seen_ms: Millis,
-}
-
 /// The state of an agent.
 pub struct Side {
     service: ServiceStamp,
@@ -472,65 +370,3 @@
         }
     }
 }
-
-/// An opening that tells when its caller began.
-#[derive(Clone, Copy, Debug)]
-struct Opening {
-    seen_ms: Millis,
-    /// How old it was when it was seen: this process may have started after the caller began.
-    age_ms: Millis,
-}
-
-impl Opening {
-    fn spent_ms(self, now_ms: Millis) -> Millis {
-        now_ms.saturating_sub(self.seen_ms) + self.age_ms
-    }
-}
-
-/// Numbers of what an upstream has sent on a flow.
-#[derive(Clone, Copy, Debug)]
-struct Sent {
-    first: u32,
-    next: u32,
-}
-
-impl Sent {
-    /// Whether this is the number of something that was sent, or of what comes next.
-    fn covers(self, acknowledged: u32) -> bool {
-        acknowledged.wrapping_sub(self.first) <= self.next.wrapping_sub(self.first)
-    }
-}
-
-impl Flow {
-    /// An agent that started while the flow was open has not seen what was under way before.
-    fn note_sent(&mut self, answer: &Answer) {
-        let counted = u32::from(answer.data_bytes) + u32::from(answer.opening || answer.last);
-        let next = answer.sequence.wrapping_add(counted);
-        let opened_anew = |sent: &Sent| answer.opening && sent.first != answer.sequence;
-        match self.sent.as_mut().filter(|sent| !opened_anew(sent)) {
-            Some(sent) if (next.wrapping_sub(sent.next) as i32) > 0 => sent.next = next,
-            Some(_) => {}
-            None => {
-                let under_way = if answer.opening { 0 } else { UNDER_WAY_BYTES };
-                self.sent = Some(Sent { first: answer.sequence.wrapping_sub(under_way), next });
-            }
-        }
-    }
-
-    /// Whether this data was handed on before: a caller repeats what it has no answer to, and an
-    /// answer may have crossed the repetition. Counted again, it would stay at work forever.
-    fn has_seen(&self, segment: &Segment) -> bool {
-        self.next_sequence
-            .is_some_and(|next| (segment.next_sequence().wrapping_sub(next) as i32) <= 0)
-    }
-
-    fn see(&mut self, segment: &Segment) {
-        self.next_sequence = Some(segment.next_sequence());
-    }
-}
-
-/// How long ago a caller has sent the first of its openings, going by the copy that has come.
-fn opening_age_ms(copy: u32) -> Millis {
-    let last = OPENINGS_MS.len() - 1;
-    OPENINGS_MS[usize::try_from(copy).map_or(last, |copy| copy.min(last))]
-}
