--- a/crates/fuzzing/src/direct/world/changes.rs
+++ b/crates/fuzzing/src/direct/world/changes.rs
@@ -121,16 +121,7 @@
     pub(super) fn start_upstream(&mut self, upstream: usize, service: usize) {
         self.boots += 1;
         self.upstreams[upstream].start(self.boots, service);
-        self.listed[upstream] = Some(UpstreamRecord {
-            id: format!("u-{upstream}").into(),
-            born_ms: self.boots,
-            address: address(upstream),
-            service: SERVICES[service],
-            zone: ZoneStamp(0),
-            draining: false,
-            warmup_left_ms: 0,
-            slots: 7,
-        });
+        self.listed[upstream] = Some(self.entry(upstream));
     }
 
     /// At least two upstreams of a service stay, as operators keep it.
@@ -186,11 +177,17 @@
     }
 
     pub(super) fn relist(&mut self, upstream: usize) {
-        let Upstream { boot, service, leaving_ms, .. } = self.upstreams[upstream];
-        if boot == 0 || self.listed[upstream].is_some() {
+        if self.upstreams[upstream].boot == 0 || self.listed[upstream].is_some() {
             return;
         }
-        self.listed[upstream] = Some(UpstreamRecord {
+        self.listed[upstream] = Some(self.entry(upstream));
+        self.publish();
+    }
+
+    /// What an upstream says of itself.
+    fn entry(&self, upstream: usize) -> UpstreamRecord {
+        let Upstream { boot, service, leaving_ms, .. } = self.upstreams[upstream];
+        UpstreamRecord {
             id: format!("u-{upstream}").into(),
             born_ms: boot,
             address: address(upstream),
@@ -199,8 +196,7 @@
             draining: leaving_ms.is_some(),
             warmup_left_ms: 0,
             slots: 7,
-        });
-        self.publish();
+        }
     }
 
     /// The entries of upstreams, and for each address one that another writer has put there: it names a
@@ -209,12 +205,9 @@
         let foreign = (0..UPSTREAMS).map(|upstream| UpstreamRecord {
             id: format!("x-{upstream}").into(),
             born_ms: u64::MAX,
-            address: address(upstream),
             service: FOREIGN_SERVICE,
-            zone: ZoneStamp(0),
             draining: false,
-            warmup_left_ms: 0,
-            slots: 7,
+            ..self.entry(upstream)
         });
         self.listed.iter().flatten().cloned().chain(foreign).collect()
     }
--- a/crates/settings/src/codes/table.rs
+++ b/crates/settings/src/codes/table.rs
@@ -229,7 +229,7 @@
         "The upstream beside this agent works as fast as before.",
         "None.";
     OUT_OF_ROTATION = 2216, "out_of_rotation", Packets,
-        "This balancer was behind for a second and asks the fabric to be left out for a while.",
+        "For three seconds this balancer's link was full or it was behind; it asks the fabric to be left out for a while.",
         "Compare its link and processor with those of its neighbours; give it more, or take it away.";
     BACK_IN_ROTATION = 2217, "back_in_rotation", Packets,
         "This balancer takes part again.",
@@ -307,7 +307,7 @@
         "The configuration service answers again.",
         "None.";
     ITEM_REFUSED = 4104, "item_refused", Control,
-        "An item of the configuration service makes no sense; the last good one stays in force.",
+        "An item of the configuration service makes no sense. A bad configuration changes nothing; a bad entry names no upstream.",
         "Correct the item.";
     VIEW_CHANGED = 4105, "view_changed", Control,
         "Another configuration or list of upstreams is in force.",
--- a/crates/steering/src/edge/loads.rs
+++ b/crates/steering/src/edge/loads.rs
@@ -94,10 +94,12 @@
 
     /// Load of an upstream; smaller is better.
     pub(super) fn load(&self, now_ms: Millis, upstream: &Upstream) -> u32 {
+        if !self.policy.load {
+            return 0;
+        }
         let weight = if upstream.warm_at_ms > now_ms { COLD_WEIGHT } else { WARM_WEIGHT };
         let load = self.find(upstream);
         let fresh = load.filter(|load| now_ms.saturating_sub(load.at_ms) < REPORT_MS);
-        let weight = if self.policy.load { weight } else { 0 };
         fresh.map_or(0, |load| load.busy + load.placed) * weight
     }
 
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -198,11 +198,10 @@
             flow.answered_ms = Some(now_ms);
         }
         let started_ms = if answer.data_bytes > 0 { flow.busy_since_ms.take() } else { None };
-        if let Some(started_ms) = started_ms {
-            self.work.take(now_ms.saturating_sub(started_ms));
-        }
-        if started_ms.is_some() {
+        let worked_ms = started_ms.map(|started_ms| now_ms.saturating_sub(started_ms));
+        if let Some(worked_ms) = worked_ms {
             flow.opening = None;
+            self.work.take(worked_ms);
             self.busy = self.busy.saturating_sub(1);
         }
         let balancer = flow.report_to.take();
@@ -216,7 +215,7 @@
                 busy,
                 opening_sequence: answer.opening.then_some(answer.sequence),
             }),
-            worked_ms: started_ms.map(|started_ms| now_ms.saturating_sub(started_ms)),
+            worked_ms,
         }
     }
 
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -25,9 +25,7 @@
     /// assert_ne!(ServiceStamp::of("shelf"), ServiceStamp::of("manifest"));
     /// ```
     pub fn of(name: &str) -> Self {
-        let mut hasher = SipHasher13::new();
-        hasher.write(name.as_bytes());
-        Self((hasher.finish() as u32 & Self::MASK).max(1))
+        Self((name_hash(name) & Self::MASK).max(1))
     }
 }
 
@@ -43,12 +41,16 @@
     /// assert_ne!(ZoneStamp::of("pnw-a"), ZoneStamp::of("pnw-b"));
     /// ```
     pub fn of(name: &str) -> Self {
-        let mut hasher = SipHasher13::new();
-        hasher.write(name.as_bytes());
-        Self((hasher.finish() as u32).max(1))
+        Self(name_hash(name).max(1))
     }
 }
 
+fn name_hash(name: &str) -> u32 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    hasher.finish() as u32
+}
+
 /// Whether an upstream takes new flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
