Tell a restarted agent which memberships are outdated

What callers saw: a service that refuses when in doubt had replaced upstreams, whose entries stay listed as retired.

Cause: a former membership is left out once a majority of its members is known to run later settings. An agent knows that from the members' own heartbeats. After its restart it has forgotten, and members that are gone don't say it again.

Why the mend holds: that nobody can claim under a membership is true for all once it is for one. Each heartbeat names one outdated membership, in turn, and the time until all that was claimed under it is forgotten; a late message only makes the wait longer. Silence still proves nothing. Settled memberships that the settings no longer list are forgotten, so the list told is bounded by the settings.

--- a/crates/agent/src/plane/tests.rs
+++ b/crates/agent/src/plane/tests.rs
@@ -290,6 +290,7 @@
         accepting: false,
         ramp_percent: 100,
         leaving: false,
+        outdated: None,
     }));
     let recalled = bench.message_to_peer(|message| match message {
         Message::Recall { incarnation, from } => Some(Message::RecallReply {
--- a/crates/decision/src/agent/health.rs
+++ b/crates/decision/src/agent/health.rs
@@ -111,7 +111,9 @@
             accepting,
             ramp_percent: self.ramp_percent(now) as u8,
             leaving: self.leaving,
+            outdated: self.settings.cuts.outdated(now, self.heartbeats),
         };
+        self.heartbeats = self.heartbeats.wrapping_add(1);
         for (to, peer) in self.peers.iter() {
             if peer.may_hold_flows(now) {
                 out.push(Action::Send { to, message: Message::Heartbeat(heartbeat) });
@@ -145,6 +147,9 @@
             return;
         }
         self.saw_version(now, heartbeat.view, out);
+        if let Some(outdated) = heartbeat.outdated {
+            self.settings.cuts.hear(now, outdated);
+        }
         let homes = self.homes();
         let Some(peer) = self.peers.get_mut(from) else { return };
         if let Some(born) = heartbeat.born
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -75,6 +75,8 @@
     /// By bucket: agents to which the flows are announced.
     targets: Vec<announce::Targets>,
     heartbeat_at: Millis,
+    /// Counts heartbeats, from a number that differs between agents.
+    heartbeats: u64,
     refresh_at: Millis,
     refresh_bucket: u16,
     seen_version: Version,
@@ -105,6 +107,7 @@
     /// ```
     pub fn new(config: AgentConfig, view: Arc<View>, now: Millis) -> Self {
         let mut random = Pcg64Mcg::seed_from_u64(config.seed ^ config.incarnation.0);
+        let heartbeats = config.upstream.0;
         let next_question = rand::Rng::next_u64(&mut random);
         let past = match config.may_have_past {
             true => relearn::Past::Relearning,
@@ -133,6 +136,7 @@
             recall: recall::Recall::default(),
             targets: Vec::new(),
             heartbeat_at: now,
+            heartbeats,
             refresh_at: now,
             refresh_bucket: 0,
             seen_version: Version(0),
--- a/crates/decision/src/agent/quorum.rs
+++ b/crates/decision/src/agent/quorum.rs
@@ -7,7 +7,7 @@
 
 use super::limits;
 use crate::keys::{UpstreamId, Version};
-use crate::message::Claim;
+use crate::message::{Claim, Outdated};
 use crate::time::Millis;
 use crate::view::{Service, Upstream, View};
 
@@ -31,14 +31,16 @@
     members: Vec<UpstreamId>,
     /// Since when so many members run `next` or later that the others are no majority.
     outdated_since: Option<Millis>,
+    /// When it needs no majority any more, as a peer knows.
+    told_until: Option<Millis>,
 }
 
 /// The memberships of a service that may still be in force somewhere.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Cuts {
     cuts: Vec<Cut>,
-    /// Memberships, by their first version, that need no majority any more.
-    settled: Vec<Version>,
+    /// Memberships, by their first version and the first with others, that need no majority any more.
+    settled: Vec<(Version, Version)>,
 }
 
 /// How the votes stand.
@@ -75,14 +77,17 @@
             if let Some(last) = cuts.last_mut() {
                 last.next = Some(from);
             }
-            cuts.push(Cut { from, next: None, members, outdated_since: None });
+            cuts.push(Cut { from, next: None, members, outdated_since: None, told_until: None });
         }
-        let settled = before.settled.clone();
+        let mut settled = before.settled.clone();
+        settled.retain(|(from, _)| cuts.iter().any(|cut| cut.from == *from));
         cuts.retain(|cut| !cut.members.is_empty());
-        cuts.retain(|cut| cut.next.is_none() || settled.binary_search(&cut.from).is_err());
+        let is_settled = |cut: &Cut| settled.iter().any(|(from, _)| *from == cut.from);
+        cuts.retain(|cut| cut.next.is_none() || !is_settled(cut));
         for cut in &mut cuts {
             let known = before.cuts.iter().find(|known| known.is_same(cut));
             cut.outdated_since = known.and_then(|known| known.outdated_since);
+            cut.told_until = known.and_then(|known| known.told_until);
         }
         Self { cuts, settled }
     }
@@ -101,15 +106,40 @@
             let outdated = 2 * old <= cut.members.len();
             cut.outdated_since = outdated.then(|| cut.outdated_since.unwrap_or(now));
         }
-        let is_settled = |cut: &Cut| {
-            cut.outdated_since.is_some_and(|since| now.since(since) >= limits::CLAIM_TTL_MS)
-        };
-        self.settled.extend(self.cuts.iter().filter(|cut| is_settled(cut)).map(|cut| cut.from));
+        let is_settled = |cut: &Cut| cut.outdated_until().is_some_and(|until| until <= now);
+        let settled = self.cuts.iter().filter(|cut| is_settled(cut));
+        self.settled.extend(settled.filter_map(|cut| Some((cut.from, cut.next?))));
         self.settled.sort_unstable();
         self.settled.dedup();
         self.cuts.retain(|cut| !is_settled(cut));
     }
 
+    /// The outdated membership whose turn it is, of those that the settings still list.
+    pub(super) fn outdated(&self, now: Millis, turn: u64) -> Option<Outdated> {
+        let settled = self.settled.iter().map(|(from, next)| (*from, *next, now));
+        let others =
+            self.cuts.iter().filter_map(|cut| Some((cut.from, cut.next?, cut.outdated_until()?)));
+        let count = settled.len() as u64 + others.clone().count() as u64;
+        let turn = turn.checked_rem(count)?;
+        let (from, next, until) = settled.chain(others).nth(turn as usize)?;
+        Some(Outdated { from, next, forgotten_in_ms: until.since(now) as u32 })
+    }
+
+    /// Takes in what a peer knows of an outdated membership.
+    ///
+    /// Failure: an agent restarts while the settings still list retired upstreams that are gone. It
+    /// has forgotten that these ran later settings, and they cannot tell it again. Symptom: it
+    /// counts their membership for ever, and no opening that it proposes is answered. A peer's word
+    /// is enough: that nobody can claim under a membership is true for all once it is for one, and a
+    /// message that comes late only makes the wait longer.
+    pub(super) fn hear(&mut self, now: Millis, outdated: Outdated) {
+        let until = now.after(outdated.forgotten_in_ms.into());
+        let (from, next) = (outdated.from, Some(outdated.next));
+        let known = self.cuts.iter_mut().find(|cut| (cut.from, cut.next) == (from, next));
+        let Some(cut) = known else { return };
+        cut.told_until = Some(cut.told_until.map_or(until, |known| known.min(until)));
+    }
+
     /// Whether, in each membership that `me` belongs to, so many other members are `done` that any
     /// majority with `me` in it has one of them.
     pub(super) fn is_recalled(&self, me: UpstreamId, done: impl Fn(UpstreamId) -> bool) -> bool {
@@ -165,6 +195,12 @@
 }
 
 impl Cut {
+    /// When everything that was claimed under it is forgotten, if nobody can claim any more.
+    fn outdated_until(&self) -> Option<Millis> {
+        let own = self.outdated_since.map(|since| since.after(limits::CLAIM_TTL_MS));
+        own.into_iter().chain(self.told_until).min()
+    }
+
     fn is_same(&self, other: &Cut) -> bool {
         (self.from, self.next) == (other.from, other.next) && self.members == other.members
     }
--- a/crates/decision/src/agent/tests/mod.rs
+++ b/crates/decision/src/agent/tests/mod.rs
@@ -7,6 +7,7 @@
 mod flows;
 mod install;
 mod lookup;
+mod memberships;
 mod once;
 mod relearn;
 mod reports;
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -92,6 +92,18 @@
     pub holder: UpstreamId,
 }
 
+/// A former membership of the service of which so many members run later settings that the others are
+/// no majority: nobody can claim anything under it, and what was claimed is forgotten after a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outdated {
+    /// First version with these members.
+    pub from: Version,
+    /// First version with other members.
+    pub next: Version,
+    /// Milliseconds after which everything that was claimed under it is forgotten.
+    pub forgotten_in_ms: u32,
+}
+
 /// Load and state of an agent, sent to its peers as heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -115,6 +127,8 @@
     pub ramp_percent: u8,
     /// True once the sender leaves: buckets move to the next rank.
     pub leaving: bool,
+    /// A former membership that the sender knows to be outdated, another one each time.
+    pub outdated: Option<Outdated>,
 }
 
 /// A message between two agents of one service.
--- a/crates/fuzzing/tests/mended.rs
+++ b/crates/fuzzing/tests/mended.rs
@@ -8,13 +8,17 @@
 /// agents that knew its flow had restarted; packets of a new flow were sent to the agent where an older
 /// one on the same ports was closing, while the holder was silent; an agent that had been told to end
 /// stayed beside an upstream that was wanted again; an opening that was refused was told to its
-/// restarted holder as its own.
+/// restarted holder as its own; an agent that restarted counted a membership whose members were gone, and
+/// of which its peers knew that nobody needs it any more: no opening that it proposed was answered.
 #[rstest]
 #[case::dead_flows_fill_the_upstream(181)]
 #[case::witnesses_restart(645)]
 #[case::closing_flow_believed(197)]
 #[case::told_to_end_and_kept(171)]
 #[case::relearned_but_never_ran(205)]
+#[case::opening_never_answered(129)]
+#[case::opening_never_answered_in_planned_change(1350)]
+#[case::opening_never_answered_after_faults(1526)]
 fn mended_episode(#[case] seed: u64) {
     let (outcome, _) = campaign::play(&campaign::draw(seed), Sabotage::default(), false);
     assert_eq!(outcome.violation, None);
--- a/crates/wire/src/control/dto.rs
+++ b/crates/wire/src/control/dto.rs
@@ -3,7 +3,7 @@
 use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
 use decision::message::{
     Claim, ClaimAnswer, ClaimRecord, Entrusted, FlowNote, Heartbeat, Knowledge, Memory, Message,
-    Opening,
+    Opening, Outdated,
 };
 use serde::{Deserialize, Deserializer, Serialize};
 
@@ -63,8 +63,12 @@
     accepting: bool,
     ramp_percent: u8,
     leaving: bool,
+    outdated: Option<OutdatedDto>,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct OutdatedDto(u64, u64, u32);
+
 /// A message as it is encoded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MessageDto(Body);
@@ -305,6 +309,7 @@
             accepting: heartbeat.accepting,
             ramp_percent: heartbeat.ramp_percent,
             leaving: heartbeat.leaving,
+            outdated: heartbeat.outdated.map(OutdatedDto::from),
         }
     }
 }
@@ -321,10 +326,23 @@
             accepting: heartbeat.accepting,
             ramp_percent: heartbeat.ramp_percent,
             leaving: heartbeat.leaving,
+            outdated: heartbeat.outdated.map(Outdated::from),
         }
     }
 }
 
+impl From<Outdated> for OutdatedDto {
+    fn from(outdated: Outdated) -> Self {
+        Self(outdated.from.0, outdated.next.0, outdated.forgotten_in_ms)
+    }
+}
+
+impl From<OutdatedDto> for Outdated {
+    fn from(OutdatedDto(from, next, forgotten_in_ms): OutdatedDto) -> Self {
+        Self { from: Version(from), next: Version(next), forgotten_in_ms }
+    }
+}
+
 impl From<&Message> for MessageDto {
     fn from(message: &Message) -> Self {
         Self(match message {
--- a/crates/wire/tests/control.rs
+++ b/crates/wire/tests/control.rs
@@ -5,7 +5,7 @@
 use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
 use decision::message::{
     Claim, ClaimAnswer, ClaimRecord, Entrusted, FlowNote, Heartbeat, Knowledge, Memory, Message,
-    Opening,
+    Opening, Outdated,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -57,6 +57,7 @@
         accepting: true,
         ramp_percent: 30,
         leaving: false,
+        outdated: Some(Outdated { from: Version(3), next: VIEW, forgotten_in_ms: 120_000 }),
     })
 }
 
