Let no reset of an older connection end the present flow

What callers saw: a flow on ports that had been used before was served; after a pause of over a minute its next packet was reset, or never answered.

Cause: the agent took every FIN and RST at its word. A copy that comes late belongs to an older connection on the same ports: the upstream's TCP ignores it, the agent noted the flow as ended and forgot it after 60 s. Ruled out: wrong redirects, restarts.

Change: the agent is told each segment's sequence number, and a FIN or RST closes a flow in its table only within 16 MB of the caller's newest packet (over twice the largest default receive buffer; a random number passes with 0.8%). All of them go to the upstream as before. An opening on the ports of an open flow gives the table the later connection's number, once nothing of the older one can be on its way. The fuzzing world gives its packets TCP's numbers; they follow from what it already had, and its steps and fates are as before.

Without the check three of the new table tests fail; the two others guard what the check could break.

--- a/crates/agent/src/plane/mod.rs
+++ b/crates/agent/src/plane/mod.rs
@@ -205,6 +205,7 @@
                     service: header.service,
                     flow: header.flow,
                     kind: inner.kind(self.own.datagram_nonce),
+                    sequence: inner.sequence(),
                     view: header.version,
                     hops: header.hops,
                     passed: header.passed,
--- a/crates/decision/src/agent/early.rs
+++ b/crates/decision/src/agent/early.rs
@@ -84,7 +84,7 @@
         let flow = self.flows.get(opening.flow)?;
         let same = flow.nonce == Some(opening.nonce);
         if flow.is_certainly_open() || (same && flow.state == FlowState::Open) {
-            self.flows.touch_opening(now, opening.flow);
+            self.flows.touch_opening(now, opening);
             return Some(Verdict::Deliver);
         }
         // After a reset the same SYN opens the flow anew; after a FIN it can only be a late copy.
--- a/crates/decision/src/agent/flows.rs
+++ b/crates/decision/src/agent/flows.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use super::flow_map::FlowMap;
-use super::limits;
+use super::{Packet, PacketKind, limits};
 use crate::keys::FlowId;
 use crate::message::Opening;
 use crate::time::Millis;
@@ -29,6 +29,13 @@
     pub(super) last_seen: Millis,
     /// Whether the caller has sent anything after the opening.
     pub(super) answered: bool,
+    /// Sequence number of the caller's newest packet; `None` until one has come.
+    sequence: Option<u32>,
+    /// Initial sequence number of a later opening on its ports that the upstream has been handed.
+    renewed: Option<u32>,
+    /// Whether the caller has reset an older connection on its ports, as it does when its opening
+    /// was not understood.
+    pub(super) older_was_reset: bool,
     /// Whether only peers say so, after a restart. The first packet leads to a lookup, since the
     /// peer may not have heard of the end of the flow, and a later one may live elsewhere.
     pub(super) hearsay: bool,
@@ -99,14 +106,21 @@
     }
 
     /// The fast path: marks a packet of a flow that is certainly open; false for all others.
-    /// A reset is no `progress`: a caller sends it when its opening was not understood, too.
-    pub(super) fn touch(&mut self, now: Millis, id: FlowId, progress: bool) -> bool {
-        let Some(flow) = self.flows.get_mut(&id) else { return false };
+    /// A reset is no progress: a caller sends it when its opening was not understood, too.
+    pub(super) fn touch(&mut self, now: Millis, packet: &Packet) -> bool {
+        let Some(flow) = self.flows.get_mut(&packet.flow) else { return false };
         if !flow.is_certainly_open() {
             return false;
         }
+        if !flow.is_own(packet.sequence) && !flow.is_renewed(now, packet.sequence) {
+            return true;
+        }
         flow.last_seen = now;
-        if progress && !flow.answered {
+        if packet.kind == PacketKind::Reset {
+            return true;
+        }
+        flow.sequence = Some(packet.sequence);
+        if !flow.answered {
             flow.answered = true;
             self.last_progress = now;
             self.unanswered -= usize::from(flow.state == FlowState::Open && flow.nonce.is_some());
@@ -114,10 +128,13 @@
         true
     }
 
-    /// Marks a copy of the opening, which is no sign that the caller was answered.
-    pub(super) fn touch_opening(&mut self, now: Millis, id: FlowId) {
-        if let Some(flow) = self.flows.get_mut(&id) {
-            flow.last_seen = now;
+    /// Marks a copy of the opening, which is no sign that the caller was answered, or a later opening
+    /// on the ports of the flow.
+    pub(super) fn touch_opening(&mut self, now: Millis, opening: Opening) {
+        let Some(flow) = self.flows.get_mut(&opening.flow) else { return };
+        match flow.nonce == Some(opening.nonce) {
+            true => flow.last_seen = now,
+            false => flow.renewed = Some(opening.nonce),
         }
     }
 
@@ -137,6 +154,9 @@
             opened_at: now,
             last_seen: now,
             answered,
+            sequence: nonce,
+            renewed: None,
+            older_was_reset: false,
             hearsay: false,
         };
         self.flows.insert(id, flow);
@@ -154,6 +174,7 @@
         self.insert(now, opening.flow, Some(opening.nonce), true);
         if let Some(flow) = self.flows.get_mut(&opening.flow) {
             flow.hearsay = true;
+            flow.sequence = None;
             flow.opened_at = Millis(0);
         }
     }
@@ -167,9 +188,20 @@
         true
     }
 
-    /// The caller ends the flow; false if it is unknown or already closing this way.
-    pub(super) fn close(&mut self, now: Millis, id: FlowId, state: FlowState) -> bool {
+    /// The caller ends the flow; false if it is unknown or already closing this way, or if the packet
+    /// belongs to an older connection on its ports.
+    ///
+    /// Failure: a caller resets a connection and uses its ports again, and a copy of the reset comes
+    /// late. Symptom: the upstream's TCP knows it for an old one, but this agent forgot the new flow, and
+    /// the caller was reset minutes later. The sequence number tells them apart as TCP does, up to the
+    /// window of what may be on its way.
+    pub(super) fn close(&mut self, now: Millis, packet: &Packet, state: FlowState) -> bool {
+        let id = packet.flow;
         let Some(flow) = self.flows.get_mut(&id) else { return false };
+        if !flow.is_own(packet.sequence) {
+            flow.older_was_reset |= state == FlowState::Reset;
+            return false;
+        }
         flow.last_seen = now;
         if flow.state == state || flow.state == FlowState::Reset {
             return false;
@@ -263,6 +295,22 @@
         self.state == FlowState::Open && self.nonce.is_some()
     }
 
+    /// Whether a packet with this sequence number is one of this connection's, and not of an older one
+    /// on the same ports.
+    fn is_own(&self, sequence: u32) -> bool {
+        self.sequence.is_none_or(|known| are_near(known, sequence))
+    }
+
+    /// Whether a packet belongs to a later connection on the same ports, to the same upstream.
+    ///
+    /// Failure: an upstream has lost its connection unnoticed, and the caller uses its ports again.
+    /// Symptom: the new connection's end is taken for an old one's, and stays in the table. As packets of
+    /// an older connection may come late, nothing may have come for as long as such copies exist.
+    fn is_renewed(&self, now: Millis, sequence: u32) -> bool {
+        let later = self.renewed.is_some_and(|known| are_near(known, sequence));
+        later && now.since(self.last_seen) >= limits::CLAIM_TTL_MS
+    }
+
     fn is_unanswered(&self) -> bool {
         !self.answered && self.state == FlowState::Open
     }
@@ -275,3 +323,9 @@
         }
     }
 }
+
+/// Whether two sequence numbers can be of packets that are on their way at the same time.
+fn are_near(one: u32, other: u32) -> bool {
+    let ahead = one.wrapping_sub(other);
+    ahead.min(ahead.wrapping_neg()) <= limits::SEQUENCE_WINDOW
+}
--- a/crates/decision/src/agent/limits.rs
+++ b/crates/decision/src/agent/limits.rs
@@ -133,6 +133,11 @@
 /// A one-datagram request counts as load for this long.
 pub const DATAGRAM_UNANSWERED_MS: u64 = 10_000;
 
+/// Bytes by which sequence numbers of a caller's packets may differ while all are on their way: over
+/// twice the largest receive buffer of a Linux upstream by default (6 MB). One of an older connection
+/// on the same ports falls within it with a chance of 0.8%.
+pub const SEQUENCE_WINDOW: u32 = 1 << 24;
+
 /// After the caller's FIN the upstream may still be sending its answer; each acknowledgement
 /// starts this time anew.
 pub const FINISH_LINGER_MS: u64 = 600_000;
--- a/crates/decision/src/agent/lookup.rs
+++ b/crates/decision/src/agent/lookup.rs
@@ -88,7 +88,7 @@
 
     /// Too many lookups: hearsay has to do.
     fn without_lookup(&mut self, now: Millis, packet: &Packet, out: &mut Vec<Action>) -> Verdict {
-        match self.deliver_certain(now, packet.flow, packet.kind, out) {
+        match self.deliver_certain(now, packet, out) {
             true => Verdict::Deliver,
             false => Verdict::Drop(Reason::Overload),
         }
@@ -287,7 +287,7 @@
             Finding::Only(peer) => self.forward(hops, peer, Passed::Adopt),
             Finding::OnlyMe => {
                 self.adopt(now, flow, out);
-                self.deliver_certain(now, flow, kind, out);
+                self.deliver_certain(now, packet, out);
                 Verdict::Deliver
             }
             // A reset is never answered with a reset.
--- a/crates/decision/src/agent/once.rs
+++ b/crates/decision/src/agent/once.rs
@@ -127,7 +127,7 @@
         if self.settings.datagrams || !open {
             return Verdict::Drop(Reason::Duplicate);
         }
-        self.flows.touch_opening(now, opening.flow);
+        self.flows.touch_opening(now, opening);
         Verdict::Deliver
     }
 
@@ -137,9 +137,8 @@
         let flow = self.flows.get(opening.flow);
         !self.settings.datagrams
             && flow.is_some_and(|flow| {
-                flow.nonce == Some(opening.nonce)
-                    && flow.state == FlowState::Reset
-                    && !flow.answered
+                let reset = flow.state == FlowState::Reset || flow.older_was_reset;
+                flow.nonce == Some(opening.nonce) && reset && !flow.answered
             })
     }
 
--- a/crates/decision/src/agent/packet.rs
+++ b/crates/decision/src/agent/packet.rs
@@ -19,24 +19,18 @@
             let opening = Opening { flow: packet.flow, nonce };
             return self.opening(now, packet, opening, out);
         }
-        match self.deliver_known(now, packet.flow, packet.kind, out) {
+        match self.deliver_known(now, packet, out) {
             true => Verdict::Deliver,
             false => self.unknown(now, packet, out),
         }
     }
 
     /// Marks a packet of a flow that is certainly open; false for any other.
-    fn deliver_known(
-        &mut self,
-        now: Millis,
-        flow: FlowId,
-        kind: PacketKind,
-        out: &mut Vec<Action>,
-    ) -> bool {
-        if !self.flows.touch(now, flow, kind != PacketKind::Reset) {
+    fn deliver_known(&mut self, now: Millis, packet: &Packet, out: &mut Vec<Action>) -> bool {
+        if !self.flows.touch(now, packet) {
             return false;
         }
-        self.follow_kind(now, flow, kind, out);
+        self.follow_kind(now, packet, out);
         true
     }
 
@@ -44,23 +38,22 @@
     pub(super) fn deliver_certain(
         &mut self,
         now: Millis,
-        flow: FlowId,
-        kind: PacketKind,
+        packet: &Packet,
         out: &mut Vec<Action>,
     ) -> bool {
-        if !self.flows.make_certain(now, flow) {
+        if !self.flows.make_certain(now, packet.flow) {
             return false;
         }
-        if !self.deliver_known(now, flow, kind, out) {
-            self.follow_kind(now, flow, kind, out);
+        if !self.deliver_known(now, packet, out) {
+            self.follow_kind(now, packet, out);
         }
         true
     }
 
-    fn follow_kind(&mut self, now: Millis, flow: FlowId, kind: PacketKind, out: &mut Vec<Action>) {
-        match kind {
-            PacketKind::Finish => self.close_flow(now, flow, FlowState::Finishing, out),
-            PacketKind::Reset => self.close_flow(now, flow, FlowState::Reset, out),
+    fn follow_kind(&mut self, now: Millis, packet: &Packet, out: &mut Vec<Action>) {
+        match packet.kind {
+            PacketKind::Finish => self.close_flow(now, packet, FlowState::Finishing, out),
+            PacketKind::Reset => self.close_flow(now, packet, FlowState::Reset, out),
             PacketKind::Opening { .. } | PacketKind::Middle => {}
         }
     }
@@ -105,8 +98,15 @@
         }
     }
 
-    fn close_flow(&mut self, now: Millis, flow: FlowId, state: FlowState, out: &mut Vec<Action>) {
-        if !self.flows.close(now, flow, state) {
+    fn close_flow(
+        &mut self,
+        now: Millis,
+        packet: &Packet,
+        state: FlowState,
+        out: &mut Vec<Action>,
+    ) {
+        let flow = packet.flow;
+        if !self.flows.close(now, packet, state) {
             return;
         }
         out.push(Action::Note(Note::Ended(flow)));
@@ -156,7 +156,7 @@
         if flow.hearsay || !from_home || !rests {
             return self.look_up(now, packet, out);
         }
-        self.deliver_certain(now, packet.flow, packet.kind, out);
+        self.deliver_certain(now, packet, out);
         Verdict::Deliver
     }
 
@@ -171,7 +171,7 @@
             return Verdict::Drop(Reason::HolderSilent);
         }
         self.adopt(now, packet.flow, out);
-        self.deliver_certain(now, packet.flow, packet.kind, out);
+        self.deliver_certain(now, packet, out);
         Verdict::Deliver
     }
 
--- a/crates/decision/src/agent/tests/flows.rs
+++ b/crates/decision/src/agent/tests/flows.rs
@@ -54,3 +54,67 @@
     assert_eq!(fleet.send(0, 1, opening(2)), Outcome::Delivered(0));
     assert_eq!(fleet.agents[0].open_flows(), open);
 }
+
+/// Initial sequence number of a connection that has nothing in common with those of the other tests.
+const FAR: u32 = 1 << 31;
+
+/// A cutter's fitting session on ports that were used a moment ago, and a copy of what ended the last
+/// connection comes late. The upstream's TCP knows it for an old one by its sequence number and goes on; the
+/// agent took the session for ended, forgot it, and reset the cutter at the next packet after a pause.
+#[rstest]
+#[case::reset(PacketKind::Reset)]
+#[case::finish(PacketKind::Finish)]
+fn late_end_of_an_older_connection(#[case] end: PacketKind) {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 1));
+    fleet.send(0, 1, opening(1));
+    fleet.send(0, 1, PacketKind::Middle);
+    let late = Packet { sequence: FAR, ..packet(1, end) };
+    assert_eq!(fleet.send_packet(0, late), Outcome::Delivered(0));
+    fleet.pass(15 * MINUTE_MS);
+    assert_eq!(fleet.send(0, 1, PacketKind::Middle), Outcome::Delivered(0));
+    assert_eq!(fleet.agents[0].open_flows(), 1);
+}
+
+/// Packets of an older connection come late, all of them, its end last. None of them makes the agent
+/// take the numbers of the older one for those of the present one.
+#[test]
+fn late_copies_of_a_whole_older_connection() {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 1));
+    fleet.send(0, 1, opening(1));
+    fleet.send(0, 1, PacketKind::Middle);
+    fleet.pass(MINUTE_MS);
+    for kind in [opening(FAR), PacketKind::Middle, PacketKind::Reset] {
+        fleet.send_packet(0, Packet { sequence: FAR, ..packet(1, kind) });
+    }
+    assert_eq!(fleet.agents[0].open_flows(), 1);
+}
+
+/// An upstream has lost its connection and nobody was told. The caller uses its ports again, is served, and
+/// ends the new connection. The agent takes the old one's place for it, and must see its end: else the flow
+/// counts as open for a day.
+#[test]
+fn end_of_a_connection_on_the_ports_of_a_lost_one() {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 1));
+    fleet.send(0, 1, opening(1));
+    fleet.send(0, 1, PacketKind::Middle);
+    fleet.pass(3 * MINUTE_MS);
+    for kind in [opening(FAR), PacketKind::Middle, PacketKind::Finish] {
+        let outcome = fleet.send_packet(0, Packet { sequence: FAR, ..packet(1, kind) });
+        assert_eq!(outcome, Outcome::Delivered(0));
+    }
+    assert_eq!(fleet.agents[0].open_flows(), 0);
+}
+
+/// An upstream still has an older connection on the caller's ports. It answers the opening for that one; the
+/// caller resets it, as TCP asks, and sends the same opening again. It has not run and must be delivered,
+/// also where copies of openings that ran no longer are.
+#[test]
+fn opening_that_was_not_understood_comes_again() {
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Refuse, 3));
+    let Outcome::Delivered(holder) = fleet.send(0, flow(1), opening(FAR)) else {
+        panic!("the opening must be delivered");
+    };
+    assert_eq!(fleet.send(holder, flow(1), PacketKind::Reset), Outcome::Delivered(holder));
+    fleet.pass(11_000);
+    assert_eq!(fleet.send(holder, flow(1), opening(FAR)), Outcome::Delivered(holder));
+}
--- a/crates/decision/src/agent/tests/mod.rs
+++ b/crates/decision/src/agent/tests/mod.rs
@@ -282,11 +282,13 @@
     Agent::new(config, view, now)
 }
 
+/// A packet of a caller that began its connection at sequence number 1 or a little above.
 fn packet(flow: u64, kind: PacketKind) -> Packet {
     Packet {
         service: service(),
         flow: FlowId(flow),
         kind,
+        sequence: 1,
         view: Version(1),
         hops: 0,
         passed: Passed::Fresh,
--- a/crates/decision/src/agent/types.rs
+++ b/crates/decision/src/agent/types.rs
@@ -32,6 +32,8 @@
     pub flow: FlowId,
     /// Meaning for the flow.
     pub kind: PacketKind,
+    /// Sequence number of the TCP segment; zero for a datagram.
+    pub sequence: u32,
     /// Settings version of the account at the sender.
     pub view: Version,
     /// Agents that handled the packet before this one.
--- a/crates/fuzzing/src/world/balancers.rs
+++ b/crates/fuzzing/src/world/balancers.rs
@@ -13,6 +13,7 @@
 use super::callers::Inner;
 use super::fleet::{self, Versions};
 use super::{Carried, Due, Node, World};
+use crate::oracle::Request;
 
 /// How packets are spread.
 pub enum Balancing {
@@ -93,6 +94,7 @@
             service: view.service(service).id,
             flow,
             kind: kind(carried.inner),
+            sequence: carried.sequence,
             view: view.account(view.service(service).account).version,
             hops: 0,
             passed: Passed::Fresh,
@@ -117,12 +119,16 @@
     hasher.finish()
 }
 
+/// Initial sequence number of the connection that a request opens: another one for each caller, and far
+/// from that of its last connection.
+pub(super) fn initial_sequence(request: Request) -> u32 {
+    const APART: u32 = 0x9e37_79b1;
+    ((request.caller as u32) << 16 | request.nonce).wrapping_mul(APART)
+}
+
 fn kind(inner: Inner) -> PacketKind {
     match inner {
-        // Nonces differ between callers as initial sequence numbers do.
-        Inner::Open(request) => {
-            PacketKind::Opening { nonce: (request.caller as u32) << 16 | request.nonce }
-        }
+        Inner::Open(request) => PacketKind::Opening { nonce: initial_sequence(request) },
         Inner::Middle(..) => PacketKind::Middle,
         Inner::Finish(..) => PacketKind::Finish,
         Inner::Reset(..) => PacketKind::Reset,
--- a/crates/fuzzing/src/world/mod.rs
+++ b/crates/fuzzing/src/world/mod.rs
@@ -75,16 +75,25 @@
 }
 
 /// A caller's packet on its way.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Carried {
     /// The packet.
     inner: Inner,
     /// The caller's address and ports.
     flow: decision::keys::FlowId,
+    /// Sequence number of the TCP segment: of the connection that it belongs to.
+    sequence: u32,
     /// True time at which the caller sent it; for an opening, sent it first.
     sent_ms: u64,
 }
 
+impl std::hash::Hash for Carried {
+    /// The sequence number follows from the rest.
+    fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
+        (self.inner, self.flow, self.sent_ms).hash(state);
+    }
+}
+
 impl Carried {
     fn is_dead(&self, now_ms: u64) -> bool {
         self.sent_ms + LIFETIME_MS < now_ms
--- a/crates/fuzzing/src/world/verdicts.rs
+++ b/crates/fuzzing/src/world/verdicts.rs
@@ -3,7 +3,7 @@
 use decision::agent::{HoldKey, Note, Packet, PacketKind, Passed, Verdict};
 
 use super::agents::{Incoming, address_of};
-use super::balancers::hash_of;
+use super::balancers::{hash_of, initial_sequence};
 use super::callers::{Inner, Phase, Reply};
 use super::network::mix;
 use super::upstreams::Token;
@@ -158,7 +158,8 @@
             Inner::Open(_) => self.callers[caller].born_ms,
             _ => self.now_ms,
         };
-        let carried = Carried { inner, flow: self.callers[caller].flow, sent_ms };
+        let (flow, sequence) = (self.callers[caller].flow, self.sequence_of(inner));
+        let carried = Carried { inner, flow, sequence, sent_ms };
         if self.timeline.is_some() && matches!(inner, Inner::Open(_)) {
             let name = format!("caller {caller} port {:x}", carried.flow.0 >> 52);
             self.flows.push((carried.flow, name));
@@ -168,4 +169,21 @@
         self.note(|| format!("caller {caller} -> balancer {balancer}: {inner:?}"));
         self.transmit_over(hash, || Due::AtBalancer { balancer, carried });
     }
+
+    /// Sequence number of a caller's segment, a few bytes into its connection. A reset that answers for an
+    /// older connection on the same ports belongs to that one.
+    fn sequence_of(&self, inner: Inner) -> u32 {
+        let upstreams = self.hosts.iter().filter_map(|host| host.upstream.as_ref());
+        let connection = inner
+            .token()
+            .and_then(|token| upstreams.into_iter().find_map(|known| known.connection(token)));
+        let own = initial_sequence(inner.request());
+        let answers = self.callers[inner.request().caller].phase == Phase::Opening;
+        let older = matches!(inner, Inner::Reset(..)) && answers;
+        match connection {
+            Some(known) => initial_sequence(known.request),
+            None if older => !own,
+            None => own,
+        }
+    }
 }
--- a/crates/fuzzing/tests/mended.rs
+++ b/crates/fuzzing/tests/mended.rs
@@ -9,7 +9,8 @@
 /// one on the same ports was closing, while the holder was silent; an agent that had been told to end
 /// stayed beside an upstream that was wanted again; an opening that was refused was told to its
 /// restarted holder as its own; an agent that restarted counted a membership whose members were gone, and
-/// of which its peers knew that nobody needs it any more: no opening that it proposed was answered.
+/// of which its peers knew that nobody needs it any more: no opening that it proposed was answered; a
+/// late reset of an older connection on the same ports made an agent forget the present one.
 #[rstest]
 #[case::dead_flows_fill_the_upstream(181)]
 #[case::witnesses_restart(645)]
@@ -19,6 +20,9 @@
 #[case::opening_never_answered(129)]
 #[case::opening_never_answered_in_planned_change(1350)]
 #[case::opening_never_answered_after_faults(1526)]
+#[case::late_reset_cuts_a_later_flow(1101)]
+#[case::late_copies_and_a_late_reset(518)]
+#[case::late_reset_hides_a_later_flow(275)]
 fn mended_episode(#[case] seed: u64) {
     let (outcome, _) = campaign::play(&campaign::draw(seed), Sabotage::default(), false);
     assert_eq!(outcome.violation, None);
--- a/crates/loadgen/benches/core.rs
+++ b/crates/loadgen/benches/core.rs
@@ -14,6 +14,8 @@
 
 /// Flow tables; the largest is the bound of the agent's.
 const FLOWS: [u64; 4] = [1_000, 10_000, 50_000, 131_072];
+/// Initial sequence number of every flow.
+const OPENING_NONCE: u32 = 7;
 /// Packets in one measured call.
 const PACKETS: u64 = 1_024;
 
@@ -107,7 +109,7 @@
     let make = || (holding(flows - PACKETS.min(flows / 2)), Vec::new());
     bencher.counter(PACKETS).with_inputs(make).bench_local_values(|(mut agent, mut out)| {
         for number in flows..flows + PACKETS {
-            let packet = packet(flow(number), PacketKind::Opening { nonce: 7 });
+            let packet = packet(flow(number), PacketKind::Opening { nonce: OPENING_NONCE });
             black_box(agent.packet(START, &packet, &mut out));
         }
         (agent, out)
@@ -132,7 +134,11 @@
     let mut agent = Agent::new(config, Arc::new(view::build(&accounts)), START);
     let mut out: Vec<Action> = Vec::new();
     for number in 0..flows {
-        agent.packet(START, &packet(flow(number), PacketKind::Opening { nonce: 7 }), &mut out);
+        agent.packet(
+            START,
+            &packet(flow(number), PacketKind::Opening { nonce: OPENING_NONCE }),
+            &mut out,
+        );
         // The caller goes on, or the upstream would soon count as sick.
         agent.packet(START, &packet(flow(number), PacketKind::Middle), &mut out);
         out.clear();
@@ -146,6 +152,7 @@
         service: ServiceId::of("account-000", "service-0"),
         flow,
         kind,
+        sequence: OPENING_NONCE,
         view: Version(1),
         hops: 0,
         passed: Passed::Fresh,
--- a/crates/loadgen/src/cost/service.rs
+++ b/crates/loadgen/src/cost/service.rs
@@ -30,6 +30,8 @@
 const TICKS: usize = 1_000 / TICK_MS as usize;
 /// Time after which nobody doubts anything any more.
 const SETTLE_MS: u64 = 12_000;
+/// Initial sequence number of every flow.
+const OPENING_NONCE: u32 = 7;
 
 /// What all agents of a service did in a span of time.
 #[derive(Clone, Copy, Debug, Default)]
@@ -138,7 +140,7 @@
     pub fn open(&mut self, number: u64) {
         let flow = flow(number);
         let home = self.home(flow);
-        self.arrive(home, self.packet(flow, PacketKind::Opening { nonce: number as u32 }));
+        self.arrive(home, self.packet(flow, PacketKind::Opening { nonce: OPENING_NONCE }));
         self.opened.push_back((self.now.after(ANSWER_MS), flow));
     }
 
@@ -184,7 +186,8 @@
 
     fn packet(&self, flow: FlowId, kind: PacketKind) -> Packet {
         let (service, view) = (self.id, Version(1));
-        Packet { service, flow, kind, view, hops: 0, passed: Passed::Fresh }
+        let (sequence, hops) = (OPENING_NONCE, 0);
+        Packet { service, flow, kind, sequence, view, hops, passed: Passed::Fresh }
     }
 
     fn home(&self, flow: FlowId) -> usize {
--- a/crates/wire/src/inner.rs
+++ b/crates/wire/src/inner.rs
@@ -128,6 +128,22 @@
         }
     }
 
+    /// Sequence number of a TCP segment; zero for a datagram.
+    ///
+    /// ```
+    /// use wire::inner;
+    /// let builder = etherparse::PacketBuilder::ipv4([192, 0, 2, 1], [203, 0, 113, 1], 64);
+    /// let mut packet = Vec::new();
+    /// builder.tcp(40_000, 8443, 7, 1_024).ack(1).write(&mut packet, &[]).unwrap();
+    /// assert_eq!(inner::parse(&packet).unwrap().sequence(), 7);
+    /// ```
+    pub fn sequence(&self) -> u32 {
+        match self.segment {
+            Segment::Tcp { sequence, .. } => sequence,
+            Segment::Udp { .. } => 0,
+        }
+    }
+
     /// Id of the flow, the same in every process that has the same `key`.
     ///
     /// The key keeps callers from choosing ports that all fall into one bucket.
