Name no ended flow to a holder that restarts

Cause: a restarted agent asks its peers which flows it holds, and some had not heard of their ends. (1) An end was told to the present targets only, not to a peer that an earlier life had told (episode: host 3 knew the flow from life 4, life 12 ended it, life 13 relearned it from host 3). (2) An end within the last batch period of a leaving process was never sent. Ruled out: lost messages (planned change only), expiry of redirects.

Change: ends of relearned flows go to every peer; a leaving agent sends them at once; an assigned opening is named only if that life of the holder did not live on for ANNOUNCED_WITHIN_MS. All three table tests fail without it; died_at_once shows that a flow in real doubt is still named.

--- a/crates/decision/src/agent/announce.rs
+++ b/crates/decision/src/agent/announce.rs
@@ -1,5 +1,6 @@
 //! Announcements: every holder tells the first two ranks of a flow's bucket that it holds it.
 
+use super::flows::Flow;
 use super::home::buckets;
 use super::mutant::mutated;
 use super::outbox;
@@ -22,6 +23,22 @@
         }
     }
 
+    /// Queues the end of a flow for all who may have been told of it.
+    ///
+    /// Failure: an agent restarts, and a peer that its earlier life had told names a flow to it. The flow
+    /// ends, and only the present targets hear of that. Symptom: at the next restart the peer names the
+    /// ended flow once more, and it counts as open for a day; enough of them, and a well upstream takes
+    /// nothing. Telling every peer is enough, since whoever named it is one.
+    pub(super) fn announce_end(&mut self, flow: FlowId, entry: &Flow) {
+        let opening = entry.opening(flow);
+        if !entry.relearned {
+            return self.announce(opening, false);
+        }
+        for (_, peer) in self.peers.iter_mut() {
+            peer.outbox.push(outbox::Pending { opening, open: false });
+        }
+    }
+
     /// Sends what is due, or everything that waits if this agent leaves.
     pub(super) fn send_announcements(&mut self, now: Millis, out: &mut Vec<Action>) {
         let overflowed: Vec<UpstreamId> = self
@@ -131,8 +148,12 @@
         if !self.meet_life(now, from, incarnation) {
             return;
         }
+        let leaving = self.leaving;
         if let Some(peer) = self.peers.get_mut(from) {
             peer.outbox.acknowledge(sequence);
+            if leaving {
+                peer.outbox.hurry();
+            }
         }
         self.send_announcement(now, from, out);
     }
@@ -148,6 +169,7 @@
             _ => {}
         }
         let is_restart = peer.incarnation.is_some();
+        peer.past_beat = peer.incarnation.zip(peer.beat_at.take());
         peer.incarnation = Some(life);
         peer.incarnation_at = now;
         peer.applied = 0;
--- a/crates/decision/src/agent/early.rs
+++ b/crates/decision/src/agent/early.rs
@@ -269,9 +269,10 @@
         if let Some(peer) = self.peers.get_mut(holder) {
             peer.assigned += 1;
         }
+        let life = self.peers.get(holder).and_then(|peer| peer.incarnation);
         let redirect = Redirect {
             holder,
-            life: Incarnation(0),
+            life: life.unwrap_or(Incarnation(0)),
             nonce: Some(opening.nonce),
             opened_at: now,
             evidence: Evidence::Assigned,
--- a/crates/decision/src/agent/flows.rs
+++ b/crates/decision/src/agent/flows.rs
@@ -39,6 +39,8 @@
     /// Whether only peers say so, after a restart. The first packet leads to a lookup, since the
     /// peer may not have heard of the end of the flow, and a later one may live elsewhere.
     pub(super) hearsay: bool,
+    /// Whether an earlier life of this agent took it. Whom that one has told is not known.
+    pub(super) relearned: bool,
 }
 
 /// How long flows without a sign of life are kept.
@@ -158,6 +160,7 @@
             renewed: None,
             older_was_reset: false,
             hearsay: false,
+            relearned: false,
         };
         self.flows.insert(id, flow);
         self.open += 1;
@@ -174,6 +177,7 @@
         self.insert(now, opening.flow, Some(opening.nonce), true);
         if let Some(flow) = self.flows.get_mut(&opening.flow) {
             flow.hearsay = true;
+            flow.relearned = true;
             flow.sequence = None;
             flow.opened_at = Millis(0);
         }
--- a/crates/decision/src/agent/health.rs
+++ b/crates/decision/src/agent/health.rs
@@ -167,6 +167,7 @@
         }
         peer.view = peer.view.max(heartbeat.view);
         peer.heartbeat = Some(heartbeat);
+        peer.beat_at = Some(now);
         peer.assigned = 0;
         self.doubt_former_homes(now, &homes);
         self.retarget();
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -306,7 +306,7 @@
             if flow.state == FlowState::Open {
                 out.push(Action::Note(Note::Ended(id)));
             }
-            self.announce(flow.opening(id), false);
+            self.announce_end(id, &flow);
         }
     }
 
--- a/crates/decision/src/agent/packet.rs
+++ b/crates/decision/src/agent/packet.rs
@@ -76,7 +76,7 @@
     ) {
         let evicted = self.flows.insert(now, flow, nonce, answered);
         if let Some((evicted, entry)) = evicted {
-            self.announce(entry.opening(evicted), false);
+            self.announce_end(evicted, &entry);
         }
         self.redirects.remove(flow);
         if let Some(nonce) = nonce {
@@ -110,9 +110,12 @@
             return;
         }
         out.push(Action::Note(Note::Ended(flow)));
-        let opening = self.flows.get(flow).map(|entry| entry.opening(flow));
-        if let Some(opening) = opening {
-            self.announce(opening, false);
+        if let Some(entry) = self.flows.get(flow).copied() {
+            self.announce_end(flow, &entry);
+        }
+        // The process may end at any moment: what waits for the next batch would never be told.
+        if self.leaving {
+            self.send_announcements(now, out);
         }
     }
 
--- a/crates/decision/src/agent/peers.rs
+++ b/crates/decision/src/agent/peers.rs
@@ -28,6 +28,10 @@
     pub(super) incarnation_at: Millis,
     pub(super) view: Version,
     pub(super) heartbeat: Option<Heartbeat>,
+    /// When the last heartbeat of its present life came.
+    pub(super) beat_at: Option<Millis>,
+    /// Its last life but the present one, and when that one's last heartbeat came.
+    pub(super) past_beat: Option<(Incarnation, Millis)>,
     pub(super) suspected: bool,
     /// Whether the balancers were told that it is down; the next heartbeat takes that back.
     pub(super) reported_down: bool,
--- a/crates/decision/src/agent/redirects.rs
+++ b/crates/decision/src/agent/redirects.rs
@@ -26,7 +26,8 @@
 pub struct Redirect {
     /// Its holder.
     pub holder: UpstreamId,
-    /// Life of the holder's agent that said so; zero where another agent did.
+    /// Life of the holder's agent that said so, or to which the opening was assigned; zero where another
+    /// agent said it.
     pub life: Incarnation,
     /// Nonce of its opening, if known.
     pub nonce: Option<u32>,
--- a/crates/decision/src/agent/relearn.rs
+++ b/crates/decision/src/agent/relearn.rs
@@ -101,14 +101,19 @@
         out.push(Action::Send { to: from, message });
     }
 
-    /// Whether the holder has announced other flows since this one was assigned to it, but not this one.
+    /// Whether the holder has announced other flows since this one was assigned to it, but not this one, or
+    /// has lived on long enough to announce it to those whom it tells.
     ///
-    /// Failure: an assigned opening is refused or lost. Symptom: its restarted holder is told that it has
-    /// the flow, and counts it for a day. A holder announces all that it has taken within a moment.
+    /// Failure: an assigned opening is refused or lost, or its flow has ended, and this agent is none of
+    /// those who are told. Symptom: its restarted holder is told that it has the flow, and counts it for a
+    /// day. A holder announces all that it has taken within a moment.
     fn never_ran(&self, redirect: &Redirect) -> bool {
-        let announced_at = self.peers.get(redirect.holder).and_then(|peer| peer.announced_at);
+        let Some(peer) = self.peers.get(redirect.holder) else { return false };
         let due_at = redirect.opened_at.after(limits::ANNOUNCED_WITHIN_MS);
-        redirect.evidence == Evidence::Assigned && announced_at.is_some_and(|at| at > due_at)
+        let lived_on = |(life, at): (Incarnation, Millis)| life == redirect.life && at > due_at;
+        let announced = peer.announced_at.is_some_and(|at| at > due_at);
+        let outlived = peer.past_beat.is_some_and(lived_on);
+        redirect.evidence == Evidence::Assigned && (announced || outlived)
     }
 
     pub(super) fn page_received(
--- a/crates/decision/src/agent/tests/relearn.rs
+++ b/crates/decision/src/agent/tests/relearn.rs
@@ -165,3 +165,76 @@
     fleet.pass(2_000);
     assert_eq!(fleet.agents[holder].open_flows(), 0);
 }
+
+/// A holder restarts twice, and its feed ends in between. The second life knows neither whom the first had
+/// told of the feed, nor that one of them is no longer told. If that one is not told of the end, it names the
+/// feed to the third life, which counts it for a day.
+#[test]
+fn end_of_a_relearned_feed_is_told_to_all() {
+    let spec = Spec::new(WhenInDoubt::Admit, 5);
+    let mut fleet = Fleet::settled(&spec);
+    let home = fleet.ranking(flow(1))[0];
+    assert_eq!(fleet.send(home, flow(1), opening(1)), Outcome::Delivered(home));
+    fleet.pass(1_000);
+    let second = fleet.ranking(flow(1))[1];
+    // While the second rank is away the third is told, and it stays on record there.
+    fleet.cut = vec![second];
+    fleet.pass(3_000);
+    fleet.restart(home, &spec);
+    fleet.cut.clear();
+    fleet.pass(3_000);
+    let ended = fleet.send(home, flow(1), PacketKind::Finish);
+    assert_eq!(ended, Outcome::Delivered(home));
+    fleet.pass(5_000);
+    fleet.restart(home, &spec);
+    fleet.pass(3_000);
+    assert_eq!(fleet.agents[home].open_flows(), 0);
+}
+
+/// A feed ends in the last moment before a leaving agent's process does. Its peers are told at once: the
+/// next batch would be too late, and the new life would count the feed for a day.
+#[test]
+fn end_in_the_last_moment_is_told() {
+    let spec = Spec::new(WhenInDoubt::Admit, 3);
+    let mut fleet = Fleet::settled(&spec);
+    let home = fleet.ranking(flow(1))[0];
+    assert_eq!(fleet.send(home, flow(1), opening(1)), Outcome::Delivered(home));
+    fleet.pass(1_000);
+    fleet.event(home, Event::Leave);
+    fleet.pump();
+    fleet.pass(3_000);
+    let other = (home + 1) % 3;
+    assert_eq!(fleet.send(other, flow(1), PacketKind::Finish), Outcome::Delivered(home));
+    fleet.restart(home, &spec);
+    fleet.pass(3_000);
+    assert_eq!(fleet.agents[home].open_flows(), 0);
+}
+
+/// A home assigns a feed to an upstream, which refuses it or has seen its end, and announces nothing. It
+/// lives on for seconds, so whatever it had taken would be announced. When its agent restarts, the home
+/// must not tell it of the feed. If it died at once, nobody else may know, and the home must.
+#[rstest]
+#[case::lived_on(3_000, 0)]
+#[case::died_at_once(0, 1)]
+fn assigned_feed_is_relearned_only_in_doubt(#[case] lives_ms: u64, #[case] relearned: usize) {
+    let spec = Spec::new(WhenInDoubt::Admit, 3);
+    let mut fleet = Fleet::settled(&spec);
+    let homes = |fleet: &Fleet, number: &u64| fleet.ranking(flow(*number))[0] == 0;
+    let flows: Vec<u64> = (0..400).filter(|number| homes(&fleet, number)).map(flow).collect();
+    fleet.cut = vec![1, 2];
+    let to_1 = |fleet: &Fleet| {
+        let assigned = |note: &Note| matches!(note, Note::Assigned { to, .. } if *to == id(1));
+        fleet.notes.iter().filter(|(at, note)| *at == 0 && assigned(note)).count()
+    };
+    for flow in flows {
+        if to_1(&fleet) == 0 {
+            fleet.send(0, flow, opening(1));
+        }
+    }
+    assert_eq!(to_1(&fleet), 1);
+    fleet.cut.clear();
+    fleet.pass(lives_ms);
+    fleet.restart(1, &spec);
+    fleet.pass(3_000);
+    assert_eq!(fleet.agents[1].open_flows(), relearned);
+}
--- a/crates/fuzzing/tests/mended.rs
+++ b/crates/fuzzing/tests/mended.rs
@@ -10,7 +10,8 @@
 /// stayed beside an upstream that was wanted again; an opening that was refused was told to its
 /// restarted holder as its own; an agent that restarted counted a membership whose members were gone, and
 /// of which its peers knew that nobody needs it any more: no opening that it proposed was answered; a
-/// late reset of an older connection on the same ports made an agent forget the present one.
+/// late reset of an older connection on the same ports made an agent forget the present one; peers that
+/// had not heard of a flow's end named it to its restarted holder, which counted it, and was full of such.
 #[rstest]
 #[case::dead_flows_fill_the_upstream(181)]
 #[case::witnesses_restart(645)]
@@ -23,6 +24,11 @@
 #[case::late_reset_cuts_a_later_flow(1101)]
 #[case::late_copies_and_a_late_reset(518)]
 #[case::late_reset_hides_a_later_flow(275)]
+#[case::end_of_a_relearned_flow_untold(90417060)]
+#[case::end_in_the_last_moment_untold(90418104)]
+#[case::refused_opening_relearned(405)]
+#[case::ended_flows_fill_the_service(90418283)]
+#[case::ended_flows_fill_a_service_of_four(1030)]
 fn mended_episode(#[case] seed: u64) {
     let (outcome, _) = campaign::play(&campaign::draw(seed), Sabotage::default(), false);
     assert_eq!(outcome.violation, None);
