Name outdated memberships in a message of their own

What would have been seen: while a fleet is replaced by this release, agents of the older one read none of the newer ones' heartbeats and take them all for dead. Cause: the mend of outdated memberships added a field to the heartbeat, and MessagePack arrays have a fixed length. Found on reading; no test compared the heartbeat's bytes. Change: a message of its own, which older agents drop as malformed, as before they dropped nothing else; to peers that are not retired. The heartbeat's bytes are now a golden case beside those of Ask.

--- a/crates/decision/src/agent/health.rs
+++ b/crates/decision/src/agent/health.rs
@@ -111,13 +111,13 @@
             accepting,
             ramp_percent: self.ramp_percent(now) as u8,
             leaving: self.leaving,
-            outdated: self.settings.cuts.outdated(now, self.heartbeats),
         };
         self.heartbeats = self.heartbeats.wrapping_add(1);
-        for (to, peer) in self.peers.iter() {
-            if peer.may_hold_flows(now) {
-                out.push(Action::Send { to, message: Message::Heartbeat(heartbeat) });
-            }
+        let outdated = self.settings.cuts.outdated(now, self.heartbeats);
+        for (to, peer) in self.peers.iter().filter(|(_, peer)| peer.may_hold_flows(now)) {
+            out.push(Action::Send { to, message: Message::Heartbeat(heartbeat) });
+            let outdated = outdated.filter(|_| !peer.retired).map(Message::Outdated);
+            out.extend(outdated.map(|message| Action::Send { to, message }));
         }
         self.report_myself(heartbeat.beat, out);
     }
@@ -147,9 +147,6 @@
             return;
         }
         self.saw_version(now, heartbeat.view, out);
-        if let Some(outdated) = heartbeat.outdated {
-            self.settings.cuts.hear(now, outdated);
-        }
         let homes = self.homes();
         let Some(peer) = self.peers.get_mut(from) else { return };
         if let Some(born) = heartbeat.born
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -265,6 +265,7 @@
                 self.records_received(now, from, page, out);
             }
             Message::Heartbeat(heartbeat) => self.heartbeat_received(now, from, heartbeat, out),
+            Message::Outdated(outdated) => self.settings.cuts.hear(now, outdated),
         }
     }
 
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -127,8 +127,6 @@
     pub ramp_percent: u8,
     /// True once the sender leaves: buckets move to the next rank.
     pub leaving: bool,
-    /// A former membership that the sender knows to be outdated, another one each time.
-    pub outdated: Option<Outdated>,
 }
 
 /// A message between two agents of one service.
@@ -239,4 +237,6 @@
     },
     /// Load and liveness.
     Heartbeat(Heartbeat),
+    /// A former membership of the service that needs no majority any more, another one each time.
+    Outdated(Outdated),
 }
--- a/crates/wire/src/control/dto.rs
+++ b/crates/wire/src/control/dto.rs
@@ -63,7 +63,6 @@
     accepting: bool,
     ramp_percent: u8,
     leaving: bool,
-    outdated: Option<OutdatedDto>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -136,6 +135,7 @@
         met_before: bool,
     },
     Heartbeat(HeartbeatDto),
+    Outdated(OutdatedDto),
 }
 
 /// Entries of the list in a message, zero where it has none.
@@ -309,7 +309,6 @@
             accepting: heartbeat.accepting,
             ramp_percent: heartbeat.ramp_percent,
             leaving: heartbeat.leaving,
-            outdated: heartbeat.outdated.map(OutdatedDto::from),
         }
     }
 }
@@ -326,7 +325,6 @@
             accepting: heartbeat.accepting,
             ramp_percent: heartbeat.ramp_percent,
             leaving: heartbeat.leaving,
-            outdated: heartbeat.outdated.map(Outdated::from),
         }
     }
 }
@@ -401,6 +399,7 @@
                 }
             }
             Message::Heartbeat(heartbeat) => Body::Heartbeat((*heartbeat).into()),
+            Message::Outdated(outdated) => Body::Outdated((*outdated).into()),
         })
     }
 }
@@ -463,6 +462,7 @@
                 }
             }
             Body::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.into()),
+            Body::Outdated(outdated) => Self::Outdated(outdated.into()),
         }
     }
 }
--- a/crates/wire/tests/control.rs
+++ b/crates/wire/tests/control.rs
@@ -57,7 +57,6 @@
         accepting: true,
         ramp_percent: 30,
         leaving: false,
-        outdated: Some(Outdated { from: Version(3), next: VIEW, forgotten_in_ms: 120_000 }),
     })
 }
 
@@ -91,6 +90,7 @@
 #[case::page(page(2))]
 #[case::entrusted(entrusted_page(2))]
 #[case::heartbeat(heartbeat())]
+#[case::outdated(Message::Outdated(Outdated { from: Version(3), next: VIEW, forgotten_in_ms: 9 }))]
 fn decode_own_encoding(#[case] message: Message) {
     let envelope = Envelope { clock: u64::MAX, message };
     let mut bytes = Vec::new();
@@ -133,13 +133,27 @@
     assert_eq!(bytes, b"before");
 }
 
-/// Agents of two releases talk to each other while the fleet is replaced.
-#[test]
-fn encode_golden_vector() {
-    let message = Message::Ask { flow: FlowId(258), question: 5 };
+/// Agents of two releases talk to each other while the fleet is replaced. A heartbeat with one more field could
+/// not be read by the older ones, which would take all newer agents for dead.
+#[rstest]
+#[case::ask(
+    Message::Ask { flow: FlowId(258), question: 5 },
+    b"\x92\x01\x81\xa3Ask\x92\xcd\x01\x02\x05",
+)]
+#[case::heartbeat(
+    heartbeat(),
+    b"\x92\x01\x81\xa9Heartbeat\x99\xcf\xff\xff\xff\xff\xff\xff\xff\xff\xcf\xff\xff\xff\xff\xff\xff\xff\xff\x4d\x07\x01\x02\xc3\x1e\xc2",
+)]
+fn encode_golden_vector(#[case] message: Message, #[case] expected: &[u8]) {
     let mut bytes = Vec::new();
     encode(&Envelope { clock: 1, message }, &mut bytes).unwrap();
-    assert_eq!(bytes, [0x92, 0x01, 0x81, 0xa3, b'A', b's', b'k', 0x92, 0xcd, 0x01, 0x02, 0x05]);
+    assert_eq!(bytes, expected);
+}
+
+/// A message of a kind that only a newer release knows is dropped, and nothing else is.
+#[test]
+fn decode_unknown_kind() {
+    assert_eq!(decode(b"\x92\x01\x81\xa5Newer\x91\x07"), Err(ControlError::Malformed));
 }
 
 /// A list that claims four thousand million entries is refused by that number alone.
