Let agents take in messages for themselves only

Cause: peers that list both upstreams at one address send the gone one's messages to the new one, which took them in: two streams of announcements with independent numbers, of which the lower is dropped as old. The seal names account, service and sender, not the receiver. Ruled out: another service at the address (already refused).

Change: control messages between agents carry the receiver's id where packets carry their flow, under the MAC; others are dropped with E2112. Zero, as agents of an earlier release send it, passes. The fuzzing world drops by the same rule.

--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -1,6 +1,6 @@
 //! What is checked before a datagram reaches the decision core. Pure: bytes in, packet out.
 
-use decision::keys::{AccountId, ServiceId, Version};
+use decision::keys::{AccountId, ServiceId, UpstreamId, Version};
 use decision::view::{View, WhenInDoubt};
 use settings::{Code, codes};
 use wire::control::{self, Envelope};
@@ -16,6 +16,8 @@
     pub account: AccountId,
     /// Its service.
     pub service: ServiceId,
+    /// Its upstream.
+    pub upstream: UpstreamId,
 }
 
 /// What a datagram turned out to be.
@@ -81,6 +83,9 @@
         };
     }
     if matches!(payload, Payload::Control(_)) {
+        if !header.is_for(identity.upstream) {
+            return Err(codes::WRONG_RECEIVER);
+        }
         let envelope = control::decode(frame.payload).map_err(|_| codes::MALFORMED)?;
         return Ok(Admitted::Message { header, envelope });
     }
--- a/crates/agent/src/plane/carry.rs
+++ b/crates/agent/src/plane/carry.rs
@@ -59,7 +59,7 @@
             log::error!("message not sent: {error}");
             return;
         }
-        let header = self.own_header(FlowId(0), 0, Passed::Fresh);
+        let header = self.own_header(FlowId(to.0), 0, Passed::Fresh);
         let mut private = [0; SEALED_BYTES];
         let payload = Payload::Control(&self.body);
         if self.config.keyring.seal(&header, payload, &mut private).is_err() {
@@ -135,7 +135,7 @@
             service: identity.service,
             flow,
             version: self.own.version,
-            sender: SenderId(self.config.upstream.0),
+            sender: SenderId(self.config.identity.upstream.0),
         }
     }
 
--- a/crates/agent/src/plane/mod.rs
+++ b/crates/agent/src/plane/mod.rs
@@ -42,7 +42,6 @@
     pub(crate) socket: UdpSocket,
     pub(crate) addresses: Addresses,
     pub(crate) identity: Identity,
-    pub(crate) upstream: UpstreamId,
     pub(crate) account: Arc<str>,
     pub(crate) keyring: AccountKeyring,
     pub(crate) store: Arc<Store>,
--- a/crates/agent/src/plane/tests.rs
+++ b/crates/agent/src/plane/tests.rs
@@ -113,8 +113,11 @@
     let config = PlaneConfig {
         socket: data,
         addresses: Addresses { upstream: upstream_address, gateway: gateway_address },
-        identity: Identity { account: AccountId::of("cascadia"), service: service() },
-        upstream: upstream("own"),
+        identity: Identity {
+            account: AccountId::of("cascadia"),
+            service: service(),
+            upstream: upstream("own"),
+        },
         account: "cascadia".into(),
         keyring: ring(),
         store: store.clone(),
@@ -290,7 +293,6 @@
         accepting: false,
         ramp_percent: 100,
         leaving: false,
-        outdated: None,
     }));
     let recalled = bench.message_to_peer(|message| match message {
         Message::Recall { incarnation, from } => Some(Message::RecallReply {
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -99,7 +99,6 @@
                 gateway: self.settings.gateway_address,
             },
             identity: self.identity(),
-            upstream: self.upstream(),
             account: self.settings.account.clone(),
             keyring,
             store: self.store.clone(),
@@ -202,7 +201,7 @@
         let generation = self.store.generation();
         let view = self.store.view();
         let agent_config = AgentConfig {
-            upstream: config.upstream,
+            upstream: config.identity.upstream,
             service: config.identity.service,
             incarnation: Incarnation(clock::wall_ms()),
             may_have_past: may_have_past(report),
@@ -271,6 +270,7 @@
         Identity {
             account: AccountId::of(&self.settings.account),
             service: ServiceId::of(&self.settings.account, &self.settings.service),
+            upstream: self.upstream(),
         }
     }
 
--- a/crates/agent/tests/gate.rs
+++ b/crates/agent/tests/gate.rs
@@ -51,9 +51,12 @@
     view::build(&[AccountSpec { name: "cascadia".into(), version: Version(7), services }])
 }
 
+/// The upstream beside which the agent runs.
+const OWN: UpstreamId = UpstreamId(5);
+
 fn own_identity() -> Identity {
     let (account, service) = (AccountId::of("cascadia"), ServiceId::of("cascadia", "shelf"));
-    Identity { account, service }
+    Identity { account, service, upstream: OWN }
 }
 
 fn ring(account: &str) -> AccountKeyring {
@@ -73,7 +76,7 @@
         passed: Passed::Fresh,
         account: AccountId::of(sent.account),
         service: ServiceId::of(sent.account, sent.service),
-        flow: FlowId(5),
+        flow: FlowId(OWN.0),
         version: Version(7),
         sender: SenderId(9),
     }
@@ -137,6 +140,25 @@
     assert_eq!(code_of(&datagram), Some(expected));
 }
 
+/// A retired upstream's address went to another one of its service, and a peer still lists both there. Taken
+/// in, the messages for the gone one would hide those for this agent. Agents of an earlier release
+/// name no receiver.
+#[rstest]
+#[case::mine(FlowId(OWN.0), None)]
+#[case::not_named(FlowId(0), None)]
+#[case::gone(FlowId(6), Some(codes::WRONG_RECEIVER))]
+fn check_receiver(#[case] flow: FlowId, #[case] expected: Option<Code>) {
+    let envelope = Envelope { clock: 4, message: Message::Ask { flow: FlowId(8), question: 6 } };
+    let mut body = Vec::new();
+    control::encode(&envelope, &mut body).unwrap();
+    let header = Header { flow, ..header(&sent()) };
+    let mut private = [0; SEALED_BYTES];
+    ring("cascadia").seal(&header, Payload::Control(&body), &mut private).unwrap();
+    let mut datagram = Vec::new();
+    gue::encode(Content::Control(control::CONTROL_TYPE), &private, &body, &mut datagram);
+    assert_eq!(code_of(&datagram), expected);
+}
+
 #[test]
 fn check_control_message() {
     let envelope = Envelope { clock: 4, message: Message::Ask { flow: FlowId(5), question: 6 } };
--- a/crates/fuzzing/src/world/agents.rs
+++ b/crates/fuzzing/src/world/agents.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug)]
 pub(super) enum Incoming {
     Packet { packet: Packet, carried: Carried },
-    Control { from: UpstreamId, service: ServiceId, message: Message },
+    Control { from: UpstreamId, to: UpstreamId, service: ServiceId, message: Message },
     View(Arc<View>),
     Report(Report),
     Hint { peer: UpstreamId, alive: bool },
@@ -204,8 +204,9 @@
         let Some(shell) = &mut self.hosts[host].agent else { return };
         let event = match incoming {
             Incoming::Packet { packet, carried } => return self.take_packet(host, packet, carried),
-            // The seal on a control message names the service.
+            // The seal on a control message names the service, and the message its receiver.
             Incoming::Control { service, .. } if service != shell.service => return,
+            Incoming::Control { to, .. } if to != shell.id => return,
             Incoming::Control { from, message, .. } => Event::Message { from, message },
             Incoming::View(view) => Event::View(view),
             Incoming::Report(report) => {
@@ -329,7 +330,8 @@
         } else {
             self.note(|| format!("host {host} -> host {target}: {message:?}"));
         }
-        self.send(Node::Host(host), target, Incoming::Control { from, service, message });
+        let incoming = Incoming::Control { from, to, service, message };
+        self.send(Node::Host(host), target, incoming);
     }
 }
 
--- a/crates/fuzzing/tests/mended.rs
+++ b/crates/fuzzing/tests/mended.rs
@@ -11,7 +11,8 @@
 /// restarted holder as its own; an agent that restarted counted a membership whose members were gone, and
 /// of which its peers knew that nobody needs it any more: no opening that it proposed was answered; a
 /// late reset of an older connection on the same ports made an agent forget the present one; peers that
-/// had not heard of a flow's end named it to its restarted holder, which counted it, and was full of such.
+/// had not heard of a flow's end named it to its restarted holder, which counted it, and was full of such;
+/// an agent took in what was meant for a gone one at its address.
 #[rstest]
 #[case::dead_flows_fill_the_upstream(181)]
 #[case::witnesses_restart(645)]
@@ -29,6 +30,7 @@
 #[case::refused_opening_relearned(405)]
 #[case::ended_flows_fill_the_service(90418283)]
 #[case::ended_flows_fill_a_service_of_four(1030)]
+#[case::messages_for_a_gone_agent(200207)]
 fn mended_episode(#[case] seed: u64) {
     let (outcome, _) = campaign::play(&campaign::draw(seed), Sabotage::default(), false);
     assert_eq!(outcome.violation, None);
--- a/crates/settings/src/codes/table.rs
+++ b/crates/settings/src/codes/table.rs
@@ -183,6 +183,9 @@
     UNSUPPORTED_PROTOCOL = 2111, "unsupported_protocol", Packets,
         "The packet is neither TCP nor UDP.",
         "None: other protocols are not served.";
+    WRONG_RECEIVER = 2112, "wrong_receiver", Packets,
+        "The message is for another agent that had this address.",
+        "None: it ends once the entry of the retired upstream leaves the settings.";
     PLACED = 2201, "placed", Packets,
         "A new flow was sent to an upstream.",
         "None.";
--- a/crates/wire/src/sealed/mod.rs
+++ b/crates/wire/src/sealed/mod.rs
@@ -33,7 +33,7 @@
 use std::hash::Hasher as _;
 
 use decision::agent::Passed;
-use decision::keys::{AccountId, FlowId, ServiceId, Version};
+use decision::keys::{AccountId, FlowId, ServiceId, UpstreamId, Version};
 use siphasher::sip128::SipHasher24;
 use zerocopy::byteorder::network_endian::U64;
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
@@ -77,7 +77,8 @@
     pub account: AccountId,
     /// Service.
     pub service: ServiceId,
-    /// Flow; zero in control messages.
+    /// Flow. In a control message between agents the id of the receiver, see [`Header::is_for`]; zero in
+    /// those of balancers.
     pub flow: FlowId,
     /// Version of the account's settings at the sender.
     pub version: Version,
@@ -85,6 +86,36 @@
     pub sender: SenderId,
 }
 
+impl Header {
+    /// Whether a control message is for the agent beside `upstream`.
+    ///
+    /// Failure: the address of a retired upstream goes to another one of its service, and a peer's
+    /// settings still list both there. Symptom: the new agent takes what is meant for the gone one,
+    /// and drops its own batches of announcements, which have lower numbers. Agents of an earlier
+    /// release name no receiver; their messages are for whoever gets them.
+    ///
+    /// ```
+    /// use decision::agent::Passed;
+    /// use decision::keys::{AccountId, FlowId, ServiceId, UpstreamId, Version};
+    /// use wire::sealed::{Header, SenderId};
+    /// let header = Header {
+    ///     hops: 0,
+    ///     passed: Passed::Fresh,
+    ///     account: AccountId::of("cascadia"),
+    ///     service: ServiceId::of("cascadia", "shelf"),
+    ///     flow: FlowId(7),
+    ///     version: Version(1),
+    ///     sender: SenderId(9),
+    /// };
+    /// assert!(header.is_for(UpstreamId(7)));
+    /// assert!(!header.is_for(UpstreamId(8)));
+    /// assert!(Header { flow: FlowId(0), ..header }.is_for(UpstreamId(8)));
+    /// ```
+    pub fn is_for(&self, upstream: UpstreamId) -> bool {
+        self.flow == FlowId(0) || self.flow == FlowId(upstream.0)
+    }
+}
+
 /// A frame whose MAC is right.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Opened {
