Relearn no answered datagrams

Cause: a request of a service that refuses when in doubt is one datagram and over once answered; its holder forgets it after 10 s. It announces it all the same, peers name it to a restarted holder for half an hour, and there it counts as open for DATAGRAM_IDLE_MS (300 s). Ruled out: ended connections (the service has none).

Change: such an agent relearns no flows; that the requests ran is in the claims that it recalls. The table test fails without it.

--- a/crates/decision/src/agent/relearn.rs
+++ b/crates/decision/src/agent/relearn.rs
@@ -6,6 +6,7 @@
 use crate::keys::{FlowId, Incarnation, UpstreamId};
 use crate::message::{Entrusted, Message, Opening};
 use crate::time::Millis;
+use crate::view::WhenInDoubt;
 
 /// How far one peer has told what it knows.
 #[derive(Clone, Copy, Debug, Default)]
@@ -142,8 +143,14 @@
         self.relearn(now, out);
     }
 
+    /// Takes in what a peer says that this agent's earlier life held.
+    ///
+    /// Not where each datagram is a request of its own, which is over once it is answered. Failure: peers
+    /// name those of the last half hour. Symptom: for five minutes after its restart the upstream counts
+    /// them as open, is full, and refuses all. That they ran is recorded in the claims.
     fn insert_relearned(&mut self, now: Millis, openings: &[Opening], out: &mut Vec<Action>) {
-        if self.past == Past::Known {
+        let single = self.settings.datagrams && self.settings.when_in_doubt == WhenInDoubt::Refuse;
+        if self.past == Past::Known || single {
             return;
         }
         for opening in openings {
--- a/crates/decision/src/agent/tests/relearn.rs
+++ b/crates/decision/src/agent/tests/relearn.rs
@@ -238,3 +238,24 @@
     fleet.pass(3_000);
     assert_eq!(fleet.agents[1].open_flows(), relearned);
 }
+
+/// An upstream has answered restock confirmations, each one datagram, and its agent restarts. The peers
+/// remember them. They are over: an upstream that counted them as open would refuse all others as full.
+#[test]
+fn answered_datagrams_are_not_relearned() {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, 3);
+    spec.transport = Transport::Udp;
+    spec.max_flows = 3;
+    let mut fleet = Fleet::settled(&spec);
+    let outcomes: Vec<Outcome> =
+        (0..9).map(|number| fleet.send(0, flow(number), opening(1))).collect();
+    assert!(outcomes.iter().all(|outcome| matches!(outcome, Outcome::Delivered(_))));
+    fleet.pass(1_000);
+    for index in 0..3 {
+        fleet.restart(index, &spec);
+        fleet.pass(2_500);
+    }
+    fleet.pass(20_000);
+    let outcome = fleet.send(0, flow(10), opening(1));
+    assert!(matches!(outcome, Outcome::Delivered(_)), "{outcome:?}");
+}
--- a/crates/fuzzing/tests/mended.rs
+++ b/crates/fuzzing/tests/mended.rs
@@ -12,7 +12,8 @@
 /// of which its peers knew that nobody needs it any more: no opening that it proposed was answered; a
 /// late reset of an older connection on the same ports made an agent forget the present one; peers that
 /// had not heard of a flow's end named it to its restarted holder, which counted it, and was full of such;
-/// an agent took in what was meant for a gone one at its address.
+/// an agent took in what was meant for a gone one at its address; a restarted agent counted answered
+/// datagrams as open and was full.
 #[rstest]
 #[case::dead_flows_fill_the_upstream(181)]
 #[case::witnesses_restart(645)]
@@ -31,6 +32,8 @@
 #[case::ended_flows_fill_the_service(90418283)]
 #[case::ended_flows_fill_a_service_of_four(1030)]
 #[case::messages_for_a_gone_agent(200207)]
+#[case::answered_datagrams_fill_the_service(90417810)]
+#[case::answered_datagrams_fill_the_only_active_upstream(200986)]
 fn mended_episode(#[case] seed: u64) {
     let (outcome, _) = campaign::play(&campaign::draw(seed), Sabotage::default(), false);
     assert_eq!(outcome.violation, None);
