Ask about packets of a flow that was reset

What callers saw: a connection that was opened on the ports of a reset one was itself reset seconds later (episode).

Cause: the home of a bucket believes for 30 s that a closing flow's packets are its own, since a caller's ports rest after a FIN. After a reset they don't. In the trace host 1 is paused from 5.58 to 9.13 s, the next connection opens at host 2 at 8.457, and host 1 delivers its packet to the old upstream on waking. Ruled out: wrong redirects (the packet came straight to the home).

Change: packets of a flow in state Reset are always asked about; with a silent peer, or no room for a question, they are dropped. Both cases of the table test fail without it.

--- a/crates/decision/src/agent/lookup.rs
+++ b/crates/decision/src/agent/lookup.rs
@@ -3,6 +3,7 @@
 //! Every agent that may hold the flow is asked. Only when all of them have denied it may the
 //! caller be told that it does not exist: a reset in doubt would break a flow that lives elsewhere.
 
+use super::flows::FlowState;
 use super::mutant::mutated;
 use super::redirects::{Evidence, Redirect};
 use super::sorted::Sorted;
@@ -86,8 +87,11 @@
         self.hold_for_lookup(packet)
     }
 
-    /// Too many lookups: hearsay has to do.
+    /// Too many lookups: hearsay has to do. Of a flow that was reset, only the next one's packets matter.
     fn without_lookup(&mut self, now: Millis, packet: &Packet, out: &mut Vec<Action>) -> Verdict {
+        if self.was_reset(packet.flow) {
+            return Verdict::Drop(Reason::Overload);
+        }
         match self.deliver_certain(now, packet, out) {
             true => Verdict::Deliver,
             false => Verdict::Drop(Reason::Overload),
@@ -233,6 +237,10 @@
             let doubtful = silent && lookup.closes_at(holder);
             return Some(if doubtful { Finding::Doubt } else { Finding::Holder(holder) });
         }
+        // The caller may have opened the next flow on these ports at an agent that does not answer.
+        if hearsay && silent && self.was_reset(flow) {
+            return Some(Finding::Doubt);
+        }
         if hearsay {
             return Some(Finding::OnlyMe);
         }
@@ -243,6 +251,10 @@
         Some(self.finding_of_denials(now, lookup))
     }
 
+    fn was_reset(&self, flow: FlowId) -> bool {
+        self.flows.get(flow).is_some_and(|known| known.state == FlowState::Reset)
+    }
+
     /// The peer that most answers name as holder. If it has denied the flow it may still decide
     /// about it, but not against hearsay at this agent, and not against more who name this one.
     fn most_named(&self, lookup: &Lookup, hearsay: bool) -> Option<UpstreamId> {
--- a/crates/decision/src/agent/packet.rs
+++ b/crates/decision/src/agent/packet.rs
@@ -145,7 +145,8 @@
     /// Failure: the caller uses the ports of the closing flow again, and packets of the new flow
     /// reach the agent of the old one. Symptom: the old upstream resets the new flow. A closing
     /// flow is therefore believed only for as long as the caller's ports rest, and only where
-    /// the home has sent the packet or is this agent; otherwise all others are asked first.
+    /// the home has sent the packet or is this agent; otherwise all others are asked first. After a reset
+    /// they don't rest: the caller may use them at once.
     fn uncertain(
         &mut self,
         now: Millis,
@@ -155,7 +156,8 @@
     ) -> Verdict {
         let is_home = self.home(rank::bucket_of(packet.flow)) == Some(self.config.upstream);
         let from_home = is_home || packet.passed != Passed::Fresh;
-        let rests = now.since(flow.last_seen) < limits::CLOSING_CERTAIN_MS;
+        let recent = now.since(flow.last_seen) < limits::CLOSING_CERTAIN_MS;
+        let rests = recent && flow.state != FlowState::Reset;
         if flow.hearsay || !from_home || !rests {
             return self.look_up(now, packet, out);
         }
--- a/crates/decision/src/agent/tests/lookup.rs
+++ b/crates/decision/src/agent/tests/lookup.rs
@@ -123,3 +123,31 @@
     let stray = Packet { service: ServiceId::of("bajio", "fitting"), ..packet(1, kind) };
     assert_eq!(fleet.send_packet(0, stray), Outcome::Dropped(Reason::WrongService));
 }
+
+/// A caller resets its connection and opens the next one on the same ports at once. The first holder is
+/// paused or cut off just then, and hears nothing of it. Back again, it gets a packet of the new connection: its
+/// upstream would reset it. After a reset nothing but packets of a next connection matters, so it asks;
+/// where the holder is silent, the caller must send again.
+#[rstest]
+#[case::holder_answers(false)]
+#[case::holder_silent(true)]
+fn ports_used_again_after_a_reset(#[case] silent: bool) {
+    const NEXT: u32 = 1 << 31;
+    let mut fleet = Fleet::settled(&Spec::new(WhenInDoubt::Admit, 3));
+    let (first, second) = (fleet.ranking(flow(1))[0], fleet.ranking(flow(1))[1]);
+    assert_eq!(fleet.send(first, flow(1), opening(1)), Outcome::Delivered(first));
+    assert_eq!(fleet.send(first, flow(1), PacketKind::Reset), Outcome::Delivered(first));
+    fleet.cut = vec![first];
+    fleet.pass(5_000);
+    let next = |kind| Packet { sequence: NEXT, ..packet(flow(1), kind) };
+    let Outcome::Delivered(holder) = fleet.send_packet(second, next(opening(NEXT))) else {
+        panic!("the next connection must open");
+    };
+    assert_ne!(holder, first);
+    fleet.cut = if silent { vec![holder] } else { Vec::new() };
+    let expected = match silent {
+        true => Outcome::Dropped(Reason::HolderSilent),
+        false => Outcome::Delivered(holder),
+    };
+    assert_eq!(fleet.send_packet(first, next(PacketKind::Middle)), expected);
+}
--- a/crates/fuzzing/tests/mended.rs
+++ b/crates/fuzzing/tests/mended.rs
@@ -13,7 +13,8 @@
 /// late reset of an older connection on the same ports made an agent forget the present one; peers that
 /// had not heard of a flow's end named it to its restarted holder, which counted it, and was full of such;
 /// an agent took in what was meant for a gone one at its address; a restarted agent counted answered
-/// datagrams as open and was full.
+/// datagrams as open and was full; an agent that came back from a pause took the next connection on a
+/// reset one's ports for the old one.
 #[rstest]
 #[case::dead_flows_fill_the_upstream(181)]
 #[case::witnesses_restart(645)]
@@ -34,6 +35,7 @@
 #[case::messages_for_a_gone_agent(200207)]
 #[case::answered_datagrams_fill_the_service(90417810)]
 #[case::answered_datagrams_fill_the_only_active_upstream(200986)]
+#[case::next_connection_after_a_reset(90417772)]
 fn mended_episode(#[case] seed: u64) {
     let (outcome, _) = campaign::play(&campaign::draw(seed), Sabotage::default(), false);
     assert_eq!(outcome.violation, None);
