Let an unsure agent say what it was told

Cause: an agent that restarted within the last minute may hold flows without knowing, and answered *unsure* about every flow, also about those that a holder had announced to its new life. In the trace host 0 knows by announcement that host 2 holds the flow, says *unsure*, and the only other voice names host 1, which had an older connection on these ports. Ruled out: a lost announcement (it was acknowledged).

Change: it names the holder if the holder itself has announced the flow and not its end. The table test fails without it.

Tried and taken back: witnesses of a claim named its holder as well, where that one has restarted since.

--- a/crates/decision/src/agent/lookup.rs
+++ b/crates/decision/src/agent/lookup.rs
@@ -188,13 +188,12 @@
             Some(_) => return Knowledge::Closing,
             None => {}
         }
-        if self.is_unsure(now) {
-            return Knowledge::Unsure;
-        }
-        match self.redirects.get(now, flow) {
-            Some(redirect) if redirect.holder != self.config.upstream => {
+        let me = self.config.upstream;
+        match self.redirects.get(now, flow).filter(|redirect| redirect.holder != me) {
+            Some(redirect) if !self.is_unsure(now) || is_told(redirect) => {
                 Knowledge::HeldBy(redirect.holder)
             }
+            _ if self.is_unsure(now) => Knowledge::Unsure,
             _ => Knowledge::NotMine,
         }
     }
@@ -327,6 +326,16 @@
     }
 }
 
+/// Whether the holder itself has said that it has the flow open.
+///
+/// Failure: an agent that restarted a minute ago may hold flows without knowing, and says so of every flow,
+/// also of one that another agent has announced to it since. Symptom: what a third one remembers of an older
+/// connection on the same ports decides, and the flow is cut. The holder's word is newer than
+/// anything that an earlier life of the asked agent can have taken.
+fn is_told(redirect: &Redirect) -> bool {
+    redirect.evidence == Evidence::Announced && !redirect.closing
+}
+
 impl Lookup {
     /// The agent that says it holds the flow.
     fn holder(&self) -> Option<UpstreamId> {
--- a/crates/decision/src/agent/tests/lookup.rs
+++ b/crates/decision/src/agent/tests/lookup.rs
@@ -151,3 +151,33 @@
     };
     assert_eq!(fleet.send_packet(first, next(PacketKind::Middle)), expected);
 }
+
+/// An agent has restarted, and a cutter's session begins at another one, which announces it. Asked about the
+/// session, the restarted agent says who has announced it. That it is unsure of what it held before has
+/// no part in that: the answer *unsure* left the word to agents that remembered an older connection.
+#[test]
+fn unsure_agent_says_what_it_was_told() {
+    let spec = Spec::new(WhenInDoubt::Admit, 4);
+    let mut fleet = Fleet::settled(&spec);
+    let ranking = fleet.ranking(flow(1));
+    fleet.restart(ranking[1], &spec);
+    fleet.pass(12_000);
+    let Outcome::Delivered(holder) = fleet.send(ranking[0], flow(1), opening(1)) else {
+        panic!("the session must open");
+    };
+    fleet.pass(1_000);
+    assert_ne!(holder, ranking[1]);
+    let asked = |fleet: &mut Fleet, number: u64| {
+        let message = Message::Ask { flow: FlowId(flow(number)), question: 1 };
+        let from = id(ranking[3]);
+        let mut out = Vec::new();
+        let now = fleet.now;
+        fleet.agents[ranking[1]].handle(now, Event::Message { from, message }, &mut out);
+        out.into_iter().find_map(|action| match action {
+            Action::Send { message: Message::AskReply { knowledge, .. }, .. } => Some(knowledge),
+            _ => None,
+        })
+    };
+    assert_eq!(asked(&mut fleet, 1), Some(Knowledge::HeldBy(id(holder))));
+    assert_eq!(asked(&mut fleet, 2), Some(Knowledge::Unsure));
+}
