Choose anew when a claim ends long after its time

What callers saw: an upstream that had drained for three seconds got one more flow, which ends with it.

Cause: an agent claims an opening for its own upstream, waits for former homes, and is paused; the upstream drains meanwhile. Ruled out: an agent that has not heard of the drain.

Change: a claim that ends PAUSE_MS or more after its deadline is chosen anew if the upstream may take nothing. The table test fails without it.

--- a/crates/decision/src/agent/claimant.rs
+++ b/crates/decision/src/agent/claimant.rs
@@ -223,7 +223,25 @@
         let awaited =
             |id: UpstreamId| self.peers.get(id).is_some_and(|peer| isolated || !peer.suspected);
         let waiting = now < pending.deadline && pending.silent().any(awaited);
-        (!waiting).then(|| self.decide_early(now, pending.attempt, out))
+        (!waiting).then(|| {
+            let attempt = self.chosen_anew_if_late(now, pending);
+            self.decide_early(now, attempt, out)
+        })
+    }
+
+    /// The attempt, or another one if this agent was paused so long that its choice no longer holds.
+    ///
+    /// Failure: an agent claims an opening for its upstream, is paused while former homes are asked, and the
+    /// upstream begins to drain meanwhile. Symptom: on waking it admits what it chose seconds ago. An
+    /// ordinary wait is over long before an upstream that drains must be left alone.
+    fn chosen_anew_if_late(&mut self, now: Millis, pending: &PendingClaim) -> Attempt {
+        let attempt = pending.attempt;
+        let late = now.since(pending.deadline) >= limits::PAUSE_MS;
+        let mine = attempt.claim == Claim::Run(self.config.upstream);
+        if !late || !mine || !self.must_not_admit() {
+            return attempt;
+        }
+        Attempt { claim: self.claim_of_assigned(now, attempt.hops), ..attempt }
     }
 
     fn settle_quorum(
--- a/crates/decision/src/agent/tests/early.rs
+++ b/crates/decision/src/agent/tests/early.rs
@@ -163,3 +163,28 @@
         assert_eq!(fleet.send(1, *flow, PacketKind::Middle), new, "{flow}");
     }
 }
+
+/// A home claims an opening for its own upstream and is paused while it waits for former homes. Meanwhile the
+/// upstream begins to drain, and the settings that say so are the first thing that it takes in on waking.
+/// The packet that it still holds goes to an upstream that stays.
+#[test]
+fn held_opening_goes_elsewhere_after_a_drain() {
+    let mut spec = Spec::new(WhenInDoubt::Admit, 3);
+    let mut fleet = Fleet::started(&spec);
+    fleet.pass(2_000);
+    let home = fleet.ranking(flow(1))[0];
+    fleet.arrive(home, packet(flow(1), opening(1)));
+    assert_eq!(fleet.held.len(), 1, "it waits for former homes");
+    fleet.messages.clear();
+    fleet.paused = vec![home];
+    fleet.cut = vec![home];
+    fleet.pass(4_000);
+    fleet.paused.clear();
+    fleet.cut.clear();
+    spec.version = 2;
+    spec.states[home] = UpstreamState::Draining;
+    (0..3).for_each(|index| fleet.install(index, &spec));
+    fleet.pass(1_000);
+    assert!(fleet.outcomes.iter().all(|outcome| *outcome != Outcome::Delivered(home)));
+    assert!(matches!(fleet.outcomes[0], Outcome::Delivered(_)), "{:?}", fleet.outcomes);
+}
