End a lookup that an opening has overtaken

Since packets of a reset flow are asked about, an agent may hand the caller's next opening on while it waits; the answers still name it, it takes the flow for its own and forgets whom it had assigned. Trace: asked at 54.813, assigned to host 3 at 54.816, adopted at 54.817 s.

Change: a lookup is in doubt once another agent has taken a flow on these ports since it began; the caller's next packet follows the new redirect. The table test fails without it.

--- a/crates/decision/src/agent/lookup.rs
+++ b/crates/decision/src/agent/lookup.rs
@@ -34,6 +34,7 @@
     held: Vec<Held>,
     /// Peers in sorted order with what they have said.
     answers: Vec<(UpstreamId, Option<Knowledge>)>,
+    began_at: Millis,
     deadline: Millis,
     resend_at: Millis,
 }
@@ -158,6 +159,7 @@
                 .filter(|(_, peer)| peer.may_hold_flows(now))
                 .map(|(id, _)| (id, None))
                 .collect(),
+            began_at: now,
             deadline: now.after(limits::LOOKUP_WAIT_MS),
             resend_at: now.after(limits::RESEND_MS),
         }
@@ -222,6 +224,9 @@
         if self.flows.get(flow).is_some_and(|known| known.is_certainly_open()) {
             return Some(Finding::OnlyMe);
         }
+        if self.is_overtaken(now, flow, lookup) {
+            return Some(Finding::Doubt);
+        }
         if let Some(holder) = lookup.holder() {
             return Some(Finding::Holder(holder));
         }
@@ -250,6 +255,18 @@
         Some(self.finding_of_denials(now, lookup))
     }
 
+    /// Whether another agent has taken a flow on these ports since the lookup began.
+    ///
+    /// Failure: a stray packet of a reset connection is asked about, and meanwhile this agent hands the
+    /// caller's next opening on. Symptom: the answers still name this agent, it takes the flow for its own,
+    /// and the new connection's packets are reset here. The caller sends again, and by then the way is known.
+    fn is_overtaken(&self, now: Millis, flow: FlowId, lookup: &Lookup) -> bool {
+        let redirect = self.redirects.get(now, flow);
+        redirect.is_some_and(|redirect| {
+            redirect.opened_at >= lookup.began_at && redirect.holder != self.config.upstream
+        })
+    }
+
     fn was_reset(&self, flow: FlowId) -> bool {
         self.flows.get(flow).is_some_and(|known| known.state == FlowState::Reset)
     }
--- a/crates/decision/src/agent/tests/lookup.rs
+++ b/crates/decision/src/agent/tests/lookup.rs
@@ -181,3 +181,34 @@
     assert_eq!(asked(&mut fleet, 1), Some(Knowledge::HeldBy(id(holder))));
     assert_eq!(asked(&mut fleet, 2), Some(Knowledge::Unsure));
 }
+
+/// A stray packet of a reset connection comes to the agent that held it, which asks around. Before the answers
+/// are there, the caller's next opening on the same ports is handed on by this agent. The answers name
+/// this agent for the old connection; taken for the new one, its packets would be reset here.
+#[test]
+fn opening_overtakes_a_lookup() {
+    const NEXT: u32 = 1 << 31;
+    let mut spec = Spec::new(WhenInDoubt::Admit, 3);
+    let mut fleet = Fleet::settled(&spec);
+    let home = fleet.ranking(flow(1))[0];
+    fleet.restart(home, &spec);
+    fleet.pass(70_000);
+    assert_eq!(fleet.send(home, flow(1), opening(1)), Outcome::Delivered(home));
+    fleet.pass(1_000);
+    spec.version = 2;
+    spec.states[home] = UpstreamState::Draining;
+    (0..3).for_each(|index| fleet.install(index, &spec));
+    fleet.pass(12_000);
+    assert_eq!(fleet.send(home, flow(1), PacketKind::Reset), Outcome::Delivered(home));
+    fleet.arrive(home, packet(flow(1), PacketKind::Middle));
+    // The peers answer now, and their answers arrive after the opening.
+    for (to, from, message) in std::mem::take(&mut fleet.messages) {
+        fleet.event(to, Event::Message { from, message });
+    }
+    let next = |kind| Packet { sequence: NEXT, ..packet(flow(1), kind) };
+    fleet.arrive(home, next(opening(NEXT)));
+    fleet.pass(1_000);
+    let holder = fleet.holder(flow(1)).expect("a holder");
+    assert_ne!(holder, home);
+    assert_eq!(fleet.send_packet(home, next(PacketKind::Middle)), Outcome::Delivered(holder));
+}
--- a/crates/fuzzing/tests/mended.rs
+++ b/crates/fuzzing/tests/mended.rs
@@ -15,7 +15,8 @@
 /// an agent took in what was meant for a gone one at its address; a restarted agent counted answered
 /// datagrams as open and was full; an agent that came back from a pause took the next connection on a
 /// reset one's ports for the old one; an agent that was unsure of its own flows kept back what it had been
-/// told of another's.
+/// told of another's; an agent that asked about a stray packet handed the next opening on before it
+/// was answered.
 #[rstest]
 #[case::dead_flows_fill_the_upstream(181)]
 #[case::witnesses_restart(645)]
@@ -38,6 +39,7 @@
 #[case::answered_datagrams_fill_the_only_active_upstream(200986)]
 #[case::next_connection_after_a_reset(90417772)]
 #[case::unsure_agent_keeps_back_what_it_was_told(300851)]
+#[case::opening_overtakes_a_lookup(297)]
 fn mended_episode(#[case] seed: u64) {
     let (outcome, _) = campaign::play(&campaign::draw(seed), Sabotage::default(), false);
     assert_eq!(outcome.violation, None);
