Count no flows from hearsay that the upstream has no room for

Change: what two reports of the upstream in a row leave no room for is not counted as load or against the limit, and still answered for. A report may so give an upstream as many flows more as are known from hearsay. ended_unseen fails without it, still_open guards the other side.

--- a/crates/decision/src/agent/assign.rs
+++ b/crates/decision/src/agent/assign.rs
@@ -104,7 +104,7 @@
     }
 
     fn own_load(&self) -> u64 {
-        (self.flows.open() + self.flows.unanswered() + self.pending.len()) as u64
+        (self.counted_flows() + self.flows.unanswered() + self.pending.len()) as u64
     }
 
     /// Load and ramp of a peer by its own count and by what was assigned to it since; `None` if
--- a/crates/decision/src/agent/flows.rs
+++ b/crates/decision/src/agent/flows.rs
@@ -55,6 +55,8 @@
 pub(super) struct FlowTable {
     flows: FlowMap<Flow>,
     open: usize,
+    /// Open flows that are known from hearsay only.
+    hearsay: usize,
     unanswered: usize,
     /// Openings and adopted flows by age, with those that have been answered still among them.
     openings: VecDeque<(Millis, FlowId)>,
@@ -77,6 +79,11 @@
         self.open
     }
 
+    /// Open flows that only peers say this agent holds, and of which no packet has come.
+    pub(super) fn hearsay(&self) -> usize {
+        self.hearsay
+    }
+
     pub(super) fn closing(&self) -> usize {
         self.flows.len() - self.open
     }
@@ -177,6 +184,7 @@
         self.insert(now, opening.flow, Some(opening.nonce), true);
         if let Some(flow) = self.flows.get_mut(&opening.flow) {
             flow.hearsay = true;
+            self.hearsay += 1;
             flow.relearned = true;
             flow.sequence = None;
             flow.opened_at = Millis(0);
@@ -187,6 +195,7 @@
     /// flow is unknown.
     pub(super) fn make_certain(&mut self, now: Millis, id: FlowId) -> bool {
         let Some(flow) = self.flows.get_mut(&id) else { return false };
+        self.hearsay -= usize::from(flow.is_open_hearsay());
         flow.hearsay = false;
         flow.last_seen = now;
         true
@@ -211,6 +220,7 @@
             return false;
         }
         let was_open = flow.state == FlowState::Open;
+        self.hearsay -= usize::from(flow.is_open_hearsay());
         self.unanswered -= usize::from(flow.is_unanswered() && flow.nonce.is_some());
         self.open -= usize::from(was_open);
         flow.state = state;
@@ -220,6 +230,7 @@
 
     pub(super) fn remove(&mut self, id: FlowId) -> Option<Flow> {
         let flow = self.flows.remove(&id)?;
+        self.hearsay -= usize::from(flow.is_open_hearsay());
         self.open -= usize::from(flow.state == FlowState::Open);
         self.unanswered -= usize::from(flow.is_unanswered() && flow.nonce.is_some());
         Some(flow)
@@ -294,6 +305,10 @@
         self.state == FlowState::Open && !self.hearsay
     }
 
+    fn is_open_hearsay(&self) -> bool {
+        self.state == FlowState::Open && self.hearsay
+    }
+
     /// Whether the flow is announced.
     pub(super) fn is_announced(&self) -> bool {
         self.state == FlowState::Open && self.nonce.is_some()
--- a/crates/decision/src/agent/health.rs
+++ b/crates/decision/src/agent/health.rs
@@ -17,6 +17,10 @@
     upstream_started_at: Option<Millis>,
     /// What the last heartbeat said.
     told_accepting: Option<bool>,
+    /// Flows known from hearsay that the last report did not confirm.
+    unconfirmed: usize,
+    /// Those that neither of the last two reports confirmed: they don't count as load.
+    phantoms: usize,
 }
 
 impl Agent {
@@ -35,9 +39,30 @@
             }
         }
         self.health.report = Some(report);
+        self.confirm_hearsay(report);
         self.tell_if_changed(now, out);
     }
 
+    /// Compares the flows that only peers say this agent holds with what its upstream has open.
+    ///
+    /// Failure: flows end unseen just before an agent dies, and peers name them to its next life. Symptom: they
+    /// count as open for a day, and the upstream is full of them and takes nothing. What two reports in a
+    /// row leave no room for is not counted as load; that it may be held is still answered. A report that
+    /// says too little gives the upstream at most as many flows more as are known from hearsay.
+    fn confirm_hearsay(&mut self, report: UpstreamReport) {
+        let hearsay = self.flows.hearsay();
+        let certain = self.flows.open() - hearsay;
+        let confirmed = (report.open_flows as usize).saturating_sub(certain);
+        let unconfirmed = hearsay.saturating_sub(confirmed);
+        self.health.phantoms = unconfirmed.min(self.health.unconfirmed);
+        self.health.unconfirmed = unconfirmed;
+    }
+
+    /// Open flows as they count for load and limits.
+    pub(super) fn counted_flows(&self) -> usize {
+        self.flows.open() - self.health.phantoms.min(self.flows.hearsay())
+    }
+
     /// Whether the own upstream takes openings.
     pub(super) fn accepts(&mut self, now: Millis) -> bool {
         if self.must_not_admit() || self.is_full() {
@@ -61,7 +86,7 @@
     }
 
     pub(super) fn is_full(&self) -> bool {
-        self.flows.open() >= self.settings.max_flows as usize || !self.flows.has_room()
+        self.counted_flows() >= self.settings.max_flows as usize || !self.flows.has_room()
     }
 
     /// An upstream that reports to be well but completes no handshake gets no more of them, until
@@ -106,7 +131,7 @@
             born: (!self.config.may_have_past).then_some(self.config.incarnation),
             beat: self.beat(now),
             view: self.settings.version,
-            open_flows: self.flows.open() as u32,
+            open_flows: self.counted_flows() as u32,
             unanswered: self.flows.unanswered() as u32,
             accepting,
             ramp_percent: self.ramp_percent(now) as u8,
--- a/crates/decision/src/agent/tests/relearn.rs
+++ b/crates/decision/src/agent/tests/relearn.rs
@@ -259,3 +259,31 @@
     let outcome = fleet.send(0, flow(10), opening(1));
     assert!(matches!(outcome, Outcome::Delivered(_)), "{outcome:?}");
 }
+
+/// Feeds end in the moment before their agent dies, unseen by its peers, and these name them to its next
+/// life. The upstream has room and says so. Two reports on, the agent takes new feeds again; it refused
+/// them for a day.
+#[rstest]
+#[case::ended_unseen(0, true)]
+#[case::still_open(3, false)]
+fn ended_feeds_do_not_fill_an_upstream(#[case] open_flows: u32, #[case] takes: bool) {
+    let mut spec = Spec::new(WhenInDoubt::Admit, 2);
+    spec.max_flows = 3;
+    let mut fleet = Fleet::settled(&spec);
+    for number in 0..6 {
+        fleet.send(0, flow(number), opening(1));
+    }
+    fleet.pass(1_000);
+    for index in 0..2 {
+        fleet.restart(index, &spec);
+        fleet.pass(15_000);
+    }
+    for _ in 0..2 {
+        for index in 0..2 {
+            fleet.event(index, Event::Upstream(UpstreamReport { open_flows, ..report() }));
+        }
+        fleet.pass(1_000);
+    }
+    let outcome = fleet.send(0, flow(10), opening(1));
+    assert_eq!(matches!(outcome, Outcome::Delivered(_)), takes, "{outcome:?}");
+}
--- a/crates/fuzzing/tests/mended.rs
+++ b/crates/fuzzing/tests/mended.rs
@@ -16,7 +16,7 @@
 /// datagrams as open and was full; an agent that came back from a pause took the next connection on a
 /// reset one's ports for the old one; an agent that was unsure of its own flows kept back what it had been
 /// told of another's; an agent that asked about a stray packet handed the next opening on before it
-/// was answered.
+/// was answered; agents that restarted counted flows that had ended unseen, and were full of them.
 #[rstest]
 #[case::dead_flows_fill_the_upstream(181)]
 #[case::witnesses_restart(645)]
@@ -40,6 +40,9 @@
 #[case::next_connection_after_a_reset(90417772)]
 #[case::unsure_agent_keeps_back_what_it_was_told(300851)]
 #[case::opening_overtakes_a_lookup(297)]
+#[case::full_of_flows_that_ended_unseen(201247)]
+#[case::full_of_flows_in_planned_change(201356)]
+#[case::full_of_flows_after_many_faults(400)]
 fn mended_episode(#[case] seed: u64) {
     let (outcome, _) = campaign::play(&campaign::draw(seed), Sabotage::default(), false);
     assert_eq!(outcome.violation, None);
