--- a/crates/decision/src/agent/install.rs
+++ b/crates/decision/src/agent/install.rs
@@ -20,6 +20,8 @@
     pub(super) when_in_doubt: WhenInDoubt,
     /// Whether a copy of an opening at the same upstream is a second run. TCP tells copies apart.
     pub(super) datagrams: bool,
+    /// Whether the service has no other flows than datagrams.
+    pub(super) only_datagrams: bool,
     pub(super) lifetimes: FlowLifetimes,
     pub(super) state: UpstreamState,
     pub(super) max_flows: u32,
@@ -91,6 +93,7 @@
             version,
             when_in_doubt: service.spec.when_in_doubt,
             datagrams: endpoints.iter().any(|endpoint| is_datagram(endpoint.transport)),
+            only_datagrams,
             lifetimes: lifetimes(only_datagrams),
             state: spec.map_or(UpstreamState::Retired, |spec| spec.state),
             max_flows: spec.map_or(0, |spec| spec.max_flows),
@@ -108,6 +111,7 @@
             since: Version(0),
             when_in_doubt: WhenInDoubt::Refuse,
             datagrams: true,
+            only_datagrams: false,
             lifetimes: lifetimes(false),
             state: UpstreamState::Retired,
             max_flows: 0,
--- a/crates/decision/src/agent/tests/mod.rs
+++ b/crates/decision/src/agent/tests/mod.rs
@@ -48,6 +48,8 @@
     version: u64,
     when_in_doubt: WhenInDoubt,
     transport: Transport,
+    /// Whether the service has an endpoint of the other protocol as well.
+    mixed: bool,
     max_flows: u32,
     states: Vec<UpstreamState>,
     /// By upstream: first version that lists it and version that retires it.
@@ -60,6 +62,7 @@
             version: 1,
             when_in_doubt,
             transport: Transport::Tcp,
+            mixed: false,
             max_flows: 2_000,
             states: vec![UpstreamState::Active; upstreams],
             listed: vec![(1, None); upstreams],
@@ -81,9 +84,17 @@
             retired: self.listed[index].1.map(Version),
         });
         let endpoint = Endpoint { address: address.ip(), port: 8443, transport: self.transport };
+        let other = match self.transport {
+            Transport::Tcp => Transport::Udp,
+            Transport::Udp => Transport::Tcp,
+        };
+        let other = Some(Endpoint { transport: other, ..endpoint });
         let service = ServiceSpec {
             name: SERVICE.into(),
-            endpoints: vec![endpoint],
+            endpoints: [Some(endpoint), other.filter(|_| self.mixed)]
+                .into_iter()
+                .flatten()
+                .collect(),
             when_in_doubt: self.when_in_doubt,
             zone_spill_percent: 25,
             upstreams: upstreams.collect(),
--- a/crates/decision/src/agent/tests/relearn.rs
+++ b/crates/decision/src/agent/tests/relearn.rs
@@ -287,3 +287,26 @@
     let outcome = fleet.send(0, flow(10), opening(1));
     assert_eq!(matches!(outcome, Outcome::Delivered(_)), takes, "{outcome:?}");
 }
+
+/// A service takes feeds by TCP and confirmations by datagram, and refuses when in doubt. Its agents restart one
+/// after the other. Its feeds go on: a first mend of full datagram services relearned nothing here, and the lab's
+/// feeds hung at every restarted agent.
+#[rstest]
+#[case::all_in_turn(&[0, 1, 2, 3, 4])]
+#[case::two_at_once(&[0, 1])]
+fn feeds_of_a_mixed_service_are_relearned(#[case] restarts: &[usize]) {
+    let spec = Spec { mixed: true, ..Spec::new(WhenInDoubt::Refuse, 5) };
+    let mut fleet = Fleet::settled(&spec);
+    let opened: Vec<Outcome> =
+        (0..100).map(|number| fleet.send(0, flow(number), opening(1))).collect();
+    fleet.pass(1_000);
+    for index in restarts {
+        fleet.restart(*index, &spec);
+        fleet.pass(if restarts.len() == 2 { 0 } else { 7_000 });
+    }
+    fleet.pass(3_000);
+    for (number, outcome) in (0..).zip(&opened) {
+        let to = number as usize % 5;
+        assert_eq!(fleet.send(to, flow(number), PacketKind::Middle), *outcome, "{number}");
+    }
+}
