Announce nothing to a retired peer that is long gone

Callers notice nothing; it is traffic and processor time for nobody.

Cause: an outbox is repeated until it is acknowledged.

Change: nothing is sent to a peer that cannot hold flows any more (retired and silent for RETIRED_SILENT_MS). What waits is kept and sent if it speaks again; handing over does not wait for suspected peers anyway. gone_peer_is_not_announced_to_for_ever fails without it.

--- a/crates/decision/src/agent/announce.rs
+++ b/crates/decision/src/agent/announce.rs
@@ -185,6 +185,11 @@
     fn send_announcement(&mut self, now: Millis, to: UpstreamId, out: &mut Vec<Action>) {
         let leaving = self.leaving;
         let Some(peer) = self.peers.get_mut(to) else { return };
+        // A retired agent that has long been silent is gone: it would be sent the same batch for as
+        // long as its entry is listed. If it speaks again, what waits for it is sent.
+        if !peer.may_hold_flows(now) {
+            return;
+        }
         let period_ms = match (peer.suspected, leaving) {
             (true, _) => limits::ANNOUNCE_SUSPECTED_MS,
             (false, true) => limits::RESEND_MS,
--- a/crates/decision/src/agent/tests/relearn.rs
+++ b/crates/decision/src/agent/tests/relearn.rs
@@ -310,3 +310,33 @@
         assert_eq!(fleet.send(to, flow(number), PacketKind::Middle), *outcome, "{number}");
     }
 }
+
+/// An upstream is retired and gone, and its entry stays listed. A feed that was relearned ends, which is told to
+/// every peer. The gone one never acknowledges it: without a bound the same batch goes to its address every
+/// two seconds until the operators take the entry out.
+#[test]
+fn gone_peer_is_not_announced_to_for_ever() {
+    let mut spec = Spec::new(WhenInDoubt::Admit, 4);
+    let mut fleet = Fleet::settled(&spec);
+    let (home, gone) = (fleet.ranking(flow(1))[0], fleet.ranking(flow(1))[3]);
+    assert_eq!(fleet.send(home, flow(1), opening(1)), Outcome::Delivered(home));
+    fleet.pass(1_000);
+    spec.version = 2;
+    spec.states[gone] = UpstreamState::Retired;
+    spec.listed[gone].1 = Some(2);
+    (0..4).for_each(|index| fleet.install(index, &spec));
+    fleet.cut = vec![gone];
+    fleet.restart(home, &spec);
+    fleet.pass(3_000);
+    assert_eq!(fleet.send(home, flow(1), PacketKind::Finish), Outcome::Delivered(home));
+    fleet.pass(70_000);
+    let mut out = Vec::new();
+    for _ in 0..100 {
+        fleet.now = fleet.now.after(TICK_MS);
+        fleet.agents[home].handle(fleet.now, Event::Tick, &mut out);
+    }
+    let announced = out.iter().any(|action| {
+        matches!(action, Action::Send { to, message: Message::Announce { .. } } if *to == id(gone))
+    });
+    assert!(!announced);
+}
