--- a/crates/fuzzing/src/direct/mod.rs
+++ b/crates/fuzzing/src/direct/mod.rs
@@ -23,6 +23,14 @@
     OpeningOnLeaving,
     /// A living flow was not found for seconds, though nothing was disturbed.
     FlowNotFound,
+    /// An upstream got an opening long after its availability zone was closed.
+    OpeningInClosedZone,
+    /// An upstream that takes new flows was passed over by very many.
+    UpstreamPassedOver,
+    /// A cold upstream got more openings in a second than it bears.
+    ColdLimitExceeded,
+    /// An upstream got an opening of a route that does not allow its region.
+    RegionNotAllowed,
 }
 
 /// A safeguard taken out, to see that the promises catch it.
@@ -38,6 +46,14 @@
     MissingForgotten,
     /// Balancers look for no flow that they do not know.
     NeverAsked,
+    /// Balancers place new flows in closed availability zones.
+    ClosedZoneIgnored,
+    /// Balancers never learn that an availability zone is open again.
+    ZoneNeverOpened,
+    /// Balancers name no limit of cold upstreams.
+    ColdLimitIgnored,
+    /// Balancers place new flows in any region.
+    RegionIgnored,
 }
 
 /// How an episode ended.
--- a/crates/fuzzing/src/direct/plan.rs
+++ b/crates/fuzzing/src/direct/plan.rs
@@ -2,6 +2,8 @@
 
 use rand::{Rng, RngExt as _};
 
+use super::world::ZONES;
+
 /// A planned change or a fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -19,6 +21,8 @@
     CrashUpstream(usize),
     /// An upstream leaves as planned; its address goes to the other service.
     DrainUpstream(usize),
+    /// An availability zone takes no new flows for some time.
+    CloseZone(usize),
     /// The published list loses entries of upstreams that live, for two seconds.
     Lapse,
     /// All balancers and agents end and start without memory.
@@ -51,7 +55,7 @@
 pub(super) fn draw(rng: &mut impl Rng, balancers: usize, upstreams: usize) -> Change {
     let balancer = rng.random_range(0..balancers);
     let upstream = rng.random_range(0..upstreams);
-    match rng.random_range(0..12) {
+    match rng.random_range(0..13) {
         0..=2 => Change::Reshuffle,
         3 => Change::RestartBalancer(balancer),
         4 => Change::CutBalancer(balancer),
@@ -60,6 +64,7 @@
         7 => Change::CrashUpstream(upstream),
         8..=9 => Change::DrainUpstream(upstream),
         10 => Change::Lapse,
+        11 => Change::CloseZone(rng.random_range(0..ZONES)),
         _ => Change::LoseAllMemory,
     }
 }
--- a/crates/fuzzing/src/direct/upstream.rs
+++ b/crates/fuzzing/src/direct/upstream.rs
@@ -39,6 +39,10 @@
     pub(super) slow_until_ms: u64,
     /// Since when it leaves.
     pub(super) leaving_ms: Option<u64>,
+    /// Until when it is cold.
+    pub(super) cold_until_ms: u64,
+    /// When it took openings of new flows lately.
+    pub(super) opened_ms: Vec<u64>,
     /// Flows, and whether they are open.
     flows: BTreeMap<FlowKey, bool>,
 }
@@ -60,6 +64,18 @@
         self.boot == boot && boot != 0 && self.flows.get(&flow) == Some(&true)
     }
 
+    /// Whether it holds this flow, be it half open.
+    pub(super) fn knows(&self, flow: FlowKey) -> bool {
+        self.flows.contains_key(&flow)
+    }
+
+    /// Counts the opening of a new flow; says how many there were within a second.
+    pub(super) fn count_opening(&mut self, now_ms: u64) -> usize {
+        self.opened_ms.retain(|at_ms| now_ms - at_ms < 1_000);
+        self.opened_ms.push(now_ms);
+        self.opened_ms.len()
+    }
+
     /// Whether it holds any open flow.
     pub(super) fn is_empty(&self) -> bool {
         !self.flows.values().any(|open| *open)
--- a/crates/fuzzing/src/direct/world/changes.rs
+++ b/crates/fuzzing/src/direct/world/changes.rs
@@ -3,13 +3,13 @@
 use rand::RngExt as _;
 use std::sync::Arc;
 use steering::edge::{Trust, Verdict};
-use steering::membership::{SILENT_LINGER_MS, UpstreamRecord};
+use steering::membership::{Membership, SILENT_LINGER_MS, UpstreamRecord};
 use steering::side::Side;
-use steering::view::{Standing, Upstream as Listed, View, ZoneStamp};
+use steering::view::{Route, RouteTable, Standing, Upstream as Listed, View};
 
 use super::{
-    BLANK, Balancer, CALM_MS, CHANGE_MS, Event, FOREIGN_SERVICE, SERVICES, Size, TICK_MS, World,
-    address, balancer_number,
+    BLANK, Balancer, CALM_MS, CHANGE_MS, COLD_MS, Event, FOREIGN_SERVICE, SERVICES, Size, TICK_MS,
+    World, ZONES, address, balancer_number, stamp, upstream_of, zone_of,
 };
 use crate::direct::upstream::Upstream;
 use crate::direct::{Change, Mutant, plan};
@@ -73,7 +73,9 @@
             true => plan::draw_rough(&mut self.rng, balancers, upstreams),
             false => plan::draw(&mut self.rng, balancers, upstreams),
         };
-        if !matches!(change, Change::Reshuffle | Change::DrainUpstream(_)) {
+        let planned =
+            matches!(change, Change::Reshuffle | Change::DrainUpstream(_) | Change::CloseZone(_));
+        if !planned {
             self.disturbed_ms = self.disturbed_ms.max(self.now_ms);
         }
         self.outcome.played.push((self.now_ms, change));
@@ -121,9 +123,28 @@
                 self.disturbed_ms = self.disturbed_ms.max(self.now_ms + for_ms);
             }
             Change::LosePower => self.lose_power(),
+            Change::CloseZone(zone) => self.close_zone(zone),
         }
     }
 
+    /// One zone at a time stays open.
+    fn close_zone(&mut self, zone: usize) {
+        let closed = self.closed_since_ms.iter().flatten().count();
+        if self.closed_since_ms[zone].is_some() || closed + 1 >= ZONES {
+            return;
+        }
+        self.closed_since_ms[zone] = Some(self.now_ms);
+        self.publish();
+        let for_ms = self.rng.random_range(1_000..10_000);
+        self.at(for_ms, Event::OpenZone(zone));
+    }
+
+    pub(super) fn open_zone(&mut self, zone: usize) {
+        self.closed_since_ms[zone] = None;
+        self.opened_since_ms[zone] = self.now_ms;
+        self.publish();
+    }
+
     /// The upstream's entry lapses after some seconds; then it starts anew, with its agent.
     fn kill_instance(&mut self, upstream: usize) {
         if self.upstreams[upstream].leaving_ms.is_some() || self.upstreams[upstream].boot == 0 {
@@ -183,6 +204,9 @@
     pub(super) fn start_upstream(&mut self, upstream: usize, service: usize) {
         self.boots += 1;
         self.upstreams[upstream].start(self.boots, service);
+        if self.now_ms > 0 {
+            self.upstreams[upstream].cold_until_ms = self.now_ms + COLD_MS;
+        }
         self.listed[upstream] = Some(self.entry(upstream));
     }
 
@@ -248,15 +272,15 @@
 
     /// What an upstream says of itself.
     fn entry(&self, upstream: usize) -> UpstreamRecord {
-        let Upstream { boot, service, leaving_ms, .. } = self.upstreams[upstream];
+        let Upstream { boot, service, leaving_ms, cold_until_ms, .. } = self.upstreams[upstream];
         UpstreamRecord {
             id: format!("u-{upstream}").into(),
             born_ms: boot,
             address: address(upstream),
             service: SERVICES[service],
-            zone: ZoneStamp(0),
+            zone: stamp(zone_of(upstream)),
             draining: leaving_ms.is_some(),
-            warmup_left_ms: 0,
+            warmup_left_ms: cold_until_ms.saturating_sub(self.now_ms),
             slots: 7,
         }
     }
@@ -271,7 +295,17 @@
             draining: false,
             ..self.entry(upstream)
         });
-        self.listed.iter().flatten().cloned().chain(foreign).collect()
+        let listed = self.listed.iter().flatten().map(|record| UpstreamRecord {
+            warmup_left_ms: self.cold_for_ms(record),
+            ..record.clone()
+        });
+        listed.chain(foreign).collect()
+    }
+
+    /// Upstreams write their entries again and again while they are cold.
+    fn cold_for_ms(&self, record: &UpstreamRecord) -> u64 {
+        let Upstream { boot, cold_until_ms, .. } = self.upstreams[upstream_of(record.address)];
+        if boot == record.born_ms { cold_until_ms.saturating_sub(self.now_ms) } else { 0 }
     }
 
     /// The list reaches each balancer at another moment.
@@ -287,16 +321,46 @@
         if self.balancers[balancer].cut_until_ms > now_ms {
             return;
         }
-        let records = self.published();
-        let balancer = &mut self.balancers[balancer];
-        balancer.membership.replace(now_ms, &records);
-        balancer.membership.expire(now_ms);
-        let view = balancer.membership.view(Arc::clone(&self.routes));
+        let mut membership = std::mem::take(&mut self.balancers[balancer].membership);
+        self.fill(&mut membership);
+        membership.expire(now_ms);
+        self.balancers[balancer].view = self.view_of(&membership);
+        self.balancers[balancer].membership = membership;
+    }
+
+    pub(super) fn fill(&self, membership: &mut Membership) {
+        let closed = self.closed_since_ms.iter().zip(0..).filter(|(since, _)| since.is_some());
+        let mut closed: Vec<_> = closed.map(|(_, zone)| stamp(zone)).collect();
+        if self.mutant == Some(Mutant::ZoneNeverOpened) {
+            closed.extend(membership.closed_zones());
+        }
+        membership.replace(self.now_ms, &self.published());
+        membership.replace_closed_zones(closed);
+    }
+
+    /// What a balancer makes of its list, without the safeguard that is taken out.
+    pub(super) fn view_of(&self, membership: &Membership) -> View {
+        let routes = match self.mutant {
+            Some(Mutant::RegionIgnored) => Arc::new(without_regions(&self.routes)),
+            _ => Arc::clone(&self.routes),
+        };
+        let view = membership.view(Arc::clone(&routes));
         let listed = view.upstreams().iter().filter_map(|upstream| altered(*upstream, self.mutant));
-        balancer.view = View::new(Arc::clone(&self.routes), listed.collect());
+        let closed = match self.mutant {
+            Some(Mutant::ClosedZoneIgnored) => Vec::new(),
+            _ => view.closed_zones().to_vec(),
+        };
+        let regions = Arc::clone(&self.regions);
+        View::new(routes, listed.collect()).with_closed_zones(closed).with_regions(regions)
     }
 }
 
+fn without_regions(table: &RouteTable) -> RouteTable {
+    let free = |route: &Route| Route { regions: [].into(), ..route.clone() };
+    let routes = table.routes().iter().map(free).collect();
+    RouteTable::new(table.version, routes, table.services().iter().copied())
+}
+
 /// An upstream as a balancer without the safeguard would see it.
 fn altered(upstream: Listed, mutant: Option<Mutant>) -> Option<Listed> {
     match (mutant, upstream.standing) {
--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -9,11 +9,13 @@
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
-use steering::edge::{Edge, Verdict};
+use steering::edge::{Destination, Edge, Verdict};
 use steering::flow::{FlowKey, Segment, SegmentKind};
 use steering::membership::{Membership, UpstreamRecord};
 use steering::side::Side;
-use steering::view::{Route, RouteTable, ServiceStamp, Share, View};
+use steering::view::{
+    RegionStamp, Regions, Route, RouteTable, Service, ServiceStamp, Share, View, ZoneStamp,
+};
 
 use super::caller::{Caller, State};
 use super::upstream::Upstream;
@@ -55,8 +57,24 @@
 const CHANGE_MS: u64 = 400;
 /// Time after a disturbance in which a flow may stay unfound.
 const CALM_MS: u64 = 5_000;
-/// An upstream that leaves gets no openings after this time.
-const LEAVING_MS: u64 = 3_000;
+/// A balancer in touch has a change of the list in force after this time: an upstream that leaves, or
+/// whose availability zone is closed, gets no openings any more.
+const IN_FORCE_MS: u64 = 3_000;
+/// Availability zones; upstreams are spread over them in turn.
+pub(super) const ZONES: usize = 3;
+/// Zones of the first region; the others are in the second.
+const FIRST_REGION_ZONES: usize = 2;
+const REGIONS: [RegionStamp; 2] = [RegionStamp(1), RegionStamp(2)];
+/// The service whose cold upstreams are limited.
+const LIMITED: usize = 0;
+/// Openings that a cold upstream of it bears in a second.
+const COLD_OPENINGS_PER_S: u32 = 5;
+/// Openings in a second that break the promise: the platform's rules grant half as many more, and five.
+const COLD_OPENINGS_MAX: usize = 12;
+/// Time for which an upstream is cold after its start.
+const COLD_MS: u64 = 2_000;
+/// New flows by which an upstream may be passed over, for each upstream that may take them.
+const PASSED_OVER_MAX: usize = 20;
 
 /// A caller's packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,47 +104,14 @@
 enum Event {
     Caller(usize),
     ToBalancer(usize, Packet),
-    ToAgent {
-        upstream: usize,
-        balancer: usize,
-        packet: Packet,
-        service: ServiceStamp,
-        report: bool,
-    },
-    Said {
-        balancer: usize,
-        upstream: usize,
-        verdict: Verdict,
-        packet: Packet,
-    },
-    Accepted {
-        caller: usize,
-        flow: FlowKey,
-        upstream: usize,
-        boot: u64,
-    },
-    Answered {
-        caller: usize,
-        flow: FlowKey,
-    },
-    ResetCaller {
-        caller: usize,
-        flow: FlowKey,
-    },
-    Closed {
-        caller: usize,
-        flow: FlowKey,
-    },
-    Speaks {
-        upstream: usize,
-        boot: u64,
-        packet: Packet,
-        opening: bool,
-    },
-    LapseEntry {
-        upstream: usize,
-        boot: u64,
-    },
+    ToAgent { balancer: usize, packet: Packet, to: Destination, report: bool },
+    Said { balancer: usize, upstream: usize, verdict: Verdict, packet: Packet },
+    Accepted { caller: usize, flow: FlowKey, upstream: usize, boot: u64 },
+    Answered { caller: usize, flow: FlowKey },
+    ResetCaller { caller: usize, flow: FlowKey },
+    Closed { caller: usize, flow: FlowKey },
+    Speaks { upstream: usize, boot: u64, packet: Packet, opening: bool },
+    LapseEntry { upstream: usize, boot: u64 },
     Tick,
     Change,
     List(usize),
@@ -135,6 +120,7 @@
     StartUpstream(usize),
     EndUpstream(usize),
     Relist(usize),
+    OpenZone(usize),
 }
 
 impl Event {
@@ -177,6 +163,12 @@
     callers: Vec<Caller>,
     packets: Vec<Packet>,
     routes: Arc<RouteTable>,
+    regions: Arc<Regions>,
+    /// Since when each availability zone is closed, if it is, and otherwise open.
+    closed_since_ms: [Option<u64>; ZONES],
+    opened_since_ms: [u64; ZONES],
+    /// By how many new flows each upstream was passed over that could have taken them.
+    passed_over: Vec<usize>,
     salt: u64,
     boots: u64,
     ports: u16,
@@ -199,6 +191,18 @@
     (address.to_bits() - balancer_address(0).to_bits()) as usize
 }
 
+fn zone_of(upstream: usize) -> usize {
+    upstream % ZONES
+}
+
+fn stamp(zone: usize) -> ZoneStamp {
+    ZoneStamp(1 + u32::try_from(zone).unwrap_or_default())
+}
+
+fn region(zone: usize) -> RegionStamp {
+    REGIONS[usize::from(zone >= FIRST_REGION_ZONES)]
+}
+
 fn endpoint(service: usize) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), [443, 8443][service])
 }
@@ -211,7 +215,13 @@
             shares: [Share { service: SERVICES[service], weight: 1 }].into(),
             slo_ms: 0,
             repeatable: true,
+            // The second service stays in the first region.
+            regions: REGIONS[..service].into(),
         };
+        let limited =
+            Service { stamp: SERVICES[LIMITED], cold_openings_per_ks: COLD_OPENINGS_PER_S * 1_000 };
+        let limits = [limited].into_iter().filter(|_| mutant != Some(Mutant::ColdLimitIgnored));
+
         let mut world = Self {
             outcome: Outcome::default(),
             size,
@@ -227,7 +237,11 @@
             listed: vec![None; size.upstreams],
             callers: Vec::new(),
             packets: Vec::new(),
-            routes: Arc::new(RouteTable::new(1, vec![route(0), route(1)], [])),
+            routes: Arc::new(RouteTable::new(1, vec![route(0), route(1)], limits)),
+            regions: Arc::new(Regions::new((0..ZONES).map(|zone| (stamp(zone), region(zone))))),
+            closed_since_ms: [None; ZONES],
+            opened_since_ms: [0; ZONES],
+            passed_over: vec![0; size.upstreams],
             salt: seed,
             boots: 0,
             ports: 1_024,
@@ -269,8 +283,8 @@
 
     fn blank_balancer(&self) -> Balancer {
         let mut membership = Membership::default();
-        membership.replace(self.now_ms, &self.published());
-        let view = membership.view(Arc::clone(&self.routes));
+        self.fill(&mut membership);
+        let view = self.view_of(&membership);
         Balancer {
             edge: Edge::default(),
             membership,
@@ -319,8 +333,8 @@
         match event {
             Event::Caller(caller) => self.caller_acts(caller),
             Event::ToBalancer(balancer, packet) => self.at_balancer(balancer, packet),
-            Event::ToAgent { upstream, balancer, packet, service, report } => {
-                self.at_agent(upstream, balancer, packet, service, report);
+            Event::ToAgent { balancer, packet, to, report } => {
+                self.at_agent(balancer, packet, to, report);
             }
             Event::Said { balancer, upstream, verdict, packet } => {
                 self.on_said(balancer, upstream, verdict, packet);
@@ -342,7 +356,7 @@
             }
             Event::ResetCaller { caller, flow } => {
                 if self.callers[caller].flow == flow {
-                    self.reopen(caller);
+                    self.reopen_later(caller);
                 }
             }
             Event::Closed { caller, flow } => {
@@ -369,6 +383,7 @@
             }
             Event::EndUpstream(upstream) => self.end_upstream(upstream),
             Event::Relist(upstream) => self.relist(upstream),
+            Event::OpenZone(zone) => self.open_zone(zone),
         }
     }
 
@@ -420,9 +435,20 @@
     }
 
     fn reopen(&mut self, caller: usize) {
+        self.reopen_after(caller, 0);
+    }
+
+    /// A caller that was rejected waits a while before it tries again.
+    fn reopen_later(&mut self, caller: usize) {
+        let rejected = matches!(self.callers[caller].state, State::Opening { .. });
+        let pause_ms = if rejected { self.rng.random_range(50..250) } else { 0 };
+        self.reopen_after(caller, pause_ms);
+    }
+
+    fn reopen_after(&mut self, caller: usize, pause_ms: u64) {
         let flow = self.new_flow();
-        self.callers[caller] = Caller::open(flow, self.now_ms);
-        self.at(0, Event::Caller(caller));
+        self.callers[caller] = Caller::open(flow, self.now_ms + pause_ms);
+        self.at(pause_ms, Event::Caller(caller));
     }
 
     fn send(&mut self, caller: usize, packet: Option<Packet>) {
--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -1,14 +1,14 @@
 //! The way of a packet: balancer, agent, upstream and back.
 
 use rand::RngExt as _;
-use steering::edge::{Action, Reason, Said, Verdict};
+use steering::edge::{Action, Destination, Reason, Said, Verdict};
 use steering::flow::FlowKey;
 use steering::side::{Answer, Ask, Delivery, Report};
-use steering::view::ServiceStamp;
 
 use super::{
-    Balancer, CALM_MS, Event, LEAVING_MS, Packet, SERVICES, World, address, balancer_address,
-    balancer_number, endpoint, upstream_of,
+    Balancer, CALM_MS, COLD_OPENINGS_MAX, Event, IN_FORCE_MS, LIMITED, PASSED_OVER_MAX, Packet,
+    SERVICES, World, address, balancer_address, balancer_number, endpoint, region, upstream_of,
+    zone_of,
 };
 use crate::direct::upstream::{Reaction, Upstream, number_of};
 use crate::direct::{Mutant, Violation};
@@ -63,13 +63,8 @@
                 Action::Forward { reason: Reason::Asked, .. }
                     if self.mutant == Some(Mutant::NeverAsked) => {}
                 Action::Forward { to, ask, .. } => {
-                    let upstream = upstream_of(to.address);
-                    let (service, report) = (to.service, ask);
                     let delay_ms = self.hop();
-                    self.at(
-                        delay_ms,
-                        Event::ToAgent { upstream, balancer, packet, service, report },
-                    );
+                    self.at(delay_ms, Event::ToAgent { balancer, packet, to, report: ask });
                 }
                 Action::Reset { .. } => self.reset(balancer, packet),
                 Action::Drop { .. } if self.mutant == Some(Mutant::ResetWithoutProof) => {
@@ -101,21 +96,28 @@
 
     pub(super) fn at_agent(
         &mut self,
-        upstream: usize,
         balancer: usize,
         packet: Packet,
-        service: ServiceStamp,
+        to: Destination,
         report: bool,
     ) {
+        let upstream = upstream_of(to.address);
         if self.is_cut(upstream) {
             return;
         }
         let own = SERVICES[self.upstreams[upstream].service];
         let unchecked = self.mutant == Some(Mutant::ServiceNotChecked);
         let Some(side) = &mut self.agents[upstream] else { return };
-        let service = if unchecked { own } else { service };
-        let ask =
-            Ask { balancer: balancer_address(balancer), service, slots: 0, slo_ms: 0, report };
+        let ask = Ask {
+            balancer: balancer_address(balancer),
+            service: if unchecked { own } else { to.service },
+            slots: 0,
+            slo_ms: 0,
+            report,
+            turns_away: to.turns_away,
+            limit_per_ks: to.limit_per_ks,
+            cold: to.cold,
+        };
         let received = side.on_packet(self.now_ms, &packet.segment, &[], ask);
         if let Some(report) = received.report {
             self.report(upstream, &report, packet);
@@ -126,9 +128,12 @@
                 self.at_upstream(upstream, balancer, packet);
                 self.say(balancer, upstream, Verdict::Silent { for_ms }, packet);
             }
-            Delivery::Foreign | Delivery::Denied => {
+            Delivery::Foreign | Delivery::Denied | Delivery::TurnedAway => {
                 self.say(balancer, upstream, Verdict::Denied, packet);
             }
+            Delivery::Limited { for_ms } => {
+                self.say(balancer, upstream, Verdict::Limited { for_ms }, packet);
+            }
             // Without known slots nothing waits.
             Delivery::Wait => {}
         }
@@ -156,6 +161,7 @@
 
     fn at_upstream(&mut self, upstream: usize, balancer: usize, packet: Packet) {
         let flow = packet.segment.flow;
+        let is_new = !self.upstreams[upstream].knows(flow);
         let reaction = self.upstreams[upstream].take(&packet);
         match reaction {
             Reaction::Nothing | Reaction::Take => {}
@@ -168,6 +174,10 @@
             }
             Reaction::Accept => {
                 self.judge_opening(upstream, balancer, flow);
+                if is_new {
+                    self.judge_cold(upstream);
+                    self.judge_spread(upstream);
+                }
                 self.answer(upstream, packet, true);
             }
             Reaction::Close => self.close(upstream, packet),
@@ -208,10 +218,73 @@
         }
         let Balancer { cut_until_ms, paused_until_ms, .. } = self.balancers[balancer];
         let in_touch = cut_until_ms.max(paused_until_ms) + CALM_MS <= self.now_ms;
-        let leaving = target.leaving_ms.is_some_and(|since| self.now_ms - since > LEAVING_MS);
+        let long_since =
+            |since: Option<u64>| since.is_some_and(|at| self.now_ms - at > IN_FORCE_MS);
+        let leaving = long_since(target.leaving_ms);
+        let closed = long_since(self.closed_since_ms[zone_of(upstream)]);
         if in_touch && leaving {
             self.violate(Violation::OpeningOnLeaving);
         }
+        if in_touch && closed {
+            self.violate(Violation::OpeningInClosedZone);
+        }
+        if !self.is_allowed(upstream) {
+            self.violate(Violation::RegionNotAllowed);
+        }
+    }
+
+    fn is_allowed(&self, upstream: usize) -> bool {
+        let endpoint = endpoint(self.upstreams[upstream].service);
+        let route = self.routes.find(endpoint);
+        let region = region(zone_of(upstream));
+        route.is_some_and(|route| route.regions.is_empty() || route.regions.contains(&region))
+    }
+
+    /// Any second counts, wherever it begins.
+    fn judge_cold(&mut self, upstream: usize) {
+        let target = &mut self.upstreams[upstream];
+        let count = target.count_opening(self.now_ms);
+        let is_cold = target.cold_until_ms > self.now_ms && target.service == LIMITED;
+        if is_cold && count > COLD_OPENINGS_MAX {
+            self.violate(Violation::ColdLimitExceeded);
+        }
+    }
+
+    /// An upstream that may take new flows gets its share of them sooner or later.
+    fn judge_spread(&mut self, opened: usize) {
+        let service = self.upstreams[opened].service;
+        let is_able = |upstream: &usize| {
+            self.upstreams[*upstream].service == service && self.takes_flows(*upstream)
+        };
+        let able: Vec<usize> = (0..self.upstreams.len()).filter(is_able).collect();
+        let is_up = |upstream: &&Upstream| upstream.service == service && upstream.boot > 0;
+        let up = self.upstreams.iter().filter(is_up).count();
+        for upstream in 0..self.upstreams.len() {
+            if self.upstreams[upstream].service != service {
+                continue;
+            }
+            let passed_over = upstream != opened && able.contains(&upstream);
+            let count = &mut self.passed_over[upstream];
+            *count = if passed_over { *count + 1 } else { 0 };
+            if *count > PASSED_OVER_MAX * up {
+                *count = 0;
+                self.violate(Violation::UpstreamPassedOver);
+            }
+        }
+    }
+
+    /// Whether all that balancers and callers can know says that this upstream takes new flows.
+    fn takes_flows(&self, upstream: usize) -> bool {
+        let target = &self.upstreams[upstream];
+        let zone = zone_of(upstream);
+        let open_ms = self.now_ms.saturating_sub(self.opened_since_ms[zone]);
+        let is_open = self.closed_since_ms[zone].is_none() && open_ms > IN_FORCE_MS;
+        let is_up =
+            target.boot > 0 && target.leaving_ms.is_none() && self.listed[upstream].is_some();
+        let is_warm = target.cold_until_ms + IN_FORCE_MS <= self.now_ms;
+        let is_quick = target.slow_until_ms + IN_FORCE_MS <= self.now_ms;
+        let is_well = is_up && is_warm && is_quick;
+        is_open && is_well && self.is_reachable(upstream) && self.is_allowed(upstream)
     }
 
     pub(super) fn answer(&mut self, upstream: usize, packet: Packet, opening: bool) {
--- a/crates/fuzzing/tests/direct.rs
+++ b/crates/fuzzing/tests/direct.rs
@@ -35,11 +35,27 @@
 #[case::drain_ignored(Mutant::DrainIgnored, Violation::OpeningOnLeaving)]
 #[case::missing_forgotten(Mutant::MissingForgotten, Violation::LivingFlowReset)]
 #[case::never_asked(Mutant::NeverAsked, Violation::FlowNotFound)]
+#[case::cold_limit_ignored(Mutant::ColdLimitIgnored, Violation::ColdLimitExceeded)]
+#[case::region_ignored(Mutant::RegionIgnored, Violation::RegionNotAllowed)]
+#[case::closed_zone_ignored(Mutant::ClosedZoneIgnored, Violation::OpeningInClosedZone)]
 fn mutant_is_caught(#[case] mutant: Mutant, #[case] promise: Violation) {
-    let broken = |seed| {
-        let outcome = play(seed, LENGTH_MS, Some(mutant));
+    let broken = |(size, seed)| {
+        let outcome = play_at(size, seed, LENGTH_MS, Some(mutant));
         outcome.violations.iter().any(|(_, violation)| *violation == promise)
     };
+    let small = (1..=EPISODES).map(|seed| (Size::SMALL, seed));
+    let crowded = (1..=EPISODES).map(|seed| (Size::CROWDED, seed));
+    assert!(small.chain(crowded).any(broken));
+}
+
+/// Which upstreams get new flows shows only where there are many of them.
+#[test]
+fn zone_that_is_never_opened_is_caught() {
+    let broken = |seed| {
+        let mutant = Some(Mutant::ZoneNeverOpened);
+        let outcome = play_at(Size::CROWDED, seed, LENGTH_MS, mutant);
+        outcome.violations.iter().any(|(_, violation)| *violation == Violation::UpstreamPassedOver)
+    };
     assert!((1..=EPISODES).any(broken));
 }
 
--- a/crates/settings/src/codes/table.rs
+++ b/crates/settings/src/codes/table.rs
@@ -237,6 +237,18 @@
     BACK_IN_ROTATION = 2217, "back_in_rotation", Packets,
         "This balancer takes part again.",
         "None.";
+    ALL_ZONES_CLOSED = 2218, "all_zones_closed", Packets,
+        "All upstreams of the service that are ready are in closed availability zones; the caller was reset.",
+        "Open one of the zones again, or add upstreams in others.";
+    COLD_LIMIT = 2219, "cold_limit", Packets,
+        "The upstream is cold and has taken as many openings as it bears; or all that are left are, and the caller was reset.",
+        "None for the seconds of a start; if callers are reset, let upstreams start in smaller groups.";
+    REGION_NOT_ALLOWED = 2220, "region_not_allowed", Packets,
+        "No upstream is in a region that the route allows; the caller was reset.",
+        "Add upstreams there, or allow another region; a zone that the settings do not place is in none.";
+    TURNED_AWAY = 2221, "turned_away", Packets,
+        "An opening came to an upstream that leaves or whose availability zone is closed, and was given back.",
+        "None for a moment after the change; if it goes on, a balancer has an old view.";
     BAD_ARGUMENTS = 3001, "bad_arguments", Start,
         "The command line of the process is wrong.",
         "See `--help`.";
@@ -310,7 +322,7 @@
         "The configuration service answers again.",
         "None.";
     ITEM_REFUSED = 4104, "item_refused", Control,
-        "An item of the configuration service makes no sense. A bad configuration changes nothing; a bad entry names no upstream.",
+        "An item of the configuration service makes no sense. A bad configuration changes nothing; a bad entry names no upstream; a bad evacuation closes no zone.",
         "Correct the item.";
     VIEW_CHANGED = 4105, "view_changed", Control,
         "Another configuration or list of upstreams is in force.",
@@ -318,6 +330,12 @@
     PEER_VIEW = 4106, "peer_view", Control,
         "A view came from another balancer.",
         "None.";
+    ZONE_CLOSED = 4107, "zone_closed", Control,
+        "An availability zone takes no new flows from now on; open flows stay.",
+        "None: it was asked for.";
+    ZONE_OPENED = 4108, "zone_opened", Control,
+        "An availability zone takes new flows again.",
+        "None.";
     USAGE = 5001, "usage", Command,
         "The command line is wrong.",
         "See `goosectl --help`.";
--- a/crates/steering/src/edge/loads.rs
+++ b/crates/steering/src/edge/loads.rs
@@ -14,6 +14,8 @@
 const SUSPECT_MS: Millis = 200;
 /// Longest time for which a silent upstream is passed over.
 const SUSPECT_MAX_MS: Millis = 1_600;
+/// Longest time for which an agent's word keeps openings from a cold upstream.
+const LIMITED_MAX_MS: Millis = 5_000;
 /// How much a starting upstream's load weighs, in halves: it works 1.6 times as long per request.
 const COLD_WEIGHT: u32 = 3;
 const WARM_WEIGHT: u32 = 2;
@@ -28,6 +30,8 @@
     at_ms: Millis,
     suspect_until_ms: Millis,
     suspect_for_ms: Millis,
+    /// Until when it takes no opening, since it is cold.
+    limited_until_ms: Millis,
 }
 
 /// Loads by address.
@@ -86,6 +90,22 @@
         load.suspect_until_ms = now_ms + load.suspect_for_ms;
     }
 
+    /// Notes that a cold upstream takes no opening for so long.
+    pub(super) fn limited(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        address: Ipv4Addr,
+        for_ms: Millis,
+    ) {
+        self.entry(view, address).limited_until_ms = now_ms + for_ms.min(LIMITED_MAX_MS);
+    }
+
+    /// Whether a cold upstream takes no opening now.
+    pub(super) fn is_limited(&self, now_ms: Millis, upstream: &Upstream) -> bool {
+        self.find(upstream).is_some_and(|load| load.limited_until_ms > now_ms)
+    }
+
     /// Whether an upstream is passed over.
     pub(super) fn is_suspect(&self, now_ms: Millis, upstream: &Upstream) -> bool {
         self.policy.suspicion
@@ -97,7 +117,7 @@
         if !self.policy.load {
             return 0;
         }
-        let weight = if upstream.warm_at_ms > now_ms { COLD_WEIGHT } else { WARM_WEIGHT };
+        let weight = if upstream.is_cold(now_ms) { COLD_WEIGHT } else { WARM_WEIGHT };
         let load = self.find(upstream);
         let fresh = load.filter(|load| now_ms.saturating_sub(load.at_ms) < REPORT_MS);
         fresh.map_or(0, |load| load.busy + load.placed) * weight
@@ -119,6 +139,7 @@
             at_ms: 0,
             suspect_until_ms: 0,
             suspect_for_ms: 0,
+            limited_until_ms: 0,
         };
         let index = match self.loads.binary_search_by_key(&address, |load| load.address) {
             Ok(index) => index,
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -130,6 +130,10 @@
             Verdict::Denied => {
                 self.denied(now_ms, view, from, segment, actions);
             }
+            Verdict::Limited { for_ms } => {
+                self.loads.limited(now_ms, view, from, for_ms);
+                self.denied(now_ms, view, from, segment, actions);
+            }
             Verdict::Silent { for_ms } => {
                 self.loads.silent(now_ms, view, from);
                 if for_ms >= SILENCE_PROVES_MS || segment.kind != SegmentKind::Later {
--- a/crates/steering/src/edge/openings.rs
+++ b/crates/steering/src/edge/openings.rs
@@ -3,7 +3,7 @@
 
 use super::flows::Entry;
 use super::pending::Due;
-use super::placement::{place, service_of};
+use super::placement::{Placement, service_of};
 use super::types::{Action, Destination, Reason};
 use super::{BACKLOG_MS, Edge};
 use crate::flow::{Millis, Segment, SegmentKind};
@@ -37,21 +37,29 @@
         }
         let copied = entry.target.is_some();
         if let (Some(to), true) = (entry.target, entry.confirmed) {
-            let to = Destination::of(view, segment.flow, to, service);
+            let to = Destination::of(now_ms, view, segment.flow, to, service);
             actions.push(Action::Forward { to, ask: true, reason: Reason::Known });
             return;
         }
-        let reason = if copied { Reason::Replaced } else { Reason::Placed };
-        let Some(to) = place(now_ms, view, service, segment.flow, entry, &self.loads) else {
-            actions.push(Action::Drop { reason: Reason::Unknown });
-            return;
+        let placement = Placement { now_ms, view, loads: &self.loads };
+        let to = match placement.place(segment.flow, entry) {
+            Ok(to) => to,
+            Err(reason) => {
+                actions.push(if is_final(reason) {
+                    reject(entry, reason)
+                } else {
+                    Action::Drop { reason: Reason::Unknown }
+                });
+                return;
+            }
         };
+        let reason = if copied { Reason::Replaced } else { Reason::Placed };
         entry.ask(now_ms, to);
         if !copied {
             entry.await_word(now_ms, to);
         }
         self.loads.placed(now_ms, view, to);
-        let to = Destination::of(view, segment.flow, to, service);
+        let to = Destination::of(now_ms, view, segment.flow, to, service);
         actions.push(Action::Forward { to, ask: true, reason });
         self.pending.insert(now_ms, segment, bytes);
     }
@@ -73,10 +81,11 @@
         if let Some(silent) = entry.target {
             self.loads.silent(now_ms, view, silent);
         }
-        let Some(to) = place(now_ms, view, service, flow, entry, &self.loads) else { return };
+        let placement = Placement { now_ms, view, loads: &self.loads };
+        let Ok(to) = placement.place(flow, entry) else { return };
         entry.ask(now_ms, to);
         self.loads.placed(now_ms, view, to);
-        let to = Destination::of(view, flow, to, service);
+        let to = Destination::of(now_ms, view, flow, to, service);
         actions.push(Action::Forward { to, ask: true, reason: Reason::Replaced });
     }
 
@@ -96,29 +105,34 @@
         }
         entry.deny_opening(from, now_ms);
         let Some(service) = service_of(view, flow) else { return };
-        let Some(to) = place(now_ms, view, service, flow, entry, &self.loads) else {
-            actions.push(refusal(entry));
-            self.pending.remove(flow);
-            self.flows.closing(flow, now_ms);
-            return;
+        let placement = Placement { now_ms, view, loads: &self.loads };
+        let to = match placement.place(flow, entry) {
+            Ok(to) => to,
+            Err(reason) => {
+                let reason = if is_final(reason) { reason } else { Reason::Refused };
+                actions.push(reject(entry, reason));
+                self.pending.remove(flow);
+                self.flows.closing(flow, now_ms);
+                return;
+            }
         };
         entry.ask(now_ms, to);
         self.loads.placed(now_ms, view, to);
-        let to = Destination::of(view, flow, to, service);
+        let to = Destination::of(now_ms, view, flow, to, service);
         actions.push(Action::Forward { to, ask: true, reason: Reason::Replaced });
     }
 }
 
-/// The answer to an opening that every upstream has returned.
-///
-/// Failure: the opening is an old one, since it waited while this process was paused; or it was
-/// sent on again after a silence, and the silent upstream has taken it. Symptom: the flow's own
-/// upstream returns the second opening, and a refusal resets the open flow. Refusing first copies
-/// only that every upstream has returned at once is enough; a caller whose flow is not open sends a
-/// copy.
-fn refusal(entry: &Entry) -> Action {
-    if entry.refusable {
-        return Action::Reset { reason: Reason::Refused };
+/// Whether an opening that cannot be placed for this reason is rejected without asking any upstream.
+fn is_final(reason: Reason) -> bool {
+    matches!(reason, Reason::ZoneClosed | Reason::ColdLimit | Reason::RegionNotAllowed)
+}
+
+/// The answer to an opening that no upstream takes. Only a first copy that came in time and was not
+/// sent on after a silence is reset: the flow of any other may be open by now.
+fn reject(entry: &mut Entry, reason: Reason) -> Action {
+    if std::mem::take(&mut entry.refusable) {
+        return Action::Reset { reason };
     }
     Action::Drop { reason: Reason::Unknown }
 }
--- a/crates/steering/src/edge/placement.rs
+++ b/crates/steering/src/edge/placement.rs
@@ -5,6 +5,7 @@
 
 use super::flows::Entry;
 use super::loads::LoadTable;
+use super::types::Reason;
 use crate::flow::{FlowKey, Millis};
 use crate::membership;
 use crate::rank;
@@ -19,41 +20,76 @@
     view.routes.find(flow.endpoint)?.service_of(flow)
 }
 
-/// Chooses the upstream of a new flow among those that did not deny it; one that was asked before
-/// comes only after all others.
-pub(super) fn place(
-    now_ms: Millis,
-    view: &View,
-    service: ServiceStamp,
-    flow: FlowKey,
-    entry: &Entry,
-    loads: &LoadTable,
-) -> Option<Ipv4Addr> {
-    let usable = |upstream: &&Upstream| !entry.has_denied(upstream.address);
-    let is_ready = |upstream: &&Upstream| upstream.standing == Standing::Ready;
-    let all = view.upstreams_of(service);
-    let mut open: Vec<&Upstream> = all.iter().filter(is_ready).filter(usable).collect();
-    if open.is_empty() && !all.iter().any(|upstream| upstream.standing == Standing::Ready) {
-        // All entries of a service go at once only when the list itself had a fault.
-        open = all.iter().filter(|u| is_silent(u, now_ms)).filter(usable).collect();
+/// What a placement goes by, besides the flow.
+pub(super) struct Placement<'a> {
+    pub(super) now_ms: Millis,
+    pub(super) view: &'a View,
+    pub(super) loads: &'a LoadTable,
+}
+
+impl Placement<'_> {
+    /// Chooses the upstream of a new flow among those that did not deny it; one that was asked before
+    /// comes only after all others. Where there is none, the reason.
+    pub(super) fn place(&self, flow: FlowKey, entry: &Entry) -> Result<Ipv4Addr, Reason> {
+        let open = self.open_upstreams(flow, entry)?;
+        let class = |upstream: &Upstream| {
+            (entry.has_asked(upstream.address), self.loads.is_suspect(self.now_ms, upstream))
+        };
+        let mut ranked: Vec<(_, &Upstream)> =
+            open.into_iter().map(|upstream| (class(upstream), upstream)).collect();
+        ranked.sort_by_key(|(class, upstream)| {
+            (*class, Reverse(rank::score(flow, upstream.address)))
+        });
+        let first = ranked.first().map(|(class, _)| *class).ok_or(Reason::Unknown)?;
+        let best = ranked
+            .into_iter()
+            .take(PLACEMENT_RANKS)
+            .filter(|(class, _)| *class == first)
+            .map(|(_, upstream)| upstream)
+            .min_by_key(|upstream| {
+                (self.loads.load(self.now_ms, upstream), self.loads.is_far(upstream))
+            });
+        best.map(|upstream| upstream.address).ok_or(Reason::Unknown)
+    }
+
+    /// Upstreams that may take the flow now. Each step leaves out some; the first that leaves none
+    /// is the reason.
+    fn open_upstreams(&self, flow: FlowKey, entry: &Entry) -> Result<Vec<&Upstream>, Reason> {
+        let route = self.view.routes.find(flow.endpoint).ok_or(Reason::NoRoute)?;
+        let service = route.service_of(flow).ok_or(Reason::NoRoute)?;
+        let all = self.view.upstreams_of(service).iter().collect();
+        let allowed =
+            narrow(all, Reason::RegionNotAllowed, |upstream| self.view.allows(route, upstream))?;
+        let listed = self.listed(allowed);
+        let open =
+            narrow(listed, Reason::ZoneClosed, |upstream| !self.view.is_closed(upstream.zone))?;
+        let free = narrow(open, Reason::ColdLimit, |upstream| {
+            !self.loads.is_limited(self.now_ms, upstream)
+        })?;
+        narrow(free, Reason::Refused, |upstream| !entry.has_denied(upstream.address))
     }
-    open.sort_by_key(|upstream| {
-        (
-            entry.has_asked(upstream.address),
-            loads.is_suspect(now_ms, upstream),
-            Reverse(rank::score(flow, upstream.address)),
-        )
-    });
-    let first = open.first()?;
-    let class = |upstream: &Upstream| {
-        (entry.has_asked(upstream.address), loads.is_suspect(now_ms, upstream))
-    };
-    let best = open
-        .iter()
-        .take(PLACEMENT_RANKS)
-        .filter(|upstream| class(upstream) == class(first))
-        .min_by_key(|upstream| (loads.load(now_ms, upstream), loads.is_far(upstream)))?;
-    Some(best.address)
+
+    /// Those that are ready. All entries of a service go at once only when the list itself had a
+    /// fault: then the ones that went without notice.
+    fn listed<'a>(&self, upstreams: Vec<&'a Upstream>) -> Vec<&'a Upstream> {
+        let (ready, others): (Vec<&Upstream>, Vec<&Upstream>) =
+            upstreams.into_iter().partition(|upstream| upstream.standing == Standing::Ready);
+        if !ready.is_empty() {
+            return ready;
+        }
+        others.into_iter().filter(|upstream| is_silent(upstream, self.now_ms)).collect()
+    }
+}
+
+/// Leaves out some upstreams; if these were all there were, that is the reason for placing nothing.
+fn narrow(
+    upstreams: Vec<&Upstream>,
+    reason: Reason,
+    keep: impl Fn(&Upstream) -> bool,
+) -> Result<Vec<&Upstream>, Reason> {
+    let none_before = upstreams.is_empty();
+    let kept: Vec<&Upstream> = upstreams.into_iter().filter(|upstream| keep(upstream)).collect();
+    if kept.is_empty() && !none_before { Err(reason) } else { Ok(kept) }
 }
 
 fn is_silent(upstream: &Upstream, now_ms: Millis) -> bool {
--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -179,7 +179,7 @@
         let ask = !entry.confirmed || repeated;
         let reason = if entry.confirmed { Reason::Known } else { Reason::Asked };
         entry.ask(now_ms, to);
-        let to = Destination::of(view, flow, to, service);
+        let to = Destination::of(now_ms, view, flow, to, service);
         actions.push(Action::Forward { to, ask, reason });
     }
 
@@ -208,12 +208,12 @@
             Step::Absent => self.give_up(now_ms, view, flow, actions),
             Step::Ask(to) if self.may_send_own() => {
                 self.flows.entry(flow, now_ms).ask(now_ms, to);
-                self.ask_listed(view, flow, to, actions);
+                self.ask_listed(now_ms, view, flow, to, actions);
                 self.copy_to_others(now_ms, view, flow, actions);
             }
             Step::Probe(to) => {
                 self.flows.entry(flow, now_ms).ask(now_ms, to);
-                self.ask_listed(view, flow, to, actions);
+                self.ask_listed(now_ms, view, flow, to, actions);
             }
             Step::Ask(_) | Step::Wait => {}
         }
@@ -237,23 +237,30 @@
         if let Some(target) = entry.target {
             let follows = entry.confirmed || entry.asked_count() <= FOLLOWED;
             if follows && !copied && segment.wants_answer() {
-                self.ask_listed(view, flow, target, actions);
+                self.ask_listed(now_ms, view, flow, target, actions);
             }
             return;
         }
         match Search::new(now_ms, view, flow, &self.reach, behind).next(entry) {
             Step::Ask(to) | Step::Probe(to) => {
                 entry.ask(now_ms, to);
-                self.ask_listed(view, flow, to, actions);
+                self.ask_listed(now_ms, view, flow, to, actions);
             }
             Step::Wait => {}
             Step::Absent => self.give_up(now_ms, view, flow, actions),
         }
     }
 
-    fn ask_listed(&self, view: &View, flow: FlowKey, to: Ipv4Addr, actions: &mut Vec<Action>) {
+    fn ask_listed(
+        &self,
+        now_ms: Millis,
+        view: &View,
+        flow: FlowKey,
+        to: Ipv4Addr,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(upstream) = view.upstream_at(to) else { return };
-        let to = Destination::of(view, flow, to, upstream.service);
+        let to = Destination::of(now_ms, view, flow, to, upstream.service);
         actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
     }
 
@@ -279,7 +286,7 @@
         let copies = (0..FAN_OUT.min(others.len())).take_while(|_| budget.spend()).count();
         for Upstream { address, service, .. } in others.iter().cycle().skip(skip).take(copies) {
             entry.note_copy(*address);
-            let to = Destination::of(view, flow, *address, *service);
+            let to = Destination::of(now_ms, view, flow, *address, *service);
             actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
         }
         self.tally.copies += copies as u64;
--- a/crates/steering/src/edge/types.rs
+++ b/crates/steering/src/edge/types.rs
@@ -24,6 +24,11 @@
     Alive,
     /// The upstream does not hold the flow, or cannot take it.
     Denied,
+    /// The upstream is cold and has taken as many openings as it bears.
+    Limited {
+        /// How long to send it no further one.
+        for_ms: Millis,
+    },
     /// The upstream has answered nothing for that long; the packet went to it all the same.
     Silent {
         /// How long it has been silent.
@@ -72,6 +77,12 @@
     NoRoute,
     /// All upstreams deny the opening.
     Refused,
+    /// All upstreams that are ready are in closed availability zones.
+    ZoneClosed,
+    /// All upstreams that could take the opening are cold, and have taken as many as they bear.
+    ColdLimit,
+    /// No upstream is in a region that the route allows.
+    RegionNotAllowed,
     /// All upstreams deny the flow.
     Lost,
     /// Nothing is known about routes or upstreams, or a proof is missing.
@@ -89,13 +100,37 @@
     pub slots: u8,
     /// Time within which the flow's caller wants an answer; zero if not known.
     pub slo_ms: u32,
+    /// Whether this balancer knows that the upstream takes no new flows.
+    pub turns_away: bool,
+    /// Openings that a cold upstream bears in a thousand seconds; zero if they are not limited.
+    pub limit_per_ks: u32,
+    /// Whether this balancer knows that the upstream is cold.
+    pub cold: bool,
 }
 
 impl Destination {
-    pub(super) fn of(view: &View, flow: FlowKey, address: Ipv4Addr, service: ServiceStamp) -> Self {
-        let slots = view.upstream_at(address).map_or(0, |upstream| upstream.slots);
+    pub(super) fn of(
+        now_ms: Millis,
+        view: &View,
+        flow: FlowKey,
+        address: Ipv4Addr,
+        service: ServiceStamp,
+    ) -> Self {
+        let upstream = view.upstream_at(address);
+        let slots = upstream.map_or(0, |upstream| upstream.slots);
         let slo_ms = view.routes.find(flow.endpoint).map_or(0, |route| route.slo_ms);
-        Self { address, service, slots: u8::try_from(slots).unwrap_or(u8::MAX), slo_ms }
+        Self {
+            address,
+            service,
+            slots: u8::try_from(slots).unwrap_or(u8::MAX),
+            slo_ms,
+            turns_away: upstream.is_some_and(|upstream| view.turns_away(upstream)),
+            limit_per_ks: view
+                .routes
+                .service(service)
+                .map_or(0, |service| service.cold_openings_per_ks),
+            cold: upstream.is_some_and(|upstream| upstream.is_cold(now_ms)),
+        }
     }
 }
 
--- a/crates/steering/src/membership/mod.rs
+++ b/crates/steering/src/membership/mod.rs
@@ -52,19 +52,33 @@
     Listed(UpstreamRecord),
     /// The entry of this name is gone.
     Gone(Arc<str>),
+    /// The availability zone takes no new flows from now on.
+    ZoneClosed(ZoneStamp),
+    /// The availability zone takes new flows again.
+    ZoneOpened(ZoneStamp),
+}
+
+/// What a change is about. Later changes of the same replace earlier ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Subject<'a> {
+    /// The entry of this name.
+    Entry(&'a str),
+    /// An availability zone.
+    Zone(ZoneStamp),
 }
 
 impl Change {
-    /// Name of the entry.
-    pub fn id(&self) -> &Arc<str> {
+    /// What the change is about.
+    pub fn subject(&self) -> Subject<'_> {
         match self {
-            Self::Listed(record) => &record.id,
-            Self::Gone(id) => id,
+            Self::Listed(record) => Subject::Entry(&record.id),
+            Self::Gone(id) => Subject::Entry(id),
+            Self::ZoneClosed(zone) | Self::ZoneOpened(zone) => Subject::Zone(*zone),
         }
     }
 }
 
-/// What changed after a revision, each entry at most once: the order of the changes says nothing.
+/// What changed after a revision, each entry and zone at most once: the order of the changes says nothing.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Delta {
     /// Contents of this revision or a later one are brought up to date by it.
@@ -74,7 +88,7 @@
 }
 
 impl Delta {
-    /// The changes after a revision, of which the last one counts for each entry.
+    /// The changes after a revision, of which the last one counts for each entry and zone.
     ///
     /// ```
     /// use steering::membership::{Change, Delta};
@@ -84,8 +98,8 @@
     /// ```
     pub fn new(from_revision: u64, mut changes: Vec<Change>) -> Self {
         changes.reverse();
-        changes.sort_by(|one, other| one.id().cmp(other.id()));
-        changes.dedup_by(|later, kept| later.id() == kept.id());
+        changes.sort_by(|one, other| one.subject().cmp(&other.subject()));
+        changes.dedup_by(|later, kept| later.subject() == kept.subject());
         Self { from_revision, changes }
     }
 }
@@ -103,6 +117,8 @@
 pub struct Membership {
     members: Vec<Member>,
     arrivals: u64,
+    /// Availability zones that take no new flows, in order.
+    closed_zones: Vec<ZoneStamp>,
 }
 
 impl Membership {
@@ -117,6 +133,30 @@
         records.iter().for_each(|record| self.insert(now_ms, record));
     }
 
+    /// Takes the whole set of availability zones that are closed to new flows.
+    pub fn replace_closed_zones(&mut self, zones: impl IntoIterator<Item = ZoneStamp>) {
+        self.closed_zones = zones.into_iter().collect();
+        self.closed_zones.sort_unstable();
+        self.closed_zones.dedup();
+    }
+
+    /// Availability zones that are closed to new flows, in order.
+    pub fn closed_zones(&self) -> &[ZoneStamp] {
+        &self.closed_zones
+    }
+
+    fn close_zone(&mut self, zone: ZoneStamp) {
+        if let Err(index) = self.closed_zones.binary_search(&zone) {
+            self.closed_zones.insert(index, zone);
+        }
+    }
+
+    fn open_zone(&mut self, zone: ZoneStamp) {
+        if let Ok(index) = self.closed_zones.binary_search(&zone) {
+            self.closed_zones.remove(index);
+        }
+    }
+
     /// Takes a new or changed entry. One of an earlier life than the one that is known is old news.
     pub fn insert(&mut self, now_ms: Millis, record: &UpstreamRecord) {
         let standing = if record.draining { Standing::Draining } else { Standing::Ready };
@@ -143,6 +183,8 @@
         match change {
             Change::Listed(record) => self.insert(now_ms, record),
             Change::Gone(id) => self.remove(now_ms, id),
+            Change::ZoneClosed(zone) => self.close_zone(*zone),
+            Change::ZoneOpened(zone) => self.open_zone(*zone),
         }
     }
 
@@ -191,7 +233,8 @@
             (address, Reverse(born_ms), is_missing, Reverse(member.arrival))
         });
         users.dedup_by_key(|member| member.upstream.address);
-        View::new(routes, users.into_iter().map(|member| member.upstream).collect())
+        let upstreams = users.into_iter().map(|member| member.upstream).collect();
+        View::new(routes, upstreams).with_closed_zones(self.closed_zones.clone())
     }
 
     /// The entries that are listed now, with the time that upstreams are still slow.
@@ -212,12 +255,13 @@
         listed.map(record).collect()
     }
 
-    /// Digest of what is listed; how long upstreams are still slow is left out.
+    /// Digest of what is listed and closed; how long upstreams are still slow is left out.
     pub fn digest(&self) -> u64 {
         let mut hasher = SipHasher13::new();
         for record in self.records(Millis::MAX) {
             record.hash(&mut hasher);
         }
+        self.closed_zones.hash(&mut hasher);
         hasher.finish()
     }
 
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -1,10 +1,12 @@
 //! An agent's decisions: what goes to its upstream, what goes back to a balancer, what to a caller.
 
+mod admission;
 mod flow;
 mod owed;
 mod pace;
 mod queue;
 mod types;
+mod votes;
 mod work;
 
 use std::collections::HashMap;
@@ -13,6 +15,7 @@
 use crate::flow::{FlowKey, Millis, Segment, SegmentKind};
 use crate::policy::Policy;
 use crate::view::ServiceStamp;
+use admission::{Admission, Refusal};
 use flow::{Flow, Opening, opening_age_ms};
 use owed::Owed;
 pub use pace::{Pace, PaceChange};
@@ -61,6 +64,7 @@
     queue: Queue,
     work: Work,
     owed: Owed,
+    admission: Admission,
     slots: u8,
     busy: u32,
     unanswered: u32,
@@ -84,6 +88,7 @@
             queue: Queue::default(),
             work: Work::default(),
             owed: Owed::default(),
+            admission: Admission::default(),
             slots: 0,
             busy: 0,
             unanswered: 0,
@@ -109,6 +114,11 @@
         if ask.slots > 0 {
             self.slots = ask.slots;
         }
+        self.admission.hear(now_ms, &ask);
+        if let Err(refusal) = self.admit(now_ms, segment, &ask) {
+            self.owed.paid(ask.balancer);
+            return Received { delivery: refusal.into(), report: None };
+        }
         let held = self.holds(segment);
         if held == Some(false) {
             self.owed.paid(ask.balancer);
@@ -126,6 +136,17 @@
         Received { delivery, report }
     }
 
+    /// Whether a packet may go to the upstream as far as it opens a flow; a copy of an opening that the
+    /// upstream has answered opens none.
+    fn admit(&mut self, now_ms: Millis, segment: &Segment, ask: &Ask) -> Result<(), Refusal> {
+        let is_opening = matches!(segment.kind, SegmentKind::Opening { .. });
+        let is_held = self.flows.get(&segment.flow).is_some_and(|flow| flow.sent.is_some());
+        if !is_opening || is_held {
+            return Ok(());
+        }
+        self.admission.admit(now_ms, ask)
+    }
+
     fn deliver(
         &mut self,
         now_ms: Millis,
@@ -196,11 +217,12 @@
     /// opened at another upstream.
     pub fn on_returned(&mut self, now_ms: Millis, flow: FlowKey) {
         self.wake(now_ms);
-        self.unanswered = 0;
+        self.end_silence(now_ms);
         let answered_ms = self.flows.get(&flow).and_then(|flow| flow.answered_ms);
         if answered_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < KEEPS_MS) {
             self.flows.clear();
             self.busy = 0;
+            self.admission.suspect(now_ms);
         }
         self.forget(flow);
     }
@@ -208,7 +230,7 @@
     /// Takes note of a packet that the upstream sends to a caller, and says who is told.
     pub fn on_answer(&mut self, now_ms: Millis, answer: Answer) -> Answered {
         self.wake(now_ms);
-        self.unanswered = 0;
+        self.end_silence(now_ms);
         let Some(flow) = self.flows.get_mut(&answer.flow) else { return Answered::default() };
         flow.seen_ms = now_ms;
         flow.note_sent(&answer);
@@ -275,6 +297,7 @@
             self.unanswered = 0;
         }
         self.awake_ms = now_ms;
+        self.admission.wake(now_ms);
         if now_ms.saturating_sub(self.swept_ms) >= SWEEP_MS {
             self.sweep(now_ms);
         }
@@ -305,6 +328,14 @@
         self.silent_for(now_ms)
     }
 
+    /// What was silent and answers may have started anew.
+    fn end_silence(&mut self, now_ms: Millis) {
+        if self.silent_for(now_ms).is_some() {
+            self.admission.suspect(now_ms);
+        }
+        self.unanswered = 0;
+    }
+
     fn silent_for(&self, now_ms: Millis) -> Option<Millis> {
         let for_ms = now_ms.saturating_sub(self.unanswered_since_ms);
         (self.unanswered >= SILENT_OPENINGS && for_ms >= SILENT_MS).then_some(for_ms)
@@ -402,3 +433,12 @@
         }
     }
 }
+
+impl From<Refusal> for Delivery {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::TurnedAway => Self::TurnedAway,
+            Refusal::Limited { for_ms } => Self::Limited { for_ms },
+        }
+    }
+}
--- a/crates/steering/src/side/types.rs
+++ b/crates/steering/src/side/types.rs
@@ -18,6 +18,12 @@
     pub slo_ms: u32,
     /// Whether the balancer wants to know when the upstream answers.
     pub report: bool,
+    /// Whether the balancer knows that the upstream takes no new flows.
+    pub turns_away: bool,
+    /// Openings that a cold upstream bears in a thousand seconds; zero if they are not limited.
+    pub limit_per_ks: u32,
+    /// Whether the balancer knows that the upstream is cold.
+    pub cold: bool,
 }
 
 /// What becomes of a balancer's packet.
@@ -34,6 +40,14 @@
     Foreign,
     /// It goes back to the balancer: its caller has acknowledged a number of another upstream.
     Denied,
+    /// It goes back to the balancer: it opens a flow, and the upstream takes no new ones.
+    TurnedAway,
+    /// It goes back to the balancer: it opens a flow, and the upstream is cold and bears no further
+    /// one for so long.
+    Limited {
+        /// How long.
+        for_ms: Millis,
+    },
     /// It waits here until the upstream has room.
     Wait,
 }
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -51,6 +51,50 @@
     hasher.finish() as u32
 }
 
+/// Identity of a region: a group of availability zones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RegionStamp(pub u32);
+
+impl RegionStamp {
+    /// The stamp of a region's name.
+    ///
+    /// ```
+    /// use steering::view::RegionStamp;
+    /// assert_ne!(RegionStamp::of("pnw"), RegionStamp::of("bajio"));
+    /// ```
+    pub fn of(name: &str) -> Self {
+        Self(name_hash(name).max(1))
+    }
+}
+
+/// Which region each availability zone is in.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Regions {
+    zones: Vec<(ZoneStamp, RegionStamp)>,
+}
+
+impl Regions {
+    /// The regions of these zones.
+    ///
+    /// ```
+    /// use steering::view::{RegionStamp, Regions, ZoneStamp};
+    /// let regions = Regions::new([(ZoneStamp(1), RegionStamp(7))]);
+    /// assert_eq!(regions.of(ZoneStamp(1)), Some(RegionStamp(7)));
+    /// assert_eq!(regions.of(ZoneStamp(2)), None);
+    /// ```
+    pub fn new(zones: impl IntoIterator<Item = (ZoneStamp, RegionStamp)>) -> Self {
+        let mut zones: Vec<_> = zones.into_iter().collect();
+        zones.sort_unstable();
+        Self { zones }
+    }
+
+    /// The region of a zone, if it is known.
+    pub fn of(&self, zone: ZoneStamp) -> Option<RegionStamp> {
+        let index = self.zones.binary_search_by_key(&zone, |(known, _)| *known).ok()?;
+        Some(self.zones[index].1)
+    }
+}
+
 /// Whether an upstream takes new flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -86,6 +130,13 @@
     pub born_ms: u64,
 }
 
+impl Upstream {
+    /// Whether it is slow after its start.
+    pub fn is_cold(&self, now_ms: Millis) -> bool {
+        self.warm_at_ms > now_ms
+    }
+}
+
 /// A share of a route's flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Share {
@@ -106,6 +157,24 @@
     pub slo_ms: u32,
     /// Whether its requests may be sent twice: a caller whose flow is reset asks anew.
     pub repeatable: bool,
+    /// Regions whose upstreams may take its flows; any if empty.
+    pub regions: Arc<[RegionStamp]>,
+}
+
+/// What the configuration says of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Service {
+    /// Its identity.
+    pub stamp: ServiceStamp,
+    /// Openings that a cold upstream bears in a thousand seconds; zero if they are not limited.
+    pub cold_openings_per_ks: u32,
+}
+
+impl Service {
+    /// A service whose cold upstreams are not limited.
+    pub fn unlimited(stamp: ServiceStamp) -> Self {
+        Self { stamp, cold_openings_per_ks: 0 }
+    }
 }
 
 /// Routes of one configuration version.
@@ -114,7 +183,7 @@
     /// Version of the configuration; only grows within a process's life.
     pub version: u64,
     routes: Vec<Route>,
-    services: Arc<[ServiceStamp]>,
+    services: Arc<[Service]>,
     digest: u64,
 }
 
@@ -126,18 +195,20 @@
 
 impl RouteTable {
     /// A table of these routes, and the services that there are. Of two routes for one endpoint the
-    /// first is kept. Services that routes lead to need not be named.
+    /// first is kept. Services that routes lead to need not be named; of two entries for one service
+    /// the first is kept.
     pub fn new(
         version: u64,
         mut routes: Vec<Route>,
-        services: impl IntoIterator<Item = ServiceStamp>,
+        services: impl IntoIterator<Item = Service>,
     ) -> Self {
         routes.sort_by_key(|route| route.endpoint);
         routes.dedup_by_key(|route| route.endpoint);
         let led_to = routes.iter().flat_map(|route| route.shares.iter().map(|share| share.service));
-        let mut services: Vec<ServiceStamp> = services.into_iter().chain(led_to).collect();
-        services.sort_unstable();
-        services.dedup();
+        let led_to = led_to.map(Service::unlimited);
+        let mut services: Vec<Service> = services.into_iter().chain(led_to).collect();
+        services.sort_by_key(|service| service.stamp);
+        services.dedup_by_key(|service| service.stamp);
         let mut hasher = SipHasher13::new();
         (&routes, &services).hash(&mut hasher);
         Self { version, routes, services: services.into(), digest: hasher.finish() }
@@ -145,11 +216,17 @@
 
     /// Whether there is such a service. Before a configuration is known, there may be any.
     pub fn names(&self, service: ServiceStamp) -> bool {
-        self.version == 0 || self.services.binary_search(&service).is_ok()
+        self.version == 0 || self.service(service).is_some()
+    }
+
+    /// What the configuration says of a service.
+    pub fn service(&self, stamp: ServiceStamp) -> Option<&Service> {
+        let index = self.services.binary_search_by_key(&stamp, |service| service.stamp).ok()?;
+        Some(&self.services[index])
     }
 
     /// All services, in order.
-    pub fn services(&self) -> &[ServiceStamp] {
+    pub fn services(&self) -> &[Service] {
         &self.services
     }
 
@@ -204,6 +281,9 @@
     upstreams: Vec<Upstream>,
     /// Positions in `upstreams`, by address.
     by_address: Vec<(Ipv4Addr, usize)>,
+    /// In order.
+    closed_zones: Vec<ZoneStamp>,
+    regions: Arc<Regions>,
 }
 
 impl View {
@@ -214,7 +294,48 @@
         let mut by_address: Vec<(Ipv4Addr, usize)> =
             positions.map(|(upstream, position)| (upstream.address, position)).collect();
         by_address.sort_unstable();
-        Self { routes, revision: 0, since_ms: 0, upstreams, by_address }
+        Self { routes, upstreams, by_address, ..Self::default() }
+    }
+
+    /// The same with these availability zones closed to new flows.
+    #[must_use]
+    pub fn with_closed_zones(mut self, mut closed_zones: Vec<ZoneStamp>) -> Self {
+        closed_zones.sort_unstable();
+        self.closed_zones = closed_zones;
+        self
+    }
+
+    /// The same with availability zones in these regions.
+    #[must_use]
+    pub fn with_regions(mut self, regions: Arc<Regions>) -> Self {
+        self.regions = regions;
+        self
+    }
+
+    /// Whether a route allows an upstream's region. A zone whose region is not known is in none.
+    pub fn allows(&self, route: &Route, upstream: &Upstream) -> bool {
+        let region = || self.regions.of(upstream.zone);
+        route.regions.is_empty() || region().is_some_and(|region| route.regions.contains(&region))
+    }
+
+    /// Availability zones that are closed to new flows, in order.
+    pub fn closed_zones(&self) -> &[ZoneStamp] {
+        &self.closed_zones
+    }
+
+    /// Whether an availability zone is closed to new flows.
+    pub fn is_closed(&self, zone: ZoneStamp) -> bool {
+        self.closed_zones.binary_search(&zone).is_ok()
+    }
+
+    /// Whether no balancer with this view places a new flow on the upstream: it leaves, or its zone is
+    /// closed. One whose entry went without notice is not known to leave.
+    pub fn turns_away(&self, upstream: &Upstream) -> bool {
+        let leaves = matches!(
+            upstream.standing,
+            Standing::Draining | Standing::Missing { drained: true, .. }
+        );
+        leaves || self.is_closed(upstream.zone)
     }
 
     /// The upstreams of a service.
--- a/crates/steering/tests/common/agent.rs
+++ b/crates/steering/tests/common/agent.rs
@@ -11,8 +11,21 @@
 pub(crate) const SLO_MS: u32 = 200;
 pub(crate) const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
 
+pub(crate) fn side() -> Side {
+    Side::new(SERVICE)
+}
+
 pub(crate) fn ask(slots: u8) -> Ask {
-    Ask { balancer: BALANCER, service: SERVICE, slots, slo_ms: SLO_MS, report: false }
+    Ask {
+        balancer: BALANCER,
+        service: SERVICE,
+        slots,
+        slo_ms: SLO_MS,
+        report: false,
+        turns_away: false,
+        limit_per_ks: 0,
+        cold: false,
+    }
 }
 
 pub(crate) fn answer(number: u16) -> Answer {
--- a/crates/steering/tests/common/mod.rs
+++ b/crates/steering/tests/common/mod.rs
@@ -42,7 +42,9 @@
 /// The same with requests that may be sent twice, or not.
 pub(crate) fn view_with(standings: &[Standing], repeatable: bool) -> View {
     let shares = [Share { service: SERVICE, weight: 1 }].into();
-    let route = Route { endpoint: flow(1).endpoint, shares, slo_ms: 200, repeatable };
+    let endpoint = flow(1).endpoint;
+    let regions = [].into();
+    let route = Route { endpoint, shares, slo_ms: 200, repeatable, regions };
     let routes = Arc::new(RouteTable::new(1, vec![route], []));
     let numbered = standings.iter().zip(1..);
     View::new(routes, numbered.map(|(standing, number)| upstream(number, *standing)).collect())
--- a/crates/steering/tests/membership.rs
+++ b/crates/steering/tests/membership.rs
@@ -9,7 +9,7 @@
     Change, DRAINED_LINGER_MS, Delta, LAPSED_LINGER_MS, Membership, SILENT_LINGER_MS,
     UpstreamRecord, whole_in_ms,
 };
-use steering::view::{RouteTable, ServiceStamp, Standing, ZoneStamp};
+use steering::view::{RouteTable, Service, ServiceStamp, Standing, ZoneStamp};
 
 const ADDRESS: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
 
@@ -125,7 +125,8 @@
     let mut membership = Membership::default();
     membership.insert(0, &record("a", false));
     membership.insert(10, &UpstreamRecord { service, ..record("b", false) });
-    let routes = RouteTable::new(1, Vec::new(), [ServiceStamp(1), ServiceStamp(2)]);
+    let routes =
+        RouteTable::new(1, Vec::new(), [1, 2].map(|stamp| Service::unlimited(ServiceStamp(stamp))));
     let view = membership.view(Arc::new(routes));
     let services: Vec<ServiceStamp> = view.upstreams().iter().map(|u| u.service).collect();
     assert_eq!(services, [seen]);
--- /dev/null
+++ b/crates/steering/tests/zones.rs
@@ -0,0 +1,269 @@
+//! Availability zones that are closed to new flows, and routes that stay in their regions.
+
+mod common;
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use common::{READY, data, opening, packet, target, tick, upstream, verdict, view_of};
+use rstest::rstest;
+use steering::edge::{Action, Edge, REPEAT_AFTER_MS, Reason, Verdict};
+use steering::flow::Millis;
+use steering::membership::{Change, Delta, Membership, UpstreamRecord};
+use steering::view::{
+    RegionStamp, Regions, Route, RouteTable, Service, ServiceStamp, Standing, Upstream, View,
+    ZoneStamp,
+};
+
+const A: ZoneStamp = ZoneStamp(1);
+const B: ZoneStamp = ZoneStamp(2);
+const C: ZoneStamp = ZoneStamp(3);
+const UNKNOWN: ZoneStamp = ZoneStamp(99);
+const LAPSED: Standing = Standing::Missing { since_ms: 0, drained: false };
+
+fn view_in(upstreams: &[(ZoneStamp, Standing)], closed: &[ZoneStamp]) -> View {
+    let numbered = upstreams.iter().zip(1..);
+    let listed = numbered
+        .map(|((zone, standing), number)| Upstream { zone: *zone, ..upstream(number, *standing) });
+    View::new(view_of(&[]).routes, listed.collect()).with_closed_zones(closed.to_vec())
+}
+
+/// Upstreams asked for an opening that each of them denies, and what comes of it in the end.
+fn asked(view: &View) -> (Vec<u8>, Vec<Action>) {
+    let (mut edge, segment) = (Edge::default(), opening(1, 0));
+    let mut actions = packet(&mut edge, 0, view, &segment);
+    let mut asked = Vec::new();
+    while let Some(to) = actions.first().and_then(target) {
+        asked.push(to.octets()[3]);
+        actions = verdict(&mut edge, 0, view, to, Verdict::Denied, &segment);
+    }
+    asked.sort_unstable();
+    (asked, actions)
+}
+
+/// New flows go elsewhere while a zone is closed; where nothing is left, the caller learns so at once.
+#[rstest]
+#[case::none(&[(A, READY), (B, READY)], &[], &[1, 2], Reason::Refused)]
+#[case::one(&[(A, READY), (B, READY)], &[A], &[2], Reason::Refused)]
+#[case::two(&[(A, READY), (B, READY), (C, READY)], &[A, C], &[2], Reason::Refused)]
+#[case::all(&[(A, READY), (B, READY)], &[A, B], &[], Reason::ZoneClosed)]
+#[case::unknown_zone(&[(A, READY)], &[UNKNOWN], &[1], Reason::Refused)]
+#[case::others_drain(&[(A, READY), (B, Standing::Draining)], &[A], &[], Reason::ZoneClosed)]
+#[case::others_lapsed(&[(A, READY), (B, LAPSED)], &[A], &[], Reason::ZoneClosed)]
+#[case::all_lapsed(&[(A, LAPSED), (B, LAPSED)], &[A], &[2], Reason::Refused)]
+#[case::lapsed_in_closed_zones(&[(A, LAPSED)], &[A], &[], Reason::ZoneClosed)]
+fn closed_zone_gets_no_openings(
+    #[case] upstreams: &[(ZoneStamp, Standing)],
+    #[case] closed: &[ZoneStamp],
+    #[case] expected: &[u8],
+    #[case] reason: Reason,
+) {
+    let (asked, actions) = asked(&view_in(upstreams, closed));
+    assert_eq!(asked, expected);
+    assert_eq!(actions, [Action::Reset { reason }]);
+}
+
+/// A copy of an opening may be late, and its flow open by now.
+#[test]
+fn copy_of_an_opening_is_not_reset_when_all_zones_are_closed() {
+    let view = view_in(&[(A, READY)], &[A]);
+    let actions = packet(&mut Edge::default(), 0, &view, &opening(1, 1));
+    assert_eq!(actions, [Action::Drop { reason: Reason::Unknown }]);
+}
+
+/// Open flows stay where they are, and a balancer that does not know them finds them there.
+#[rstest]
+#[case::known(true)]
+#[case::unknown(false)]
+fn open_flow_stays_in_a_closed_zone(#[case] known: bool) {
+    let before = view_in(&[(A, READY)], &[]);
+    let mut edge = Edge::default();
+    let holder = target(&packet(&mut edge, 0, &before, &opening(1, 0))[0]).unwrap();
+    let held = Verdict::Held { busy: 0, opening_sequence: Some(1_000) };
+    verdict(&mut edge, 2, &before, holder, held, &opening(1, 0));
+    let mut edge = if known { edge } else { Edge::default() };
+    let closed = view_in(&[(A, READY), (B, READY)], &[A]);
+    let mut actions = packet(&mut edge, 10, &closed, &data(1, 5));
+    if target(&actions[0]) != Some(holder) {
+        let from = target(&actions[0]).unwrap();
+        actions = verdict(&mut edge, 11, &closed, from, Verdict::Denied, &data(1, 5));
+    }
+    assert_eq!(target(&actions[0]), Some(holder));
+}
+
+/// The zone is closed between an opening and its copy: nobody has confirmed the flow, or its upstream has.
+#[rstest]
+#[case::unconfirmed(false, 2)]
+#[case::confirmed(true, 1)]
+fn copy_of_an_opening_when_its_zone_is_closed(#[case] confirmed: bool, #[case] expected: u8) {
+    let upstreams = [(A, READY), (B, READY)];
+    let before = view_in(&upstreams, &[B]);
+    let mut edge = Edge::default();
+    let first = target(&packet(&mut edge, 0, &before, &opening(1, 0))[0]).unwrap();
+    if confirmed {
+        let held = Verdict::Held { busy: 0, opening_sequence: Some(1_000) };
+        verdict(&mut edge, 2, &before, first, held, &opening(1, 0));
+    }
+    let after = view_in(&upstreams, &[A]);
+    let copy = packet(&mut edge, 200, &after, &opening(1, 1));
+    assert_eq!(target(&copy[0]).map(|to| to.octets()[3]), Some(expected));
+}
+
+/// The balancer's own repetition goes elsewhere as well.
+#[test]
+fn unanswered_opening_leaves_a_closed_zone() {
+    let upstreams = [(A, READY), (B, READY)];
+    let mut edge = Edge::default();
+    let before = view_in(&upstreams, &[B]);
+    packet(&mut edge, 0, &before, &opening(1, 0));
+    let after = view_in(&upstreams, &[A]);
+    let repeated = tick(&mut edge, REPEAT_AFTER_MS, &after);
+    assert_eq!(target(&repeated[0]).map(|to| to.octets()[3]), Some(2));
+}
+
+/// Agents check openings once more by what balancers say with each packet.
+#[rstest]
+#[case::ready((A, READY), false)]
+#[case::closed((B, READY), true)]
+#[case::draining((A, Standing::Draining), true)]
+#[case::drained((A, Standing::Missing { since_ms: 0, drained: true }), true)]
+#[case::lapsed((A, LAPSED), false)]
+fn packets_say_whether_the_upstream_takes_new_flows(
+    #[case] only: (ZoneStamp, Standing),
+    #[case] expected: bool,
+) {
+    let view = view_in(&[only], &[B]);
+    let actions = packet(&mut Edge::default(), 0, &view, &data(1, 5));
+    let Action::Forward { to, .. } = actions[0] else { panic!("{actions:?}") };
+    assert_eq!(to.turns_away, expected);
+}
+
+fn view_of_regions(allowed: &[RegionStamp]) -> View {
+    let view = view_in(&[(A, READY), (B, READY), (UNKNOWN, READY)], &[]);
+    let route = Route { regions: allowed.into(), ..view.routes.routes()[0].clone() };
+    let routes = Arc::new(RouteTable::new(2, vec![route], []));
+    let regions = Regions::new([(A, RegionStamp(7)), (B, RegionStamp(8))]);
+    View::new(routes, view.upstreams().to_vec()).with_regions(Arc::new(regions))
+}
+
+/// A route's flows stay in the regions that it allows; a zone that the settings do not place is in none.
+#[rstest]
+#[case::any(&[], &[1, 2, 3], Reason::Refused)]
+#[case::first(&[7], &[1], Reason::Refused)]
+#[case::both(&[7, 8], &[1, 2], Reason::Refused)]
+#[case::elsewhere(&[9], &[], Reason::RegionNotAllowed)]
+fn route_stays_in_its_regions(
+    #[case] allowed: &[u32],
+    #[case] expected: &[u8],
+    #[case] reason: Reason,
+) {
+    let allowed: Vec<RegionStamp> = allowed.iter().copied().map(RegionStamp).collect();
+    let (asked, actions) = asked(&view_of_regions(&allowed));
+    assert_eq!(asked, expected);
+    assert_eq!(actions, [Action::Reset { reason }]);
+}
+
+fn limited_view(warm_at_ms: Millis, cold_openings_per_ks: u32) -> View {
+    let view = view_of(&[READY; 2]);
+    let limit = Service { stamp: ServiceStamp(1), cold_openings_per_ks };
+    let routes = Arc::new(RouteTable::new(2, view.routes.routes().to_vec(), [limit]));
+    let cold = |upstream: &Upstream| Upstream { warm_at_ms, ..*upstream };
+    View::new(routes, view.upstreams().iter().map(cold).collect())
+}
+
+/// A cold upstream that has taken what it bears is left alone for as long as its agent says; where all
+/// have, the caller learns so at once.
+#[test]
+fn limited_upstream_is_left_alone() {
+    let view = limited_view(5_000, 2_000);
+    let mut edge = Edge::default();
+    let segment = opening(1, 0);
+    let mut actions = packet(&mut edge, 0, &view, &segment);
+    let mut limited = Vec::new();
+    while let Some(to) = actions.first().and_then(target) {
+        limited.push(to);
+        let word = Verdict::Limited { for_ms: 300 * limited.len() as Millis };
+        actions = verdict(&mut edge, 0, &view, to, word, &segment);
+    }
+    assert_eq!(limited.len(), 2);
+    assert_eq!(actions, [Action::Reset { reason: Reason::ColdLimit }]);
+    let next = |edge: &mut Edge, now_ms: Millis, number: u16| {
+        let before = (0..now_ms).step_by(50);
+        before.for_each(|at_ms| drop(tick(edge, at_ms, &view)));
+        packet(edge, now_ms, &view, &opening(number, 0))
+    };
+    assert_eq!(next(&mut edge, 250, 2), [Action::Reset { reason: Reason::ColdLimit }]);
+    assert_eq!(next(&mut edge, 300, 3).first().and_then(target), Some(limited[0]));
+}
+
+#[rstest]
+#[case::cold(5_000, 12_500, true)]
+#[case::warm(0, 12_500, false)]
+#[case::not_limited(5_000, 0, true)]
+fn openings_name_the_limit(
+    #[case] warm_at_ms: Millis,
+    #[case] limit_per_ks: u32,
+    #[case] cold: bool,
+) {
+    let view = limited_view(warm_at_ms, limit_per_ks);
+    let actions = packet(&mut Edge::default(), 0, &view, &opening(1, 0));
+    let Action::Forward { to, .. } = actions[0] else { panic!("{actions:?}") };
+    assert_eq!((to.limit_per_ks, to.cold), (limit_per_ks, cold));
+}
+
+fn record(id: &str) -> UpstreamRecord {
+    UpstreamRecord {
+        id: id.into(),
+        born_ms: 0,
+        address: Ipv4Addr::new(10, 0, 0, 1),
+        service: ServiceStamp(1),
+        zone: A,
+        draining: false,
+        warmup_left_ms: 0,
+        slots: 7,
+    }
+}
+
+fn closed_of(changes: &[Change]) -> Vec<ZoneStamp> {
+    let mut membership = Membership::default();
+    changes.iter().for_each(|change| membership.apply(0, change));
+    membership.view(Arc::default()).closed_zones().to_vec()
+}
+
+/// Changes of zones count in the order of their revisions, also where they come together.
+#[rstest]
+#[case::closed(&[Change::ZoneClosed(A)], &[A])]
+#[case::twice(&[Change::ZoneClosed(A), Change::ZoneClosed(A)], &[A])]
+#[case::two(&[Change::ZoneClosed(B), Change::ZoneClosed(A)], &[A, B])]
+#[case::opened(&[Change::ZoneClosed(A), Change::ZoneOpened(A)], &[])]
+#[case::closed_again(&[Change::ZoneOpened(A), Change::ZoneClosed(A)], &[A])]
+#[case::opened_unknown(&[Change::ZoneOpened(UNKNOWN)], &[])]
+fn zones_follow_their_changes(#[case] changes: &[Change], #[case] expected: &[ZoneStamp]) {
+    assert_eq!(closed_of(changes), expected);
+    assert_eq!(closed_of(&Delta::new(0, changes.to_vec()).changes), expected);
+}
+
+/// The history of the store is gone: what is closed now is what the whole list says.
+#[test]
+fn whole_list_says_which_zones_are_closed() {
+    let mut membership = Membership::default();
+    membership.apply(0, &Change::ZoneClosed(A));
+    membership.replace_closed_zones([C, B, C]);
+    assert_eq!(membership.closed_zones(), [B, C]);
+}
+
+/// Balancers compare their lists by digest: one that missed the change of a zone must notice.
+#[test]
+fn digest_tells_closed_zones_apart() {
+    let mut membership = Membership::default();
+    membership.insert(0, &record("a"));
+    let open = membership.digest();
+    let close = Delta::new(1, vec![Change::ZoneClosed(A)]);
+    membership.apply(0, &close.changes[0]);
+    let closed = membership.digest();
+    assert_ne!(open, closed);
+    let mut other = Membership::default();
+    other.insert(0, &record("a"));
+    assert!(!other.patch(0, &Delta::new(1, Vec::new()), closed));
+    assert!(other.patch(0, &close, closed));
+}
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use steering::membership::{Change, Delta, UpstreamRecord};
 use steering::peers::{NAMED_MAX, Summary};
-use steering::view::{Route, RouteTable, ServiceStamp, Share, ZoneStamp};
+use steering::view::{RegionStamp, Route, RouteTable, Service, ServiceStamp, Share, ZoneStamp};
 
 use crate::bounded;
 
@@ -25,6 +25,10 @@
 const SERVICES_MAX: usize = 16_384;
 /// Most shares of a route.
 const SHARES_MAX: usize = 64;
+/// Most availability zones that are closed at once.
+const ZONES_MAX: usize = 1_024;
+/// Most regions of a route.
+const REGIONS_MAX: usize = 64;
 
 /// A message between balancers.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -67,6 +71,8 @@
     pub routes_version: u64,
     /// The listed upstreams.
     pub upstreams: Vec<UpstreamRecord>,
+    /// Availability zones that take no new flows.
+    pub closed_zones: Vec<ZoneStamp>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -85,6 +91,9 @@
     listed: Vec<UpstreamBody>,
     #[serde(deserialize_with = "gone_list")]
     gone: Vec<Arc<str>>,
+    /// Zones, and whether they are closed now.
+    #[serde(default, deserialize_with = "zone_changes")]
+    zones: Vec<(u32, bool)>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -104,6 +113,8 @@
     routes: Option<RoutesBody>,
     #[serde(deserialize_with = "upstream_list")]
     upstreams: Vec<UpstreamBody>,
+    #[serde(default, deserialize_with = "zone_list")]
+    closed_zones: Vec<u32>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -112,6 +123,9 @@
     routes: Vec<RouteBody>,
     #[serde(deserialize_with = "service_list")]
     services: Vec<u32>,
+    /// Services whose cold upstreams bear so many openings in a thousand seconds.
+    #[serde(default, deserialize_with = "limit_list")]
+    limits: Vec<(u32, u32)>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -122,6 +136,8 @@
     shares: Vec<(u32, u32)>,
     slo_ms: u32,
     repeatable: bool,
+    #[serde(default, deserialize_with = "region_list")]
+    regions: Vec<u32>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -150,6 +166,26 @@
     bounded::list::<D, u32, SERVICES_MAX>(deserializer)
 }
 
+fn limit_list<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<(u32, u32)>, D::Error> {
+    bounded::list::<D, (u32, u32), SERVICES_MAX>(deserializer)
+}
+
+fn region_list<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<u32>, D::Error> {
+    bounded::list::<D, u32, REGIONS_MAX>(deserializer)
+}
+
+fn zone_list<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<u32>, D::Error> {
+    bounded::list::<D, u32, ZONES_MAX>(deserializer)
+}
+
+fn zone_changes<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<(u32, bool)>, D::Error> {
+    bounded::list::<D, (u32, bool), CHANGES_MAX>(deserializer)
+}
+
 fn upstream_list<'de, D: serde::Deserializer<'de>>(
     deserializer: D,
 ) -> Result<Vec<UpstreamBody>, D::Error> {
@@ -217,12 +253,18 @@
 }
 
 fn delta_body(delta: &Delta) -> DeltaBody {
-    let mut body =
-        DeltaBody { from_revision: delta.from_revision, listed: Vec::new(), gone: Vec::new() };
+    let mut body = DeltaBody {
+        from_revision: delta.from_revision,
+        listed: Vec::new(),
+        gone: Vec::new(),
+        zones: Vec::new(),
+    };
     for change in &delta.changes {
         match change {
             Change::Listed(record) => body.listed.push(upstream_body(record)),
             Change::Gone(id) => body.gone.push(Arc::clone(id)),
+            Change::ZoneClosed(zone) => body.zones.push((zone.0, true)),
+            Change::ZoneOpened(zone) => body.zones.push((zone.0, false)),
         }
     }
     body
@@ -231,7 +273,11 @@
 fn delta_of(body: DeltaBody) -> Delta {
     let listed = body.listed.into_iter().map(|body| Change::Listed(record_of(body)));
     let gone = body.gone.into_iter().map(Change::Gone);
-    Delta::new(body.from_revision, listed.chain(gone).collect())
+    let zones = body.zones.into_iter().map(|(zone, closed)| match closed {
+        true => Change::ZoneClosed(ZoneStamp(zone)),
+        false => Change::ZoneOpened(ZoneStamp(zone)),
+    });
+    Delta::new(body.from_revision, listed.chain(gone).chain(zones).collect())
 }
 
 fn upstream_body(record: &UpstreamRecord) -> UpstreamBody {
@@ -288,6 +334,7 @@
         shares: route.shares.iter().map(|share| (share.service.0, share.weight)).collect(),
         slo_ms: route.slo_ms,
         repeatable: route.repeatable,
+        regions: route.regions.iter().map(|region| region.0).collect(),
     };
     let body = ViewBody {
         revision: view.revision,
@@ -295,13 +342,20 @@
         version: view.routes_version,
         routes: view.routes.as_ref().map(|table| RoutesBody {
             routes: table.routes().iter().map(route).collect(),
-            services: table.services().iter().map(|service| service.0).collect(),
+            services: table.services().iter().map(|service| service.stamp.0).collect(),
+            limits: table.services().iter().filter_map(limit).collect(),
         }),
         upstreams: view.upstreams.iter().map(upstream_body).collect(),
+        closed_zones: view.closed_zones.iter().map(|zone| zone.0).collect(),
     };
     rmp_serde::to_vec(&body).expect("plain structs always encode")
 }
 
+fn limit(service: &Service) -> Option<(u32, u32)> {
+    let limit = service.cold_openings_per_ks;
+    (limit > 0).then_some((service.stamp.0, limit))
+}
+
 /// Decodes a view; `None` if it makes no sense.
 pub fn decode_view(bytes: &[u8]) -> Option<ViewContents> {
     let body: ViewBody = rmp_serde::from_slice(bytes).ok()?;
@@ -311,10 +365,16 @@
         shares: route.shares.into_iter().map(share).collect(),
         slo_ms: route.slo_ms,
         repeatable: route.repeatable,
+        regions: route.regions.into_iter().map(RegionStamp).collect(),
+    };
+    let limited = |(stamp, cold_openings_per_ks)| Service {
+        stamp: ServiceStamp(stamp),
+        cold_openings_per_ks,
     };
-    let table = |RoutesBody { routes, services }| {
+    let table = |RoutesBody { routes, services, limits }| {
         let routes = routes.into_iter().map(route).collect();
-        let services = services.into_iter().map(ServiceStamp);
+        let unlimited = services.into_iter().map(|stamp| Service::unlimited(ServiceStamp(stamp)));
+        let services = limits.into_iter().map(limited).chain(unlimited);
         Arc::new(RouteTable::new(body.version, routes, services))
     };
     Some(ViewContents {
@@ -323,5 +383,6 @@
         routes: body.routes.map(table),
         routes_version: body.version,
         upstreams: body.upstreams.into_iter().map(record_of).collect(),
+        closed_zones: body.closed_zones.into_iter().map(ZoneStamp).collect(),
     })
 }
--- a/crates/wire/tests/peers.rs
+++ b/crates/wire/tests/peers.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use steering::membership::{Change, Delta, UpstreamRecord};
 use steering::peers::Summary;
-use steering::view::{Route, RouteTable, ServiceStamp, Share, ZoneStamp};
+use steering::view::{RegionStamp, Route, RouteTable, Service, ServiceStamp, Share, ZoneStamp};
 use wire::peers::{
     CHANGES_MAX, MESSAGE_BYTES_MAX, Message, News, PEERS_MAX, ViewContents, beacon, decode,
     decode_view, encode, encode_view,
@@ -23,13 +23,16 @@
         shares,
         slo_ms: 150,
         repeatable: true,
+        regions: [RegionStamp(11)].into(),
     };
+    let limited = Service { stamp: ServiceStamp(9), cold_openings_per_ks: 12_500 };
     ViewContents {
         revision: 9,
         whole_in_ms: 2_000,
-        routes: routes.then(|| Arc::new(RouteTable::new(7, vec![route], [ServiceStamp(9)]))),
+        routes: routes.then(|| Arc::new(RouteTable::new(7, vec![route], [limited]))),
         routes_version: 7,
         upstreams: vec![record("i-7f3a91c2")],
+        closed_zones: vec![ZoneStamp(3), ZoneStamp(8)],
     }
 }
 
@@ -57,6 +60,8 @@
 #[case::beacon(Message::Beacon(NEWS))]
 #[case::knows(Message::Knows(NEWS))]
 #[case::changes(Message::Changes(NEWS, delta(3, 12)))]
+#[case::closed_zone(Message::Changes(NEWS, Delta::new(8, vec![Change::ZoneClosed(ZoneStamp(3))])))]
+#[case::opened_zone(Message::Changes(NEWS, Delta::new(8, vec![Change::ZoneOpened(ZoneStamp(3))])))]
 #[case::removal(Message::Changes(NEWS, Delta::new(8, vec![Change::Gone("i-7f3a91c2".into())])))]
 fn message_there_and_back(#[case] message: Message) {
     assert_eq!(decode(&encode(&message)), Some(message));
