Show closed zones to operators, and play them in the lab

An agent that has just started bars openings for a second only where a balancer knows that the upstream is cold: barred on suspicion, a service whose agents all restart beside warm upstreams would have taken nothing for that second.

--- a/crates/goosectl/src/commands/mod.rs
+++ b/crates/goosectl/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod settings;
 mod status;
 mod timeline;
+mod zones;
 
 use std::io::Write;
 
@@ -34,4 +35,5 @@
     explain::COMMAND,
     timeline::COMMAND,
     drain_watch::COMMAND,
+    zones::COMMAND,
 ];
--- /dev/null
+++ b/crates/goosectl/src/commands/zones/report.rs
@@ -0,0 +1,74 @@
+//! Output of `goosectl zones`.
+
+use std::io::{self, Write};
+
+use serde::Serialize;
+
+use crate::exit::Exit;
+use crate::fleet::{Answer, Silence, Zones};
+use crate::output::{self, Table};
+
+/// The answers of the balancers.
+pub(super) struct Report<'a> {
+    pub(super) notes: &'a [String],
+    pub(super) answers: &'a [Answer<Zones>],
+}
+
+#[derive(Serialize)]
+struct ReportJson<'a> {
+    notes: &'a [String],
+    instances: Vec<InstanceJson<'a>>,
+}
+
+#[derive(Serialize)]
+struct InstanceJson<'a> {
+    name: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    zones: Option<&'a Zones>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    silence: Option<&'a Silence>,
+}
+
+impl Report<'_> {
+    /// Whether the balancers agree.
+    pub(super) fn exit(&self) -> Exit {
+        let mut heard = self.answers.iter().filter_map(|answer| answer.result.as_ref().ok());
+        let Some(first) = heard.next() else { return Exit::Unreachable };
+        let agree = heard.all(|zones| zones.closed == first.closed);
+        let silent = self.answers.iter().any(|answer| answer.result.is_err());
+        if agree && !silent { Exit::Success } else { Exit::Findings }
+    }
+
+    /// A row for each balancer.
+    pub(super) fn text(&self, out: &mut dyn Write) -> io::Result<()> {
+        output::notes(out, self.notes)?;
+        let mut table = Table::new(["INSTANCE", "REVISION", "CLOSED"]);
+        self.answers.iter().for_each(|answer| table.row(row(answer)));
+        write!(out, "{table}")
+    }
+
+    /// One JSON document.
+    pub(super) fn json(&self, out: &mut dyn Write) -> io::Result<()> {
+        let instances = self.answers.iter().map(InstanceJson::from).collect();
+        output::json(out, &ReportJson { notes: self.notes, instances })
+    }
+}
+
+fn row(answer: &Answer<Zones>) -> [String; 3] {
+    let name = answer.subject.name.clone();
+    match &answer.result {
+        Ok(zones) if zones.closed.is_empty() => [name, zones.revision.to_string(), "-".into()],
+        Ok(zones) => [name, zones.revision.to_string(), zones.closed.join(" ")],
+        Err(silence) => [name, "silent".into(), silence.to_string()],
+    }
+}
+
+impl<'a> From<&'a Answer<Zones>> for InstanceJson<'a> {
+    fn from(answer: &'a Answer<Zones>) -> Self {
+        Self {
+            name: &answer.subject.name,
+            zones: answer.result.as_ref().ok(),
+            silence: answer.result.as_ref().err(),
+        }
+    }
+}
--- a/crates/goosectl/src/fleet/answers.rs
+++ b/crates/goosectl/src/fleet/answers.rs
@@ -32,6 +32,15 @@
     pub(crate) flows: Vec<Flow>,
 }
 
+/// Answer of a balancer's `/zones`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Zones {
+    /// Revision of the configuration service that it goes by.
+    pub(crate) revision: u64,
+    /// Names of the availability zones that take no new flows, in order.
+    pub(crate) closed: Vec<String>,
+}
+
 /// One flow.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Flow {
--- a/crates/goosectl/tests/fleet.rs
+++ b/crates/goosectl/tests/fleet.rs
@@ -352,3 +352,30 @@
     assert_eq!(std::fs::read_to_string(page).unwrap().matches("<circle").count(), 2);
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// Balancers that differ, or are silent, are a finding: some still send flows to a closed zone.
+#[rstest]
+#[case::agree(Some(r#"["pnw-b"]"#), "pnw-b", Exit::Success)]
+#[case::differ(Some("[]"), "-", Exit::Findings)]
+#[case::silent(None, "E5004: http://<1>/zones: status 404", Exit::Findings)]
+fn zones_of_two_balancers(
+    #[case] second: Option<&str>,
+    #[case] shown: &str,
+    #[case] expected: Exit,
+) {
+    let zones = |closed: &str| format!(r#"{{"revision":41,"closed":{closed}}}"#);
+    let first = common::serve(vec![("/zones", zones(r#"["pnw-b"]"#).into())]);
+    let answers = second.map(|closed| ("/zones", zones(closed).into()));
+    let second = common::serve(answers.into_iter().collect());
+    let line = common::run(&format!("zones --instance {first} --instance {second}"));
+    let out = line.out.replace(&second.to_string(), "<1>");
+    let row = out.lines().find(|row| row.starts_with("<1>")).unwrap_or_else(|| panic!("{out}"));
+    assert!(row.ends_with(shown), "{row}");
+    assert_eq!(line.exit, expected, "{}", line.err);
+}
+
+#[test]
+fn zones_without_an_answer() {
+    let line = common::run(&format!("zones --instance {}", common::nobody()));
+    assert_eq!(line.exit, Exit::Unreachable);
+}
--- a/crates/steering/src/side/admission.rs
+++ b/crates/steering/src/side/admission.rs
@@ -86,7 +86,10 @@
         let (count, span_ms) =
             if limited { window(ask.limit_per_ks) } else { (TAKEN_MAX, SPAN_MIN_MS) };
         self.forget_before(now_ms, span_ms);
-        if limited && let Some(for_ms) = self.full_for(now_ms, count, span_ms) {
+        let for_ms = if limited { self.full_for(now_ms, count, span_ms) } else { 0 };
+        let for_ms = for_ms.max(if ask.cold { self.unseen_for(now_ms) } else { 0 });
+        if limited && for_ms > 0 {
+            self.waiting = (self.waiting + 1).min(2 * count);
             return Err(Refusal::Limited { for_ms });
         }
         self.waiting = self.waiting.saturating_sub(1);
@@ -118,24 +121,19 @@
         }
     }
 
-    /// How long the upstream is full, if it is. Each opening that is given back gets a place of its
-    /// own among those that come later, so that the next one taken meets one balancer, not all.
-    fn full_for(&mut self, now_ms: Millis, count: usize, span_ms: Millis) -> Option<Millis> {
-        // What this process's predecessor took may still count.
-        let unseen_until_ms = self.since_ms.map_or(0, |since_ms| since_ms + SPAN_MIN_MS);
-        let unseen_for_ms = unseen_until_ms.saturating_sub(now_ms);
-        let surplus = self.taken_ms.len().checked_sub(count);
-        let full_for_ms = surplus.map_or(0, |surplus| {
-            let taken_ms = self.taken_ms[surplus + self.waiting % count];
-            let rounds = (self.waiting / count) as Millis;
-            (taken_ms + (1 + rounds) * span_ms + 1).saturating_sub(now_ms)
-        });
-        let for_ms = full_for_ms.max(unseen_for_ms);
-        if for_ms == 0 {
-            return None;
-        }
-        self.waiting = (self.waiting + 1).min(2 * count);
-        Some(for_ms)
+    /// How long the upstream is full. Each opening that is given back gets a place of its own among
+    /// those that come later, so that the next one taken meets one balancer, not all.
+    fn full_for(&self, now_ms: Millis, count: usize, span_ms: Millis) -> Millis {
+        let Some(surplus) = self.taken_ms.len().checked_sub(count) else { return 0 };
+        let taken_ms = self.taken_ms[surplus + self.waiting % count];
+        let rounds = (self.waiting / count) as Millis;
+        (taken_ms + (1 + rounds) * span_ms + 1).saturating_sub(now_ms)
+    }
+
+    /// How long openings may still count that this process's predecessor took.
+    fn unseen_for(&self, now_ms: Millis) -> Millis {
+        let until_ms = self.since_ms.map_or(0, |since_ms| since_ms + SPAN_MIN_MS);
+        until_ms.saturating_sub(now_ms)
     }
 }
 
--- a/xtask/src/direct/fleet.rs
+++ b/xtask/src/direct/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::{Context as _, ensure};
 use nix::sys::signal::Signal;
@@ -20,6 +20,15 @@
 const BALANCERS: usize = 3;
 /// Services of the upstreams at the start.
 const SERVICES: [&str; 7] = ["shelf", "shelf", "shelf", "shelf", "shelf", "manifest", "manifest"];
+/// Availability zones; upstreams are spread over them in turn.
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const REGIONS: [&str; 3] = ["north", "north", "south"];
+/// The service that stays in one region, and that region.
+const HOMED: (&str, &str) = ("manifest", "north");
+/// The service whose cold upstreams are limited, and the openings a second that they bear.
+const LIMITED: (&str, f64) = ("shelf", 20.0);
+/// Time for which an upstream is cold that starts after the callers.
+const COLD: Duration = Duration::from_secs(2);
 const SLOTS: usize = 7;
 const WORK: Duration = Duration::from_millis(20);
 /// Ports, the same on all addresses.
@@ -43,6 +52,7 @@
     agents: Vec<Option<Process>>,
     upstreams: Vec<Option<Upstream>>,
     services: Vec<&'static str>,
+    cold_until: Vec<Option<Instant>>,
     lives: u64,
     logs: u32,
 }
@@ -67,6 +77,7 @@
             agents: SERVICES.iter().map(|_| None).collect(),
             upstreams: SERVICES.iter().map(|_| None).collect(),
             services: SERVICES.to_vec(),
+            cold_until: vec![None; SERVICES.len()],
             lives: 0,
             logs: 0,
         };
@@ -145,6 +156,14 @@
             Action::Forget(index) => self.store.remove(&key(index)),
             Action::Relist(index) => self.list(index, "ready"),
             Action::Restart(index) => self.start_upstream(index)?,
+            Action::CloseZone(zone) => {
+                self.store.put(&zone_key(zone), &json!({}));
+                self.ledger.zone_closed(ZONES[zone], Instant::now());
+            }
+            Action::OpenZone(zone) => {
+                self.ledger.zone_opened(ZONES[zone]);
+                self.store.remove(&zone_key(zone));
+            }
             Action::StoreSilent => self.store.set_mode(Mode::Silent),
             Action::StoreRefuses => self.store.set_mode(Mode::Refusing),
             Action::StoreWell => self.store.set_mode(Mode::Well),
@@ -217,21 +236,32 @@
             outbound: SocketAddrV4::new(upstream_ip(index), OUTBOUND),
             slots: SLOTS,
             work: WORK,
+            zone: ZONES[zone_of(index)],
+            allowed: is_allowed(self.services[index], index),
+            cold: self.cold(index),
         };
         self.upstreams[index] = Some(Upstream::start(plan, self.ledger.clone())?);
         self.list(index, "ready");
         Ok(())
     }
 
+    /// Until when an upstream that starts now is cold, and what it bears if that is limited.
+    fn cold(&mut self, index: usize) -> Option<(Instant, f64)> {
+        let until = self.callers.as_ref().map(|_| Instant::now() + COLD);
+        self.cold_until[index] = until;
+        let (service, limit) = LIMITED;
+        until.filter(|_| self.services[index] == service).map(|until| (until, limit))
+    }
+
     fn list(&self, index: usize, state: &str) {
         let entry = json!({
             "service": self.services[index],
             "address": SocketAddrV4::new(upstream_ip(index), APP).to_string(),
-            "zone": "a",
+            "zone": ZONES[zone_of(index)],
             "version": "v1",
             "capacity": SLOTS,
             "state": state,
-            "warmupLeftMs": 0,
+            "warmupLeftMs": self.cold_until[index].map_or(0, cold_for_ms),
             "seq": 1,
         });
         self.store.put(&key(index), &entry);
@@ -246,14 +276,35 @@
     Ipv4Addr::new(127, 0, 2, 1 + index as u8)
 }
 
+fn zone_of(index: usize) -> usize {
+    index % ZONES.len()
+}
+
+fn is_allowed(service: &str, index: usize) -> bool {
+    let (homed, region) = HOMED;
+    service != homed || REGIONS[zone_of(index)] == region
+}
+
+fn cold_for_ms(until: Instant) -> u64 {
+    until.saturating_duration_since(Instant::now()).as_millis() as u64
+}
+
+fn zone_key(zone: usize) -> String {
+    format!("op/evacuate/{}", ZONES[zone])
+}
+
 fn key(index: usize) -> String {
     format!("servers/u{index}")
 }
 
 fn configuration() -> serde_json::Value {
     let route = |prefix: &str, service: &str| json!({"name": prefix, "host": "198.18.0.1", "prefix": prefix, "service": service});
-    let routes = [route("/8443/", "shelf"), route("/443/", "shelf"), route("/80/", "manifest")];
-    json!({"version": 1, "routes": routes, "services": [], "limits": {}})
+    let mut homed = route("/80/", HOMED.0);
+    homed["allowedRegions"] = json!([HOMED.1]);
+    let routes = [route("/8443/", "shelf"), route("/443/", "shelf"), homed];
+    let (name, limit) = LIMITED;
+    let limited = json!({"name": name, "warmupS": COLD.as_secs_f64(), "warmupPerS": limit});
+    json!({"version": 1, "routes": routes, "services": [limited], "limits": {}})
 }
 
 fn settings(name: &str, ip: Ipv4Addr, service: Option<&str>) -> serde_json::Value {
@@ -261,8 +312,14 @@
     let seeds: Vec<String> = (0..BALANCERS)
         .map(|index| SocketAddrV4::new(balancer_ip(index), READY).to_string())
         .collect();
+    let zones: serde_json::Map<String, serde_json::Value> = ZONES
+        .iter()
+        .zip(REGIONS)
+        .map(|(zone, region)| ((*zone).to_owned(), region.into()))
+        .collect();
     let mut settings = json!({
         "nodeName": name,
+        "zones": zones,
         "ip": ip.to_string(),
         "listen": {"datagramAddr": address(PACKETS), "ready": address(READY)},
         "internalPorts": [INTERNAL, INTERNAL + 15],
--- a/xtask/src/direct/scenario.rs
+++ b/xtask/src/direct/scenario.rs
@@ -29,6 +29,10 @@
     Relist(usize),
     /// It starts again, with another life.
     Restart(usize),
+    /// An availability zone, by its number, is closed to new flows.
+    CloseZone(usize),
+    /// It takes new flows again.
+    OpenZone(usize),
     /// The configuration service falls silent, or refuses.
     StoreSilent,
     StoreRefuses,
@@ -59,9 +63,11 @@
 
 /// Planned change and faults, some of them together, and a calm end.
 pub(super) const STEPS: &[Step] = &[
+    at(500, Action::CloseZone(1)),
     at(3_000, Action::RollBalancer(0)),
     at(5_000, Action::Drain(1)),
     at(6_000, Action::KillBalancer(1)),
+    at(7_000, Action::OpenZone(1)),
     at(7_500, Action::KillAgent(4)),
     at(8_500, Action::Retire(1)),
     // An address goes to another service while no balancer can learn of it.
@@ -71,8 +77,11 @@
     at(11_000, Action::FreezeBalancer(2)),
     at(12_200, Action::WakeBalancer(2)),
     at(13_000, Action::StoreWell),
+    // Closed as soon as the outage is over.
+    at(13_050, Action::CloseZone(2)),
     at(15_000, Action::Crash(2)),
     at(16_000, Action::RollBalancer(1)),
+    at(18_000, Action::OpenZone(2)),
     at(18_600, Action::Forget(2)),
     at(19_000, Action::Restart(2)),
     // An entry expires during an outage, and a balancer without memory reads the list before it is back.
