Find dead agents under steady load, and by pings

Cause, read off a line for each repeated search: eight of 43 entries had neither upstream nor agent, and none of them counted as quiet although flows asked them all the time. Silence counts only if a packet is between 60 and 500 ms old without a word, and each new packet took the place of the one before: under steady load none ever grew 60 ms old. And where few flows ask, four flows without a word take long to come together.

Now the first packet of each 60 ms is the one that grows old; and an agent that owes a word is pinged each 100 ms (each 400 once it is out of reach, a hundred pings a second at most, 6.4 KB), which three times without an answer counts like four flows.

Ruled out: too many lost for the bound of a third (8 of 43); agents that live beside upstreams that are gone.

--- a/crates/fuzzing/src/direct/world/changes.rs
+++ b/crates/fuzzing/src/direct/world/changes.rs
@@ -54,6 +54,7 @@
         let forgets = mutant == Some(Mutant::MissingForgotten);
         let whole_from_ms = if forgets { 0 } else { *whole_from_ms };
         edge.trust(Trust { confirmed_ms: *confirmed_ms, whole_from_ms });
+        let pings = edge.take_pings(self.now_ms, view);
         let mut actions = Vec::new();
         edge.on_tick(self.now_ms, view, &mut actions);
         for (bytes, action) in actions {
@@ -61,6 +62,11 @@
             let packet = self.packets[index as usize];
             self.apply(balancer, packet, vec![action]);
         }
+        for agent in pings {
+            let upstream = upstream_of(agent);
+            let delay_ms = self.hop();
+            self.at(delay_ms, Event::Ping { balancer, upstream });
+        }
     }
 
     pub(super) fn change(&mut self) {
--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -105,6 +105,7 @@
     Caller(usize),
     ToBalancer(usize, Packet),
     ToAgent { balancer: usize, packet: Packet, to: Destination, report: bool },
+    Ping { balancer: usize, upstream: usize },
     Said { balancer: usize, upstream: usize, verdict: Verdict, packet: Packet },
     Accepted { caller: usize, flow: FlowKey, upstream: usize, boot: u64 },
     Answered { caller: usize, flow: FlowKey },
@@ -336,6 +337,7 @@
             Event::ToAgent { balancer, packet, to, report } => {
                 self.at_agent(balancer, packet, to, report);
             }
+            Event::Ping { balancer, upstream } => self.at_pinged(balancer, upstream),
             Event::Said { balancer, upstream, verdict, packet } => {
                 self.on_said(balancer, upstream, verdict, packet);
             }
--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -6,9 +6,9 @@
 use steering::side::{Answer, Ask, Delivery, Report};
 
 use super::{
-    Balancer, CALM_MS, COLD_OPENINGS_MAX, Event, IN_FORCE_MS, LIMITED, PASSED_OVER_MAX, Packet,
-    SERVICES, World, address, balancer_address, balancer_number, endpoint, region, upstream_of,
-    zone_of,
+    BLANK, Balancer, CALM_MS, COLD_OPENINGS_MAX, Event, IN_FORCE_MS, LIMITED, PASSED_OVER_MAX,
+    Packet, SERVICES, World, address, balancer_address, balancer_number, endpoint, region,
+    upstream_of, zone_of,
 };
 use crate::direct::upstream::{Reaction, Upstream, number_of};
 use crate::direct::{Mutant, Violation};
@@ -139,6 +139,14 @@
         }
     }
 
+    /// An agent that is there says so.
+    pub(super) fn at_pinged(&mut self, balancer: usize, upstream: usize) {
+        if let Some(side) = &mut self.agents[upstream] {
+            side.on_given_back(balancer_address(balancer));
+            self.say(balancer, upstream, Verdict::Alive, BLANK);
+        }
+    }
+
     fn report(&mut self, upstream: usize, report: &Report, packet: Packet) {
         let balancer = balancer_number(report.balancer);
         let Report { busy, opening_sequence, .. } = *report;
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -182,6 +182,11 @@
         self.flows.expire(now_ms);
     }
 
+    /// Agents that are to be asked whether they live, since they owe a word.
+    pub fn take_pings(&mut self, now_ms: Millis, view: &View) -> Vec<Ipv4Addr> {
+        if self.policy.pings { self.reach.take_pings(now_ms, view) } else { Vec::new() }
+    }
+
     /// After a pause of the process, packets that have waited come before any news: upstreams may have
     /// started meanwhile, and entries gone. Nothing is proven until the view was confirmed again.
     fn wake(&mut self, now_ms: Millis) {
--- a/crates/steering/src/edge/reach.rs
+++ b/crates/steering/src/edge/reach.rs
@@ -7,8 +7,8 @@
 //!
 //! An agent that lives answers every packet that wants a word within 100 ms, also where its
 //! upstream is dead or at work for long. What is learnt from one flow's silence is used for all: an
-//! agent that is quiet gets one packet now and then in place of every flow's, and after a while
-//! counts as out of reach.
+//! agent that owes a word is pinged, one that is quiet gets one packet now and then in place of every
+//! flow's, and after a while counts as out of reach.
 
 use std::net::Ipv4Addr;
 
@@ -34,6 +34,14 @@
 /// After this time without a packet to it, an agent is judged anew. Callers repeat after 1.6 s at
 /// the latest.
 const STALE_MS: Millis = 1_700;
+/// Pings without a word that count as much as that many flows: agents answer them at once, whatever
+/// their upstream is doing.
+const PINGS_MIN: u32 = 3;
+/// Pause between two pings of an agent that owes a word, and of one that is out of reach.
+const PING_MS: Millis = 100;
+const PING_LOST_MS: Millis = 400;
+/// Pings sent at a time. Ticks come every 20 ms; a hundred pings a second cost a balancer 6.4 KB.
+const PINGS_AT_ONCE: usize = 2;
 /// Of so many agents, one may be out of reach without putting this balancer's own way in doubt.
 const AGENTS_PER_LOST: usize = 3;
 
@@ -47,17 +55,28 @@
     flows: usize,
     /// Since when there are so many flows without a word that something is wrong.
     since_ms: Millis,
+    /// Pings without a word, and since when there is one.
+    pings: u32,
+    pinged_ms: Millis,
+    last_ping_ms: Millis,
     /// When it was asked last, and when the time before that was that is overdue by now.
     asked_ms: Millis,
     overdue_ms: Millis,
+    /// The first time it was asked of those that are not overdue yet.
+    turn_ms: Millis,
 }
 
 impl Agent {
-    fn owe(&mut self, now_ms: Millis, flow: u64) {
-        if now_ms.saturating_sub(self.asked_ms) >= WORD_MS {
-            self.overdue_ms = self.asked_ms;
+    fn ask(&mut self, now_ms: Millis) {
+        if now_ms.saturating_sub(self.turn_ms) >= WORD_MS {
+            self.overdue_ms = self.turn_ms;
+            self.turn_ms = now_ms;
         }
         self.asked_ms = now_ms;
+    }
+
+    fn owe(&mut self, now_ms: Millis, flow: u64) {
+        self.ask(now_ms);
         if self.flows < UNANSWERED_MIN && !self.unanswered[..self.flows].contains(&flow) {
             self.unanswered[self.flows] = flow;
             self.flows += 1;
@@ -83,8 +102,12 @@
             unanswered,
             flows: 0,
             since_ms: now_ms,
+            pings: 0,
+            pinged_ms: now_ms,
+            last_ping_ms: now_ms,
             asked_ms: now_ms,
             overdue_ms: 0,
+            turn_ms: now_ms,
         };
         let agent = match self.find(address) {
             Ok(index) => &mut self.agents[index],
@@ -106,6 +129,44 @@
         }
     }
 
+    /// Agents to be pinged now: those that have owed a word for a while, in turn.
+    pub(super) fn take_pings(&mut self, now_ms: Millis, view: &View) -> Vec<Ipv4Addr> {
+        let is_listed = |agent: &Agent| {
+            let upstream = view.upstream_at(agent.address);
+            upstream.is_some_and(|upstream| upstream.born_ms == agent.born_ms)
+        };
+        self.agents.retain(is_listed);
+        let mut due: Vec<(Millis, Ipv4Addr)> = self
+            .agents
+            .iter()
+            .filter(|agent| {
+                now_ms.saturating_sub(agent.last_ping_ms) >= self.pause_ms(now_ms, agent)
+            })
+            .map(|agent| (agent.last_ping_ms, agent.address))
+            .collect();
+        due.sort_unstable();
+        due.truncate(PINGS_AT_ONCE);
+        for (_, address) in &due {
+            let Ok(index) = self.find(*address) else { continue };
+            let agent = &mut self.agents[index];
+            agent.ask(now_ms);
+            if agent.pings == 0 {
+                agent.pinged_ms = now_ms;
+            }
+            agent.pings += 1;
+            agent.last_ping_ms = now_ms;
+        }
+        due.into_iter().map(|(_, address)| address).collect()
+    }
+
+    fn pause_ms(&self, now_ms: Millis, agent: &Agent) -> Millis {
+        match agent.pings {
+            0 => WORD_MS,
+            _ if self.is_lost(now_ms, agent.address) => PING_LOST_MS,
+            _ => PING_MS,
+        }
+    }
+
     /// Forgets all silence: this process was paused, and words may wait unread.
     pub(super) fn forget(&mut self) {
         self.agents.clear();
@@ -139,10 +200,13 @@
 
     fn silent_for(&self, now_ms: Millis, address: Ipv4Addr) -> Option<Millis> {
         let agent = self.agents[self.find(address).ok()?];
-        let is_fresh = [agent.asked_ms, agent.overdue_ms]
+        let is_fresh = [agent.turn_ms, agent.overdue_ms]
             .iter()
             .any(|at_ms| (WORD_MS..=FRESH_MS).contains(&now_ms.saturating_sub(*at_ms)));
-        (is_fresh && agent.flows == UNANSWERED_MIN).then(|| now_ms.saturating_sub(agent.since_ms))
+        let by_flows = (agent.flows == UNANSWERED_MIN).then_some(agent.since_ms);
+        let by_pings = (agent.pings >= PINGS_MIN).then_some(agent.pinged_ms);
+        let since_ms = by_flows.into_iter().chain(by_pings).min().filter(|_| is_fresh)?;
+        Some(now_ms.saturating_sub(since_ms))
     }
 
     fn find(&self, address: Ipv4Addr) -> Result<usize, usize> {
--- a/crates/steering/src/policy/mod.rs
+++ b/crates/steering/src/policy/mod.rs
@@ -17,6 +17,8 @@
     pub near: bool,
     /// Agents that say nothing to anybody get few packets, and count as out of reach after a while.
     pub reach: bool,
+    /// Agents that owe a word are asked whether they live.
+    pub pings: bool,
     /// Upstreams that were silent are passed over.
     pub suspicion: bool,
     /// Packets that nobody has answered are sent once more.
@@ -36,7 +38,7 @@
 type Field = fn(&mut Policy) -> &mut bool;
 
 /// Names of the mechanisms.
-const FIELDS: [(&str, Field); 14] = [
+const FIELDS: [(&str, Field); 15] = [
     ("waiting", |policy| &mut policy.waiting),
     ("hope", |policy| &mut policy.hope),
     ("bodies", |policy| &mut policy.bodies),
@@ -44,6 +46,7 @@
     ("load", |policy| &mut policy.load),
     ("near", |policy| &mut policy.near),
     ("reach", |policy| &mut policy.reach),
+    ("pings", |policy| &mut policy.pings),
     ("suspicion", |policy| &mut policy.suspicion),
     ("repeats", |policy| &mut policy.repeats),
     ("copies", |policy| &mut policy.copies),
@@ -63,6 +66,7 @@
             load: true,
             near: true,
             reach: true,
+            pings: true,
             suspicion: true,
             repeats: true,
             copies: true,
--- a/crates/steering/tests/edge_size.rs
+++ b/crates/steering/tests/edge_size.rs
@@ -24,6 +24,10 @@
     asked: Vec<(Millis, Ipv4Addr)>,
     /// When callers were told that their flows are lost.
     resets: Vec<Millis>,
+    /// When these callers began.
+    began: Vec<Millis>,
+    /// Agents that were pinged.
+    pinged: Vec<Ipv4Addr>,
 }
 
 impl Searched {
@@ -32,10 +36,13 @@
     }
 }
 
-/// Plays callers of lost flows, one every millisecond, against agents that deny all flows within
+/// Plays callers of lost flows, one every `every_ms`, against agents that deny all flows within
 /// `round_trip_ms`, but for those that are dead until `back_ms`.
 struct Play {
     flows: u16,
+    every_ms: Millis,
+    /// Whether the balancer pings agents.
+    pings: bool,
     round_trip_ms: Millis,
     dead: Vec<Ipv4Addr>,
     back_ms: Millis,
@@ -63,7 +70,7 @@
                 actions.extend(said.into_iter().map(|action| (segment, action)));
             }
             for number in (1..=self.flows).filter(|number| !over.contains(number)) {
-                let age_ms = now_ms.checked_sub(Millis::from(number));
+                let age_ms = now_ms.checked_sub(Millis::from(number) * self.every_ms);
                 if age_ms.is_some_and(|age_ms| REPEATS_MS.contains(&age_ms)) {
                     searched.taken += 1;
                     let segment = data(number, 5);
@@ -71,6 +78,14 @@
                     actions.extend(sent.into_iter().map(|action| (segment, action)));
                 }
             }
+            if now_ms % 20 == 0 && self.pings {
+                for to in edge.take_pings(now_ms, view) {
+                    searched.pinged.push(to);
+                    if !self.dead.contains(&to) {
+                        verdict(&mut edge, now_ms, view, to, Verdict::Alive, &data(0, 0));
+                    }
+                }
+            }
             if now_ms % 20 == 0 {
                 // The core gives the kept packet; here it tells by its number whose it is.
                 for (kept, action) in common::tick_kept(&mut edge, now_ms, view) {
@@ -91,7 +106,9 @@
                         let number = segment.flow.caller.port();
                         if !over.contains(&number) {
                             over.push(number);
-                            searched.resets.push(now_ms - Millis::from(number));
+                            let began_ms = Millis::from(number) * self.every_ms;
+                            searched.began.push(began_ms);
+                            searched.resets.push(now_ms - began_ms);
                         }
                     }
                     Action::Drop { .. } => {}
@@ -103,7 +120,8 @@
 }
 
 fn play(flows: u16, round_trip_ms: Millis, dead: &[Ipv4Addr]) -> Play {
-    Play { flows, round_trip_ms, dead: dead.to_vec(), back_ms: Millis::MAX, length_ms: 5_000 }
+    let (dead, back_ms) = (dead.to_vec(), Millis::MAX);
+    Play { flows, every_ms: 1, pings: false, round_trip_ms, dead, back_ms, length_ms: 5_000 }
 }
 
 fn dead(count: u8) -> Vec<Ipv4Addr> {
@@ -133,6 +151,47 @@
     assert_eq!(late, 0, "{:?}", searched.resets);
 }
 
+/// A lost flow is asked for every few milliseconds: agents that are asked so often that no packet ever
+/// grows old unanswered are found out as well, and later searches end at once.
+#[rstest]
+#[case::often(5)]
+#[case::now_and_then(20)]
+fn dead_entries_are_found_under_steady_load(#[case] every_ms: Millis) {
+    let flows = (4_000 / every_ms) as u16;
+    let play = Play { every_ms, pings: true, ..play(flows, 3, &dead(6)) };
+    let searched = play.run(&view_of(&[READY; 43]));
+    let later: Vec<(Millis, Millis)> = searched
+        .began
+        .iter()
+        .zip(&searched.resets)
+        .filter(|(began_ms, _)| **began_ms >= 2_000)
+        .map(|(began_ms, reset_ms)| (*began_ms, *reset_ms))
+        .collect();
+    assert!(later.len() > usize::from(flows) * 2 / 5, "{} of {flows}", later.len());
+    assert!(later.iter().all(|(_, reset_ms)| *reset_ms < 200), "{later:?}");
+}
+
+/// Two flows are lost, and three upstreams died with their instances: so few flows prove no agent to be
+/// out of reach, its silence to pings does.
+#[rstest]
+#[case::pings(true, 2)]
+#[case::flows_alone(false, 0)]
+fn pings_find_dead_entries_where_flows_are_few(#[case] pings: bool, #[case] resets: usize) {
+    let play = Play { pings, ..play(2, 3, &dead(3)) };
+    let searched = play.run(&view_of(&[READY; 43]));
+    assert_eq!(searched.resets.len(), resets, "{:?}", searched.resets);
+    assert!(searched.resets.iter().all(|reset_ms| *reset_ms < 2_000), "{:?}", searched.resets);
+}
+
+/// Half of a large fleet is dead: pings stay within their share of the control traffic.
+#[test]
+fn pings_are_bounded() {
+    let play = Play { pings: true, ..play(200, 3, &dead(54)) };
+    let searched = play.run(&view_of(&[READY; UPSTREAMS]));
+    assert!(searched.pinged.len() <= 500, "{} pings in five seconds", searched.pinged.len());
+    assert_eq!(searched.resets, [], "it may be this balancer that is cut off");
+}
+
 /// The same with requests that must not be sent twice: a caller of such a one does not ask anew,
 /// and its upstream may come back with the answer. The search must not go on without end meanwhile.
 #[test]
