Let requests wait beside their upstream for as long as their callers do

Stands: a request that waits is forgotten after six SLOs, a figure of older deployments. After a loss of power requests that could still have been answered late were forgotten.

In steps, so that versions that change time-outs a little leave the routes' digest alone.

--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -215,6 +215,7 @@
             endpoint: endpoint(service),
             shares: [Share { service: SERVICES[service], weight: 1 }].into(),
             slo_ms: 0,
+            wait_slos: 0,
             repeatable: true,
             // The second service stays in the first region.
             regions: REGIONS[..service].into(),
--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -113,6 +113,7 @@
             service: if unchecked { own } else { to.service },
             slots: 0,
             slo_ms: 0,
+            wait_slos: 0,
             report,
             turns_away: to.turns_away,
             limit_per_ks: to.limit_per_ks,
--- a/crates/steering/src/edge/types.rs
+++ b/crates/steering/src/edge/types.rs
@@ -100,6 +100,8 @@
     pub slots: u8,
     /// Time within which the flow's caller wants an answer; zero if not known.
     pub slo_ms: u32,
+    /// How many of these times the caller waits, one of [`crate::view::WAIT_STEPS_SLOS`].
+    pub wait_slos: u8,
     /// Whether this balancer knows that the upstream takes no new flows.
     pub turns_away: bool,
     /// Openings that a cold upstream bears in a thousand seconds; zero if they are not limited.
@@ -118,12 +120,13 @@
     ) -> Self {
         let upstream = view.upstream_at(address);
         let slots = upstream.map_or(0, |upstream| upstream.slots);
-        let slo_ms = view.routes.find(flow.endpoint).map_or(0, |route| route.slo_ms);
+        let route = view.routes.find(flow.endpoint);
         Self {
             address,
             service,
             slots: u8::try_from(slots).unwrap_or(u8::MAX),
-            slo_ms,
+            slo_ms: route.map_or(0, |route| route.slo_ms),
+            wait_slos: route.map_or(0, |route| route.wait_slos),
             turns_away: upstream.is_some_and(|upstream| view.turns_away(upstream)),
             limit_per_ks: view
                 .routes
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -49,10 +49,11 @@
 const FULL_BYTES: u16 = 1_200;
 /// Time that callers give an answer where nobody says so: the shortest that is known of any.
 const SLO_DEFAULT_MS: Millis = 150;
-/// Callers give up after five to ten times the time in which they want an answer, and few say so.
-/// One that is kept for too long costs a slot for nothing; one that is forgotten too soon would
-/// have been late.
-const GIVEN_UP_SLOS: Millis = 6;
+/// How many times that time callers wait where nobody says so.
+const WAIT_DEFAULT_SLOS: u8 = 6;
+/// Usual times of work left for a request that is handed on last: one that its caller gives up takes a
+/// slot for nothing.
+const ROOM_WORKS: Millis = 3;
 /// The way of an answer to its caller.
 const WAY_MS: Millis = 3;
 
@@ -125,7 +126,7 @@
             return Received { delivery: Delivery::Denied, report: None };
         }
         self.note_packet(now_ms, segment, ask);
-        let delivery = self.deliver(now_ms, segment, bytes, ask.slo_ms);
+        let delivery = self.deliver(now_ms, segment, bytes, &ask);
         let silent = matches!(delivery, Delivery::DeliverSilent { .. });
         let report = if held.is_some() && !silent { self.take_report(segment.flow) } else { None };
         if report.is_some() || silent {
@@ -147,18 +148,12 @@
         self.admission.admit(now_ms, ask)
     }
 
-    fn deliver(
-        &mut self,
-        now_ms: Millis,
-        segment: &Segment,
-        bytes: &[u8],
-        slo_ms: u32,
-    ) -> Delivery {
+    fn deliver(&mut self, now_ms: Millis, segment: &Segment, bytes: &[u8], ask: &Ask) -> Delivery {
         if let Some(for_ms) = self.silence(now_ms, segment.kind) {
             self.start(now_ms, segment);
             return Delivery::DeliverSilent { for_ms };
         }
-        if self.must_wait(now_ms, segment, bytes, slo_ms) {
+        if self.must_wait(now_ms, segment, bytes, ask) {
             return Delivery::Wait;
         }
         self.start(now_ms, segment);
@@ -365,7 +360,7 @@
     }
 
     /// Whether data has to wait; if so, it was put into the queue.
-    fn must_wait(&mut self, now_ms: Millis, segment: &Segment, bytes: &[u8], slo_ms: u32) -> bool {
+    fn must_wait(&mut self, now_ms: Millis, segment: &Segment, bytes: &[u8], ask: &Ask) -> bool {
         if !self.policy.waiting || !self.is_request_data(segment) {
             return false;
         }
@@ -385,11 +380,13 @@
         }
         let opening = flow.and_then(|flow| flow.opening);
         let spent_ms = opening.map_or(0, |opening| opening.spent_ms(now_ms));
-        let slo_ms = if slo_ms == 0 { SLO_DEFAULT_MS } else { Millis::from(slo_ms) };
+        let slo_ms = if ask.slo_ms == 0 { SLO_DEFAULT_MS } else { Millis::from(ask.slo_ms) };
+        let wait_slos = if ask.wait_slos == 0 { WAIT_DEFAULT_SLOS } else { ask.wait_slos };
         let needed_ms = self.work.usual_ms() + WAY_MS + spent_ms;
         let start_by_ms = slo_ms.checked_sub(needed_ms).map(|left_ms| now_ms + left_ms);
-        let patience_ms = (slo_ms * GIVEN_UP_SLOS).saturating_sub(spent_ms);
-        self.queue.push(now_ms, segment, bytes, start_by_ms, now_ms + patience_ms);
+        let work_ms = ROOM_WORKS * self.work.usual_ms();
+        let left_ms = (slo_ms * Millis::from(wait_slos)).saturating_sub(spent_ms + work_ms);
+        self.queue.push(now_ms, segment, bytes, start_by_ms, now_ms + left_ms);
         true
     }
 
--- a/crates/steering/src/side/types.rs
+++ b/crates/steering/src/side/types.rs
@@ -16,6 +16,8 @@
     pub slots: u8,
     /// Time within which the caller wants an answer; zero if the balancer does not know.
     pub slo_ms: u32,
+    /// How many of these times the caller waits; zero if the balancer does not know.
+    pub wait_slos: u8,
     /// Whether the balancer wants to know when the upstream answers.
     pub report: bool,
     /// Whether the balancer knows that the upstream takes no new flows.
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -146,6 +146,27 @@
     pub weight: u32,
 }
 
+/// How long callers may wait, in the times within which they want their answers; zero if it is not known.
+/// Steps, so that most changes of a time-out leave a route as it is and go with a packet in two bits.
+pub const WAIT_STEPS_SLOS: [u8; 4] = [0, 4, 7, 10];
+
+/// The largest step that is within a time-out; the first one for shorter ones.
+///
+/// ```
+/// use steering::view::wait_slos;
+/// assert_eq!(wait_slos(3_000, 400), 7);
+/// assert_eq!(wait_slos(900, 300), 4);
+/// assert_eq!(wait_slos(0, 300), 0);
+/// ```
+pub fn wait_slos(timeout_ms: u32, slo_ms: u32) -> u8 {
+    if timeout_ms == 0 || slo_ms == 0 {
+        return 0;
+    }
+    let [_, shortest, ..] = WAIT_STEPS_SLOS;
+    let fits = |step: &u8| u32::from(*step) * slo_ms <= timeout_ms;
+    WAIT_STEPS_SLOS.into_iter().rfind(fits).unwrap_or(0).max(shortest)
+}
+
 /// Where new flows to an endpoint go.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Route {
@@ -155,6 +176,8 @@
     pub shares: Arc<[Share]>,
     /// Time within which callers want their answers; zero if not known.
     pub slo_ms: u32,
+    /// How many of these times callers wait before they give up, one of [`WAIT_STEPS_SLOS`].
+    pub wait_slos: u8,
     /// Whether its requests may be sent twice: a caller whose flow is reset asks anew.
     pub repeatable: bool,
     /// Regions whose upstreams may take its flows; any if empty.
--- a/crates/steering/tests/common/agent.rs
+++ b/crates/steering/tests/common/agent.rs
@@ -21,6 +21,7 @@
         service: SERVICE,
         slots,
         slo_ms: SLO_MS,
+        wait_slos: 0,
         report: false,
         turns_away: false,
         limit_per_ks: 0,
--- a/crates/steering/tests/side.rs
+++ b/crates/steering/tests/side.rs
@@ -387,3 +387,31 @@
         );
     }
 }
+
+/// Requests wait for as long as their callers do, less the time that work takes: after an outage, those
+/// that can still be answered are, and none is worked on for nobody.
+#[rstest]
+#[case::not_known(0, 0, 6 * 200)]
+#[case::short(4, 0, 4 * 200)]
+#[case::long(10, 0, 10 * 200)]
+#[case::long_beside_slow_work(10, 90, 10 * 200 - 3 * 90)]
+fn request_waits_for_as_long_as_its_caller(
+    #[case] wait_slos: u8,
+    #[case] work_ms: Millis,
+    #[case] expected_ms: Millis,
+) {
+    let ask = Ask { wait_slos, ..ask(1) };
+    let released_at = |at_ms: Millis| {
+        let mut side = Side::new(SERVICE);
+        side.on_packet(0, &data(1, 1), &[1], ask);
+        side.on_answer(work_ms, answer(1));
+        hold(&mut side, work_ms, 3);
+        for number in [1, 2, 3] {
+            side.on_packet(work_ms, &data(number, 101), &[number as u8], ask);
+        }
+        side.on_answer(work_ms + at_ms, answer(1));
+        side.next_released(work_ms + at_ms).map(|released| released.packets[0][0])
+    };
+    assert_eq!(released_at(expected_ms - 1), Some(3));
+    assert_eq!(released_at(expected_ms), None);
+}
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -138,6 +138,8 @@
     repeatable: bool,
     #[serde(default, deserialize_with = "region_list")]
     regions: Vec<u32>,
+    #[serde(default)]
+    wait_slos: u8,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -335,6 +337,7 @@
         slo_ms: route.slo_ms,
         repeatable: route.repeatable,
         regions: route.regions.iter().map(|region| region.0).collect(),
+        wait_slos: route.wait_slos,
     };
     let body = ViewBody {
         revision: view.revision,
@@ -366,6 +369,7 @@
         slo_ms: route.slo_ms,
         repeatable: route.repeatable,
         regions: route.regions.into_iter().map(RegionStamp).collect(),
+        wait_slos: route.wait_slos,
     };
     let limited = |(stamp, cold_openings_per_ks)| Service {
         stamp: ServiceStamp(stamp),
--- a/crates/wire/tests/peers.rs
+++ b/crates/wire/tests/peers.rs
@@ -22,6 +22,7 @@
         endpoint: "198.18.0.1:443".parse().unwrap(),
         shares,
         slo_ms: 150,
+        wait_slos: 7,
         repeatable: true,
         regions: [RegionStamp(11)].into(),
     };
