Use the field's words for mechanisms, and shorten safeguards' comments to their reason

No behaviour changes.

The stories behind the shortened comments: - trusts_silence: an upstream is paused or cut off with a flow and comes back after the reset; a request that must not be sent twice has run, and its caller never hears of it. - Search::step: two upstreams answered an opening through different balancers; the one known here holds the flow half open and dies; its silence was taken for the end of the flow, which lives at the other. - copies_fail: a balancer behind a thin link had sent all it may; what it asked held the flow half open; all repetitions went to that one. - forget_opening: a silent upstream took the opening after all; its silence of before counted as proof that it did not hold the flow. - is_stuck: a caller that takes a long answer sends bare acknowledgements; all went to a dead first rank. - is_behind: packets came faster than a thin link or small share of a processor takes; repeats and searches made the backlog longer. - are_few: a balancer cut off from a part of the fleet took the upstreams there for dead and reset their flows. - patch: after a lost message lists differed from the sender's without a sign. - whole_in_ms: a balancer that started right after an outage was told that the list was whole, and reset flows of an upstream whose entry was not back. - YOUNG_MS: for a second after a start each balancer read for itself, 1,300 calls in two seconds among 59. - take_closing: an upstream held a flow on whose end its agent kept and forgot; repetitions were led past it for seconds. - holds: half-open upstreams took a flow's packets without a word, and a balancer without memory believed it had found the flow. - on_returned: an upstream started anew beside an agent that ran on; requests of its earlier life counted as at work, and new ones waited beside an idle one. - pending replies: an upstream at work for a second beside a new agent was taken for dead.

--- a/crates/fuzzing/src/direct/world/changes.rs
+++ b/crates/fuzzing/src/direct/world/changes.rs
@@ -28,7 +28,7 @@
     fn tick_agent(&mut self, upstream: usize) {
         let Some(side) = &mut self.agents[upstream] else { return };
         side.on_tick(self.now_ms);
-        for balancer in side.take_owed(self.now_ms) {
+        for balancer in side.take_due_replies(self.now_ms) {
             self.say(balancer_number(balancer), upstream, Verdict::Alive, BLANK);
         }
     }
--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -1,7 +1,7 @@
 //! The way of a packet: balancer, agent, upstream and back.
 
 use rand::RngExt as _;
-use steering::edge::{Action, Destination, Reason, Said, Verdict};
+use steering::edge::{Action, AgentReply, Destination, Reason, Verdict};
 use steering::flow::FlowKey;
 use steering::side::{Answer, Ask, Delivery, Report};
 
@@ -50,10 +50,10 @@
         if self.defer(balancer, Event::Said { balancer, upstream, verdict, packet }) {
             return;
         }
-        let said = Said { from: address(upstream), verdict };
+        let reply = AgentReply { from: address(upstream), verdict };
         let mut actions = Vec::new();
         let Balancer { edge, view, .. } = &mut self.balancers[balancer];
-        edge.on_verdict(self.now_ms, view, said, &packet.segment, &mut actions);
+        edge.on_verdict(self.now_ms, view, reply, &packet.segment, &mut actions);
         self.apply(balancer, packet, actions);
     }
 
--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -100,10 +100,7 @@
 
     /// Forgets who did not take the opening.
     ///
-    /// Failure: an upstream was silent for a moment, so that the opening went to another, and then
-    /// took it after all. Symptom: the flow is open there, and its silence of before counts as a
-    /// proof that it is not. Forgetting it with the first packet of the open flow is enough: such a
-    /// packet asks anew.
+    /// One that was silent may have taken it after all.
     pub(super) fn forget_opening(&mut self) {
         if std::mem::take(&mut self.opening_denied) {
             self.denials.clear();
@@ -205,10 +202,7 @@
     /// Whether the upstream that is asked has said nothing for so long that the packets that nobody
     /// answers should go to others as well.
     ///
-    /// Failure: a caller that takes a long answer sends bare acknowledgements only, and the first
-    /// upstream by rank is dead with its agent. Symptom: all of them go there, and none to the
-    /// upstream that holds the flow. Copies are enough: an upstream that answers a caller sends
-    /// packets, and its agent says so.
+    /// A caller that takes a long answer sends bare acknowledgements only, which nobody answers.
     fn is_stuck(&self, now_ms: Millis) -> bool {
         let waits_since = self.asked_ms.filter(|_| !self.confirmed);
         waits_since.is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= REPEAT_MS)
--- a/crates/steering/src/edge/loads.rs
+++ b/crates/steering/src/edge/loads.rs
@@ -56,7 +56,7 @@
 
     /// Whether an upstream is in another availability zone: bodies that cross zones cost, and take longer.
     pub(super) fn is_far(&self, upstream: &Upstream) -> bool {
-        self.policy.near && upstream.zone != self.zone
+        self.policy.zone_affinity && upstream.zone != self.zone
     }
 
     /// Takes a report: `busy` requests are at work.
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -31,7 +31,7 @@
 use pending::PendingTable;
 pub use pending::{PENDING_BYTES_MAX, REPEAT_AFTER_MS};
 use reach::Reach;
-pub use types::{Action, Destination, Reason, Said, Tally, Trust, Verdict};
+pub use types::{Action, AgentReply, Destination, Reason, Tally, Trust, Verdict};
 
 /// A balancer looks after its flows at least every 60 ms; after this time without, it was paused.
 const PAUSE_MS: Millis = 300;
@@ -109,13 +109,13 @@
         &mut self,
         now_ms: Millis,
         view: &View,
-        said: Said,
+        reply: AgentReply,
         segment: &Segment,
         actions: &mut Vec<Action>,
     ) {
         self.wake(now_ms);
         let before = actions.len();
-        let Said { from, verdict } = said;
+        let AgentReply { from, verdict } = reply;
         self.reach.heard(from);
         let entry = self.flows.get(segment.flow);
         if let Some(round_trip_ms) = entry.and_then(|entry| entry.take_round_trip(now_ms, from)) {
@@ -210,10 +210,7 @@
     /// Whether silence says nothing now, since the answers may wait where this process has not read
     /// yet.
     ///
-    /// Failure: packets come faster than a thin link or a small share of a processor can take. Symptom:
-    /// agents' words come late, each flow that waits for one is repeated and searched for, and the
-    /// answers to all these packets make the backlog longer. Repeating nothing until words come soon
-    /// again is enough: callers repeat by themselves, and seldom.
+    /// Repetitions and searches for words that are only late would make the backlog longer.
     fn is_behind(&mut self, now_ms: Millis) -> bool {
         self.policy.lag && self.lag.value_ms(now_ms) >= BEHIND_MS
     }
--- a/crates/steering/src/edge/reach.rs
+++ b/crates/steering/src/edge/reach.rs
@@ -190,10 +190,7 @@
 
     /// Whether so few of these agents are out of reach that it is they who are gone.
     ///
-    /// Failure: this balancer is cut off from a part of the fleet. Symptom: it takes the upstreams
-    /// there for dead and resets their flows, which would live on through its neighbours. A bound
-    /// on their share is enough: a cut that loses fewer upstreams looks like their end to callers
-    /// too.
+    /// Where many are, this balancer is cut off, and their flows live on through its neighbours.
     pub(super) fn are_few(lost: usize, all: usize) -> bool {
         lost * AGENTS_PER_LOST <= all
     }
--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -56,10 +56,7 @@
     /// Whether silence may stand for a denial: this process is not behind, and the flow's caller
     /// asks anew after a reset.
     ///
-    /// Failure: an upstream is paused or cut off with a flow, and comes back after the reset.
-    /// Symptom: a request that must not be sent twice has run, and its caller never hears of it.
-    /// Waiting for a denial is enough there; a caller that may ask anew is answered sooner by
-    /// another upstream.
+    /// A request that must not be sent twice may have run at an upstream that comes back.
     trusts_silence: bool,
 }
 
@@ -72,10 +69,7 @@
 
     /// What becomes of a packet that may have a target already.
     ///
-    /// Failure: two upstreams have answered an opening through different balancers; the one that is
-    /// known here holds the flow half open, and dies. Symptom: its silence is taken for the end of
-    /// the flow, which lives at the other one. Asking all others first, as for a flow that is not
-    /// known, is enough.
+    /// A target that is lost may have held the flow half open only, so that all others are asked first.
     fn step(&self, entry: &Entry) -> Step {
         match entry.target {
             Some(target) if !self.is_lost(target) => Step::Ask(target),
@@ -131,11 +125,7 @@
             _ => {
                 entry.forget_old_denials(now_ms);
                 let search = Search::new(now_ms, view, flow, &self.reach, behind);
-                // Failure: a balancer behind a thin link has sent all that it may beyond its
-                // callers' packets, and the upstream that it asks holds the flow half open, without
-                // a word. Symptom: no copy goes to others, and all that the caller repeats goes to
-                // that one. Sending the caller's own repetitions to those that were not asked yet
-                // is enough: their denials lead on.
+                // No copies may be sent: the caller's own repetitions look for the flow instead.
                 let copies_fail = !entry.confirmed && self.budget.is_spent();
                 if copies_fail { search.next(entry) } else { search.step(entry) }
             }
--- a/crates/steering/src/edge/types.rs
+++ b/crates/steering/src/edge/types.rs
@@ -55,7 +55,7 @@
 
 /// A verdict and the instance whose agent gave it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Said {
+pub struct AgentReply {
     /// Address of the agent's instance.
     pub from: Ipv4Addr,
     /// What it says.
--- a/crates/steering/src/membership/mod.rs
+++ b/crates/steering/src/membership/mod.rs
@@ -190,9 +190,7 @@
 
     /// Takes changes that lead to a list with this digest; says whether they did.
     ///
-    /// Failure: a message was lost, or this list has come about in another way. Symptom: patched on
-    /// and on, it differs from the sender's without a sign. Comparing the digests after each patch
-    /// is enough: the caller replaces what does not match by the sender's whole list.
+    /// Where a message was lost, they do not, and the sender's whole list is needed.
     pub fn patch(&mut self, now_ms: Millis, delta: &Delta, digest: u64) -> bool {
         delta.changes.iter().for_each(|change| self.apply(now_ms, change));
         self.digest() == digest
@@ -291,9 +289,7 @@
 /// `whole_from_ms`, and while the configuration service is `out_of_reach`, for as long as entries
 /// take to come back.
 ///
-/// Failure: a balancer starts right after an outage that the others still believe in. Symptom: told
-/// that the list is whole, it resets flows of an upstream whose entry is not back yet. Counting an
-/// outage from its end is enough, since entries come back within that time.
+/// An outage counts from its end: a balancer that starts then has not seen it.
 ///
 /// ```
 /// use steering::membership::{SILENT_LINGER_MS, whole_in_ms};
--- a/crates/steering/src/peers/mod.rs
+++ b/crates/steering/src/peers/mod.rs
@@ -28,10 +28,8 @@
 /// Time after its start in which a balancer that has heard no reader greets as often as one that
 /// knows nothing.
 ///
-/// Failure: all instances start at once, the given ones later than others, whose first hellos are
-/// lost. Symptom: for a second each balancer reads for itself, and each change costs a call of
-/// each: 1,300 calls in two seconds among fifty-nine. Greeting often for some seconds is enough; in
-/// an outage, when nobody reads, it would load the given ones.
+/// Where all start at once, first hellos are lost; in an outage, when nobody reads, frequent ones
+/// would load the given instances.
 const YOUNG_MS: Millis = 3_000;
 /// Pause between two hellos of a balancer that knows nothing yet: callers wait for it.
 const HELLO_BLIND_MS: Millis = 100;
@@ -81,7 +79,7 @@
 
 /// What follows from a beacon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Lesson {
+pub enum Comparison {
     /// The sender knows nothing newer.
     Nothing,
     /// The sender is ahead, and its contents are ours.
@@ -154,7 +152,7 @@
         from: Ipv4Addr,
         theirs: Summary,
         ours: Summary,
-    ) -> Lesson {
+    ) -> Comparison {
         hear(&mut self.readers, now_ms, from);
         self.compare(now_ms, from, theirs, ours)
     }
@@ -166,15 +164,15 @@
         from: Ipv4Addr,
         theirs: Summary,
         ours: Summary,
-    ) -> Lesson {
+    ) -> Comparison {
         self.note(now_ms, from);
         // An older version in force there must not come back here, whatever the revision says.
         if theirs.revision <= ours.revision || theirs.routes_version < ours.routes_version {
-            return Lesson::Nothing;
+            return Comparison::Nothing;
         }
         let same = theirs.routes_digest == ours.routes_digest
             && theirs.upstreams_digest == ours.upstreams_digest;
-        if same { Lesson::Same } else { Lesson::Fetch }
+        if same { Comparison::Same } else { Comparison::Fetch }
     }
 
     /// Notes that the configuration service has answered.
--- a/crates/steering/src/policy/mod.rs
+++ b/crates/steering/src/policy/mod.rs
@@ -6,15 +6,15 @@
     /// Agents let requests wait beside a busy upstream.
     pub waiting: bool,
     /// Of those that wait, the newest that can be on time goes first.
-    pub hope: bool,
+    pub deadline_order: bool,
     /// A request counts from its last packet on.
-    pub bodies: bool,
+    pub upload_accounting: bool,
     /// Agents say at once whether their upstream holds a flow.
-    pub word: bool,
+    pub ownership_reply: bool,
     /// Reported load decides among the first ranks.
     pub load: bool,
     /// Among upstreams with the same load, one in the balancer's own availability zone is chosen.
-    pub near: bool,
+    pub zone_affinity: bool,
     /// Agents that say nothing to anybody get few packets, and count as out of reach after a while.
     pub reach: bool,
     /// Agents that owe a word are asked whether they live.
@@ -40,11 +40,11 @@
 /// Names of the mechanisms.
 const FIELDS: [(&str, Field); 15] = [
     ("waiting", |policy| &mut policy.waiting),
-    ("hope", |policy| &mut policy.hope),
-    ("bodies", |policy| &mut policy.bodies),
-    ("word", |policy| &mut policy.word),
+    ("deadline_order", |policy| &mut policy.deadline_order),
+    ("upload_accounting", |policy| &mut policy.upload_accounting),
+    ("ownership_reply", |policy| &mut policy.ownership_reply),
     ("load", |policy| &mut policy.load),
-    ("near", |policy| &mut policy.near),
+    ("zone_affinity", |policy| &mut policy.zone_affinity),
     ("reach", |policy| &mut policy.reach),
     ("pings", |policy| &mut policy.pings),
     ("suspicion", |policy| &mut policy.suspicion),
@@ -60,11 +60,11 @@
     fn default() -> Self {
         Self {
             waiting: true,
-            hope: true,
-            bodies: true,
-            word: true,
+            deadline_order: true,
+            upload_accounting: true,
+            ownership_reply: true,
             load: true,
-            near: true,
+            zone_affinity: true,
             reach: true,
             pings: true,
             suspicion: true,
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -2,8 +2,8 @@
 
 mod admission;
 mod flow;
-mod owed;
 mod pace;
+mod pending_replies;
 mod queue;
 mod types;
 mod votes;
@@ -17,8 +17,8 @@
 use crate::view::ServiceStamp;
 use admission::{Admission, Refusal};
 use flow::{Flow, Opening, opening_age_ms};
-use owed::Owed;
 pub use pace::{Pace, PaceChange};
+use pending_replies::PendingReplies;
 use queue::Queue;
 pub use types::{Answer, Answered, Ask, Delivery, Received, Released, Report};
 use work::Work;
@@ -64,7 +64,7 @@
     flows: HashMap<FlowKey, Flow>,
     queue: Queue,
     work: Work,
-    owed: Owed,
+    pending_replies: PendingReplies,
     admission: Admission,
     slots: u8,
     busy: u32,
@@ -88,7 +88,7 @@
             flows: HashMap::new(),
             queue: Queue::default(),
             work: Work::default(),
-            owed: Owed::default(),
+            pending_replies: PendingReplies::default(),
             admission: Admission::default(),
             slots: 0,
             busy: 0,
@@ -117,12 +117,12 @@
         }
         self.admission.hear(now_ms, &ask);
         if let Err(refusal) = self.admit(now_ms, segment, &ask) {
-            self.owed.paid(ask.balancer);
+            self.pending_replies.sent(ask.balancer);
             return Received { delivery: refusal.into(), report: None };
         }
         let held = self.holds(segment);
         if held == Some(false) {
-            self.owed.paid(ask.balancer);
+            self.pending_replies.sent(ask.balancer);
             return Received { delivery: Delivery::Denied, report: None };
         }
         self.note_packet(now_ms, segment, ask);
@@ -130,9 +130,9 @@
         let silent = matches!(delivery, Delivery::DeliverSilent { .. });
         let report = if held.is_some() && !silent { self.take_report(segment.flow) } else { None };
         if report.is_some() || silent {
-            self.owed.paid(ask.balancer);
+            self.pending_replies.sent(ask.balancer);
         } else if ask.report {
-            self.owed.owe(now_ms, ask.balancer);
+            self.pending_replies.expect(now_ms, ask.balancer);
         }
         Received { delivery, report }
     }
@@ -162,14 +162,11 @@
 
     /// Whether the upstream holds the flow of a later packet, as far as its own packets tell.
     ///
-    /// Failure: several upstreams have answered an opening, and the flow is open at one of them.
-    /// Symptom: the others take its packets without a word, and a balancer without memory believes
-    /// that it has found the flow. Comparing the number that the caller acknowledges is enough: it
-    /// is one that the upstream beside this agent has sent, or it is another's. Closing packets go
-    /// on in any case: an upstream that closes as well ends what is known here of its numbers, and
-    /// one that holds the flow half open loses nothing.
+    /// The caller acknowledges a number of the upstream that it has chosen; one that holds the flow half
+    /// open takes its packets without a word. Closing packets go on in any case: they end what is known
+    /// here of an upstream's numbers.
     fn holds(&self, segment: &Segment) -> Option<bool> {
-        let sent = self.flows.get(&segment.flow)?.sent.filter(|_| self.policy.word)?;
+        let sent = self.flows.get(&segment.flow)?.sent.filter(|_| self.policy.ownership_reply)?;
         let tells = segment.kind == SegmentKind::Later && segment.data_bytes > 0;
         tells.then(|| sent.covers(segment.acknowledged))
     }
@@ -183,7 +180,11 @@
             // What is silent frees no slot: the packets go on, so that the balancers learn of it.
             self.queue.take_any()?
         } else if self.has_slot() {
-            if self.policy.hope { self.queue.take_next(now_ms)? } else { self.queue.take_any()? }
+            if self.policy.deadline_order {
+                self.queue.take_next(now_ms)?
+            } else {
+                self.queue.take_any()?
+            }
         } else {
             return None;
         };
@@ -205,11 +206,8 @@
 
     /// Takes note of a packet that the upstream returned: it lives and does not hold the flow.
     ///
-    /// Failure: the upstream has crashed and started again, under its name or another, while this
-    /// process ran on. Symptom: requests of its earlier life count as at work, and new ones wait
-    /// beside an idle upstream. An upstream keeps a flow whose request it has just answered; one
-    /// that returns it has started anew. An answer to an opening says less: the flow may have been
-    /// opened at another upstream.
+    /// An upstream keeps a flow whose request it has just answered: one that returns it has started
+    /// anew, and nothing of its earlier life is at work. An answer to an opening says less.
     pub fn on_returned(&mut self, now_ms: Millis, flow: FlowKey) {
         self.wake(now_ms);
         self.end_silence(now_ms);
@@ -240,7 +238,7 @@
             self.busy = self.busy.saturating_sub(1);
         }
         let balancer = flow.report_to.take();
-        balancer.into_iter().for_each(|balancer| self.owed.paid(balancer));
+        balancer.into_iter().for_each(|balancer| self.pending_replies.sent(balancer));
         if answer.last {
             self.forget(answer.flow);
         }
@@ -257,12 +255,12 @@
 
     /// Takes note that a packet goes back to this balancer.
     pub fn on_given_back(&mut self, balancer: Ipv4Addr) {
-        self.owed.paid(balancer);
+        self.pending_replies.sent(balancer);
     }
 
     /// Balancers that have asked for a word a while ago, and are told now that this agent lives.
-    pub fn take_owed(&mut self, now_ms: Millis) -> Vec<Ipv4Addr> {
-        self.owed.take_due(now_ms)
+    pub fn take_due_replies(&mut self, now_ms: Millis) -> Vec<Ipv4Addr> {
+        self.pending_replies.take_due(now_ms)
     }
 
     /// Notes that the process runs.
@@ -272,7 +270,7 @@
 
     /// Whether something waits, so that the process must not sleep for long.
     pub fn awaits_something(&self) -> bool {
-        self.unanswered > 0 || self.queue.len() > 0 || !self.owed.is_empty()
+        self.unanswered > 0 || self.queue.len() > 0 || !self.pending_replies.is_empty()
     }
 
     /// Requests at work.
@@ -418,7 +416,7 @@
 
     /// Whether the upstream begins its work with this packet.
     fn is_request_data(&self, segment: &Segment) -> bool {
-        let goes_on = self.policy.bodies && segment.data_bytes >= FULL_BYTES;
+        let goes_on = self.policy.upload_accounting && segment.data_bytes >= FULL_BYTES;
         segment.kind == SegmentKind::Later && segment.data_bytes > 0 && !goes_on
     }
 
--- a/crates/steering/src/side/owed.rs
+++ b/crates/steering/src/side/pending_replies.rs
@@ -1,9 +1,7 @@
-//! Balancers that wait for a word.
+//! Balancers that wait for a reply.
 //!
-//! Failure: an upstream is at work for a second on flows that this agent does not know yet, since
-//! it has just started. Symptom: balancers hear nothing from here and take upstream and agent for
-//! dead. One short word for all that a balancer has asked is enough: what it asked about is
-//! answered when the upstream speaks.
+//! An agent that has just started does not know the flows on which its upstream works; one short word
+//! tells a balancer that it lives.
 
 use std::net::Ipv4Addr;
 
@@ -17,13 +15,13 @@
 
 /// Balancers by address, and since when they wait.
 #[derive(Debug, Default)]
-pub(super) struct Owed {
+pub(super) struct PendingReplies {
     balancers: Vec<(Ipv4Addr, Millis)>,
 }
 
-impl Owed {
+impl PendingReplies {
     /// A balancer has asked for a word.
-    pub(super) fn owe(&mut self, now_ms: Millis, balancer: Ipv4Addr) {
+    pub(super) fn expect(&mut self, now_ms: Millis, balancer: Ipv4Addr) {
         if let Err(index) = self.find(balancer)
             && self.balancers.len() < BALANCERS_MAX
         {
@@ -32,7 +30,7 @@
     }
 
     /// A balancer gets a word.
-    pub(super) fn paid(&mut self, balancer: Ipv4Addr) {
+    pub(super) fn sent(&mut self, balancer: Ipv4Addr) {
         if let Ok(index) = self.find(balancer) {
             self.balancers.remove(index);
         }
--- a/crates/steering/src/side/queue.rs
+++ b/crates/steering/src/side/queue.rs
@@ -99,11 +99,7 @@
 
     /// Takes a request whose caller has given up and ended the flow with it, if there is one.
     ///
-    /// Failure: an upstream has more requests than it can work on, and its agent keeps and forgets
-    /// all that the caller sends on a flow, its end too. Symptom: the upstream never learns that
-    /// the flow is over and holds it on, and balancers without memory lead the caller's repetitions
-    /// past other upstreams, while its own gets nothing for seconds. Handing on what ends a flow,
-    /// once its time is over, is enough: it comes once for each flow.
+    /// The upstream must learn of the end; it comes once for each flow.
     pub(super) fn take_closing(&mut self, now_ms: Millis) -> Option<Waiting> {
         let is_due = |waiting: &Waiting| waiting.closing && now_ms >= waiting.until_ms;
         let index = self.requests.iter().position(is_due)?;
--- a/crates/steering/src/patience/mod.rs
+++ b/crates/steering/src/timeouts/mod.rs
@@ -16,11 +16,11 @@
 /// service that returns half a second late, short ones alone would never hear one that is slow: so
 /// short ones alternate with a long one.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Patience {
+pub struct Timeouts {
     calls: u32,
 }
 
-impl Patience {
+impl Timeouts {
     /// Waits that begin at another place for each caller, so that of many at least one makes a short
     /// call at any moment.
     pub fn of(caller: Ipv4Addr) -> Self {
@@ -31,11 +31,11 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use steering::patience::Patience;
-    /// let mut patience = Patience::default();
-    /// let waits = [(); 3].map(|()| patience.next(false).as_millis());
+    /// use steering::timeouts::Timeouts;
+    /// let mut timeouts = Timeouts::default();
+    /// let waits = [(); 3].map(|()| timeouts.next(false).as_millis());
     /// assert_eq!(waits, [150, 150, 600]);
-    /// assert_eq!(patience.next(true).as_millis(), 600);
+    /// assert_eq!(timeouts.next(true).as_millis(), 600);
     /// ```
     pub fn next(&mut self, informed: bool) -> Duration {
         if informed {
--- a/crates/steering/tests/common/mod.rs
+++ b/crates/steering/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-use steering::edge::{Action, Edge, Said, Verdict};
+use steering::edge::{Action, AgentReply, Edge, Verdict};
 use steering::flow::{FlowKey, Millis, Segment, SegmentKind};
 use steering::view::{Route, RouteTable, ServiceStamp, Share, Standing, Upstream, View, ZoneStamp};
 
@@ -97,7 +97,7 @@
     segment: &Segment,
 ) -> Vec<Action> {
     let mut actions = Vec::new();
-    edge.on_verdict(now_ms, view, Said { from, verdict }, segment, &mut actions);
+    edge.on_verdict(now_ms, view, AgentReply { from, verdict }, segment, &mut actions);
     actions
 }
 
--- a/crates/steering/tests/peers.rs
+++ b/crates/steering/tests/peers.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use steering::flow::Millis;
-use steering::peers::{Duty, Lesson, Peers, READERS, Summary};
+use steering::peers::{Comparison, Duty, Peers, READERS, Summary};
 
 const STEP_MS: Millis = 50;
 /// After this time a call that hangs has failed: the wait of a watch, and the time for its answer.
@@ -205,13 +205,13 @@
 /// What a beacon leads to. A view may be old after a pause or a cut, so neither a lower revision nor
 /// an older version of the routes is ever taken, and equal contents are not fetched again.
 #[rstest]
-#[case::same_revision((5, 2, 1, 1), Lesson::Nothing)]
-#[case::behind((4, 2, 9, 9), Lesson::Nothing)]
-#[case::older_routes((6, 1, 9, 9), Lesson::Nothing)]
-#[case::new_upstreams((6, 2, 1, 9), Lesson::Fetch)]
-#[case::new_routes((6, 3, 9, 1), Lesson::Fetch)]
-#[case::new_version_same_routes((6, 3, 1, 1), Lesson::Same)]
-fn on_beacon(#[case] theirs: (u64, u64, u64, u64), #[case] lesson: Lesson) {
+#[case::same_revision((5, 2, 1, 1), Comparison::Nothing)]
+#[case::behind((4, 2, 9, 9), Comparison::Nothing)]
+#[case::older_routes((6, 1, 9, 9), Comparison::Nothing)]
+#[case::new_upstreams((6, 2, 1, 9), Comparison::Fetch)]
+#[case::new_routes((6, 3, 9, 1), Comparison::Fetch)]
+#[case::new_version_same_routes((6, 3, 1, 1), Comparison::Same)]
+fn on_beacon(#[case] theirs: (u64, u64, u64, u64), #[case] comparison: Comparison) {
     let summary = |(revision, routes_version, routes_digest, upstreams_digest)| Summary {
         revision,
         routes_version,
@@ -220,7 +220,7 @@
     };
     let mut peers = Peers::new(address(0));
     let found = peers.on_beacon(0, address(1), summary(theirs), summary((5, 2, 1, 1)));
-    assert_eq!(found, lesson);
+    assert_eq!(found, comparison);
 }
 
 /// A balancer that starts during an outage of the configuration service learns everything from
@@ -248,8 +248,8 @@
     let sent = second.map(|now_ms| peers.hellos_due(now_ms, &seeds, blind).len());
     assert_eq!(sent.sum::<usize>(), hellos);
     let theirs = Summary { revision: 1, routes_version: 1, routes_digest: 1, upstreams_digest: 1 };
-    let lesson = peers.compare(1_000, address(1), theirs, Summary::default());
-    assert_eq!(lesson, Lesson::Fetch);
+    let comparison = peers.compare(1_000, address(1), theirs, Summary::default());
+    assert_eq!(comparison, Comparison::Fetch);
     assert!(peers.must_read(1_000), "who knows something is no reader");
 }
 
--- a/crates/steering/tests/side_words.rs
+++ b/crates/steering/tests/side_words.rs
@@ -120,10 +120,10 @@
         Some(false) => side.on_given_back(BALANCER),
         None => {}
     }
-    assert!(side.take_owed(40).is_empty());
+    assert!(side.take_due_replies(40).is_empty());
     let expected: Vec<_> = told.then_some(BALANCER).into_iter().collect();
-    assert_eq!(side.take_owed(60), expected);
-    assert!(side.take_owed(200).is_empty(), "said once");
+    assert_eq!(side.take_due_replies(60), expected);
+    assert!(side.take_due_replies(200).is_empty(), "said once");
 }
 
 /// The balancer that asked about a flow is not told twice: it heard at once that the flow is here.
@@ -136,7 +136,7 @@
     assert!(
         side.on_packet(2, &Segment { acknowledged: 1, ..data(1, 1) }, &[], ask).report.is_some()
     );
-    assert!(side.take_owed(200).is_empty());
+    assert!(side.take_due_replies(200).is_empty());
 }
 
 /// An upstream sends the packets of an answer out of order, the one that ends the flow before others, and repeats one. Its caller
