Let urgent requests go before others beside a busy upstream

Stands: of the requests that wait, the newest that can be on time goes first, else the oldest, whatever it is worth to its caller.

Urgent requests go first among those that can be on time, and first among those that are late.

--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -216,6 +216,7 @@
             shares: [Share { service: SERVICES[service], weight: 1 }].into(),
             slo_ms: 0,
             wait_slos: 0,
+            urgent: false,
             repeatable: true,
             // The second service stays in the first region.
             regions: REGIONS[..service].into(),
--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -114,6 +114,7 @@
             slots: 0,
             slo_ms: 0,
             wait_slos: 0,
+            urgent: false,
             report,
             turns_away: to.turns_away,
             limit_per_ks: to.limit_per_ks,
--- a/crates/steering/src/edge/types.rs
+++ b/crates/steering/src/edge/types.rs
@@ -102,6 +102,8 @@
     pub slo_ms: u32,
     /// How many of these times the caller waits, one of [`crate::view::WAIT_STEPS_SLOS`].
     pub wait_slos: u8,
+    /// Whether the flow's requests go before others.
+    pub urgent: bool,
     /// Whether this balancer knows that the upstream takes no new flows.
     pub turns_away: bool,
     /// Openings that a cold upstream bears in a thousand seconds; zero if they are not limited.
@@ -127,6 +129,7 @@
             slots: u8::try_from(slots).unwrap_or(u8::MAX),
             slo_ms: route.map_or(0, |route| route.slo_ms),
             wait_slos: route.map_or(0, |route| route.wait_slos),
+            urgent: route.is_some_and(|route| route.urgent),
             turns_away: upstream.is_some_and(|upstream| view.turns_away(upstream)),
             limit_per_ks: view
                 .routes
--- a/crates/steering/src/policy/mod.rs
+++ b/crates/steering/src/policy/mod.rs
@@ -7,6 +7,8 @@
     pub waiting: bool,
     /// Of those that wait, the newest that can be on time goes first.
     pub deadline_order: bool,
+    /// Of those that wait, urgent ones go first.
+    pub priority: bool,
     /// A request counts from its last packet on.
     pub upload_accounting: bool,
     /// Agents say at once whether their upstream holds a flow.
@@ -38,9 +40,10 @@
 type Field = fn(&mut Policy) -> &mut bool;
 
 /// Names of the mechanisms.
-const FIELDS: [(&str, Field); 15] = [
+const FIELDS: [(&str, Field); 16] = [
     ("waiting", |policy| &mut policy.waiting),
     ("deadline_order", |policy| &mut policy.deadline_order),
+    ("priority", |policy| &mut policy.priority),
     ("upload_accounting", |policy| &mut policy.upload_accounting),
     ("ownership_reply", |policy| &mut policy.ownership_reply),
     ("load", |policy| &mut policy.load),
@@ -61,6 +64,7 @@
         Self {
             waiting: true,
             deadline_order: true,
+            priority: true,
             upload_accounting: true,
             ownership_reply: true,
             load: true,
--- a/crates/steering/src/side/flow.rs
+++ b/crates/steering/src/side/flow.rs
@@ -16,6 +16,8 @@
     pub(super) report_to: Option<Ipv4Addr>,
     /// Its opening, until the first request on it is answered.
     pub(super) opening: Option<Opening>,
+    /// Whether its requests go before others.
+    pub(super) urgent: bool,
     /// What the upstream has sent on it; nothing if it may not hold it.
     pub(super) sent: Option<Sent>,
     /// When it last answered a request on it.
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -19,7 +19,7 @@
 use flow::{Flow, Opening, opening_age_ms};
 pub use pace::{Pace, PaceChange};
 use pending_replies::PendingReplies;
-use queue::Queue;
+use queue::{Queue, Times};
 pub use types::{Answer, Answered, Ask, Delivery, Received, Released, Report};
 use work::Work;
 
@@ -348,6 +348,7 @@
             SegmentKind::Opening { copy } => {
                 let opening = Opening { seen_ms: now_ms, age_ms: opening_age_ms(copy) };
                 flow.opening.get_or_insert(opening);
+                flow.urgent = ask.urgent && self.policy.priority;
                 flow.next_sequence = None;
             }
             SegmentKind::Later => {}
@@ -384,7 +385,9 @@
         let start_by_ms = slo_ms.checked_sub(needed_ms).map(|left_ms| now_ms + left_ms);
         let work_ms = ROOM_WORKS * self.work.usual_ms();
         let left_ms = (slo_ms * Millis::from(wait_slos)).saturating_sub(spent_ms + work_ms);
-        self.queue.push(now_ms, segment, bytes, start_by_ms, now_ms + left_ms);
+        let urgent = flow.is_some_and(|flow| flow.urgent);
+        let times = Times { now_ms, start_by_ms, until_ms: now_ms + left_ms };
+        self.queue.push(segment, bytes, times, urgent);
         true
     }
 
--- a/crates/steering/src/side/queue.rs
+++ b/crates/steering/src/side/queue.rs
@@ -4,7 +4,8 @@
 //! works off its own queue in the order of arrival; full of requests that are late already, it
 //! makes every new one late too. So it gets no more than it has slots for, and of those that wait
 //! the newest goes first while it can be on time, going by what its callers expect and by how long
-//! works take; those that are late follow, oldest first, when there is room. None is handed on for
+//! works take; those that are late follow, oldest first, when there is room. In both, urgent ones go
+//! before others. None is handed on for
 //! having waited long: it would delay the others. One whose caller must have given up is forgotten:
 //! worked on, it would take a slot from one that is awaited, whose caller then gives up too, and so
 //! on long after the load is gone.
@@ -30,6 +31,18 @@
     until_ms: Millis,
     /// Whether the caller has ended the flow with it.
     closing: bool,
+    /// Whether it goes before others.
+    urgent: bool,
+}
+
+/// Times of a request that waits.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Times {
+    pub(super) now_ms: Millis,
+    /// Started later, it is late; `None` if it is late whatever happens.
+    pub(super) start_by_ms: Option<Millis>,
+    /// From then on, nobody awaits it.
+    pub(super) until_ms: Millis,
 }
 
 impl Waiting {
@@ -51,16 +64,9 @@
         self.requests.len() < REQUESTS_MAX
     }
 
-    /// Adds a request that is late if it starts later than at `start_by_ms`, and that nobody awaits
-    /// from `until_ms` on.
-    pub(super) fn push(
-        &mut self,
-        now_ms: Millis,
-        segment: &Segment,
-        packet: &[u8],
-        start_by_ms: Option<Millis>,
-        until_ms: Millis,
-    ) {
+    /// Adds a request.
+    pub(super) fn push(&mut self, segment: &Segment, packet: &[u8], times: Times, urgent: bool) {
+        let Times { now_ms, start_by_ms, until_ms } = times;
         self.requests.push(Waiting {
             flow: segment.flow,
             packets: vec![packet.into()],
@@ -69,6 +75,7 @@
             start_by_ms,
             until_ms,
             closing: segment.last,
+            urgent,
         });
     }
 
@@ -88,12 +95,19 @@
         true
     }
 
-    /// Takes the request to be worked on next: the newest that can be on time, else the oldest.
+    /// Takes the request to be worked on next: the newest that can be on time, else the oldest, and in
+    /// both an urgent one if there is one.
     pub(super) fn take_next(&mut self, now_ms: Millis) -> Option<Waiting> {
         self.sweep(now_ms);
         let hopeful = |waiting: &Waiting| waiting.start_by_ms.is_some_and(|by_ms| now_ms <= by_ms);
-        let newest = self.requests.iter().rposition(hopeful);
-        let index = newest.or_else(|| (!self.requests.is_empty()).then_some(0))?;
+        let urgent = |waiting: &Waiting| waiting.urgent;
+        let requests = &self.requests;
+        let index = requests
+            .iter()
+            .rposition(|waiting| hopeful(waiting) && urgent(waiting))
+            .or_else(|| requests.iter().rposition(hopeful))
+            .or_else(|| requests.iter().position(urgent))
+            .or_else(|| (!requests.is_empty()).then_some(0))?;
         Some(self.requests.remove(index))
     }
 
--- a/crates/steering/src/side/types.rs
+++ b/crates/steering/src/side/types.rs
@@ -18,6 +18,8 @@
     pub slo_ms: u32,
     /// How many of these times the caller waits; zero if the balancer does not know.
     pub wait_slos: u8,
+    /// Whether the requests of the flow that is opened go before others.
+    pub urgent: bool,
     /// Whether the balancer wants to know when the upstream answers.
     pub report: bool,
     /// Whether the balancer knows that the upstream takes no new flows.
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -178,6 +178,8 @@
     pub slo_ms: u32,
     /// How many of these times callers wait before they give up, one of [`WAIT_STEPS_SLOS`].
     pub wait_slos: u8,
+    /// Whether its requests go before others of the same services.
+    pub urgent: bool,
     /// Whether its requests may be sent twice: a caller whose flow is reset asks anew.
     pub repeatable: bool,
     /// Regions whose upstreams may take its flows; any if empty.
--- a/crates/steering/tests/common/agent.rs
+++ b/crates/steering/tests/common/agent.rs
@@ -22,6 +22,7 @@
         slots,
         slo_ms: SLO_MS,
         wait_slos: 0,
+        urgent: false,
         report: false,
         turns_away: false,
         limit_per_ks: 0,
--- a/crates/steering/tests/common/mod.rs
+++ b/crates/steering/tests/common/mod.rs
@@ -44,7 +44,8 @@
     let shares = [Share { service: SERVICE, weight: 1 }].into();
     let endpoint = flow(1).endpoint;
     let regions = [].into();
-    let route = Route { endpoint, shares, slo_ms: 200, wait_slos: 0, repeatable, regions };
+    let route =
+        Route { endpoint, shares, slo_ms: 200, wait_slos: 0, urgent: false, repeatable, regions };
     let routes = Arc::new(RouteTable::new(1, vec![route], []));
     let numbered = standings.iter().zip(1..);
     View::new(routes, numbered.map(|(standing, number)| upstream(number, *standing)).collect())
--- a/crates/steering/tests/side.rs
+++ b/crates/steering/tests/side.rs
@@ -415,3 +415,21 @@
     assert_eq!(released_at(expected_ms - 1), Some(3));
     assert_eq!(released_at(expected_ms), None);
 }
+
+/// After an outage, feeds and confirmations wait together. Urgent requests go first among those that can be on
+/// time, and first among those that are late.
+#[rstest]
+#[case::all_on_time(1, &[5, 4, 6, 3])]
+#[case::all_late(SLO_MS as Millis + 50, &[4, 5, 3, 6])]
+fn urgent_requests_go_first(#[case] at_ms: Millis, #[case] expected: &[u8]) {
+    let mut side = busy_side(0);
+    for number in 3..=6 {
+        let urgent = number == 4 || number == 5;
+        side.on_packet(0, &opening(number, 0), &[], Ask { urgent, ..ask(1) });
+        side.on_answer(0, accepted(number));
+    }
+    for number in 3..=6 {
+        assert_eq!(deliver(&mut side, 0, &data(number, 1), 1), Delivery::Wait);
+    }
+    assert_eq!(releases(&mut side, at_ms), expected);
+}
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -140,6 +140,8 @@
     regions: Vec<u32>,
     #[serde(default)]
     wait_slos: u8,
+    #[serde(default)]
+    urgent: bool,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -338,6 +340,7 @@
         repeatable: route.repeatable,
         regions: route.regions.iter().map(|region| region.0).collect(),
         wait_slos: route.wait_slos,
+        urgent: route.urgent,
     };
     let body = ViewBody {
         revision: view.revision,
@@ -370,6 +373,7 @@
         repeatable: route.repeatable,
         regions: route.regions.into_iter().map(RegionStamp).collect(),
         wait_slos: route.wait_slos,
+        urgent: route.urgent,
     };
     let limited = |(stamp, cold_openings_per_ks)| Service {
         stamp: ServiceStamp(stamp),
--- a/crates/wire/tests/peers.rs
+++ b/crates/wire/tests/peers.rs
@@ -23,6 +23,7 @@
         shares,
         slo_ms: 150,
         wait_slos: 7,
+        urgent: true,
         repeatable: true,
         regions: [RegionStamp(11)].into(),
     };
