End the limit of an upstream that is warm, and refuse no opening while behind

Three of the four that were traced: it was warm, and balancers still kept to what its agent had said while it was cold, up to five seconds. That ends with the cold now; where only the agent takes it for cold, after a second. The world held packets back until the end of the first of two overlapping pauses although the balancer ran again; they wait for the longest now. On a choked link a first opening may be as late, so that none is refused while the balancer is behind (test: opening_is_not_refused_while_behind).

Only services with a limit, and balancers that are behind, decide otherwise than before.

--- a/crates/fuzzing/src/direct/world/changes.rs
+++ b/crates/fuzzing/src/direct/world/changes.rs
@@ -100,7 +100,9 @@
             }
             Change::PauseBalancer(balancer) => {
                 let for_ms = self.rng.random_range(100..4_000);
-                self.balancers[balancer].paused_until_ms = self.now_ms + for_ms;
+                let until_ms = &mut self.balancers[balancer].paused_until_ms;
+                // What has come meanwhile waits until the end of the longest pause.
+                *until_ms = (*until_ms).max(self.now_ms + for_ms);
                 self.disturbed_ms = self.disturbed_ms.max(self.now_ms + for_ms);
             }
             Change::RestartAgent(upstream) => self.restart_agent(upstream),
--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -283,7 +283,7 @@
         }
     }
 
-    /// Whether all that balancers and callers can know says that this upstream takes new flows.
+    /// Whether all balancers know that this upstream takes new flows.
     fn takes_flows(&self, upstream: usize) -> bool {
         let target = &self.upstreams[upstream];
         let zone = zone_of(upstream);
@@ -293,7 +293,8 @@
             target.boot > 0 && target.leaving_ms.is_none() && self.listed[upstream].is_some();
         let is_warm = target.cold_until_ms + IN_FORCE_MS <= self.now_ms;
         let is_quick = target.slow_until_ms + IN_FORCE_MS <= self.now_ms;
-        let is_well = is_up && is_warm && is_quick;
+        let is_known = self.balancers.iter().all(|b| b.cut_until_ms + IN_FORCE_MS <= self.now_ms);
+        let is_well = is_up && is_warm && is_quick && is_known;
         is_open && is_well && self.is_reachable(upstream) && self.is_allowed(upstream)
     }
 
--- a/crates/steering/src/edge/loads.rs
+++ b/crates/steering/src/edge/loads.rs
@@ -14,8 +14,10 @@
 const SUSPECT_MS: Millis = 200;
 /// Longest time for which a silent upstream is passed over.
 const SUSPECT_MAX_MS: Millis = 1_600;
-/// Longest time for which an agent's word keeps openings from a cold upstream.
+/// Longest time for which an agent's word keeps openings from a cold upstream, and from one that only
+/// its agent takes for cold.
 const LIMITED_MAX_MS: Millis = 5_000;
+const LIMITED_WARM_MAX_MS: Millis = 1_000;
 /// How much a starting upstream's load weighs, in halves: it works 1.6 times as long per request.
 const COLD_WEIGHT: u32 = 3;
 const WARM_WEIGHT: u32 = 2;
@@ -32,6 +34,8 @@
     suspect_for_ms: Millis,
     /// Until when it takes no opening, since it is cold.
     limited_until_ms: Millis,
+    /// Whether it was known to be cold then.
+    limited_cold: bool,
 }
 
 /// Loads by address.
@@ -98,12 +102,20 @@
         address: Ipv4Addr,
         for_ms: Millis,
     ) {
-        self.entry(view, address).limited_until_ms = now_ms + for_ms.min(LIMITED_MAX_MS);
+        let is_cold = view.upstream_at(address).is_some_and(|upstream| upstream.is_cold(now_ms));
+        let most_ms = if is_cold { LIMITED_MAX_MS } else { LIMITED_WARM_MAX_MS };
+        let load = self.entry(view, address);
+        load.limited_until_ms = now_ms + for_ms.min(most_ms);
+        load.limited_cold = is_cold;
     }
 
-    /// Whether a cold upstream takes no opening now.
+    /// Whether a cold upstream takes no opening now. What was said while it was cold ends with that.
     pub(super) fn is_limited(&self, now_ms: Millis, upstream: &Upstream) -> bool {
-        self.find(upstream).is_some_and(|load| load.limited_until_ms > now_ms)
+        let holds = |load: &Load| {
+            let is_over = load.limited_cold && !upstream.is_cold(now_ms);
+            load.limited_until_ms > now_ms && !is_over
+        };
+        self.find(upstream).is_some_and(holds)
     }
 
     /// Whether an upstream is passed over.
@@ -140,6 +152,7 @@
             suspect_until_ms: 0,
             suspect_for_ms: 0,
             limited_until_ms: 0,
+            limited_cold: false,
         };
         let index = match self.loads.binary_search_by_key(&address, |load| load.address) {
             Ok(index) => index,
--- a/crates/steering/src/edge/openings.rs
+++ b/crates/steering/src/edge/openings.rs
@@ -28,12 +28,13 @@
             });
             return;
         };
+        let behind = self.is_behind(now_ms);
         let entry = self.flows.entry(segment.flow, now_ms);
         if entry.sequence != Some(segment.sequence) {
             entry.restart(segment.sequence);
             let waited = self.woken_ms > 0 && now_ms.saturating_sub(self.woken_ms) < BACKLOG_MS;
             let first = segment.kind == SegmentKind::Opening { copy: 0 };
-            entry.refusable = first && !waited;
+            entry.refusable = first && !waited && !behind;
         }
         let copied = entry.target.is_some();
         if let (Some(to), true) = (entry.target, entry.confirmed) {
--- a/crates/steering/tests/edge_openings.rs
+++ b/crates/steering/tests/edge_openings.rs
@@ -225,3 +225,29 @@
     };
     assert_eq!(actions, [expected]);
 }
+
+/// Packets wait at this balancer's thin link: a first opening may be old, and its flow open through another
+/// balancer. A refusal would reset it.
+#[rstest]
+#[case::in_time(2, true)]
+#[case::behind(60, false)]
+fn opening_is_not_refused_while_behind(#[case] round_trip_ms: Millis, #[case] refused: bool) {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    let held = Verdict::Held { busy: 0, opening_sequence: None };
+    for number in 10..20 {
+        let now_ms = Millis::from(number) * 5;
+        let to = target(&packet(&mut edge, now_ms, &view, &opening(number, 0))[0]).unwrap();
+        verdict(&mut edge, now_ms + round_trip_ms, &view, to, held, &opening(number, 0));
+    }
+    let segment = opening(1, 0);
+    let mut actions = packet(&mut edge, 170, &view, &segment);
+    while let Some(to) = actions.first().and_then(target) {
+        actions = verdict(&mut edge, 171, &view, to, Verdict::Denied, &segment);
+    }
+    let expected = if refused {
+        Action::Reset { reason: Reason::Refused }
+    } else {
+        Action::Drop { reason: Reason::Unknown }
+    };
+    assert_eq!(actions, [expected]);
+}
--- a/crates/steering/tests/zones.rs
+++ b/crates/steering/tests/zones.rs
@@ -196,6 +196,30 @@
     assert_eq!(next(&mut edge, 300, 3).first().and_then(target), Some(limited[0]));
 }
 
+/// What an agent said of a cold upstream ends when it is warm; where only the agent takes it for cold, its word
+/// holds for a second at most.
+#[rstest]
+#[case::still_cold(5_000, 900, false)]
+#[case::warm_by_now(800, 900, true)]
+#[case::warm_all_along(0, 900, false)]
+#[case::warm_all_along_a_second_ago(0, 1_000, true)]
+fn limit_ends_with_the_cold(
+    #[case] warm_at_ms: Millis,
+    #[case] at_ms: Millis,
+    #[case] gets_flows: bool,
+) {
+    let view = limited_view(warm_at_ms, 2_000);
+    let mut edge = Edge::default();
+    let mut actions = packet(&mut edge, 0, &view, &opening(1, 0));
+    while let Some(to) = actions.first().and_then(target) {
+        let word = Verdict::Limited { for_ms: 3_000 };
+        actions = verdict(&mut edge, 0, &view, to, word, &opening(1, 0));
+    }
+    (0..at_ms).step_by(50).for_each(|now_ms| drop(tick(&mut edge, now_ms, &view)));
+    let later = packet(&mut edge, at_ms, &view, &opening(2, 0));
+    assert_eq!(later.first().and_then(target).is_some(), gets_flows, "{later:?}");
+}
+
 #[rstest]
 #[case::cold(5_000, 12_500, true)]
 #[case::warm(0, 12_500, false)]
