--- a/crates/steering/src/side/admission.rs
+++ b/crates/steering/src/side/admission.rs
@@ -10,12 +10,12 @@
 use super::votes::{Validity, Votes};
 use crate::flow::Millis;
 
-/// Words on whether the upstream takes new flows; balancers in touch learn of a change sooner.
+/// Votes on whether the upstream takes new flows; balancers in touch learn of a change sooner.
 const LEAVING_VALIDITY: Validity = Validity { yes_ms: 2_000, no_ms: 2_000 };
-/// Words on whether the upstream is cold. Balancers that were told to come later say nothing until
+/// Votes on whether the upstream is cold. Balancers that were told to come later say nothing until
 /// then.
 const COLD_VALIDITY: Validity = Validity { yes_ms: 5_000, no_ms: 2_000 };
-/// How long an upstream that may just have started counts as cold without a balancer's word.
+/// How long an upstream that may just have started counts as cold without a balancer's vote.
 const SUSPECT_MS: Millis = 2_000;
 /// Shortest span in which openings are counted.
 const SPAN_MIN_MS: Millis = 1_000;
@@ -72,7 +72,7 @@
         self.suspect_until_ms = now_ms + SUSPECT_MS;
     }
 
-    /// Takes a balancer's word, which comes with any packet.
+    /// Takes a balancer's vote, which comes with any packet.
     pub(super) fn hear(&mut self, now_ms: Millis, ask: &Ask) {
         self.leaving.hear(now_ms, ask.balancer, ask.turns_away);
     }
