--- a/crates/fuzzing/tests/known_red.rs
+++ b/crates/fuzzing/tests/known_red.rs
@@ -2,6 +2,7 @@
 //! in `KNOWN-RED.txt`; the gate passes over them and prints them. They are mended first.
 
 use fuzzing::campaign;
+use fuzzing::direct;
 use fuzzing::world::Sabotage;
 use rstest::rstest;
 
@@ -62,3 +63,14 @@
 fn red_flow_that_may_have_run(#[case] seed: u64) {
     check(seed);
 }
+
+/// Most balancers are cut off with an old view, and send a cold upstream more openings than it bears.
+#[rstest]
+#[case::two_of_three_cut_off(81806)]
+#[case::not_traced(81561)]
+#[case::not_traced_either(82054)]
+#[case::not_traced_as_well(82142)]
+fn red_cold_limit_with_old_views(#[case] seed: u64) {
+    let outcome = direct::play_at(direct::Size::CROWDED, seed, 60_000, None);
+    assert_eq!(outcome.violations, []);
+}
