--- a/crates/steering/src/edge/openings.rs
+++ b/crates/steering/src/edge/openings.rs
@@ -43,7 +43,7 @@
             return;
         }
         let placement = Placement { now_ms, view, loads: &self.loads };
-        let to = match placement.place(segment.flow, entry) {
+        let to = match placement.place(service, segment.flow, entry) {
             Ok(to) => to,
             Err(reason) => {
                 actions.push(if is_final(reason) {
@@ -83,7 +83,7 @@
             self.loads.silent(now_ms, view, silent);
         }
         let placement = Placement { now_ms, view, loads: &self.loads };
-        let Ok(to) = placement.place(flow, entry) else { return };
+        let Ok(to) = placement.place(service, flow, entry) else { return };
         entry.ask(now_ms, to);
         self.loads.placed(now_ms, view, to);
         let to = Destination::of(now_ms, view, flow, to, service);
@@ -107,7 +107,7 @@
         entry.deny_opening(from, now_ms);
         let Some(service) = service_of(view, flow) else { return };
         let placement = Placement { now_ms, view, loads: &self.loads };
-        let to = match placement.place(flow, entry) {
+        let to = match placement.place(service, flow, entry) {
             Ok(to) => to,
             Err(reason) => {
                 let reason = if is_final(reason) { reason } else { Reason::Refused };
--- a/crates/steering/src/edge/placement.rs
+++ b/crates/steering/src/edge/placement.rs
@@ -30,8 +30,13 @@
 impl Placement<'_> {
     /// Chooses the upstream of a new flow among those that did not deny it; one that was asked before
     /// comes only after all others. Where there is none, the reason.
-    pub(super) fn place(&self, flow: FlowKey, entry: &Entry) -> Result<Ipv4Addr, Reason> {
-        let open = self.open_upstreams(flow, entry)?;
+    pub(super) fn place(
+        &self,
+        service: ServiceStamp,
+        flow: FlowKey,
+        entry: &Entry,
+    ) -> Result<Ipv4Addr, Reason> {
+        let open = self.open_upstreams(service, flow, entry)?;
         let class = |upstream: &Upstream| {
             (entry.has_asked(upstream.address), self.loads.is_suspect(self.now_ms, upstream))
         };
@@ -54,9 +59,13 @@
 
     /// Upstreams that may take the flow now. Each step leaves out some; the first that leaves none
     /// is the reason.
-    fn open_upstreams(&self, flow: FlowKey, entry: &Entry) -> Result<Vec<&Upstream>, Reason> {
+    fn open_upstreams(
+        &self,
+        service: ServiceStamp,
+        flow: FlowKey,
+        entry: &Entry,
+    ) -> Result<Vec<&Upstream>, Reason> {
         let route = self.view.routes.find(flow.endpoint).ok_or(Reason::NoRoute)?;
-        let service = route.service_of(flow).ok_or(Reason::NoRoute)?;
         let all = self.view.upstreams_of(service).iter().collect();
         let allowed =
             narrow(all, Reason::RegionNotAllowed, |upstream| self.view.allows(route, upstream))?;
--- a/crates/steering/src/edge/reach.rs
+++ b/crates/steering/src/edge/reach.rs
@@ -59,11 +59,11 @@
     pings: u32,
     pinged_ms: Millis,
     last_ping_ms: Millis,
-    /// When it was asked last, and when the time before that was that is overdue by now.
+    /// When it was asked last.
     asked_ms: Millis,
-    overdue_ms: Millis,
-    /// The first time it was asked of those that are not overdue yet.
+    /// The first time it was asked of those that are not overdue yet, and the one before that.
     turn_ms: Millis,
+    overdue_ms: Millis,
 }
 
 impl Agent {
@@ -83,6 +83,38 @@
             self.since_ms = now_ms;
         }
     }
+
+    fn ping(&mut self, now_ms: Millis) {
+        self.ask(now_ms);
+        if self.pings == 0 {
+            self.pinged_ms = now_ms;
+        }
+        self.pings += 1;
+        self.last_ping_ms = now_ms;
+    }
+
+    fn is_ping_due(&self, now_ms: Millis) -> bool {
+        let pause_ms = match self.pings {
+            0 => WORD_MS,
+            _ if self.is_lost(now_ms) => PING_LOST_MS,
+            _ => PING_MS,
+        };
+        now_ms.saturating_sub(self.last_ping_ms) >= pause_ms
+    }
+
+    fn is_lost(&self, now_ms: Millis) -> bool {
+        self.silent_for(now_ms).is_some_and(|for_ms| for_ms >= OUT_OF_REACH_MS)
+    }
+
+    fn silent_for(&self, now_ms: Millis) -> Option<Millis> {
+        let is_fresh = [self.turn_ms, self.overdue_ms]
+            .iter()
+            .any(|at_ms| (WORD_MS..=FRESH_MS).contains(&now_ms.saturating_sub(*at_ms)));
+        let by_flows = (self.flows == UNANSWERED_MIN).then_some(self.since_ms);
+        let by_pings = (self.pings >= PINGS_MIN).then_some(self.pinged_ms);
+        let since_ms = by_flows.into_iter().chain(by_pings).min().filter(|_| is_fresh)?;
+        Some(now_ms.saturating_sub(since_ms))
+    }
 }
 
 /// Agents that owe a word, by address.
@@ -136,35 +168,12 @@
             upstream.is_some_and(|upstream| upstream.born_ms == agent.born_ms)
         };
         self.agents.retain(is_listed);
-        let mut due: Vec<(Millis, Ipv4Addr)> = self
-            .agents
-            .iter()
-            .filter(|agent| {
-                now_ms.saturating_sub(agent.last_ping_ms) >= self.pause_ms(now_ms, agent)
-            })
-            .map(|agent| (agent.last_ping_ms, agent.address))
-            .collect();
-        due.sort_unstable();
+        let is_due = |agent: &&mut Agent| agent.is_ping_due(now_ms);
+        let mut due: Vec<&mut Agent> = self.agents.iter_mut().filter(is_due).collect();
+        due.sort_unstable_by_key(|agent| (agent.last_ping_ms, agent.address));
         due.truncate(PINGS_AT_ONCE);
-        for (_, address) in &due {
-            let Ok(index) = self.find(*address) else { continue };
-            let agent = &mut self.agents[index];
-            agent.ask(now_ms);
-            if agent.pings == 0 {
-                agent.pinged_ms = now_ms;
-            }
-            agent.pings += 1;
-            agent.last_ping_ms = now_ms;
-        }
-        due.into_iter().map(|(_, address)| address).collect()
-    }
-
-    fn pause_ms(&self, now_ms: Millis, agent: &Agent) -> Millis {
-        match agent.pings {
-            0 => WORD_MS,
-            _ if self.is_lost(now_ms, agent.address) => PING_LOST_MS,
-            _ => PING_MS,
-        }
+        due.iter_mut().for_each(|agent| agent.ping(now_ms));
+        due.into_iter().map(|agent| agent.address).collect()
     }
 
     /// Forgets all silence: this process was paused, and words may wait unread.
@@ -174,18 +183,19 @@
 
     /// Whether the agent at `address` leaves packets without a word.
     pub(super) fn is_quiet(&self, now_ms: Millis, address: Ipv4Addr) -> bool {
-        self.silent_for(now_ms, address).is_some_and(|for_ms| for_ms >= QUIET_MS)
+        let for_ms = self.agent(address).and_then(|agent| agent.silent_for(now_ms));
+        for_ms.is_some_and(|for_ms| for_ms >= QUIET_MS)
     }
 
     /// Whether the agent at `address` has been quiet for so long that its upstream answers nobody.
     pub(super) fn is_lost(&self, now_ms: Millis, address: Ipv4Addr) -> bool {
-        self.silent_for(now_ms, address).is_some_and(|for_ms| for_ms >= OUT_OF_REACH_MS)
+        self.agent(address).is_some_and(|agent| agent.is_lost(now_ms))
     }
 
     /// Whether a quiet agent may get a packet now.
     pub(super) fn may_probe(&self, now_ms: Millis, address: Ipv4Addr) -> bool {
-        let agent = self.find(address).map(|index| self.agents[index]);
-        agent.is_ok_and(|agent| now_ms.saturating_sub(agent.asked_ms) >= PROBE_MS)
+        let agent = self.agent(address);
+        agent.is_some_and(|agent| now_ms.saturating_sub(agent.asked_ms) >= PROBE_MS)
     }
 
     /// Whether so few of these agents are out of reach that it is they who are gone.
@@ -195,15 +205,8 @@
         lost * AGENTS_PER_LOST <= all
     }
 
-    fn silent_for(&self, now_ms: Millis, address: Ipv4Addr) -> Option<Millis> {
-        let agent = self.agents[self.find(address).ok()?];
-        let is_fresh = [agent.turn_ms, agent.overdue_ms]
-            .iter()
-            .any(|at_ms| (WORD_MS..=FRESH_MS).contains(&now_ms.saturating_sub(*at_ms)));
-        let by_flows = (agent.flows == UNANSWERED_MIN).then_some(agent.since_ms);
-        let by_pings = (agent.pings >= PINGS_MIN).then_some(agent.pinged_ms);
-        let since_ms = by_flows.into_iter().chain(by_pings).min().filter(|_| is_fresh)?;
-        Some(now_ms.saturating_sub(since_ms))
+    fn agent(&self, address: Ipv4Addr) -> Option<&Agent> {
+        self.find(address).ok().map(|index| &self.agents[index])
     }
 
     fn find(&self, address: Ipv4Addr) -> Result<usize, usize> {
--- a/crates/steering/src/membership/mod.rs
+++ b/crates/steering/src/membership/mod.rs
@@ -78,7 +78,8 @@
     }
 }
 
-/// What changed after a revision, each entry and zone at most once: the order of the changes says nothing.
+/// What changed after a revision, each entry and zone at most once: the order of the changes says
+/// nothing.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Delta {
     /// Contents of this revision or a later one are brought up to date by it.
@@ -122,8 +123,14 @@
 }
 
 impl Membership {
-    /// Takes a whole list; entries that are not in it count as removed now.
-    pub fn replace(&mut self, now_ms: Millis, records: &[UpstreamRecord]) {
+    /// Takes a whole list: entries that are not in it count as removed now, and all other availability
+    /// zones than these as open.
+    pub fn replace(
+        &mut self,
+        now_ms: Millis,
+        records: &[UpstreamRecord],
+        closed_zones: impl IntoIterator<Item = ZoneStamp>,
+    ) {
         let mut listed: Vec<&Arc<str>> = records.iter().map(|record| &record.id).collect();
         listed.sort_unstable();
         let known = self.members.iter().map(|member| &member.id);
@@ -131,11 +138,7 @@
             known.filter(|id| listed.binary_search(id).is_err()).map(Arc::clone).collect();
         gone.iter().for_each(|id| self.remove(now_ms, id));
         records.iter().for_each(|record| self.insert(now_ms, record));
-    }
-
-    /// Takes the whole set of availability zones that are closed to new flows.
-    pub fn replace_closed_zones(&mut self, zones: impl IntoIterator<Item = ZoneStamp>) {
-        self.closed_zones = zones.into_iter().collect();
+        self.closed_zones = closed_zones.into_iter().collect();
         self.closed_zones.sort_unstable();
         self.closed_zones.dedup();
     }
--- a/crates/steering/src/side/queue.rs
+++ b/crates/steering/src/side/queue.rs
@@ -4,11 +4,10 @@
 //! works off its own queue in the order of arrival; full of requests that are late already, it
 //! makes every new one late too. So it gets no more than it has slots for, and of those that wait
 //! the newest goes first while it can be on time, going by what its callers expect and by how long
-//! works take; those that are late follow, oldest first, when there is room. In both, urgent ones go
-//! before others. None is handed on for
-//! having waited long: it would delay the others. One whose caller must have given up is forgotten:
-//! worked on, it would take a slot from one that is awaited, whose caller then gives up too, and so
-//! on long after the load is gone.
+//! works take; those that are late follow, oldest first, when there is room. In both, urgent ones
+//! go before others. None is handed on for having waited long: it would delay the others. One whose
+//! caller must have given up is forgotten: worked on, it would take a slot from one that is
+//! awaited, whose caller then gives up too, and so on long after the load is gone.
 
 use crate::flow::{FlowKey, Millis, Segment};
 
