--- a/crates/decision/src/agent/announce.rs
+++ b/crates/decision/src/agent/announce.rs
@@ -25,10 +25,7 @@
 
     /// Queues the end of a flow for all who may have been told of it.
     ///
-    /// Failure: an agent restarts, and a peer that its earlier life had told names a flow to it. The flow
-    /// ends, and only the present targets hear of that. Symptom: at the next restart the peer names the
-    /// ended flow once more, and it counts as open for a day; enough of them, and a well upstream takes
-    /// nothing. Telling every peer is enough, since whoever named it is one.
+    /// A peer that an earlier life had told may name the flow at the next restart.
     pub(super) fn announce_end(&mut self, flow: FlowId, entry: &Flow) {
         let opening = entry.opening(flow);
         if !entry.relearned {
--- a/crates/decision/src/agent/claimant.rs
+++ b/crates/decision/src/agent/claimant.rs
@@ -231,9 +231,7 @@
 
     /// The attempt, or another one if this agent was paused so long that its choice no longer holds.
     ///
-    /// Failure: an agent claims an opening for its upstream, is paused while former homes are asked, and the
-    /// upstream begins to drain meanwhile. Symptom: on waking it admits what it chose seconds ago. An
-    /// ordinary wait is over long before an upstream that drains must be left alone.
+    /// Its upstream may have begun to drain meanwhile.
     fn chosen_anew_if_late(&mut self, now: Millis, pending: &PendingClaim) -> Attempt {
         let attempt = pending.attempt;
         let late = now.since(pending.deadline) >= limits::PAUSE_MS;
--- a/crates/decision/src/agent/flows.rs
+++ b/crates/decision/src/agent/flows.rs
@@ -207,10 +207,7 @@
     /// The caller ends the flow; false if it is unknown or already closing this way, or if the packet
     /// belongs to an older connection on its ports.
     ///
-    /// Failure: a caller resets a connection and uses its ports again, and a copy of the reset comes
-    /// late. Symptom: the upstream's TCP knows it for an old one, but this agent forgot the new flow, and
-    /// the caller was reset minutes later. The sequence number tells them apart as TCP does, up to the
-    /// window of what may be on its way.
+    /// The sequence number tells them apart as TCP does, up to the window of what may be on its way.
     pub(super) fn close(&mut self, now: Millis, packet: &Packet, state: FlowState) -> bool {
         let id = packet.flow;
         let Some(flow) = self.flows.get_mut(&id) else { return false };
@@ -325,9 +322,7 @@
 
     /// Whether a packet belongs to a later connection on the same ports, to the same upstream.
     ///
-    /// Failure: an upstream has lost its connection unnoticed, and the caller uses its ports again.
-    /// Symptom: the new connection's end is taken for an old one's, and stays in the table. As packets of
-    /// an older connection may come late, nothing may have come for as long as such copies exist.
+    /// Packets of an older connection may come late: nothing may have come for as long as such copies exist.
     fn is_renewed(&self, now: Millis, sequence: u32) -> bool {
         let later = self.renewed.is_some_and(|known| are_near(known, sequence));
         later && now.since(self.last_seen) >= limits::CLAIM_TTL_MS
--- a/crates/decision/src/agent/health.rs
+++ b/crates/decision/src/agent/health.rs
@@ -45,10 +45,9 @@
 
     /// Compares the flows that only peers say this agent holds with what its upstream has open.
     ///
-    /// Failure: flows end unseen just before an agent dies, and peers name them to its next life. Symptom: they
-    /// count as open for a day, and the upstream is full of them and takes nothing. What two reports in a
-    /// row leave no room for is not counted as load; that it may be held is still answered. A report that
-    /// says too little gives the upstream at most as many flows more as are known from hearsay.
+    /// What two reports in a row leave no room for is not counted as load; that it may be held is still
+    /// answered. A report that says too little gives the upstream at most as many flows more as are known
+    /// from hearsay.
     fn confirm_hearsay(&mut self, report: UpstreamReport) {
         let hearsay = self.flows.hearsay();
         let certain = self.flows.open() - hearsay;
--- a/crates/decision/src/agent/lookup.rs
+++ b/crates/decision/src/agent/lookup.rs
@@ -257,9 +257,7 @@
 
     /// Whether another agent has taken a flow on these ports since the lookup began.
     ///
-    /// Failure: a stray packet of a reset connection is asked about, and meanwhile this agent hands the
-    /// caller's next opening on. Symptom: the answers still name this agent, it takes the flow for its own,
-    /// and the new connection's packets are reset here. The caller sends again, and by then the way is known.
+    /// The answers then still name an earlier holder; the caller sends again.
     fn is_overtaken(&self, now: Millis, flow: FlowId, lookup: &Lookup) -> bool {
         let redirect = self.redirects.get(now, flow);
         redirect.is_some_and(|redirect| {
@@ -345,10 +343,7 @@
 
 /// Whether the holder itself has said that it has the flow open.
 ///
-/// Failure: an agent that restarted a minute ago may hold flows without knowing, and says so of every flow,
-/// also of one that another agent has announced to it since. Symptom: what a third one remembers of an older
-/// connection on the same ports decides, and the flow is cut. The holder's word is newer than
-/// anything that an earlier life of the asked agent can have taken.
+/// The holder's word is newer than anything that an earlier life of the asked agent can have taken.
 fn is_told(redirect: &Redirect) -> bool {
     redirect.evidence == Evidence::Announced && !redirect.closing
 }
--- a/crates/decision/src/agent/quorum.rs
+++ b/crates/decision/src/agent/quorum.rs
@@ -127,11 +127,8 @@
 
     /// Takes in what a peer knows of an outdated membership.
     ///
-    /// Failure: an agent restarts while the settings still list retired upstreams that are gone. It
-    /// has forgotten that these ran later settings, and they cannot tell it again. Symptom: it
-    /// counts their membership for ever, and no opening that it proposes is answered. A peer's word
-    /// is enough: that nobody can claim under a membership is true for all once it is for one, and a
-    /// message that comes late only makes the wait longer.
+    /// That nobody can claim under a membership is true for all once it is for one, and a message that
+    /// comes late only makes the wait longer.
     pub(super) fn hear(&mut self, now: Millis, outdated: Outdated) {
         let until = now.after(outdated.forgotten_in_ms.into());
         let (from, next) = (outdated.from, Some(outdated.next));
--- a/crates/decision/src/agent/relearn.rs
+++ b/crates/decision/src/agent/relearn.rs
@@ -105,9 +105,7 @@
     /// Whether the holder has announced other flows since this one was assigned to it, but not this one, or
     /// has lived on long enough to announce it to those whom it tells.
     ///
-    /// Failure: an assigned opening is refused or lost, or its flow has ended, and this agent is none of
-    /// those who are told. Symptom: its restarted holder is told that it has the flow, and counts it for a
-    /// day. A holder announces all that it has taken within a moment.
+    /// A holder announces all that it has taken within a moment.
     fn never_ran(&self, redirect: &Redirect) -> bool {
         let Some(peer) = self.peers.get(redirect.holder) else { return false };
         let due_at = redirect.opened_at.after(limits::ANNOUNCED_WITHIN_MS);
@@ -146,9 +144,7 @@
     /// Takes in what a peer says that this agent's earlier life held.
     ///
     /// Not where every flow is a datagram and a request of its own, which is over once it is
-    /// answered. Failure: peers name those of the last half hour. Symptom: for five minutes after its
-    /// restart the upstream counts them as open, is full, and refuses all. That they ran is recorded
-    /// in the claims.
+    /// answered; that they ran is recorded in the claims.
     fn insert_relearned(&mut self, now: Millis, openings: &[Opening], out: &mut Vec<Action>) {
         let once = self.settings.when_in_doubt == WhenInDoubt::Refuse;
         let single = self.settings.only_datagrams && once;
--- a/crates/wire/src/sealed/mod.rs
+++ b/crates/wire/src/sealed/mod.rs
@@ -89,10 +89,8 @@
 impl Header {
     /// Whether a control message is for the agent beside `upstream`.
     ///
-    /// Failure: the address of a retired upstream goes to another one of its service, and a peer's
-    /// settings still list both there. Symptom: the new agent takes what is meant for the gone one,
-    /// and drops its own batches of announcements, which have lower numbers. Agents of an earlier
-    /// release name no receiver; their messages are for whoever gets them.
+    /// Another upstream may have had the address before. Agents of an earlier release name no receiver; their
+    /// messages are for whoever gets them.
     ///
     /// ```
     /// use decision::agent::Passed;
