Look for open flows at the services that their route has left

Cause: a search asks the upstreams of the services that a route leads to now, and takes their denials for a proof; a new configuration leaves open flows where they are.

What changed - steering::history remembers the services that routes have left, for the age of a flow (flowTtlS) and 30 s more: balancers that hear nothing of a change go on opening flows by the old routes. - Whole views carry it, beacons carry its version and whether it is whole, and a balancer that lacks something fetches it. One whose routes are newer than the teller's takes no history for whole. - Candidates: the first three ranks of former services come after the first three of the present ones, all others last. Where the history is not whole (all memory lost), services that routes of the same address lead to are asked too; a service that no route leads to may be another client account's: it is not asked, and bars resets. - The first start of all (`bootstrap`) knows a whole history. - An agent whose upstream runs another service than the packet was meant for says which; where the flow may be open at that service, this is no denial.

Ways weighed: asking all services before each reset (a lost flow of a small service would cost five times as many packets, and a caller's data would reach other accounts' upstreams); hints of agents (lost with their memory, as everything else).

--- a/crates/fuzzing/src/direct/caller.rs
+++ b/crates/fuzzing/src/direct/caller.rs
@@ -42,6 +42,8 @@
     pub(super) holder: Option<(usize, u64)>,
     /// When the caller has to act next.
     pub(super) due_ms: u64,
+    /// When the flow was opened.
+    pub(super) opened_ms: u64,
     sequence: u32,
 }
 
@@ -49,7 +51,7 @@
     /// A caller that opens a flow now.
     pub(super) fn open(flow: FlowKey, now_ms: u64) -> Self {
         let state = State::Opening { since_ms: now_ms, copies: 0 };
-        Self { flow, state, holder: None, due_ms: now_ms, sequence: 1 }
+        Self { flow, state, holder: None, due_ms: now_ms, opened_ms: now_ms, sequence: 1 }
     }
 
     /// What the caller sends now that its time has come.
--- a/crates/fuzzing/src/direct/mod.rs
+++ b/crates/fuzzing/src/direct/mod.rs
@@ -31,6 +31,8 @@
     ColdLimitExceeded,
     /// An upstream got an opening of a route that does not allow its region.
     RegionNotAllowed,
+    /// An upstream got an opening long after its route had left its service.
+    OpeningAtFormerService,
 }
 
 /// A safeguard taken out, to see that the promises catch it.
@@ -54,6 +56,12 @@
     ColdLimitIgnored,
     /// Balancers place new flows in any region.
     RegionIgnored,
+    /// Balancers forget which services routes have left.
+    FormerServicesForgotten,
+    /// Balancers that start anew do not ask others which services routes have left.
+    HistoryNotLearnt,
+    /// Balancers never learn of changes of routes.
+    OldRoutesKept,
 }
 
 /// How an episode ended.
--- a/crates/fuzzing/src/direct/plan.rs
+++ b/crates/fuzzing/src/direct/plan.rs
@@ -2,7 +2,7 @@
 
 use rand::{Rng, RngExt as _};
 
-use super::world::ZONES;
+use super::world::{SERVICES_COUNT, ZONES};
 
 /// A planned change or a fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,6 +23,8 @@
     DrainUpstream(usize),
     /// An availability zone takes no new flows for some time.
     CloseZone(usize),
+    /// A route gets other services, or other shares of them.
+    MoveRoute(usize),
     /// The published list loses entries of upstreams that live, for two seconds.
     Lapse,
     /// All balancers and agents end and start without memory.
@@ -39,6 +41,12 @@
     LosePower,
 }
 
+/// In a world whose routes change their services, the next change is such a one now and then.
+pub(super) fn draw_move(rng: &mut impl Rng) -> Option<Change> {
+    let moves = rng.random_bool(0.25);
+    moves.then(|| Change::MoveRoute(rng.random_range(0..SERVICES_COUNT)))
+}
+
 /// Draws the next change of a rough world.
 pub(super) fn draw_rough(rng: &mut impl Rng, balancers: usize, upstreams: usize) -> Change {
     let upstream = rng.random_range(0..upstreams);
--- a/crates/fuzzing/tests/direct.rs
+++ b/crates/fuzzing/tests/direct.rs
@@ -38,6 +38,9 @@
 #[case::cold_limit_ignored(Size::CROWDED, Mutant::ColdLimitIgnored, Violation::ColdLimitExceeded)]
 #[case::region_ignored(Size::SMALL, Mutant::RegionIgnored, Violation::RegionNotAllowed)]
 #[case::closed_zone_ignored(Size::SMALL, Mutant::ClosedZoneIgnored, Violation::OpeningInClosedZone)]
+#[case::former_services(Size::MOVING, Mutant::FormerServicesForgotten, Violation::LivingFlowReset)]
+#[case::history_not_learnt(Size::MOVING, Mutant::HistoryNotLearnt, Violation::LivingFlowReset)]
+#[case::old_routes_kept(Size::MOVING, Mutant::OldRoutesKept, Violation::OpeningAtFormerService)]
 #[case::zone_never_opened(Size::CROWDED, Mutant::ZoneNeverOpened, Violation::UpstreamPassedOver)]
 fn mutant_is_caught(#[case] size: Size, #[case] mutant: Mutant, #[case] promise: Violation) {
     let broken = |seed| {
@@ -47,6 +50,21 @@
     assert!((1..=EPISODES).any(broken));
 }
 
+/// The same with routes that change their services.
+#[rstest]
+#[case::small(Size::MOVING)]
+#[case::crowded(Size::CROWDED_MOVING)]
+fn promises_hold_where_routes_change(#[case] size: Size) {
+    for seed in 1..=EPISODES {
+        let outcome = play_at(size, seed, LENGTH_MS, None);
+        let first = outcome.violations.first().map_or(0, |(at_ms, _)| *at_ms);
+        let before: Vec<_> = outcome.played.iter().filter(|(at_ms, _)| *at_ms <= first).collect();
+        let last = &before[before.len().saturating_sub(12)..];
+        assert_eq!(outcome.violations, [], "seed {seed}, after {last:?}");
+        assert!(outcome.answered > 500, "seed {seed}: traffic flows: {}", outcome.answered);
+    }
+}
+
 /// The same with instances that die and stay listed, agents that are cut off, upstreams that take
 /// seconds for an answer, and losses of power after which some do not come back: many flows at each
 /// of a few upstreams, and over a hundred upstreams.
--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -35,7 +35,9 @@
     /// Whether the opening may be refused if every upstream returns it.
     pub(super) refusable: bool,
     /// Upstreams that do not hold the flow, or did not take its opening.
-    pub(super) denials: Vec<Ipv4Addr>,
+    denials: Vec<Ipv4Addr>,
+    /// Whether one of them was taken for another service's: the packet did not reach it.
+    misled: bool,
     /// How often the caller has repeated its data without an answer.
     pub(super) repeats: u32,
     /// Upstreams that have answered the opening, with their numbers.
@@ -87,7 +89,7 @@
     /// Notes that the upstream at `address` did not take the flow's opening.
     pub(super) fn deny_opening(&mut self, address: Ipv4Addr, now_ms: Millis) {
         if !std::mem::replace(&mut self.opening_denied, true) {
-            self.denials.clear();
+            self.clear_denials();
         }
         self.note_denial(address, now_ms);
     }
@@ -103,10 +105,28 @@
     /// One that was silent may have taken it after all.
     pub(super) fn forget_opening(&mut self) {
         if std::mem::take(&mut self.opening_denied) {
-            self.denials.clear();
+            self.clear_denials();
         }
     }
 
+    /// Forgets all denials.
+    pub(super) fn clear_denials(&mut self) {
+        self.denials.clear();
+        self.misled = false;
+    }
+
+    /// Notes that the upstream at `address` got nothing, and may hold the flow: it was asked for
+    /// another service than it runs.
+    pub(super) fn mislead(&mut self, address: Ipv4Addr, now_ms: Millis) {
+        self.deny(address, now_ms);
+        self.misled = true;
+    }
+
+    /// Whether some denial proves nothing.
+    pub(super) fn is_misled(&self) -> bool {
+        self.misled
+    }
+
     fn note_denial(&mut self, address: Ipv4Addr, now_ms: Millis) {
         self.forget_old_denials(now_ms);
         self.denied_ms = now_ms;
@@ -122,7 +142,7 @@
     /// Forgets denials that are too old to prove anything.
     pub(super) fn forget_old_denials(&mut self, now_ms: Millis) {
         if now_ms.saturating_sub(self.denied_ms) >= DENIAL_MS {
-            self.denials.clear();
+            self.clear_denials();
         }
     }
 
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -6,6 +6,7 @@
 //! hold the flow returns the packet, and the one that holds it says so once.
 
 mod budget;
+mod candidates;
 mod flows;
 mod lag;
 mod loads;
@@ -24,6 +25,7 @@
 use crate::view::{View, ZoneStamp};
 
 use budget::Budget;
+use candidates::may_lead_to;
 pub use flows::FLOWS_MAX;
 use flows::FlowTable;
 use lag::Lag;
@@ -130,6 +132,13 @@
             Verdict::Denied => {
                 self.denied(now_ms, view, from, segment, actions);
             }
+            Verdict::Foreign { service } => {
+                let later = segment.kind == SegmentKind::Later;
+                if later && may_lead_to(view, segment.flow, service, now_ms) {
+                    self.flows.entry(segment.flow, now_ms).mislead(from, now_ms);
+                }
+                self.denied(now_ms, view, from, segment, actions);
+            }
             Verdict::Limited { for_ms } => {
                 self.loads.limited(now_ms, view, from, for_ms);
                 self.denied(now_ms, view, from, segment, actions);
@@ -247,7 +256,7 @@
     ) {
         self.pending.remove(flow);
         let entry = self.flows.entry(flow, now_ms);
-        entry.denials.clear();
+        entry.clear_denials();
         entry.repeats = 0;
         if let Some(sequence) = opening_sequence {
             entry.note_answer(from, sequence);
--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -1,22 +1,20 @@
 //! Packets of open flows: where they go, how their upstream is looked for, and when a flow counts
 //! as lost.
 //!
-//! Every upstream of the service is asked, one after the other, until one answers. A flow is lost
+//! Every upstream that may hold the flow is asked, one after the other, until one answers. A flow is lost
 //! when each of them has denied it, or is out of reach for all flows; the proof is a [`Step`], and
 //! nothing else leads to a reset.
 
-use std::cmp::Reverse;
 use std::net::Ipv4Addr;
 
 use super::Edge;
+use super::candidates::{candidates, may_be_elsewhere};
 use super::flows::Entry;
 use super::pending::Due;
 use super::placement::service_of;
 use super::reach::Reach;
 use super::types::{Action, Destination, Reason};
 use crate::flow::{FlowKey, Millis, Segment};
-use crate::membership;
-use crate::rank;
 use crate::view::{Upstream, View};
 
 /// Copies of a repeated packet that go to further upstreams at once.
@@ -86,7 +84,7 @@
             return Step::Ask(next.address);
         }
         if quiet.iter().all(|upstream| self.is_lost(upstream.address)) {
-            return Step::Absent;
+            return if entry.is_misled() { Step::Wait } else { Step::Absent };
         }
         let may_probe = |upstream: &&&Upstream| self.reach.may_probe(self.now_ms, upstream.address);
         quiet.iter().find(may_probe).map_or(Step::Wait, |upstream| Step::Probe(upstream.address))
@@ -285,7 +283,8 @@
     fn give_up(&mut self, now_ms: Millis, view: &View, flow: FlowKey, actions: &mut Vec<Action>) {
         let informed = self.trust.confirmed_ms >= self.woken_ms;
         let listed = !candidates(view, flow, now_ms).is_empty();
-        if !informed || !listed || !self.trust.proves_absence(now_ms) {
+        let elsewhere = may_be_elsewhere(view, flow, now_ms);
+        if !informed || !listed || elsewhere || !self.trust.proves_absence(now_ms) {
             actions.push(Action::Drop { reason: Reason::Unknown });
             return;
         }
@@ -295,20 +294,6 @@
     }
 }
 
-/// Upstreams that may hold a flow, best guess first.
-fn candidates(view: &View, flow: FlowKey, now_ms: Millis) -> Vec<Upstream> {
-    let Some(route) = view.routes.find(flow.endpoint) else { return Vec::new() };
-    let mut ranked: Vec<(u64, Upstream)> = route
-        .shares
-        .iter()
-        .flat_map(|share| view.upstreams_of(share.service))
-        .filter(|upstream| !membership::is_gone(upstream.standing, now_ms))
-        .map(|upstream| (rank::score(flow, upstream.address), *upstream))
-        .collect();
-    ranked.sort_by_key(|(score, upstream)| (Reverse(*score), upstream.address));
-    ranked.into_iter().map(|(_, upstream)| upstream).collect()
-}
-
 /// The upstream to ask next. If the flow's opening went through here, it lives at one of those that
 /// got a copy; otherwise those that were asked have not answered, and others come first.
 fn likeliest<'a>(open: &[&'a Upstream], entry: &Entry) -> Option<&'a Upstream> {
--- a/crates/steering/src/edge/types.rs
+++ b/crates/steering/src/edge/types.rs
@@ -24,6 +24,11 @@
     Alive,
     /// The upstream does not hold the flow, or cannot take it.
     Denied,
+    /// The packet was meant for another service than the one whose upstream is there; it got nothing.
+    Foreign {
+        /// The service that it runs.
+        service: ServiceStamp,
+    },
     /// The upstream is cold and has taken as many openings as it bears.
     Limited {
         /// How long to send it no further one.
--- /dev/null
+++ b/crates/steering/src/history/mod.rs
@@ -0,0 +1,211 @@
+//! Services that routes sent their flows to before.
+//!
+//! A new configuration leaves open flows where they are, so a flow may live at an upstream of a
+//! service that its route has left. Such a service is remembered for as long as a flow may be open,
+//! and handed from balancer to balancer.
+
+use std::net::SocketAddrV4;
+
+use crate::flow::Millis;
+use crate::view::{Route, RouteTable, ServiceStamp};
+
+/// Age at which a flow may be discarded, where the settings name none.
+pub const FLOW_TTL_MS: Millis = 60_000;
+/// For so long after a route has left a service, balancers that hear nothing of it open flows there.
+pub const STALE_OPENINGS_MS: Millis = 30_000;
+/// A history that is whole so much sooner than another one tells more.
+const CLEARLY_SOONER_MS: Millis = 1_000;
+
+/// A service that a route has left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FormerService {
+    /// Address and port of the route.
+    pub endpoint: SocketAddrV4,
+    /// The service.
+    pub service: ServiceStamp,
+    /// For how much longer a flow may be open there; in a [`History`], until when.
+    pub left_ms: Millis,
+}
+
+/// A history in short, for comparison with another balancer's.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HistorySummary {
+    /// The last version known that made a route leave a service, or go to another one.
+    pub version: u64,
+    /// For how much longer services that routes have left may be unknown.
+    pub whole_in_ms: Millis,
+}
+
+/// A history as one balancer tells it to another.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HistoryContents {
+    /// In short.
+    pub summary: HistorySummary,
+    /// The version that is in force there.
+    pub routes_version: u64,
+    /// The former services.
+    pub former: Vec<FormerService>,
+}
+
+/// Former services as a balancer knows them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct History {
+    /// By endpoint and service; `left_ms` is a point in time.
+    former: Vec<FormerService>,
+    version: u64,
+    whole_from_ms: Millis,
+    flow_ttl_ms: Millis,
+}
+
+impl Default for History {
+    /// A history from the very beginning.
+    fn default() -> Self {
+        Self { former: Vec::new(), version: 0, whole_from_ms: 0, flow_ttl_ms: FLOW_TTL_MS }
+    }
+}
+
+impl History {
+    /// The history of a balancer on the first start of all: nothing went before.
+    ///
+    /// ```
+    /// use steering::history::History;
+    /// assert!(History::from_first_start(60_000).is_whole(0));
+    /// ```
+    pub fn from_first_start(flow_ttl_ms: Millis) -> Self {
+        Self { flow_ttl_ms, ..Self::default() }
+    }
+
+    /// The history of a balancer that starts now and knows nothing of what went before.
+    ///
+    /// ```
+    /// use steering::history::History;
+    /// let history = History::from_now(1_000, 60_000);
+    /// assert!(!history.is_whole(90_999));
+    /// assert!(history.is_whole(91_000));
+    /// ```
+    pub fn from_now(now_ms: Millis, flow_ttl_ms: Millis) -> Self {
+        let mut history = Self::from_first_start(flow_ttl_ms);
+        history.on_gap(now_ms);
+        history
+    }
+
+    /// Notes that `new` takes the place of `old`. A route that is gone takes its flows with it.
+    pub fn on_routes(&mut self, now_ms: Millis, old: &RouteTable, new: &RouteTable) {
+        self.former.retain(|former| former.left_ms > now_ms && new.find(former.endpoint).is_some());
+        for route in old.routes() {
+            let Some(next) = new.find(route.endpoint) else { continue };
+            for service in services(route).filter(|service| !leads_to(next, *service)) {
+                let left_ms = now_ms + self.kept_ms();
+                self.note(FormerService { endpoint: route.endpoint, service, left_ms });
+                self.version = new.version;
+            }
+            if services(next).any(|service| !leads_to(route, service)) {
+                self.version = new.version;
+            }
+        }
+    }
+
+    /// Notes that versions may have been in force between the one known and the one that comes next.
+    pub fn on_gap(&mut self, now_ms: Millis) {
+        self.whole_from_ms = now_ms + self.kept_ms();
+    }
+
+    /// Time for which a service that a route has left may have flows of it.
+    fn kept_ms(&self) -> Millis {
+        self.flow_ttl_ms + STALE_OPENINGS_MS
+    }
+
+    /// Takes what another balancer knows. Until `current_until_ms`, no version in force was missed
+    /// here; `routes` are in force here now.
+    ///
+    /// One whose routes are older cannot tell what these have taken the place of.
+    pub fn merge(
+        &mut self,
+        now_ms: Millis,
+        current_until_ms: Millis,
+        routes: &RouteTable,
+        theirs: &HistoryContents,
+    ) {
+        for former in &theirs.former {
+            let left_ms = now_ms + former.left_ms.min(self.kept_ms());
+            if former.left_ms > 0 && routes.find(former.endpoint).is_some() {
+                self.note(FormerService { left_ms, ..*former });
+            }
+        }
+        self.version = self.version.max(theirs.summary.version);
+        if theirs.routes_version < routes.version {
+            return;
+        }
+        let whole_from_ms = now_ms + theirs.summary.whole_in_ms;
+        let joined = whole_from_ms <= current_until_ms + self.kept_ms();
+        self.whole_from_ms =
+            if joined { self.whole_from_ms.min(whole_from_ms) } else { whole_from_ms };
+    }
+
+    /// Whether another balancer's history tells what this one lacks.
+    pub fn lacks(&self, now_ms: Millis, theirs: HistorySummary) -> bool {
+        let ours = self.summary(now_ms);
+        theirs.version > ours.version || theirs.whole_in_ms + CLEARLY_SOONER_MS < ours.whole_in_ms
+    }
+
+    /// The history in short.
+    pub fn summary(&self, now_ms: Millis) -> HistorySummary {
+        let whole_in_ms = self.whole_from_ms.saturating_sub(now_ms);
+        HistorySummary { version: self.version, whole_in_ms }
+    }
+
+    /// What another balancer is told.
+    ///
+    /// `routes_version` is in force here.
+    pub fn contents(&self, now_ms: Millis, routes_version: u64) -> HistoryContents {
+        let open = self.former.iter().filter(|former| former.left_ms > now_ms);
+        let told =
+            |former: &FormerService| FormerService { left_ms: former.left_ms - now_ms, ..*former };
+        HistoryContents {
+            summary: self.summary(now_ms),
+            routes_version,
+            former: open.map(told).collect(),
+        }
+    }
+
+    /// Services that the route of an endpoint has left and at which its flows may be open.
+    pub fn of(
+        &self,
+        now_ms: Millis,
+        endpoint: SocketAddrV4,
+    ) -> impl Iterator<Item = ServiceStamp> + '_ {
+        let start = self.former.partition_point(|former| former.endpoint < endpoint);
+        let same =
+            self.former[start..].iter().take_while(move |former| former.endpoint == endpoint);
+        same.filter(move |former| former.left_ms > now_ms).map(|former| former.service)
+    }
+
+    /// Whether some route has left this service.
+    pub fn names(&self, service: ServiceStamp) -> bool {
+        self.former.iter().any(|former| former.service == service)
+    }
+
+    /// Whether every service that a route has left is known.
+    pub fn is_whole(&self, now_ms: Millis) -> bool {
+        now_ms >= self.whole_from_ms
+    }
+
+    fn note(&mut self, noted: FormerService) {
+        let key = |former: &FormerService| (former.endpoint, former.service);
+        match self.former.binary_search_by_key(&key(&noted), key) {
+            Ok(index) => {
+                let known = &mut self.former[index];
+                known.left_ms = known.left_ms.max(noted.left_ms);
+            }
+            Err(index) => self.former.insert(index, noted),
+        }
+    }
+}
+
+fn services(route: &Route) -> impl Iterator<Item = ServiceStamp> + '_ {
+    route.shares.iter().map(|share| share.service)
+}
+
+fn leads_to(route: &Route, service: ServiceStamp) -> bool {
+    services(route).any(|other| other == service)
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod edge;
 pub mod flow;
+pub mod history;
 pub mod leave;
 pub mod link;
 pub mod membership;
--- a/crates/steering/src/membership/mod.rs
+++ b/crates/steering/src/membership/mod.rs
@@ -8,6 +8,7 @@
 use siphasher::sip::SipHasher13;
 
 use crate::flow::Millis;
+use crate::history::History;
 use crate::view::{RouteTable, ServiceStamp, Standing, Upstream, View, ZoneStamp};
 
 /// How long after an outage of the configuration service the list may lack upstreams that live:
@@ -220,13 +221,21 @@
         self.members.len() != before
     }
 
-    /// The upstreams with these routes.
+    /// The upstreams with these routes, which never led elsewhere.
+    pub fn view(&self, routes: Arc<RouteTable>) -> View {
+        self.view_since(routes, Arc::default())
+    }
+
+    /// The upstreams with these routes, and those of the services that routes sent to before.
     ///
     /// An address has one user at a time: the one that started last, or else is listed, or else came last. An entry of
     /// a service that the configuration does not name is of another writer; it names no upstream,
     /// and must not hide the one that has the address.
-    pub fn view(&self, routes: Arc<RouteTable>) -> View {
-        let named = |member: &&Member| routes.names(member.upstream.service);
+    pub fn view_since(&self, routes: Arc<RouteTable>, history: Arc<History>) -> View {
+        let named = |member: &&Member| {
+            let service = member.upstream.service;
+            routes.names(service) || history.names(service)
+        };
         let mut users: Vec<&Member> = self.members.iter().filter(named).collect();
         users.sort_by_key(|member| {
             let Upstream { address, born_ms, standing, .. } = member.upstream;
@@ -235,7 +244,9 @@
         });
         users.dedup_by_key(|member| member.upstream.address);
         let upstreams = users.into_iter().map(|member| member.upstream).collect();
-        View::new(routes, upstreams).with_closed_zones(self.closed_zones.clone())
+        View::new(routes, upstreams)
+            .with_closed_zones(self.closed_zones.clone())
+            .with_history(history)
     }
 
     /// The entries that are listed now, with the time that upstreams are still slow.
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -110,7 +110,10 @@
     ) -> Received {
         self.wake(now_ms);
         if ask.service != self.service {
-            return Received { delivery: Delivery::Foreign, report: None };
+            return Received {
+                delivery: Delivery::Foreign { service: self.service },
+                report: None,
+            };
         }
         if ask.slots > 0 {
             self.slots = ask.slots;
--- a/crates/steering/src/side/types.rs
+++ b/crates/steering/src/side/types.rs
@@ -41,7 +41,10 @@
         for_ms: Millis,
     },
     /// It goes back to the balancer: it is meant for another service.
-    Foreign,
+    Foreign {
+        /// The service that the upstream runs.
+        service: ServiceStamp,
+    },
     /// It goes back to the balancer: its caller has acknowledged a number of another upstream.
     Denied,
     /// It goes back to the balancer: it opens a flow, and the upstream takes no new ones.
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -7,6 +7,7 @@
 use siphasher::sip::SipHasher13;
 
 use crate::flow::{FlowKey, Millis};
+use crate::history::History;
 use crate::rank;
 
 /// Identity of a service that packets carry between balancer and agent, so that an agent whose
@@ -209,6 +210,8 @@
     pub version: u64,
     routes: Vec<Route>,
     services: Arc<[Service]>,
+    /// Services that no route leads to, in order.
+    unrouted: Arc<[ServiceStamp]>,
     digest: u64,
 }
 
@@ -229,14 +232,19 @@
     ) -> Self {
         routes.sort_by_key(|route| route.endpoint);
         routes.dedup_by_key(|route| route.endpoint);
-        let led_to = routes.iter().flat_map(|route| route.shares.iter().map(|share| share.service));
-        let led_to = led_to.map(Service::unlimited);
+        let shares = routes.iter().flat_map(|route| route.shares.iter());
+        let mut routed: Vec<ServiceStamp> = shares.map(|share| share.service).collect();
+        routed.sort_unstable();
+        routed.dedup();
+        let led_to = routed.iter().copied().map(Service::unlimited);
         let mut services: Vec<Service> = services.into_iter().chain(led_to).collect();
         services.sort_by_key(|service| service.stamp);
         services.dedup_by_key(|service| service.stamp);
+        let named = services.iter().map(|service| service.stamp);
+        let unrouted = named.filter(|stamp| routed.binary_search(stamp).is_err()).collect();
         let mut hasher = SipHasher13::new();
         (&routes, &services).hash(&mut hasher);
-        Self { version, routes, services: services.into(), digest: hasher.finish() }
+        Self { version, routes, services: services.into(), unrouted, digest: hasher.finish() }
     }
 
     /// Whether there is such a service. Before a configuration is known, there may be any.
@@ -255,6 +263,11 @@
         &self.services
     }
 
+    /// Services that no route leads to, in order.
+    pub fn unrouted(&self) -> &[ServiceStamp] {
+        &self.unrouted
+    }
+
     /// The same routes under another version.
     #[must_use]
     pub fn renumbered(&self, version: u64) -> Self {
@@ -267,6 +280,13 @@
         Some(&self.routes[index])
     }
 
+    /// The routes of an address, by port.
+    pub fn routes_at(&self, address: Ipv4Addr) -> &[Route] {
+        let start = self.routes.partition_point(|route| *route.endpoint.ip() < address);
+        let count = self.routes[start..].partition_point(|route| *route.endpoint.ip() == address);
+        &self.routes[start..start + count]
+    }
+
     /// Digest of the routes; the version is left out, as most versions change time-outs only.
     pub fn digest(&self) -> u64 {
         self.digest
@@ -309,6 +329,7 @@
     /// In order.
     closed_zones: Vec<ZoneStamp>,
     regions: Arc<Regions>,
+    history: Arc<History>,
 }
 
 impl View {
@@ -337,6 +358,18 @@
         self
     }
 
+    /// The same with services that routes sent to before.
+    #[must_use]
+    pub fn with_history(mut self, history: Arc<History>) -> Self {
+        self.history = history;
+        self
+    }
+
+    /// Services that routes sent to before.
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
     /// Whether a route allows an upstream's region. A zone whose region is not known is in none.
     pub fn allows(&self, route: &Route, upstream: &Upstream) -> bool {
         let region = || self.regions.of(upstream.zone);
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use steering::history::{FormerService, HistoryContents, HistorySummary};
 use steering::membership::{Change, Delta, UpstreamRecord};
 use steering::peers::{NAMED_MAX, Summary};
 use steering::view::{RegionStamp, Route, RouteTable, Service, ServiceStamp, Share, ZoneStamp};
@@ -25,6 +26,8 @@
 const SERVICES_MAX: usize = 16_384;
 /// Most shares of a route.
 const SHARES_MAX: usize = 64;
+/// Most services that routes have left.
+const FORMER_MAX: usize = 65_536;
 /// Most availability zones that are closed at once.
 const ZONES_MAX: usize = 1_024;
 /// Most regions of a route.
@@ -56,6 +59,8 @@
     pub summary: Summary,
     /// For how much longer its list of upstreams may lack some that live.
     pub whole_in_ms: u64,
+    /// The services that routes have left, in short.
+    pub history: HistorySummary,
 }
 
 /// Everything that a balancer needs to know, as another one gives it.
@@ -73,6 +78,8 @@
     pub upstreams: Vec<UpstreamRecord>,
     /// Availability zones that take no new flows.
     pub closed_zones: Vec<ZoneStamp>,
+    /// Services that routes have left.
+    pub history: HistoryContents,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -103,6 +110,29 @@
     routes_digest: u64,
     upstreams_digest: u64,
     whole_in_ms: u64,
+    #[serde(default)]
+    history: HistorySummaryBody,
+}
+
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
+struct HistorySummaryBody {
+    version: u64,
+    whole_in_ms: u64,
+}
+
+#[derive(Default, Serialize, Deserialize)]
+struct HistoryBody {
+    summary: HistorySummaryBody,
+    #[serde(deserialize_with = "former_list")]
+    former: Vec<FormerBody>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct FormerBody {
+    address: u32,
+    port: u16,
+    service: u32,
+    left_ms: u64,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -115,6 +145,8 @@
     upstreams: Vec<UpstreamBody>,
     #[serde(default, deserialize_with = "zone_list")]
     closed_zones: Vec<u32>,
+    #[serde(default)]
+    history: HistoryBody,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -190,6 +222,12 @@
     bounded::list::<D, (u32, bool), CHANGES_MAX>(deserializer)
 }
 
+fn former_list<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<FormerBody>, D::Error> {
+    bounded::list::<D, FormerBody, FORMER_MAX>(deserializer)
+}
+
 fn upstream_list<'de, D: serde::Deserializer<'de>>(
     deserializer: D,
 ) -> Result<Vec<UpstreamBody>, D::Error> {
@@ -317,6 +355,43 @@
         routes_digest: news.summary.routes_digest,
         upstreams_digest: news.summary.upstreams_digest,
         whole_in_ms: news.whole_in_ms,
+        history: history_summary_body(news.history),
+    }
+}
+
+fn history_summary_body(summary: HistorySummary) -> HistorySummaryBody {
+    let HistorySummary { version, whole_in_ms } = summary;
+    HistorySummaryBody { version, whole_in_ms }
+}
+
+fn history_summary(body: HistorySummaryBody) -> HistorySummary {
+    let HistorySummaryBody { version, whole_in_ms } = body;
+    HistorySummary { version, whole_in_ms }
+}
+
+fn history_body(history: &HistoryContents) -> HistoryBody {
+    let former = |former: &FormerService| FormerBody {
+        address: former.endpoint.ip().to_bits(),
+        port: former.endpoint.port(),
+        service: former.service.0,
+        left_ms: former.left_ms,
+    };
+    HistoryBody {
+        summary: history_summary_body(history.summary),
+        former: history.former.iter().map(former).collect(),
+    }
+}
+
+fn history_of(routes_version: u64, body: HistoryBody) -> HistoryContents {
+    let former = |body: FormerBody| FormerService {
+        endpoint: SocketAddrV4::new(Ipv4Addr::from_bits(body.address), body.port),
+        service: ServiceStamp(body.service),
+        left_ms: body.left_ms,
+    };
+    HistoryContents {
+        summary: history_summary(body.summary),
+        routes_version,
+        former: body.former.into_iter().map(former).collect(),
     }
 }
 
@@ -327,7 +402,7 @@
         routes_digest: body.routes_digest,
         upstreams_digest: body.upstreams_digest,
     };
-    News { summary, whole_in_ms: body.whole_in_ms }
+    News { summary, whole_in_ms: body.whole_in_ms, history: history_summary(body.history) }
 }
 
 /// Encodes a view.
@@ -353,6 +428,7 @@
         }),
         upstreams: view.upstreams.iter().map(upstream_body).collect(),
         closed_zones: view.closed_zones.iter().map(|zone| zone.0).collect(),
+        history: history_body(&view.history),
     };
     rmp_serde::to_vec(&body).expect("plain structs always encode")
 }
@@ -392,5 +468,6 @@
         routes_version: body.version,
         upstreams: body.upstreams.into_iter().map(record_of).collect(),
         closed_zones: body.closed_zones.into_iter().map(ZoneStamp).collect(),
+        history: history_of(body.version, body.history),
     })
 }
