Let calls to the store and fetches of views not grow with the fleet

For silent readers, four balancers step in at a time, by rank, 300 ms apart. All 302 did before; in the core at 608 at most 8 read now. Changes of routes travel with the changes of the list (routes_delta) where they fit a datagram; one whose fetch failed asks three others.

Ruled out: the fetch of a view as what calls grow with (calls rose when it went). Next limit: a change of more than 24 entries is still fetched whole by everybody."

--- a/crates/steering/src/membership/mod.rs
+++ b/crates/steering/src/membership/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::flow::Millis;
 use crate::history::History;
-use crate::view::{RouteTable, ServiceStamp, Standing, Upstream, View, ZoneStamp};
+use crate::view::{RouteTable, RoutesDelta, ServiceStamp, Standing, Upstream, View, ZoneStamp};
 
 /// How long after an outage of the configuration service the list may lack upstreams that live:
 /// entries that expired meanwhile are published again within two seconds of its return, and the
@@ -87,6 +87,8 @@
     pub from_revision: u64,
     /// The changes.
     pub changes: Vec<Change>,
+    /// What has become of the routes, if they are others.
+    pub routes: Option<RoutesDelta>,
 }
 
 impl Delta {
@@ -102,7 +104,7 @@
         changes.reverse();
         changes.sort_by(|one, other| one.subject().cmp(&other.subject()));
         changes.dedup_by(|later, kept| later.subject() == kept.subject());
-        Self { from_revision, changes }
+        Self { from_revision, changes, routes: None }
     }
 }
 
--- a/crates/steering/src/peers/mod.rs
+++ b/crates/steering/src/peers/mod.rs
@@ -49,6 +49,18 @@
 /// The same for a second reader, whose watch waits for five seconds. It counts only beside a first one:
 /// once that is silent, the bound above holds, and a hanging second reader keeps nobody from reading.
 const STORE_SILENT_SECOND_MS: Millis = 7_000;
+/// Balancers that step in at the same moment for readers that have fallen silent, the best ones first. Where
+/// all did, calls and beacons would grow with the fleet, and with its square.
+const STEP_IN_AT_ONCE: usize = 4;
+/// Time after which the next ones step in: they hear of the first by then.
+const STEP_IN_AFTER_MS: Millis = 300;
+/// Longest time that a balancer waits longer than the first.
+const STEP_IN_MAX_MS: Millis = 600;
+/// Longest time for which a balancer that has started waits for others that read for it. Those of the best
+/// ranks go on reading.
+const HOLD_BACK_MAX_MS: Millis = 500;
+/// Balancers that are asked at a time for what a reader has no time to give.
+const OTHERS_ASKED: usize = 3;
 /// Most balancers that are remembered.
 const PEERS_MAX: usize = 4_096;
 
@@ -106,6 +118,8 @@
     beacon_ms: Millis,
     /// Where among the known balancers the answer to the next hello begins.
     named: usize,
+    /// Where among the known balancers the next ones begin that are asked beside a reader.
+    asked: usize,
 }
 
 impl Peers {
@@ -121,6 +135,7 @@
             hello_ms: 0,
             beacon_ms: 0,
             named: 0,
+            asked: 0,
         }
     }
 
@@ -194,10 +209,11 @@
     /// What this balancer has to do about the configuration service.
     pub fn duty(&self, now_ms: Millis) -> Duty {
         let own = rank(self.own);
+        let silent_ms = READER_SILENT_MS + self.step_in_after_ms(now_ms);
         let better = self
             .readers
             .iter()
-            .filter(|reader| now_ms.saturating_sub(reader.at_ms) < READER_SILENT_MS)
+            .filter(|reader| now_ms.saturating_sub(reader.at_ms) < silent_ms)
             .filter(|reader| rank(reader.address) < own);
         match better.count() {
             0 => Duty::First,
@@ -206,6 +222,21 @@
         }
     }
 
+    /// How much longer than the best ones this balancer waits before it takes a silent reader's place.
+    fn step_in_after_ms(&self, now_ms: Millis) -> Millis {
+        let own = rank(self.own);
+        let better = self.alive(now_ms).filter(|address| rank(*address) < own).count();
+        let turn = (better / STEP_IN_AT_ONCE) as Millis;
+        (turn * STEP_IN_AFTER_MS).min(STEP_IN_MAX_MS)
+    }
+
+    /// How long this balancer waits after it has started and read for the first time, before it reads on:
+    /// nothing when it is of the best rank, longest when it is of the worst.
+    pub fn hold_back_ms(&self) -> Millis {
+        let share = rank(self.own) >> 32;
+        (share * HOLD_BACK_MAX_MS) >> 32
+    }
+
     /// Whom to send a hello now, if it is time: the given instances, and the readers. A balancer that
     /// is `blind` knows nothing yet.
     pub fn hellos_due(&mut self, now_ms: Millis, seeds: &[Ipv4Addr], blind: bool) -> Vec<Ipv4Addr> {
@@ -231,6 +262,20 @@
         targets
     }
 
+    /// A few other balancers, others each time, that may have what a reader has no time to give.
+    pub fn some_others(&mut self, now_ms: Millis) -> Vec<Ipv4Addr> {
+        let mut others: Vec<Ipv4Addr> = self.alive(now_ms).collect();
+        if others.is_empty() {
+            return others;
+        }
+        let own = rank(self.own) as usize;
+        let first = own.wrapping_add(self.asked) % others.len();
+        self.asked = self.asked.wrapping_add(OTHERS_ASKED);
+        others.rotate_left(first);
+        others.truncate(OTHERS_ASKED);
+        others
+    }
+
     /// Whom to send a beacon now, if it is time or something has changed.
     pub fn beacons_due(&mut self, now_ms: Millis, changed: bool) -> Vec<Ipv4Addr> {
         let due = changed || now_ms.saturating_sub(self.beacon_ms) >= BEACON_MS;
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -203,6 +203,19 @@
     }
 }
 
+/// What makes a table of routes of an earlier one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoutesDelta {
+    /// Version of the earlier table.
+    pub from_version: u64,
+    /// Its digest.
+    pub from_digest: u64,
+    /// Routes that are new, or others than before.
+    pub changed: Vec<Route>,
+    /// Endpoints that have no route any more.
+    pub removed: Vec<SocketAddrV4>,
+}
+
 /// Routes of one configuration version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RouteTable {
@@ -268,6 +281,37 @@
         &self.unrouted
     }
 
+    /// What makes this table of an earlier one.
+    ///
+    /// ```
+    /// use steering::view::RouteTable;
+    /// let (old, new) = (RouteTable::new(1, vec![], []), RouteTable::new(2, vec![], []));
+    /// assert_eq!(old.patched(2, &new.since(&old)), Some(new));
+    /// ```
+    pub fn since(&self, old: &Self) -> RoutesDelta {
+        let is_changed = |route: &&Route| old.find(route.endpoint) != Some(*route);
+        let is_removed = |endpoint: &SocketAddrV4| self.find(*endpoint).is_none();
+        RoutesDelta {
+            from_version: old.version,
+            from_digest: old.digest,
+            changed: self.routes.iter().filter(is_changed).cloned().collect(),
+            removed: old.routes.iter().map(|route| route.endpoint).filter(is_removed).collect(),
+        }
+    }
+
+    /// The table of this version that the changes make of this one; `None` if they were made for another.
+    /// Services that no route leads to any more stay named.
+    pub fn patched(&self, version: u64, delta: &RoutesDelta) -> Option<Self> {
+        if (self.version, self.digest) != (delta.from_version, delta.from_digest) {
+            return None;
+        }
+        let stays = |route: &&Route| !delta.removed.contains(&route.endpoint);
+        let unchanged = self.routes.iter().filter(stays).cloned();
+        // Of two routes for one endpoint, the first is kept.
+        let routes = delta.changed.iter().cloned().chain(unchanged).collect();
+        Some(Self::new(version, routes, self.services.iter().copied()))
+    }
+
     /// The same routes under another version.
     #[must_use]
     pub fn renumbered(&self, version: u64) -> Self {
--- a/crates/steering/tests/peers.rs
+++ b/crates/steering/tests/peers.rs
@@ -17,7 +17,8 @@
 const RELIEVED_MS: Millis = 3_000;
 
 fn address(number: usize) -> Ipv4Addr {
-    Ipv4Addr::new(10, 1, 0, u8::try_from(number).unwrap() + 1)
+    let [high, low] = (u16::try_from(number).unwrap() + 1).to_be_bytes();
+    Ipv4Addr::new(10, 1, high, low)
 }
 
 /// Balancers that exchange hellos, lists and beacons without loss, but for those that are away.
@@ -122,6 +123,38 @@
     assert_eq!(fleet.readers().len(), READERS);
 }
 
+/// Both readers die. All others read at once, and each told all others: calls grew with the fleet, and
+/// beacons with its square.
+#[rstest]
+#[case::part(60)]
+#[case::fleet(304)]
+#[case::twice_the_fleet(608)]
+fn few_step_in_however_large_the_fleet(#[case] count: usize) {
+    let mut fleet = Fleet::new(count);
+    fleet.run(5_000);
+    assert_eq!(fleet.readers().len(), READERS);
+    fleet.away = fleet.readers();
+    let mut most = 0;
+    for _ in 0..40 {
+        fleet.run(STEP_MS);
+        most = most.max(fleet.readers().len());
+    }
+    assert!(most >= READERS, "{most} read");
+    assert!(most <= 8, "{most} of {count} read at the same moment");
+}
+
+/// All start at once. The best ranks go on reading, the others wait for their beacons.
+#[rstest]
+#[case::fleet(304)]
+#[case::twice_the_fleet(608)]
+fn few_read_on_at_once_after_a_start(#[case] count: usize) {
+    let held_back_ms: Vec<Millis> =
+        (0..count).map(|number| Peers::new(address(number)).hold_back_ms()).collect();
+    assert!(held_back_ms.iter().any(|for_ms| *for_ms < 50), "somebody reads on");
+    let soon = held_back_ms.iter().filter(|for_ms| **for_ms < 250).count();
+    assert!(soon <= count * 3 / 5, "{soon} of {count} read on within a quarter of a second");
+}
+
 /// The configuration service turns both readers away, or hangs for them, and serves all others. The
 /// readers live and talk: believed for too long, they kept a dropped route in force on all balancers
 /// for more than three seconds.
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -8,7 +8,9 @@
 use steering::history::{FormerService, HistoryContents, HistorySummary};
 use steering::membership::{Change, Delta, UpstreamRecord};
 use steering::peers::{NAMED_MAX, Summary};
-use steering::view::{RegionStamp, Route, RouteTable, Service, ServiceStamp, Share, ZoneStamp};
+use steering::view::{
+    RegionStamp, Route, RouteTable, RoutesDelta, Service, ServiceStamp, Share, ZoneStamp,
+};
 
 use crate::bounded;
 
@@ -101,6 +103,18 @@
     /// Zones, and whether they are closed now.
     #[serde(default, deserialize_with = "zone_changes")]
     zones: Vec<(u32, bool)>,
+    #[serde(default)]
+    routes: Option<RoutesDeltaBody>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct RoutesDeltaBody {
+    from_version: u64,
+    from_digest: u64,
+    #[serde(deserialize_with = "route_list")]
+    changed: Vec<RouteBody>,
+    #[serde(deserialize_with = "endpoint_list")]
+    removed: Vec<(u32, u16)>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -198,6 +212,12 @@
     bounded::list::<D, RouteBody, ROUTES_MAX>(deserializer)
 }
 
+fn endpoint_list<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<(u32, u16)>, D::Error> {
+    bounded::list::<D, (u32, u16), ROUTES_MAX>(deserializer)
+}
+
 fn service_list<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<u32>, D::Error> {
     bounded::list::<D, u32, SERVICES_MAX>(deserializer)
 }
@@ -300,6 +320,7 @@
         listed: Vec::new(),
         gone: Vec::new(),
         zones: Vec::new(),
+        routes: delta.routes.as_ref().map(routes_delta_body),
     };
     for change in &delta.changes {
         match change {
@@ -319,7 +340,54 @@
         true => Change::ZoneClosed(ZoneStamp(zone)),
         false => Change::ZoneOpened(ZoneStamp(zone)),
     });
-    Delta::new(body.from_revision, listed.chain(gone).chain(zones).collect())
+    let delta = Delta::new(body.from_revision, listed.chain(gone).chain(zones).collect());
+    Delta { routes: body.routes.map(routes_delta_of), ..delta }
+}
+
+fn routes_delta_body(delta: &RoutesDelta) -> RoutesDeltaBody {
+    let endpoint = |endpoint: &SocketAddrV4| (endpoint.ip().to_bits(), endpoint.port());
+    RoutesDeltaBody {
+        from_version: delta.from_version,
+        from_digest: delta.from_digest,
+        changed: delta.changed.iter().map(route_body).collect(),
+        removed: delta.removed.iter().map(endpoint).collect(),
+    }
+}
+
+fn routes_delta_of(body: RoutesDeltaBody) -> RoutesDelta {
+    let endpoint = |(address, port)| SocketAddrV4::new(Ipv4Addr::from_bits(address), port);
+    RoutesDelta {
+        from_version: body.from_version,
+        from_digest: body.from_digest,
+        changed: body.changed.into_iter().map(route_of).collect(),
+        removed: body.removed.into_iter().map(endpoint).collect(),
+    }
+}
+
+fn route_body(route: &Route) -> RouteBody {
+    RouteBody {
+        address: route.endpoint.ip().to_bits(),
+        port: route.endpoint.port(),
+        shares: route.shares.iter().map(|share| (share.service.0, share.weight)).collect(),
+        slo_ms: route.slo_ms,
+        repeatable: route.repeatable,
+        regions: route.regions.iter().map(|region| region.0).collect(),
+        wait_slos: route.wait_slos,
+        urgent: route.urgent,
+    }
+}
+
+fn route_of(body: RouteBody) -> Route {
+    let share = |(service, weight): (u32, u32)| Share { service: ServiceStamp(service), weight };
+    Route {
+        endpoint: SocketAddrV4::new(Ipv4Addr::from_bits(body.address), body.port),
+        shares: body.shares.into_iter().map(share).collect(),
+        slo_ms: body.slo_ms,
+        repeatable: body.repeatable,
+        regions: body.regions.into_iter().map(RegionStamp).collect(),
+        wait_slos: body.wait_slos,
+        urgent: body.urgent,
+    }
 }
 
 fn upstream_body(record: &UpstreamRecord) -> UpstreamBody {
@@ -407,22 +475,12 @@
 
 /// Encodes a view.
 pub fn encode_view(view: &ViewContents) -> Vec<u8> {
-    let route = |route: &Route| RouteBody {
-        address: route.endpoint.ip().to_bits(),
-        port: route.endpoint.port(),
-        shares: route.shares.iter().map(|share| (share.service.0, share.weight)).collect(),
-        slo_ms: route.slo_ms,
-        repeatable: route.repeatable,
-        regions: route.regions.iter().map(|region| region.0).collect(),
-        wait_slos: route.wait_slos,
-        urgent: route.urgent,
-    };
     let body = ViewBody {
         revision: view.revision,
         whole_in_ms: view.whole_in_ms,
         version: view.routes_version,
         routes: view.routes.as_ref().map(|table| RoutesBody {
-            routes: table.routes().iter().map(route).collect(),
+            routes: table.routes().iter().map(route_body).collect(),
             services: table.services().iter().map(|service| service.stamp.0).collect(),
             limits: table.services().iter().filter_map(limit).collect(),
         }),
@@ -441,22 +499,12 @@
 /// Decodes a view; `None` if it makes no sense.
 pub fn decode_view(bytes: &[u8]) -> Option<ViewContents> {
     let body: ViewBody = rmp_serde::from_slice(bytes).ok()?;
-    let share = |(service, weight): (u32, u32)| Share { service: ServiceStamp(service), weight };
-    let route = |route: RouteBody| Route {
-        endpoint: SocketAddrV4::new(Ipv4Addr::from_bits(route.address), route.port),
-        shares: route.shares.into_iter().map(share).collect(),
-        slo_ms: route.slo_ms,
-        repeatable: route.repeatable,
-        regions: route.regions.into_iter().map(RegionStamp).collect(),
-        wait_slos: route.wait_slos,
-        urgent: route.urgent,
-    };
     let limited = |(stamp, cold_openings_per_ks)| Service {
         stamp: ServiceStamp(stamp),
         cold_openings_per_ks,
     };
     let table = |RoutesBody { routes, services, limits }| {
-        let routes = routes.into_iter().map(route).collect();
+        let routes = routes.into_iter().map(route_of).collect();
         let unlimited = services.into_iter().map(|stamp| Service::unlimited(ServiceStamp(stamp)));
         let services = limits.into_iter().map(limited).chain(unlimited);
         Arc::new(RouteTable::new(body.version, routes, services))
--- a/crates/wire/tests/peers.rs
+++ b/crates/wire/tests/peers.rs
@@ -7,7 +7,9 @@
 use steering::history::{FormerService, HistoryContents, HistorySummary};
 use steering::membership::{Change, Delta, UpstreamRecord};
 use steering::peers::Summary;
-use steering::view::{RegionStamp, Route, RouteTable, Service, ServiceStamp, Share, ZoneStamp};
+use steering::view::{
+    RegionStamp, Route, RouteTable, RoutesDelta, Service, ServiceStamp, Share, ZoneStamp,
+};
 use wire::peers::{
     CHANGES_MAX, MESSAGE_BYTES_MAX, Message, News, PEERS_MAX, ViewContents, beacon, decode,
     decode_view, encode, encode_view,
@@ -46,6 +48,12 @@
     }
 }
 
+fn routes_delta() -> RoutesDelta {
+    let removed = vec!["198.18.0.2:80".parse().unwrap()];
+    let changed = view(true).routes.unwrap().routes().to_vec();
+    RoutesDelta { from_version: 5, from_digest: u64::MAX, changed, removed }
+}
+
 fn record(id: &str) -> UpstreamRecord {
     UpstreamRecord {
         id: id.into(),
@@ -72,6 +80,7 @@
 #[case::changes(Message::Changes(NEWS, delta(3, 12)))]
 #[case::closed_zone(Message::Changes(NEWS, Delta::new(8, vec![Change::ZoneClosed(ZoneStamp(3))])))]
 #[case::opened_zone(Message::Changes(NEWS, Delta::new(8, vec![Change::ZoneOpened(ZoneStamp(3))])))]
+#[case::routes(Message::Changes(NEWS, Delta { routes: Some(routes_delta()), ..delta(3, 12) }))]
 #[case::removal(Message::Changes(NEWS, Delta::new(8, vec![Change::Gone("i-7f3a91c2".into())])))]
 fn message_there_and_back(#[case] message: Message) {
     assert_eq!(decode(&encode(&message)), Some(message));
