--- a/crates/fuzzing/tests/known_red.rs
+++ b/crates/fuzzing/tests/known_red.rs
@@ -70,6 +70,7 @@
 #[case::not_traced(81561)]
 #[case::not_traced_either(82054)]
 #[case::not_traced_as_well(82142)]
+#[case::with_power_lost(3_000_284)]
 fn red_cold_limit_with_old_views(#[case] seed: u64) {
     let outcome = direct::play_at(direct::Size::CROWDED, seed, 60_000, None);
     assert_eq!(outcome.violations, []);
