Tell apart what a balancer keeps of former services and what it tells

A field held a duration on the wire and a point in time inside. The search's next questions are gathered first and sent in one place. No behaviour changes; the tests of the core pass as they are.

--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -260,24 +260,23 @@
             return;
         }
         let search = Search::new(now_ms, view, flow, &self.reach, behind);
-        match search.next(entry) {
+        let asked: Vec<Ipv4Addr> = match search.next(entry) {
             Step::Ask(to) => {
                 entry.ask(now_ms, to);
                 let (next, overdue) = search.beside(entry, to);
                 let overdue = overdue.filter(|_| self.budget.spend());
-                self.ask_listed(now_ms, view, flow, to, actions);
-                for address in next.into_iter().chain(overdue) {
-                    self.flows.entry(flow, now_ms).ask_beside(now_ms, address);
-                    self.ask_listed(now_ms, view, flow, address, actions);
-                }
+                let beside: Vec<Ipv4Addr> = next.into_iter().chain(overdue).collect();
+                beside.iter().for_each(|address| entry.ask_beside(now_ms, *address));
+                [to].into_iter().chain(beside).collect()
             }
             Step::Probe(to) => {
                 entry.ask(now_ms, to);
-                self.ask_listed(now_ms, view, flow, to, actions);
+                vec![to]
             }
-            Step::Wait => {}
-            Step::Absent => self.give_up(now_ms, view, flow, actions),
-        }
+            Step::Wait => Vec::new(),
+            Step::Absent => return self.give_up(now_ms, view, flow, actions),
+        };
+        asked.into_iter().for_each(|to| self.ask_listed(now_ms, view, flow, to, actions));
     }
 
     fn ask_listed(
--- a/crates/steering/src/history/mod.rs
+++ b/crates/steering/src/history/mod.rs
@@ -23,10 +23,24 @@
     pub endpoint: SocketAddrV4,
     /// The service.
     pub service: ServiceStamp,
-    /// For how much longer a flow may be open there; in a [`History`], until when.
+    /// For how much longer a flow may be open there.
     pub left_ms: Millis,
 }
 
+/// The same as a balancer keeps it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Kept {
+    endpoint: SocketAddrV4,
+    service: ServiceStamp,
+    until_ms: Millis,
+}
+
+impl Kept {
+    fn key(&self) -> (SocketAddrV4, ServiceStamp) {
+        (self.endpoint, self.service)
+    }
+}
+
 /// A history in short, for comparison with another balancer's.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct HistorySummary {
@@ -50,8 +64,8 @@
 /// Former services as a balancer knows them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct History {
-    /// By endpoint and service; `left_ms` is a point in time.
-    former: Vec<FormerService>,
+    /// By endpoint and service.
+    former: Vec<Kept>,
     version: u64,
     whole_from_ms: Millis,
     flow_ttl_ms: Millis,
@@ -91,12 +105,13 @@
 
     /// Notes that `new` takes the place of `old`. A route that is gone takes its flows with it.
     pub fn on_routes(&mut self, now_ms: Millis, old: &RouteTable, new: &RouteTable) {
-        self.former.retain(|former| former.left_ms > now_ms && new.find(former.endpoint).is_some());
+        self.former
+            .retain(|former| former.until_ms > now_ms && new.find(former.endpoint).is_some());
         for route in old.routes() {
             let Some(next) = new.find(route.endpoint) else { continue };
             for service in services(route).filter(|service| !leads_to(next, *service)) {
-                let left_ms = now_ms + self.kept_ms();
-                self.note(FormerService { endpoint: route.endpoint, service, left_ms });
+                let until_ms = now_ms + self.kept_ms();
+                self.keep(Kept { endpoint: route.endpoint, service, until_ms });
                 self.version = new.version;
             }
             if services(next).any(|service| !leads_to(route, service)) {
@@ -127,9 +142,10 @@
         theirs: &HistoryContents,
     ) {
         for former in &theirs.former {
-            let left_ms = now_ms + former.left_ms.min(self.kept_ms());
-            if former.left_ms > 0 && routes.find(former.endpoint).is_some() {
-                self.note(FormerService { left_ms, ..*former });
+            let FormerService { endpoint, service, left_ms } = *former;
+            if left_ms > 0 && routes.find(endpoint).is_some() {
+                let until_ms = now_ms + left_ms.min(self.kept_ms());
+                self.keep(Kept { endpoint, service, until_ms });
             }
         }
         self.version = self.version.max(theirs.summary.version);
@@ -158,9 +174,12 @@
     ///
     /// `routes_version` is in force here.
     pub fn contents(&self, now_ms: Millis, routes_version: u64) -> HistoryContents {
-        let open = self.former.iter().filter(|former| former.left_ms > now_ms);
-        let told =
-            |former: &FormerService| FormerService { left_ms: former.left_ms - now_ms, ..*former };
+        let open = self.former.iter().filter(|former| former.until_ms > now_ms);
+        let told = |former: &Kept| FormerService {
+            endpoint: former.endpoint,
+            service: former.service,
+            left_ms: former.until_ms - now_ms,
+        };
         HistoryContents {
             summary: self.summary(now_ms),
             routes_version,
@@ -177,7 +196,7 @@
         let start = self.former.partition_point(|former| former.endpoint < endpoint);
         let same =
             self.former[start..].iter().take_while(move |former| former.endpoint == endpoint);
-        same.filter(move |former| former.left_ms > now_ms).map(|former| former.service)
+        same.filter(move |former| former.until_ms > now_ms).map(|former| former.service)
     }
 
     /// Whether some route has left this service.
@@ -190,12 +209,11 @@
         now_ms >= self.whole_from_ms
     }
 
-    fn note(&mut self, noted: FormerService) {
-        let key = |former: &FormerService| (former.endpoint, former.service);
-        match self.former.binary_search_by_key(&key(&noted), key) {
+    fn keep(&mut self, noted: Kept) {
+        match self.former.binary_search_by_key(&noted.key(), Kept::key) {
             Ok(index) => {
                 let known = &mut self.former[index];
-                known.left_ms = known.left_ms.max(noted.left_ms);
+                known.until_ms = known.until_ms.max(noted.until_ms);
             }
             Err(index) => self.former.insert(index, noted),
         }
