--- /dev/null
+++ b/crates/wire/src/peers/body.rs
@@ -0,0 +1,209 @@
+//! What travels between balancers, field by field, with a bound for each list.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{CHANGES_MAX, PEERS_MAX};
+use crate::bounded;
+
+/// Most routes of a view.
+const ROUTES_MAX: usize = 16_384;
+/// Most upstreams of a view.
+const UPSTREAMS_MAX: usize = 65_536;
+/// Most services of a view.
+const SERVICES_MAX: usize = 16_384;
+/// Most shares of a route.
+const SHARES_MAX: usize = 64;
+/// Most services that routes have left.
+const FORMER_MAX: usize = 65_536;
+/// Most availability zones that are closed at once.
+const ZONES_MAX: usize = 1_024;
+/// Most regions of a route.
+const REGIONS_MAX: usize = 64;
+
+#[derive(Serialize, Deserialize)]
+pub(super) enum MessageBody {
+    Hello { revision: u64 },
+    Peers(#[serde(deserialize_with = "peer_list")] Vec<u32>),
+    Beacon(SummaryBody),
+    Knows(SummaryBody),
+    Changes(SummaryBody, DeltaBody),
+}
+
+#[derive(Serialize, Deserialize)]
+pub(super) struct DeltaBody {
+    pub(super) from_revision: u64,
+    #[serde(deserialize_with = "changed_list")]
+    pub(super) listed: Vec<UpstreamBody>,
+    #[serde(deserialize_with = "gone_list")]
+    pub(super) gone: Vec<Arc<str>>,
+    /// Zones, and whether they are closed now.
+    #[serde(default, deserialize_with = "zone_changes")]
+    pub(super) zones: Vec<(u32, bool)>,
+    #[serde(default)]
+    pub(super) routes: Option<RoutesDeltaBody>,
+}
+
+#[derive(Serialize, Deserialize)]
+pub(super) struct RoutesDeltaBody {
+    pub(super) from_version: u64,
+    pub(super) from_digest: u64,
+    #[serde(deserialize_with = "route_list")]
+    pub(super) changed: Vec<RouteBody>,
+    #[serde(deserialize_with = "endpoint_list")]
+    pub(super) removed: Vec<(u32, u16)>,
+}
+
+#[derive(Serialize, Deserialize)]
+pub(super) struct SummaryBody {
+    pub(super) revision: u64,
+    pub(super) routes_version: u64,
+    pub(super) routes_digest: u64,
+    pub(super) upstreams_digest: u64,
+    pub(super) whole_in_ms: u64,
+    #[serde(default)]
+    pub(super) history: HistorySummaryBody,
+}
+
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
+pub(super) struct HistorySummaryBody {
+    pub(super) version: u64,
+    pub(super) whole_in_ms: u64,
+}
+
+#[derive(Default, Serialize, Deserialize)]
+pub(super) struct HistoryBody {
+    pub(super) summary: HistorySummaryBody,
+    #[serde(deserialize_with = "former_list")]
+    pub(super) former: Vec<FormerBody>,
+}
+
+#[derive(Serialize, Deserialize)]
+pub(super) struct FormerBody {
+    pub(super) address: u32,
+    pub(super) port: u16,
+    pub(super) service: u32,
+    pub(super) left_ms: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+pub(super) struct ViewBody {
+    pub(super) revision: u64,
+    pub(super) whole_in_ms: u64,
+    pub(super) version: u64,
+    pub(super) routes: Option<RoutesBody>,
+    #[serde(deserialize_with = "upstream_list")]
+    pub(super) upstreams: Vec<UpstreamBody>,
+    #[serde(default, deserialize_with = "zone_list")]
+    pub(super) closed_zones: Vec<u32>,
+    #[serde(default)]
+    pub(super) history: HistoryBody,
+}
+
+#[derive(Serialize, Deserialize)]
+pub(super) struct RoutesBody {
+    #[serde(deserialize_with = "route_list")]
+    pub(super) routes: Vec<RouteBody>,
+    #[serde(deserialize_with = "service_list")]
+    pub(super) services: Vec<u32>,
+    /// Services whose cold upstreams bear so many openings in a thousand seconds.
+    #[serde(default, deserialize_with = "limit_list")]
+    pub(super) limits: Vec<(u32, u32)>,
+}
+
+#[derive(Serialize, Deserialize)]
+pub(super) struct RouteBody {
+    pub(super) address: u32,
+    pub(super) port: u16,
+    #[serde(deserialize_with = "share_list")]
+    pub(super) shares: Vec<(u32, u32)>,
+    pub(super) slo_ms: u32,
+    pub(super) repeatable: bool,
+    #[serde(default, deserialize_with = "region_list")]
+    pub(super) regions: Vec<u32>,
+    #[serde(default)]
+    pub(super) wait_slos: u8,
+    #[serde(default)]
+    pub(super) urgent: bool,
+}
+
+#[derive(Serialize, Deserialize)]
+pub(super) struct UpstreamBody {
+    pub(super) id: Arc<str>,
+    pub(super) born_ms: u64,
+    pub(super) address: u32,
+    pub(super) service: u32,
+    pub(super) zone: u32,
+    pub(super) draining: bool,
+    pub(super) warmup_left_ms: u64,
+    pub(super) slots: u32,
+}
+
+fn peer_list<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<u32>, D::Error> {
+    bounded::list::<D, u32, PEERS_MAX>(deserializer)
+}
+
+fn route_list<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<RouteBody>, D::Error> {
+    bounded::list::<D, RouteBody, ROUTES_MAX>(deserializer)
+}
+
+fn endpoint_list<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<(u32, u16)>, D::Error> {
+    bounded::list::<D, (u32, u16), ROUTES_MAX>(deserializer)
+}
+
+fn service_list<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<u32>, D::Error> {
+    bounded::list::<D, u32, SERVICES_MAX>(deserializer)
+}
+
+fn limit_list<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<(u32, u32)>, D::Error> {
+    bounded::list::<D, (u32, u32), SERVICES_MAX>(deserializer)
+}
+
+fn region_list<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<u32>, D::Error> {
+    bounded::list::<D, u32, REGIONS_MAX>(deserializer)
+}
+
+fn zone_list<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<u32>, D::Error> {
+    bounded::list::<D, u32, ZONES_MAX>(deserializer)
+}
+
+fn zone_changes<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<(u32, bool)>, D::Error> {
+    bounded::list::<D, (u32, bool), CHANGES_MAX>(deserializer)
+}
+
+fn former_list<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<FormerBody>, D::Error> {
+    bounded::list::<D, FormerBody, FORMER_MAX>(deserializer)
+}
+
+fn upstream_list<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<UpstreamBody>, D::Error> {
+    bounded::list::<D, UpstreamBody, UPSTREAMS_MAX>(deserializer)
+}
+
+fn changed_list<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<UpstreamBody>, D::Error> {
+    bounded::list::<D, UpstreamBody, CHANGES_MAX>(deserializer)
+}
+
+fn gone_list<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<Arc<str>>, D::Error> {
+    bounded::list::<D, Arc<str>, CHANGES_MAX>(deserializer)
+}
+
+fn share_list<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<(u32, u32)>, D::Error> {
+    bounded::list::<D, (u32, u32), SHARES_MAX>(deserializer)
+}
--- /dev/null
+++ b/crates/wire/src/peers/translate.rs
@@ -0,0 +1,179 @@
+//! Between what travels and the core's types.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use steering::history::{FormerService, HistoryContents, HistorySummary};
+use steering::membership::{Change, Delta, UpstreamRecord};
+use steering::peers::Summary;
+use steering::view::{RegionStamp, Route, RoutesDelta, Service, ServiceStamp, Share, ZoneStamp};
+
+use super::News;
+use super::body::{
+    DeltaBody, FormerBody, HistoryBody, HistorySummaryBody, RouteBody, RoutesDeltaBody,
+    SummaryBody, UpstreamBody,
+};
+
+pub(super) fn delta_body(delta: &Delta) -> DeltaBody {
+    let mut body = DeltaBody {
+        from_revision: delta.from_revision,
+        listed: Vec::new(),
+        gone: Vec::new(),
+        zones: Vec::new(),
+        routes: delta.routes.as_ref().map(routes_delta_body),
+    };
+    for change in &delta.changes {
+        match change {
+            Change::Listed(record) => body.listed.push(upstream_body(record)),
+            Change::Gone(id) => body.gone.push(Arc::clone(id)),
+            Change::ZoneClosed(zone) => body.zones.push((zone.0, true)),
+            Change::ZoneOpened(zone) => body.zones.push((zone.0, false)),
+        }
+    }
+    body
+}
+
+pub(super) fn delta_of(body: DeltaBody) -> Delta {
+    let listed = body.listed.into_iter().map(|body| Change::Listed(record_of(body)));
+    let gone = body.gone.into_iter().map(Change::Gone);
+    let zones = body.zones.into_iter().map(|(zone, closed)| match closed {
+        true => Change::ZoneClosed(ZoneStamp(zone)),
+        false => Change::ZoneOpened(ZoneStamp(zone)),
+    });
+    let delta = Delta::new(body.from_revision, listed.chain(gone).chain(zones).collect());
+    Delta { routes: body.routes.map(routes_delta_of), ..delta }
+}
+
+pub(super) fn routes_delta_body(delta: &RoutesDelta) -> RoutesDeltaBody {
+    let endpoint = |endpoint: &SocketAddrV4| (endpoint.ip().to_bits(), endpoint.port());
+    RoutesDeltaBody {
+        from_version: delta.from_version,
+        from_digest: delta.from_digest,
+        changed: delta.changed.iter().map(route_body).collect(),
+        removed: delta.removed.iter().map(endpoint).collect(),
+    }
+}
+
+pub(super) fn routes_delta_of(body: RoutesDeltaBody) -> RoutesDelta {
+    let endpoint = |(address, port)| SocketAddrV4::new(Ipv4Addr::from_bits(address), port);
+    RoutesDelta {
+        from_version: body.from_version,
+        from_digest: body.from_digest,
+        changed: body.changed.into_iter().map(route_of).collect(),
+        removed: body.removed.into_iter().map(endpoint).collect(),
+    }
+}
+
+pub(super) fn route_body(route: &Route) -> RouteBody {
+    RouteBody {
+        address: route.endpoint.ip().to_bits(),
+        port: route.endpoint.port(),
+        shares: route.shares.iter().map(|share| (share.service.0, share.weight)).collect(),
+        slo_ms: route.slo_ms,
+        repeatable: route.repeatable,
+        regions: route.regions.iter().map(|region| region.0).collect(),
+        wait_slos: route.wait_slos,
+        urgent: route.urgent,
+    }
+}
+
+pub(super) fn route_of(body: RouteBody) -> Route {
+    let share = |(service, weight): (u32, u32)| Share { service: ServiceStamp(service), weight };
+    Route {
+        endpoint: SocketAddrV4::new(Ipv4Addr::from_bits(body.address), body.port),
+        shares: body.shares.into_iter().map(share).collect(),
+        slo_ms: body.slo_ms,
+        repeatable: body.repeatable,
+        regions: body.regions.into_iter().map(RegionStamp).collect(),
+        wait_slos: body.wait_slos,
+        urgent: body.urgent,
+    }
+}
+
+pub(super) fn upstream_body(record: &UpstreamRecord) -> UpstreamBody {
+    UpstreamBody {
+        id: Arc::clone(&record.id),
+        born_ms: record.born_ms,
+        address: record.address.to_bits(),
+        service: record.service.0,
+        zone: record.zone.0,
+        draining: record.draining,
+        warmup_left_ms: record.warmup_left_ms,
+        slots: record.slots,
+    }
+}
+
+pub(super) fn record_of(body: UpstreamBody) -> UpstreamRecord {
+    UpstreamRecord {
+        id: body.id,
+        born_ms: body.born_ms,
+        address: Ipv4Addr::from_bits(body.address),
+        service: ServiceStamp(body.service),
+        zone: ZoneStamp(body.zone),
+        draining: body.draining,
+        warmup_left_ms: body.warmup_left_ms,
+        slots: body.slots,
+    }
+}
+
+pub(super) fn news_body(news: &News) -> SummaryBody {
+    SummaryBody {
+        revision: news.summary.revision,
+        routes_version: news.summary.routes_version,
+        routes_digest: news.summary.routes_digest,
+        upstreams_digest: news.summary.upstreams_digest,
+        whole_in_ms: news.whole_in_ms,
+        history: history_summary_body(news.history),
+    }
+}
+
+pub(super) fn history_summary_body(summary: HistorySummary) -> HistorySummaryBody {
+    let HistorySummary { version, whole_in_ms } = summary;
+    HistorySummaryBody { version, whole_in_ms }
+}
+
+pub(super) fn history_summary(body: HistorySummaryBody) -> HistorySummary {
+    let HistorySummaryBody { version, whole_in_ms } = body;
+    HistorySummary { version, whole_in_ms }
+}
+
+pub(super) fn history_body(history: &HistoryContents) -> HistoryBody {
+    let former = |former: &FormerService| FormerBody {
+        address: former.endpoint.ip().to_bits(),
+        port: former.endpoint.port(),
+        service: former.service.0,
+        left_ms: former.left_ms,
+    };
+    HistoryBody {
+        summary: history_summary_body(history.summary),
+        former: history.former.iter().map(former).collect(),
+    }
+}
+
+pub(super) fn history_of(routes_version: u64, body: HistoryBody) -> HistoryContents {
+    let former = |body: FormerBody| FormerService {
+        endpoint: SocketAddrV4::new(Ipv4Addr::from_bits(body.address), body.port),
+        service: ServiceStamp(body.service),
+        left_ms: body.left_ms,
+    };
+    HistoryContents {
+        summary: history_summary(body.summary),
+        routes_version,
+        former: body.former.into_iter().map(former).collect(),
+    }
+}
+
+pub(super) fn news(body: &SummaryBody) -> News {
+    let summary = Summary {
+        revision: body.revision,
+        routes_version: body.routes_version,
+        routes_digest: body.routes_digest,
+        upstreams_digest: body.upstreams_digest,
+    };
+    News { summary, whole_in_ms: body.whole_in_ms, history: history_summary(body.history) }
+}
+
+pub(super) fn limit(service: &Service) -> Option<(u32, u32)> {
+    let limit = service.cold_openings_per_ks;
+    (limit > 0).then_some((service.stamp.0, limit))
+}
