Suspect an upstream that starts after its agent from its first word on

Ruled out: the search itself (no opening goes through it).

The two seconds count from the upstream's first word, if that comes within the first two.

--- a/crates/steering/src/side/admission.rs
+++ b/crates/steering/src/side/admission.rs
@@ -38,6 +38,8 @@
     cold: Votes,
     /// Until when the upstream may be cold without any balancer knowing.
     suspect_until_ms: Millis,
+    /// Whether the upstream has said anything since the process started.
+    heard: bool,
     taken_ms: VecDeque<Millis>,
     /// Openings given back that were told to come later.
     waiting: usize,
@@ -51,6 +53,7 @@
             leaving: Votes::new(LEAVING_VALIDITY),
             cold: Votes::new(COLD_VALIDITY),
             suspect_until_ms: 0,
+            heard: false,
             taken_ms: VecDeque::new(),
             waiting: 0,
             since_ms: None,
@@ -72,6 +75,15 @@
         self.suspect_until_ms = now_ms + SUSPECT_MS;
     }
 
+    /// Notes that the upstream has said something. One that is first heard right after this process has
+    /// started may have started after it.
+    pub(super) fn hear_upstream(&mut self, now_ms: Millis) {
+        let first = !std::mem::replace(&mut self.heard, true);
+        if first && now_ms < self.suspect_until_ms {
+            self.suspect(now_ms);
+        }
+    }
+
     /// Takes a balancer's vote, which comes with any packet.
     pub(super) fn hear(&mut self, now_ms: Millis, ask: &Ask) {
         self.leaving.hear(now_ms, ask.balancer, ask.turns_away);
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -329,6 +329,7 @@
         if self.silent_for(now_ms).is_some() {
             self.admission.suspect(now_ms);
         }
+        self.admission.hear_upstream(now_ms);
         self.unanswered = 0;
     }
 
--- a/crates/steering/tests/side_admission.rs
+++ b/crates/steering/tests/side_admission.rs
@@ -180,6 +180,26 @@
     assert_eq!(taken, expected);
 }
 
+/// All lost power: the agent is back a second before its upstream, and most balancers that are heard are
+/// cut off with an old view.
+#[rstest]
+#[case::cold_still(1_300 + 1_900, 5)]
+#[case::warm_by_then(1_300 + 2_000, 20)]
+fn upstream_that_starts_after_its_agent_is_suspected_from_its_first_word(
+    #[case] at_ms: Millis,
+    #[case] expected: usize,
+) {
+    let mut side = common::agent::side();
+    side.on_tick(SETTLED_MS);
+    let warm = Ask { cold: false, ..cold(1, 5_000) };
+    take(&mut side, 1_250, &opening(1, 0), warm);
+    side.on_answer(SETTLED_MS + 1_300, accepted(1));
+    let taken = (0..20)
+        .filter(|n| take(&mut side, at_ms, &opening(100 + n, 0), warm) == Delivery::Deliver)
+        .count();
+    assert_eq!(taken, expected);
+}
+
 /// An upstream that was silent and answers again may have started anew, beside an agent that ran on.
 #[test]
 fn upstream_that_was_silent_is_suspected_to_be_cold() {
