Say once which services a flow may be open at

Found on reading the change: `candidates`, `may_be_elsewhere` and `may_lead_to` each worked out present, former and suspected services from the routes and the history; a route's services were listed in five places; the ranks of placement stood twice as a constant; copies and questions beside a search went by the same three conditions, written twice; a search given up ranked all upstreams before it looked whether anything could be proven at all; and the list of copies was searched from end to end, which made a search of 543 upstreams quadratic where asked and denied ones no longer were.

One struct holds the services now, `Route::services` lists them, one condition serves both, the cheap conditions of a proof come first, and the copies are kept in order.

--- a/crates/steering/src/edge/candidates.rs
+++ b/crates/steering/src/edge/candidates.rs
@@ -6,44 +6,61 @@
 
 use std::cmp::Reverse;
 
+use super::placement::PLACEMENT_RANKS;
 use crate::flow::{FlowKey, Millis};
 use crate::membership;
 use crate::rank;
 use crate::view::{ServiceStamp, Upstream, View};
 
-/// Ranks of a service's upstreams among which nearly all flows were placed.
-const FIRST_RANKS: usize = 3;
+/// Services at which a flow may be open.
+#[derive(Default)]
+struct Services {
+    /// Those that its route leads to.
+    current: Vec<ServiceStamp>,
+    /// Those that its route has left.
+    former: Vec<ServiceStamp>,
+    /// Where its route may have left others: those that routes of the same address lead to. They belong
+    /// to the same client account.
+    suspected: Vec<ServiceStamp>,
+    /// Where its route may have left others: those that no route leads to any more. They may be another
+    /// client account's, so that they are not asked.
+    unrouted: Vec<ServiceStamp>,
+}
+
+impl Services {
+    fn of(view: &View, flow: FlowKey, now_ms: Millis) -> Self {
+        let Some(route) = view.routes.find(flow.endpoint) else { return Self::default() };
+        let history = view.history();
+        let current: Vec<ServiceStamp> = route.services().collect();
+        let former = without(history.of(now_ms, flow.endpoint), &current);
+        if history.is_whole(now_ms) {
+            return Self { current, former, ..Self::default() };
+        }
+        let known = [&current[..], &former[..]].concat();
+        let neighbors = view.routes.routes_at(*flow.endpoint.ip()).iter();
+        let suspected = without(neighbors.flat_map(|route| route.services()), &known);
+        let unrouted = without(view.routes.unrouted().iter().copied(), &known);
+        Self { current, former, suspected, unrouted }
+    }
+}
 
 /// Upstreams that may hold a flow, best guess first.
 pub(super) fn candidates(view: &View, flow: FlowKey, now_ms: Millis) -> Vec<Upstream> {
-    let Some(route) = view.routes.find(flow.endpoint) else { return Vec::new() };
-    let mut services: Vec<ServiceStamp> = route.shares.iter().map(|share| share.service).collect();
-    let mut candidates = ranked(view, flow, now_ms, &services);
-    let history = view.history();
-
-    let former = without(history.of(now_ms, flow.endpoint), &services);
-    let left = ranked(view, flow, now_ms, &former);
-    let (likely, unlikely) = left.split_at(FIRST_RANKS.min(left.len()));
-    let first = FIRST_RANKS.min(candidates.len());
+    let services = Services::of(view, flow, now_ms);
+    let mut candidates = ranked(view, flow, now_ms, &services.current);
+    let former = ranked(view, flow, now_ms, &services.former);
+    let (likely, unlikely) = former.split_at(PLACEMENT_RANKS.min(former.len()));
+    let first = PLACEMENT_RANKS.min(candidates.len());
     candidates.splice(first..first, likely.iter().copied());
     candidates.extend_from_slice(unlikely);
-
-    if !history.is_whole(now_ms) {
-        services.extend(former);
-        let suspected = without(neighbors(view, flow), &services);
-        candidates.extend(ranked(view, flow, now_ms, &suspected));
-    }
+    candidates.extend(ranked(view, flow, now_ms, &services.suspected));
     candidates
 }
 
-/// Whether a flow may be open where nobody looks: no route leads to some service any more, and which
-/// ones did is not known. It may be another client account's, so that it is not asked.
+/// Whether a flow may be open where nobody looks.
 pub(super) fn may_be_elsewhere(view: &View, flow: FlowKey, now_ms: Millis) -> bool {
-    let history = view.history();
-    let is_known = |service: ServiceStamp| history.of(now_ms, flow.endpoint).any(|s| s == service);
-    let mut unrouted = view.routes.unrouted().iter();
-    !history.is_whole(now_ms)
-        && unrouted.any(|service| !is_known(*service) && !view.upstreams_of(*service).is_empty())
+    let services = Services::of(view, flow, now_ms);
+    services.unrouted.iter().any(|service| !view.upstreams_of(*service).is_empty())
 }
 
 /// Whether a flow may be open at an upstream of this service.
@@ -53,20 +70,8 @@
     service: ServiceStamp,
     now_ms: Millis,
 ) -> bool {
-    let Some(route) = view.routes.find(flow.endpoint) else { return false };
-    let history = view.history();
-    let mut now = route.shares.iter().map(|share| share.service);
-    let mut before = history.of(now_ms, flow.endpoint);
-    let mut unknown = neighbors(view, flow).chain(view.routes.unrouted().iter().copied());
-    let is_it = |other: ServiceStamp| other == service;
-    now.any(is_it) || before.any(is_it) || (!history.is_whole(now_ms) && unknown.any(is_it))
-}
-
-/// Services that routes of the same address lead to. They belong to the same client account, so that
-/// the route may have left them while nobody here could know.
-fn neighbors(view: &View, flow: FlowKey) -> impl Iterator<Item = ServiceStamp> + '_ {
-    let same = view.routes.routes_at(*flow.endpoint.ip()).iter();
-    same.flat_map(|route| route.shares.iter().map(|share| share.service))
+    let Services { current, former, suspected, unrouted } = Services::of(view, flow, now_ms);
+    [current, former, suspected, unrouted].iter().any(|services| services.contains(&service))
 }
 
 fn without(
--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -52,6 +52,7 @@
     asked_ms: Option<Millis>,
     /// Where the opening went first, and when, until there is a word from there.
     awaited: Option<(Ipv4Addr, Millis)>,
+    /// Upstreams that got a copy and have not denied the flow since, in order.
     copied: Vec<Ipv4Addr>,
     round: usize,
     /// Whether these are denials of the opening.
@@ -224,15 +225,15 @@
 
     /// Notes that the upstream at `address` gets a copy beside the one that is asked.
     pub(super) fn note_copy(&mut self, address: Ipv4Addr) {
-        if !self.copied.contains(&address) {
-            self.copied.push(address);
+        if let Err(index) = self.copied.binary_search(&address) {
+            self.copied.insert(index, address);
         }
     }
 
     /// Whether the upstream at `address` got a copy; it counts once.
     pub(super) fn take_copied(&mut self, address: Ipv4Addr) -> bool {
-        let index = self.copied.iter().position(|copied| *copied == address);
-        index.map(|index| self.copied.swap_remove(index)).is_some()
+        let index = self.copied.binary_search(&address);
+        index.map(|index| self.copied.remove(index)).is_ok()
     }
 
     /// Where in a list of this length the next round of copies begins.
--- a/crates/steering/src/edge/placement.rs
+++ b/crates/steering/src/edge/placement.rs
@@ -13,7 +13,7 @@
 
 /// Upstreams of the first ranks among which load decides. More would spread flows further from
 /// their first rank, and a balancer without memory would ask longer.
-const PLACEMENT_RANKS: usize = 3;
+pub(super) const PLACEMENT_RANKS: usize = 3;
 
 /// The service of a flow's endpoint.
 pub(super) fn service_of(view: &View, flow: FlowKey) -> Option<ServiceStamp> {
--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -107,10 +107,7 @@
     /// and one that should have answered.
     fn beside(&self, entry: &Entry, to: Ipv4Addr) -> (Vec<Ipv4Addr>, Option<Ipv4Addr>) {
         let is_open = |upstream: &&Upstream| {
-            let address = upstream.address;
-            address != to
-                && !entry.has_denied(address)
-                && !self.reach.is_quiet(self.now_ms, address)
+            may_be_copied(self.now_ms, upstream, Some(to), entry, self.reach)
         };
         let open = || self.candidates.iter().filter(is_open).map(|upstream| upstream.address);
         let asked = entry.asked_count();
@@ -303,12 +300,10 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(entry) = self.flows.get(flow).filter(|_| self.policy.copies) else { return };
-        let others: Vec<Upstream> = candidates(view, flow, now_ms)
-            .into_iter()
-            .filter(|upstream| Some(upstream.address) != entry.target)
-            .filter(|upstream| !entry.has_denied(upstream.address))
-            .filter(|upstream| !self.reach.is_quiet(now_ms, upstream.address))
-            .collect();
+        let is_open =
+            |upstream: &Upstream| may_be_copied(now_ms, upstream, entry.target, entry, &self.reach);
+        let others: Vec<Upstream> =
+            candidates(view, flow, now_ms).into_iter().filter(is_open).collect();
         let skip = entry.next_round(others.len(), FAN_OUT);
         let budget = &mut self.budget;
         let copies = (0..FAN_OUT.min(others.len())).take_while(|_| budget.spend()).count();
@@ -322,9 +317,11 @@
 
     fn give_up(&mut self, now_ms: Millis, view: &View, flow: FlowKey, actions: &mut Vec<Action>) {
         let informed = self.trust.confirmed_ms >= self.woken_ms;
-        let listed = !candidates(view, flow, now_ms).is_empty();
-        let elsewhere = may_be_elsewhere(view, flow, now_ms);
-        if !informed || !listed || elsewhere || !self.trust.proves_absence(now_ms) {
+        let proven = informed
+            && self.trust.proves_absence(now_ms)
+            && !may_be_elsewhere(view, flow, now_ms)
+            && !candidates(view, flow, now_ms).is_empty();
+        if !proven {
             actions.push(Action::Drop { reason: Reason::Unknown });
             return;
         }
@@ -334,6 +331,18 @@
     }
 }
 
+/// Whether a copy of a packet that goes to `target` may go to this upstream as well.
+fn may_be_copied(
+    now_ms: Millis,
+    upstream: &Upstream,
+    target: Option<Ipv4Addr>,
+    entry: &Entry,
+    reach: &Reach,
+) -> bool {
+    let address = upstream.address;
+    Some(address) != target && !entry.has_denied(address) && !reach.is_quiet(now_ms, address)
+}
+
 /// The upstream to ask next. If the flow's opening went through here, it lives at one of those that
 /// got a copy; otherwise those that were asked have not answered, and others come first. Of those that
 /// were asked there is none while they have time to answer.
--- a/crates/steering/src/history/mod.rs
+++ b/crates/steering/src/history/mod.rs
@@ -109,12 +109,12 @@
             .retain(|former| former.until_ms > now_ms && new.find(former.endpoint).is_some());
         for route in old.routes() {
             let Some(next) = new.find(route.endpoint) else { continue };
-            for service in services(route).filter(|service| !leads_to(next, *service)) {
+            for service in route.services().filter(|service| !leads_to(next, *service)) {
                 let until_ms = now_ms + self.kept_ms();
                 self.keep(Kept { endpoint: route.endpoint, service, until_ms });
                 self.version = new.version;
             }
-            if services(next).any(|service| !leads_to(route, service)) {
+            if next.services().any(|service| !leads_to(route, service)) {
                 self.version = new.version;
             }
         }
@@ -220,10 +220,6 @@
     }
 }
 
-fn services(route: &Route) -> impl Iterator<Item = ServiceStamp> + '_ {
-    route.shares.iter().map(|share| share.service)
-}
-
 fn leads_to(route: &Route, service: ServiceStamp) -> bool {
-    services(route).any(|other| other == service)
+    route.services().any(|other| other == service)
 }
--- a/crates/steering/src/view/routes.rs
+++ b/crates/steering/src/view/routes.rs
@@ -117,8 +117,7 @@
     ) -> Self {
         routes.sort_by_key(|route| route.endpoint);
         routes.dedup_by_key(|route| route.endpoint);
-        let shares = routes.iter().flat_map(|route| route.shares.iter());
-        let mut routed: Vec<ServiceStamp> = shares.map(|share| share.service).collect();
+        let mut routed: Vec<ServiceStamp> = routes.iter().flat_map(Route::services).collect();
         routed.sort_unstable();
         routed.dedup();
         let led_to = routed.iter().copied().map(Service::unlimited);
@@ -215,6 +214,11 @@
 }
 
 impl Route {
+    /// The services that it leads to, whatever their weights.
+    pub fn services(&self) -> impl Iterator<Item = ServiceStamp> + '_ {
+        self.shares.iter().map(|share| share.service)
+    }
+
     /// The service that a new flow goes to, by the shares' weights; `None` if all weights are zero.
     pub fn service_of(&self, flow: FlowKey) -> Option<ServiceStamp> {
         let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
