Look whose turn it is only where a reader has just fallen silent

Found on reading the change: `Peers::duty` ranked all known balancers at each look, to know how long this one waits before it steps in. A reader looks at each hello, and hellos grow with the fleet, so that the cost grew with its square. It matters only while a reader of better rank is between the shortest and the longest of these waits; counts with both bounds tell.

The answer is the same: the count of readers only grows with the bound.

Naming balancers in turn stood twice, in answers to hellos and where a fetch has failed; one function does both."

--- a/crates/steering/src/peers/mod.rs
+++ b/crates/steering/src/peers/mod.rs
@@ -135,7 +135,8 @@
             hello_ms: 0,
             beacon_ms: 0,
             named: 0,
-            asked: 0,
+            // Others elsewhere for each balancer.
+            asked: rank(own) as usize,
         }
     }
 
@@ -143,15 +144,8 @@
     /// fit.
     pub fn on_hello(&mut self, now_ms: Millis, from: Ipv4Addr) -> Vec<Ipv4Addr> {
         self.note(now_ms, from);
-        let mut others: Vec<Ipv4Addr> =
-            self.alive(now_ms).filter(|address| *address != from).collect();
-        if others.len() > NAMED_MAX {
-            let first = self.named % others.len();
-            self.named = first + NAMED_MAX;
-            others.rotate_left(first);
-            others.truncate(NAMED_MAX);
-        }
-        others
+        let others = self.alive(now_ms).filter(|address| *address != from).collect();
+        in_turn(others, &mut self.named, NAMED_MAX)
     }
 
     /// Takes the list of balancers that another one knows.
@@ -208,20 +202,28 @@
 
     /// What this balancer has to do about the configuration service.
     pub fn duty(&self, now_ms: Millis) -> Duty {
-        let own = rank(self.own);
-        let silent_ms = READER_SILENT_MS + self.step_in_after_ms(now_ms);
-        let better = self
-            .readers
-            .iter()
-            .filter(|reader| now_ms.saturating_sub(reader.at_ms) < silent_ms)
-            .filter(|reader| rank(reader.address) < own);
-        match better.count() {
+        let heard = self.better_readers(now_ms, READER_SILENT_MS);
+        let lately = self.better_readers(now_ms, READER_SILENT_MS + STEP_IN_MAX_MS);
+        // Where no reader has just fallen silent, it does not matter whose turn it is.
+        let better = if heard == lately {
+            heard
+        } else {
+            self.better_readers(now_ms, READER_SILENT_MS + self.step_in_after_ms(now_ms))
+        };
+        match better {
             0 => Duty::First,
             count if count < READERS => Duty::Second,
             _ => Duty::Listen,
         }
     }
 
+    /// Number of readers of better rank that were heard within this time.
+    fn better_readers(&self, now_ms: Millis, within_ms: Millis) -> usize {
+        let own = rank(self.own);
+        let heard = |reader: &&Heard| now_ms.saturating_sub(reader.at_ms) < within_ms;
+        self.readers.iter().filter(heard).filter(|reader| rank(reader.address) < own).count()
+    }
+
     /// How much longer than the best ones this balancer waits before it takes a silent reader's place.
     fn step_in_after_ms(&self, now_ms: Millis) -> Millis {
         let own = rank(self.own);
@@ -264,16 +266,8 @@
 
     /// A few other balancers, others each time, that may have what a reader has no time to give.
     pub fn some_others(&mut self, now_ms: Millis) -> Vec<Ipv4Addr> {
-        let mut others: Vec<Ipv4Addr> = self.alive(now_ms).collect();
-        if others.is_empty() {
-            return others;
-        }
-        let own = rank(self.own) as usize;
-        let first = own.wrapping_add(self.asked) % others.len();
-        self.asked = self.asked.wrapping_add(OTHERS_ASKED);
-        others.rotate_left(first);
-        others.truncate(OTHERS_ASKED);
-        others
+        let others = self.alive(now_ms).collect();
+        in_turn(others, &mut self.asked, OTHERS_ASKED)
     }
 
     /// Whom to send a beacon now, if it is time or something has changed.
@@ -325,6 +319,17 @@
     }
 }
 
+/// As many of them as may be, beginning where the last ones ended.
+fn in_turn(mut others: Vec<Ipv4Addr>, next: &mut usize, most: usize) -> Vec<Ipv4Addr> {
+    if others.len() > most {
+        let first = *next % others.len();
+        *next = first + most;
+        others.rotate_left(first);
+        others.truncate(most);
+    }
+    others
+}
+
 fn hear(list: &mut Vec<Heard>, now_ms: Millis, address: Ipv4Addr) {
     match list.binary_search_by_key(&address, |heard| heard.address) {
         Ok(index) => list[index].at_ms = now_ms,
