--- a/crates/goosectl/src/commands/status/report.rs
+++ b/crates/goosectl/src/commands/status/report.rs
@@ -16,12 +16,6 @@
     pub(super) all_counters: bool,
 }
 
-#[derive(Serialize)]
-struct ReportJson<'a> {
-    notes: &'a [String],
-    instances: Vec<InstanceJson<'a>>,
-}
-
 #[derive(Serialize)]
 struct InstanceJson<'a> {
     name: &'a str,
@@ -64,8 +58,7 @@
 
     /// One JSON document.
     pub(super) fn json(&self, out: &mut dyn Write) -> io::Result<()> {
-        let instances = self.answers.iter().map(InstanceJson::from).collect();
-        output::json(out, &ReportJson { notes: self.notes, instances })
+        output::instances_json(out, self.notes, self.answers.iter().map(InstanceJson::from))
     }
 
     fn counters(&self, out: &mut dyn Write) -> io::Result<()> {
--- a/crates/goosectl/src/output/mod.rs
+++ b/crates/goosectl/src/output/mod.rs
@@ -22,3 +22,18 @@
 pub(crate) fn notes(out: &mut dyn Write, notes: &[String]) -> io::Result<()> {
     notes.iter().try_for_each(|note| writeln!(out, "note: {note}"))
 }
+
+#[derive(Serialize)]
+struct InstancesJson<'a, T> {
+    notes: &'a [String],
+    instances: Vec<T>,
+}
+
+/// Writes notes and a list of instances as one JSON document.
+pub(crate) fn instances_json<T: Serialize>(
+    out: &mut dyn Write,
+    notes: &[String],
+    instances: impl IntoIterator<Item = T>,
+) -> io::Result<()> {
+    json(out, &InstancesJson { notes, instances: instances.into_iter().collect() })
+}
