--- a/crates/wire/src/peers/translate.rs
+++ b/crates/wire/src/peers/translate.rs
@@ -45,29 +45,28 @@
 }
 
 pub(super) fn routes_delta_body(delta: &RoutesDelta) -> RoutesDeltaBody {
-    let endpoint = |endpoint: &SocketAddrV4| (endpoint.ip().to_bits(), endpoint.port());
     RoutesDeltaBody {
         from_version: delta.from_version,
         from_digest: delta.from_digest,
         changed: delta.changed.iter().map(route_body).collect(),
-        removed: delta.removed.iter().map(endpoint).collect(),
+        removed: delta.removed.iter().copied().map(endpoint_body).collect(),
     }
 }
 
 pub(super) fn routes_delta_of(body: RoutesDeltaBody) -> RoutesDelta {
-    let endpoint = |(address, port)| SocketAddrV4::new(Ipv4Addr::from_bits(address), port);
     RoutesDelta {
         from_version: body.from_version,
         from_digest: body.from_digest,
         changed: body.changed.into_iter().map(route_of).collect(),
-        removed: body.removed.into_iter().map(endpoint).collect(),
+        removed: body.removed.into_iter().map(endpoint_of).collect(),
     }
 }
 
 pub(super) fn route_body(route: &Route) -> RouteBody {
+    let (address, port) = endpoint_body(route.endpoint);
     RouteBody {
-        address: route.endpoint.ip().to_bits(),
-        port: route.endpoint.port(),
+        address,
+        port,
         shares: route.shares.iter().map(|share| (share.service.0, share.weight)).collect(),
         slo_ms: route.slo_ms,
         repeatable: route.repeatable,
@@ -80,7 +79,7 @@
 pub(super) fn route_of(body: RouteBody) -> Route {
     let share = |(service, weight): (u32, u32)| Share { service: ServiceStamp(service), weight };
     Route {
-        endpoint: SocketAddrV4::new(Ipv4Addr::from_bits(body.address), body.port),
+        endpoint: endpoint_of((body.address, body.port)),
         shares: body.shares.into_iter().map(share).collect(),
         slo_ms: body.slo_ms,
         repeatable: body.repeatable,
@@ -138,11 +137,9 @@
 }
 
 pub(super) fn history_body(history: &HistoryContents) -> HistoryBody {
-    let former = |former: &FormerService| FormerBody {
-        address: former.endpoint.ip().to_bits(),
-        port: former.endpoint.port(),
-        service: former.service.0,
-        left_ms: former.left_ms,
+    let former = |former: &FormerService| {
+        let (address, port) = endpoint_body(former.endpoint);
+        FormerBody { address, port, service: former.service.0, left_ms: former.left_ms }
     };
     HistoryBody {
         summary: history_summary_body(history.summary),
@@ -152,7 +149,7 @@
 
 pub(super) fn history_of(routes_version: u64, body: HistoryBody) -> HistoryContents {
     let former = |body: FormerBody| FormerService {
-        endpoint: SocketAddrV4::new(Ipv4Addr::from_bits(body.address), body.port),
+        endpoint: endpoint_of((body.address, body.port)),
         service: ServiceStamp(body.service),
         left_ms: body.left_ms,
     };
@@ -177,3 +174,11 @@
     let limit = service.cold_openings_per_ks;
     (limit > 0).then_some((service.stamp.0, limit))
 }
+
+fn endpoint_body(endpoint: SocketAddrV4) -> (u32, u16) {
+    (endpoint.ip().to_bits(), endpoint.port())
+}
+
+fn endpoint_of((address, port): (u32, u16)) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from_bits(address), port)
+}
