Show flows that are not found by their acknowledgements: tests that fail

What callers see: a download stops for seconds, and breaks.

Callers of the fuzzed worlds sent data only, so none of them could see it.

--- a/crates/fuzzing/src/command.rs
+++ b/crates/fuzzing/src/command.rs
@@ -22,7 +22,8 @@
   --trace FILE   where a failing episode is written, fuzz-trace.json unless given
   --failures N   go on until N episodes have broken a promise, 1 unless given
   --direct N     play N minutes of the direct-return path instead, each from a seed of its own
-  --world NAME   the world of these: small (unless given), moving, crowded, crowded-moving or large
+  --world NAME   the world of these: small (unless given), moving, crowded, crowded-moving,
+                 large or long-answers
   --mutants      take out one safeguard after the other and print what catches it
 ";
 
@@ -94,6 +95,7 @@
         "crowded" => Size::CROWDED,
         "crowded-moving" => Size::CROWDED_MOVING,
         "large" => Size::LARGE,
+        "long-answers" => Size::LONG_ANSWERS,
         other => anyhow::bail!("there is no world {other}"),
     })
 }
--- a/crates/fuzzing/src/direct/caller.rs
+++ b/crates/fuzzing/src/direct/caller.rs
@@ -15,6 +15,9 @@
 const REPEAT_MAX_MS: u64 = 1_600;
 /// A request is given up after this time.
 const REQUEST_MS: u64 = 4_000;
+/// An answer of which no further part comes is given up after this time: the platform's bound on packets
+/// that do not reach their flow's upstream.
+const PART_MS: u64 = 2_000;
 /// Bytes of a request.
 const DATA_BYTES: u16 = 100;
 
@@ -25,6 +28,8 @@
     Opening { since_ms: u64, copies: u32 },
     /// It waits for an answer.
     Asking { since_ms: u64, pause_ms: u64 },
+    /// It has a part of its answer, and acknowledges each further one.
+    Taking { since_ms: u64 },
     /// It has an answer, and pauses.
     Resting,
     /// It ends the flow, and waits for the upstream's word.
@@ -45,13 +50,22 @@
     /// When the flow was opened.
     pub(super) opened_ms: u64,
     sequence: u32,
+    /// Bytes of answers in parts that it has taken on this flow.
+    taken_bytes: u32,
 }
 
 impl Caller {
     /// A caller that opens a flow now.
     pub(super) fn open(flow: FlowKey, now_ms: u64) -> Self {
-        let state = State::Opening { since_ms: now_ms, copies: 0 };
-        Self { flow, state, holder: None, due_ms: now_ms, opened_ms: now_ms, sequence: 1 }
+        Self {
+            flow,
+            state: State::Opening { since_ms: now_ms, copies: 0 },
+            holder: None,
+            due_ms: now_ms,
+            opened_ms: now_ms,
+            sequence: 1,
+            taken_bytes: 0,
+        }
     }
 
     /// What the caller sends now that its time has come.
@@ -68,6 +82,12 @@
                 self.state = State::Ending { since_ms, pause_ms };
                 Some(self.last_packet())
             }
+            State::Taking { since_ms } => {
+                if now_ms - since_ms >= PART_MS {
+                    self.state = State::Ended;
+                }
+                None
+            }
             State::Resting => {
                 self.sequence += u32::from(DATA_BYTES);
                 Some(self.ask(now_ms))
@@ -87,7 +107,7 @@
 
     /// Takes an answer to its data, and rests for a while.
     pub(super) fn on_answer(&mut self, now_ms: u64, rest_ms: u64) -> bool {
-        if !matches!(self.state, State::Asking { .. }) {
+        if !matches!(self.state, State::Asking { .. } | State::Taking { .. }) {
             return false;
         }
         self.state = State::Resting;
@@ -95,6 +115,19 @@
         true
     }
 
+    /// Takes a part of an answer that ends with this byte, and acknowledges all that it has.
+    pub(super) fn on_part(&mut self, now_ms: u64, end_bytes: u32) -> Option<Packet> {
+        if !matches!(self.state, State::Asking { .. } | State::Taking { .. } | State::Resting) {
+            return None;
+        }
+        if end_bytes > self.taken_bytes && self.state != State::Resting {
+            self.taken_bytes = end_bytes;
+            self.state = State::Taking { since_ms: now_ms };
+            self.due_ms = now_ms + PART_MS;
+        }
+        Some(self.packet(SegmentKind::Later, self.sequence + u32::from(DATA_BYTES), 0))
+    }
+
     /// Ends a flow that rests.
     pub(super) fn end(&mut self, now_ms: u64) -> Packet {
         self.state = State::Ending { since_ms: now_ms, pause_ms: REPEAT_MS };
@@ -141,7 +174,8 @@
     fn packet(&self, kind: SegmentKind, sequence: u32, data_bytes: u16) -> Packet {
         let last = false;
         let acknowledged_boot = self.holder.map_or(0, |(_, boot)| boot);
-        let acknowledged = upstream::number_of(acknowledged_boot).wrapping_add(1);
+        let first = upstream::number_of(acknowledged_boot).wrapping_add(1);
+        let acknowledged = first.wrapping_add(self.taken_bytes);
         let segment = Segment { flow: self.flow, kind, sequence, acknowledged, data_bytes, last };
         Packet { segment, acknowledged_boot }
     }
--- a/crates/fuzzing/src/direct/plan.rs
+++ b/crates/fuzzing/src/direct/plan.rs
@@ -21,6 +21,8 @@
     CrashUpstream(usize),
     /// An upstream leaves as planned; its address goes to the other service.
     DrainUpstream(usize),
+    /// A third of a service's upstreams leave at once, as planned.
+    ScaleIn(usize),
     /// An availability zone takes no new flows for some time.
     CloseZone(usize),
     /// A route gets other services, or other shares of them.
@@ -47,6 +49,16 @@
     moves.then(|| Change::MoveRoute(rng.random_range(0..SERVICES_COUNT)))
 }
 
+/// Draws the next change of a world in which all is planned.
+pub(super) fn draw_planned(rng: &mut impl Rng, upstreams: usize) -> Change {
+    match rng.random_range(0..10) {
+        0..=5 => Change::Reshuffle,
+        6..=7 => Change::DrainUpstream(rng.random_range(0..upstreams)),
+        8 => Change::ScaleIn(rng.random_range(0..SERVICES_COUNT)),
+        _ => Change::CloseZone(rng.random_range(0..ZONES)),
+    }
+}
+
 /// Draws the next change of a rough world.
 pub(super) fn draw_rough(rng: &mut impl Rng, balancers: usize, upstreams: usize) -> Change {
     let upstream = rng.random_range(0..upstreams);
--- a/crates/fuzzing/src/direct/upstream.rs
+++ b/crates/fuzzing/src/direct/upstream.rs
@@ -28,6 +28,54 @@
     Return,
 }
 
+/// Data bytes of a part of a long answer.
+pub(super) const PART_BYTES: u16 = 1_200;
+/// Parts of a long answer; each goes out when the one before it is acknowledged.
+const PARTS: u32 = 6;
+/// First and longest pause before a part is sent again.
+const RESEND_MS: u64 = 200;
+const RESEND_MAX_MS: u64 = 1_600;
+/// How often a part is sent again.
+const RESENDS_MAX: u32 = 8;
+
+/// A long answer under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct LongAnswer {
+    /// Bytes of the flow up to the end of the part that is not acknowledged yet.
+    pub(super) end_bytes: u32,
+    parts_left: u32,
+    resends: u32,
+}
+
+impl LongAnswer {
+    /// The first part of an answer on a flow on which so much was sent before.
+    pub(super) fn after(sent_bytes: u32) -> Self {
+        Self { end_bytes: sent_bytes + u32::from(PART_BYTES), parts_left: PARTS - 1, resends: 0 }
+    }
+
+    /// The part after this one, if there is one.
+    pub(super) fn next(self) -> Option<Self> {
+        let parts_left = self.parts_left.checked_sub(1)?;
+        let end_bytes = self.end_bytes + u32::from(PART_BYTES);
+        Some(Self { end_bytes, parts_left, resends: 0 })
+    }
+
+    /// Whether the answer ends with this part.
+    pub(super) fn is_last(self) -> bool {
+        self.parts_left == 0
+    }
+
+    /// The same part once more, unless the upstream has given up, and the pause before that.
+    pub(super) fn resent(self) -> Option<Self> {
+        (self.resends < RESENDS_MAX).then_some(Self { resends: self.resends + 1, ..self })
+    }
+
+    /// Pause before the part is sent again.
+    pub(super) fn pause_ms(self) -> u64 {
+        (RESEND_MS << self.resends).min(RESEND_MAX_MS)
+    }
+}
+
 /// One address with whatever runs there.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Upstream {
@@ -45,6 +93,9 @@
     pub(super) opened_ms: Vec<u64>,
     /// Flows, and whether they are open.
     flows: BTreeMap<FlowKey, bool>,
+    /// Long answers under way, and bytes sent on flows that had one.
+    answers: BTreeMap<FlowKey, LongAnswer>,
+    sent_bytes: BTreeMap<FlowKey, u32>,
 }
 
 impl Upstream {
@@ -57,6 +108,36 @@
     pub(super) fn end(&mut self) {
         self.boot = 0;
         self.flows.clear();
+        self.answers.clear();
+        self.sent_bytes.clear();
+    }
+
+    /// Begins a long answer, unless one is under way.
+    pub(super) fn begin_answer(&mut self, flow: FlowKey) -> Option<LongAnswer> {
+        if self.answers.contains_key(&flow) {
+            return None;
+        }
+        let sent_bytes = self.sent_bytes.get(&flow).copied().unwrap_or(0);
+        let answer = LongAnswer::after(sent_bytes);
+        self.answers.insert(flow, answer);
+        Some(answer)
+    }
+
+    /// Takes an acknowledgement of so many bytes; returns the next part, if one may go out now.
+    pub(super) fn acknowledge(&mut self, flow: FlowKey, bytes: u32) -> Option<LongAnswer> {
+        let answer = *self.answers.get(&flow).filter(|answer| answer.end_bytes == bytes)?;
+        self.sent_bytes.insert(flow, bytes);
+        self.answers.remove(&flow);
+        let next = answer.next()?;
+        self.answers.insert(flow, next);
+        Some(next)
+    }
+
+    /// The part that is to be sent again, if it is still the one under way.
+    pub(super) fn resend(&mut self, flow: FlowKey, sent: LongAnswer) -> Option<LongAnswer> {
+        let answer = self.answers.get_mut(&flow).filter(|answer| **answer == sent)?;
+        *answer = answer.resent()?;
+        Some(*answer)
     }
 
     /// Whether it holds an open flow since the life `boot`.
--- a/crates/fuzzing/src/direct/world/changes.rs
+++ b/crates/fuzzing/src/direct/world/changes.rs
@@ -15,6 +15,14 @@
 use crate::direct::upstream::Upstream;
 use crate::direct::{Change, Mutant, plan};
 
+/// Time until the address of an upstream that has left is used again.
+const REUSE_MS: u64 = 2_000;
+/// The same where nothing waits for the instance: longer than its entry lingers.
+const LATE_REUSE_MS: u64 = 7_000;
+
+/// Of so many upstreams of a service that is scaled in, one leaves.
+const SCALED_IN: usize = 3;
+
 impl World {
     pub(super) fn tick(&mut self) {
         self.at(TICK_MS, Event::Tick);
@@ -75,16 +83,18 @@
         // Now and then the world is left alone, so that what must calm down can be judged.
         let pause_ms = if self.rng.random_bool(0.05) { 2 * CALM_MS } else { 0 };
         self.at(delay_ms + pause_ms, Event::Change);
-        let Size { balancers, upstreams, rough, moving, .. } = self.size;
+        let Size { balancers, upstreams, rough, moving, long_answers, .. } = self.size;
         let moved = if moving { plan::draw_move(&mut self.rng) } else { None };
-        let change = moved.unwrap_or_else(|| match rough {
-            true => plan::draw_rough(&mut self.rng, balancers, upstreams),
-            false => plan::draw(&mut self.rng, balancers, upstreams),
+        let change = moved.unwrap_or_else(|| match (long_answers, rough) {
+            (true, _) => plan::draw_planned(&mut self.rng, upstreams),
+            (false, true) => plan::draw_rough(&mut self.rng, balancers, upstreams),
+            (false, false) => plan::draw(&mut self.rng, balancers, upstreams),
         });
         let planned = matches!(
             change,
             Change::Reshuffle
                 | Change::DrainUpstream(_)
+                | Change::ScaleIn(_)
                 | Change::CloseZone(_)
                 | Change::MoveRoute(_)
         );
@@ -121,6 +131,7 @@
                 }
             }
             Change::DrainUpstream(upstream) => self.drain(upstream),
+            Change::ScaleIn(service) => self.scale_in(service),
             Change::Lapse => self.lapse(),
             Change::LoseAllMemory => {
                 (0..self.size.balancers).for_each(|balancer| self.restart_balancer(balancer));
@@ -244,6 +255,14 @@
         self.listed[upstream] = Some(self.entry(upstream));
     }
 
+    fn scale_in(&mut self, service: usize) {
+        let first = self.rng.random_range(0..SCALED_IN);
+        let leaving = (first..self.size.upstreams).step_by(SCALED_IN);
+        let leaving: Vec<usize> =
+            leaving.filter(|upstream| self.upstreams[*upstream].service == service).collect();
+        leaving.into_iter().for_each(|upstream| self.drain(upstream));
+    }
+
     /// At least two upstreams of a service stay, as operators keep it.
     fn drain(&mut self, upstream: usize) {
         let service = self.upstreams[upstream].service;
@@ -263,7 +282,7 @@
         self.at(delay_ms, Event::EndUpstream(upstream));
     }
 
-    /// The address goes to the other service after two seconds, with an agent of its own.
+    /// The address goes to the other service after some seconds, with an agent of its own.
     pub(super) fn end_upstream(&mut self, upstream: usize) {
         if !self.upstreams[upstream].is_empty() && self.rng.random_bool(0.5) {
             self.at(500, Event::EndUpstream(upstream));
@@ -276,8 +295,9 @@
         let service = 1 - self.upstreams[upstream].service;
         self.upstreams[upstream].service = service;
         self.upstreams[upstream].leaving_ms = None;
-        self.at(2_000, Event::StartAgent(upstream));
-        self.at(2_001, Event::StartUpstream(upstream));
+        let reused_ms = if self.size.long_answers { LATE_REUSE_MS } else { REUSE_MS };
+        self.at(reused_ms, Event::StartAgent(upstream));
+        self.at(reused_ms + 1, Event::StartUpstream(upstream));
     }
 
     /// Entries of upstreams that live go, and come back within two seconds. Balancers notice the
--- a/crates/fuzzing/src/direct/world/layout.rs
+++ b/crates/fuzzing/src/direct/world/layout.rs
@@ -17,6 +17,9 @@
     pub(super) rough: bool,
     /// Whether routes change their services.
     pub(super) moving: bool,
+    /// Whether all change is planned, and answers come in parts that callers acknowledge: an upstream that
+    /// has left is replaced long after, so that many of those that are asked have just gone.
+    pub(super) long_answers: bool,
 }
 
 impl Size {
@@ -28,6 +31,7 @@
         callers: 24,
         rough: false,
         moving: false,
+        long_answers: false,
     };
     /// As small, with routes that change their services.
     pub const MOVING: Self = Self { moving: true, ..Self::SMALL };
@@ -43,6 +47,17 @@
         callers: 200,
         rough: true,
         moving: false,
+        long_answers: false,
+    };
+    /// A whole service in planned change, with answers in parts.
+    pub const LONG_ANSWERS: Self = Self {
+        balancers: 6,
+        upstreams: 48,
+        second_from: 36,
+        callers: 200,
+        rough: false,
+        moving: false,
+        long_answers: true,
     };
 }
 
--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -25,7 +25,7 @@
 pub(super) use layout::{SERVICES_COUNT, ZONES};
 
 use super::caller::{Caller, State};
-use super::upstream::Upstream;
+use super::upstream::{LongAnswer, Upstream};
 use super::{Mutant, Outcome, Violation};
 
 /// Time after which an agent that was away is heard by everybody again: what a balancer knows of
@@ -87,9 +87,11 @@
     Said { balancer: usize, upstream: usize, verdict: Verdict, packet: Packet },
     Accepted { caller: usize, flow: FlowKey, upstream: usize, boot: u64 },
     Answered { caller: usize, flow: FlowKey },
+    Part { caller: usize, flow: FlowKey, part: LongAnswer },
+    Resend { upstream: usize, boot: u64, flow: FlowKey, part: LongAnswer },
     ResetCaller { caller: usize, flow: FlowKey },
     Closed { caller: usize, flow: FlowKey },
-    Speaks { upstream: usize, boot: u64, packet: Packet, opening: bool },
+    Speaks { upstream: usize, boot: u64, packet: Packet },
     LapseEntry { upstream: usize, boot: u64 },
     Tick,
     Change,
@@ -300,14 +302,10 @@
                     self.send(caller, packet);
                 }
             }
-            Event::Answered { caller, flow } => {
-                let rest_ms = self.rng.random_range(50..1_500);
-                let now_ms = self.now_ms;
-                let current = &mut self.callers[caller];
-                if current.flow == flow && current.on_answer(now_ms, rest_ms) {
-                    self.outcome.answered += 1;
-                    self.at(rest_ms, Event::Caller(caller));
-                }
+            Event::Answered { caller, flow } => self.on_answered(caller, flow),
+            Event::Part { caller, flow, part } => self.on_part(caller, flow, part),
+            Event::Resend { upstream, boot, flow, part } => {
+                self.resend(upstream, boot, flow, part);
             }
             Event::ResetCaller { caller, flow } => {
                 if self.callers[caller].flow == flow {
@@ -320,9 +318,9 @@
                     self.reopen(caller);
                 }
             }
-            Event::Speaks { upstream, boot, packet, opening } => {
+            Event::Speaks { upstream, boot, packet } => {
                 if self.upstreams[upstream].boot == boot {
-                    self.answer(upstream, packet, opening);
+                    self.answer_data(upstream, packet);
                 }
             }
             Event::LapseEntry { upstream, boot } => self.lapse_entry(upstream, boot),
@@ -342,6 +340,28 @@
         }
     }
 
+    fn on_answered(&mut self, caller: usize, flow: FlowKey) {
+        let rest_ms = self.rng.random_range(50..1_500);
+        let now_ms = self.now_ms;
+        let current = &mut self.callers[caller];
+        if current.flow == flow && current.on_answer(now_ms, rest_ms) {
+            self.outcome.answered += 1;
+            self.at(rest_ms, Event::Caller(caller));
+        }
+    }
+
+    /// The acknowledgement goes out before the caller rests, so that the upstream hears of the last part.
+    fn on_part(&mut self, caller: usize, flow: FlowKey, part: LongAnswer) {
+        if self.callers[caller].flow != flow {
+            return;
+        }
+        let packet = self.callers[caller].on_part(self.now_ms, part.end_bytes);
+        self.send(caller, packet);
+        if part.is_last() {
+            self.on_answered(caller, flow);
+        }
+    }
+
     fn caller_acts(&mut self, caller: usize) {
         if self.callers[caller].due_ms > self.now_ms {
             return;
@@ -363,7 +383,7 @@
 
     /// A request that nobody answered: its flow must not live where nothing is disturbed.
     fn judge_end(&mut self, caller: usize, before: State) {
-        if !matches!(before, State::Asking { .. } | State::Ending { .. }) {
+        if !matches!(before, State::Asking { .. } | State::Taking { .. } | State::Ending { .. }) {
             return;
         }
         let calm = self.now_ms.saturating_sub(self.disturbed_ms) >= CALM_MS;
@@ -424,7 +444,7 @@
     fn send(&mut self, caller: usize, packet: Option<Packet>) {
         let Some(packet) = packet else { return };
         let due_ms = self.callers[caller].due_ms;
-        self.at(due_ms - self.now_ms, Event::Caller(caller));
+        self.at(due_ms.saturating_sub(self.now_ms), Event::Caller(caller));
         let port = u64::from(packet.segment.flow.caller.port());
         let balancer = (port.wrapping_mul(0x9e37_79b9).wrapping_add(self.salt) >> 7) as usize;
         let delay_ms = self.hop();
--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt as _;
 use steering::edge::{Action, AgentReply, Destination, Reason, Verdict};
-use steering::flow::FlowKey;
+use steering::flow::{FlowKey, Segment};
 use steering::side::{Answer, Ask, Delivery, Report};
 
 use super::{
@@ -12,7 +12,7 @@
     Packet, SERVICES, World, address, balancer_address, balancer_number, endpoint, endpoint_number,
     region, upstream_of, zone_of,
 };
-use crate::direct::upstream::{Reaction, Upstream, number_of};
+use crate::direct::upstream::{LongAnswer, PART_BYTES, Reaction, Upstream, number_of};
 use crate::direct::{Mutant, Violation};
 
 impl World {
@@ -179,7 +179,8 @@
         let is_new = !self.upstreams[upstream].knows(flow);
         let reaction = self.upstreams[upstream].take(&packet);
         match reaction {
-            Reaction::Nothing | Reaction::Take => {}
+            Reaction::Nothing => {}
+            Reaction::Take => self.acknowledge(upstream, packet),
             Reaction::Return => {
                 if let Some(side) = &mut self.agents[upstream] {
                     side.on_returned(self.now_ms, flow);
@@ -204,10 +205,62 @@
     fn work(&mut self, upstream: usize, packet: Packet) {
         let Upstream { boot, slow_until_ms, .. } = self.upstreams[upstream];
         if slow_until_ms <= self.now_ms {
-            return self.answer(upstream, packet, false);
+            return self.answer_data(upstream, packet);
         }
         let work_ms = self.rng.random_range(500..2_500);
-        self.at(work_ms, Event::Speaks { upstream, boot, packet, opening: false });
+        self.at(work_ms, Event::Speaks { upstream, boot, packet });
+    }
+
+    pub(super) fn answer_data(&mut self, upstream: usize, packet: Packet) {
+        if !self.size.long_answers {
+            return self.answer(upstream, packet, false);
+        }
+        let flow = packet.segment.flow;
+        self.acknowledge(upstream, packet);
+        if let Some(part) = self.upstreams[upstream].begin_answer(flow) {
+            self.send_part(upstream, flow, part);
+        }
+    }
+
+    /// The upstream takes an acknowledgement, and sends what may follow.
+    fn acknowledge(&mut self, upstream: usize, packet: Packet) {
+        let Packet { segment, acknowledged_boot } = packet;
+        let target = &mut self.upstreams[upstream];
+        if acknowledged_boot != target.boot {
+            return;
+        }
+        let bytes = segment.acknowledged.wrapping_sub(number_of(target.boot).wrapping_add(1));
+        if let Some(part) = target.acknowledge(segment.flow, bytes) {
+            self.send_part(upstream, segment.flow, part);
+        }
+    }
+
+    pub(super) fn resend(&mut self, upstream: usize, boot: u64, flow: FlowKey, part: LongAnswer) {
+        if self.upstreams[upstream].boot != boot {
+            return;
+        }
+        if let Some(part) = self.upstreams[upstream].resend(flow, part) {
+            self.send_part(upstream, flow, part);
+        }
+    }
+
+    /// A part goes to the caller through the agent, and again if it is not acknowledged.
+    fn send_part(&mut self, upstream: usize, flow: FlowKey, part: LongAnswer) {
+        let boot = self.upstreams[upstream].boot;
+        self.at(part.pause_ms(), Event::Resend { upstream, boot, flow, part });
+        let begins = part.end_bytes - u32::from(PART_BYTES);
+        let sequence = number_of(boot).wrapping_add(1 + begins);
+        let answer = Answer { flow, data_bytes: PART_BYTES, last: false, sequence, opening: false };
+        let Some(side) = &mut self.agents[upstream] else { return };
+        if let Some(report) = side.on_answer(self.now_ms, answer).report {
+            let segment = Segment { flow, ..BLANK.segment };
+            self.report(upstream, &report, Packet { segment, ..BLANK });
+        }
+        let caller = self.callers.iter().position(|caller| caller.flow == flow);
+        if let Some(caller) = caller.filter(|_| !self.is_cut(upstream)) {
+            let delay_ms = self.hop();
+            self.at(delay_ms, Event::Part { caller, flow, part });
+        }
     }
 
     fn close(&mut self, upstream: usize, packet: Packet) {
--- a/crates/fuzzing/tests/direct.rs
+++ b/crates/fuzzing/tests/direct.rs
@@ -94,3 +94,14 @@
 fn cold_upstream_is_held_to_its_limit_by_its_agent(#[case] size: Size, #[case] seed: u64) {
     unbroken(size, seed);
 }
+
+/// A third of a service leaves, and callers in the middle of a long answer send bare acknowledgements only.
+#[rstest]
+#[case::first(16)]
+#[case::second(43)]
+#[case::third(53)]
+#[case::fourth(77)]
+#[case::fifth(85)]
+fn acknowledgements_reach_their_upstream(#[case] seed: u64) {
+    unbroken(Size::LONG_ANSWERS, seed);
+}
--- /dev/null
+++ b/crates/steering/tests/edge_long_answers.rs
@@ -0,0 +1,131 @@
+//! Flows in the middle of a long answer: their callers send bare acknowledgements only, which nobody
+//! answers, and a balancer that never saw the flow has to find its upstream by these.
+
+mod common;
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use common::{SERVICE, packet, target, tick, upstream, verdict};
+use rstest::rstest;
+use steering::edge::{Edge, Trust, Verdict};
+use steering::flow::{FlowKey, Millis, Segment, SegmentKind};
+use steering::rank;
+use steering::view::{Route, RouteTable, Share, Standing, View};
+
+/// Time from a balancer to an agent and back.
+const ROUND_TRIP_MS: Millis = 2;
+/// Until when the holder must have got a packet, so that callers see no broken flow.
+const FOUND_WITHIN_MS: Millis = 2_000;
+/// When an upstream that gets no acknowledgements repeats its answer, and its caller acknowledges it.
+const REPEATED_MS: [Millis; 4] = [200, 600, 1_400, 3_000];
+/// Acknowledgements of the first packets of an answer, one for every two.
+const ACKNOWLEDGED_AT_ONCE: usize = 8;
+const GONE: Standing = Standing::Missing { since_ms: 0, drained: true };
+
+fn acknowledgement(flow: FlowKey) -> Segment {
+    Segment {
+        flow,
+        kind: SegmentKind::Later,
+        sequence: 101,
+        acknowledged: 20_000,
+        data_bytes: 0,
+        last: false,
+    }
+}
+
+/// Upstreams that are ready, and the share of them that has just left the fleet.
+fn view(flow: FlowKey, ready: u16, gone: u16) -> View {
+    let shares = [Share { service: SERVICE, weight: 1 }].into();
+    let route = Route {
+        endpoint: flow.endpoint,
+        shares,
+        slo_ms: 1_200,
+        wait_slos: 0,
+        urgent: false,
+        repeatable: true,
+        regions: [].into(),
+    };
+    let routes = Arc::new(RouteTable::new(1, vec![route], []));
+    let upstreams = (1..=ready + gone)
+        .map(|number| upstream(number, if number <= ready { Standing::Ready } else { GONE }));
+    View::new(routes, upstreams.collect())
+}
+
+/// Ready upstreams of a view, by rank.
+fn ready_by_rank(view: &View, flow: FlowKey) -> Vec<Ipv4Addr> {
+    let ready = view.upstreams_of(SERVICE).iter().filter(|u| u.standing == Standing::Ready);
+    let mut ranked: Vec<Ipv4Addr> = ready.map(|upstream| upstream.address).collect();
+    ranked.sort_by_key(|address| std::cmp::Reverse(rank::score(flow, *address)));
+    ranked
+}
+
+/// When the holder gets the first packet of a balancer that never saw its flow; `lost` ones do not arrive.
+fn found_ms(view: &View, flow: FlowKey, holder: Ipv4Addr, lost: usize) -> Option<Millis> {
+    let (mut edge, segment) = (Edge::default(), acknowledgement(flow));
+    let is_there = |address: Ipv4Addr| {
+        view.upstream_at(address).is_some_and(|upstream| upstream.standing == Standing::Ready)
+    };
+    let mut denials: Vec<(Millis, Ipv4Addr)> = Vec::new();
+    let mut words: Vec<(Millis, Ipv4Addr)> = Vec::new();
+    let mut sent_to_holder = 0;
+    for now_ms in 0..5_000 {
+        edge.trust(Trust { confirmed_ms: now_ms, whole_from_ms: 0 });
+        let mut actions = Vec::new();
+        for (_, from) in words.extract_if(.., |(at_ms, _)| *at_ms == now_ms) {
+            verdict(&mut edge, now_ms, view, from, Verdict::Alive, &segment);
+        }
+        for (_, from) in denials.extract_if(.., |(at_ms, _)| *at_ms == now_ms) {
+            actions.extend(verdict(&mut edge, now_ms, view, from, Verdict::Denied, &segment));
+        }
+        let count = match now_ms {
+            0 => ACKNOWLEDGED_AT_ONCE,
+            _ => usize::from(REPEATED_MS.contains(&now_ms)),
+        };
+        for _ in 0..count {
+            actions.extend(packet(&mut edge, now_ms, view, &segment));
+        }
+        if now_ms % 20 == 0 {
+            actions.extend(tick(&mut edge, now_ms, view));
+            let pinged = edge.take_pings(now_ms, view).into_iter().filter(|to| is_there(*to));
+            words.extend(pinged.map(|to| (now_ms + ROUND_TRIP_MS, to)));
+        }
+        for to in actions.iter().filter_map(target) {
+            sent_to_holder += usize::from(to == holder);
+            if sent_to_holder > lost {
+                return Some(now_ms);
+            }
+            if is_there(to) && to != holder {
+                denials.push((now_ms + ROUND_TRIP_MS, to));
+            }
+        }
+    }
+    None
+}
+
+/// A third of a service's upstreams has just left, among them the first ones that a balancer asks, when
+/// the fabric moves flows to it whose upstreams are sending: they got no acknowledgement for seconds.
+#[rstest]
+#[case::service(24, 13, 200)]
+#[case::twice_the_service(48, 26, 200)]
+#[case::fleet(543, 270, 100)]
+#[case::twice_the_fleet(1_086, 540, 50)]
+fn flow_in_a_long_answer_is_found_behind_upstreams_that_have_left(
+    #[case] ready: u16,
+    #[case] gone: u16,
+    #[case] flows: u16,
+    #[values(0, 1)] lost: usize,
+) {
+    let mut late = Vec::new();
+    for port in 1..=flows {
+        let flow = common::flow(port);
+        let view = view(flow, ready, gone);
+        for holder in ready_by_rank(&view, flow).into_iter().take(3) {
+            match found_ms(&view, flow, holder, lost) {
+                Some(at_ms) if at_ms < FOUND_WITHIN_MS => {}
+                at_ms => late.push((port, holder, at_ms)),
+            }
+        }
+    }
+    assert_eq!(late, [], "{} of {}", late.len(), 3 * flows);
+}
