Send copies to those that got none, in order, and pass over nobody

What callers see: a flow whose packets its balancer does not know is not found for seconds although copies of them go out.

Cause: each round of copies began at a place counted in a list from which those that had denied or fallen quiet were gone by then. The list had moved up, and who had moved to an earlier place was passed over, the holder among them. Evidence: copies_pass_over_nobody fails on the code before (after ranks 1 to 4 came 8, 9, 10).

Change: copies go to one that should have answered, then to those that never got a packet of the search, by rank, then to those that got theirs longest ago. Whom a search has been at is a table of its own (edge/visits.rs), which takes the place of two lists and a counter. A search that goes on by itself prefers those that got no copy either.

--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
+use super::visits::Visits;
 use crate::flow::{FlowKey, Millis, Segment};
 
 /// Most flows remembered. With 120 bytes each this is 8 MB, far above today's need.
@@ -14,10 +15,6 @@
 /// After this time without a further denial, what upstreams denied says nothing any more. Counted
 /// from the first denial of a search, it would end no search that takes longer.
 const DENIAL_MS: Millis = 1_000;
-/// First and longest pause before an upstream that has not answered is asked once more by a search that
-/// has gone on: it denies or returns within a few milliseconds, and packets get lost.
-const ASK_AGAIN_MS: Millis = 100;
-const ASK_AGAIN_MAX_MS: Millis = 800;
 /// A packet with the same data that comes again after this time is taken as repeated because
 /// nobody answered; the callers' first pause is 200 ms.
 const REPEAT_MS: Millis = 150;
@@ -46,15 +43,12 @@
     pub(super) repeats: u32,
     /// Upstreams that have answered the opening, with their numbers.
     answers: Vec<(Ipv4Addr, u32)>,
-    /// Upstreams that were asked, by address.
-    asked: Vec<Asked>,
+    /// Upstreams at which it was looked for.
+    pub(super) visits: Visits,
     /// Since when packets go to the present target.
     asked_ms: Option<Millis>,
     /// Where the opening went first, and when, until there is a word from there.
     awaited: Option<(Ipv4Addr, Millis)>,
-    /// Upstreams that got a copy and have not denied the flow since, in order.
-    copied: Vec<Ipv4Addr>,
-    round: usize,
     /// Whether these are denials of the opening.
     opening_denied: bool,
     /// When the last of them said so.
@@ -63,15 +57,6 @@
     last_data: Option<(u32, Millis)>,
 }
 
-/// An upstream that was asked.
-#[derive(Clone, Copy, Debug)]
-struct Asked {
-    address: Ipv4Addr,
-    /// When it may be asked once more, if it has not answered.
-    again_ms: Millis,
-    pause_ms: Millis,
-}
-
 impl Entry {
     /// Begins anew for another opening of the same flow.
     pub(super) fn restart(&mut self, sequence: u32) {
@@ -85,33 +70,7 @@
             self.confirmed = false;
             self.asked_ms = Some(now_ms);
         }
-        self.note_asked(now_ms, address);
-    }
-
-    /// Notes that the upstream at `address` is asked beside the one that the packet goes to.
-    pub(super) fn ask_beside(&mut self, now_ms: Millis, address: Ipv4Addr) {
-        self.note_asked(now_ms, address);
-        self.note_copy(address);
-    }
-
-    fn note_asked(&mut self, now_ms: Millis, address: Ipv4Addr) {
-        match self.asked.binary_search_by_key(&address, |asked| asked.address) {
-            Ok(index) => {
-                let asked = &mut self.asked[index];
-                asked.pause_ms = (2 * asked.pause_ms).min(ASK_AGAIN_MAX_MS);
-                asked.again_ms = now_ms + asked.pause_ms;
-            }
-            Err(index) => {
-                let (again_ms, pause_ms) = (now_ms + ASK_AGAIN_MS, ASK_AGAIN_MS);
-                self.asked.insert(index, Asked { address, again_ms, pause_ms });
-            }
-        }
-    }
-
-    /// Whether the upstream at `address` was asked, and has had its time to answer.
-    pub(super) fn is_overdue(&self, now_ms: Millis, address: Ipv4Addr) -> bool {
-        let index = self.asked.binary_search_by_key(&address, |asked| asked.address);
-        index.is_ok_and(|index| self.asked[index].again_ms <= now_ms)
+        self.visits.ask(now_ms, address);
     }
 
     /// Notes when the opening went out for the first time.
@@ -223,36 +182,6 @@
         self.answers.clear();
     }
 
-    /// Notes that the upstream at `address` gets a copy beside the one that is asked.
-    pub(super) fn note_copy(&mut self, address: Ipv4Addr) {
-        if let Err(index) = self.copied.binary_search(&address) {
-            self.copied.insert(index, address);
-        }
-    }
-
-    /// Whether the upstream at `address` got a copy; it counts once.
-    pub(super) fn take_copied(&mut self, address: Ipv4Addr) -> bool {
-        let index = self.copied.binary_search(&address);
-        index.map(|index| self.copied.remove(index)).is_ok()
-    }
-
-    /// Where in a list of this length the next round of copies begins.
-    pub(super) fn next_round(&mut self, length: usize, copies: usize) -> usize {
-        let start = self.round.checked_rem(length).unwrap_or(0);
-        self.round = self.round.wrapping_add(copies);
-        start
-    }
-
-    /// Number of upstreams that were asked.
-    pub(super) fn asked_count(&self) -> u64 {
-        self.asked.len() as u64
-    }
-
-    /// Whether the upstream at `address` was asked.
-    pub(super) fn has_asked(&self, address: Ipv4Addr) -> bool {
-        self.asked.binary_search_by_key(&address, |asked| asked.address).is_ok()
-    }
-
     /// Whether the upstream at `address` has denied the flow.
     pub(super) fn has_denied(&self, address: Ipv4Addr) -> bool {
         self.denials.binary_search(&address).is_ok()
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -16,6 +16,7 @@
 mod reach;
 mod search;
 mod types;
+mod visits;
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -266,7 +267,7 @@
         }
         if !entry.confirmed && entry.sequence.is_none() {
             self.tally.found += 1;
-            self.tally.asked += entry.asked_count();
+            self.tally.asked += entry.visits.asked_count();
         }
         entry.target = Some(from);
         entry.confirmed = true;
--- a/crates/steering/src/edge/placement.rs
+++ b/crates/steering/src/edge/placement.rs
@@ -38,7 +38,7 @@
     ) -> Result<Ipv4Addr, Reason> {
         let open = self.open_upstreams(service, flow, entry)?;
         let class = |upstream: &Upstream| {
-            (entry.has_asked(upstream.address), self.loads.is_suspect(self.now_ms, upstream))
+            (entry.visits.has_asked(upstream.address), self.loads.is_suspect(self.now_ms, upstream))
         };
         let mut ranked: Vec<(_, &Upstream)> =
             open.into_iter().map(|upstream| (class(upstream), upstream)).collect();
--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -81,15 +81,18 @@
         }
     }
 
+    /// Upstreams that may hold the flow: those that are quiet, and those that are heard.
+    fn open(&self, entry: &Entry) -> (Vec<&Upstream>, Vec<&Upstream>) {
+        let open = self.candidates.iter().filter(|upstream| !entry.has_denied(upstream.address));
+        open.partition(|upstream| self.reach.is_quiet(self.now_ms, upstream.address))
+    }
+
     fn next(&self, entry: &Entry) -> Step {
-        let is_open = |upstream: &&Upstream| !entry.has_denied(upstream.address);
-        let open: Vec<&Upstream> = self.candidates.iter().filter(is_open).collect();
-        let (quiet, heard): (Vec<&Upstream>, Vec<&Upstream>) =
-            open.iter().partition(|upstream| self.reach.is_quiet(self.now_ms, upstream.address));
+        let (quiet, heard) = self.open(entry);
         if let Some(next) = likeliest(&heard, entry) {
             return Step::Ask(next.address);
         }
-        let is_due = |upstream: &&&Upstream| entry.is_overdue(self.now_ms, upstream.address);
+        let is_due = |upstream: &&&Upstream| entry.visits.is_overdue(self.now_ms, upstream.address);
         if let Some(next) = heard.iter().find(is_due) {
             return Step::Ask(next.address);
         }
@@ -110,10 +113,10 @@
             may_be_copied(self.now_ms, upstream, Some(to), entry, self.reach)
         };
         let open = || self.candidates.iter().filter(is_open).map(|upstream| upstream.address);
-        let asked = entry.asked_count();
+        let asked = entry.visits.asked_count();
         let more = (asked.saturating_sub(ALONE) / 2).min(AT_ONCE_MAX - 1) as usize;
-        let next = open().filter(|address| !entry.has_asked(*address)).take(more).collect();
-        let overdue = open().find(|address| entry.is_overdue(self.now_ms, *address));
+        let next = open().filter(|address| !entry.visits.has_asked(*address)).take(more).collect();
+        let overdue = open().find(|address| entry.visits.is_overdue(self.now_ms, *address));
         (next, overdue)
     }
 
@@ -247,10 +250,10 @@
     ) {
         let (flow, behind) = (segment.flow, self.is_behind(now_ms));
         let entry = self.flows.entry(flow, now_ms);
-        let copied = entry.take_copied(from);
+        let copied = entry.visits.take_copied(from);
         entry.deny(from, now_ms);
         if let Some(target) = entry.target {
-            let follows = entry.confirmed || entry.asked_count() <= FOLLOWED;
+            let follows = entry.confirmed || entry.visits.asked_count() <= FOLLOWED;
             if follows && !copied && segment.wants_answer() {
                 self.ask_listed(now_ms, view, flow, target, actions);
             }
@@ -263,7 +266,7 @@
                 let (next, overdue) = search.beside(entry, to);
                 let overdue = overdue.filter(|_| self.budget.spend());
                 let beside: Vec<Ipv4Addr> = next.into_iter().chain(overdue).collect();
-                beside.iter().for_each(|address| entry.ask_beside(now_ms, *address));
+                beside.iter().for_each(|address| entry.visits.ask_beside(now_ms, *address));
                 [to].into_iter().chain(beside).collect()
             }
             Step::Probe(to) => {
@@ -291,7 +294,8 @@
 
     /// Sends copies of a packet that nobody answers to upstreams that did not deny the flow, but
     /// for the one that is asked: the flow's upstream may be behind an agent or a link that is
-    /// dead, or the entry may be wrong. Which of them are asked changes from time to time.
+    /// dead, or the entry may be wrong. One that should have answered comes first, since packets get lost;
+    /// then those that never got one, and those that got theirs longest ago.
     fn copy_to_others(
         &mut self,
         now_ms: Millis,
@@ -302,17 +306,25 @@
         let Some(entry) = self.flows.get(flow).filter(|_| self.policy.copies) else { return };
         let is_open =
             |upstream: &Upstream| may_be_copied(now_ms, upstream, entry.target, entry, &self.reach);
-        let others: Vec<Upstream> =
+        let mut others: Vec<Upstream> =
             candidates(view, flow, now_ms).into_iter().filter(is_open).collect();
-        let skip = entry.next_round(others.len(), FAN_OUT);
-        let budget = &mut self.budget;
-        let copies = (0..FAN_OUT.min(others.len())).take_while(|_| budget.spend()).count();
-        for Upstream { address, service, .. } in others.iter().cycle().skip(skip).take(copies) {
-            entry.note_copy(*address);
-            let to = Destination::of(now_ms, view, flow, *address, *service);
+        let overdue = others
+            .iter()
+            .find(|upstream| entry.visits.is_overdue(now_ms, upstream.address))
+            .map(|upstream| upstream.address);
+        others.sort_by_key(|Upstream { address, .. }| {
+            (Some(*address) != overdue, entry.visits.last_ms(*address))
+        });
+        others.truncate(FAN_OUT);
+        for Upstream { address, service, .. } in others {
+            if !self.budget.spend() {
+                break;
+            }
+            entry.visits.copy(now_ms, address);
+            let to = Destination::of(now_ms, view, flow, address, service);
             actions.push(Action::Forward { to, ask: true, reason: Reason::Asked });
+            self.tally.copies += 1;
         }
-        self.tally.copies += copies as u64;
     }
 
     fn give_up(&mut self, now_ms: Millis, view: &View, flow: FlowKey, actions: &mut Vec<Action>) {
@@ -344,11 +356,12 @@
 }
 
 /// The upstream to ask next. If the flow's opening went through here, it lives at one of those that
-/// got a copy; otherwise those that were asked have not answered, and others come first. Of those that
-/// were asked there is none while they have time to answer.
+/// got a copy; otherwise those that were asked have not answered, and others come first, before all
+/// those that got nothing yet. Of those that were asked there is none while they have time to answer.
 fn likeliest<'a>(open: &[&'a Upstream], entry: &Entry) -> Option<&'a Upstream> {
     let opened_here = entry.sequence.is_some();
-    let likely = |upstream: &&&Upstream| entry.has_asked(upstream.address) == opened_here;
-    let unasked = |upstream: &&&Upstream| !entry.has_asked(upstream.address);
-    open.iter().find(likely).or(open.iter().find(unasked)).copied()
+    let asked = |upstream: &&&Upstream| entry.visits.has_asked(upstream.address);
+    let untried = |upstream: &&&Upstream| entry.visits.last_ms(upstream.address).is_none();
+    let likely = if opened_here { open.iter().find(asked) } else { open.iter().find(untried) };
+    likely.or(open.iter().find(|upstream| !asked(upstream))).copied()
 }
--- a/crates/steering/tests/edge_search.rs
+++ b/crates/steering/tests/edge_search.rs
@@ -278,3 +278,25 @@
     let actions = packet(&mut edge, 100, &shorter, &data(1, 5));
     assert!(actions.iter().filter_map(target).all(|to| to != dead), "{actions:?}");
 }
+
+/// Copies of a repeated packet began further down a list from which those that had denied were gone, and
+/// passed over the holder again and again.
+#[test]
+fn copies_pass_over_nobody() {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY; 24]));
+    let bare = Segment { data_bytes: 0, ..data(1, 105) };
+    let first = target(&packet(&mut edge, 0, &view, &bare)[0]).unwrap();
+    let mut reached = vec![first];
+    for now_ms in [200, 600, 1_000, 1_400] {
+        for to in packet(&mut edge, now_ms, &view, &bare).iter().filter_map(target) {
+            if to != first {
+                verdict(&mut edge, now_ms + 2, &view, to, Verdict::Denied, &bare);
+                reached.push(to);
+            }
+        }
+    }
+    let order = search(&mut Edge::default(), &view, &bare, &[], 100);
+    let order: Vec<Ipv4Addr> = order.into_iter().map(|(_, to)| to).collect();
+    assert_eq!(reached, order[..reached.len()], "by rank, each once");
+    assert_eq!(reached.len(), 13);
+}
