Hand a caller's packet to the last upstream that may hold its flow at once

What callers see: packets of an open flow are dropped, for up to 0.8 s at a time, where its upstream is at work beside an agent that does not know it.

Cause: a search that has asked everybody waits before it asks the last one again, so that its own questions do not pile up. The same answer, wait, was applied to what the caller itself sends. Evidence: packet_of_a_caller_goes_to_the_last_candidate finds no packet on the code before. Change: a caller's own packet goes to whoever may hold the flow and got nothing for the longest time.

--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -81,6 +81,17 @@
         }
     }
 
+    /// The same for a packet of the caller's own: where one that may hold the flow is heard, the packet
+    /// goes there although it was asked a moment ago.
+    fn step_of_caller(&self, entry: &Entry, step: Step) -> Step {
+        if step != Step::Wait {
+            return step;
+        }
+        let (_, heard) = self.open(entry);
+        let last_ms = |upstream: &&&Upstream| entry.visits.last_ms(upstream.address);
+        heard.iter().min_by_key(last_ms).map_or(step, |upstream| Step::Ask(upstream.address))
+    }
+
     /// Upstreams that may hold the flow: those that are quiet, and those that are heard.
     fn open(&self, entry: &Entry) -> (Vec<&Upstream>, Vec<&Upstream>) {
         let open = self.candidates.iter().filter(|upstream| !entry.has_denied(upstream.address));
@@ -155,7 +166,8 @@
                 let search = Search::new(now_ms, view, flow, &self.reach, behind);
                 // No copies may be sent: the caller's own repetitions look for the flow instead.
                 let copies_fail = !entry.confirmed && self.budget.is_spent();
-                if copies_fail { search.next(entry) } else { search.step(entry) }
+                let step = if copies_fail { search.next(entry) } else { search.step(entry) };
+                search.step_of_caller(entry, step)
             }
         };
         entry.doubt_if_mute();
--- a/crates/steering/tests/edge_search.rs
+++ b/crates/steering/tests/edge_search.rs
@@ -300,3 +300,16 @@
     assert_eq!(reached, order[..reached.len()], "by rank, each once");
     assert_eq!(reached.len(), 13);
 }
+
+/// All others have denied the flow, and its upstream was asked a moment ago: what its caller sent next was
+/// dropped.
+#[test]
+fn packet_of_a_caller_goes_to_the_last_candidate() {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY; 3]));
+    let holder = target(&packet(&mut Edge::default(), 0, &view, &data(1, 5))[0]).unwrap();
+    search(&mut edge, &view, &data(1, 5), &[holder], 190);
+    for sequence in [105, 205] {
+        let actions = packet(&mut edge, 200, &view, &data(1, sequence));
+        assert_eq!(actions.iter().filter_map(target).collect::<Vec<_>>(), [holder]);
+    }
+}
