Let agents judge bare acknowledgements by their number too

What callers see: a long answer stalls although its upstream sends.

Cause: an agent told by the acknowledged number whether its upstream holds a flow only where a packet carried data. In the middle of a long answer callers send none. And the upstream that does hold it said so only with its next packet.

Evidence: both cases of bare_acknowledgement_tells_the_holder fail before. Closing packets still pass whatever their number.

--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -170,7 +170,7 @@
     /// here of an upstream's numbers.
     fn holds(&self, segment: &Segment) -> Option<bool> {
         let sent = self.flows.get(&segment.flow)?.sent.filter(|_| self.policy.ownership_reply)?;
-        let tells = segment.kind == SegmentKind::Later && segment.data_bytes > 0;
+        let tells = segment.kind == SegmentKind::Later && !segment.last;
         tells.then(|| sent.covers(segment.acknowledged))
     }
 
--- a/crates/steering/tests/side_words.rs
+++ b/crates/steering/tests/side_words.rs
@@ -63,6 +63,24 @@
     assert_eq!((received.delivery, received.report.is_some()), (expected, held));
 }
 
+/// Bare acknowledgements at an upstream that holds the flow half open got no word: a balancer took the
+/// upstream for the holder when that repeated its answer to the opening.
+#[rstest]
+#[case::of_this_upstream(1_501, true)]
+#[case::of_another(900_000, false)]
+fn bare_acknowledgement_tells_the_holder(#[case] acknowledged: u32, #[case] held: bool) {
+    let mut side = Side::new(SERVICE);
+    deliver(&mut side, 0, &opening(1, 0), 7);
+    side.on_answer(1, Answer { sequence: 1_000, ..accepted(1) });
+    side.on_answer(2, Answer { sequence: 1_001, ..answer(1) });
+    let segment = Segment { acknowledged, data_bytes: 0, ..data(1, 1) };
+    let received = side.on_packet(3, &segment, &[], Ask { report: true, ..ask(7) });
+    let expected = if held { Delivery::Deliver } else { Delivery::Denied };
+    assert_eq!((received.delivery, received.report.is_some()), (expected, held));
+    let repeated = side.on_answer(200, Answer { sequence: 1_000, ..accepted(1) });
+    assert_eq!(repeated.report, None, "an answer to the opening says nothing about this packet");
+}
+
 /// The same port opens another flow: numbers of the first one say nothing about it.
 #[test]
 fn reopened_flow_counts_anew() {
