Go on looking for a flow whose caller sends bare acknowledgements only

What callers saw: the packets of an open flow reached other upstreams for 2.8 s and none its own; a download stopped and failed (the incident).

Cause: a balancer repeats by itself what nobody has answered, and so goes past upstreams that are gone. Bare acknowledgements were left out, since nobody answers them. In the middle of a long answer a caller sends nothing else, and only when its upstream repeats: after 200, 400, 800, 1,600 ms. A balancer that never saw the flow, asking first one of the 13 upstreams that had just left, so got four tries in three seconds.

--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -183,10 +183,9 @@
         if repeated && !confirmed && !behind {
             self.copy_to_others(now_ms, view, flow, actions);
         }
-        // An upstream that holds the flow answers sooner or later, but for bare acknowledgements.
         let quiet =
             matches!(step, Step::Ask(to) | Step::Probe(to) if self.reach.is_quiet(now_ms, to));
-        if (!confirmed || quiet) && segment.wants_answer() {
+        if !confirmed || (quiet && segment.wants_answer()) {
             self.pending.insert(now_ms, segment, bytes);
         }
     }
