Let callers' packets earn the questions that look for their flows

What callers see: long answers stall in numbers when a neighbour's flows come to a balancer while part of a service has just left.

Cause: what a balancer sends of its own is bounded by 400 saved packets and a tenth of what callers send. Each upstream on the way that is gone costs a question, and three copies went out beside each; the bound does not grow with the flows that come at once.

Change: a caller's packets after the first earn their flow a question each, 8 at most, so that questions grow with the flows and stay below what callers send; half of the shared packets is kept for questions.

--- a/crates/fuzzing/tests/direct.rs
+++ b/crates/fuzzing/tests/direct.rs
@@ -83,6 +83,15 @@
     assert!(resets > episodes, "lost flows are told: {resets}");
 }
 
+/// The same with answers in parts that callers acknowledge, while thirds of a service leave.
+#[test]
+fn promises_hold_in_long_answers() {
+    for seed in 1..=EPISODES {
+        let outcome = unbroken(Size::LONG_ANSWERS, seed);
+        assert!(outcome.answered > 10_000, "seed {seed}: traffic flows: {}", outcome.answered);
+    }
+}
+
 /// Most balancers are cut off with an old view, and an upstream has started after its agent.
 #[rstest]
 #[case::two_of_three_cut_off(Size::CROWDED, 81806)]
--- a/crates/steering/src/edge/budget.rs
+++ b/crates/steering/src/edge/budget.rs
@@ -4,12 +4,19 @@
 //! too much traffic, each of them adds to it, and more is silent: one balancer with a thin link sent
 //! 22,000 packets of its own in 20 s, fifteen for each flow that it was given, and did not come back.
 //! As a share of what callers send, the own packets cannot be what keeps a balancer busy.
+//!
+//! Load pattern: a third of a service has just left, and the flows of a neighbour come here in the middle of
+//! long answers. Each needs a question for every upstream on its way that is gone, and there are as many
+//! flows as the fleet is large: the packets of a flow's caller after the first earn these questions, and
+//! what all flows share is kept for questions before copies beside them are sent.
 
 use crate::policy::Policy;
 
 /// Packets of its own that a balancer may save up for a moment in which many flows need them: a
 /// neighbour has gone, and its flows come here at once.
 const SAVED_MAX: u32 = 400;
+/// Packets of these that are kept for questions; copies beside them are sent from the others.
+const RESERVED: u32 = SAVED_MAX / 2;
 /// Packets of callers that earn one of its own. Few of a calm balancer's packets need a second way,
 /// and a tenth more is what any link bears.
 const CALLERS_PER_OWN: u32 = 10;
@@ -39,9 +46,14 @@
         self.shares = (self.shares + 1).min(SAVED_MAX * CALLERS_PER_OWN);
     }
 
-    /// Whether nothing may be sent now.
-    pub(super) fn is_spent(&self) -> bool {
-        self.bounded && self.shares < CALLERS_PER_OWN
+    /// Whether no copies may be sent now: what is left is for questions, each of which leads a search on.
+    pub(super) fn is_low(&self) -> bool {
+        self.bounded && self.shares <= RESERVED * CALLERS_PER_OWN
+    }
+
+    /// Whether a copy may be sent beside a question; if so, it counts as sent.
+    pub(super) fn spend_on_copy(&mut self) -> bool {
+        !self.is_low() && self.spend()
     }
 
     /// Whether a packet of the own may be sent; if so, it counts as sent.
--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -21,6 +21,8 @@
 /// Repetitions without an answer after which an upstream is doubted: 1.4 s after the first sending,
 /// twice as long as a request waits beside its upstream.
 const REPEATS_MAX: u32 = 3;
+/// Questions that a caller's packets earn at most for their flow.
+const CREDIT_MAX: u8 = 8;
 /// Pause between two looks for flows to forget.
 const SWEEP_MS: Millis = 1_000;
 
@@ -55,6 +57,8 @@
     denied_ms: Millis,
     expires_ms: Millis,
     last_data: Option<(u32, Millis)>,
+    /// Questions that its caller's packets after the first have earned.
+    credit: u8,
 }
 
 impl Entry {
@@ -196,8 +200,17 @@
         waits_since.is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= REPEAT_MS)
     }
 
+    /// Spends a question that the caller's packets have earned, if there is one.
+    pub(super) fn take_credit(&mut self) -> bool {
+        let left = self.credit.checked_sub(1);
+        self.credit = left.unwrap_or(0);
+        left.is_some()
+    }
+
     /// Notes a packet and says whether the same came before, some time ago: nobody has answered it.
     pub(super) fn note_packet(&mut self, now_ms: Millis, segment: &Segment) -> bool {
+        let is_first = self.visits.asked_count() == 0;
+        self.credit = (self.credit + u8::from(!is_first)).min(CREDIT_MAX);
         if !segment.wants_answer() {
             return self.is_stuck(now_ms);
         }
--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -165,7 +165,7 @@
                 entry.forget_old_denials(now_ms);
                 let search = Search::new(now_ms, view, flow, &self.reach, behind);
                 // No copies may be sent: the caller's own repetitions look for the flow instead.
-                let copies_fail = !entry.confirmed && self.budget.is_spent();
+                let copies_fail = !entry.confirmed && self.budget.is_low();
                 let step = if copies_fail { search.next(entry) } else { search.step(entry) };
                 search.step_of_caller(entry, step)
             }
@@ -235,7 +235,7 @@
         // their own.
         match step {
             Step::Absent => self.give_up(now_ms, view, flow, actions),
-            Step::Ask(to) if self.may_send_own() => {
+            Step::Ask(to) if entry.take_credit() || self.may_send_own() => {
                 self.flows.entry(flow, now_ms).ask(now_ms, to);
                 self.ask_listed(now_ms, view, flow, to, actions);
                 self.copy_to_others(now_ms, view, flow, actions);
@@ -328,7 +328,7 @@
         });
         others.truncate(FAN_OUT);
         for Upstream { address, service, .. } in others {
-            if !self.budget.spend() {
+            if !self.budget.spend_on_copy() {
                 break;
             }
             entry.visits.copy(now_ms, address);
--- a/crates/steering/tests/edge_bounds.rs
+++ b/crates/steering/tests/edge_bounds.rs
@@ -7,7 +7,7 @@
 use common::{READY, calm_view, data, opening, packet, target, tick, verdict, view_of};
 use rstest::rstest;
 use steering::edge::{Edge, Verdict};
-use steering::flow::Millis;
+use steering::flow::{Millis, Segment};
 use steering::view::View;
 
 /// A balancer with a thin link hears one word of agents in ten, while callers open flows and send on
@@ -54,6 +54,24 @@
     (taken, sent)
 }
 
+/// The same with acknowledgements of long answers on flows that it does not know, several for each: whoever
+/// is silent, it sends no more of its own than its callers send.
+#[test]
+fn own_packets_of_long_answers_stay_below_callers() {
+    let (mut edge, view) = (Edge::default(), view_of(&[READY; 35]));
+    let (mut taken, mut sent) = (0, 0);
+    for now_ms in 0..20_000 {
+        let bare = Segment { data_bytes: 0, ..data((now_ms / 8) as u16, 5) };
+        sent += packet(&mut edge, now_ms, &view, &bare).len();
+        taken += 1;
+        if now_ms % 20 == 0 {
+            sent += tick(&mut edge, now_ms, &view).len();
+        }
+    }
+    let saved = 400;
+    assert!(sent <= 2 * taken + saved, "{sent} packets for {taken}");
+}
+
 /// Packets wait for 300 ms before this process reads them, so all words of agents come late. An opening
 /// whose answer waits among them looks unanswered; sent to a second upstream, it makes the backlog
 /// longer. Nothing is repeated until words come soon again.
--- a/crates/steering/tests/edge_long_answers.rs
+++ b/crates/steering/tests/edge_long_answers.rs
@@ -34,6 +34,14 @@
     }
 }
 
+/// How many acknowledgements a caller sends at this moment whose upstream gets none.
+fn acknowledgements_at(now_ms: Millis) -> usize {
+    match now_ms {
+        0 => ACKNOWLEDGED_AT_ONCE,
+        _ => usize::from(REPEATED_MS.contains(&now_ms)),
+    }
+}
+
 /// Upstreams that are ready, and the share of them that has just left the fleet.
 fn view(flow: FlowKey, ready: u16, gone: u16) -> View {
     let shares = [Share { service: SERVICE, weight: 1 }].into();
@@ -78,11 +86,7 @@
         for (_, from) in denials.extract_if(.., |(at_ms, _)| *at_ms == now_ms) {
             actions.extend(verdict(&mut edge, now_ms, view, from, Verdict::Denied, &segment));
         }
-        let count = match now_ms {
-            0 => ACKNOWLEDGED_AT_ONCE,
-            _ => usize::from(REPEATED_MS.contains(&now_ms)),
-        };
-        for _ in 0..count {
+        for _ in 0..acknowledgements_at(now_ms) {
             actions.extend(packet(&mut edge, now_ms, view, &segment));
         }
         if now_ms % 20 == 0 {
@@ -129,3 +133,64 @@
     }
     assert_eq!(late, [], "{} of {}", late.len(), 3 * flows);
 }
+
+/// Flows of a neighbor that come to a balancer at once, each with an acknowledgement whenever its upstream
+/// sends again; those whose holder gets no packet in time.
+fn unfound(flows: u16, ready: u16, gone: u16) -> usize {
+    let (mut edge, view) = (Edge::default(), view(common::flow(1), ready, gone));
+    let segments: Vec<Segment> =
+        (1..=flows).map(|port| acknowledgement(common::flow(port))).collect();
+    let mut searched: Vec<(Ipv4Addr, bool)> =
+        segments.iter().map(|segment| (ready_by_rank(&view, segment.flow)[2], false)).collect();
+    let mut replies: Vec<(Millis, Ipv4Addr, usize, Verdict)> = Vec::new();
+    for now_ms in 0..FOUND_WITHIN_MS {
+        edge.trust(Trust { confirmed_ms: now_ms, whole_from_ms: 0 });
+        let mut sent: Vec<(usize, Ipv4Addr)> = Vec::new();
+        for (_, from, index, word) in replies.extract_if(.., |(at_ms, ..)| *at_ms == now_ms) {
+            let actions = verdict(&mut edge, now_ms, &view, from, word, &segments[index]);
+            sent.extend(actions.iter().filter_map(target).map(|to| (index, to)));
+        }
+        for (index, segment) in segments.iter().enumerate() {
+            let count = if searched[index].1 { 0 } else { acknowledgements_at(now_ms) };
+            for _ in 0..count {
+                let actions = packet(&mut edge, now_ms, &view, segment);
+                sent.extend(actions.iter().filter_map(target).map(|to| (index, to)));
+            }
+        }
+        if now_ms % 20 == 0 {
+            let mut actions = Vec::new();
+            edge.on_tick(now_ms, &view, &mut actions);
+            let index = |bytes: &[u8]| usize::from(u16::from_le_bytes([bytes[0], bytes[1]])) - 1;
+            let own = actions.iter().map(|(bytes, action)| (index(bytes), target(action)));
+            sent.extend(own.filter_map(|(index, to)| Some((index, to?))));
+            let pinged = edge.take_pings(now_ms, &view).into_iter().map(|to| (0, to));
+            let is_ready = |to| view.upstream_at(to).is_some_and(|u| u.standing == Standing::Ready);
+            let alive = pinged.filter(|(_, to)| is_ready(*to));
+            replies.extend(alive.map(|(i, to)| (now_ms + ROUND_TRIP_MS, to, i, Verdict::Alive)));
+        }
+        for (index, to) in sent {
+            let upstream = view.upstream_at(to).unwrap();
+            let (holder, found) = &mut searched[index];
+            *found |= to == *holder;
+            let word = match to == *holder {
+                true => Verdict::Held { busy: 0, opening_sequence: None },
+                false => Verdict::Denied,
+            };
+            if upstream.standing == Standing::Ready {
+                replies.push((now_ms + ROUND_TRIP_MS, to, index, word));
+            }
+        }
+    }
+    searched.iter().filter(|(_, found)| !found).count()
+}
+
+/// Copies beside the first questions took all that a balancer may send of its own, and searches that
+/// needed one more question stood still.
+#[rstest]
+#[case::service(400, 24, 13)]
+#[case::part(400, 109, 54)]
+#[case::fleet(400, 543, 270)]
+#[case::twice(800, 1_086, 540)]
+fn flows_of_a_neighbor_are_all_found(#[case] flows: u16, #[case] ready: u16, #[case] gone: u16) {
+    assert_eq!(unfound(flows, ready, gone), 0);
+}
