Refuse an opening only until its caller repeats it

What callers see: an open flow is reset right after a balancer wakes from a pause.

Cause: a balancer notes with the first copy of an opening that it may be refused. Paused after it, it works off the second copy on waking; all its upstreams are cold or full, and the note still stands, though the caller has opened the flow through another balancer meanwhile.

Change: the note ends 200 ms after the first copy, when callers repeat it.

--- a/crates/fuzzing/tests/direct.rs
+++ b/crates/fuzzing/tests/direct.rs
@@ -114,3 +114,11 @@
 fn acknowledgements_reach_their_upstream(#[case] seed: u64) {
     unbroken(Size::LONG_ANSWERS, seed);
 }
+
+/// A balancer stood still with an opening, and refused its copy when it woke: the flow was open by then.
+#[rstest]
+#[case::limited_on_waking(81454)]
+#[case::all_cold_on_waking(80423)]
+fn copy_of_an_opening_that_waited_resets_no_flow(#[case] seed: u64) {
+    unbroken(Size::CROWDED, seed);
+}
--- a/crates/steering/src/edge/openings.rs
+++ b/crates/steering/src/edge/openings.rs
@@ -10,6 +10,9 @@
 use crate::view::View;
 use std::net::Ipv4Addr;
 
+/// When a caller repeats an opening; any balancer may get the copy.
+const CALLER_REPEATS_MS: Millis = 200;
+
 impl Edge {
     pub(super) fn open(
         &mut self,
@@ -34,7 +37,8 @@
             entry.restart(segment.sequence);
             let waited = self.woken_ms > 0 && now_ms.saturating_sub(self.woken_ms) < BACKLOG_MS;
             let first = segment.kind == SegmentKind::Opening { copy: 0 };
-            entry.refusable = first && !waited && !behind;
+            let in_time = first && !waited && !behind;
+            entry.refusable_until_ms = if in_time { now_ms + CALLER_REPEATS_MS } else { 0 };
         }
         let copied = entry.target.is_some();
         if let (Some(to), true) = (entry.target, entry.confirmed) {
@@ -47,7 +51,7 @@
             Ok(to) => to,
             Err(reason) => {
                 actions.push(if is_final(reason) {
-                    reject(entry, reason)
+                    reject(now_ms, entry, reason)
                 } else {
                     Action::Drop { reason: Reason::Unknown }
                 });
@@ -78,7 +82,7 @@
         let flow = due.segment.flow;
         let Some(service) = service_of(view, flow) else { return };
         let Some(entry) = self.flows.get(flow) else { return };
-        entry.refusable = false;
+        entry.refusable_until_ms = 0;
         if let Some(silent) = entry.target {
             self.loads.silent(now_ms, view, silent);
         }
@@ -111,7 +115,7 @@
             Ok(to) => to,
             Err(reason) => {
                 let reason = if is_final(reason) { reason } else { Reason::Refused };
-                actions.push(reject(entry, reason));
+                actions.push(reject(now_ms, entry, reason));
                 self.pending.remove(flow);
                 self.flows.closing(flow, now_ms);
                 return;
@@ -130,9 +134,10 @@
 }
 
 /// The answer to an opening that no upstream takes. Only a first copy that came in time and was not
-/// sent on after a silence is reset: the flow of any other may be open by now.
-fn reject(entry: &mut Entry, reason: Reason) -> Action {
-    if std::mem::take(&mut entry.refusable) {
+/// sent on after a silence is reset, and only until its caller repeats it: the flow of any other may be open
+/// by now.
+fn reject(now_ms: Millis, entry: &mut Entry, reason: Reason) -> Action {
+    if now_ms < std::mem::take(&mut entry.refusable_until_ms) {
         return Action::Reset { reason };
     }
     Action::Drop { reason: Reason::Unknown }
--- a/crates/steering/tests/edge_openings.rs
+++ b/crates/steering/tests/edge_openings.rs
@@ -251,3 +251,19 @@
     };
     assert_eq!(actions, [expected]);
 }
+
+/// A balancer stands still after the first copy of an opening and works off the second one when it wakes:
+/// the flow was opened through another balancer meanwhile, and was reset.
+#[rstest]
+#[case::at_once(10, true)]
+#[case::after_a_pause(3_000, false)]
+fn old_opening_is_not_refused(#[case] denied_ms: Millis, #[case] refused: bool) {
+    let (mut edge, view) = (Edge::default(), calm_view());
+    packet(&mut edge, 0, &view, &opening(1, 0));
+    let mut actions = packet(&mut edge, denied_ms, &view, &opening(1, 1));
+    while let Some(from) = actions.first().and_then(target) {
+        actions = verdict(&mut edge, denied_ms, &view, from, Verdict::Denied, &opening(1, 1));
+    }
+    let reset = actions.iter().any(|action| matches!(action, Action::Reset { .. }));
+    assert_eq!(reset, refused, "{actions:?}");
+}
