Ask all others where the upstream that answered an opening stays mute

What callers see: the packets of an open flow reach one other upstream for seconds and their own never.

Cause: a balancer that has opened a flow takes it to live at an upstream that got the opening from there. Where copies went through several balancers, that one may hold the flow half open: it takes closing packets without a word. The caller's repetitions raise a doubt, but questions went on to the mute one, and only copies to others.

Change: in doubt, a flow counts as opened anywhere, so that questions go to those that got nothing yet, until its upstream says a word.

--- a/crates/fuzzing/tests/direct.rs
+++ b/crates/fuzzing/tests/direct.rs
@@ -122,3 +122,10 @@
 fn copy_of_an_opening_that_waited_resets_no_flow(#[case] seed: u64) {
     unbroken(Size::CROWDED, seed);
 }
+
+/// A flow is half open at the upstream that answered one balancer, and open at another's.
+#[rstest]
+#[case::mute_to_its_ending(90950)]
+fn flow_is_found_beside_a_half_open_one(#[case] seed: u64) {
+    unbroken(Size::CROWDED, seed);
+}
--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -41,8 +41,10 @@
     denials: Vec<Ipv4Addr>,
     /// Whether one of them was taken for another service's: the packet did not reach it.
     misled: bool,
+    /// Whether the upstream that answered takes packets without a word, so that the flow may be anywhere.
+    doubted: bool,
     /// How often the caller has repeated its data without an answer.
-    pub(super) repeats: u32,
+    repeats: u32,
     /// Upstreams that have answered the opening, with their numbers.
     answers: Vec<(Ipv4Addr, u32)>,
     /// Upstreams at which it was looked for.
@@ -153,9 +155,21 @@
     pub(super) fn doubt_if_mute(&mut self) {
         if self.repeats >= REPEATS_MAX {
             self.confirmed = false;
+            self.doubted = true;
         }
     }
 
+    /// Takes the word of the flow's upstream.
+    pub(super) fn end_doubt(&mut self) {
+        self.repeats = 0;
+        self.doubted = false;
+    }
+
+    /// Whether the flow lives at one of those that got its opening from here, as far as is known.
+    pub(super) fn is_opened_here(&self) -> bool {
+        self.sequence.is_some() && !self.doubted
+    }
+
     /// Asks no upstream any more that is not listed, unless it has answered on this flow: its entry
     /// went because it is gone, and the flow is elsewhere or lost.
     pub(super) fn leave_unlisted(&mut self, is_listed: impl FnOnce(Ipv4Addr) -> bool) {
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -258,7 +258,7 @@
         self.pending.remove(flow);
         let entry = self.flows.entry(flow, now_ms);
         entry.clear_denials();
-        entry.repeats = 0;
+        entry.end_doubt();
         if let Some(sequence) = opening_sequence {
             entry.note_answer(from, sequence);
             if entry.confirmed {
--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -228,9 +228,11 @@
         let Some(entry) = self.flows.get(flow) else { return };
         entry.forget_old_denials(now_ms);
         let search = Search::new(now_ms, view, flow, &self.reach, behind);
-        let opened_here = entry.sequence.is_some();
-        let step =
-            if opened_here || entry.confirmed { search.step(entry) } else { search.next(entry) };
+        let step = if entry.is_opened_here() || entry.confirmed {
+            search.step(entry)
+        } else {
+            search.next(entry)
+        };
         // A flow is given up also where nothing more may be sent for it. Probes have a bound of
         // their own.
         match step {
@@ -370,9 +372,9 @@
 /// got a copy; otherwise those that were asked have not answered, and others come first, before all
 /// those that got nothing yet. Of those that were asked there is none while they have time to answer.
 fn likeliest<'a>(open: &[&'a Upstream], entry: &Entry) -> Option<&'a Upstream> {
-    let opened_here = entry.sequence.is_some();
     let asked = |upstream: &&&Upstream| entry.visits.has_asked(upstream.address);
     let untried = |upstream: &&&Upstream| entry.visits.last_ms(upstream.address).is_none();
-    let likely = if opened_here { open.iter().find(asked) } else { open.iter().find(untried) };
+    let likely =
+        if entry.is_opened_here() { open.iter().find(asked) } else { open.iter().find(untried) };
     likely.or(open.iter().find(|upstream| !asked(upstream))).copied()
 }
--- a/crates/steering/tests/edge_search.rs
+++ b/crates/steering/tests/edge_search.rs
@@ -5,11 +5,12 @@
 use std::net::Ipv4Addr;
 
 use common::{
-    READY, calm_view, data, ending, flow, hops_to, packet, target, tick, verdict, view_of,
+    READY, calm_view, data, ending, flow, hops_to, opening, packet, target, tick, verdict, view_of,
 };
 use rstest::rstest;
 use steering::edge::{Edge, REPEAT_AFTER_MS, Tally, Verdict};
 use steering::flow::{FlowKey, Millis, Segment};
+use steering::policy::Policy;
 use steering::view::View;
 
 /// The fabric moves a caller's flow to a balancer that never saw it. Wherever the flow lives, it is
@@ -313,3 +314,34 @@
         assert_eq!(actions.iter().filter_map(target).collect::<Vec<_>>(), [holder]);
     }
 }
+
+/// The upstream that answered the opening holds the flow half open and takes its packets without a word.
+/// Where no copies could be sent, all questions went there, and none to the flow's own upstream.
+#[test]
+fn mute_upstream_of_an_opening_does_not_hold_up_the_search() {
+    let view = view_of(&[READY; 4]);
+    let mut edge = Edge::with(Policy { copies: false, ..Policy::default() });
+    let mute = target(&packet(&mut edge, 0, &view, &opening(1, 0))[0]).unwrap();
+    let held = Verdict::Held { busy: 0, opening_sequence: Some(1_000) };
+    verdict(&mut edge, 1, &view, mute, held, &opening(1, 0));
+    let mut reached = Vec::new();
+    for now_ms in 1_000..4_000 {
+        let mut actions = Vec::new();
+        if [1_000, 1_200, 1_600, 2_400].contains(&now_ms) {
+            actions.extend(packet(&mut edge, now_ms, &view, &ending(1, 5)));
+        }
+        if now_ms % 20 == 0 {
+            actions.extend(tick(&mut edge, now_ms, &view));
+        }
+        while let Some(to) = actions.pop().as_ref().and_then(target) {
+            reached.push(to);
+            if to != mute {
+                let denied = Verdict::Denied;
+                actions.extend(verdict(&mut edge, now_ms, &view, to, denied, &ending(1, 5)));
+            }
+        }
+    }
+    reached.sort_unstable();
+    reached.dedup();
+    assert_eq!(reached.len(), 4);
+}
