--- a/crates/fuzzing/tests/known_red.rs
+++ b/crates/fuzzing/tests/known_red.rs
@@ -71,6 +71,7 @@
 #[case::not_traced_either(Size::CROWDED, 81051)]
 #[case::third_not_traced(Size::CROWDED, 83242)]
 #[case::with_routes_that_move(Size::CROWDED_MOVING, 238)]
+#[case::with_routes_that_move_again(Size::CROWDED_MOVING, 164)]
 fn red_cold_limit_with_old_views(#[case] size: Size, #[case] seed: u64) {
     let outcome = direct::play_at(size, seed, 60_000, None);
     assert_eq!(outcome.violations, []);
@@ -79,6 +80,7 @@
 /// An upstream that may take new flows is passed over by very many.
 #[rstest]
 #[case::not_traced(82213)]
+#[case::not_traced_either(198)]
 fn red_upstream_passed_over(#[case] seed: u64) {
     let outcome = direct::play_at(Size::CROWDED, seed, 60_000, None);
     assert_eq!(outcome.violations, []);
