Let a planned end hand everything over, so that its next life is in no doubt

What callers saw: an open flow hung for a minute or was reset after planned restarts, alone or beside one crash.

Ruled out: lost messages.

Change: a leaving agent says that it has told all, and takes no flow from then on; peers tell its next life, which ends the doubt if all but one of those that held its flows have told them again. Flows of agents that are silent by then are asked for. An opening assigned to a life that has handed over never ran there. Also: the end of an adopted flow matches any opening, a replaced flow's end is told, a leaving agent tells ends to all.

Tests: 7 of the 9 cases of tests/handover.rs fail on the code before.

--- a/crates/decision/src/agent/announce.rs
+++ b/crates/decision/src/agent/announce.rs
@@ -25,10 +25,11 @@
 
     /// Queues the end of a flow for all who may have been told of it.
     ///
-    /// A peer that an earlier life had told may name the flow at the next restart.
+    /// A peer that an earlier life had told may name the flow at the next restart. What a leaving agent has
+    /// handed over, its peers tell one another.
     pub(super) fn announce_end(&mut self, flow: FlowId, entry: &Flow) {
         let opening = entry.opening(flow);
-        if !entry.relearned {
+        if !entry.relearned && !self.leaving {
             return self.announce(opening, false);
         }
         for (_, peer) in self.peers.iter_mut() {
@@ -167,6 +168,7 @@
         }
         let is_restart = peer.incarnation.is_some();
         peer.past_beat = peer.incarnation.zip(peer.beat_at.take());
+        peer.former = peer.incarnation;
         peer.incarnation = Some(life);
         peer.incarnation_at = now;
         peer.applied = 0;
--- a/crates/decision/src/agent/claimant.rs
+++ b/crates/decision/src/agent/claimant.rs
@@ -275,7 +275,7 @@
         if attempt.claim == Claim::Refuse {
             return self.refuse_once(now, attempt.opening, attempt.refusal, out);
         }
-        if !self.flows.has_room() {
+        if !self.can_take() {
             self.claims.leave_undecided(attempt.opening);
             return Verdict::Drop(Reason::Overload);
         }
--- a/crates/decision/src/agent/early.rs
+++ b/crates/decision/src/agent/early.rs
@@ -209,7 +209,7 @@
         let Attempt { opening, claim, refusal, hops } = attempt;
         let incarnation = self.config.incarnation;
         let me = self.config.upstream;
-        let room = claim != Claim::Run(me) || self.flows.has_room();
+        let room = claim != Claim::Run(me) || self.can_take();
         if !room || !self.claims.put(now, opening, claim, incarnation, Stage::Decided) {
             return Verdict::Drop(Reason::Overload);
         }
--- a/crates/decision/src/agent/health.rs
+++ b/crates/decision/src/agent/health.rs
@@ -251,6 +251,9 @@
             }
         }
         out.push(Action::Note(Note::PeerSuspected { upstream: id, suspected }));
+        if suspected {
+            self.found_silent();
+        }
         self.doubt_former_homes(now, &homes);
         self.retarget();
         if !suspected {
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -12,6 +12,7 @@
 mod early;
 mod flow_map;
 mod flows;
+mod handover;
 mod health;
 mod home;
 mod install;
@@ -61,6 +62,7 @@
     started_at: Millis,
     last_tick: Millis,
     leaving: bool,
+    handover: handover::Handover,
     flows: flows::FlowTable,
     redirects: redirects::RedirectTable,
     claims: claims::ClaimTable,
@@ -123,6 +125,7 @@
             started_at: now,
             last_tick: now,
             leaving: false,
+            handover: handover::Handover::default(),
             flows: flows::FlowTable::default(),
             redirects: redirects::RedirectTable::default(),
             claims: claims::ClaimTable::default(),
@@ -192,6 +195,7 @@
         self.heartbeat_if_due(now, out);
         self.refresh_announcements(now);
         self.send_announcements(now, out);
+        self.hand_over(now, out);
         self.relearn(now, out);
         self.recall(now, out);
     }
@@ -266,6 +270,13 @@
             }
             Message::Heartbeat(heartbeat) => self.heartbeat_received(now, from, heartbeat, out),
             Message::Outdated(outdated) => self.settings.cuts.hear(now, outdated),
+            Message::HandedOver { incarnation, state } => {
+                self.handed_over_by(now, from, (incarnation, state), out);
+            }
+            Message::Former { incarnation, life, handed_over, resumed } => {
+                let former = handover::Former { life, handed_over, resumed };
+                self.former_told(from, incarnation, former);
+            }
         }
     }
 
--- a/crates/decision/src/agent/once.rs
+++ b/crates/decision/src/agent/once.rs
@@ -152,7 +152,7 @@
         out: &mut Vec<Action>,
     ) -> Verdict {
         let run = claim == Claim::Run(self.config.upstream);
-        if run && !self.flows.has_room() {
+        if run && !self.can_take() {
             return Verdict::Drop(Reason::Overload);
         }
         let attempt = Attempt { opening, claim, refusal: Reason::AllFull, hops };
--- a/crates/decision/src/agent/packet.rs
+++ b/crates/decision/src/agent/packet.rs
@@ -74,6 +74,10 @@
         nonce: Option<u32>,
         answered: bool,
     ) {
+        let replaced = self.flows.get(flow).copied().filter(|old| old.nonce != nonce);
+        if let Some(old) = replaced {
+            self.announce_end(flow, &old);
+        }
         let evicted = self.flows.insert(now, flow, nonce, answered);
         if let Some((evicted, entry)) = evicted {
             self.announce_end(evicted, &entry);
--- a/crates/decision/src/agent/peers.rs
+++ b/crates/decision/src/agent/peers.rs
@@ -5,7 +5,7 @@
 use super::relearn::Cursor;
 use super::sorted::Sorted;
 use crate::keys::{Incarnation, UpstreamId, Version};
-use crate::message::Heartbeat;
+use crate::message::{HandedOver, Heartbeat};
 use crate::time::Millis;
 
 /// One peer.
@@ -22,6 +22,10 @@
     pub(super) incarnation: Option<Incarnation>,
     /// First life beside its present upstream process, as far as it has said.
     pub(super) born: Option<Incarnation>,
+    /// Its last life before the present one that has been met.
+    pub(super) former: Option<Incarnation>,
+    /// Its last life that has handed over.
+    pub(super) handed_over: Option<(Incarnation, HandedOver)>,
     /// Whether an earlier life of it has been met.
     pub(super) met_before: bool,
     /// When this life of the peer was first heard from.
@@ -49,6 +53,16 @@
 pub(super) type PeerTable = Sorted<UpstreamId, Peer>;
 
 impl Peer {
+    /// Whether this life of it has handed over.
+    pub(super) fn has_handed_over(&self, life: Incarnation) -> bool {
+        self.handed_over.is_some_and(|(handed_over, _)| handed_over == life)
+    }
+
+    /// Whether it is silent or about to end, so that others answer for its flows.
+    pub(super) fn cannot_tell(&self) -> bool {
+        self.suspected || self.incarnation.is_some_and(|life| self.has_handed_over(life))
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.heartbeat.is_some_and(|heartbeat| heartbeat.leaving)
     }
--- a/crates/decision/src/agent/redirects.rs
+++ b/crates/decision/src/agent/redirects.rs
@@ -117,7 +117,8 @@
     /// The holder says that the flow is closing or has ended.
     pub(super) fn close(&mut self, now: Millis, holder: UpstreamId, opening: Opening) {
         let Some(redirect) = self.redirects.get_mut(&opening.flow) else { return };
-        let same = redirect.nonce.is_none_or(|nonce| nonce == opening.nonce);
+        // Zero where the holder does not know the opening itself.
+        let same = opening.nonce == 0 || redirect.nonce.is_none_or(|nonce| nonce == opening.nonce);
         if redirect.holder == holder && same {
             redirect.closing = true;
             redirect.expires_at = now.after(limits::FINISH_LINGER_MS);
--- a/crates/decision/src/agent/relearn.rs
+++ b/crates/decision/src/agent/relearn.rs
@@ -1,10 +1,11 @@
 //! After a restart: asking the peers which flows the earlier life held.
 
+use super::handover::Former;
 use super::peers::Peer;
 use super::redirects::{Evidence, Redirect};
 use super::{Action, Agent, Note, limits};
 use crate::keys::{FlowId, Incarnation, UpstreamId};
-use crate::message::{Entrusted, Message, Opening};
+use crate::message::{Entrusted, HandedOver, Message, Opening};
 use crate::time::Millis;
 use crate::view::WhenInDoubt;
 
@@ -13,9 +14,27 @@
 pub(super) struct Cursor {
     from: FlowId,
     asked_at: Option<Millis>,
-    done: bool,
+    pub(super) done: bool,
     /// Whether the peer had been told everything before this agent restarted.
     complete: bool,
+    /// What the peer has said of this agent's former life.
+    pub(super) former: Option<Former>,
+}
+
+impl Cursor {
+    /// Begins anew with the first page.
+    pub(super) fn restart(&mut self) {
+        *self = Self { former: self.former, ..Self::default() };
+    }
+
+    /// Whether the peer was told all by the life `last`, or has resumed after it and was told by others.
+    pub(super) fn has_all_of(&self, last: Incarnation, state: HandedOver) -> bool {
+        let former = self.former.unwrap_or_default();
+        match former.life == Some(last) {
+            true => former.handed_over == Some(state),
+            false => former.resumed,
+        }
+    }
 }
 
 /// What a restarted agent knows about its earlier life.
@@ -23,6 +42,8 @@
 pub(super) enum Past {
     /// There is none, or all of it is known.
     Known,
+    /// It has handed everything over, and all of it was told again.
+    Resumed,
     /// Peers are still being asked.
     Relearning,
     /// All that was announced is known; what was not may show up until then.
@@ -44,7 +65,7 @@
     /// Whether this agent may hold flows that it does not know.
     pub(super) fn is_unsure(&self, now: Millis) -> bool {
         match self.past {
-            Past::Known => false,
+            Past::Known | Past::Resumed => false,
             Past::Relearning => now.since(self.started_at) < limits::UNSURE_MAX_MS,
             Past::Doubtful { until } => now < until,
         }
@@ -53,7 +74,7 @@
     /// Asks peers for their next page, and ends relearning once all have told everything.
     pub(super) fn relearn(&mut self, now: Millis, out: &mut Vec<Action>) {
         match self.past {
-            Past::Known => return,
+            Past::Known | Past::Resumed => return,
             Past::Relearning => {}
             Past::Doubtful { until } if now >= until => {
                 self.past = Past::Known;
@@ -68,7 +89,8 @@
         self.check_relearned(now);
     }
 
-    /// Answers a restarted peer with one page of its flows, and of those whose holder is silent.
+    /// Answers a restarted peer with one page of its flows, and of those whose holder is silent or has handed
+    /// over.
     ///
     /// Failure: a holder's agent is down, and those that it has told of a flow restart one after the
     /// other. Symptom: nobody can tell it, once it is back, that its upstream has the flow, which hangs.
@@ -84,19 +106,25 @@
         if !self.meet_life(now, from, incarnation) {
             return;
         }
-        let silent = |id: UpstreamId| self.peers.get(id).is_some_and(|peer| peer.suspected);
+        let gone = |id: UpstreamId| self.peers.get(id).is_some_and(Peer::cannot_tell);
         let wanted = |redirect: &Redirect| {
             // An answer to a lookup names no opening. Whoever asked is not told when the flow ends.
             let told = redirect.nonce.is_some();
-            (redirect.holder == from || silent(redirect.holder))
-                && told
-                && !self.never_ran(redirect)
+            (redirect.holder == from || gone(redirect.holder)) && told && !self.never_ran(redirect)
         };
         let (page, next) = self.redirects.page(now, wanted, first);
         let (own, entrusted): (Vec<_>, Vec<_>) =
             page.into_iter().partition(|entry| entry.holder == from);
         let openings = own.into_iter().map(|entry| entry.opening).collect();
         let complete = self.was_complete_before(from);
+        let former = self.former_of(from);
+        let message = Message::Former {
+            incarnation,
+            life: former.life,
+            handed_over: former.handed_over,
+            resumed: former.resumed,
+        };
+        out.push(Action::Send { to: from, message });
         let message =
             Message::RelearnReply { incarnation, from: first, openings, entrusted, next, complete };
         out.push(Action::Send { to: from, message });
@@ -112,7 +140,8 @@
         let lived_on = |(life, at): (Incarnation, Millis)| life == redirect.life && at > due_at;
         let announced = peer.announced_at.is_some_and(|at| at > due_at);
         let outlived = peer.past_beat.is_some_and(lived_on);
-        redirect.evidence == Evidence::Assigned && (announced || outlived)
+        let handed_over = peer.has_handed_over(redirect.life);
+        redirect.evidence == Evidence::Assigned && (announced || outlived || handed_over)
     }
 
     pub(super) fn page_received(
@@ -125,7 +154,9 @@
         if page.incarnation != self.config.incarnation {
             return;
         }
-        self.insert_relearned(now, &page.openings, out);
+        if self.past != Past::Resumed || self.is_told_all(from) {
+            self.insert_relearned(now, &page.openings, out);
+        }
         self.insert_entrusted(now, &page.entrusted);
         let Some(peer) = self.peers.get_mut(from) else { return };
         let cursor = &mut peer.cursor;
@@ -174,7 +205,7 @@
         }
     }
 
-    fn ask_page(&mut self, now: Millis, to: UpstreamId, out: &mut Vec<Action>) {
+    pub(super) fn ask_page(&mut self, now: Millis, to: UpstreamId, out: &mut Vec<Action>) {
         let incarnation = self.config.incarnation;
         let Some(peer) = self.peers.get_mut(to) else { return };
         let waits = peer.cursor.asked_at.is_some_and(|at| now.since(at) < limits::RELEARN_RETRY_MS);
@@ -201,6 +232,7 @@
         if alone || (all_done && incomplete <= 1) {
             self.past = Past::Doubtful { until: now.after(limits::DOUBT_MS) };
         }
+        self.check_resumed();
     }
 
     /// Whether this agent had been told the flows of `peer` before that one restarted.
--- a/crates/decision/src/agent/status.rs
+++ b/crates/decision/src/agent/status.rs
@@ -98,7 +98,7 @@
 
     /// Whether every announcement has been acknowledged: a leaving agent may then end.
     pub fn is_handed_over(&self) -> bool {
-        self.peers.iter().all(|(_, peer)| peer.suspected || peer.outbox.len() == 0)
+        self.is_all_acknowledged()
     }
 
     /// Sizes of the tables.
--- /dev/null
+++ b/crates/decision/src/agent/tests/handover.rs
@@ -0,0 +1,163 @@
+//! Planned ends: what a leaving agent hands over, and what its next life is sure of.
+
+use rstest::rstest;
+
+use super::*;
+
+/// A tablet's feed hangs for a minute: its holder's agent died before it told anybody, and another agent,
+/// restarted as planned, says that it may hold the feed without knowing.
+#[rstest]
+#[case::planned(true, false)]
+#[case::crashed(false, true)]
+fn next_life_is_unsure_only_after_a_crash(#[case] leaves: bool, #[case] unsure: bool) {
+    let spec = Spec::new(WhenInDoubt::Admit, 4);
+    let mut fleet = Fleet::settled(&spec);
+    (0..50).for_each(|number| {
+        fleet.send(0, flow(number), opening(1));
+    });
+    fleet.pass(1_000);
+    if leaves {
+        fleet.leave(2);
+    }
+    fleet.restart(2, &spec);
+    fleet.pass(500);
+    assert_eq!(fleet.agents[2].stats(fleet.now).unsure, unsure);
+}
+
+/// The same feed, found at the only agent that can hold it.
+#[rstest]
+fn unannounced_feed_is_adopted_beside_a_planned_restart() {
+    let spec = Spec::new(WhenInDoubt::Admit, 4);
+    let mut fleet = Fleet::settled(&spec);
+    let home = fleet.ranking(flow(1))[0];
+    let other = (home + 1) % 4;
+    fleet.event(other, Event::Leave);
+    fleet.pump();
+    fleet.pass(300);
+    let opened = fleet.send(home, flow(1), opening(1));
+    assert_eq!(opened, Outcome::Delivered(home));
+    fleet.restart(home, &spec);
+    fleet.restart(other, &spec);
+    fleet.pass(2_000);
+    assert_eq!(fleet.send(home, flow(1), PacketKind::Middle), opened);
+}
+
+/// An agent that may hold flows without knowing is told to end: its next life is in doubt as well.
+#[rstest]
+fn unsure_agent_does_not_hand_over() {
+    let spec = Spec::new(WhenInDoubt::Admit, 4);
+    let mut fleet = Fleet::settled(&spec);
+    fleet.restart(2, &spec);
+    fleet.pass(1_000);
+    fleet.leave(2);
+    fleet.restart(2, &spec);
+    fleet.pass(500);
+    assert!(fleet.agents[2].stats(fleet.now).unsure);
+}
+
+/// A feed's holder dies, the only agent that it had told of the feed ends as planned, and the feed would be
+/// known to nobody.
+#[rstest]
+fn flows_of_a_silent_agent_are_handed_on() {
+    let spec = Spec::new(WhenInDoubt::Admit, 4);
+    let mut fleet = Fleet::settled(&spec);
+    let ranking = fleet.ranking(flow(1));
+    let (holder, told, untold) = (ranking[0], ranking[1], ranking[2]);
+    fleet.cut.push(untold);
+    let opened = fleet.send(holder, flow(1), opening(1));
+    fleet.pass(300);
+    fleet.cut = vec![holder];
+    fleet.pass(3_000);
+    fleet.leave(told);
+    fleet.restart(told, &spec);
+    fleet.pass(1_000);
+    fleet.restart(holder, &spec);
+    fleet.cut.clear();
+    fleet.pass(1_000);
+    assert_eq!(fleet.holder(flow(1)), Some(holder));
+    assert_eq!(fleet.send(untold, flow(1), PacketKind::Middle), opened);
+}
+
+/// An opening is assigned to an agent and lost on its way, and the agent ends as planned. Its next life must
+/// not count it as a feed.
+#[rstest]
+fn opening_that_did_not_arrive_before_the_end_is_not_relearned() {
+    let spec = Spec::new(WhenInDoubt::Admit, 3);
+    let mut fleet = Fleet::settled(&spec);
+    let home = fleet.ranking(flow(1))[0];
+    let at_home = (0..200).map(flow).filter(|flow| fleet.ranking(*flow)[0] == home);
+    let flows: Vec<u64> = at_home.collect();
+    fleet.cut = (0..3).filter(|index| *index != home).collect();
+    let lost = flows.iter().find(|flow| fleet.send(home, **flow, opening(1)) == Outcome::Lost);
+    assert!(lost.is_some(), "none was assigned to another agent");
+    let assigned = fleet.notes.iter().find_map(|(_, note)| match note {
+        Note::Assigned { to, .. } => Some(*to),
+        _ => None,
+    });
+    let holder = fleet.index(assigned.expect("an assigned opening"));
+    fleet.cut.clear();
+    fleet.event(holder, Event::Leave);
+    fleet.pump();
+    fleet.pass(300);
+    fleet.restart(holder, &spec);
+    fleet.pass(2_000);
+    assert_eq!(fleet.agents[holder].open_flows(), 0);
+}
+
+/// A feed that its agent knows only from a packet of its middle ends. Peers that know its opening from an
+/// earlier life forget it as well.
+#[rstest]
+fn end_of_an_adopted_feed_is_told() {
+    let spec = Spec::new(WhenInDoubt::Admit, 3);
+    let mut fleet = Fleet::settled(&spec);
+    let home = fleet.ranking(flow(1))[0];
+    fleet.send(home, flow(1), opening(1));
+    fleet.pass(1_000);
+    fleet.restart(home, &spec);
+    fleet.send(home, flow(1), PacketKind::Middle);
+    fleet.send(home, flow(1), PacketKind::Finish);
+    fleet.pass(1_000);
+    fleet.restart(home, &spec);
+    fleet.pass(2_000);
+    assert_eq!(fleet.agents[home].open_flows(), 0);
+}
+
+/// A caller opens its next feed on the ports of one whose end was lost. Peers that were told of the old one
+/// by an earlier life must not name it at the next restart.
+#[rstest]
+fn replaced_feed_is_told_to_have_ended() {
+    let spec = Spec::new(WhenInDoubt::Refuse, 4);
+    let mut fleet = Fleet::settled(&spec);
+    fleet.pass(125_000);
+    let ranking = fleet.ranking(flow(1));
+    let (home, third) = (ranking[0], ranking[3]);
+    fleet.send(home, flow(1), opening(1));
+    fleet.pass(1_000);
+    fleet.cut.push(home);
+    fleet.pass(3_000);
+    fleet.restart(third, &spec);
+    fleet.pass(1_000);
+    fleet.cut.clear();
+    fleet.restart(home, &spec);
+    fleet.pass(125_000);
+    fleet.send(home, flow(1), opening(2));
+    fleet.send(home, flow(1), PacketKind::Finish);
+    fleet.pass(1_000);
+    fleet.restart(home, &spec);
+    fleet.pass(2_000);
+    assert_eq!(fleet.agents[home].open_flows(), 0);
+}
+
+/// An agent that has handed over takes no opening: its next life would not know of it.
+#[rstest]
+fn nothing_is_taken_after_the_handover() {
+    let spec = Spec::new(WhenInDoubt::Refuse, 3);
+    let mut fleet = Fleet::settled(&spec);
+    fleet.pass(125_000);
+    let home = fleet.ranking(flow(1))[0];
+    fleet.send(home, flow(1), opening(1));
+    fleet.pass(1_000);
+    fleet.leave(home);
+    let outcome = fleet.send(home, flow(1), opening(2));
+    assert_ne!(outcome, Outcome::Delivered(home));
+}
--- a/crates/decision/src/agent/tests/mod.rs
+++ b/crates/decision/src/agent/tests/mod.rs
@@ -5,6 +5,7 @@
 mod early;
 mod explain;
 mod flows;
+mod handover;
 mod install;
 mod lookup;
 mod memberships;
@@ -170,6 +171,13 @@
         self.held.retain(|(at, _, _)| *at != index);
     }
 
+    /// The agent is told to end, and has time to hand over.
+    fn leave(&mut self, index: usize) {
+        self.event(index, Event::Leave);
+        self.pump();
+        self.pass(1_000);
+    }
+
     fn pass(&mut self, ms: u64) {
         let end = self.now.after(ms);
         while self.now < end {
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -104,6 +104,16 @@
     pub forgotten_in_ms: u32,
 }
 
+/// How a leaving agent has handed over. It says so anew whenever it has found another agent silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HandedOver {
+    /// How often this life has found an agent silent. Each time the receiver asks for what the sender
+    /// knows of that one's flows.
+    pub silences: u32,
+    /// To how many agents that are up the sender tells its flows, zero if the receiver is none of them.
+    pub told: u32,
+}
+
 /// Load and state of an agent, sent to its peers as heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -239,4 +249,23 @@
     Heartbeat(Heartbeat),
     /// A former membership of the service that needs no majority any more, another one each time.
     Outdated(Outdated),
+    /// The sender is about to end: it has told everything that the receiver must know, and takes no
+    /// flow any more.
+    HandedOver {
+        /// Life that ends.
+        incarnation: Incarnation,
+        /// To whom it has told everything.
+        state: HandedOver,
+    },
+    /// Beside the answer to a [`Message::Relearn`]: what the sender knows of the asker's former life.
+    Former {
+        /// Life that asked.
+        incarnation: Incarnation,
+        /// The last life of the asker before that one that the sender has met.
+        life: Option<Incarnation>,
+        /// The newest that the former life has said at its end.
+        handed_over: Option<HandedOver>,
+        /// Whether the sender's own former life has handed over, so that it knows what was entrusted to it.
+        resumed: bool,
+    },
 }
--- a/crates/fuzzing/src/command.rs
+++ b/crates/fuzzing/src/command.rs
@@ -18,9 +18,11 @@
 Options:
   --steps N      steps to apply, 100000 unless given
   --seed S       seed of the first episode, 1 unless given; the next ones follow
+  --episode S    play the episode of seed S; shrink it and print its time line if it breaks a promise
   --replay FILE  play the episode in FILE and print its whole time line
   --trace FILE   where a failing episode is written, fuzz-trace.json unless given
   --failures N   go on until N episodes have broken a promise, 1 unless given
+  --list         only list the episodes that break a promise; shrink and trace none
   --direct N     play N minutes of the direct-return path instead, each from a seed of its own
   --world NAME   the world of these: small (unless given), moving, crowded, crowded-moving,
                  large or long-answers
@@ -31,8 +33,10 @@
     steps: usize,
     seed: u64,
     failures: usize,
+    episode: Option<u64>,
     replay: Option<PathBuf>,
     trace: PathBuf,
+    list: bool,
     mutants: bool,
     direct: Option<u64>,
     world: Size,
@@ -56,6 +60,9 @@
     if let Some(path) = &options.replay {
         return replay(path);
     }
+    if let Some(seed) = options.episode {
+        return one_episode(seed, &options);
+    }
     long_run(&options)
 }
 
@@ -64,8 +71,10 @@
         steps: 100_000,
         seed: 1,
         failures: 1,
+        episode: None,
         replay: None,
         trace: "fuzz-trace.json".into(),
+        list: false,
         mutants: false,
         direct: None,
         world: Size::SMALL,
@@ -76,10 +85,12 @@
             lexopt::Arg::Long("steps") => options.steps = parser.value()?.parse()?,
             lexopt::Arg::Long("seed") => options.seed = parser.value()?.parse()?,
             lexopt::Arg::Long("failures") => options.failures = parser.value()?.parse()?,
+            lexopt::Arg::Long("episode") => options.episode = Some(parser.value()?.parse()?),
             lexopt::Arg::Long("replay") => options.replay = Some(parser.value()?.into()),
             lexopt::Arg::Long("trace") => options.trace = parser.value()?.into(),
             lexopt::Arg::Long("direct") => options.direct = Some(parser.value()?.parse()?),
             lexopt::Arg::Long("world") => options.world = world(&parser.value()?.string()?)?,
+            lexopt::Arg::Long("list") => options.list = true,
             lexopt::Arg::Long("mutants") => options.mutants = true,
             lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => return Ok(None),
             other => return Err(other.unexpected().into()),
@@ -136,15 +147,30 @@
         println!("result: every promise held");
         return Ok(true);
     };
-    for (episode, violation) in &report.failures {
-        let planned = episode.steps.iter().all(Step::is_planned);
-        let kind = if planned { "planned change only" } else { "with faults" };
-        println!("broken: {} (episode {}, {kind})", violation.promise, episode.seed);
+    report.failures.iter().for_each(|(episode, violation)| print_broken(episode, violation));
+    if !options.list {
+        print_failure(episode, violation, &options.trace)?;
     }
-    print_failure(episode, violation, &options.trace)?;
     Ok(false)
 }
 
+fn print_broken(episode: &Episode, violation: &Violation) {
+    let planned = episode.steps.iter().all(Step::is_planned);
+    let kind = if planned { "planned change only" } else { "with faults" };
+    println!("broken: {} (episode {}, {kind})", violation.promise, episode.seed);
+}
+
+fn one_episode(seed: u64, options: &Options) -> anyhow::Result<bool> {
+    let episode = campaign::draw(seed);
+    let (outcome, _) = campaign::play(&episode, Sabotage::default(), false);
+    match outcome.violation {
+        Some(violation) if options.list => print_broken(&episode, &violation),
+        Some(violation) => print_failure(&episode, &violation, &options.trace)?,
+        None => println!("result: every promise held in {} steps", outcome.steps),
+    }
+    Ok(outcome.violation.is_none())
+}
+
 fn print_counts(report: &Report) {
     println!("faults and changes, and those that began while another was at work:");
     for (fault, count) in FAULTS.into_iter().zip(report.faults) {
--- a/crates/wire/src/control/dto.rs
+++ b/crates/wire/src/control/dto.rs
@@ -2,8 +2,8 @@
 
 use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
 use decision::message::{
-    Claim, ClaimAnswer, ClaimRecord, Entrusted, FlowNote, Heartbeat, Knowledge, Memory, Message,
-    Opening, Outdated,
+    Claim, ClaimAnswer, ClaimRecord, Entrusted, FlowNote, HandedOver, Heartbeat, Knowledge, Memory,
+    Message, Opening, Outdated,
 };
 use serde::{Deserialize, Deserializer, Serialize};
 
@@ -68,6 +68,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct OutdatedDto(u64, u64, u32);
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct HandedOverDto(u32, u32);
+
 /// A message as it is encoded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MessageDto(Body);
@@ -136,6 +139,16 @@
     },
     Heartbeat(HeartbeatDto),
     Outdated(OutdatedDto),
+    HandedOver {
+        incarnation: u64,
+        state: HandedOverDto,
+    },
+    Former {
+        incarnation: u64,
+        life: Option<u64>,
+        handed_over: Option<HandedOverDto>,
+        resumed: bool,
+    },
 }
 
 /// Entries of the list in a message, zero where it has none.
@@ -341,6 +354,18 @@
     }
 }
 
+impl From<HandedOver> for HandedOverDto {
+    fn from(state: HandedOver) -> Self {
+        Self(state.silences, state.told)
+    }
+}
+
+impl From<HandedOverDto> for HandedOver {
+    fn from(HandedOverDto(silences, told): HandedOverDto) -> Self {
+        Self { silences, told }
+    }
+}
+
 impl From<&Message> for MessageDto {
     fn from(message: &Message) -> Self {
         Self(match message {
@@ -400,6 +425,15 @@
             }
             Message::Heartbeat(heartbeat) => Body::Heartbeat((*heartbeat).into()),
             Message::Outdated(outdated) => Body::Outdated((*outdated).into()),
+            Message::HandedOver { incarnation, state } => {
+                Body::HandedOver { incarnation: incarnation.0, state: (*state).into() }
+            }
+            Message::Former { incarnation, life, handed_over, resumed } => Body::Former {
+                incarnation: incarnation.0,
+                life: life.map(|life| life.0),
+                handed_over: handed_over.map(HandedOverDto::from),
+                resumed: *resumed,
+            },
         })
     }
 }
@@ -463,6 +497,15 @@
             }
             Body::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.into()),
             Body::Outdated(outdated) => Self::Outdated(outdated.into()),
+            Body::HandedOver { incarnation, state } => {
+                Self::HandedOver { incarnation: Incarnation(incarnation), state: state.into() }
+            }
+            Body::Former { incarnation, life, handed_over, resumed } => Self::Former {
+                incarnation: Incarnation(incarnation),
+                life: life.map(Incarnation),
+                handed_over: handed_over.map(HandedOver::from),
+                resumed,
+            },
         }
     }
 }
--- a/crates/wire/tests/control.rs
+++ b/crates/wire/tests/control.rs
@@ -4,8 +4,8 @@
 
 use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
 use decision::message::{
-    Claim, ClaimAnswer, ClaimRecord, Entrusted, FlowNote, Heartbeat, Knowledge, Memory, Message,
-    Opening, Outdated,
+    Claim, ClaimAnswer, ClaimRecord, Entrusted, FlowNote, HandedOver, Heartbeat, Knowledge, Memory,
+    Message, Opening, Outdated,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -14,6 +14,7 @@
 const OPENING: Opening = Opening { flow: FlowId(u64::MAX), nonce: u32::MAX };
 const VIEW: Version = Version(7);
 const LIFE: Incarnation = Incarnation(u64::MAX);
+const STATE: HandedOver = HandedOver { silences: u32::MAX, told: 3 };
 
 fn note() -> FlowNote {
     FlowNote { opening: OPENING, open: true, age_ms: u32::MAX }
@@ -91,6 +92,9 @@
 #[case::entrusted(entrusted_page(2))]
 #[case::heartbeat(heartbeat())]
 #[case::outdated(Message::Outdated(Outdated { from: Version(3), next: VIEW, forgotten_in_ms: 9 }))]
+#[case::handed_over(Message::HandedOver { incarnation: LIFE, state: STATE })]
+#[case::former(Message::Former { incarnation: LIFE, life: Some(Incarnation(3)), handed_over: Some(STATE), resumed: true })]
+#[case::former_unknown(Message::Former { incarnation: LIFE, life: None, handed_over: None, resumed: false })]
 fn decode_own_encoding(#[case] message: Message) {
     let envelope = Envelope { clock: u64::MAX, message };
     let mut bytes = Vec::new();
