Ask around before a restarted agent takes a late copy of an opening

Cause: an agent had passed an opening on, its next life remembers nothing of it, and a copy that comes late is taken as assigned, so that the flow runs at two upstreams; the younger one's announcement wins and the open one is cut.

Change: for as long as copies may come, a restarted agent asks the others before it takes an assigned opening, as a home does; who holds the flow objects. Both cases of late_copy_at_a_restarted_agent_finds_the_feed fail without it.

--- a/crates/decision/src/agent/early.rs
+++ b/crates/decision/src/agent/early.rs
@@ -55,9 +55,7 @@
     /// Chooses a holder. A home that has just restarted may have admitted the same opening in its
     /// earlier life; if no peer knows of that, it was for its own upstream, and so is the copy.
     fn choose_early(&mut self, now: Millis) -> Option<UpstreamId> {
-        let restarted =
-            self.config.may_have_past && now.since(self.started_at) < limits::FORMER_HOME_MS;
-        if restarted && self.accepts(now) {
+        if self.has_just_restarted(now) && self.accepts(now) {
             return Some(self.config.upstream);
         }
         self.choose(now, false)
@@ -130,10 +128,18 @@
         out: &mut Vec<Action>,
     ) -> Verdict {
         let claim = self.claim_of_assigned(now, hops);
+        if self.has_just_restarted(now) {
+            return self.start_early(now, hops, opening, claim, out);
+        }
         let refusal = Reason::AllFull;
         self.decide_early(now, Attempt { opening, claim, refusal, hops }, out)
     }
 
+    /// Whether copies of openings that its earlier life has passed on may still come.
+    fn has_just_restarted(&self, now: Millis) -> bool {
+        self.config.may_have_past && now.since(self.started_at) < limits::FORMER_HOME_MS
+    }
+
     /// An opening that this agent has given to another has come back: who got it could not take it.
     ///
     /// Failure: two agents, each believing the other to accept, follow their own records. Symptom:
--- a/crates/decision/src/agent/tests/handover.rs
+++ b/crates/decision/src/agent/tests/handover.rs
@@ -161,3 +161,24 @@
     let outcome = fleet.send(home, flow(1), opening(2));
     assert_ne!(outcome, Outcome::Delivered(home));
 }
+
+/// A copy of an opening that an agent had passed on comes to its next life, while the feed is open elsewhere.
+#[rstest]
+#[case::planned(true)]
+#[case::crashed(false)]
+fn late_copy_at_a_restarted_agent_finds_the_feed(#[case] leaves: bool) {
+    let spec = Spec::new(WhenInDoubt::Admit, 4);
+    let mut fleet = Fleet::settled(&spec);
+    let ranking = fleet.ranking(flow(1));
+    let (home, other) = (ranking[0], ranking[3]);
+    let opened = fleet.send(home, flow(1), opening(1));
+    assert_eq!(opened, Outcome::Delivered(home));
+    fleet.pass(1_000);
+    if leaves {
+        fleet.leave(other);
+    }
+    fleet.restart(other, &spec);
+    fleet.pass(500);
+    let copy = Packet { hops: 1, passed: Passed::Assigned, ..packet(flow(1), opening(1)) };
+    assert_eq!(fleet.send_packet(other, copy), opened);
+}
