Let an unsure agent name a holder only for the connection that was announced

Cause: an agent that may hold a flow without knowing, and does, had been told of an older connection on the same ports, and names that one's holder. The holder denies, by the sequence number, and only one other unsure agent is left. Change: it names the holder if the packet can be of the connection that was announced, and says that it is unsure otherwise.

--- a/crates/decision/src/agent/lookup.rs
+++ b/crates/decision/src/agent/lookup.rs
@@ -191,7 +191,7 @@
         }
         let me = self.config.upstream;
         match self.redirects.get(now, flow).filter(|redirect| redirect.holder != me) {
-            Some(redirect) if !self.is_unsure(now) || is_told(redirect) => {
+            Some(redirect) if !self.is_unsure(now) || is_told(redirect, sequence) => {
                 Knowledge::HeldBy(redirect.holder)
             }
             _ if self.is_unsure(now) => Knowledge::Unsure,
@@ -352,11 +352,13 @@
     }
 }
 
-/// Whether the holder itself has said that it has the flow open.
+/// Whether the holder itself has said that it has the flow open, and not a connection that may be an older one
+/// on the ports.
 ///
 /// The holder's word is newer than anything that an earlier life of the asked agent can have taken.
-fn is_told(redirect: &Redirect) -> bool {
-    redirect.evidence == Evidence::Announced && !redirect.closing
+fn is_told(redirect: &Redirect, sequence: u32) -> bool {
+    let same = redirect.nonce.is_some_and(|nonce| are_of_one(nonce, sequence));
+    redirect.evidence == Evidence::Announced && !redirect.closing && same
 }
 
 impl Lookup {
