Hand an opening that was not understood on from a draining upstream

What callers saw: a flow began at an upstream that had drained for seconds, and ends with it.

Cause: an opening on the ports of an older connection is answered for that one; the caller resets it and repeats the opening, and its agent, which counts the opening as its flow since the first copy, delivers the copy whatever has happened since (trace of: drained at 19.4 s, begun at 29.0 s). Ruled out: a drain not heard of.

Change: for a service that admits when in doubt, a draining agent hands such an opening on, if its caller has sent nothing but that reset for a second. The case before_the_drain of opening_that_was_not_understood_leaves_a_draining_upstream fails without it.

--- a/crates/decision/src/agent/early.rs
+++ b/crates/decision/src/agent/early.rs
@@ -6,7 +6,7 @@
 
 use super::claimant::Witnesses;
 use super::claims::Stage;
-use super::flows::FlowState;
+use super::flows::{Flow, FlowState};
 use super::mutant::mutated;
 use super::pending::Attempt;
 use super::redirects::{Evidence, Redirect};
@@ -79,6 +79,11 @@
     /// The verdict if the opening belongs to a flow in the table: a copy of its own opening, or one
     /// on the ports of an open flow, which the upstream answers itself.
     fn opening_of_known(&mut self, now: Millis, opening: Opening) -> Option<Verdict> {
+        if self.must_not_admit() && self.has_never_run(now, opening) {
+            let entry = self.flows.remove(opening.flow)?;
+            self.announce_end(opening.flow, &entry);
+            return None;
+        }
         let flow = self.flows.get(opening.flow)?;
         let same = flow.nonce == Some(opening.nonce);
         if flow.is_certainly_open() || (same && flow.state == FlowState::Open) {
@@ -89,6 +94,13 @@
         (same && flow.state == FlowState::Finishing).then_some(Verdict::Drop(Reason::Duplicate))
     }
 
+    /// Whether the upstream has answered for an older connection on the ports, and its caller has heard nothing
+    /// of this one since: a caller that had would have gone on by now.
+    fn has_never_run(&self, now: Millis, opening: Opening) -> bool {
+        let old = |flow: &Flow| now.since(flow.opened_at) >= limits::GOES_ON_WITHIN_MS;
+        self.was_not_understood(opening) && self.flows.get(opening.flow).is_some_and(old)
+    }
+
     /// The agent to which the home's work belongs, `None` if it is this one.
     ///
     /// A sender with newer settings knows better who is home. This agent then acts as home at
--- a/crates/decision/src/agent/limits.rs
+++ b/crates/decision/src/agent/limits.rs
@@ -34,6 +34,9 @@
 /// them while the handshake lasts, and the caller's first three timeouts fall within it.
 pub const COPY_MS: u64 = 10_000;
 
+/// Time within which a caller goes on once its opening was answered: many round trips, and one repetition.
+pub const GOES_ON_WITHIN_MS: u64 = 1_000;
+
 /// How long a claim is remembered and a restarted witness abstains. It must exceed the longest
 /// time for which copies of one opening exist: a Linux caller sends its last SYN after 63 s.
 pub const CLAIM_TTL_MS: u64 = 120_000;
--- a/crates/decision/src/agent/once.rs
+++ b/crates/decision/src/agent/once.rs
@@ -133,7 +133,7 @@
 
     /// A SYN on the ports of an older connection that its upstream still has: the upstream answers
     /// for the older one, the caller resets that and sends the same SYN again. It has not run.
-    fn was_not_understood(&self, opening: Opening) -> bool {
+    pub(super) fn was_not_understood(&self, opening: Opening) -> bool {
         let flow = self.flows.get(opening.flow);
         !self.settings.datagrams
             && flow.is_some_and(|flow| {
--- a/crates/decision/src/agent/tests/ports.rs
+++ b/crates/decision/src/agent/tests/ports.rs
@@ -63,3 +63,29 @@
 fn later() -> Packet {
     Packet { sequence: LATER, ..packet(flow(1), PacketKind::Middle) }
 }
+
+/// A draining upstream gets an opening seconds later: it came on the ports of an older connection before the
+/// drain, the upstream answered for that one, and the caller repeats it.
+#[rstest]
+#[case::before_the_drain(true)]
+#[case::without_a_drain(false)]
+fn opening_that_was_not_understood_leaves_a_draining_upstream(#[case] drains: bool) {
+    let mut spec = Spec::new(WhenInDoubt::Admit, 4);
+    let mut fleet = Fleet::settled(&spec);
+    let home = fleet.ranking(flow(1))[0];
+    fleet.send(home, flow(1), opening(1));
+    fleet.pass(1_000);
+    fleet.restart(home, &spec);
+    fleet.pass(2_000);
+    assert_eq!(fleet.send(home, flow(1), opening(LATER)), Outcome::Delivered(home));
+    assert_eq!(fleet.send(home, flow(1), PacketKind::Reset), Outcome::Delivered(home));
+    if drains {
+        spec.version = 2;
+        spec.states[home] = UpstreamState::Draining;
+        (0..4).for_each(|index| fleet.install(index, &spec));
+    }
+    fleet.pass(2_000);
+    let outcome = fleet.send(home, flow(1), opening(LATER));
+    assert!(matches!(outcome, Outcome::Delivered(_)), "{outcome:?}");
+    assert_eq!(outcome != Outcome::Delivered(home), drains);
+}
