Do not count adopted strays that the upstream has no room for

Ruled out: relearned flows. Change: adopted flows count as uncertain, like those known from peers, and what two reports leave no room for is no load. The first case of adopted_strays_do_not_fill_an_upstream fails without it.

--- a/crates/decision/src/agent/flows.rs
+++ b/crates/decision/src/agent/flows.rs
@@ -61,6 +61,8 @@
     open: usize,
     /// Open flows that are known from hearsay only.
     hearsay: usize,
+    /// Open flows that were adopted without record.
+    adopted: usize,
     unanswered: usize,
     /// Openings and adopted flows by age, with those that have been answered still among them.
     openings: VecDeque<(Millis, FlowId)>,
@@ -83,9 +85,9 @@
         self.open
     }
 
-    /// Open flows that only peers say this agent holds, and of which no packet has come.
-    pub(super) fn hearsay(&self) -> usize {
-        self.hearsay
+    /// Open flows that the upstream may never have had: peers say so, or a packet of theirs was tried here.
+    pub(super) fn uncertain(&self) -> usize {
+        self.hearsay + self.adopted
     }
 
     pub(super) fn closing(&self) -> usize {
@@ -177,6 +179,7 @@
         };
         self.flows.insert(id, flow);
         self.open += 1;
+        self.adopted += usize::from(flow.is_open_adopted());
         if !answered {
             self.unanswered += usize::from(nonce.is_some());
             self.openings.push_back((now, id));
@@ -224,6 +227,7 @@
         }
         let was_open = flow.state == FlowState::Open;
         self.hearsay -= usize::from(flow.is_open_hearsay());
+        self.adopted -= usize::from(flow.is_open_adopted());
         self.unanswered -= usize::from(flow.is_unanswered() && flow.nonce.is_some());
         self.open -= usize::from(was_open);
         flow.state = state;
@@ -234,6 +238,7 @@
     pub(super) fn remove(&mut self, id: FlowId) -> Option<Flow> {
         let flow = self.flows.remove(&id)?;
         self.hearsay -= usize::from(flow.is_open_hearsay());
+        self.adopted -= usize::from(flow.is_open_adopted());
         self.open -= usize::from(flow.state == FlowState::Open);
         self.unanswered -= usize::from(flow.is_unanswered() && flow.nonce.is_some());
         Some(flow)
@@ -312,6 +317,10 @@
         self.state == FlowState::Open && self.hearsay
     }
 
+    fn is_open_adopted(&self) -> bool {
+        self.state == FlowState::Open && self.nonce.is_none()
+    }
+
     /// Whether the flow is announced.
     pub(super) fn is_announced(&self) -> bool {
         self.state == FlowState::Open && self.nonce.is_some()
--- a/crates/decision/src/agent/health.rs
+++ b/crates/decision/src/agent/health.rs
@@ -26,7 +26,7 @@
     upstream_started_at: Option<Millis>,
     /// What the last heartbeat said.
     told_accepting: Option<bool>,
-    /// Flows known from hearsay that the last report did not confirm.
+    /// Uncertain flows that the last report did not confirm.
     unconfirmed: usize,
     /// Those that neither of the last two reports confirmed: they don't count as load.
     phantoms: usize,
@@ -52,21 +52,21 @@
             }
         }
         self.health.report = Some(report);
-        self.confirm_hearsay(report);
+        self.confirm_uncertain(report);
         self.count_unknown(report);
         self.tell_if_changed(now, out);
     }
 
-    /// Compares the flows that only peers say this agent holds with what its upstream has open.
+    /// Compares the flows that the upstream may never have had with what it has open.
     ///
     /// What two reports in a row leave no room for is not counted as load; that it may be held is still
-    /// answered. A report that says too little gives the upstream at most as many flows more as are known
-    /// from hearsay.
-    fn confirm_hearsay(&mut self, report: UpstreamReport) {
-        let hearsay = self.flows.hearsay();
-        let certain = self.flows.open() - hearsay;
+    /// answered. A report that says too little gives the upstream at most as many flows more as are
+    /// uncertain.
+    fn confirm_uncertain(&mut self, report: UpstreamReport) {
+        let uncertain = self.flows.uncertain();
+        let certain = self.flows.open() - uncertain;
         let confirmed = (report.open_flows as usize).saturating_sub(certain);
-        let unconfirmed = hearsay.saturating_sub(confirmed);
+        let unconfirmed = uncertain.saturating_sub(confirmed);
         self.health.phantoms = unconfirmed.min(self.health.unconfirmed);
         self.health.unconfirmed = unconfirmed;
     }
@@ -74,7 +74,7 @@
     /// A report may be older than a flow, so two in a row must say the same.
     fn count_unknown(&mut self, report: UpstreamReport) {
         let reported = report.open_flows as usize;
-        let certain = self.flows.open() - self.flows.hearsay();
+        let certain = self.flows.open() - self.flows.uncertain();
         let unknown = match reported {
             more if more > self.flows.open() => Some(Unknown::Some),
             fewer if fewer <= certain => Some(Unknown::Nothing),
@@ -91,7 +91,7 @@
 
     /// Open flows as they count for load and limits.
     pub(super) fn counted_flows(&self) -> usize {
-        self.flows.open() - self.health.phantoms.min(self.flows.hearsay())
+        self.flows.open() - self.health.phantoms.min(self.flows.uncertain())
     }
 
     /// Whether the own upstream takes openings.
--- a/crates/decision/src/agent/tests/unknown.rs
+++ b/crates/decision/src/agent/tests/unknown.rs
@@ -42,3 +42,25 @@
     let expected = found.map_or(Outcome::Dropped(Reason::HolderSilent), Outcome::Delivered);
     assert_eq!(fleet.send(3, flow(1), PacketKind::Middle), expected);
 }
+
+/// Stray packets of connections that are long over are tried at a restarted agent. It must not count them as
+/// flows for a day, and refuse all openings though its upstream has room.
+#[rstest]
+#[case::upstream_has_none(0, true)]
+#[case::upstream_has_them(3, false)]
+fn adopted_strays_do_not_fill_an_upstream(#[case] open_flows: u32, #[case] takes: bool) {
+    let mut spec = Spec::new(WhenInDoubt::Admit, 1);
+    spec.max_flows = 3;
+    let mut fleet = Fleet::settled(&spec);
+    fleet.restart(0, &spec);
+    fleet.pass(1_000);
+    for number in 0..3 {
+        assert_eq!(fleet.send(0, flow(number), PacketKind::Middle), Outcome::Delivered(0));
+    }
+    for _ in 0..2 {
+        fleet.event(0, Event::Upstream(UpstreamReport { open_flows, ..report() }));
+        fleet.pass(1_000);
+    }
+    let outcome = fleet.send(0, flow(10), opening(1));
+    assert_eq!(outcome == Outcome::Delivered(0), takes, "{outcome:?}");
+}
