--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -10,6 +10,7 @@
 mod claimant;
 mod claims;
 mod early;
+mod finding;
 mod flow_map;
 mod flows;
 mod handover;
--- a/crates/fuzzing/tests/known_red.rs
+++ b/crates/fuzzing/tests/known_red.rs
@@ -46,10 +46,27 @@
 /// An agent counts a flow whose opening was assigned to it a second after its process had ended.
 #[rstest]
 #[case::assigned_to_an_ended_agent(201054)]
+#[case::not_traced(61200137)]
 fn red_flow_that_may_have_run(#[case] seed: u64) {
     check(seed);
 }
 
+/// All agents of a service are away at once, each redeployed as planned, and an open flow is not found afterwards.
+#[rstest]
+#[case::two_of_them_likely(61300178)]
+#[case::of_five(61500116)]
+#[case::of_six(61200139)]
+fn red_flow_while_all_agents_were_away(#[case] seed: u64) {
+    check(seed);
+}
+
+/// A confirmation runs twice. All hosts of its service die together and look like a service that begins.
+#[rstest]
+#[case::all_hosts_die(61200230)]
+fn red_request_ran_twice(#[case] seed: u64) {
+    check(seed);
+}
+
 /// Most balancers are cut off with an old view, and send a cold upstream more openings than it bears.
 #[rstest]
 #[case::crashed_beside_a_cut_agent(Size::CROWDED, 81266)]
