Say what a former life has told in one type, and judge doubtful agents as one list

Message::Former carries the core's Former instead of the same three fields written twice and copied between; the judgement of several unsure agents is one list (this agent among them) and one rule, in place of three lists and guards; certain flows are counted in one place; whether a leaving agent has handed over follows from when it last said so; two tests share their ending, with the same assertions.

--- a/crates/decision/src/agent/finding.rs
+++ b/crates/decision/src/agent/finding.rs
@@ -98,34 +98,34 @@
     /// Everybody has answered and nobody holds the flow for certain.
     fn finding_of_denials(&self, now: Millis, lookup: &Lookup) -> Finding {
         let me = self.config.upstream;
-        let said = |knowledge: Knowledge| {
-            let answers = lookup.answers.iter();
-            answers.filter(move |(_, answer)| *answer == Some(knowledge)).map(|(id, _)| *id)
-        };
-        let likely: Vec<UpstreamId> = said(Knowledge::Likely).collect();
-        let open: Vec<UpstreamId> = said(Knowledge::Unsure).chain(likely.iter().copied()).collect();
-        let unlikely: Vec<UpstreamId> = said(Knowledge::Unlikely).collect();
         // A redirect that names this agent is proof enough for one that has had an earlier life.
         let named = self.config.may_have_past && lookup.named().any(|id| id == me);
-        let may_be_mine = named || self.is_unsure(now);
-        let own = self.unknown_flows().filter(|_| !named);
-        let unsure = open.len() + unlikely.len() + usize::from(may_be_mine);
-        match (unsure, open.as_slice(), unlikely.as_slice()) {
-            (0, ..) => Finding::Nobody,
-            (1, [only], _) | (1, _, [only]) => Finding::Only(*only),
-            (1, ..) => Finding::OnlyMe,
-            // Of several, the only one whose upstream has a flow that nobody knows.
-            (_, [only], _)
-                if *likely == [*only] && (!may_be_mine || own == Some(Unknown::Nothing)) =>
-            {
-                Finding::Only(*only)
-            }
-            (_, [], _) if may_be_mine && own == Some(Unknown::Some) => Finding::OnlyMe,
-            _ => Finding::Doubt,
+        let own = (me, self.unknown_flows().filter(|_| !named));
+        let doubtful: Vec<(UpstreamId, Option<Unknown>)> =
+            lookup.unsure().chain((named || self.is_unsure(now)).then_some(own)).collect();
+        let only = match doubtful.as_slice() {
+            [] => return Finding::Nobody,
+            [(only, _)] => Some(*only),
+            several => only_likely(several),
+        };
+        match only {
+            Some(only) if only == me => Finding::OnlyMe,
+            Some(only) => Finding::Only(only),
+            None => Finding::Doubt,
         }
     }
 }
 
+/// Of several that may hold a flow, the one whose upstream alone has a flow that its agent does not know.
+fn only_likely(doubtful: &[(UpstreamId, Option<Unknown>)]) -> Option<UpstreamId> {
+    let others = doubtful.iter().filter(|(_, unknown)| *unknown != Some(Unknown::Nothing));
+    let others: Vec<_> = others.collect();
+    match others.as_slice() {
+        [(only, Some(Unknown::Some))] => Some(*only),
+        _ => None,
+    }
+}
+
 impl Lookup {
     /// The agent that says it holds the flow.
     fn holder(&self) -> Option<UpstreamId> {
@@ -133,6 +133,16 @@
         answers.find(|(_, answer)| *answer == Some(Knowledge::Mine)).map(|(id, _)| *id)
     }
 
+    /// Agents that may hold the flow without knowing, and what their upstreams say of such flows.
+    fn unsure(&self) -> impl Iterator<Item = (UpstreamId, Option<Unknown>)> + '_ {
+        self.answers.iter().filter_map(|(id, answer)| match answer {
+            Some(Knowledge::Unsure) => Some((*id, None)),
+            Some(Knowledge::Likely) => Some((*id, Some(Unknown::Some))),
+            Some(Knowledge::Unlikely) => Some((*id, Some(Unknown::Nothing))),
+            _ => None,
+        })
+    }
+
     fn denied_by(&self, id: UpstreamId) -> bool {
         self.answers.contains(&(id, Some(Knowledge::NotMine)))
     }
--- a/crates/decision/src/agent/flows.rs
+++ b/crates/decision/src/agent/flows.rs
@@ -90,6 +90,11 @@
         self.hearsay + self.adopted
     }
 
+    /// Open flows of which the upstream is known to have had each.
+    pub(super) fn certain(&self) -> usize {
+        self.open - self.uncertain()
+    }
+
     pub(super) fn closing(&self) -> usize {
         self.flows.len() - self.open
     }
--- a/crates/decision/src/agent/handover.rs
+++ b/crates/decision/src/agent/handover.rs
@@ -10,31 +10,22 @@
 use super::relearn::Past;
 use super::{Action, Agent, limits};
 use crate::keys::{Incarnation, UpstreamId};
-use crate::message::{HandedOver, Message};
+use crate::message::{Former, HandedOver, Message};
 use crate::time::Millis;
 
 /// How far a leaving agent has handed over.
 #[derive(Debug, Default)]
 pub(super) struct Handover {
-    /// Whether it has said so, and takes no flow any more.
-    said: bool,
-    told_at: Option<Millis>,
+    /// When it last said so; from the first time on it takes no flow.
+    said_at: Option<Millis>,
     /// How often a peer was found silent.
     silences: u32,
 }
 
-/// What one peer knows of the former life of this agent.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct Former {
-    pub(super) life: Option<Incarnation>,
-    pub(super) handed_over: Option<HandedOver>,
-    pub(super) resumed: bool,
-}
-
 impl Agent {
     /// Whether one more flow can be taken.
     pub(super) fn can_take(&self) -> bool {
-        self.flows.has_room() && !self.handover.said
+        self.flows.has_room() && self.handover.said_at.is_none()
     }
 
     pub(super) fn found_silent(&mut self) {
@@ -45,12 +36,11 @@
     ///
     /// An agent that may hold flows unknown to itself can't say so.
     pub(super) fn hand_over(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let waits = self.handover.told_at.is_some_and(|at| now.since(at) < limits::ANNOUNCE_MS);
+        let waits = self.handover.said_at.is_some_and(|at| now.since(at) < limits::ANNOUNCE_MS);
         if !self.leaving || waits || self.is_unsure(now) || !self.has_told_all() {
             return;
         }
-        self.handover.said = true;
-        self.handover.told_at = Some(now);
+        self.handover.said_at = Some(now);
         let told = self.told();
         let silences = self.handover.silences;
         let incarnation = self.config.incarnation;
--- a/crates/decision/src/agent/health.rs
+++ b/crates/decision/src/agent/health.rs
@@ -64,8 +64,7 @@
     /// uncertain.
     fn confirm_uncertain(&mut self, report: UpstreamReport) {
         let uncertain = self.flows.uncertain();
-        let certain = self.flows.open() - uncertain;
-        let confirmed = (report.open_flows as usize).saturating_sub(certain);
+        let confirmed = (report.open_flows as usize).saturating_sub(self.flows.certain());
         let unconfirmed = uncertain.saturating_sub(confirmed);
         self.health.phantoms = unconfirmed.min(self.health.unconfirmed);
         self.health.unconfirmed = unconfirmed;
@@ -74,10 +73,9 @@
     /// A report may be older than a flow, so two in a row must say the same.
     fn count_unknown(&mut self, report: UpstreamReport) {
         let reported = report.open_flows as usize;
-        let certain = self.flows.open() - self.flows.uncertain();
         let unknown = match reported {
             more if more > self.flows.open() => Some(Unknown::Some),
-            fewer if fewer <= certain => Some(Unknown::Nothing),
+            fewer if fewer <= self.flows.certain() => Some(Unknown::Nothing),
             _ => None,
         };
         self.health.unknown = unknown.filter(|_| self.health.reported == unknown);
@@ -281,11 +279,9 @@
                 let beat = heartbeat.beat;
                 out.push(Action::Report(Member { upstream: id, beat, up: false }));
             }
-        }
-        out.push(Action::Note(Note::PeerSuspected { upstream: id, suspected }));
-        if suspected {
             self.found_silent();
         }
+        out.push(Action::Note(Note::PeerSuspected { upstream: id, suspected }));
         self.doubt_former_homes(now, &homes);
         self.retarget();
         if !suspected {
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -286,8 +286,7 @@
             Message::HandedOver { incarnation, state } => {
                 self.handed_over_by(now, from, (incarnation, state), out);
             }
-            Message::Former { incarnation, life, handed_over, resumed } => {
-                let former = handover::Former { life, handed_over, resumed };
+            Message::Former { incarnation, former } => {
                 self.former_told(from, incarnation, former);
             }
         }
--- a/crates/decision/src/agent/relearn.rs
+++ b/crates/decision/src/agent/relearn.rs
@@ -1,12 +1,11 @@
 //! After a restart: asking the peers which flows the earlier life held.
 
-use super::handover::Former;
 use super::health::Unknown;
 use super::peers::Peer;
 use super::redirects::{Evidence, Redirect};
 use super::{Action, Agent, Note, limits};
 use crate::keys::{FlowId, Incarnation, UpstreamId};
-use crate::message::{Entrusted, HandedOver, Message, Opening};
+use crate::message::{Entrusted, Former, HandedOver, Message, Opening};
 use crate::time::Millis;
 use crate::view::WhenInDoubt;
 
@@ -125,13 +124,7 @@
             page.into_iter().partition(|entry| entry.holder == from);
         let openings = own.into_iter().map(|entry| entry.opening).collect();
         let complete = self.was_complete_before(from);
-        let former = self.former_of(from);
-        let message = Message::Former {
-            incarnation,
-            life: former.life,
-            handed_over: former.handed_over,
-            resumed: former.resumed,
-        };
+        let message = Message::Former { incarnation, former: self.former_of(from) };
         out.push(Action::Send { to: from, message });
         let message =
             Message::RelearnReply { incarnation, from: first, openings, entrusted, next, complete };
--- a/crates/decision/src/agent/tests/handover.rs
+++ b/crates/decision/src/agent/tests/handover.rs
@@ -116,10 +116,7 @@
     fleet.restart(home, &spec);
     fleet.send(home, flow(1), PacketKind::Middle);
     fleet.send(home, flow(1), PacketKind::Finish);
-    fleet.pass(1_000);
-    fleet.restart(home, &spec);
-    fleet.pass(2_000);
-    assert_eq!(fleet.agents[home].open_flows(), 0);
+    assert_eq!(open_flows_of_next_life(&mut fleet, home, &spec), 0);
 }
 
 /// A caller opens its next feed on the ports of one whose end was lost. Peers that were told of the old one
@@ -142,10 +139,7 @@
     fleet.pass(125_000);
     fleet.send(home, flow(1), opening(2));
     fleet.send(home, flow(1), PacketKind::Finish);
-    fleet.pass(1_000);
-    fleet.restart(home, &spec);
-    fleet.pass(2_000);
-    assert_eq!(fleet.agents[home].open_flows(), 0);
+    assert_eq!(open_flows_of_next_life(&mut fleet, home, &spec), 0);
 }
 
 /// An agent that has handed over takes no opening: its next life would not know of it.
@@ -182,3 +176,11 @@
     let copy = Packet { hops: 1, passed: Passed::Assigned, ..packet(flow(1), opening(1)) };
     assert_eq!(fleet.send_packet(other, copy), opened);
 }
+
+/// Flows that an agent counts after it has died and relearned what its peers know.
+fn open_flows_of_next_life(fleet: &mut Fleet, index: usize, spec: &Spec) -> usize {
+    fleet.pass(1_000);
+    fleet.restart(index, spec);
+    fleet.pass(2_000);
+    fleet.agents[index].open_flows()
+}
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -119,6 +119,17 @@
     pub told: u32,
 }
 
+/// What an agent knows of the life of another before its present one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Former {
+    /// That life, if it was met.
+    pub life: Option<Incarnation>,
+    /// The newest that it has said at its end.
+    pub handed_over: Option<HandedOver>,
+    /// Whether the agent's own former life has handed over, so that it knows what was entrusted to it.
+    pub resumed: bool,
+}
+
 /// Load and state of an agent, sent to its peers as heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -287,11 +298,7 @@
     Former {
         /// Life that asked.
         incarnation: Incarnation,
-        /// The last life of the asker before that one that the sender has met.
-        life: Option<Incarnation>,
-        /// The newest that the former life has said at its end.
-        handed_over: Option<HandedOver>,
-        /// Whether the sender's own former life has handed over, so that it knows what was entrusted to it.
-        resumed: bool,
+        /// What the sender knows.
+        former: Former,
     },
 }
--- a/crates/wire/src/control/dto.rs
+++ b/crates/wire/src/control/dto.rs
@@ -2,8 +2,8 @@
 
 use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
 use decision::message::{
-    Claim, ClaimAnswer, ClaimRecord, Entrusted, FlowNote, HandedOver, Heartbeat, Knowledge, Memory,
-    Message, Opening, Outdated,
+    Claim, ClaimAnswer, ClaimRecord, Entrusted, FlowNote, Former, HandedOver, Heartbeat, Knowledge,
+    Memory, Message, Opening, Outdated,
 };
 use serde::{Deserialize, Deserializer, Serialize};
 
@@ -454,11 +454,11 @@
             Message::HandedOver { incarnation, state } => {
                 Body::HandedOver { incarnation: incarnation.0, state: (*state).into() }
             }
-            Message::Former { incarnation, life, handed_over, resumed } => Body::Former {
+            Message::Former { incarnation, former } => Body::Former {
                 incarnation: incarnation.0,
-                life: life.map(|life| life.0),
-                handed_over: handed_over.map(HandedOverDto::from),
-                resumed: *resumed,
+                life: former.life.map(|life| life.0),
+                handed_over: former.handed_over.map(HandedOverDto::from),
+                resumed: former.resumed,
             },
         })
     }
@@ -537,9 +537,11 @@
             }
             Body::Former { incarnation, life, handed_over, resumed } => Self::Former {
                 incarnation: Incarnation(incarnation),
-                life: life.map(Incarnation),
-                handed_over: handed_over.map(HandedOver::from),
-                resumed,
+                former: Former {
+                    life: life.map(Incarnation),
+                    handed_over: handed_over.map(HandedOver::from),
+                    resumed,
+                },
             },
         }
     }
--- a/crates/wire/tests/control.rs
+++ b/crates/wire/tests/control.rs
@@ -4,8 +4,8 @@
 
 use decision::keys::{FlowId, Incarnation, UpstreamId, Version};
 use decision::message::{
-    Claim, ClaimAnswer, ClaimRecord, Entrusted, FlowNote, HandedOver, Heartbeat, Knowledge, Memory,
-    Message, Opening, Outdated,
+    Claim, ClaimAnswer, ClaimRecord, Entrusted, FlowNote, Former, HandedOver, Heartbeat, Knowledge,
+    Memory, Message, Opening, Outdated,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -97,8 +97,8 @@
 #[case::tell_unlikely(Message::Tell { flow: OPENING.flow, question: 1, knowledge: Knowledge::Unlikely, view: VIEW })]
 #[case::tell(Message::Tell { flow: OPENING.flow, question: 1, knowledge: Knowledge::Unsure, view: VIEW })]
 #[case::handed_over(Message::HandedOver { incarnation: LIFE, state: STATE })]
-#[case::former(Message::Former { incarnation: LIFE, life: Some(Incarnation(3)), handed_over: Some(STATE), resumed: true })]
-#[case::former_unknown(Message::Former { incarnation: LIFE, life: None, handed_over: None, resumed: false })]
+#[case::former(Message::Former { incarnation: LIFE, former: Former { life: Some(Incarnation(3)), handed_over: Some(STATE), resumed: true } })]
+#[case::former_unknown(Message::Former { incarnation: LIFE, former: Former { life: None, handed_over: None, resumed: false } })]
 fn decode_own_encoding(#[case] message: Message) {
     let envelope = Envelope { clock: u64::MAX, message };
     let mut bytes = Vec::new();
