Tell readers of former services that they do not know

What callers would see: the same as with incomplete histories that pass for equal: after a loss of all memory the packets of an open flow are not passed to the upstream that holds it, through most balancers.

A service that is known only to a follower that is neither never reaches the readers, and with that nobody, for up to 90 s. Both tracers suspected it from the code; the fuzzed world could not show it, since its balancers learn from all others.

In steady state, with complete histories, nothing is sent.

Measured: correction_due_digest, correction_due_complete_history (the method is new).

--- a/crates/steering/src/peers/mod.rs
+++ b/crates/steering/src/peers/mod.rs
@@ -13,6 +13,7 @@
 use siphasher::sip::SipHasher13;
 
 use crate::flow::Millis;
+use crate::history::HistorySummary;
 
 /// Readers that suffice for all balancers. One may be cut off or paused without a gap in updates.
 pub const READERS: usize = 2;
@@ -63,6 +64,9 @@
 /// Maximum time for which a balancer that has started waits for others that read on its behalf.
 /// Balancers of the highest ranks go on reading.
 const INITIAL_READ_DELAY_MAX_MS: Millis = 500;
+/// Interval between two messages by which a balancer tells readers that they lack former services
+/// of routes. The reader's next beacon passes them on to all.
+const CORRECTION_MS: Millis = 1_000;
 /// Balancers that are asked at a time for what a reader has no time to provide.
 const FALLBACK_PEERS: usize = 3;
 /// Maximum number of balancers remembered.
@@ -120,6 +124,7 @@
     started_ms: Option<Millis>,
     last_hello_ms: Millis,
     last_beacon_ms: Millis,
+    last_correction_ms: Option<Millis>,
     /// Index into the known balancers at which the reply to the next hello starts.
     next_in_reply: usize,
     /// Index into the known balancers at which the next fallback peers start.
@@ -138,6 +143,7 @@
             started_ms: None,
             last_hello_ms: 0,
             last_beacon_ms: 0,
+            last_correction_ms: None,
             next_in_reply: 0,
             // Start at another position for each balancer.
             next_fallback: rank(own) as usize,
@@ -293,6 +299,23 @@
         self.alive(now_ms).collect()
     }
 
+    /// Whether to tell a reader now that this balancer knows former services of routes which the
+    /// reader does not know. Counts the message if so.
+    pub fn correction_due(
+        &mut self,
+        now_ms: Millis,
+        theirs: HistorySummary,
+        ours: HistorySummary,
+    ) -> bool {
+        let last_ms = self.last_correction_ms;
+        let is_due = theirs.may_lack(ours)
+            && last_ms.is_none_or(|last_ms| now_ms.saturating_sub(last_ms) >= CORRECTION_MS);
+        if is_due {
+            self.last_correction_ms = Some(now_ms);
+        }
+        is_due
+    }
+
     /// Whether others may rely on this balancer: it reads, and the configuration service answers
     /// it.
     pub fn acts_as_reader(&self, now_ms: Millis) -> bool {
--- a/crates/steering/tests/peers.rs
+++ b/crates/steering/tests/peers.rs
@@ -4,6 +4,7 @@
 
 use rstest::rstest;
 use steering::flow::Millis;
+use steering::history::HistorySummary;
 use steering::peers::{Comparison, Peers, READERS, ReaderRole, Summary};
 
 const STEP_MS: Millis = 50;
@@ -359,3 +360,29 @@
     listed.dedup();
     assert_eq!(listed.len() as u32, all - 1);
 }
+
+/// A follower alone knows a service that a route has left. Followers learn from readers only, so the
+/// reader has to hear of it, but not from every follower with every beacon.
+#[rstest]
+#[case::nothing_more(2, 2, &[])]
+#[case::less(3, 2, &[])]
+#[case::more(1, 2, &[0, 1_000, 2_000])]
+fn correction_due_digest(#[case] theirs: u64, #[case] ours: u64, #[case] expected_ms: &[Millis]) {
+    let summary =
+        |former_digest| HistorySummary { version: 12, whole_in_ms: 50_000, former_digest };
+    let mut peers = Peers::new(address(1));
+    let beacons_ms = (0..=2_000).step_by(250);
+    let corrected: Vec<Millis> = beacons_ms
+        .filter(|at_ms| peers.correction_due(*at_ms, summary(theirs), summary(ours)))
+        .collect();
+    assert_eq!(corrected, expected_ms);
+}
+
+/// A reader has started after the others and does not know what went before.
+#[test]
+fn correction_due_complete_history() {
+    let complete = HistorySummary::default();
+    let started = HistorySummary { whole_in_ms: 90_000, ..complete };
+    assert!(Peers::new(address(1)).correction_due(0, started, complete));
+    assert!(!Peers::new(address(1)).correction_due(0, complete, started));
+}
