Move the balancers' lists, routes and history of the fuzzed world to a file of their own

Moved to lists.rs without a change: entry (now visible in the folder), published, cold_for_ms, publish, receive_list, update_routes, learn_history, fill_membership, view_of, without_regions, apply_mutant.

--- a/crates/fuzzing/src/direct/world/changes.rs
+++ b/crates/fuzzing/src/direct/world/changes.rs
@@ -1,17 +1,15 @@
-//! Changes of the world, and how balancers and agents learn of them.
+//! Changes of the world, and the ticks of balancers and agents.
 
 use rand::RngExt as _;
 use std::sync::Arc;
 use steering::edge::{Trust, Verdict};
-use steering::history::History;
-use steering::membership::{Membership, OUTAGE_LINGER_MS, UpstreamRecord};
+use steering::membership::OUTAGE_LINGER_MS;
 use steering::side::AgentCore;
-use steering::view::{Route, RouteTable, Standing, Upstream as Listed, View};
+use steering::view::RouteTable;
 
 use super::{
     Balancer, CHANGE_INTERVAL_MS, COLD_MS, EMPTY_PACKET, Event, SERVICES, SETTLE_MS, SPLITS, Size,
-    TICK_MS, UNCONFIGURED_SERVICE, World, ZONES, address, balancer_index, route, upstream_of,
-    zone_of, zone_stamp,
+    TICK_MS, World, ZONES, balancer_index, route, upstream_of,
 };
 use crate::direct::upstream::Upstream;
 use crate::direct::{Change, Mutant, plan};
@@ -331,160 +329,4 @@
         self.listed[upstream] = Some(self.entry(upstream));
         self.publish();
     }
-
-    /// The entry that an upstream publishes.
-    fn entry(&self, upstream: usize) -> UpstreamRecord {
-        let Upstream { incarnation, service, draining_since_ms, cold_until_ms, .. } =
-            self.upstreams[upstream];
-        UpstreamRecord {
-            id: format!("u-{upstream}").into(),
-            born_ms: incarnation,
-            address: address(upstream),
-            service: SERVICES[service],
-            zone: zone_stamp(zone_of(upstream)),
-            draining: draining_since_ms.is_some(),
-            warmup_left_ms: cold_until_ms.saturating_sub(self.now_ms),
-            slots: 7,
-        }
-    }
-
-    /// The published entries of upstreams, and for each address an entry by another writer. That
-    /// one names a service that does not exist, and must not hide any upstream.
-    pub(super) fn published(&self) -> Vec<UpstreamRecord> {
-        let foreign = (0..self.size.upstreams).map(|upstream| UpstreamRecord {
-            id: format!("x-{upstream}").into(),
-            born_ms: u64::MAX,
-            service: UNCONFIGURED_SERVICE,
-            draining: false,
-            ..self.entry(upstream)
-        });
-        let listed = self.listed.iter().flatten().map(|record| UpstreamRecord {
-            warmup_left_ms: self.cold_for_ms(record),
-            ..record.clone()
-        });
-        listed.chain(foreign).collect()
-    }
-
-    /// Remaining warm-up time of an entry: upstreams keep rewriting their entries while they are
-    /// cold.
-    fn cold_for_ms(&self, record: &UpstreamRecord) -> u64 {
-        let Upstream { incarnation, cold_until_ms, .. } =
-            self.upstreams[upstream_of(record.address)];
-        if incarnation == record.born_ms { cold_until_ms.saturating_sub(self.now_ms) } else { 0 }
-    }
-
-    /// Publishes the list, which reaches each balancer after a delay of its own.
-    pub(super) fn publish(&mut self) {
-        for balancer in 0..self.size.balancers {
-            let delay_ms = self.rng.random_range(1..30);
-            self.schedule(delay_ms, Event::ListArrives(balancer));
-        }
-    }
-
-    pub(super) fn receive_list(&mut self, balancer: usize) {
-        let now_ms = self.now_ms;
-        if self.balancers[balancer].cut_until_ms > now_ms {
-            return;
-        }
-        let mut membership = std::mem::take(&mut self.balancers[balancer].membership);
-        self.fill_membership(&mut membership);
-        membership.expire(now_ms);
-        self.update_routes(balancer);
-        let Balancer { routes, history, .. } = &self.balancers[balancer];
-        self.balancers[balancer].view = self.view_of(&membership, routes, history);
-        self.balancers[balancer].membership = membership;
-    }
-
-    /// Updates a balancer's routes. Versions that were published while it was cut off are known to
-    /// other balancers only.
-    fn update_routes(&mut self, balancer: usize) {
-        if self.mutant == Some(Mutant::OldRoutesKept) {
-            return;
-        }
-        let now_ms = self.now_ms;
-        let Balancer { routes, history, confirmed_ms, .. } = &mut self.balancers[balancer];
-        let (old, current_until_ms) = (Arc::clone(routes), *confirmed_ms);
-        let mut history = history.clone();
-        if self.routes.version > old.version + 1 {
-            history.on_gap(now_ms);
-        }
-        if self.routes.version > old.version {
-            history.on_routes(now_ms, &old, &self.routes);
-        }
-        self.learn_history(&mut history, current_until_ms);
-        let learner = &mut self.balancers[balancer];
-        learner.routes = Arc::clone(&self.routes);
-        learner.history = history;
-    }
-
-    /// Merges what the balancers that can be reached know of services that routes have left.
-    pub(super) fn learn_history(&self, history: &mut History, current_until_ms: u64) {
-        if self.mutant == Some(Mutant::HistoryNotLearnt) {
-            *history = History::default();
-            return;
-        }
-        let connected = |peer: &&Balancer| peer.up && peer.cut_until_ms <= self.now_ms;
-        for peer in self.balancers.iter().filter(connected) {
-            if history.is_behind(self.now_ms, peer.history.summary(self.now_ms)) {
-                let contents = peer.history.contents(self.now_ms, peer.routes.version);
-                history.merge(self.now_ms, current_until_ms, &self.routes, &contents);
-            }
-        }
-    }
-
-    pub(super) fn fill_membership(&self, membership: &mut Membership) {
-        let closed = self.closed_since_ms.iter().zip(0..).filter(|(since, _)| since.is_some());
-        let mut closed: Vec<_> = closed.map(|(_, zone)| zone_stamp(zone)).collect();
-        if self.mutant == Some(Mutant::ZoneNeverOpened) {
-            closed.extend(membership.closed_zones());
-        }
-        membership.replace(self.now_ms, &self.published(), closed);
-    }
-
-    /// The view that a balancer derives from its list, without the safeguard that the mutant
-    /// removes.
-    pub(super) fn view_of(
-        &self,
-        membership: &Membership,
-        routes: &Arc<RouteTable>,
-        history: &History,
-    ) -> View {
-        let routes = match self.mutant {
-            Some(Mutant::RegionIgnored) => Arc::new(without_regions(routes)),
-            _ => Arc::clone(routes),
-        };
-        let history = match self.mutant {
-            Some(Mutant::FormerServicesForgotten) => Arc::default(),
-            _ => Arc::new(history.clone()),
-        };
-        let view = membership.view_since(Arc::clone(&routes), Arc::clone(&history));
-        let listed =
-            view.upstreams().iter().filter_map(|upstream| apply_mutant(*upstream, self.mutant));
-        let closed = match self.mutant {
-            Some(Mutant::ClosedZoneIgnored) => Vec::new(),
-            _ => view.closed_zones().to_vec(),
-        };
-        let regions = Arc::clone(&self.regions);
-        View::new(routes, listed.collect())
-            .with_closed_zones(closed)
-            .with_regions(regions)
-            .with_history(history)
-    }
-}
-
-fn without_regions(table: &RouteTable) -> RouteTable {
-    let free = |route: &Route| Route { regions: [].into(), ..route.clone() };
-    let routes = table.routes().iter().map(free).collect();
-    RouteTable::new(table.version, routes, table.services().iter().copied())
-}
-
-/// An upstream as a balancer without the removed safeguard sees it.
-fn apply_mutant(upstream: Listed, mutant: Option<Mutant>) -> Option<Listed> {
-    match (mutant, upstream.standing) {
-        (Some(Mutant::MissingForgotten), Standing::Missing { .. }) => None,
-        (Some(Mutant::DrainIgnored), Standing::Draining) => {
-            Some(Listed { standing: Standing::Ready, ..upstream })
-        }
-        _ => Some(upstream),
-    }
 }
--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -3,6 +3,7 @@
 
 mod changes;
 mod layout;
+mod lists;
 mod packets;
 
 use std::collections::BTreeMap;
