Let balancers of the fuzzed world report to each other as the processes do

Cause, from both traces: balancers of the world learned only at their start and when a list arrived. Processes hear of readers every 250 ms (BEACON_MS), and fetch what they lack.

The world was more generous elsewhere: with each list every balancer learned from every other one, in the processes only from the readers. Now: every 250 ms the two first balancers that run, are not cut off and do not stand still report to the others; one report in ten is lost; who knows more than the reader tells it; with a list, balancers learn from readers only; at a start from all, as before. The draws have a generator of their own, so that the changes of a minute stay what they were. The state in which equal versions hide different contents is guarded by the forced orders in edge_unlearnt_history, not by fuzzing.

--- a/crates/fuzzing/src/direct/world/lists.rs
+++ b/crates/fuzzing/src/direct/world/lists.rs
@@ -72,9 +72,8 @@
         self.fill_membership(&mut membership);
         membership.expire(now_ms);
         self.update_routes(balancer);
-        let Balancer { routes, history, .. } = &self.balancers[balancer];
-        self.balancers[balancer].view = self.view_of(&membership, routes, history);
         self.balancers[balancer].membership = membership;
+        self.rebuild_view(balancer);
     }
 
     /// Updates a balancer's routes. Versions that were published while it was cut off are known to
@@ -84,8 +83,8 @@
             return;
         }
         let now_ms = self.now_ms;
-        let Balancer { routes, history, confirmed_ms, .. } = &mut self.balancers[balancer];
-        let (old, current_until_ms) = (Arc::clone(routes), *confirmed_ms);
+        let Balancer { routes, history, .. } = &self.balancers[balancer];
+        let old = Arc::clone(routes);
         let mut history = history.clone();
         if self.routes.version > old.version + 1 {
             history.on_gap(now_ms);
@@ -93,27 +92,51 @@
         if self.routes.version > old.version {
             history.on_routes(now_ms, &old, &self.routes);
         }
-        self.learn_history(&mut history, current_until_ms);
+        if self.mutant == Some(Mutant::HistoryNotLearnt) {
+            history = History::default();
+        } else {
+            self.learn_from_readers(balancer, &mut history);
+        }
         let learner = &mut self.balancers[balancer];
         learner.routes = Arc::clone(&self.routes);
         learner.history = history;
     }
 
-    /// Merges what the balancers that can be reached know of services that routes have left.
-    pub(super) fn learn_history(&self, history: &mut History, current_until_ms: u64) {
+    /// Merges what the balancers that can be reached know of services that routes have left: a
+    /// starting balancer asks all of them.
+    pub(super) fn learn_at_start(&self, history: &mut History) {
         if self.mutant == Some(Mutant::HistoryNotLearnt) {
             *history = History::default();
             return;
         }
-        let connected = |peer: &&Balancer| peer.up && peer.cut_until_ms <= self.now_ms;
-        for peer in self.balancers.iter().filter(connected) {
-            if history.is_behind(self.now_ms, peer.history.summary(self.now_ms)) {
-                let contents = peer.history.contents(self.now_ms, peer.routes.version);
-                history.merge(self.now_ms, current_until_ms, &self.routes, &contents);
-            }
+        let connected = |peer: &Balancer| peer.up && peer.cut_until_ms <= self.now_ms;
+        for peer in (0..self.balancers.len()).filter(|peer| connected(&self.balancers[*peer])) {
+            self.merge_if_behind(history, 0, &self.routes, peer);
+        }
+    }
+
+    /// Merges the history of another balancer if that contains anything which this one lacks.
+    /// `routes` are those in force at the learner.
+    pub(super) fn merge_if_behind(
+        &self,
+        history: &mut History,
+        current_until_ms: u64,
+        routes: &RouteTable,
+        peer: usize,
+    ) {
+        let peer = &self.balancers[peer];
+        if history.is_behind(self.now_ms, peer.history.summary(self.now_ms)) {
+            let contents = peer.history.contents(self.now_ms, peer.routes.version);
+            history.merge(self.now_ms, current_until_ms, routes, &contents);
         }
     }
 
+    /// Rebuilds a balancer's view from its list, routes and history.
+    pub(super) fn rebuild_view(&mut self, balancer: usize) {
+        let Balancer { membership, routes, history, .. } = &self.balancers[balancer];
+        self.balancers[balancer].view = self.view_of(membership, routes, history);
+    }
+
     pub(super) fn fill_membership(&self, membership: &mut Membership) {
         let closed = self.closed_since_ms.iter().zip(0..).filter(|(since, _)| since.is_some());
         let mut closed: Vec<_> = closed.map(|(_, zone)| zone_stamp(zone)).collect();
--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -5,6 +5,7 @@
 mod layout;
 mod lists;
 mod packets;
+mod reports;
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -16,6 +17,7 @@
 use steering::flow::{FlowKey, Segment, SegmentKind};
 use steering::history::History;
 use steering::membership::{Membership, UpstreamRecord};
+use steering::peers::BEACON_MS;
 use steering::side::AgentCore;
 use steering::view::{Regions, RouteTable, Service, View};
 
@@ -98,6 +100,7 @@
     SlowAnswer { upstream: usize, incarnation: u64, packet: Packet },
     LapseEntry { upstream: usize, incarnation: u64 },
     Tick,
+    Report,
     Change,
     ListArrives(usize),
     StartBalancer(usize),
@@ -137,6 +140,8 @@
     pub outcome: Outcome,
     size: Size,
     rng: Pcg64Mcg,
+    /// For reports of balancers, so that these draw nothing from the generator of the changes.
+    reports_rng: Pcg64Mcg,
     mutant: Option<Mutant>,
     now_ms: u64,
     events: BTreeMap<(u64, u64), Event>,
@@ -180,6 +185,7 @@
             outcome: Outcome::default(),
             size,
             rng: Pcg64Mcg::seed_from_u64(seed),
+            reports_rng: Pcg64Mcg::seed_from_u64(!seed),
             mutant,
             now_ms: 0,
             events: BTreeMap::new(),
@@ -235,6 +241,7 @@
             self.schedule((caller % 24) as u64 * 7, Event::CallerTimer(caller));
         }
         self.schedule(TICK_MS, Event::Tick);
+        self.schedule(BEACON_MS, Event::Report);
         self.schedule(1_000, Event::Change);
     }
 
@@ -245,7 +252,7 @@
             0 => History::from_first_start(FLOW_TTL_MS),
             now_ms => History::from_now(now_ms, FLOW_TTL_MS),
         };
-        self.learn_history(&mut history, 0);
+        self.learn_at_start(&mut history);
         let routes = Arc::clone(&self.routes);
         let view = self.view_of(&membership, &routes, &history);
         Balancer {
@@ -338,6 +345,7 @@
             }
             Event::LapseEntry { upstream, incarnation } => self.lapse_entry(upstream, incarnation),
             Event::Tick => self.tick(),
+            Event::Report => self.report(),
             Event::Change => self.change(),
             Event::ListArrives(balancer) => self.receive_list(balancer),
             Event::StartBalancer(balancer) => self.balancers[balancer] = self.new_balancer(),
