Show why an episode of the direct-return path breaks a promise

The world notes typed entries through one method that takes a closure and does nothing unless a time line is recorded. Violations are recorded with their flow. No check, bound, random draw or order of events has changed.

--- a/crates/fuzzing/src/command.rs
+++ b/crates/fuzzing/src/command.rs
@@ -26,6 +26,10 @@
   --direct N     play N minutes of the direct-return path instead, each from a seed of its own
   --world NAME   the world of these: small (unless given), moving, crowded, crowded-moving,
                  large or long-answers
+  --direct-episode S
+                 play the minute of seed S in this world; print the time line of the flow with
+                 which it breaks a promise, if it does
+  --flow PORT    of this minute, print the time line of the flow from this port of its caller
   --mutants      take out one safeguard after the other and print what catches it
 ";
 
@@ -39,6 +43,8 @@
     list: bool,
     mutants: bool,
     direct: Option<u64>,
+    direct_episode: Option<u64>,
+    flow: Option<u16>,
     world: Size,
 }
 
@@ -57,6 +63,9 @@
     if let Some(episodes) = options.direct {
         return Ok(direct_run(options.world, options.seed, episodes));
     }
+    if let Some(seed) = options.direct_episode {
+        return direct_episode(options.world, seed, options.flow);
+    }
     if let Some(path) = &options.replay {
         return replay(path);
     }
@@ -77,6 +86,8 @@
         list: false,
         mutants: false,
         direct: None,
+        direct_episode: None,
+        flow: None,
         world: Size::SMALL,
     };
     let mut parser = lexopt::Parser::from_env();
@@ -89,6 +100,10 @@
             lexopt::Arg::Long("replay") => options.replay = Some(parser.value()?.into()),
             lexopt::Arg::Long("trace") => options.trace = parser.value()?.into(),
             lexopt::Arg::Long("direct") => options.direct = Some(parser.value()?.parse()?),
+            lexopt::Arg::Long("direct-episode") => {
+                options.direct_episode = Some(parser.value()?.parse()?);
+            }
+            lexopt::Arg::Long("flow") => options.flow = Some(parser.value()?.parse()?),
             lexopt::Arg::Long("world") => options.world = parse_world(&parser.value()?.string()?)?,
             lexopt::Arg::Long("list") => options.list = true,
             lexopt::Arg::Long("mutants") => options.mutants = true,
@@ -130,6 +145,29 @@
     broken == 0
 }
 
+/// Plays an episode of the direct-return path and prints the time line of the flow that broke a
+/// promise, or of the flow from `port`.
+fn direct_episode(world: Size, seed: u64, port: Option<u16>) -> anyhow::Result<bool> {
+    let (outcome, timeline) = direct::play_recorded(world, seed, DIRECT_MS, None);
+    let flow = match port {
+        Some(port) => {
+            Some(timeline.flow_from(port).with_context(|| format!("no flow from port {port}"))?)
+        }
+        None => timeline.broken_flow(),
+    };
+    if let Some(flow) = flow {
+        println!("flow {} > {}:", flow.caller, flow.endpoint);
+        timeline.lines(flow).iter().for_each(|line| println!("{line}"));
+    }
+    for (at_ms, violation) in &outcome.violations {
+        println!("result: BROKEN PROMISE {violation:?} in episode seed {seed} at {at_ms} ms");
+    }
+    if outcome.violations.is_empty() {
+        println!("result: every promise held, {} requests answered", outcome.answered);
+    }
+    Ok(outcome.violations.is_empty())
+}
+
 fn long_run(options: &Options) -> anyhow::Result<bool> {
     let limits = Limits { steps: options.steps, failures: options.failures };
     let started = Instant::now();
--- a/crates/fuzzing/src/direct/mod.rs
+++ b/crates/fuzzing/src/direct/mod.rs
@@ -8,7 +8,7 @@
 mod upstream;
 mod world;
 
-pub use world::{Size, World};
+pub use world::{Size, Timeline, World};
 
 pub use plan::Change;
 
@@ -100,3 +100,22 @@
     world.run(length_ms);
     world.outcome
 }
+
+/// Like [`play_at`], and records the episode's time line.
+///
+/// ```
+/// use fuzzing::direct::{Size, play_at, play_recorded};
+/// let (outcome, _) = play_recorded(Size::SMALL, 1, 2_000, None);
+/// assert_eq!(outcome, play_at(Size::SMALL, 1, 2_000, None));
+/// ```
+pub fn play_recorded(
+    size: Size,
+    seed: u64,
+    length_ms: u64,
+    mutant: Option<Mutant>,
+) -> (Outcome, Timeline) {
+    let mut world = World::new(size, seed, mutant);
+    world.record();
+    world.run(length_ms);
+    (world.outcome, world.timeline.unwrap_or_default())
+}
--- a/crates/fuzzing/src/direct/world/changes.rs
+++ b/crates/fuzzing/src/direct/world/changes.rs
@@ -8,8 +8,8 @@
 use steering::view::RouteTable;
 
 use super::{
-    Balancer, CHANGE_INTERVAL_MS, COLD_MS, EMPTY_PACKET, Event, SERVICES, SETTLE_MS, SPLITS, Size,
-    TICK_MS, World, ZONES, balancer_index, route, upstream_of,
+    Balancer, CHANGE_INTERVAL_MS, COLD_MS, EMPTY_PACKET, Entry, Event, SERVICES, SETTLE_MS, SPLITS,
+    Size, TICK_MS, World, ZONES, balancer_index, route, upstream_of,
 };
 use crate::direct::upstream::Upstream;
 use crate::direct::{Change, Mutant, plan};
@@ -103,6 +103,7 @@
             self.disturbed_until_ms = self.disturbed_until_ms.max(self.now_ms);
         }
         self.outcome.played.push((self.now_ms, change));
+        self.note(|_| Entry::Change(change));
         self.play(change);
     }
 
@@ -113,6 +114,7 @@
             Change::CutBalancer(balancer) => {
                 let for_ms = self.rng.random_range(500..15_000);
                 self.balancers[balancer].cut_until_ms = self.now_ms + for_ms;
+                self.note(|world| Entry::BalancerCut { balancer, until_ms: world.now_ms + for_ms });
                 self.disturbed_until_ms = self.disturbed_until_ms.max(self.now_ms + for_ms);
                 self.schedule(for_ms, Event::ListArrives(balancer));
             }
@@ -121,12 +123,15 @@
                 let until_ms = &mut self.balancers[balancer].paused_until_ms;
                 // Packets that arrive meanwhile wait until the end of the longest pause.
                 *until_ms = (*until_ms).max(self.now_ms + for_ms);
+                let until_ms = *until_ms;
+                self.note(|_| Entry::BalancerPaused { balancer, until_ms });
                 self.disturbed_until_ms = self.disturbed_until_ms.max(self.now_ms + for_ms);
             }
             Change::RestartAgent(upstream) => self.restart_agent(upstream),
             Change::CrashUpstream(upstream) => {
                 if self.upstreams[upstream].draining_since_ms.is_none() {
                     self.upstreams[upstream].stop();
+                    self.note(|_| Entry::UpstreamStopped(upstream));
                     let delay_ms = self.rng.random_range(200..3_000);
                     self.schedule(delay_ms, Event::StartUpstream(upstream));
                 }
@@ -142,11 +147,16 @@
             Change::CutAgent(upstream) => {
                 let for_ms = self.rng.random_range(300..3_000);
                 self.unreachable_until_ms[upstream] = self.now_ms + for_ms;
+                self.note(|world| Entry::AgentCut { upstream, until_ms: world.now_ms + for_ms });
                 self.disturbed_until_ms = self.disturbed_until_ms.max(self.now_ms + for_ms);
             }
             Change::SlowUpstream(upstream) => {
                 let for_ms = self.rng.random_range(500..4_000);
                 self.upstreams[upstream].slow_until_ms = self.now_ms + for_ms;
+                self.note(|world| Entry::UpstreamSlow {
+                    upstream,
+                    until_ms: world.now_ms + for_ms,
+                });
                 self.disturbed_until_ms = self.disturbed_until_ms.max(self.now_ms + for_ms);
             }
             Change::LosePower => self.lose_power(),
@@ -170,6 +180,7 @@
         let routes = others.cloned().chain([moved.clone()]).collect();
         let services = self.routes.services().iter().copied();
         self.routes = Arc::new(RouteTable::new(self.routes.version + 1, routes, services));
+        self.note(|world| world.routes_published(endpoint_index, shares));
         self.publish();
     }
 
@@ -180,6 +191,7 @@
             return;
         }
         self.closed_since_ms[zone] = Some(self.now_ms);
+        self.note(|_| Entry::ZoneClosed(zone));
         self.publish();
         let for_ms = self.rng.random_range(1_000..10_000);
         self.schedule(for_ms, Event::OpenZone(zone));
@@ -201,6 +213,7 @@
         let incarnation = self.upstreams[upstream].incarnation;
         self.upstreams[upstream].stop();
         self.agents[upstream] = None;
+        self.note(|_| Entry::InstanceStopped(upstream));
         let lapse_ms = self.rng.random_range(2_000..8_000);
         self.disturbed_until_ms = self.disturbed_until_ms.max(self.now_ms + lapse_ms);
         self.schedule(lapse_ms, Event::LapseEntry { upstream, incarnation });
@@ -209,6 +222,7 @@
     pub(super) fn lapse_entry(&mut self, upstream: usize, incarnation: u64) {
         if self.listed[upstream].as_ref().is_some_and(|record| record.born_ms == incarnation) {
             self.listed[upstream] = None;
+            self.note(|_| Entry::Delisted(upstream));
             self.publish();
         }
         self.schedule(500, Event::StartAgent(upstream));
@@ -222,6 +236,7 @@
                 self.kill_instance(upstream);
             } else if self.upstreams[upstream].draining_since_ms.is_none() {
                 self.upstreams[upstream].stop();
+                self.note(|_| Entry::UpstreamStopped(upstream));
                 self.restart_agent(upstream);
                 let delay_ms = self.rng.random_range(800..1_500);
                 self.schedule(delay_ms, Event::StartUpstream(upstream));
@@ -232,6 +247,7 @@
     /// Restarts a balancer. Packets that wait for the process are lost with it.
     fn restart_balancer(&mut self, balancer: usize) {
         self.balancers[balancer].up = false;
+        self.note(|_| Entry::BalancerStopped(balancer));
         self.events.retain(|_, event| !event.is_for(balancer));
         let delay_ms = self.rng.random_range(100..800);
         self.schedule(delay_ms, Event::StartBalancer(balancer));
@@ -239,6 +255,7 @@
 
     fn restart_agent(&mut self, upstream: usize) {
         self.agents[upstream] = None;
+        self.note(|_| Entry::AgentStopped(upstream));
         let delay_ms = self.rng.random_range(100..800);
         self.schedule(delay_ms, Event::StartAgent(upstream));
     }
@@ -247,6 +264,7 @@
         let unreachable_until_ms = &mut self.unreachable_until_ms[upstream];
         *unreachable_until_ms = (*unreachable_until_ms).max(self.now_ms);
         self.agents[upstream] = Some(AgentCore::new(SERVICES[self.upstreams[upstream].service]));
+        self.note(|world| world.agent_started(upstream));
     }
 
     pub(super) fn start_upstream(&mut self, upstream: usize, service: usize) {
@@ -256,6 +274,7 @@
             self.upstreams[upstream].cold_until_ms = self.now_ms + COLD_MS;
         }
         self.listed[upstream] = Some(self.entry(upstream));
+        self.note(|world| world.upstream_started(upstream));
     }
 
     fn scale_in(&mut self, service: usize) {
@@ -278,6 +297,7 @@
             return;
         }
         self.upstreams[upstream].draining_since_ms = Some(self.now_ms);
+        self.note(|_| Entry::UpstreamDraining(upstream));
         if let Some(record) = &mut self.listed[upstream] {
             record.draining = true;
         }
@@ -295,6 +315,7 @@
         }
         self.upstreams[upstream].stop();
         self.agents[upstream] = None;
+        self.note(|_| Entry::InstanceStopped(upstream));
         self.listed[upstream] = None;
         self.publish();
         let service = 1 - self.upstreams[upstream].service;
@@ -312,6 +333,7 @@
         for upstream in 0..self.size.upstreams {
             if self.upstreams[upstream].incarnation > 0 && self.rng.random_bool(0.5) {
                 self.listed[upstream] = None;
+                self.note(|_| Entry::Delisted(upstream));
                 let delay_ms = self.rng.random_range(100..2_000);
                 self.schedule(delay_ms, Event::Relist(upstream));
             }
@@ -327,6 +349,7 @@
             return;
         }
         self.listed[upstream] = Some(self.entry(upstream));
+        self.note(|_| Entry::Relisted(upstream));
         self.publish();
     }
 }
--- a/crates/fuzzing/src/direct/world/lists.rs
+++ b/crates/fuzzing/src/direct/world/lists.rs
@@ -74,6 +74,7 @@
         self.update_routes(balancer);
         self.balancers[balancer].membership = membership;
         self.rebuild_view(balancer);
+        self.note(|world| world.list_taken(balancer));
     }
 
     /// Updates a balancer's routes. Versions that were published while it was cut off are known to
--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -6,6 +6,7 @@
 mod lists;
 mod packets;
 mod reports;
+mod timeline;
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -27,6 +28,8 @@
     endpoint_index, region_of, route, upstream_of, zone_of, zone_stamp,
 };
 pub(super) use layout::{SERVICES_COUNT, ZONES};
+use timeline::Entry;
+pub use timeline::Timeline;
 
 use super::caller::{Caller, State};
 use super::upstream::{LongAnswer, Upstream};
@@ -169,6 +172,8 @@
     incarnations: u64,
     ports: u16,
     disturbed_until_ms: u64,
+    /// What has happened, if it is recorded.
+    pub(super) timeline: Option<Timeline>,
 }
 
 impl World {
@@ -209,6 +214,7 @@
             incarnations: 0,
             ports: 1_024,
             disturbed_until_ms: 0,
+            timeline: None,
         };
         world.populate();
         world
@@ -221,6 +227,7 @@
                 return;
             }
             self.now_ms = at_ms;
+            self.note_event(&event);
             self.on_event(event);
         }
     }
@@ -348,7 +355,10 @@
             Event::Report => self.report(),
             Event::Change => self.change(),
             Event::ListArrives(balancer) => self.receive_list(balancer),
-            Event::StartBalancer(balancer) => self.balancers[balancer] = self.new_balancer(),
+            Event::StartBalancer(balancer) => {
+                self.balancers[balancer] = self.new_balancer();
+                self.note(|world| world.balancer_started(balancer));
+            }
             Event::StartAgent(upstream) => self.start_agent(upstream),
             Event::StartUpstream(upstream) => {
                 let service = self.upstreams[upstream].service;
@@ -414,7 +424,7 @@
         }
         let undisturbed = self.now_ms.saturating_sub(self.disturbed_until_ms) >= SETTLE_MS;
         if undisturbed && self.is_held(caller) && self.is_lookup_expected(caller) {
-            self.record_violation(Violation::FlowNotFound);
+            self.record_violation(Violation::FlowNotFound, self.callers[caller].flow);
         }
     }
 
@@ -468,6 +478,7 @@
 
     fn reopen_after(&mut self, caller: usize, pause_ms: u64) {
         let flow = self.new_flow();
+        self.note(|world| world.caller_left(caller, flow));
         self.callers[caller] = Caller::open(flow, self.now_ms + pause_ms);
         self.schedule(pause_ms, Event::CallerTimer(caller));
     }
@@ -479,10 +490,13 @@
         let port = u64::from(packet.segment.flow.caller.port());
         let balancer = (port.wrapping_mul(0x9e37_79b9).wrapping_add(self.salt) >> 7) as usize;
         let delay_ms = self.network_delay_ms();
-        self.schedule(delay_ms, Event::ToBalancer(balancer % self.size.balancers, packet));
+        let balancer = balancer % self.size.balancers;
+        self.note(|_| Entry::Sent { balancer, packet });
+        self.schedule(delay_ms, Event::ToBalancer(balancer, packet));
     }
 
-    fn record_violation(&mut self, violation: Violation) {
+    fn record_violation(&mut self, violation: Violation, flow: FlowKey) {
+        self.note(|world| world.broken(violation, flow));
         self.outcome.violations.push((self.now_ms, violation));
     }
 }
--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -8,7 +8,7 @@
 use steering::side::{Answer, Delivery, ForwardMetadata, Report};
 
 use super::{
-    Balancer, COLD_OPENINGS_MAX, EMPTY_PACKET, Event, LIMITED_SERVICE, PASSED_OVER_MAX,
+    Balancer, COLD_OPENINGS_MAX, EMPTY_PACKET, Entry, Event, LIMITED_SERVICE, PASSED_OVER_MAX,
     PROPAGATION_MS, Packet, SERVICES, SETTLE_MS, World, address, balancer_address, balancer_index,
     endpoint, endpoint_index, region_of, upstream_of, zone_of,
 };
@@ -62,6 +62,7 @@
 
     pub(super) fn apply(&mut self, balancer: usize, packet: Packet, actions: Vec<Action>) {
         for action in actions {
+            self.note(|_| Entry::Decided { balancer, packet, action });
             match action {
                 Action::Forward { reason: Reason::Asked, .. }
                     if self.mutant == Some(Mutant::NeverAsked) => {}
@@ -93,7 +94,7 @@
         let informed = started_alone_ms.is_none_or(|since| self.now_ms - since >= SETTLE_MS);
         let reachable = self.callers[caller].holder.is_some_and(|(at, _)| self.is_reachable(at));
         if cut_until_ms <= self.now_ms && informed && reachable && self.is_held(caller) {
-            self.record_violation(Violation::LivingFlowReset);
+            self.record_violation(Violation::LivingFlowReset, flow);
         }
         self.outcome.resets += 1;
         let delay_ms = self.network_delay_ms();
@@ -127,6 +128,7 @@
             cold: to.cold,
         };
         let received = agent.on_packet(self.now_ms, &packet.segment, &[], metadata);
+        self.note(|_| Entry::AtAgent { upstream, balancer, packet, outcome: received });
         if let Some(report) = received.report {
             self.send_report(upstream, &report, packet);
         }
@@ -172,6 +174,7 @@
         packet: Packet,
     ) {
         if self.is_cut_off(upstream) {
+            self.note(|_| Entry::ReplyLost { balancer, upstream, verdict, packet });
             return;
         }
         let delay_ms = self.network_delay_ms();
@@ -182,6 +185,7 @@
         let flow = packet.segment.flow;
         let is_new = !self.upstreams[upstream].has_flow(flow);
         let reaction = self.upstreams[upstream].receive(&packet);
+        self.note(|world| world.reaction(upstream, packet, reaction));
         match reaction {
             Reaction::Drop => {}
             Reaction::Consume => self.acknowledge(upstream, packet),
@@ -195,8 +199,8 @@
             Reaction::Accept => {
                 self.check_opening(upstream, balancer, flow);
                 if is_new {
-                    self.check_cold_limit(upstream);
-                    self.check_spread(upstream);
+                    self.check_cold_limit(upstream, flow);
+                    self.check_spread(upstream, flow);
                 }
                 self.answer(upstream, packet, true);
             }
@@ -259,6 +263,7 @@
     /// Sends a part through the agent to the caller, and schedules its retransmission.
     fn send_part(&mut self, upstream: usize, flow: FlowKey, part: LongAnswer) {
         let incarnation = self.upstreams[upstream].incarnation;
+        self.note(|world| world.part_sent(upstream, flow, part));
         self.schedule(part.pause_ms(), Event::Resend { upstream, incarnation, flow, part });
         let begins = part.end_bytes - u32::from(PART_BYTES);
         let sequence = initial_sequence_of(incarnation).wrapping_add(1 + begins);
@@ -294,7 +299,7 @@
         let target = &self.upstreams[upstream];
         let routed_until_ms = self.routed_until_ms[endpoint_index(flow)][target.service];
         if routed_until_ms == 0 {
-            self.record_violation(Violation::WrongService);
+            self.record_violation(Violation::WrongService, flow);
             return;
         }
         let Balancer { cut_until_ms, paused_until_ms, .. } = self.balancers[balancer];
@@ -304,16 +309,16 @@
         let leaving = long_since(target.draining_since_ms);
         let closed = long_since(self.closed_since_ms[zone_of(upstream)]);
         if up_to_date && routed_until_ms.saturating_add(PROPAGATION_MS) < self.now_ms {
-            self.record_violation(Violation::OpeningAtFormerService);
+            self.record_violation(Violation::OpeningAtFormerService, flow);
         }
         if up_to_date && leaving {
-            self.record_violation(Violation::OpeningOnLeaving);
+            self.record_violation(Violation::OpeningOnLeaving, flow);
         }
         if up_to_date && closed {
-            self.record_violation(Violation::OpeningInClosedZone);
+            self.record_violation(Violation::OpeningInClosedZone, flow);
         }
         if !self.is_allowed(upstream, flow.endpoint) {
-            self.record_violation(Violation::RegionNotAllowed);
+            self.record_violation(Violation::RegionNotAllowed, flow);
         }
     }
 
@@ -324,12 +329,12 @@
     }
 
     /// Checks the limit of a cold upstream over every window of a second.
-    fn check_cold_limit(&mut self, upstream: usize) {
+    fn check_cold_limit(&mut self, upstream: usize, flow: FlowKey) {
         let target = &mut self.upstreams[upstream];
         let count = target.count_opening(self.now_ms);
         let is_cold = target.cold_until_ms > self.now_ms && target.service == LIMITED_SERVICE;
         if is_cold && count > COLD_OPENINGS_MAX {
-            self.record_violation(Violation::ColdLimitExceeded);
+            self.record_violation(Violation::ColdLimitExceeded, flow);
         }
     }
 
@@ -337,7 +342,7 @@
     ///
     /// Does not apply where routes change, because the number of flows of each service is then
     /// unknown.
-    fn check_spread(&mut self, opened: usize) {
+    fn check_spread(&mut self, opened: usize, flow: FlowKey) {
         if self.size.moving_routes {
             return;
         }
@@ -357,7 +362,8 @@
             *count = if passed_over { *count + 1 } else { 0 };
             if *count > PASSED_OVER_MAX * up {
                 *count = 0;
-                self.record_violation(Violation::UpstreamPassedOver);
+                self.note(|_| Entry::PassedOver(upstream));
+                self.record_violation(Violation::UpstreamPassedOver, flow);
             }
         }
     }
--- a/crates/fuzzing/src/direct/world/reports.rs
+++ b/crates/fuzzing/src/direct/world/reports.rs
@@ -52,6 +52,7 @@
         if history != self.balancers[learner].history {
             self.balancers[learner].history = history;
             self.rebuild_view(learner);
+            self.note(|world| world.list_taken(learner));
         }
     }
 
