Count the history of a process from its first routes

Cause, found by the tracer that forced the orders: a process counts its history as complete 90 s (flowTtlS and 30 s) after its start. What its first routes have replaced is unknown until as long after it has read them: with the configuration service down at the start, services that routes left in between pass for unable to hold flows, so that an open flow there is neither asked for nor protected from a reset.

Change: the first routes begin the time, but for the first start of the whole fleet. The fuzzed world sets both at once and is not affected.

Measured: on_routes_first, two of three cases failed before. Not seen with real processes.

--- a/crates/steering/src/history/mod.rs
+++ b/crates/steering/src/history/mod.rs
@@ -139,7 +139,13 @@
     }
 
     /// Notes that `new` replaces `old`. The flows of a removed route end with it.
+    ///
+    /// What the first routes of a process have replaced is unknown, unless it belongs to the first
+    /// start of the whole fleet.
     pub fn on_routes(&mut self, now_ms: Millis, old: &RouteTable, new: &RouteTable) {
+        if old.version == 0 && self.complete_from_ms > 0 {
+            self.on_gap(now_ms);
+        }
         self.former
             .retain(|former| former.until_ms > now_ms && new.find(former.endpoint).is_some());
         for route in old.routes() {
--- a/crates/steering/tests/history.rs
+++ b/crates/steering/tests/history.rs
@@ -211,6 +211,27 @@
     assert_eq!(former(&histories[0], 200), former(&histories[1], 200));
 }
 
+/// A process reads its first routes long after its start, for instance because the configuration
+/// service was down. Services that routes left in the meantime may hold open flows, which must not
+/// count as lost.
+#[rstest]
+#[case::at_once(0, RETAINED_MS)]
+#[case::late(40_000, RETAINED_MS + 40_000)]
+#[case::later_than_complete_by_the_start(RETAINED_MS + 1, 2 * RETAINED_MS + 1)]
+fn on_routes_first(#[case] read_ms: Millis, #[case] complete_ms: Millis) {
+    let mut history = History::from_now(0, TTL_MS);
+    history.on_routes(read_ms, &RouteTable::default(), &table(5, "a"));
+    assert!(!history.is_complete(complete_ms - 1));
+    assert!(history.is_complete(complete_ms));
+}
+
+#[test]
+fn on_routes_first_of_the_fleet() {
+    let mut history = History::from_first_start(TTL_MS);
+    history.on_routes(40_000, &RouteTable::default(), &table(5, "a"));
+    assert!(history.is_complete(40_000));
+}
+
 /// Complete histories contain every service that may hold a flow, and are not compared: services
 /// expire at slightly different times at different balancers.
 #[test]
