Judge an undelivered packet by the view in force, not by the one in which it was sent

What callers saw: a balancer that had been cut off reset an open flow a few milliseconds after it had received the new routes, while the flow's upstream, its agent and the network ran.

Cause: the reply WrongService says that the upstream has not looked at the packet, and which service it runs. Whether the flow can be open at that service was asked once, when the reply arrived, of routes that were outdated; the result was kept as a denial and counted under the new routes.

Now the flow's entry keeps the service that the agent named, and each step of the search judges it by the view in force: - The list shows the address with that service: the reply denies nothing. The upstream is asked again, this time under its own service, so it looks at the packet. - It does not, and the flow may be open at that service: the search waits, as before. - It does not, and the flow can't be open at that service: a denial, as before. The argument: the reply is about the service at an address, and only the routes, their history and the list turn that into a statement about the flow. So that step belongs to the moment of the conclusion. It ends: an upstream that is asked under its own service does not reply WrongService. A plain denial stays true when the view changes: the upstream has looked at a packet of an open flow, and one that starts at the address later can't hold a flow that was open before.

Ruled out: leaving each such reply in doubt (trial).

--- a/crates/fuzzing/tests/direct.rs
+++ b/crates/fuzzing/tests/direct.rs
@@ -144,3 +144,15 @@
 fn lookup_is_expected_of_routed_services(#[case] seed: u64) {
     play_without_violation(Size::MOVING, seed);
 }
+
+/// Guards against the reset of an open flow by a balancer that was cut off: its routes did not lead
+/// to the service of the flow's upstream when it asked that upstream, whose agent returned the
+/// packet undelivered, and it counted this as a denial under the routes that do.
+#[rstest]
+#[case::route_shared_between_services(8_022_591)]
+#[case::route_moved(8_041_947)]
+#[case::other_service_left(8_042_688)]
+#[case::route_shared_again(8_046_311)]
+fn undelivered_packet_is_no_denial_after_a_move(#[case] seed: u64) {
+    play_without_violation(Size::MOVING, seed);
+}
--- a/crates/fuzzing/tests/known_red.rs
+++ b/crates/fuzzing/tests/known_red.rs
@@ -106,16 +106,3 @@
     let outcome = direct::play_at(Size::MOVING, seed, 60_000, None);
     assert_eq!(outcome.violations, []);
 }
-
-/// A balancer that was cut off resets an open flow. Its routes did not lead to the service of the
-/// flow's upstream when it asked that upstream, whose agent returned the packet undelivered; the
-/// balancer then counts this as a denial under the routes that do.
-#[rstest]
-#[case::route_shared_between_services(8_022_591)]
-#[case::route_moved(8_041_947)]
-#[case::other_service_left(8_042_688)]
-#[case::route_shared_again(8_046_311)]
-fn red_living_flow_reset_after_a_move(#[case] seed: u64) {
-    let outcome = direct::play_at(Size::MOVING, seed, 60_000, None);
-    assert_eq!(outcome.violations, []);
-}
--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -5,6 +5,7 @@
 
 use super::visits::Visits;
 use crate::flow::{FlowKey, Millis, Segment};
+use crate::view::{ServiceStamp, Upstream};
 
 /// Maximum number of flows in the table: 8 MB at 120 bytes each, far above the present load.
 pub const FLOWS_MAX: usize = 65_536;
@@ -40,9 +41,9 @@
     pub(super) resettable_until_ms: Millis,
     /// Upstreams that do not hold the flow, or did not take its opening, sorted.
     denials: Vec<Ipv4Addr>,
-    /// Whether one of them did not get the packet, which was addressed to another service than its
-    /// own.
-    inconclusive_denial: bool,
+    /// Those among them that did not get the packet, because it was addressed to another service
+    /// than theirs, with the service that each of them runs.
+    wrong_services: Vec<(Ipv4Addr, ServiceStamp)>,
     /// Whether the upstream that answered the opening has stopped answering, so that the flow may
     /// be at any other.
     suspected: bool,
@@ -104,6 +105,7 @@
     /// Records that the upstream at `address` does not hold the flow.
     pub(super) fn record_denial(&mut self, address: Ipv4Addr, now_ms: Millis) {
         self.forget_opening_denials();
+        self.wrong_services.retain(|(other, _)| *other != address);
         self.push_denial(address, now_ms);
     }
 
@@ -119,19 +121,24 @@
     /// Clears all denials.
     pub(super) fn clear_denials(&mut self) {
         self.denials.clear();
-        self.inconclusive_denial = false;
+        self.wrong_services.clear();
     }
 
     /// Records that the packet was not delivered at `address`, since the upstream there runs
-    /// another service than the addressed one. It may still hold the flow.
-    pub(super) fn record_wrong_service(&mut self, address: Ipv4Addr, now_ms: Millis) {
+    /// `service` and not the addressed one. It may still hold the flow.
+    pub(super) fn record_wrong_service(
+        &mut self,
+        address: Ipv4Addr,
+        service: ServiceStamp,
+        now_ms: Millis,
+    ) {
         self.record_denial(address, now_ms);
-        self.inconclusive_denial = true;
+        self.wrong_services.push((address, service));
     }
 
-    /// Whether the denials include one that does not prove the flow's absence.
-    pub(super) fn has_inconclusive_denial(&self) -> bool {
-        self.inconclusive_denial
+    /// The services of upstreams that did not get the packet.
+    pub(super) fn wrong_services(&self) -> impl Iterator<Item = ServiceStamp> + '_ {
+        self.wrong_services.iter().map(|(_, service)| *service)
     }
 
     fn push_denial(&mut self, address: Ipv4Addr, now_ms: Millis) {
@@ -205,9 +212,12 @@
         self.answers.clear();
     }
 
-    /// Whether the upstream at `address` has denied the flow.
-    pub(super) fn has_denied(&self, address: Ipv4Addr) -> bool {
+    /// Whether this upstream has denied the flow. It has not if it did not get the packet and is
+    /// now listed with the service that it named: it would get the next one.
+    pub(super) fn has_denied(&self, upstream: &Upstream) -> bool {
+        let Upstream { address, service, .. } = *upstream;
         self.denials.binary_search(&address).is_ok()
+            && !self.wrong_services.contains(&(address, service))
     }
 
     /// Whether the target has not replied for so long that packets to which no answer is due should
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -26,7 +26,6 @@
 use crate::view::{View, ZoneStamp};
 
 use budget::Budget;
-use candidates::may_be_open_at;
 pub use flows::FLOWS_MAX;
 use flows::FlowTable;
 use lag::Lag;
@@ -133,24 +132,17 @@
                 self.on_held(now_ms, from, opening_sequence, segment.flow);
             }
             Verdict::Alive => {}
-            Verdict::Denied => {
-                self.on_denied(now_ms, view, from, segment, actions);
-            }
-            Verdict::WrongService { service } => {
-                let later = segment.kind == SegmentKind::Later;
-                if later && may_be_open_at(view, segment.flow, service, now_ms) {
-                    self.flows.entry(segment.flow, now_ms).record_wrong_service(from, now_ms);
-                }
-                self.on_denied(now_ms, view, from, segment, actions);
+            Verdict::Denied | Verdict::WrongService { .. } => {
+                self.on_denied(now_ms, view, reply, segment, actions);
             }
             Verdict::RateLimited { for_ms } => {
                 self.loads.record_rate_limit(now_ms, view, from, for_ms);
-                self.on_denied(now_ms, view, from, segment, actions);
+                self.on_denied(now_ms, view, reply, segment, actions);
             }
             Verdict::Unresponsive { for_ms } => {
                 self.loads.record_no_reply(now_ms, view, from);
                 if for_ms >= UNRESPONSIVE_AS_DENIAL_MS || segment.kind != SegmentKind::Later {
-                    self.on_denied(now_ms, view, from, segment, actions);
+                    self.on_denied(now_ms, view, reply, segment, actions);
                 }
             }
         }
@@ -282,16 +274,16 @@
         &mut self,
         now_ms: Millis,
         view: &View,
-        from: Ipv4Addr,
+        reply: AgentReply,
         segment: &Segment,
         actions: &mut Vec<Action>,
     ) {
         self.counters.denials += 1;
         match segment.kind {
             SegmentKind::Opening { .. } => {
-                self.on_opening_denied(now_ms, view, from, segment, actions)
+                self.on_opening_denied(now_ms, view, reply.from, segment, actions)
             }
-            SegmentKind::Later => self.on_later_denied(now_ms, view, from, segment, actions),
+            SegmentKind::Later => self.on_later_denied(now_ms, view, reply, segment, actions),
             SegmentKind::Reset => {}
         }
     }
--- a/crates/steering/src/edge/placement.rs
+++ b/crates/steering/src/edge/placement.rs
@@ -78,7 +78,7 @@
         let free = keep_or_reason(open, Reason::ColdLimit, |upstream| {
             !self.loads.is_rate_limited(self.now_ms, upstream)
         })?;
-        keep_or_reason(free, Reason::Refused, |upstream| !entry.has_denied(upstream.address))
+        keep_or_reason(free, Reason::Refused, |upstream| !entry.has_denied(upstream))
     }
 
     /// The ready upstreams; if there are none, those whose entries lapsed without a drain. All
--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -8,12 +8,12 @@
 use std::net::Ipv4Addr;
 
 use super::Edge;
-use super::candidates::{candidates, may_be_at_unrouted_service};
+use super::candidates::{candidates, may_be_at_unrouted_service, may_be_open_at};
 use super::flows::Entry;
 use super::pending::Due;
 use super::placement::service_of;
 use super::reach::Reach;
-use super::types::{Action, Destination, Reason};
+use super::types::{Action, AgentReply, Destination, Reason, Verdict};
 use crate::flow::{FlowKey, Millis, Segment};
 use crate::view::{Upstream, View};
 
@@ -55,6 +55,8 @@
 /// A search for the upstream of a flow.
 struct Search<'a> {
     now_ms: Millis,
+    view: &'a View,
+    flow: FlowKey,
     /// Upstreams that may hold the flow, most likely first.
     candidates: Vec<Upstream>,
     reach: &'a Reach,
@@ -67,10 +69,11 @@
 }
 
 impl<'a> Search<'a> {
-    fn new(now_ms: Millis, view: &View, flow: FlowKey, reach: &'a Reach, lagging: bool) -> Self {
+    fn new(now_ms: Millis, view: &'a View, flow: FlowKey, reach: &'a Reach, lagging: bool) -> Self {
         let repeatable = view.routes.find(flow.endpoint).is_some_and(|route| route.repeatable);
         let candidates = candidates(view, flow, now_ms);
-        Self { now_ms, candidates, reach, treats_no_reply_as_denial: repeatable && !lagging }
+        let treats_no_reply_as_denial = repeatable && !lagging;
+        Self { now_ms, view, flow, candidates, reach, treats_no_reply_as_denial }
     }
 
     /// The next step for a packet whose flow may have a target.
@@ -100,7 +103,7 @@
 
     /// Upstreams that may hold the flow: the unresponsive and the responsive ones.
     fn undenied(&self, entry: &Entry) -> (Vec<&Upstream>, Vec<&Upstream>) {
-        let open = self.candidates.iter().filter(|upstream| !entry.has_denied(upstream.address));
+        let open = self.candidates.iter().filter(|upstream| !entry.has_denied(upstream));
         open.partition(|upstream| self.reach.is_unresponsive(self.now_ms, upstream.address))
     }
 
@@ -117,7 +120,7 @@
             return Step::Wait;
         }
         if unresponsive.iter().all(|upstream| self.is_unreachable(upstream.address)) {
-            return if entry.has_inconclusive_denial() { Step::Wait } else { Step::Absent };
+            return if self.is_in_doubt(entry) { Step::Wait } else { Step::Absent };
         }
         let may_probe = |upstream: &&&Upstream| self.reach.may_probe(self.now_ms, upstream.address);
         unresponsive
@@ -126,6 +129,13 @@
             .map_or(Step::Wait, |upstream| Step::Probe(upstream.address))
     }
 
+    /// Whether the flow may be open at an upstream that did not get its packet. The view can have
+    /// changed since that upstream was asked, so its service is compared with the present view.
+    fn is_in_doubt(&self, entry: &Entry) -> bool {
+        let may_be_open = |service| may_be_open_at(self.view, self.flow, service, self.now_ms);
+        entry.wrong_services().any(may_be_open)
+    }
+
     /// Upstreams to ask in parallel with the one at `to`: the next ones if the search has already
     /// asked many, and one whose reply is overdue.
     fn parallel_asks(&self, entry: &Entry, to: Ipv4Addr) -> (Vec<Ipv4Addr>, Option<Ipv4Addr>) {
@@ -273,14 +283,18 @@
         &mut self,
         now_ms: Millis,
         view: &View,
-        from: Ipv4Addr,
+        reply: AgentReply,
         segment: &Segment,
         actions: &mut Vec<Action>,
     ) {
         let (flow, lagging) = (segment.flow, self.is_lagging(now_ms));
+        let AgentReply { from, verdict } = reply;
         let entry = self.flows.entry(flow, now_ms);
         let copied = entry.visits.take_copied(from);
-        entry.record_denial(from, now_ms);
+        match verdict {
+            Verdict::WrongService { service } => entry.record_wrong_service(from, service, now_ms),
+            _ => entry.record_denial(from, now_ms),
+        }
         if let Some(target) = entry.target {
             let forwards = entry.confirmed || entry.visits.asked_count() <= FORWARD_DENIED_MAX_ASKS;
             if forwards && !copied && segment.wants_answer() {
@@ -387,7 +401,9 @@
     reach: &Reach,
 ) -> bool {
     let address = upstream.address;
-    Some(address) != target && !entry.has_denied(address) && !reach.is_unresponsive(now_ms, address)
+    Some(address) != target
+        && !entry.has_denied(upstream)
+        && !reach.is_unresponsive(now_ms, address)
 }
 
 /// The most likely upstream to ask next. If this balancer sent the flow's opening, the flow is at
--- a/crates/steering/tests/edge_outdated_view.rs
+++ b/crates/steering/tests/edge_outdated_view.rs
@@ -206,7 +206,7 @@
 /// off, with routes that did not lead to the upstream's service, and has not looked at the packet.
 /// When the balancer learns of the new routes, it must ask that upstream again.
 #[rstest]
-fn red_living_flow_reset_after_a_move_of_its_route(
+fn undelivered_packet_is_no_denial_after_a_move(
     #[values(Routes::Moved, Routes::Split, Routes::Returned, Routes::Unknown)] routes: Routes,
     #[values(true, false)] retransmits: bool,
 ) {
@@ -218,7 +218,7 @@
 /// The same if the new routes arrive before the new list. Until the list arrives the upstream can't
 /// be asked, and the flow must not be reset.
 #[rstest]
-fn red_living_flow_reset_after_a_move_before_the_list(
+fn undelivered_packet_is_no_denial_before_the_list(
     #[values(Routes::Moved, Routes::Split, Routes::Returned, Routes::Unknown)] routes: Routes,
 ) {
     let outcome = Fleet::new(routes, SECOND, true).with_late_list(UPDATE_MS).play();
@@ -229,7 +229,7 @@
 /// Guards against a lost flow whose caller is told late, because the upstream that has not looked
 /// at the packet is asked again.
 #[rstest]
-fn red_living_flow_reset_after_a_move_is_not_delayed_if_lost(
+fn lost_flow_is_reset_in_time_after_a_move(
     #[values(Routes::Moved, Routes::Split, Routes::Returned, Routes::Unknown)] routes: Routes,
     #[values(true, false)] retransmits: bool,
 ) {
@@ -241,7 +241,7 @@
 /// Guards against a lost flow whose caller is not told after the new list has arrived: the upstream
 /// that has not looked at the packet may hold the flow, as the routes were new when it was asked.
 #[rstest]
-fn red_living_flow_reset_after_a_move_is_not_delayed_after_the_list(
+fn lost_flow_is_reset_in_time_after_the_list(
     #[values(Routes::Moved, Routes::Split, Routes::Returned, Routes::Unknown)] routes: Routes,
     #[values(true, false)] retransmits: bool,
 ) {
