Limit exchanges of former services with each balancer on its own

Expected, not measured: after a loss of all power with a route that moves right then, up to half of the balancers fetch the view of the reader that knows more, once; and each follower that knows more sends that reader one datagram, which at 1,600 of them is above the budget for that second.

Measured: history_fetch_due_repeatedly, correction_due_digest with two readers.

--- a/crates/steering/src/peers/mod.rs
+++ b/crates/steering/src/peers/mod.rs
@@ -64,9 +64,10 @@
 /// Maximum time for which a balancer that has started waits for others that read on its behalf.
 /// Balancers of the highest ranks go on reading.
 const INITIAL_READ_DELAY_MAX_MS: Millis = 500;
-/// Interval between two messages by which a balancer tells readers that they lack former services
-/// of routes. The reader's next beacon passes them on to all.
-const CORRECTION_MS: Millis = 1_000;
+/// Interval between two exchanges of former services with the same balancer: fetches of its view for
+/// that reason alone, and messages that tell a reader what it lacks. The other one may be unable to
+/// take them in, for instance because it runs an earlier release.
+const HISTORY_EXCHANGE_MS: Millis = 1_000;
 /// Balancers that are asked at a time for what a reader has no time to provide.
 const FALLBACK_PEERS: usize = 3;
 /// Maximum number of balancers remembered.
@@ -124,7 +125,10 @@
     started_ms: Option<Millis>,
     last_hello_ms: Millis,
     last_beacon_ms: Millis,
-    last_correction_ms: Option<Millis>,
+    /// Readers that were told recently what they lack.
+    corrected: Vec<Contact>,
+    /// Balancers whose view was fetched recently for its former services.
+    history_fetched: Vec<Contact>,
     /// Index into the known balancers at which the reply to the next hello starts.
     next_in_reply: usize,
     /// Index into the known balancers at which the next fallback peers start.
@@ -143,7 +147,8 @@
             started_ms: None,
             last_hello_ms: 0,
             last_beacon_ms: 0,
-            last_correction_ms: None,
+            corrected: Vec::new(),
+            history_fetched: Vec::new(),
             next_in_reply: 0,
             // Start at another position for each balancer.
             next_fallback: rank(own) as usize,
@@ -304,16 +309,23 @@
     pub fn correction_due(
         &mut self,
         now_ms: Millis,
+        reader: Ipv4Addr,
         theirs: HistorySummary,
         ours: HistorySummary,
     ) -> bool {
-        let last_ms = self.last_correction_ms;
-        let is_due = theirs.may_lack(ours)
-            && last_ms.is_none_or(|last_ms| now_ms.saturating_sub(last_ms) >= CORRECTION_MS);
-        if is_due {
-            self.last_correction_ms = Some(now_ms);
-        }
-        is_due
+        theirs.may_lack(ours) && exchange_due(&mut self.corrected, now_ms, reader)
+    }
+
+    /// Whether to fetch the view of another balancer now, only for the former services that it knows
+    /// and this one does not. Counts the fetch if so.
+    pub fn history_fetch_due(
+        &mut self,
+        now_ms: Millis,
+        from: Ipv4Addr,
+        theirs: HistorySummary,
+        ours: HistorySummary,
+    ) -> bool {
+        ours.may_lack(theirs) && exchange_due(&mut self.history_fetched, now_ms, from)
     }
 
     /// Whether others may rely on this balancer: it reads, and the configuration service answers
@@ -373,6 +385,17 @@
     }
 }
 
+/// Whether the latest exchange with this balancer is long enough ago for another one, which is
+/// recorded if so.
+fn exchange_due(recent: &mut Vec<Contact>, now_ms: Millis, with: Ipv4Addr) -> bool {
+    recent.retain(|contact| now_ms.saturating_sub(contact.at_ms) < HISTORY_EXCHANGE_MS);
+    let is_due = recent.iter().all(|contact| contact.address != with);
+    if is_due {
+        record_contact(recent, now_ms, with);
+    }
+    is_due
+}
+
 /// Rank for reading; the smallest value ranks highest. It is a hash, so that readers are not all in
 /// the zone with the lowest addresses.
 fn rank(address: Ipv4Addr) -> u64 {
--- a/crates/steering/tests/peers.rs
+++ b/crates/steering/tests/peers.rs
@@ -278,6 +278,20 @@
     assert_eq!(found, comparison);
 }
 
+/// The view of a balancer that names former services of routes which are not in force here is
+/// fetched again, but not with each of its beacons.
+#[test]
+fn history_fetch_due_repeatedly() {
+    let ours = HistorySummary { version: 12, whole_in_ms: 50_000, former_digest: 1 };
+    let theirs = HistorySummary { former_digest: 2, ..ours };
+    let mut peers = Peers::new(address(1));
+    let is_due = |at_ms: &Millis| peers.history_fetch_due(*at_ms, address(2), theirs, ours);
+    let fetched: Vec<Millis> = (0..=2_000).step_by(250).filter(is_due).collect();
+    assert_eq!(fetched, [0, 1_000, 2_000]);
+    assert!(peers.history_fetch_due(2_000, address(3), theirs, ours));
+    assert!(!peers.history_fetch_due(9_000, address(2), ours, theirs));
+}
+
 /// A balancer that starts during an outage of the configuration service learns everything from
 /// another one, which need not be a reader. Its callers are waiting, so it sends hellos often. One
 /// that has just started and has received no beacon reads by itself, and sends hellos as often. One
@@ -371,11 +385,12 @@
     let summary =
         |former_digest| HistorySummary { version: 12, whole_in_ms: 50_000, former_digest };
     let mut peers = Peers::new(address(1));
-    let beacons_ms = (0..=2_000).step_by(250);
-    let corrected: Vec<Millis> = beacons_ms
-        .filter(|at_ms| peers.correction_due(*at_ms, summary(theirs), summary(ours)))
-        .collect();
-    assert_eq!(corrected, expected_ms);
+    for reader in [address(2), address(3)] {
+        let is_due =
+            |at_ms: &Millis| peers.correction_due(*at_ms, reader, summary(theirs), summary(ours));
+        let corrected: Vec<Millis> = (0..=2_000).step_by(250).filter(is_due).collect();
+        assert_eq!(corrected, expected_ms);
+    }
 }
 
 /// A reader has started after the others and does not know what went before.
@@ -383,6 +398,6 @@
 fn correction_due_complete_history() {
     let complete = HistorySummary::default();
     let started = HistorySummary { whole_in_ms: 90_000, ..complete };
-    assert!(Peers::new(address(1)).correction_due(0, started, complete));
-    assert!(!Peers::new(address(1)).correction_due(0, complete, started));
+    assert!(Peers::new(address(1)).correction_due(0, address(2), started, complete));
+    assert!(!Peers::new(address(1)).correction_due(0, address(2), complete, started));
 }
