Let no balancer skip versions of the routes without the history of them

A reader gets two versions in one answer, notes a former service of each and sends one delta from the first to the last. A follower that takes it in notes one service only; both call their histories complete, so nothing is fetched any more. A balancer is cut off while a route leads elsewhere and back; all others restart. Then it hears of a later version with equal routes, adopts that version as Same and stays complete, and the others learn from it that they are complete as well: nobody knows the service in between.

Versions grow in uneven steps, so equal routes at a version further on cost a fetch where the delta is lost.

--- a/crates/steering/src/history/mod.rs
+++ b/crates/steering/src/history/mod.rs
@@ -161,6 +161,23 @@
         }
     }
 
+    /// Whether a balancer with this history that replaces `old` by `new` at once lacks services which
+    /// `stepwise` contains, the same history after all versions in between.
+    pub fn misses_in_one_step(
+        &self,
+        now_ms: Millis,
+        old: &RouteTable,
+        new: &RouteTable,
+        stepwise: &Self,
+    ) -> bool {
+        let mut direct = self.clone();
+        direct.on_routes(now_ms, old, new);
+        let is_known = |former: &RetainedService| {
+            direct.former.binary_search_by_key(&former.key(), RetainedService::key).is_ok()
+        };
+        !stepwise.former.iter().all(is_known)
+    }
+
     /// Notes that versions may have been in force between the known one and the next one.
     pub fn on_gap(&mut self, now_ms: Millis) {
         self.complete_from_ms = now_ms + self.retention_ms();
--- a/crates/steering/src/peers/mod.rs
+++ b/crates/steering/src/peers/mod.rs
@@ -195,7 +195,10 @@
         if theirs.revision <= ours.revision || theirs.routes_version < ours.routes_version {
             return Comparison::NotNewer;
         }
-        let same = theirs.routes_digest == ours.routes_digest
+        // Routes may have led elsewhere in a version in between, which only the view tells.
+        let skips_versions = theirs.routes_version > ours.routes_version + 1;
+        let same = !skips_versions
+            && theirs.routes_digest == ours.routes_digest
             && theirs.upstreams_digest == ours.upstreams_digest;
         if same { Comparison::Same } else { Comparison::Fetch }
     }
--- a/crates/steering/tests/history.rs
+++ b/crates/steering/tests/history.rs
@@ -232,6 +232,25 @@
     assert!(history.is_complete(40_000));
 }
 
+/// A balancer reads several versions at once and sends one delta for them. Services that only the
+/// versions in between led to may hold flows that other balancers opened.
+#[rstest]
+#[case::one_version(&["a", "b"], false)]
+#[case::there_and_back(&["a", "b", "a"], true)]
+#[case::led_on(&["a", "b", "c"], true)]
+#[case::split_in_between(&["a", "ab", "b"], false)]
+#[case::same_services(&["a", "a", "b"], false)]
+#[case::removed_in_between(&["a", "", "b"], false)]
+fn misses_in_one_step_of_tables(#[case] tables: &[&str], #[case] expected: bool) {
+    let before = History::from_first_start(TTL_MS);
+    let tables: Vec<RouteTable> =
+        tables.iter().zip(1..).map(|(services, number)| table(number, services)).collect();
+    let mut stepwise = before.clone();
+    tables.windows(2).for_each(|pair| stepwise.on_routes(9_000, &pair[0], &pair[1]));
+    let (first, last) = (&tables[0], tables.last().unwrap());
+    assert_eq!(before.misses_in_one_step(9_000, first, last, &stepwise), expected);
+}
+
 /// Complete histories contain every service that may hold a flow, and are not compared: services
 /// expire at slightly different times at different balancers.
 #[test]
--- a/crates/steering/tests/peers.rs
+++ b/crates/steering/tests/peers.rs
@@ -278,6 +278,15 @@
     assert_eq!(found, comparison);
 }
 
+/// A balancer that was cut off while a route led to another service and back again must not take the
+/// equal routes for the only ones that were in force: it would count its history as complete.
+#[rstest]
+#[case::next_version((6, 3, 1, 1), Comparison::Same)]
+#[case::version_in_between((6, 4, 1, 1), Comparison::Fetch)]
+fn on_beacon_skipped_version(#[case] theirs: (u64, u64, u64, u64), #[case] comparison: Comparison) {
+    on_beacon_comparison(theirs, comparison);
+}
+
 /// The view of a balancer that names former services of routes which are not in force here is
 /// fetched again, but not with each of its beacons.
 #[test]
