--- a/crates/fuzzing/tests/known_red.rs
+++ b/crates/fuzzing/tests/known_red.rs
@@ -83,6 +83,7 @@
 #[case::third_not_traced(Size::CROWDED, 83242)]
 #[case::with_routes_that_move(Size::CROWDED_MOVING, 238)]
 #[case::with_routes_that_move_again(Size::CROWDED_MOVING, 164)]
+#[case::started_while_two_of_three_were_cut(Size::MOVING, 9_182_011)]
 fn red_cold_limit_with_old_views(#[case] size: Size, #[case] seed: u64) {
     let outcome = direct::play_at(size, seed, 60_000, None);
     assert_eq!(outcome.violations, []);
