Count no expired entry as missed when versions are skipped

What operators would see: from 90 s after a route has left a service until the next change of routes, readers announce changes of the list without a delta, and all balancers fetch whole views for each.

Cause: misses_in_one_step compared all entries that are stored; those that have expired stay stored until the next change of routes, while the history it compares with has just dropped them. It also cloned the history and went through all routes for each answer of the configuration service.

Change: only entries at which a flow may be open count, and nothing is compared where the version is the same, which is nearly every answer.

Evidence: misses_in_one_step_same_routes, whose second case failed before.

--- a/crates/steering/src/history/mod.rs
+++ b/crates/steering/src/history/mod.rs
@@ -170,12 +170,15 @@
         new: &RouteTable,
         stepwise: &Self,
     ) -> bool {
+        if old.version == new.version {
+            return false;
+        }
         let mut direct = self.clone();
         direct.on_routes(now_ms, old, new);
         let is_known = |former: &RetainedService| {
             direct.former.binary_search_by_key(&former.key(), RetainedService::key).is_ok()
         };
-        !stepwise.former.iter().all(is_known)
+        !stepwise.open(now_ms).all(is_known)
     }
 
     /// Notes that versions may have been in force between the known one and the next one.
--- a/crates/steering/tests/history.rs
+++ b/crates/steering/tests/history.rs
@@ -251,6 +251,17 @@
     assert_eq!(before.misses_in_one_step(9_000, first, last, &stepwise), expected);
 }
 
+/// An entry that has expired is not missed: without this, a reader would send no deltas for the list
+/// any more until the next change of routes, and all balancers would fetch whole views.
+#[rstest]
+#[case::while_open(RETAINED_MS + 999)]
+#[case::expired(RETAINED_MS + 1_000)]
+fn misses_in_one_step_same_routes(#[case] now_ms: Millis) {
+    let history = history_of(&["a", "b"]);
+    let routes = table(2, "b");
+    assert!(!history.misses_in_one_step(now_ms, &routes, &routes, &history));
+}
+
 /// Complete histories contain every service that may hold a flow, and are not compared: services
 /// expire at slightly different times at different balancers.
 #[test]
