--- a/crates/steering/tests/edge_unlearnt_history.rs
+++ b/crates/steering/tests/edge_unlearnt_history.rs
@@ -256,6 +256,12 @@
     assert!(failed.is_empty(), "{} of {all} orders, e.g. {shortest:?}", failed.len());
 }
 
+/// Plays the order of the fuzzed minute 7001533.
+fn play_fuzzed_minute() -> (Balancer, Balancer, Millis) {
+    let order = [Event::StartOf1, Event::FirstAt0, Event::SecondAt1, Event::SecondAt0];
+    play(&order, 192, 0, Second::OtherRouteLeaves)
+}
+
 /// The order of the fuzzed minute 7001533, with each kind of reply of the upstreams that are asked.
 #[rstest]
 fn request_reaches_the_holder_whatever_others_reply(
@@ -268,8 +274,7 @@
     )]
     reply: Option<Verdict>,
 ) {
-    let order = [Event::StartOf1, Event::FirstAt0, Event::SecondAt1, Event::SecondAt0];
-    let (mut one, zero, now_ms) = play(&order, 192, 0, Second::OtherRouteLeaves);
+    let (mut one, zero, now_ms) = play_fuzzed_minute();
     let found = found_after_ms(&mut one, &zero, now_ms, reply);
     assert!(found.is_some_and(|after_ms| after_ms < REQUEST_TIMEOUT_MS), "{found:?}");
 }
@@ -287,8 +292,7 @@
     )]
     reply: Option<Verdict>,
 ) {
-    let order = [Event::StartOf1, Event::FirstAt0, Event::SecondAt1, Event::SecondAt0];
-    let (one, mut zero, now_ms) = play(&order, 192, 0, Second::OtherRouteLeaves);
+    let (one, mut zero, now_ms) = play_fuzzed_minute();
     let found = found_after_ms(&mut zero, &one, now_ms, reply);
     assert!(found.is_some_and(|after_ms| after_ms < REQUEST_TIMEOUT_MS), "{found:?}");
 }
