--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod edge;
 pub mod flow;
 pub mod history;
+pub mod knowledge;
 pub mod leave;
 pub mod link;
 pub mod membership;
--- a/crates/wire/src/peers/mod.rs
+++ b/crates/wire/src/peers/mod.rs
@@ -7,8 +7,9 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-use steering::history::{HistoryContents, HistorySummary};
-use steering::membership::{Delta, UpstreamRecord};
+use steering::history::HistorySummary;
+pub use steering::knowledge::ViewContents;
+use steering::membership::Delta;
 use steering::peers::{PEERS_PER_REPLY_MAX, Summary};
 use steering::view::{RouteTable, Service, ServiceStamp, ZoneStamp};
 
@@ -56,25 +57,6 @@
     pub history: HistorySummary,
 }
 
-/// Complete state of a balancer, from which another one can start.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ViewContents {
-    /// Revision of the configuration service.
-    pub revision: u64,
-    /// For how much longer the list may lack upstreams that are running.
-    pub whole_in_ms: u64,
-    /// Routes in force; `None` if the receiver already has them.
-    pub routes: Option<Arc<RouteTable>>,
-    /// Version of the routes.
-    pub routes_version: u64,
-    /// The listed upstreams.
-    pub upstreams: Vec<UpstreamRecord>,
-    /// Availability zones that take no new flows.
-    pub closed_zones: Vec<ZoneStamp>,
-    /// Former services of routes, at which flows may still be open.
-    pub history: HistoryContents,
-}
-
 /// Encodes a message. A list of balancers is truncated to [`PEERS_MAX`].
 ///
 /// ```
