--- a/crates/settings/src/codes/table.rs
+++ b/crates/settings/src/codes/table.rs
@@ -336,6 +336,12 @@
     ZONE_OPENED = 4108, "zone_opened", Control,
         "An availability zone takes new flows again.",
         "None.";
+    LIST_OUTDATED = 4109, "list_outdated", Control,
+        "A list of the configuration service is older than what is in force, and changed nothing.",
+        "Compare the eras and revisions in the line; if it repeats, check the service.";
+    WATCH_REFUSED = 4110, "watch_refused", Control,
+        "The configuration service does not have the changes after the known revision; the whole list is read.",
+        "None if rare: the service forgets its history, or came back from a copy.";
     USAGE = 5001, "usage", Command,
         "The command line is wrong.",
         "See `goosectl --help`.";
