List a failing test: changes are lost after the store came back from a copy

The fuzzed direct world learns the new term: worlds returning and crowded-returning have a configuration service that goes away for a moment (or not noticeably) and comes back from a copy 0.3 to 8 s old, at times twice in a row. Two of the balancers read it through the product's own Knowledge, the others hear from these by summary, delta and view. What the copy lacks is written again within 2 s, entries of upstreams that have left run out.

--- a/crates/fuzzing/src/command.rs
+++ b/crates/fuzzing/src/command.rs
@@ -25,6 +25,7 @@
   --list         only list the episodes that break a promise; shrink and trace none
   --direct N     play N minutes of the direct-return path instead, each from a seed of its own
   --world NAME   the world of these: small (unless given), moving, crowded, crowded-moving,
+                 returning, crowded-returning,
                  large or long-answers
   --direct-episode S
                  play the minute of seed S in this world; print the time line of the flow with
@@ -120,6 +121,8 @@
         "moving" => Size::MOVING,
         "crowded" => Size::CROWDED,
         "crowded-moving" => Size::CROWDED_MOVING,
+        "returning" => Size::RETURNING,
+        "crowded-returning" => Size::CROWDED_RETURNING,
         "large" => Size::LARGE,
         "long-answers" => Size::LONG_ANSWERS,
         other => anyhow::bail!("there is no world {other}"),
--- a/crates/fuzzing/src/direct/plan.rs
+++ b/crates/fuzzing/src/direct/plan.rs
@@ -41,6 +41,13 @@
     /// All processes and upstreams terminate. Most are back soon; entries of the others stay listed
     /// until they expire.
     LosePower,
+    /// The configuration service comes back from an older copy, with or without an outage.
+    ReturnStore,
+}
+
+/// Draws whether the configuration service comes back from a copy next.
+pub(super) fn draw_return(rng: &mut impl Rng) -> Option<Change> {
+    rng.random_bool(0.05).then_some(Change::ReturnStore)
 }
 
 /// Draws whether the next change moves a route, and which one. For worlds whose routes change their
--- a/crates/fuzzing/src/direct/world/changes.rs
+++ b/crates/fuzzing/src/direct/world/changes.rs
@@ -83,10 +83,18 @@
         // Occasionally leaves the world undisturbed for long enough to check what must recover.
         let pause_ms = if self.rng.random_bool(0.05) { 2 * SETTLE_MS } else { 0 };
         self.schedule(delay_ms + pause_ms, Event::Change);
-        let Size { balancers, upstreams, severe_faults, moving_routes, long_answers, .. } =
-            self.size;
+        let Size {
+            balancers,
+            upstreams,
+            severe_faults,
+            moving_routes,
+            long_answers,
+            store_returns,
+            ..
+        } = self.size;
         let moved = if moving_routes { plan::draw_move(&mut self.rng) } else { None };
-        let change = moved.unwrap_or_else(|| match (long_answers, severe_faults) {
+        let returned = if store_returns { plan::draw_return(&mut self.rng) } else { None };
+        let change = returned.or(moved).unwrap_or_else(|| match (long_answers, severe_faults) {
             (true, _) => plan::draw_planned(&mut self.rng, upstreams),
             (false, true) => plan::draw_severe(&mut self.rng, balancers, upstreams),
             (false, false) => plan::draw(&mut self.rng, balancers, upstreams),
@@ -162,6 +170,7 @@
             Change::LosePower => self.lose_power(),
             Change::CloseZone(zone) => self.close_zone(zone),
             Change::MoveRoute(endpoint) => self.move_route(endpoint),
+            Change::ReturnStore => self.lose_store(),
         }
     }
 
--- a/crates/fuzzing/src/direct/world/checks.rs
+++ b/crates/fuzzing/src/direct/world/checks.rs
@@ -31,7 +31,8 @@
         let known_ms = self.routed_since_ms[service].map(|at_ms| at_ms + LIST_DELAY_MAX_MS);
         let routed = known_ms.is_some_and(|known_ms| sent_ms >= known_ms);
         let knows = |balancer: &Balancer| {
-            let mut former = balancer.history.former_services_of(self.now_ms, flow.endpoint);
+            let mut former =
+                balancer.knowledge.history.former_services_of(self.now_ms, flow.endpoint);
             balancer.up && former.any(|known| known == SERVICES[service])
         };
         routed || self.balancers.iter().any(knows)
--- a/crates/fuzzing/src/direct/world/layout.rs
+++ b/crates/fuzzing/src/direct/world/layout.rs
@@ -21,6 +21,8 @@
     /// address of an upstream that has left is reused only several seconds later, so that
     /// balancers often ask for a flow at upstreams that have just left.
     pub(super) long_answers: bool,
+    /// Whether the configuration service comes back from older copies.
+    pub(super) store_returns: bool,
 }
 
 impl Size {
@@ -33,6 +35,7 @@
         severe_faults: false,
         moving_routes: false,
         long_answers: false,
+        store_returns: false,
     };
     /// Like `SMALL`, with routes that change their services.
     pub const MOVING: Self = Self { moving_routes: true, ..Self::SMALL };
@@ -40,6 +43,10 @@
     pub const CROWDED: Self = Self { callers: 120, severe_faults: true, ..Self::SMALL };
     /// Like `CROWDED`, with routes that change their services.
     pub const CROWDED_MOVING: Self = Self { moving_routes: true, ..Self::CROWDED };
+    /// Like `MOVING`, with a configuration service that comes back from older copies.
+    pub const RETURNING: Self = Self { store_returns: true, ..Self::MOVING };
+    /// Like `CROWDED`, with a configuration service that comes back from older copies.
+    pub const CROWDED_RETURNING: Self = Self { store_returns: true, ..Self::CROWDED };
     /// Over a hundred upstreams, with severe faults.
     pub const LARGE: Self = Self {
         balancers: 6,
@@ -49,6 +56,7 @@
         severe_faults: true,
         moving_routes: false,
         long_answers: false,
+        store_returns: false,
     };
     /// A large service under planned changes only, with answers in parts.
     pub const LONG_ANSWERS: Self = Self {
@@ -59,6 +67,7 @@
         severe_faults: false,
         moving_routes: false,
         long_answers: true,
+        store_returns: false,
     };
 }
 
--- a/crates/fuzzing/src/direct/world/lists.rs
+++ b/crates/fuzzing/src/direct/world/lists.rs
@@ -3,6 +3,7 @@
 use rand::RngExt as _;
 use std::sync::Arc;
 use steering::history::History;
+use steering::knowledge::Knowledge;
 use steering::membership::{Membership, UpstreamRecord};
 use steering::view::{Route, RouteTable, Standing, Upstream as Listed, View};
 
@@ -33,23 +34,27 @@
     /// The published entries of upstreams, and for each address an entry by another writer. That
     /// one names a service that does not exist, and must not hide any upstream.
     pub(super) fn published(&self) -> Vec<UpstreamRecord> {
-        let foreign = (0..self.size.upstreams).map(|upstream| UpstreamRecord {
+        let listed = self.listed.iter().flatten().map(|record| UpstreamRecord {
+            warmup_left_ms: self.cold_for_ms(record),
+            ..record.clone()
+        });
+        listed.chain(self.foreign_entries()).collect()
+    }
+
+    /// Entries by another writer, one for each upstream's address.
+    pub(super) fn foreign_entries(&self) -> impl Iterator<Item = UpstreamRecord> + '_ {
+        (0..self.size.upstreams).map(|upstream| UpstreamRecord {
             id: format!("x-{upstream}").into(),
             born_ms: u64::MAX,
             service: UNCONFIGURED_SERVICE,
             draining: false,
             ..self.entry(upstream)
-        });
-        let listed = self.listed.iter().flatten().map(|record| UpstreamRecord {
-            warmup_left_ms: self.cold_for_ms(record),
-            ..record.clone()
-        });
-        listed.chain(foreign).collect()
+        })
     }
 
     /// Remaining warm-up time of an entry: upstreams keep rewriting their entries while they are
     /// cold.
-    fn cold_for_ms(&self, record: &UpstreamRecord) -> u64 {
+    pub(super) fn cold_for_ms(&self, record: &UpstreamRecord) -> u64 {
         let Upstream { incarnation, cold_until_ms, .. } =
             self.upstreams[upstream_of(record.address)];
         if incarnation == record.born_ms { cold_until_ms.saturating_sub(self.now_ms) } else { 0 }
@@ -57,6 +62,9 @@
 
     /// Publishes the list, which reaches each balancer after a delay of its own.
     pub(super) fn publish(&mut self) {
+        if self.store.is_some() {
+            return self.write_changes();
+        }
         for balancer in 0..self.size.balancers {
             let delay_ms = self.rng.random_range(1..LIST_DELAY_MAX_MS);
             self.schedule(delay_ms, Event::ListArrives(balancer));
@@ -68,11 +76,14 @@
         if self.balancers[balancer].cut_until_ms > now_ms {
             return;
         }
-        let mut membership = std::mem::take(&mut self.balancers[balancer].membership);
+        if self.store.is_some() {
+            return self.call_store(balancer);
+        }
+        let mut membership = std::mem::take(&mut self.balancers[balancer].knowledge.membership);
         self.fill_membership(&mut membership);
         membership.expire(now_ms);
         self.update_routes(balancer);
-        self.balancers[balancer].membership = membership;
+        self.balancers[balancer].knowledge.membership = membership;
         self.rebuild_view(balancer);
         self.note(|world| world.list_taken(balancer));
     }
@@ -84,9 +95,9 @@
             return;
         }
         let now_ms = self.now_ms;
-        let Balancer { routes, history, .. } = &self.balancers[balancer];
+        let Knowledge { routes, history, .. } = &self.balancers[balancer].knowledge;
         let old = Arc::clone(routes);
-        let mut history = history.clone();
+        let mut history = History::clone(history);
         if self.routes.version > old.version + 1 {
             history.on_gap(now_ms);
         }
@@ -98,9 +109,9 @@
         } else {
             self.learn_from_readers(balancer, &mut history);
         }
-        let learner = &mut self.balancers[balancer];
+        let learner = &mut self.balancers[balancer].knowledge;
         learner.routes = Arc::clone(&self.routes);
-        learner.history = history;
+        learner.history = Arc::new(history);
     }
 
     /// Merges what the balancers that can be reached know of services that routes have left: a
@@ -125,7 +136,7 @@
         routes: &RouteTable,
         peer: usize,
     ) {
-        let peer = &self.balancers[peer];
+        let peer = &self.balancers[peer].knowledge;
         if history.is_behind(self.now_ms, peer.history.summary(self.now_ms)) {
             let contents = peer.history.contents(self.now_ms, peer.routes.version);
             history.merge(self.now_ms, current_until_ms, routes, &contents);
@@ -134,8 +145,7 @@
 
     /// Rebuilds a balancer's view from its list, routes and history.
     pub(super) fn rebuild_view(&mut self, balancer: usize) {
-        let Balancer { membership, routes, history, .. } = &self.balancers[balancer];
-        self.balancers[balancer].view = self.view_of(membership, routes, history);
+        self.balancers[balancer].view = self.view_of(&self.balancers[balancer].knowledge);
     }
 
     pub(super) fn fill_membership(&self, membership: &mut Membership) {
@@ -149,19 +159,15 @@
 
     /// The view that a balancer derives from its list, without the safeguard that the mutant
     /// removes.
-    pub(super) fn view_of(
-        &self,
-        membership: &Membership,
-        routes: &Arc<RouteTable>,
-        history: &History,
-    ) -> View {
+    pub(super) fn view_of(&self, knowledge: &Knowledge) -> View {
+        let Knowledge { membership, routes, history, .. } = knowledge;
         let routes = match self.mutant {
             Some(Mutant::RegionIgnored) => Arc::new(without_regions(routes)),
             _ => Arc::clone(routes),
         };
         let history = match self.mutant {
             Some(Mutant::FormerServicesForgotten) => Arc::default(),
-            _ => Arc::new(history.clone()),
+            _ => Arc::clone(history),
         };
         let view = membership.view_since(Arc::clone(&routes), Arc::clone(&history));
         let listed =
--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -7,6 +7,7 @@
 mod lists;
 mod packets;
 mod reports;
+mod store;
 mod timeline;
 
 use std::collections::BTreeMap;
@@ -18,7 +19,8 @@
 use steering::edge::{Destination, Edge, Verdict};
 use steering::flow::{FlowKey, Segment, SegmentKind};
 use steering::history::History;
-use steering::membership::{Membership, UpstreamRecord};
+use steering::knowledge::Knowledge;
+use steering::membership::UpstreamRecord;
 use steering::peers::BEACON_MS;
 use steering::side::AgentCore;
 use steering::view::{Regions, RouteTable, Service, View};
@@ -29,6 +31,7 @@
     endpoint_index, region_of, route, upstream_of, zone_of, zone_stamp,
 };
 pub(super) use layout::{SERVICES_COUNT, ZONES};
+use store::{Answer, Item, ReaderReport, Store};
 use timeline::Entry;
 pub use timeline::Timeline;
 
@@ -115,23 +118,37 @@
     StopUpstream(usize),
     Relist(usize),
     OpenZone(usize),
+    LoseStore,
+    StoreReturns,
+    WriteAgain(Item),
+    StoreCall(usize),
+    StoreAnswers { balancer: usize, answer: Box<Answer> },
+    Reported { to: usize, report: Box<ReaderReport> },
 }
 
 impl Event {
     /// Whether it is a packet that waits for this balancer.
     fn is_for(&self, number: usize) -> bool {
         matches!(self,
-            Self::ToBalancer(balancer, _) | Self::Reply { balancer, .. } if *balancer == number)
+            Self::ToBalancer(balancer, _)
+            | Self::Reply { balancer, .. }
+            | Self::StoreAnswers { balancer, .. }
+            | Self::Reported { to: balancer, .. } if *balancer == number)
     }
 }
 
 struct Balancer {
     edge: Edge,
-    membership: Membership,
-    routes: Arc<RouteTable>,
-    history: History,
+    knowledge: Knowledge,
     view: View,
+    /// Whether a call to the configuration service is on its way. Unused where every balancer
+    /// receives the published list, like the next field.
+    is_calling: bool,
+    /// Whether its next call lists everything.
+    reads_all: bool,
     up: bool,
+    /// When callers' packets first reach it: other balancers have replied to it by then.
+    serves_from_ms: u64,
     cut_until_ms: u64,
     paused_until_ms: u64,
     complete_from_ms: u64,
@@ -177,6 +194,8 @@
     incarnations: u64,
     ports: u16,
     disturbed_until_ms: u64,
+    /// The configuration service, if it comes back from copies.
+    store: Option<Store>,
     /// What has happened, if it is recorded.
     pub(super) timeline: Option<Timeline>,
 }
@@ -220,9 +239,10 @@
             incarnations: 0,
             ports: 1_024,
             disturbed_until_ms: 0,
+            store: None,
             timeline: None,
         };
-        world.populate();
+        world.populate(seed);
         world
     }
 
@@ -238,12 +258,15 @@
         }
     }
 
-    fn populate(&mut self) {
+    fn populate(&mut self, seed: u64) {
         for upstream in 0..self.size.upstreams {
             self.agents.push(None);
             self.start_upstream(upstream, usize::from(upstream >= self.size.second_service_from));
             self.start_agent(upstream);
         }
+        if self.size.store_returns {
+            self.start_store(seed);
+        }
         for _ in 0..self.size.balancers {
             let balancer = self.new_balancer();
             self.balancers.push(balancer);
@@ -259,22 +282,28 @@
     }
 
     fn new_balancer(&self) -> Balancer {
-        let mut membership = Membership::default();
-        self.fill_membership(&mut membership);
         let mut history = match self.now_ms {
             0 => History::from_first_start(FLOW_TTL_MS),
             now_ms => History::from_now(now_ms, FLOW_TTL_MS),
         };
-        self.learn_at_start(&mut history);
-        let routes = Arc::clone(&self.routes);
-        let view = self.view_of(&membership, &routes, &history);
+        let knowledge = if self.store.is_some() {
+            self.knowledge_at_start(history)
+        } else {
+            self.learn_at_start(&mut history);
+            let mut knowledge = Knowledge::new(history);
+            self.fill_membership(&mut knowledge.membership);
+            knowledge.routes = Arc::clone(&self.routes);
+            knowledge
+        };
+        let view = self.view_of(&knowledge);
         Balancer {
             edge: Edge::default(),
-            membership,
-            routes,
-            history,
+            knowledge,
             view,
+            is_calling: false,
+            reads_all: false,
             up: true,
+            serves_from_ms: if self.store.is_some() { self.now_ms + PEER_QUERY_MS } else { 0 },
             cut_until_ms: 0,
             paused_until_ms: 0,
             complete_from_ms: self.peers_complete_from_ms(),
@@ -362,7 +391,9 @@
             Event::Change => self.change(),
             Event::ListArrives(balancer) => self.receive_list(balancer),
             Event::StartBalancer(balancer) => {
+                self.note_memory_lost();
                 self.balancers[balancer] = self.new_balancer();
+                self.ask_others(balancer);
                 self.note(|world| world.balancer_started(balancer));
             }
             Event::StartAgent(upstream) => self.start_agent(upstream),
@@ -374,6 +405,12 @@
             Event::StopUpstream(upstream) => self.stop_upstream(upstream),
             Event::Relist(upstream) => self.relist(upstream),
             Event::OpenZone(zone) => self.open_zone(zone),
+            Event::LoseStore => self.lose_store(),
+            Event::StoreReturns => self.restore_store(),
+            Event::WriteAgain(item) => self.write_again(item),
+            Event::StoreCall(balancer) => self.call_store(balancer),
+            Event::StoreAnswers { balancer, answer } => self.on_store_answer(balancer, *answer),
+            Event::Reported { to, report } => self.on_reader_report(to, *report),
         }
     }
 
--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -30,12 +30,12 @@
     /// Reschedules an event for a paused balancer, and returns true if the balancer can't handle it
     /// now. Packets for a balancer that is down are lost.
     fn defer(&mut self, balancer: usize, event: Event) -> bool {
-        let Balancer { up, paused_until_ms, .. } = self.balancers[balancer];
+        let Balancer { up, serves_from_ms, paused_until_ms, .. } = self.balancers[balancer];
         if up && paused_until_ms > self.now_ms {
             self.schedule(paused_until_ms - self.now_ms, event);
             return true;
         }
-        !up
+        !up || serves_from_ms > self.now_ms
     }
 
     fn store_packet(&mut self, packet: Packet) -> [u8; 4] {
@@ -304,11 +304,10 @@
         }
         let Balancer { cut_until_ms, paused_until_ms, .. } = self.balancers[balancer];
         let up_to_date = cut_until_ms.max(paused_until_ms) + SETTLE_MS <= self.now_ms;
-        let long_since =
-            |since: Option<u64>| since.is_some_and(|at| self.now_ms - at > PROPAGATION_MS);
-        let leaving = long_since(target.draining_since_ms);
-        let closed = long_since(self.closed_since_ms[zone_of(upstream)]);
-        if up_to_date && routed_until_ms.saturating_add(PROPAGATION_MS) < self.now_ms {
+        let leaving = self.is_in_force(target.draining_since_ms);
+        let closed = self.is_in_force(self.closed_since_ms[zone_of(upstream)]);
+        let left_ms = Some(routed_until_ms).filter(|until_ms| *until_ms < u64::MAX);
+        if up_to_date && self.is_in_force(left_ms) {
             self.record_violation(Violation::OpeningAtFormerService, flow);
         }
         if up_to_date && leaving {
@@ -385,7 +384,8 @@
         // An agent that has just started treats a warm upstream as cold.
         let is_settled = self.unreachable_until_ms[upstream] + PROPAGATION_MS <= self.now_ms;
         let is_allowed = self.is_allowed(upstream, endpoint(target.service));
-        is_open && is_ready && is_settled && self.is_reachable(upstream) && is_allowed
+        let is_placed = is_open && is_ready && is_settled && !self.has_returned_recently();
+        is_placed && self.is_reachable(upstream) && is_allowed
     }
 
     pub(super) fn answer(&mut self, upstream: usize, packet: Packet, opening: bool) {
--- a/crates/fuzzing/src/direct/world/reports.rs
+++ b/crates/fuzzing/src/direct/world/reports.rs
@@ -20,6 +20,10 @@
     /// Delivers a report of each reader to all other balancers.
     pub(super) fn report(&mut self) {
         self.schedule(BEACON_MS, Event::Report);
+        if self.store.is_some() {
+            self.end_watches();
+            return self.send_reader_reports();
+        }
         if self.mutant == Some(Mutant::HistoryNotLearnt) {
             return;
         }
@@ -37,8 +41,8 @@
     /// something.
     fn receive_report(&mut self, receiver: usize, reader: usize) {
         self.learn_from(receiver, reader);
-        let theirs = self.balancers[reader].history.summary(self.now_ms);
-        let ours = self.balancers[receiver].history.summary(self.now_ms);
+        let theirs = self.balancers[reader].knowledge.history.summary(self.now_ms);
+        let ours = self.balancers[receiver].knowledge.history.summary(self.now_ms);
         let lost = self.reports_rng.random_bool(LOST_REPORTS_SHARE);
         if theirs.may_lack(ours) && !lost {
             self.learn_from(reader, receiver);
@@ -46,12 +50,12 @@
     }
 
     fn learn_from(&mut self, learner: usize, peer: usize) {
-        let mut history = self.balancers[learner].history.clone();
+        let mut history = History::clone(&self.balancers[learner].knowledge.history);
         let current_until_ms = self.balancers[learner].confirmed_ms;
-        let routes = Arc::clone(&self.balancers[learner].routes);
+        let routes = Arc::clone(&self.balancers[learner].knowledge.routes);
         self.merge_if_behind(&mut history, current_until_ms, &routes, peer);
-        if history != self.balancers[learner].history {
-            self.balancers[learner].history = history;
+        if history != *self.balancers[learner].knowledge.history {
+            self.balancers[learner].knowledge.history = Arc::new(history);
             self.rebuild_view(learner);
             self.note(|world| world.list_taken(learner));
         }
@@ -66,12 +70,12 @@
     }
 
     /// The balancers that read the configuration service: the first ones that reach it.
-    fn readers(&self) -> Vec<usize> {
+    pub(super) fn readers(&self) -> Vec<usize> {
         let reads = |balancer: &usize| self.exchanges_reports(*balancer);
         (0..self.size.balancers).filter(reads).take(READERS).collect()
     }
 
-    fn exchanges_reports(&self, balancer: usize) -> bool {
+    pub(super) fn exchanges_reports(&self, balancer: usize) -> bool {
         let balancer = &self.balancers[balancer];
         balancer.up && balancer.cut_until_ms.max(balancer.paused_until_ms) <= self.now_ms
     }
--- /dev/null
+++ b/crates/fuzzing/src/direct/world/store/calls.rs
@@ -0,0 +1,145 @@
+//! Calls of balancers to the configuration service.
+
+use rand::RngExt as _;
+use steering::history::History;
+use steering::knowledge::{Knowledge, Listing};
+use steering::membership::{Change as Written, UpstreamRecord};
+
+use super::{Answer, Change, Contents};
+use crate::direct::world::{Event, LIST_DELAY_MAX_MS, World, ZONES, zone_stamp};
+
+/// Interval at which a watch without changes ends.
+const WATCH_MS: u64 = 1_000;
+/// Longest delay of a slow answer.
+const SLOW_ANSWER_MAX_MS: u64 = 500;
+const SLOW_ANSWER_SHARE: f64 = 0.05;
+
+impl World {
+    /// Lets the readers' watches end because of a change.
+    pub(super) fn wake_readers(&mut self) {
+        for reader in self.readers() {
+            self.call_soon(reader);
+        }
+    }
+
+    /// Ends the watches that have waited for long enough.
+    pub(in crate::direct::world) fn end_watches(&mut self) {
+        if self.now_ms.is_multiple_of(WATCH_MS) {
+            self.wake_readers();
+        }
+    }
+
+    pub(in crate::direct::world) fn call_soon(&mut self, balancer: usize) {
+        let Some(store) = &mut self.store else { return };
+        let delay_ms = store.rng.random_range(1..LIST_DELAY_MAX_MS);
+        self.schedule(delay_ms, Event::StoreCall(balancer));
+    }
+
+    /// A balancer calls the service: it watches from the revision that it knows, or lists everything.
+    pub(in crate::direct::world) fn call_store(&mut self, balancer: usize) {
+        if !self.exchanges_reports(balancer) || self.balancers[balancer].is_calling {
+            return;
+        }
+        let full = self.balancers[balancer].reads_all;
+        let after = self.balancers[balancer].knowledge.revision.filter(|_| !full);
+        let now_ms = self.now_ms;
+        let Some(store) = &mut self.store else { return };
+        if store.away_until_ms > now_ms {
+            return;
+        }
+        let slow = store.rng.random_bool(SLOW_ANSWER_SHARE);
+        let delay_ms = store.rng.random_range(1..if slow { SLOW_ANSWER_MAX_MS } else { 5 });
+        let answer = match after {
+            Some(after) if after > store.contents.revision => Answer::Refused,
+            Some(after) => Answer::Listing(store.contents.changes_after(after)),
+            None => Answer::Listing(self.whole_list()),
+        };
+        self.balancers[balancer].is_calling = true;
+        self.schedule(delay_ms, Event::StoreAnswers { balancer, answer: Box::new(answer) });
+    }
+
+    pub(in crate::direct::world) fn on_store_answer(&mut self, balancer: usize, answer: Answer) {
+        self.balancers[balancer].is_calling = false;
+        if !self.exchanges_reports(balancer) {
+            return;
+        }
+        let (now_ms, state) = (self.now_ms, &mut self.balancers[balancer]);
+        let Answer::Listing(listing) = answer else {
+            state.reads_all = true;
+            return self.call_soon(balancer);
+        };
+        state.reads_all = false;
+        state.confirmed_ms = now_ms;
+        let is_whole = listing.after.is_none();
+        let update = state.knowledge.apply_listing(now_ms, listing);
+        if let Some(update) = update {
+            self.adopt_knowledge(balancer);
+            if self.readers().contains(&balancer) {
+                self.tell_others(balancer, update.delta);
+            }
+        }
+        if is_whole {
+            self.call_soon(balancer);
+        }
+    }
+
+    /// What a balancer knows at its start: nothing, unless all start together at the beginning.
+    pub(in crate::direct::world) fn knowledge_at_start(&self, history: History) -> Knowledge {
+        let mut knowledge = Knowledge::new(history);
+        if self.now_ms == 0 {
+            knowledge.apply_listing(0, self.whole_list());
+        }
+        knowledge
+    }
+
+    /// A balancer that has started calls the service, and the others reply to it.
+    pub(in crate::direct::world) fn ask_others(&mut self, balancer: usize) {
+        if self.store.is_none() {
+            return;
+        }
+        self.call_soon(balancer);
+        for other in (0..self.balancers.len()).filter(|other| *other != balancer) {
+            self.tell(other, balancer, None);
+        }
+    }
+
+    /// Everything that the service holds.
+    pub(super) fn whole_list(&self) -> Listing {
+        let Some(store) = &self.store else { return Listing::default() };
+        let entries = store.contents.items.entries.iter().flatten().cloned();
+        let listed = entries.chain(self.foreign_entries()).map(Written::Listed);
+        let closed = (0..ZONES).filter(|zone| store.contents.items.closed[*zone]);
+        let closed = closed.map(|zone| Written::ZoneClosed(zone_stamp(zone)));
+        Listing {
+            after: None,
+            revision: store.contents.revision,
+            changes: listed.chain(closed).map(|change| self.with_warmup(change)).collect(),
+            routes: vec![store.contents.items.routes.clone()],
+        }
+    }
+
+    /// The change with the remaining warm-up time of the upstream.
+    fn with_warmup(&self, change: Written) -> Written {
+        match change {
+            Written::Listed(record) => {
+                let warmup_left_ms = self.cold_for_ms(&record);
+                Written::Listed(UpstreamRecord { warmup_left_ms, ..record })
+            }
+            other => other,
+        }
+    }
+}
+
+impl Contents {
+    fn changes_after(&self, after: u64) -> Listing {
+        let newer = self.changes.iter().filter(|(revision, _)| *revision > after);
+        let (mut changes, mut routes) = (Vec::new(), Vec::new());
+        for (_, change) in newer {
+            match change {
+                Change::Written(change) => changes.push(change.clone()),
+                Change::Routes(table) => routes.push(table.clone()),
+            }
+        }
+        Listing { after: Some(after), revision: self.revision, changes, routes }
+    }
+}
--- a/crates/fuzzing/src/direct/world/timeline/sources.rs
+++ b/crates/fuzzing/src/direct/world/timeline/sources.rs
@@ -1,6 +1,7 @@
 //! What the world enters into its time line.
 
 use steering::flow::FlowKey;
+use steering::knowledge::Knowledge;
 use steering::view::{Standing, View};
 
 use super::super::{
@@ -142,7 +143,8 @@
     }
 
     fn list_of(&self, balancer: usize) -> List {
-        let Balancer { routes, history, view, complete_from_ms, .. } = &self.balancers[balancer];
+        let Balancer { knowledge, view, complete_from_ms, .. } = &self.balancers[balancer];
+        let Knowledge { routes, history, .. } = knowledge;
         let contents = history.contents(self.now_ms, routes.version);
         let former = contents.former.iter().map(|former| Former {
             endpoint_index: usize::from(former.endpoint == endpoint(1)),
--- a/crates/steering/src/peers/mod.rs
+++ b/crates/steering/src/peers/mod.rs
@@ -190,17 +190,7 @@
         ours: Summary,
     ) -> Comparison {
         self.note(now_ms, from);
-        // An older routes version that is in force there must not be adopted here again, whatever
-        // the revision.
-        if theirs.revision <= ours.revision || theirs.routes_version < ours.routes_version {
-            return Comparison::NotNewer;
-        }
-        // Routes may have led elsewhere in a version in between, which only the view tells.
-        let skips_versions = theirs.routes_version > ours.routes_version + 1;
-        let same = !skips_versions
-            && theirs.routes_digest == ours.routes_digest
-            && theirs.upstreams_digest == ours.upstreams_digest;
-        if same { Comparison::Same } else { Comparison::Fetch }
+        compare(theirs, ours)
     }
 
     /// Notes that the configuration service has answered.
@@ -370,6 +360,21 @@
     }
 }
 
+/// Compares the summary of another balancer with the own one.
+pub fn compare(theirs: Summary, ours: Summary) -> Comparison {
+    // An older routes version that is in force there must not be adopted here again, whatever
+    // the revision.
+    if theirs.revision <= ours.revision || theirs.routes_version < ours.routes_version {
+        return Comparison::NotNewer;
+    }
+    // Routes may have led elsewhere in a version in between, which only the view tells.
+    let skips_versions = theirs.routes_version > ours.routes_version + 1;
+    let same = !skips_versions
+        && theirs.routes_digest == ours.routes_digest
+        && theirs.upstreams_digest == ours.upstreams_digest;
+    if same { Comparison::Same } else { Comparison::Fetch }
+}
+
 /// Returns at most `most` of the balancers, starting where the previous call ended.
 fn round_robin(mut others: Vec<Ipv4Addr>, next: &mut usize, most: usize) -> Vec<Ipv4Addr> {
     if others.len() > most {
--- a/xtask/src/direct/fleet.rs
+++ b/xtask/src/direct/fleet.rs
@@ -9,7 +9,7 @@
 use platform_standins::caller::{Callers, Target};
 use platform_standins::fabric::Fabric;
 use platform_standins::ledger::Ledger;
-use platform_standins::store::{Mode, Store};
+use platform_standins::store::{Copy, Mode, Store};
 use platform_standins::upstream::{Upstream, UpstreamConfig};
 use serde_json::json;
 
@@ -49,6 +49,8 @@
     programs: PathBuf,
     out: PathBuf,
     store: Store,
+    /// The last copy of the store, or what the store held before it came back from it.
+    copy: Option<Copy>,
     ledger: Ledger,
     fabric: Fabric,
     callers: Option<Callers>,
@@ -76,6 +78,7 @@
             programs: programs.to_owned(),
             out: out.to_owned(),
             store,
+            copy: None,
             ledger: Ledger::default(),
             fabric: Fabric::start(&endpoints)?,
             callers: None,
@@ -173,6 +176,13 @@
             Action::StoreSilent => self.store.set_mode(Mode::Silent),
             Action::StoreRefuses => self.store.set_mode(Mode::Refusing),
             Action::StoreWell => self.store.set_mode(Mode::Well),
+            Action::CopyStore => self.copy = Some(self.store.copy()),
+            Action::RestoreStore => {
+                self.copy = self.copy.take().map(|copy| self.store.restore(copy));
+            }
+            Action::WriteAgain => {
+                self.copy.iter().for_each(|before| self.store.write_again(before))
+            }
             Action::KillAll => self.kill_all()?,
             Action::Calm => self.ledger.calm_started(),
             Action::Finish => self.callers.iter().for_each(Callers::stop_new_requests),
--- a/xtask/src/direct/scenario.rs
+++ b/xtask/src/direct/scenario.rs
@@ -39,6 +39,12 @@
     StoreRefuses,
     /// The configuration service answers again.
     StoreWell,
+    /// Takes a copy of what the configuration service holds.
+    CopyStore,
+    /// The configuration service comes back from the copy: later writes are lost.
+    RestoreStore,
+    /// Everything that was lost is written again.
+    WriteAgain,
     /// Kills all balancers and agents and starts them again.
     KillAll,
     /// Begins the final phase, in which no faults are injected.
@@ -94,7 +100,26 @@
     at(21_600, Action::KillBalancer(0)),
     at(22_900, Action::Relist(3)),
     at(23_500, Action::KillAll),
-    at(26_500, Action::Calm),
-    at(32_500, Action::Finish),
-    at(36_000, Action::End),
+    // The service comes back from a copy that lacks what is in force, and a balancer starts before
+    // that is written again.
+    at(27_000, Action::CopyStore),
+    at(27_200, Action::CloseZone(1)),
+    at(27_400, Action::Drain(2)),
+    at(30_000, Action::StoreRefuses),
+    at(30_400, Action::RestoreStore),
+    at(30_500, Action::StoreWell),
+    at(30_600, Action::KillBalancer(0)),
+    at(31_900, Action::WriteAgain),
+    at(32_500, Action::OpenZone(1)),
+    // It comes back without an outage, and a zone is closed under a revision that was given out
+    // before.
+    at(33_000, Action::CopyStore),
+    at(33_100, Action::Relist(3)),
+    at(33_200, Action::Relist(4)),
+    at(33_600, Action::RestoreStore),
+    at(33_800, Action::CloseZone(1)),
+    at(38_500, Action::OpenZone(1)),
+    at(39_500, Action::Calm),
+    at(45_500, Action::Finish),
+    at(49_000, Action::End),
 ];
