Order what balancers know by the era of the configuration service first

What callers saw: after the service came back from an older copy, new requests reached an upstream that was draining for over 3 s (DRAIN), and followed an older version of the routes (CONFIG).

Cause: the order of revisions was taken for the order of time. A returned service counts on from its copy, so lists of the new era were dropped as outdated until the numbers had passed the old ones, watches then continued inside numbers that had been given out twice, and equal numbers passed for equal contents between balancers. Ruled out: failing or stale lists (98 calls a second were answered), forgotten history (410 came for a revision that the service never had).

One type, Revision (era, then number), is now the only order: in answers, views, deltas, summaries, trust and the choice of readers. Changes that do not continue the own era are not taken; a lower number after a refused watch is believed. Until upstreams and operators have written again (2.5 s), the copy is believed where it restricts more than what is known, and what is known where it does: routes never fall, a draining incarnation stays so, entries and closed zones that the copy lacks are held, and the list counts as incomplete, so that nothing is reset. What is held travels beside the list: balancers that start in between learn it, and digests stay equal. Summaries with an era are rejected by earlier releases, whose readers do not count for those that know an era.

Each safeguard has a mutant that is caught.

--- a/crates/fuzzing/src/direct/mod.rs
+++ b/crates/fuzzing/src/direct/mod.rs
@@ -62,6 +62,22 @@
     HistoryNotLearnt,
     /// Balancers never learn of changed routes.
     OldRoutesKept,
+    /// Balancers order what they know by the numbers alone, without the era.
+    EraIgnored,
+    /// Balancers take changes of a later era for the continuation of what they know.
+    CopyContinued,
+    /// Balancers hold nothing that a copy lacks.
+    CopyTakenWhole,
+    /// Balancers believe a copy that says that a draining upstream is ready.
+    DrainTakenBack,
+    /// Balancers take an older version of the routes from a copy.
+    RoutesTakenBack,
+    /// Balancers count the list of a copy as complete.
+    CopyCountsAsComplete,
+    /// Balancers do not tell others what they hold.
+    HeldNotTold,
+    /// Balancers hold what a copy lacks for ever.
+    HeldForever,
 }
 
 /// Result of an episode.
--- a/crates/fuzzing/src/direct/world/layout.rs
+++ b/crates/fuzzing/src/direct/world/layout.rs
@@ -21,8 +21,10 @@
     /// address of an upstream that has left is reused only several seconds later, so that
     /// balancers often ask for a flow at upstreams that have just left.
     pub(super) long_answers: bool,
-    /// Whether the configuration service comes back from older copies.
-    pub(super) store_returns: bool,
+    /// How many of a hundred changes are returns of the configuration service from an older copy.
+    pub(super) store_returns_percent: u8,
+    /// Whether balancers often restart when it returns.
+    pub(super) restarts_at_returns: bool,
 }
 
 impl Size {
@@ -35,7 +37,8 @@
         severe_faults: false,
         moving_routes: false,
         long_answers: false,
-        store_returns: false,
+        store_returns_percent: 0,
+        restarts_at_returns: false,
     };
     /// Like `SMALL`, with routes that change their services.
     pub const MOVING: Self = Self { moving_routes: true, ..Self::SMALL };
@@ -44,9 +47,11 @@
     /// Like `CROWDED`, with routes that change their services.
     pub const CROWDED_MOVING: Self = Self { moving_routes: true, ..Self::CROWDED };
     /// Like `MOVING`, with a configuration service that comes back from older copies.
-    pub const RETURNING: Self = Self { store_returns: true, ..Self::MOVING };
-    /// Like `CROWDED`, with a configuration service that comes back from older copies.
-    pub const CROWDED_RETURNING: Self = Self { store_returns: true, ..Self::CROWDED };
+    pub const RETURNING: Self = Self { store_returns_percent: 5, ..Self::MOVING };
+    /// Like `CROWDED`, with a configuration service that comes back from older copies while balancers
+    /// restart.
+    pub const CROWDED_RETURNING: Self =
+        Self { store_returns_percent: 2, restarts_at_returns: true, ..Self::CROWDED };
     /// Over a hundred upstreams, with severe faults.
     pub const LARGE: Self = Self {
         balancers: 6,
@@ -56,7 +61,8 @@
         severe_faults: true,
         moving_routes: false,
         long_answers: false,
-        store_returns: false,
+        store_returns_percent: 0,
+        restarts_at_returns: false,
     };
     /// A large service under planned changes only, with answers in parts.
     pub const LONG_ANSWERS: Self = Self {
@@ -67,7 +73,8 @@
         severe_faults: false,
         moving_routes: false,
         long_answers: true,
-        store_returns: false,
+        store_returns_percent: 0,
+        restarts_at_returns: false,
     };
 }
 
--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -142,8 +142,10 @@
     knowledge: Knowledge,
     view: View,
     /// Whether a call to the configuration service is on its way. Unused where every balancer
-    /// receives the published list, like the next field.
+    /// receives the published list, like the next fields.
     is_calling: bool,
+    /// Whether something was published during the call.
+    calls_again: bool,
     /// Whether its next call lists everything.
     reads_all: bool,
     up: bool,
@@ -264,7 +266,7 @@
             self.start_upstream(upstream, usize::from(upstream >= self.size.second_service_from));
             self.start_agent(upstream);
         }
-        if self.size.store_returns {
+        if self.size.store_returns_percent > 0 {
             self.start_store(seed);
         }
         for _ in 0..self.size.balancers {
@@ -301,6 +303,7 @@
             knowledge,
             view,
             is_calling: false,
+            calls_again: false,
             reads_all: false,
             up: true,
             serves_from_ms: if self.store.is_some() { self.now_ms + PEER_QUERY_MS } else { 0 },
@@ -315,6 +318,9 @@
     /// Whether no running balancer that can be reached has been up for longer than missing entries
     /// take to come back.
     fn no_peer_has_history(&self) -> bool {
+        if self.store.is_some() {
+            return self.no_peer_can_tell();
+        }
         !self.balancers.iter().any(|balancer| {
             let connected = balancer.up && balancer.cut_until_ms <= self.now_ms;
             let alone =
@@ -391,6 +397,9 @@
             Event::Change => self.change(),
             Event::ListArrives(balancer) => self.receive_list(balancer),
             Event::StartBalancer(balancer) => {
+                if self.store.is_some() {
+                    self.events.retain(|_, event| !event.is_for(balancer));
+                }
                 self.note_memory_lost();
                 self.balancers[balancer] = self.new_balancer();
                 self.ask_others(balancer);
--- a/crates/fuzzing/tests/direct.rs
+++ b/crates/fuzzing/tests/direct.rs
@@ -170,3 +170,85 @@
 fn undelivered_packet_is_no_denial_after_a_move(#[case] seed: u64) {
     play_without_violation(Size::MOVING, seed);
 }
+
+/// Guards against changes that are lost because the configuration service comes back from an older
+/// copy, and its revisions are given out again.
+#[rstest]
+#[case::zone_closed(40)]
+#[case::upstream_drained(49)]
+#[case::upstream_drained_again(56)]
+#[case::route_moved(83)]
+#[case::route_moved_again(89)]
+#[case::zone_closed_later(92)]
+fn change_is_in_force_after_store_returned(#[case] seed: u64) {
+    play_without_violation(Size::RETURNING, seed);
+}
+
+/// The promises also hold where the configuration service comes back from older copies, with and
+/// without a noticeable outage, at times twice in a row.
+#[rstest]
+#[case::moving(Size::RETURNING)]
+#[case::crowded(Size::CROWDED_RETURNING)]
+fn promises_hold_where_store_returns(#[case] size: Size) {
+    for seed in 1..=EPISODES {
+        let outcome = play_without_violation(size, seed);
+        assert!(outcome.answered > 500, "seed {seed}: traffic flows: {}", outcome.answered);
+    }
+}
+
+/// Without the safeguard, the return of the configuration service from a copy violates the promise
+/// that depends on it, in a minute which keeps all promises with it.
+#[rstest]
+#[case::era_ignored(Size::RETURNING, 14, Mutant::EraIgnored, Violation::OpeningAtFormerService)]
+#[case::copy_continued(
+    Size::CROWDED_RETURNING,
+    484,
+    Mutant::CopyContinued,
+    Violation::OpeningOnLeaving
+)]
+#[case::copy_taken_whole(
+    Size::RETURNING,
+    30,
+    Mutant::CopyTakenWhole,
+    Violation::OpeningInClosedZone
+)]
+#[case::drain_taken_back(
+    Size::CROWDED_RETURNING,
+    34,
+    Mutant::DrainTakenBack,
+    Violation::OpeningOnLeaving
+)]
+#[case::routes_taken_back(
+    Size::RETURNING,
+    174,
+    Mutant::RoutesTakenBack,
+    Violation::OpeningAtFormerService
+)]
+#[case::copy_counts_as_complete(
+    Size::RETURNING,
+    301_348,
+    Mutant::CopyCountsAsComplete,
+    Violation::LivingFlowReset
+)]
+#[case::held_not_told(
+    Size::CROWDED_RETURNING,
+    475,
+    Mutant::HeldNotTold,
+    Violation::OpeningOnLeaving
+)]
+#[case::held_forever(
+    Size::CROWDED_RETURNING,
+    38,
+    Mutant::HeldForever,
+    Violation::UpstreamPassedOver
+)]
+fn mutant_of_returns_is_detected(
+    #[case] size: Size,
+    #[case] seed: u64,
+    #[case] mutant: Mutant,
+    #[case] promise: Violation,
+) {
+    play_without_violation(size, seed);
+    let outcome = play_at(size, seed, LENGTH_MS, Some(mutant));
+    assert!(outcome.violations.iter().any(|(_, violation)| *violation == promise));
+}
--- a/crates/goosectl/src/commands/logs/parse.rs
+++ b/crates/goosectl/src/commands/logs/parse.rs
@@ -54,7 +54,7 @@
         let optional = [
             ("request", flow.request.clone()),
             ("peer", flow.peer.clone()),
-            ("view", if flow.revision > 0 { flow.revision.to_string() } else { String::new() }),
+            ("view", flow.view()),
             ("elapsed_ms", flow.elapsed_ms.to_string()),
             (
                 "suppressed",
--- a/crates/goosectl/src/commands/zones/report.rs
+++ b/crates/goosectl/src/commands/zones/report.rs
@@ -50,8 +50,8 @@
 fn row(answer: &Answer<Zones>) -> [String; 3] {
     let name = answer.target.name.clone();
     match &answer.result {
-        Ok(zones) if zones.closed.is_empty() => [name, zones.revision.to_string(), "-".into()],
-        Ok(zones) => [name, zones.revision.to_string(), zones.closed.join(" ")],
+        Ok(zones) if zones.closed.is_empty() => [name, zones.revision_text(), "-".into()],
+        Ok(zones) => [name, zones.revision_text(), zones.closed.join(" ")],
         Err(error) => [name, "silent".into(), error.to_string()],
     }
 }
--- a/crates/goosectl/src/fleet/answers.rs
+++ b/crates/goosectl/src/fleet/answers.rs
@@ -35,12 +35,25 @@
 /// Answer of a balancer's `/zones`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Zones {
+    /// Era of the configuration service; zero if it states none.
+    #[serde(default)]
+    pub(crate) era: u64,
     /// Revision of the configuration service that `closed` is taken from.
     pub(crate) revision: u64,
     /// Names of the availability zones that take no new flows, in order.
     pub(crate) closed: Vec<String>,
 }
 
+impl Zones {
+    /// Era and revision, or the revision alone without an era.
+    pub(crate) fn revision_text(&self) -> String {
+        match self.era {
+            0 => self.revision.to_string(),
+            era => format!("{era}.{}", self.revision),
+        }
+    }
+}
+
 /// One flow.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Flow {
--- a/crates/settings/src/codes/table.rs
+++ b/crates/settings/src/codes/table.rs
@@ -337,11 +337,17 @@
         "An availability zone takes new flows again.",
         "None.";
     LIST_OUTDATED = 4109, "list_outdated", Control,
-        "A list of the configuration service is older than what is in force, and changed nothing.",
-        "Compare the eras and revisions in the line; if it repeats, check the service.";
+        "An answer of the configuration service is of an earlier era than what is in force, and changed nothing.",
+        "If it repeats, check which service the address leads to.";
     WATCH_REFUSED = 4110, "watch_refused", Control,
         "The configuration service does not have the changes after the known revision; the whole list is read.",
         "None if rare: the service forgets its history, or came back from a copy.";
+    STORE_RETURNED = 4111, "store_returned", Control,
+        "The configuration service came back from an older copy; what the copy lacks is held for a moment.",
+        "Write again what the service has lost: configuration and closed zones; upstreams do so themselves.";
+    HOLD_ENDED = 4112, "hold_ended", Control,
+        "What a copy lacked and nobody has written again is no longer in force.",
+        "Compare with what was in force before 4111.";
     USAGE = 5001, "usage", Command,
         "The command line is wrong.",
         "See `goosectl --help`.";
--- a/crates/steering/src/knowledge/mod.rs
+++ b/crates/steering/src/knowledge/mod.rs
@@ -1,28 +1,51 @@
 //! What a balancer knows of routes and upstreams, from answers of the configuration service and from
 //! the views of other balancers.
+//!
+//! What is newer is decided by [`Revision`] alone: the era, then the number. When the service has
+//! come back from an older copy, the list and closed zones that were known are held for a while; see
+//! [`Membership`]. Routes have versions of their own and never fall back.
 
+use std::cmp::Ordering;
 use std::sync::Arc;
 
 use crate::flow::Millis;
 use crate::history::{History, HistoryContents};
-use crate::membership::{Change, Delta, Membership, UpstreamRecord};
+use crate::membership::{COPY_HOLD_MS, Change, Delta, Held, Membership, UpstreamRecord};
 use crate::peers::Summary;
+use crate::revision::Revision;
 use crate::view::{RouteTable, RoutesDelta, ZoneStamp};
 
+/// Balancers hear of a return within this time of each other, so their holds end that far apart.
+const HELD_MARGIN_MS: Millis = 1_000;
+
 /// An answer of the configuration service: its whole contents, or the changes after a revision.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
     /// The changes are those after this revision; `None` if the answer is the whole list.
-    pub after: Option<u64>,
+    pub after: Option<Revision>,
+    /// The service had just refused to continue from this revision, and gave the whole list instead.
+    pub replaces: Option<Revision>,
     /// Revision at which the answer was read.
-    pub revision: u64,
+    pub revision: Revision,
     /// Changes to upstreams and availability zones, in the order in which they were made.
     pub changes: Vec<Change>,
     /// Routes that were written, in the order in which they were.
     pub routes: Vec<Arc<RouteTable>>,
 }
 
-/// Result of applying an answer that changed something.
+/// Result of applying an answer of the configuration service.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// The state is that of the answer or newer. Contains what changed, if anything did.
+    Taken(Option<Update>),
+    /// The changes do not continue from what is known, because the service has come back from a copy
+    /// in between. The whole list is needed.
+    ListNeeded,
+    /// The answer is of an earlier era than what is known, and changed nothing.
+    Outdated,
+}
+
+/// What an answer of the configuration service changed.
 #[derive(Clone, Debug)]
 pub struct Update {
     /// The changes to the list, if they are complete and the revision before them is known.
@@ -33,7 +56,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ViewContents {
     /// Revision of the configuration service.
-    pub revision: u64,
+    pub revision: Revision,
     /// For how much longer the list may lack upstreams that are running.
     pub whole_in_ms: Millis,
     /// Routes in force; `None` if the receiver already has them.
@@ -46,19 +69,26 @@
     pub closed_zones: Vec<ZoneStamp>,
     /// Former services of routes, at which flows may still be open.
     pub history: HistoryContents,
+    /// What is in force besides, because the configuration service has come back from a copy which
+    /// lacks it.
+    pub held: Held,
 }
 
 /// Routes, upstreams, and the revision at which they were published.
 #[derive(Clone, Debug, Default)]
 pub struct Knowledge {
     /// Revision of the configuration service; `None` until a list or view has been received.
-    pub revision: Option<u64>,
+    pub revision: Option<Revision>,
     /// The published upstreams and closed availability zones.
     pub membership: Membership,
     /// Routes in force.
     pub routes: Arc<RouteTable>,
     /// Services that routes have left.
     pub history: Arc<History>,
+    /// When the current era became known here.
+    era_since_ms: Millis,
+    /// Until when the list may lack running upstreams because of a return from a copy.
+    incomplete_until_ms: Millis,
 }
 
 impl Knowledge {
@@ -74,9 +104,53 @@
             routes_version: self.routes.version,
             routes_digest: self.routes.digest(),
             upstreams_digest: self.membership.digest(),
+            held_digest: self.membership.held_digest(),
         }
     }
 
+    /// Until when the list may lack upstreams that are running, because the configuration service
+    /// has come back from a copy; nobody need have noticed an outage.
+    pub fn incomplete_until_ms(&self) -> Millis {
+        self.incomplete_until_ms
+    }
+
+    /// Whether a reader with this state shows that nothing newer is published than what is known.
+    pub fn is_confirmed_by(&self, theirs: Summary) -> bool {
+        self.revision.is_some_and(|ours| {
+            ours.era == theirs.revision.era && ours.number >= theirs.revision.number
+        })
+    }
+
+    /// Whether the view of a balancer with this state contains anything from before a return of the
+    /// configuration service that is unknown here: it has not heard of the return, or it holds more.
+    pub fn lacks_held_of(&self, now_ms: Millis, theirs: Summary) -> bool {
+        let Some(ours) = self.revision else { return false };
+        let lacks = match theirs.revision.era.cmp(&ours.era) {
+            Ordering::Less => true,
+            Ordering::Equal => theirs.held_digest > self.membership.held_digest(),
+            Ordering::Greater => false,
+        };
+        lacks && self.remembers_for_ms(now_ms) > 0
+    }
+
+    /// Whether a reader with this state lacks something that is in force here, because it has started
+    /// after a return of the configuration service and knows only the copy. Other balancers do not
+    /// end their holds at the same moment, which shows nothing.
+    pub fn exceeds(&self, now_ms: Millis, theirs: Summary) -> bool {
+        let Some(ours) = self.revision else { return false };
+        let holds_more = ours.era == theirs.revision.era
+            && self.membership.held_digest() > theirs.held_digest
+            && self.remembers_for_ms(now_ms) > HELD_MARGIN_MS;
+        let has_newer_routes =
+            theirs.revision >= ours && self.routes.version > theirs.routes_version;
+        holds_more || has_newer_routes
+    }
+
+    /// For how much longer knowledge of earlier eras is held here.
+    fn remembers_for_ms(&self, now_ms: Millis) -> Millis {
+        (self.era_since_ms + COPY_HOLD_MS).saturating_sub(now_ms)
+    }
+
     /// The view for another balancer, if there is one. Routes are left out if the receiver has the
     /// same ones: most changes concern upstreams only, and routes are the larger part of a view.
     pub fn contents(
@@ -93,11 +167,15 @@
             upstreams: self.membership.records(now_ms),
             closed_zones: self.membership.closed_zones().to_vec(),
             history: self.history.contents(now_ms, self.routes.version),
+            held: self.membership.held(now_ms),
         })
     }
 
     /// Adopts a newer revision whose contents are the ones in force.
-    pub fn confirm(&mut self, theirs: Summary) {
+    pub fn confirm(&mut self, now_ms: Millis, theirs: Summary) {
+        if self.is_later_era(theirs.revision) {
+            self.note_return(now_ms);
+        }
         self.revision = Some(theirs.revision);
         self.confirm_routes(theirs.routes_version);
     }
@@ -108,9 +186,58 @@
         }
     }
 
-    /// Applies an answer of the configuration service. Returns what changed, if anything did.
-    pub fn apply_listing(&mut self, now_ms: Millis, listing: Listing) -> Option<Update> {
-        let Listing { after, revision, changes, routes } = listing;
+    fn is_later_era(&self, revision: Revision) -> bool {
+        self.revision.is_some_and(|ours| revision.era > ours.era)
+    }
+
+    fn note_return(&mut self, now_ms: Millis) {
+        self.era_since_ms = now_ms;
+        self.incomplete_until_ms = now_ms + COPY_HOLD_MS;
+    }
+
+    /// Prepares for a whole list at this revision: holds what is known if it is of an earlier era.
+    fn enter(&mut self, now_ms: Millis, revision: Revision) {
+        if self.revision.is_none() {
+            self.era_since_ms = now_ms;
+        }
+        if self.is_later_era(revision) {
+            self.note_return(now_ms);
+            self.membership.hold_all(now_ms);
+        }
+        self.revision = Some(revision);
+    }
+
+    /// Applies an answer of the configuration service.
+    pub fn apply_listing(&mut self, now_ms: Millis, listing: Listing) -> Outcome {
+        let Listing { after, revision, .. } = listing;
+        let continues = |after: Revision| {
+            revision.era <= after.era && self.revision.is_some_and(|ours| ours >= after)
+        };
+        if !after.is_none_or(continues) {
+            return Outcome::ListNeeded;
+        }
+        if self.revision.is_some_and(|ours| revision.era < ours.era) {
+            return Outcome::Outdated;
+        }
+        self.drop_refused_revision(now_ms, &listing);
+        Outcome::Taken(self.apply_current_listing(now_ms, listing))
+    }
+
+    /// Forgets the own revision if the service has refused to continue from it and is at a lower one
+    /// of the same era. It was read from a store that lagged behind the return.
+    fn drop_refused_revision(&mut self, now_ms: Millis, listing: &Listing) {
+        let is_refuted = self.revision.is_some()
+            && listing.replaces == self.revision
+            && Some(listing.revision) < self.revision;
+        if is_refuted {
+            self.note_return(now_ms);
+            self.membership.hold_all(now_ms);
+            self.revision = None;
+        }
+    }
+
+    fn apply_current_listing(&mut self, now_ms: Millis, listing: Listing) -> Option<Update> {
+        let Listing { after, revision, changes, routes, .. } = listing;
         // This balancer may have received a newer revision from a peer during the call, and must
         // not go back to an older one.
         let known = self.revision.is_some_and(|ours| match after {
@@ -120,6 +247,9 @@
         if known {
             return None;
         }
+        if after.is_none() {
+            self.enter(now_ms, revision);
+        }
         self.revision = Some(revision);
         let changed = !changes.is_empty() || !routes.is_empty();
         let (old_routes, old_history) = (Arc::clone(&self.routes), Arc::clone(&self.history));
@@ -145,26 +275,30 @@
     /// Applies a delta; returns whether it could be applied. A delta does not apply to contents
     /// older than the revision that it starts from, nor to routes other than the sender's.
     pub fn apply_delta(&mut self, now_ms: Millis, theirs: Summary, delta: &Delta) -> bool {
-        let fits = self.revision.is_some_and(|ours| ours >= delta.from_revision)
+        let from = delta.from_revision;
+        let fits = from.era == theirs.revision.era
+            && self.revision.is_none_or(|ours| ours < theirs.revision)
+            && self.revision.is_some_and(|ours| ours.era == from.era && ours >= from)
             && self.apply_routes_delta(now_ms, theirs, delta.routes.as_ref());
         if !fits {
             return false;
         }
         let patched = self.membership.patch(now_ms, delta, theirs.upstreams_digest);
         if patched {
-            self.confirm(theirs);
+            self.confirm(now_ms, theirs);
         }
         patched
     }
 
-    /// Returns whether the routes in force are now the sender's.
+    /// Returns whether the routes in force are now the sender's, or newer ones.
     fn apply_routes_delta(
         &mut self,
         now_ms: Millis,
         theirs: Summary,
         delta: Option<&RoutesDelta>,
     ) -> bool {
-        if self.routes.digest() == theirs.routes_digest {
+        let is_newer = self.routes.version > theirs.routes_version;
+        if is_newer || self.routes.digest() == theirs.routes_digest {
             return true;
         }
         let patched = delta.and_then(|delta| self.routes.patched(theirs.routes_version, delta));
@@ -191,19 +325,29 @@
         changed
     }
 
-    /// Applies the view of another balancer if it is newer, except for its former services; returns
-    /// whether it was.
-    pub fn apply_newer_view(&mut self, now_ms: Millis, contents: ViewContents) -> bool {
-        if self.revision.is_some_and(|ours| contents.revision <= ours) {
-            return false;
+    /// Applies the view of another balancer, except for its former services: newer routes, the list
+    /// if it is newer, and what it holds. Returns whether the list was newer.
+    pub fn apply_view(&mut self, now_ms: Millis, contents: ViewContents) -> bool {
+        let ViewContents {
+            revision, routes, routes_version, upstreams, closed_zones, held, ..
+        } = contents;
+        let ours = self.revision;
+        let is_newer = ours.is_none_or(|ours| revision > ours);
+        if is_newer {
+            self.enter(now_ms, revision);
+            self.membership.replace(now_ms, &upstreams, closed_zones);
+        } else if ours.is_some_and(|ours| revision.era < ours.era) {
+            let for_ms = self.remembers_for_ms(now_ms);
+            self.membership.hold(now_ms, &Held { for_ms, upstreams, closed_zones });
         }
-        self.revision = Some(contents.revision);
-        self.membership.replace(now_ms, &contents.upstreams, contents.closed_zones);
-        match contents.routes {
+        if self.revision.is_some_and(|ours| ours.era == revision.era) {
+            self.membership.hold(now_ms, &held);
+        }
+        match routes {
             Some(routes) => self.apply_routes(now_ms, routes),
-            None => self.confirm_routes(contents.routes_version),
+            None => self.confirm_routes(routes_version),
         }
-        true
+        is_newer
     }
 
     /// Replaces the routes if these are newer. A stale read must not restore an older version.
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peers;
 pub mod policy;
 pub mod rank;
+pub mod revision;
 pub mod rotation;
 pub mod side;
 pub mod timeouts;
--- a/crates/steering/src/membership/mod.rs
+++ b/crates/steering/src/membership/mod.rs
@@ -1,6 +1,8 @@
 //! The upstreams that exist, according to the published list. The list has many readers and is at
 //! times incomplete.
 
+mod hold;
+
 use std::cmp::Reverse;
 use std::hash::{Hash as _, Hasher as _};
 use std::net::Ipv4Addr;
@@ -10,7 +12,10 @@
 
 use crate::flow::Millis;
 use crate::history::History;
+use crate::revision::Revision;
 use crate::view::{RouteTable, RoutesDelta, ServiceStamp, Standing, Upstream, View, ZoneStamp};
+use hold::Departed;
+pub use hold::{COPY_HOLD_MS, Held};
 
 /// How long after an outage of the configuration service the list may lack upstreams that are
 /// running. Entries that expired during the outage are published again within two seconds of its
@@ -86,7 +91,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Delta {
     /// The delta brings contents of this revision or a later one up to date.
-    pub from_revision: u64,
+    pub from_revision: Revision,
     /// The changes.
     pub changes: Vec<Change>,
     /// Changes to the routes, if there are any.
@@ -99,11 +104,12 @@
     ///
     /// ```
     /// use steering::membership::{Change, Delta};
+    /// use steering::revision::Revision;
     /// let gone = |id: &str| Change::Gone(id.into());
-    /// let delta = Delta::new(7, vec![gone("a"), gone("b"), gone("a")]);
+    /// let delta = Delta::new(Revision::default(), vec![gone("a"), gone("b"), gone("a")]);
     /// assert_eq!(delta.changes, [gone("a"), gone("b")]);
     /// ```
-    pub fn new(from_revision: u64, mut changes: Vec<Change>) -> Self {
+    pub fn new(from_revision: Revision, mut changes: Vec<Change>) -> Self {
         changes.reverse();
         changes.sort_by(|one, other| one.subject().cmp(&other.subject()));
         changes.dedup_by(|later, kept| later.subject() == kept.subject());
@@ -117,6 +123,34 @@
     upstream: Upstream,
     /// Position in the order in which entries arrived.
     arrival: u64,
+    /// Whether it is not in the list of the current era, and only held.
+    held: bool,
+    /// Whether it is known to drain although the list of the current era says that it is ready.
+    held_draining: bool,
+}
+
+impl Member {
+    fn is_listed(&self) -> bool {
+        !self.held && matches!(self.upstream.standing, Standing::Ready | Standing::Draining)
+    }
+
+    fn has_drained(&self) -> bool {
+        let standing = self.upstream.standing;
+        matches!(standing, Standing::Draining | Standing::Missing { drained: true, .. })
+    }
+
+    fn record(&self, now_ms: Millis) -> UpstreamRecord {
+        UpstreamRecord {
+            id: Arc::clone(&self.id),
+            address: self.upstream.address,
+            service: self.upstream.service,
+            zone: self.upstream.zone,
+            draining: self.upstream.standing == Standing::Draining,
+            warmup_left_ms: self.upstream.warm_at_ms.saturating_sub(now_ms),
+            slots: self.upstream.slots,
+            born_ms: self.upstream.born_ms,
+        }
+    }
 }
 
 /// The list as this process knows it, including entries that disappeared recently.
@@ -124,13 +158,19 @@
 pub struct Membership {
     members: Vec<Member>,
     arrivals: u64,
-    /// Availability zones that accept no new flows, sorted.
+    /// Availability zones that are published as closed to new flows, sorted.
     closed_zones: Vec<ZoneStamp>,
+    /// Availability zones that are only held closed, sorted.
+    held_zones: Vec<ZoneStamp>,
+    /// Until when entries and closed zones are held.
+    held_until_ms: Option<Millis>,
+    /// Upstreams that have drained and left, by name.
+    departed: Vec<Departed>,
 }
 
 impl Membership {
-    /// Replaces the whole list. Entries that are not in `records` count as removed now, and all
-    /// availability zones except for `closed_zones` as open.
+    /// Replaces the whole list. Entries that are not in `records` count as removed now unless they
+    /// are held, and all availability zones except for `closed_zones` and held ones as open.
     pub fn replace(
         &mut self,
         now_ms: Millis,
@@ -139,7 +179,7 @@
     ) {
         let mut listed: Vec<&Arc<str>> = records.iter().map(|record| &record.id).collect();
         listed.sort_unstable();
-        let known = self.members.iter().map(|member| &member.id);
+        let known = self.members.iter().filter(|member| !member.held).map(|member| &member.id);
         let gone: Vec<Arc<str>> =
             known.filter(|id| listed.binary_search(id).is_err()).map(Arc::clone).collect();
         gone.iter().for_each(|id| self.remove(now_ms, id));
@@ -147,9 +187,11 @@
         self.closed_zones = closed_zones.into_iter().collect();
         self.closed_zones.sort_unstable();
         self.closed_zones.dedup();
+        self.drop_published_from_held_zones();
     }
 
-    /// Availability zones that are closed to new flows, sorted.
+    /// Availability zones that are published as closed to new flows, sorted. Others may be held
+    /// closed.
     pub fn closed_zones(&self) -> &[ZoneStamp] {
         &self.closed_zones
     }
@@ -158,36 +200,48 @@
         if let Err(index) = self.closed_zones.binary_search(&zone) {
             self.closed_zones.insert(index, zone);
         }
+        self.drop_published_from_held_zones();
     }
 
     fn open_zone(&mut self, zone: ZoneStamp) {
         if let Ok(index) = self.closed_zones.binary_search(&zone) {
             self.closed_zones.remove(index);
         }
+        self.held_zones.retain(|held| *held != zone);
     }
 
     /// Adds or updates an entry. An entry of an earlier incarnation than the known one is outdated
-    /// and is ignored.
+    /// and is ignored. During a hold, an incarnation that has drained does not become ready again.
     pub fn insert(&mut self, now_ms: Millis, record: &UpstreamRecord) {
-        let standing = if record.draining { Standing::Draining } else { Standing::Ready };
-        let upstream = Upstream {
-            address: record.address,
-            service: record.service,
-            zone: record.zone,
-            standing,
-            warm_at_ms: now_ms + record.warmup_left_ms,
-            slots: record.slots,
-            born_ms: record.born_ms,
-        };
+        let held_draining = !record.draining && self.is_known_to_drain(record);
+        let drained = record.draining || held_draining;
         self.arrivals += 1;
-        let member = Member { id: Arc::clone(&record.id), upstream, arrival: self.arrivals };
-        match self.members.binary_search_by(|member| member.id.cmp(&record.id)) {
+        let member = Member {
+            id: Arc::clone(&record.id),
+            upstream: Upstream {
+                address: record.address,
+                service: record.service,
+                zone: record.zone,
+                standing: if drained { Standing::Draining } else { Standing::Ready },
+                warm_at_ms: now_ms + record.warmup_left_ms,
+                slots: record.slots,
+                born_ms: record.born_ms,
+            },
+            arrival: self.arrivals,
+            held: false,
+            held_draining,
+        };
+        match self.position(&record.id) {
             Ok(index) if record.born_ms < self.members[index].upstream.born_ms => {}
             Ok(index) => self.members[index] = member,
             Err(index) => self.members.insert(index, member),
         }
     }
 
+    fn position(&self, id: &str) -> Result<usize, usize> {
+        self.members.binary_search_by(|member| (*member.id).cmp(id))
+    }
+
     /// Applies a change.
     pub fn apply(&mut self, now_ms: Millis, change: &Change) {
         match change {
@@ -208,9 +262,8 @@
 
     /// Marks an entry as removed.
     pub fn remove(&mut self, now_ms: Millis, id: &str) {
-        let Ok(index) = self.members.binary_search_by(|member| (*member.id).cmp(id)) else {
-            return;
-        };
+        let Ok(index) = self.position(id) else { return };
+        self.members[index].held = false;
         let standing = &mut self.members[index].upstream.standing;
         let drained = match standing {
             Standing::Missing { .. } => return,
@@ -220,11 +273,14 @@
         *standing = Standing::Missing { since_ms: now_ms, drained };
     }
 
-    /// Drops the entries that disappeared long enough ago, and returns whether there were any.
+    /// Drops the entries that disappeared long enough ago, and ends a hold that is over. Returns
+    /// whether anything changed.
     pub fn expire(&mut self, now_ms: Millis) -> bool {
-        let before = self.members.len();
-        self.members.retain(|member| !is_gone(member.upstream.standing, now_ms));
-        self.members.len() != before
+        let released = self.release(now_ms);
+        let gone = |member: &mut Member| is_gone(member.upstream.standing, now_ms);
+        let gone: Vec<Member> = self.members.extract_if(.., gone).collect();
+        gone.iter().for_each(|member| self.remember_departed(now_ms, member));
+        released || !gone.is_empty()
     }
 
     /// A view of the upstreams with routes that have never pointed to other services.
@@ -252,30 +308,23 @@
         });
         users.dedup_by_key(|member| member.upstream.address);
         let upstreams = users.into_iter().map(|member| member.upstream).collect();
-        View::new(routes, upstreams)
-            .with_closed_zones(self.closed_zones.clone())
-            .with_history(history)
+        let closed = self.closed_zones.iter().chain(&self.held_zones).copied();
+        View::new(routes, upstreams).with_closed_zones(closed.collect()).with_history(history)
     }
 
-    /// The entries that are listed now, with the remaining time for which their upstreams are slow.
+    /// The entries that are listed now, as the list states them, with the remaining time for which
+    /// their upstreams are slow.
     pub fn records(&self, now_ms: Millis) -> Vec<UpstreamRecord> {
-        let listed = self.members.iter().filter(|member| {
-            matches!(member.upstream.standing, Standing::Ready | Standing::Draining)
-        });
-        let record = |member: &Member| UpstreamRecord {
-            id: Arc::clone(&member.id),
-            address: member.upstream.address,
-            service: member.upstream.service,
-            zone: member.upstream.zone,
-            draining: member.upstream.standing == Standing::Draining,
-            warmup_left_ms: member.upstream.warm_at_ms.saturating_sub(now_ms),
-            slots: member.upstream.slots,
-            born_ms: member.upstream.born_ms,
+        let listed = self.members.iter().filter(|member| member.is_listed());
+        let as_listed = |member: &Member| {
+            let record = member.record(now_ms);
+            UpstreamRecord { draining: record.draining && !member.held_draining, ..record }
         };
-        listed.map(record).collect()
+        listed.map(as_listed).collect()
     }
 
-    /// Digest of the listed entries and closed zones. Remaining warm-up times are excluded.
+    /// Digest of the listed entries and closed zones. Held ones and remaining warm-up times are
+    /// excluded.
     pub fn digest(&self) -> u64 {
         let mut hasher = SipHasher13::new();
         for record in self.records(Millis::MAX) {
--- a/crates/steering/src/peers/mod.rs
+++ b/crates/steering/src/peers/mod.rs
@@ -13,7 +13,7 @@
 use siphasher::sip::SipHasher13;
 
 use crate::flow::Millis;
-use crate::history::HistorySummary;
+use crate::revision::Revision;
 
 /// Readers that suffice for all balancers. One may be cut off or paused without a gap in updates.
 pub const READERS: usize = 2;
@@ -64,10 +64,10 @@
 /// Maximum time for which a balancer that has started waits for others that read on its behalf.
 /// Balancers of the highest ranks go on reading.
 const INITIAL_READ_DELAY_MAX_MS: Millis = 500;
-/// Interval between two exchanges of former services with the same balancer: fetches of its view for
-/// that reason alone, and messages that tell a reader what it lacks. The other one may be unable to
-/// take them in, for instance because it runs an earlier release.
-const HISTORY_EXCHANGE_MS: Millis = 1_000;
+/// Interval between two exchanges with the same balancer of what else is known than a newer list:
+/// fetches of its view for that reason alone, and messages that tell a reader what it lacks. The
+/// other one may be unable to take them in, for instance because it runs an earlier release.
+const EXCHANGE_MS: Millis = 1_000;
 /// Balancers that are asked at a time for what a reader has no time to provide.
 const FALLBACK_PEERS: usize = 3;
 /// Maximum number of balancers remembered.
@@ -89,13 +89,16 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Summary {
     /// Revision of the configuration service.
-    pub revision: u64,
+    pub revision: Revision,
     /// Version of the routes.
     pub routes_version: u64,
     /// Digest of the routes.
     pub routes_digest: u64,
     /// Digest of the list of upstreams.
     pub upstreams_digest: u64,
+    /// Digest of what is held besides the list, with the count in the upper bits; zero if nothing
+    /// is.
+    pub held_digest: u64,
 }
 
 /// Result of comparing a received summary with the balancer's own.
@@ -127,8 +130,8 @@
     last_beacon_ms: Millis,
     /// Readers that were told recently what they lack.
     corrected: Vec<Contact>,
-    /// Balancers whose view was fetched recently for its former services.
-    history_fetched: Vec<Contact>,
+    /// Balancers whose view was fetched recently although its list was not newer.
+    extra_fetched: Vec<Contact>,
     /// Index into the known balancers at which the reply to the next hello starts.
     next_in_reply: usize,
     /// Index into the known balancers at which the next fallback peers start.
@@ -148,7 +151,7 @@
             last_hello_ms: 0,
             last_beacon_ms: 0,
             corrected: Vec::new(),
-            history_fetched: Vec::new(),
+            extra_fetched: Vec::new(),
             next_in_reply: 0,
             // Start at another position for each balancer.
             next_fallback: rank(own) as usize,
@@ -169,7 +172,8 @@
         peers.iter().for_each(|peer| self.note(now_ms, *peer));
     }
 
-    /// Handles a beacon, and compares its summary with what this balancer knows.
+    /// Handles a beacon, and compares its summary with what this balancer knows. A sender in an
+    /// earlier era is no reader to rely on: it has not heard that the service came back.
     pub fn on_beacon(
         &mut self,
         now_ms: Millis,
@@ -177,7 +181,9 @@
         theirs: Summary,
         ours: Summary,
     ) -> Comparison {
-        record_contact(&mut self.readers, now_ms, from);
+        if theirs.revision.era >= ours.revision.era {
+            record_contact(&mut self.readers, now_ms, from);
+        }
         self.compare(now_ms, from, theirs, ours)
     }
 
@@ -297,28 +303,15 @@
         self.alive(now_ms).collect()
     }
 
-    /// Whether to tell a reader now that this balancer knows former services of routes which the
-    /// reader does not know. Counts the message if so.
-    pub fn correction_due(
-        &mut self,
-        now_ms: Millis,
-        reader: Ipv4Addr,
-        theirs: HistorySummary,
-        ours: HistorySummary,
-    ) -> bool {
-        theirs.may_lack(ours) && exchange_due(&mut self.corrected, now_ms, reader)
+    /// Whether to tell a reader now what it lacks. Counts the message if so.
+    pub fn correction_due(&mut self, now_ms: Millis, reader: Ipv4Addr, lacks: bool) -> bool {
+        lacks && exchange_due(&mut self.corrected, now_ms, reader)
     }
 
-    /// Whether to fetch the view of another balancer now, only for the former services that it knows
-    /// and this one does not. Counts the fetch if so.
-    pub fn history_fetch_due(
-        &mut self,
-        now_ms: Millis,
-        from: Ipv4Addr,
-        theirs: HistorySummary,
-        ours: HistorySummary,
-    ) -> bool {
-        ours.may_lack(theirs) && exchange_due(&mut self.history_fetched, now_ms, from)
+    /// Whether to fetch the view of another balancer now, although its list is not newer, for what it
+    /// knows besides and this one lacks. Counts the fetch if so.
+    pub fn extra_fetch_due(&mut self, now_ms: Millis, from: Ipv4Addr, lacks: bool) -> bool {
+        lacks && exchange_due(&mut self.extra_fetched, now_ms, from)
     }
 
     /// Whether others may rely on this balancer: it reads, and the configuration service answers
@@ -362,9 +355,14 @@
 
 /// Compares the summary of another balancer with the own one.
 pub fn compare(theirs: Summary, ours: Summary) -> Comparison {
-    // An older routes version that is in force there must not be adopted here again, whatever
-    // the revision.
-    if theirs.revision <= ours.revision || theirs.routes_version < ours.routes_version {
+    if theirs.revision <= ours.revision {
+        // Routes that the service lost when it came back from a copy may be in force elsewhere only.
+        let newer_routes = theirs.routes_version > ours.routes_version;
+        return if newer_routes { Comparison::Fetch } else { Comparison::NotNewer };
+    }
+    // Within an era, older routes show that the sender is not ahead, whatever its revision.
+    let later_era = theirs.revision.era > ours.revision.era;
+    if theirs.routes_version < ours.routes_version && !later_era {
         return Comparison::NotNewer;
     }
     // Routes may have led elsewhere in a version in between, which only the view tells.
@@ -396,7 +394,7 @@
 /// Whether the latest exchange with this balancer is long enough ago for another one, which is
 /// recorded if so.
 fn exchange_due(recent: &mut Vec<Contact>, now_ms: Millis, with: Ipv4Addr) -> bool {
-    recent.retain(|contact| now_ms.saturating_sub(contact.at_ms) < HISTORY_EXCHANGE_MS);
+    recent.retain(|contact| now_ms.saturating_sub(contact.at_ms) < EXCHANGE_MS);
     let is_due = recent.iter().all(|contact| contact.address != with);
     if is_due {
         record_contact(recent, now_ms, with);
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::flow::Millis;
 use crate::history::History;
+use crate::revision::Revision;
 
 pub use routes::{Route, RouteTable, RoutesDelta, Service, Share, WAIT_STEPS_SLOS, wait_slos};
 
@@ -147,7 +148,7 @@
     /// Routes in force.
     pub routes: Arc<RouteTable>,
     /// Revision of the configuration service from which the view was built.
-    pub revision: u64,
+    pub revision: Revision,
     /// When the view came into force.
     pub since_ms: Millis,
     upstreams: Vec<Upstream>,
--- a/crates/telemetry/src/flowline.rs
+++ b/crates/telemetry/src/flowline.rs
@@ -19,6 +19,8 @@
     pub request: String,
     /// The other instance of this system that is concerned: where the packet goes or comes from.
     pub peer: String,
+    /// Era of the configuration service in which `revision` was published; zero if it states none.
+    pub era: u64,
     /// Revision of the view on which the decision is based.
     pub revision: u64,
     /// Age of that view, or duration of the operation.
@@ -28,6 +30,23 @@
 }
 
 impl FlowLine {
+    /// The view on which the decision is based as era and revision, or as the revision alone without
+    /// an era; empty if there is none.
+    ///
+    /// ```
+    /// use telemetry::flowline::FlowLine;
+    /// let line = FlowLine { era: 2, revision: 46, ..FlowLine::default() };
+    /// assert_eq!(line.view(), "2.46");
+    /// assert_eq!(FlowLine::default().view(), "");
+    /// ```
+    pub fn view(&self) -> String {
+        match (self.era, self.revision) {
+            (_, 0) => String::new(),
+            (0, revision) => revision.to_string(),
+            (era, revision) => format!("{era}.{revision}"),
+        }
+    }
+
     /// Writes the line to the log.
     pub fn emit(&self) {
         log::info!(
@@ -37,6 +56,7 @@
             endpoint = self.endpoint.as_str(),
             request = self.request.as_str(),
             peer = self.peer.as_str(),
+            era = self.era,
             revision = self.revision,
             elapsed_ms = self.elapsed_ms,
             suppressed = self.suppressed;
--- a/crates/wire/src/peers/body.rs
+++ b/crates/wire/src/peers/body.rs
@@ -64,6 +64,12 @@
     pub(super) whole_in_ms: u64,
     #[serde(default)]
     pub(super) history: HistorySummaryBody,
+    /// Left out if zero, for earlier releases, which reject a summary with another element: numbers
+    /// of another era would mislead them.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub(super) era: u64,
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub(super) held_digest: u64,
 }
 
 #[derive(Clone, Copy, Default, Serialize, Deserialize)]
@@ -106,6 +112,20 @@
     pub(super) closed_zones: Vec<u32>,
     #[serde(default)]
     pub(super) history: HistoryBody,
+    /// Left out without an era, as in summaries.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) era: Option<EraBody>,
+}
+
+/// The era of a view, and what is held besides its list.
+#[derive(Serialize, Deserialize)]
+pub(super) struct EraBody {
+    pub(super) era: u64,
+    pub(super) held_for_ms: u64,
+    #[serde(deserialize_with = "upstream_list")]
+    pub(super) held_upstreams: Vec<UpstreamBody>,
+    #[serde(deserialize_with = "zone_list")]
+    pub(super) held_zones: Vec<u32>,
 }
 
 #[derive(Serialize, Deserialize)]
--- a/crates/wire/src/peers/mod.rs
+++ b/crates/wire/src/peers/mod.rs
@@ -11,12 +11,13 @@
 pub use steering::knowledge::ViewContents;
 use steering::membership::Delta;
 use steering::peers::{PEERS_PER_REPLY_MAX, Summary};
+use steering::revision::Revision;
 use steering::view::{RouteTable, Service, ServiceStamp, ZoneStamp};
 
 use body::{MessageBody, RoutesBody, ViewBody};
 use translate::{
-    delta_body, delta_from, history_body, history_from, openings_limit, record_from, route_body,
-    route_from, state_summary_body, state_summary_from, upstream_body,
+    delta_body, delta_from, era_body, held_from, history_body, history_from, openings_limit,
+    record_from, route_body, route_from, state_summary_body, state_summary_from, upstream_body,
 };
 
 /// Maximum number of balancers named in one message: they fit into a datagram of 1,300 bytes.
@@ -31,9 +32,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Message {
     /// The sender is running and knows this revision. The receiver replies with the balancers that
-    /// it knows, and with its own state if it knows more.
+    /// it knows, and with its own state if that may be another one.
     Hello {
-        /// Revision that the sender knows; zero if it knows nothing.
+        /// Number of the revision that the sender knows; zero if it knows nothing. Without the era,
+        /// so that earlier releases read it too.
         revision: u64,
     },
     /// Balancers that the sender knows.
@@ -90,7 +92,7 @@
         MessageBody::Beacon(body) => Message::Beacon(state_summary_from(&body)),
         MessageBody::Knows(body) => Message::Knows(state_summary_from(&body)),
         MessageBody::Changes(body, delta) => {
-            Message::Changes(state_summary_from(&body), delta_from(delta))
+            Message::Changes(state_summary_from(&body), delta_from(body.era, delta))
         }
     })
 }
@@ -109,7 +111,7 @@
 /// Encodes a view.
 pub fn encode_view(view: &ViewContents) -> Vec<u8> {
     let body = ViewBody {
-        revision: view.revision,
+        revision: view.revision.number,
         whole_in_ms: view.whole_in_ms,
         version: view.routes_version,
         routes: view.routes.as_ref().map(|table| RoutesBody {
@@ -120,6 +122,7 @@
         upstreams: view.upstreams.iter().map(upstream_body).collect(),
         closed_zones: view.closed_zones.iter().map(|zone| zone.0).collect(),
         history: history_body(&view.history),
+        era: era_body(view.revision, &view.held),
     };
     rmp_serde::to_vec(&body).expect("plain structs always encode")
 }
@@ -137,13 +140,15 @@
         let services = limits.into_iter().map(limited).chain(unlimited);
         Arc::new(RouteTable::new(body.version, routes, services))
     };
+    let era = body.era.as_ref().map_or(0, |body| body.era);
     Some(ViewContents {
-        revision: body.revision,
+        revision: Revision { era, number: body.revision },
         whole_in_ms: body.whole_in_ms,
         routes: body.routes.map(table),
         routes_version: body.version,
         upstreams: body.upstreams.into_iter().map(record_from).collect(),
         closed_zones: body.closed_zones.into_iter().map(ZoneStamp).collect(),
         history: history_from(body.version, body.history),
+        held: body.era.map(held_from).unwrap_or_default(),
     })
 }
--- a/crates/wire/src/peers/translate.rs
+++ b/crates/wire/src/peers/translate.rs
@@ -4,19 +4,20 @@
 use std::sync::Arc;
 
 use steering::history::{FormerService, HistoryContents, HistorySummary};
-use steering::membership::{Change, Delta, UpstreamRecord};
+use steering::membership::{Change, Delta, Held, UpstreamRecord};
 use steering::peers::Summary;
+use steering::revision::Revision;
 use steering::view::{RegionStamp, Route, RoutesDelta, Service, ServiceStamp, Share, ZoneStamp};
 
 use super::StateSummary;
 use super::body::{
-    DeltaBody, FormerBody, HistoryBody, HistorySummaryBody, RouteBody, RoutesDeltaBody,
+    DeltaBody, EraBody, FormerBody, HistoryBody, HistorySummaryBody, RouteBody, RoutesDeltaBody,
     SummaryBody, UpstreamBody,
 };
 
 pub(super) fn delta_body(delta: &Delta) -> DeltaBody {
     let mut body = DeltaBody {
-        from_revision: delta.from_revision,
+        from_revision: delta.from_revision.number,
         listed: Vec::new(),
         gone: Vec::new(),
         zones: Vec::new(),
@@ -33,14 +34,16 @@
     body
 }
 
-pub(super) fn delta_from(body: DeltaBody) -> Delta {
+/// A delta leads to a revision of the era that its message states.
+pub(super) fn delta_from(era: u64, body: DeltaBody) -> Delta {
     let listed = body.listed.into_iter().map(|body| Change::Listed(record_from(body)));
     let gone = body.gone.into_iter().map(Change::Gone);
     let zones = body.zones.into_iter().map(|(zone, closed)| match closed {
         true => Change::ZoneClosed(ZoneStamp(zone)),
         false => Change::ZoneOpened(ZoneStamp(zone)),
     });
-    let delta = Delta::new(body.from_revision, listed.chain(gone).chain(zones).collect());
+    let from = Revision { era, number: body.from_revision };
+    let delta = Delta::new(from, listed.chain(gone).chain(zones).collect());
     Delta { routes: body.routes.map(routes_delta_from), ..delta }
 }
 
@@ -116,13 +119,16 @@
 }
 
 pub(super) fn state_summary_body(state: &StateSummary) -> SummaryBody {
+    let era = state.summary.revision.era;
     SummaryBody {
-        revision: state.summary.revision,
+        revision: state.summary.revision.number,
         routes_version: state.summary.routes_version,
         routes_digest: state.summary.routes_digest,
         upstreams_digest: state.summary.upstreams_digest,
         whole_in_ms: state.whole_in_ms,
         history: history_summary_body(state.history),
+        era,
+        held_digest: if era > 0 { state.summary.held_digest } else { 0 },
     }
 }
 
@@ -162,10 +168,11 @@
 
 pub(super) fn state_summary_from(body: &SummaryBody) -> StateSummary {
     let summary = Summary {
-        revision: body.revision,
+        revision: Revision { era: body.era, number: body.revision },
         routes_version: body.routes_version,
         routes_digest: body.routes_digest,
         upstreams_digest: body.upstreams_digest,
+        held_digest: body.held_digest,
     };
     StateSummary {
         summary,
@@ -174,6 +181,25 @@
     }
 }
 
+/// The era of a view and what is held; `None` without an era.
+pub(super) fn era_body(revision: Revision, held: &Held) -> Option<EraBody> {
+    let body = || EraBody {
+        era: revision.era,
+        held_for_ms: held.for_ms,
+        held_upstreams: held.upstreams.iter().map(upstream_body).collect(),
+        held_zones: held.closed_zones.iter().map(|zone| zone.0).collect(),
+    };
+    (revision.era > 0).then(body)
+}
+
+pub(super) fn held_from(body: EraBody) -> Held {
+    Held {
+        for_ms: body.held_for_ms,
+        upstreams: body.held_upstreams.into_iter().map(record_from).collect(),
+        closed_zones: body.held_zones.into_iter().map(ZoneStamp).collect(),
+    }
+}
+
 pub(super) fn openings_limit(service: &Service) -> Option<(u32, u32)> {
     let limit = service.cold_openings_per_ks;
     (limit > 0).then_some((service.stamp.0, limit))
