Learn what others hold after a return whichever holds more

A balancer that had been paused held more entries than the one that knew of the drain, so by the order of digests (count first) it lacked nothing; and the other one could not take over what it knew as removed, so it never held more.

--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -148,6 +148,8 @@
     calls_again: bool,
     /// Whether its next call lists everything.
     reads_all: bool,
+    /// When the configuration service answered it last.
+    store_answered_ms: Option<u64>,
     up: bool,
     /// When callers' packets first reach it: other balancers have replied to it by then.
     serves_from_ms: u64,
@@ -305,6 +307,7 @@
             is_calling: false,
             calls_again: false,
             reads_all: false,
+            store_answered_ms: (self.now_ms == 0).then_some(0),
             up: true,
             serves_from_ms: if self.store.is_some() { self.now_ms + PEER_QUERY_MS } else { 0 },
             cut_until_ms: 0,
--- a/crates/fuzzing/src/direct/world/store/calls.rs
+++ b/crates/fuzzing/src/direct/world/store/calls.rs
@@ -89,6 +89,7 @@
         state.reads_all = matches!(outcome, Outcome::ListNeeded);
         let Outcome::Taken(update) = outcome else { return self.call_soon(balancer) };
         state.confirmed_ms = now_ms;
+        state.store_answered_ms = Some(now_ms);
         self.adopt_knowledge(balancer);
         if let Some(update) = update.filter(|_| self.readers().contains(&balancer)) {
             self.tell_others(balancer, update.delta);
--- a/crates/fuzzing/src/direct/world/store/reports.rs
+++ b/crates/fuzzing/src/direct/world/store/reports.rs
@@ -14,6 +14,9 @@
 const LATE_SHARE: f64 = 0.02;
 const LATE_MAX_MS: u64 = 1_000;
 
+/// A balancer that the service has not answered for this long does not act as a reader.
+const READER_TIMEOUT_MS: u64 = 2_000;
+
 impl World {
     /// Sends the reports that readers send at a fixed interval.
     pub(in crate::direct::world) fn send_reader_reports(&mut self) {
@@ -22,8 +25,12 @@
         }
     }
 
-    /// A reader tells all other balancers what it knows.
+    /// A reader tells all other balancers what it knows, if the service has answered it recently.
     pub(super) fn tell_others(&mut self, reader: usize, delta: Option<Delta>) {
+        let answered_ms = self.balancers[reader].store_answered_ms;
+        if answered_ms.is_none_or(|at_ms| self.now_ms - at_ms >= READER_TIMEOUT_MS) {
+            return;
+        }
         for other in (0..self.balancers.len()).filter(|other| *other != reader) {
             self.tell(reader, other, delta.clone(), false);
         }
@@ -85,7 +92,7 @@
         if fetches || state.knowledge.history.is_behind(now_ms, reported.summary) {
             state.knowledge.merge_history(now_ms, state.confirmed_ms, &reported);
         }
-        if state.knowledge.is_confirmed_by(report.summary) {
+        if !report.corrects && state.knowledge.is_confirmed_by(report.summary) {
             state.confirmed_ms = now_ms;
         }
         let mut knowledge = std::mem::take(&mut state.knowledge);
--- a/crates/steering/src/knowledge/mod.rs
+++ b/crates/steering/src/knowledge/mod.rs
@@ -121,25 +121,26 @@
         })
     }
 
-    /// Whether the view of a balancer with this state contains anything from before a return of the
-    /// configuration service that is unknown here: it has not heard of the return, or it holds more.
+    /// Whether the view of a balancer with this state may contain anything from before a return of
+    /// the configuration service that is unknown here: it has not heard of the return, or it holds
+    /// something else.
     pub fn lacks_held_of(&self, now_ms: Millis, theirs: Summary) -> bool {
         let Some(ours) = self.revision else { return false };
         let lacks = match theirs.revision.era.cmp(&ours.era) {
             Ordering::Less => true,
-            Ordering::Equal => theirs.held_digest > self.membership.held_digest(),
+            Ordering::Equal => holds_else(theirs.held_digest, self.membership.held_digest()),
             Ordering::Greater => false,
         };
         lacks && self.remembers_for_ms(now_ms) > 0
     }
 
-    /// Whether a reader with this state lacks something that is in force here, because it has started
-    /// after a return of the configuration service and knows only the copy. Other balancers do not
-    /// end their holds at the same moment, which shows nothing.
+    /// Whether a reader with this state may lack something that is in force here, because it has
+    /// started after a return of the configuration service and knows only the copy. Other balancers
+    /// do not end their holds at the same moment, which shows nothing.
     pub fn exceeds(&self, now_ms: Millis, theirs: Summary) -> bool {
         let Some(ours) = self.revision else { return false };
         let holds_more = ours.era == theirs.revision.era
-            && self.membership.held_digest() > theirs.held_digest
+            && holds_else(self.membership.held_digest(), theirs.held_digest)
             && self.remembers_for_ms(now_ms) > HELD_MARGIN_MS;
         let has_newer_routes =
             theirs.revision >= ours && self.routes.version > theirs.routes_version;
@@ -359,6 +360,12 @@
     }
 }
 
+/// Whether one balancer holds something, and not the same as another. Neither need hold more: an item
+/// that one of them holds may have been removed at the other.
+fn holds_else(one_digest: u64, other_digest: u64) -> bool {
+    one_digest != 0 && one_digest != other_digest
+}
+
 /// The entries among the changes.
 fn listed(changes: &[Change]) -> Vec<UpstreamRecord> {
     let record = |change: &Change| match change {
--- a/crates/steering/src/membership/hold.rs
+++ b/crates/steering/src/membership/hold.rs
@@ -16,8 +16,6 @@
 /// How long upstreams that have drained and left are remembered, because a copy may still list them
 /// as ready. A copy is some seconds old.
 const DEPARTED_MEMORY_MS: Millis = 60_000;
-/// Lower bits of a digest that contain a hash of what is held.
-const DIGEST_HASH_BITS: u32 = 44;
 
 /// An upstream that has drained and left.
 #[derive(Clone, Debug)]
@@ -133,10 +131,9 @@
         self.held_members().count() + self.held_zones.len()
     }
 
-    /// Digest of what is held, with the count in the upper bits; zero if nothing is.
+    /// Digest of what is held; zero if nothing is.
     pub fn held_digest(&self) -> u64 {
-        let count = self.held_count() as u64;
-        if count == 0 {
+        if self.held_count() == 0 {
             return 0;
         }
         let mut hasher = SipHasher13::new();
@@ -144,7 +141,7 @@
             member.record(Millis::MAX).hash(&mut hasher);
         }
         self.held_zones.hash(&mut hasher);
-        (count << DIGEST_HASH_BITS) | (hasher.finish() & ((1 << DIGEST_HASH_BITS) - 1))
+        hasher.finish().max(1)
     }
 
     /// Whether this incarnation has drained before the service came back, whatever the entry says. An
--- a/crates/steering/src/peers/mod.rs
+++ b/crates/steering/src/peers/mod.rs
@@ -96,8 +96,7 @@
     pub routes_digest: u64,
     /// Digest of the list of upstreams.
     pub upstreams_digest: u64,
-    /// Digest of what is held besides the list, with the count in the upper bits; zero if nothing
-    /// is.
+    /// Digest of what is held besides the list; zero if nothing is.
     pub held_digest: u64,
 }
 
--- a/crates/steering/tests/knowledge.rs
+++ b/crates/steering/tests/knowledge.rs
@@ -254,6 +254,24 @@
     assert!(!other.exceeds(RETURNED_MS + COPY_HOLD_MS - 100, reader.summary()));
 }
 
+/// Guards against a draining upstream that turns ready at a balancer which holds more entries than
+/// the one that knows of the drain, because an entry that it holds has been removed there.
+#[test]
+fn other_holds_are_learnt_whichever_holds_more() {
+    let (now_ms, mut other) = (RETURNED_MS + 300, known());
+    let gone = changes(KNOWN, 19, vec![Change::Gone("u-1".into())]);
+    take(&mut other, RETURNED_MS - 100, gone);
+    let copy = || list(RETURNED, 20, vec![listed(2, false)]);
+    take(&mut other, RETURNED_MS, copy());
+    let mut behind = Knowledge::new(History::default());
+    let before = (1..=9).map(|number| listed(number, false)).collect();
+    take(&mut behind, 0, list(KNOWN, 28, before));
+    take(&mut behind, now_ms, copy());
+    assert!(behind.lacks_held_of(now_ms, other.summary()));
+    behind.apply_view(now_ms, contents(&other, now_ms));
+    assert_eq!(standing(&mut behind, now_ms, 2), Some(Standing::Draining));
+}
+
 /// What is held is no part of the list: digests are equal wherever the same list is known, so that
 /// deltas still apply.
 #[test]
