--- a/crates/fuzzing/tests/known_red.rs
+++ b/crates/fuzzing/tests/known_red.rs
@@ -84,6 +84,11 @@
 #[case::with_routes_that_move(Size::CROWDED_MOVING, 238)]
 #[case::with_routes_that_move_again(Size::CROWDED_MOVING, 164)]
 #[case::started_while_two_of_three_were_cut(Size::MOVING, 9_182_011)]
+#[case::resumed_with_old_lists(Size::CROWDED_RETURNING, 11_000_025)]
+#[case::resumed_with_old_lists_second(Size::CROWDED_RETURNING, 11_000_421)]
+#[case::resumed_with_old_lists_third(Size::CROWDED_RETURNING, 21_000_253)]
+#[case::resumed_with_old_lists_fourth(Size::CROWDED_RETURNING, 21_000_791)]
+#[case::resumed_with_old_lists_fifth(Size::CROWDED_RETURNING, 31_000_059)]
 fn red_cold_limit_with_old_views(#[case] size: Size, #[case] seed: u64) {
     let outcome = direct::play_at(size, seed, 60_000, None);
     assert_eq!(outcome.violations, []);
