--- a/crates/fuzzing/src/direct/world/store/mutants.rs
+++ b/crates/fuzzing/src/direct/world/store/mutants.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use steering::knowledge::{Knowledge, Listing};
-use steering::membership::{Held, Membership, UpstreamRecord};
+use steering::membership::{COPY_HOLD_MS, Held, Membership, UpstreamRecord};
 use steering::revision::Revision;
 use steering::view::RouteTable;
 
@@ -59,7 +59,7 @@
     /// What a balancer knows after it has heard of a later era, without the removed safeguard.
     pub(super) fn mutate_after(&self, known: &mut Knowledge) {
         if self.mutant == Some(Mutant::CopyTakenWhole) {
-            known.membership.expire(u64::MAX);
+            known.membership.expire(self.now_ms + COPY_HOLD_MS);
         }
     }
 }
--- a/crates/fuzzing/tests/direct.rs
+++ b/crates/fuzzing/tests/direct.rs
@@ -216,7 +216,7 @@
 )]
 #[case::copy_taken_whole(
     Size::RETURNING,
-    43,
+    28,
     Mutant::CopyTakenWhole,
     Violation::OpeningInClosedZone
 )]
