--- a/crates/fuzzing/src/direct/world/store/calls.rs
+++ b/crates/fuzzing/src/direct/world/store/calls.rs
@@ -6,6 +6,7 @@
 use steering::membership::{Change as Written, OUTAGE_LINGER_MS, UpstreamRecord};
 use steering::revision::Revision;
 
+use super::mutants::{mutate_after, mutate_before, mutate_listing};
 use super::{Answer, Change, Store};
 use crate::direct::world::{Event, LIST_DELAY_MAX_MS, World, ZONES, zone_stamp};
 
@@ -73,19 +74,17 @@
         if !self.exchanges_reports(balancer) {
             return;
         }
-        let (now_ms, state) = (self.now_ms, &mut self.balancers[balancer]);
+        let (now_ms, mutant) = (self.now_ms, self.mutant);
+        let state = &mut self.balancers[balancer];
         let Answer::Listing(listing) = answer else {
             state.reads_all = true;
             return self.call_soon(balancer);
         };
         let is_whole = listing.after.is_none();
-        let mut knowledge = std::mem::take(&mut state.knowledge);
-        let listing = self.mutate_listing(&knowledge, listing);
-        self.mutate_before(&mut knowledge, listing.revision);
-        let outcome = knowledge.apply_listing(now_ms, listing);
-        self.mutate_after(&mut knowledge);
-        let state = &mut self.balancers[balancer];
-        state.knowledge = knowledge;
+        let listing = mutate_listing(mutant, &state.knowledge, listing);
+        mutate_before(mutant, now_ms, &mut state.knowledge, listing.revision);
+        let outcome = state.knowledge.apply_listing(now_ms, listing);
+        mutate_after(mutant, now_ms, &mut state.knowledge);
         state.reads_all = matches!(outcome, Outcome::ListNeeded);
         let Outcome::Taken(update) = outcome else { return self.call_soon(balancer) };
         state.confirmed_ms = now_ms;
--- a/crates/fuzzing/src/direct/world/store/mod.rs
+++ b/crates/fuzzing/src/direct/world/store/mod.rs
@@ -143,7 +143,7 @@
     from: usize,
     summary: Summary,
     delta: Option<Delta>,
-    view: Option<ViewContents>,
+    view: ViewContents,
     /// Whether it replies to a balancer that has started, or tells a reader what that lacks.
     corrects: bool,
 }
--- a/crates/fuzzing/src/direct/world/store/reports.rs
+++ b/crates/fuzzing/src/direct/world/store/reports.rs
@@ -1,12 +1,14 @@
 //! Reports by which the balancers that read the configuration service keep the others up to date.
 
 use rand::RngExt as _;
+use steering::flow::Millis;
 use steering::membership::Delta;
 use steering::peers::{Comparison, compare};
 
 use super::ReaderReport;
+use super::mutants::{mutate_after, mutate_before, mutate_report};
 use crate::direct::Mutant;
-use crate::direct::world::{Event, World};
+use crate::direct::world::{Balancer, Event, World};
 
 /// Share of the reports that get lost.
 const LOST_SHARE: f64 = 0.1;
@@ -50,11 +52,11 @@
         let late = store.rng.random_bool(LATE_SHARE);
         let delay_ms = store.rng.random_range(1..if late { LATE_MAX_MS } else { 5 });
         let state = &self.balancers[from];
-        if lost || !self.exchanges_reports(from) || state.knowledge.revision.is_none() {
+        if lost || !self.exchanges_reports(from) {
             return;
         }
         let whole_in_ms = state.complete_from_ms.saturating_sub(now_ms);
-        let view = state.knowledge.contents(now_ms, whole_in_ms, 0);
+        let Some(view) = state.knowledge.contents(now_ms, whole_in_ms, 0) else { return };
         let report =
             ReaderReport { from, summary: state.knowledge.summary(), delta, view, corrects };
         self.schedule(delay_ms, Event::Reported { to, report: Box::new(report) });
@@ -65,44 +67,13 @@
         if !self.exchanges_reports(to) || !self.exchanges_reports(report.from) {
             return;
         }
-        let now_ms = self.now_ms;
-        let mut knowledge = std::mem::take(&mut self.balancers[to].knowledge);
-        let report = self.mutate_report(report);
-        self.mutate_before(&mut knowledge, report.summary.revision);
-        let state = &mut self.balancers[to];
-        state.knowledge = knowledge;
-        let Some(mut view) = report.view else { return };
-        state.complete_from_ms = state.complete_from_ms.max(now_ms + view.whole_in_ms);
-        let reported = std::mem::take(&mut view.history);
-        let lacks_held = state.knowledge.lacks_held_of(now_ms, report.summary);
-        let fetches = match compare(report.summary, state.knowledge.summary()) {
-            Comparison::NotNewer => lacks_held,
-            Comparison::Same => {
-                state.knowledge.confirm(now_ms, report.summary);
-                lacks_held
-            }
-            Comparison::Fetch => {
-                let apply = |delta| state.knowledge.apply_delta(now_ms, report.summary, delta);
-                !report.delta.as_ref().is_some_and(apply)
-            }
-        };
-        if fetches {
-            state.knowledge.apply_view(now_ms, view);
-        }
-        if fetches || state.knowledge.history.is_behind(now_ms, reported.summary) {
-            state.knowledge.merge_history(now_ms, state.confirmed_ms, &reported);
-        }
-        if !report.corrects && state.knowledge.is_confirmed_by(report.summary) {
-            state.confirmed_ms = now_ms;
-        }
-        let mut knowledge = std::mem::take(&mut state.knowledge);
-        self.mutate_after(&mut knowledge);
+        let (now_ms, mutant) = (self.now_ms, self.mutant);
+        let report = mutate_report(mutant, report);
         let state = &mut self.balancers[to];
-        state.knowledge = knowledge;
-        let exceeds = state.knowledge.exceeds(now_ms, report.summary);
-        let lacks_history = report.summary.routes_version >= state.knowledge.routes.version
-            && reported.summary.may_lack(state.knowledge.history.summary(now_ms));
-        if !report.corrects && (exceeds || lacks_history) {
+        mutate_before(mutant, now_ms, &mut state.knowledge, report.summary.revision);
+        state.learn(now_ms, &report);
+        mutate_after(mutant, now_ms, &mut state.knowledge);
+        if !report.corrects && state.exceeds(now_ms, &report) {
             self.tell(to, report.from, None, true);
         }
         self.adopt_knowledge(to);
@@ -124,3 +95,40 @@
         self.note(|world| world.list_taken(balancer));
     }
 }
+
+impl Balancer {
+    /// Takes what is newer in a report, as the processes do.
+    fn learn(&mut self, now_ms: Millis, report: &ReaderReport) {
+        let view = &report.view;
+        self.complete_from_ms = self.complete_from_ms.max(now_ms + view.whole_in_ms);
+        let lacks_held = self.knowledge.lacks_held_of(now_ms, report.summary);
+        let fetches = match compare(report.summary, self.knowledge.summary()) {
+            Comparison::NotNewer => lacks_held,
+            Comparison::Same => {
+                self.knowledge.confirm(now_ms, report.summary);
+                lacks_held
+            }
+            Comparison::Fetch => {
+                let apply = |delta| self.knowledge.apply_delta(now_ms, report.summary, delta);
+                !report.delta.as_ref().is_some_and(apply)
+            }
+        };
+        if fetches {
+            self.knowledge.apply_view(now_ms, view.clone());
+        }
+        if fetches || self.knowledge.history.is_behind(now_ms, view.history.summary) {
+            self.knowledge.merge_history(now_ms, self.confirmed_ms, &view.history);
+        }
+        if !report.corrects && self.knowledge.is_confirmed_by(report.summary) {
+            self.confirmed_ms = now_ms;
+        }
+    }
+
+    /// Whether the sender of a report lacks something that is known here.
+    fn exceeds(&self, now_ms: Millis, report: &ReaderReport) -> bool {
+        let has_routes = report.summary.routes_version >= self.knowledge.routes.version;
+        let history = self.knowledge.history.summary(now_ms);
+        let lacks_history = has_routes && report.view.history.summary.may_lack(history);
+        lacks_history || self.knowledge.exceeds(now_ms, report.summary)
+    }
+}
--- a/crates/steering/src/knowledge/mod.rs
+++ b/crates/steering/src/knowledge/mod.rs
@@ -194,6 +194,7 @@
     fn note_return(&mut self, now_ms: Millis) {
         self.era_since_ms = now_ms;
         self.incomplete_until_ms = now_ms + COPY_HOLD_MS;
+        self.membership.prolong_hold(now_ms);
     }
 
     /// Prepares for a whole list at this revision: holds what is known if it is of an earlier era.
--- a/crates/steering/src/membership/hold.rs
+++ b/crates/steering/src/membership/hold.rs
@@ -45,6 +45,11 @@
         self.held_until_ms = Some(now_ms + COPY_HOLD_MS);
     }
 
+    /// Holds for longer what is held already, because the service has come back once more.
+    pub(crate) fn prolong_hold(&mut self, now_ms: Millis) {
+        self.held_until_ms = self.held_until_ms.map(|_| now_ms + COPY_HOLD_MS);
+    }
+
     /// Holds what another balancer knows from before the service came back, as far as it is unknown
     /// here.
     pub(crate) fn hold(&mut self, now_ms: Millis, theirs: &Held) {
--- a/crates/steering/tests/knowledge.rs
+++ b/crates/steering/tests/knowledge.rs
@@ -8,7 +8,7 @@
 use steering::history::History;
 use steering::knowledge::{Knowledge, Listing, Outcome, ViewContents};
 use steering::membership::{COPY_HOLD_MS, Change, UpstreamRecord};
-use steering::peers::{Comparison, compare};
+use steering::peers::{Comparison, Summary, compare};
 use steering::revision::Revision;
 use steering::view::{Route, RouteTable, Service, ServiceStamp, Share, Standing, View, ZoneStamp};
 
@@ -205,6 +205,19 @@
     assert!(view(&mut knowledge, later_ms).is_closed(ZONE));
 }
 
+/// The second return brings the same list, so that nothing is fetched.
+#[test]
+fn second_return_with_the_same_list_prolongs_the_hold() {
+    let mut knowledge = returned();
+    let again_ms = RETURNED_MS + COPY_HOLD_MS - 100;
+    let revision = Revision { era: 3, ..RETURNED };
+    let theirs = Summary { revision, ..knowledge.summary() };
+    assert_eq!(compare(theirs, knowledge.summary()), Comparison::Same);
+    knowledge.confirm(again_ms, theirs);
+    assert!(view(&mut knowledge, again_ms + COPY_HOLD_MS - 1).is_closed(ZONE));
+    assert!(!view(&mut knowledge, again_ms + COPY_HOLD_MS).is_closed(ZONE));
+}
+
 /// Guards against resets right after a return that was too short for any call to fail: an upstream
 /// which the copy lacks, and which this balancer does not know either, holds its flows.
 #[test]
