--- a/crates/decision/src/agent/tests/at_most_once.rs
+++ b/crates/decision/src/agent/tests/at_most_once.rs
@@ -350,6 +350,30 @@
     assert_eq!(matches!(outcome, Outcome::Delivered(_)), runs, "{outcome:?}");
 }
 
+/// All hosts of a service die and start anew while the settings that first listed them are in
+/// force. To one another the agents look like those of a service that has just been created, but a
+/// copy of an opening that ran before must not run again (fuzzing, episode 61200230).
+#[rstest]
+#[case::at_once(2_000)]
+#[case::with_late_copies(15_000)]
+#[case::before_claims_expire(115_000)]
+fn recall_all_hosts_replaced_under_first_settings(#[case] elapsed_ms: u64) {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, 3);
+    spec.transport = Transport::Udp;
+    let mut fleet = Fleet::settled(&spec);
+    let opened = fleet.send(0, flow(1), opening(1));
+    assert!(matches!(opened, Outcome::Delivered(_)), "{opened:?}");
+    for index in 0..3 {
+        let incarnation = 2 + fleet.now.0;
+        fleet.agents[index] = agent(index, incarnation, false, spec.view(), fleet.now);
+    }
+    fleet.advance(elapsed_ms);
+    for to in 0..3 {
+        let outcome = fleet.send(to, flow(1), opening(1));
+        assert!(!matches!(outcome, Outcome::Delivered(_)), "copy at {to}: {outcome:?}");
+    }
+}
+
 fn last_answer(
     agent: &mut Agent,
     now: Millis,
--- a/crates/decision/src/agent/tests/memberships.rs
+++ b/crates/decision/src/agent/tests/memberships.rs
@@ -80,3 +80,73 @@
     let outcome = fleet.send(3, flow(1), opening(1));
     assert!(!matches!(outcome, Outcome::Delivered(_)), "{outcome:?}");
 }
+
+/// Upstreams are retired and their agents end in order, faster than claims expire. An agent that
+/// stays has been up all the time, and everyone who could have granted a claim has said that it
+/// runs later settings or that it ends. The service must answer openings at once: otherwise it
+/// stays silent for two minutes after a planned change (fuzzing, episodes 200545 and 201210).
+#[rstest]
+#[case::one_of_two(2, vec![vec![0]])]
+#[case::two_of_three(3, vec![vec![0], vec![1]])]
+#[case::two_of_three_at_once(3, vec![vec![0, 1]])]
+#[case::three_of_four(4, vec![vec![0], vec![1], vec![2]])]
+#[case::three_of_six(6, vec![vec![0, 1, 2]])]
+fn settle_membership_after_planned_ends(#[case] upstreams: usize, #[case] steps: Vec<Vec<usize>>) {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, upstreams);
+    let mut fleet = Fleet::settled(&spec);
+    for (step, ended) in steps.iter().enumerate() {
+        retire(&mut spec, 2 + step as u64, ended);
+        (0..upstreams).for_each(|index| fleet.install(index, &spec));
+        fleet.advance(500);
+        ended.iter().for_each(|index| fleet.end(*index));
+    }
+    fleet.advance(5_000);
+    assert_delivers(&mut fleet, upstreams - 1);
+}
+
+/// The settings that retire two of three upstreams reach the third one only after the agents of
+/// the two have ended in order. What they told it at their end must suffice.
+#[rstest]
+#[case::ended_with_later_settings(&[0, 1])]
+#[case::one_ended_with_later_settings(&[1])]
+#[case::ended_with_old_settings(&[])]
+fn settle_membership_late_settings(#[case] told: &[usize]) {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, 3);
+    let mut fleet = Fleet::settled(&spec);
+    retire(&mut spec, 2, &[0]);
+    retire(&mut spec, 3, &[1]);
+    told.iter().for_each(|index| fleet.install(*index, &spec));
+    fleet.end(0);
+    fleet.end(1);
+    fleet.advance(30_000);
+    fleet.install(2, &spec);
+    fleet.advance(5_000);
+    assert_delivers(&mut fleet, 2);
+}
+
+/// The only agent left of a service restarts as planned, long after the others have been retired
+/// and have ended in order. No agent is left that could tell it about them (fuzzing, episode
+/// 300045).
+#[test]
+fn settle_membership_only_agent_restarted() {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, 3);
+    let mut fleet = Fleet::settled(&spec);
+    for ended in [0, 1] {
+        retire(&mut spec, 2 + ended as u64, &[ended]);
+        (0..3).for_each(|index| fleet.install(index, &spec));
+        fleet.advance(500);
+        fleet.end(ended);
+    }
+    fleet.advance(300_000);
+    fleet.leave(2);
+    fleet.restart(2, &spec);
+    fleet.advance(125_000);
+    assert_delivers(&mut fleet, 2);
+}
+
+fn assert_delivers(fleet: &mut Fleet, at: usize) {
+    for number in 0..20 {
+        let outcome = fleet.send(at, flow(number), opening(1));
+        assert!(matches!(outcome, Outcome::Delivered(_)), "{number}: {outcome:?}");
+    }
+}
--- a/crates/decision/src/agent/tests/mod.rs
+++ b/crates/decision/src/agent/tests/mod.rs
@@ -184,6 +184,13 @@
         self.advance(1_000);
     }
 
+    /// Ends an agent and its upstream for good, after a graceful shutdown.
+    fn end(&mut self, index: usize) {
+        self.leave(index);
+        self.cut_off.push(index);
+        self.paused.push(index);
+    }
+
     fn advance(&mut self, ms: u64) {
         let end = self.now.after(ms);
         while self.now < end {
