--- a/crates/decision/src/agent/quorum.rs
+++ b/crates/decision/src/agent/quorum.rs
@@ -202,6 +202,7 @@
         }
     }
 
+    /// Number of outdated memberships, those that count no more included.
     pub(super) fn outdated_count(&self) -> usize {
         let known = |membership: &&Membership| membership.outdated_until().is_some();
         self.dropped.len() + self.memberships.iter().filter(known).count()
@@ -224,10 +225,10 @@
 
     /// Processes a balancer's report that a membership is outdated.
     pub(super) fn learn_report(&mut self, now: Millis, report: OutdatedReport) {
-        let same = |known: &&Membership| {
+        let same = |known: &Membership| {
             known.from == report.outdated.from && known.digest() == report.members
         };
-        if self.memberships.iter().find(same).is_some() {
+        if self.memberships.iter().any(same) {
             self.learn_outdated(now, report.outdated);
         }
     }
