Give three more safeguards of settled memberships a mutant

Records of a witness that has lost some, a tie with one that has only ended, and a balancer's report on a membership with other members: each taken out lets an opening run at two upstreams in an order of events made for it, and is caught.

--- a/crates/decision/src/agent/balancer_reports.rs
+++ b/crates/decision/src/agent/balancer_reports.rs
@@ -2,7 +2,9 @@
 //!
 //! Balancers remember what agents report, for the case that all agents of the service restart.
 
+use super::mutant::mutated;
 use super::{Action, Agent, limits};
+use crate::message::OutdatedReport;
 use crate::time::Millis;
 use crate::view::WhenInDoubt;
 
@@ -23,6 +25,14 @@
 }
 
 impl Agent {
+    /// Processes a balancer's report that a membership is outdated.
+    pub(super) fn outdated_reported(&mut self, now: Millis, report: OutdatedReport) {
+        let memberships = &mut self.settings.memberships;
+        if memberships.has_members_of(report) || mutated!(self, OtherMembersOutdated) {
+            memberships.learn_outdated(now, report.outdated);
+        }
+    }
+
     /// Reports outdated memberships to balancers, when a new one becomes known, from time to time
     /// and at the shutdown, and asks them about those of which this agent knows nothing.
     pub(super) fn exchange_outdated(&mut self, now: Millis, out: &mut Vec<Action>) {
--- a/crates/decision/src/agent/mod.rs
+++ b/crates/decision/src/agent/mod.rs
@@ -192,7 +192,7 @@
             Event::PeerHint { upstream, alive } => {
                 self.liveness_hint_received(now, upstream, alive, out)
             }
-            Event::Outdated(report) => self.settings.memberships.learn_report(now, report),
+            Event::Outdated(report) => self.outdated_reported(now, report),
             Event::Leave => self.leave(now, out),
             Event::Tick => self.tick(now, out),
         }
--- a/crates/decision/src/agent/mutant.rs
+++ b/crates/decision/src/agent/mutant.rs
@@ -22,6 +22,12 @@
     DisputesIgnored,
     /// Records count as final that were read while their witness still ran the old settings.
     StaleRecordsCounted,
+    /// Records count although their witness has lost some.
+    IncompleteRecordsCounted,
+    /// Half of a membership counts as closed, although one of them has only ended.
+    TieCountsAsClosed,
+    /// A balancer's report counts for a membership with other members.
+    OtherMembersOutdated,
     /// A witness goes on to grant claims after it has stated that its records are final.
     RecordsNotSealed,
     /// A witness helps another one to vote again that runs older settings.
--- a/crates/decision/src/agent/quorum.rs
+++ b/crates/decision/src/agent/quorum.rs
@@ -223,14 +223,12 @@
         self.dropped.iter().map(expired).chain(others).collect()
     }
 
-    /// Processes a balancer's report that a membership is outdated.
-    pub(super) fn learn_report(&mut self, now: Millis, report: OutdatedReport) {
+    /// Whether the report is about a membership with the members that these settings list.
+    pub(super) fn has_members_of(&self, report: OutdatedReport) -> bool {
         let same = |known: &Membership| {
             known.from == report.outdated.from && known.digest() == report.members
         };
-        if self.memberships.iter().any(same) {
-            self.learn_outdated(now, report.outdated);
-        }
+        self.memberships.iter().any(same)
     }
 
     /// Whether it is unknown of some earlier membership whether it is outdated.
--- a/crates/decision/src/agent/reading.rs
+++ b/crates/decision/src/agent/reading.rs
@@ -241,7 +241,8 @@
         let known = reader.extent.take();
         let same = known.as_ref().is_none_or(|it| it.incarnation == page.extent.incarnation);
         let extent = known.map_or(page.extent.clone(), |it| common_extent(&it, &page.extent));
-        let worth_reading = same && extent.complete && self.is_worth_reading(now, from, &extent);
+        let complete = extent.complete || mutated!(self, IncompleteRecordsCounted);
+        let worth_reading = same && complete && self.is_worth_reading(now, from, &extent);
         let Some(reader) = self.reading.readers.get_mut(from) else { return };
         if !worth_reading {
             reader.restart(next_try_at);
@@ -303,7 +304,8 @@
         });
         // One that has ended may be started again under the old settings. Each reader of its
         // records is then needed to keep it from voting, so that they have to be a majority.
-        2 * later >= size || 2 * (later + ended) > size || readers.next().is_some()
+        let tie = 2 * (later + ended) == size && mutated!(self, TieCountsAsClosed);
+        2 * later >= size || 2 * (later + ended) > size || tie || readers.next().is_some()
     }
 
     /// Number of members whose records are known here and that run later settings, and number of
--- a/crates/decision/src/agent/tests/settling.rs
+++ b/crates/decision/src/agent/tests/settling.rs
@@ -5,6 +5,7 @@
 
 use super::memberships::{assert_delivers, retire};
 use super::*;
+use crate::message::{Outdated, OutdatedReport};
 
 /// Prepares each agent when it starts.
 type Prepare = fn(&mut Agent);
@@ -110,12 +111,63 @@
     [first, send_copy(&mut fleet, 2, &[0, 1])]
 }
 
-const SCENARIOS: [Scenario; 5] = [
+/// One of the two witnesses with whose votes the opening ran is gone, and the other one restarts and
+/// has lost its records. What it can give does not show what ran.
+fn witness_lost_its_records(prepare: Prepare) -> [Outcome; 2] {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, 3);
+    let mut fleet = prepared(&spec, prepare);
+    let first = send_copy(&mut fleet, 0, &[2]);
+    fleet.cut_off = vec![0];
+    fleet.restart(1, &spec);
+    prepare(&mut fleet.agents[1]);
+    retire(&mut spec, 2, &[0, 1]);
+    fleet.install(1, &spec);
+    fleet.install(2, &spec);
+    fleet.advance(5_000);
+    [first, send_copy(&mut fleet, 2, &[0, 1])]
+}
+
+/// Of four agents one has ended and was read by one with later settings. It comes back under the
+/// old settings, and the other two make it complete.
+fn back_among_four(prepare: Prepare) -> [Outcome; 2] {
+    let old = Spec::new(WhenInDoubt::Refuse, 4);
+    let mut spec = old.clone();
+    let mut fleet = prepared(&spec, prepare);
+    fleet.leave(0);
+    retire(&mut spec, 2, &[0, 1, 2]);
+    fleet.install(3, &spec);
+    fleet.advance(3_000);
+    fleet.restart(0, &old);
+    prepare(&mut fleet.agents[0]);
+    fleet.advance(5_000);
+    let first = send_copy(&mut fleet, 1, &[3]);
+    [first, send_copy(&mut fleet, 3, &[0, 1, 2])]
+}
+
+/// A balancer reports an outdated membership that other settings draw with other members. It says
+/// nothing about two agents beyond a partition that still serve under the old settings.
+fn report_of_other_members(prepare: Prepare) -> [Outcome; 2] {
+    let mut spec = Spec::new(WhenInDoubt::Refuse, 3);
+    let mut fleet = prepared(&spec, prepare);
+    fleet.cut_off = vec![0, 1];
+    retire(&mut spec, 2, &[0, 1]);
+    fleet.install(2, &spec);
+    let outdated = Outdated { from: Version(1), next: Version(2), expires_in_ms: 0 };
+    fleet.handle_event(2, Event::Outdated(OutdatedReport { outdated, members: 0 }));
+    fleet.advance(3_000);
+    let first = send_copy(&mut fleet, 0, &[2]);
+    [first, send_copy(&mut fleet, 2, &[0, 1])]
+}
+
+const SCENARIOS: [Scenario; 8] = [
     ran_before_witnesses_ended,
     read_before_later_settings,
     asked_after_the_last_reading,
     back_with_old_settings,
     undecided_before_it_ran,
+    witness_lost_its_records,
+    back_among_four,
+    report_of_other_members,
 ];
 
 /// Number of copies that ran or were refused as not run.
@@ -133,6 +185,9 @@
 #[case::asked_after_the_last_reading(2, 1)]
 #[case::back_with_old_settings(3, 1)]
 #[case::undecided_before_it_ran(4, 1)]
+#[case::witness_lost_its_records(5, 1)]
+#[case::back_among_four(6, 1)]
+#[case::report_of_other_members(7, 1)]
 fn open_at_most_once_settled_membership(#[case] scenario: usize, #[case] answers: usize) {
     let outcomes = SCENARIOS[scenario](|_| {});
     assert_eq!(count_answers(outcomes), answers, "{outcomes:?}");
@@ -146,6 +201,9 @@
 #[case::records_not_sealed(2, |agent: &mut Agent| agent.set_mutant(Some(crate::agent::Mutant::RecordsNotSealed)))]
 #[case::older_witness_recalled(3, |agent: &mut Agent| agent.set_mutant(Some(crate::agent::Mutant::OlderWitnessRecalled)))]
 #[case::disputes_ignored(4, |agent: &mut Agent| agent.set_mutant(Some(crate::agent::Mutant::DisputesIgnored)))]
+#[case::incomplete_records_counted(5, |agent: &mut Agent| agent.set_mutant(Some(crate::agent::Mutant::IncompleteRecordsCounted)))]
+#[case::tie_counts_as_closed(6, |agent: &mut Agent| agent.set_mutant(Some(crate::agent::Mutant::TieCountsAsClosed)))]
+#[case::other_members_outdated(7, |agent: &mut Agent| agent.set_mutant(Some(crate::agent::Mutant::OtherMembersOutdated)))]
 fn mutant_answers_twice(#[case] scenario: usize, #[case] prepare: Prepare) {
     assert_eq!(count_answers(SCENARIOS[scenario](prepare)), 2);
 }
