Share the wait for a page, default entries and the list of outdated memberships

Found on the last reading: the wait for a page stood in relearn, recall and reading; recall and reading each inserted a default entry by hand; the list of outdated memberships was built twice (for peers in turn, for balancers whole); three orders of events in the tests ended alike. Each is one piece now: awaits_page, SortedMap::get_or_default, outdated_reports, end_two_of_three.

--- a/crates/decision/src/agent/quorum.rs
+++ b/crates/decision/src/agent/quorum.rs
@@ -153,14 +153,9 @@
     /// The outdated membership to report to peers next, in rotation over those that the settings
     /// still list.
     pub(super) fn outdated(&self, now: Millis, turn: u64) -> Option<Outdated> {
-        let dropped = self.dropped.iter().map(|(from, next, _)| (*from, *next, now));
-        let others = self.memberships.iter().filter_map(|membership| {
-            Some((membership.from, membership.next?, membership.outdated_until()?))
-        });
-        let count = dropped.len() as u64 + others.clone().count() as u64;
-        let turn = turn.checked_rem(count)?;
-        let (from, next, until) = dropped.chain(others).nth(turn as usize)?;
-        Some(Outdated { from, next, expires_in_ms: until.since(now) as u32 })
+        let reports = self.outdated_reports(now);
+        let turn = turn.checked_rem(reports.len() as u64)?;
+        Some(reports[turn as usize].outdated)
     }
 
     /// Processes a peer's report that a membership is outdated.
@@ -208,7 +203,7 @@
         self.dropped.len() + self.memberships.iter().filter(known).count()
     }
 
-    /// All outdated memberships, to be reported to balancers.
+    /// All outdated memberships that the settings still list.
     pub(super) fn outdated_reports(&self, now: Millis) -> Vec<OutdatedReport> {
         let expired = |(from, next, members): &(Version, Version, u64)| OutdatedReport {
             outdated: Outdated { from: *from, next: *next, expires_in_ms: 0 },
--- a/crates/decision/src/agent/reading.rs
+++ b/crates/decision/src/agent/reading.rs
@@ -12,6 +12,7 @@
 use super::limits;
 use super::mutant::mutated;
 use super::quorum::Membership;
+use super::relearn::awaits_page;
 use super::sorted::SortedMap;
 use super::{Action, Agent};
 use crate::keys::{Incarnation, UpstreamId, Version};
@@ -66,8 +67,7 @@
     }
 
     fn may_ask(&self, now: Millis) -> bool {
-        let awaits_reply = self.asked_at.is_some_and(|at| now.since(at) < limits::RELEARN_RETRY_MS);
-        !awaits_reply && self.next_try_at.is_none_or(|at| at <= now)
+        !awaits_page(now, self.asked_at) && self.next_try_at.is_none_or(|at| at <= now)
     }
 }
 
@@ -172,10 +172,7 @@
     }
 
     fn request_claims(&mut self, now: Millis, to: UpstreamId, out: &mut Vec<Action>) {
-        if self.reading.readers.get(to).is_none() {
-            self.reading.readers.insert(to, Reader::default());
-        }
-        let Some(reader) = self.reading.readers.get_mut(to) else { return };
+        let reader = self.reading.readers.get_or_default(to);
         if !reader.may_ask(now) {
             return;
         }
--- a/crates/decision/src/agent/recall.rs
+++ b/crates/decision/src/agent/recall.rs
@@ -15,6 +15,7 @@
 
 use super::claims::Stage;
 use super::mutant::mutated;
+use super::relearn::awaits_page;
 use super::sorted::SortedMap;
 use super::{Action, Agent, limits};
 use crate::keys::{Incarnation, UpstreamId};
@@ -276,13 +277,8 @@
     }
 
     fn request_records(&mut self, now: Millis, to: UpstreamId, out: &mut Vec<Action>) {
-        if self.recall.cursors.get(to).is_none() {
-            self.recall.cursors.insert(to, Cursor::default());
-        }
-        let Some(cursor) = self.recall.cursors.get_mut(to) else { return };
-        let awaits_reply =
-            cursor.asked_at.is_some_and(|at| now.since(at) < limits::RELEARN_RETRY_MS);
-        if cursor.done || awaits_reply {
+        let cursor = self.recall.cursors.get_or_default(to);
+        if cursor.done || awaits_page(now, cursor.asked_at) {
             return;
         }
         cursor.asked_at = Some(now);
--- a/crates/decision/src/agent/relearn.rs
+++ b/crates/decision/src/agent/relearn.rs
@@ -39,6 +39,11 @@
     }
 }
 
+/// Whether a page that was asked for at `asked_at` may still arrive.
+pub(super) fn awaits_page(now: Millis, asked_at: Option<Millis>) -> bool {
+    asked_at.is_some_and(|at| now.since(at) < limits::RELEARN_RETRY_MS)
+}
+
 /// How far a restarted agent has recovered the flows of its previous incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Recovery {
@@ -225,9 +230,8 @@
     pub(super) fn request_page(&mut self, now: Millis, to: UpstreamId, out: &mut Vec<Action>) {
         let incarnation = self.config.incarnation;
         let Some(peer) = self.peers.get_mut(to) else { return };
-        let awaits_reply =
-            peer.relearn_cursor.asked_at.is_some_and(|at| now.since(at) < limits::RELEARN_RETRY_MS);
-        if peer.relearn_cursor.done || awaits_reply || !peer.may_hold_flows(now) {
+        let awaits_page = awaits_page(now, peer.relearn_cursor.asked_at);
+        if peer.relearn_cursor.done || awaits_page || !peer.may_hold_flows(now) {
             return;
         }
         peer.relearn_cursor.asked_at = Some(now);
--- a/crates/decision/src/agent/sorted.rs
+++ b/crates/decision/src/agent/sorted.rs
@@ -26,6 +26,18 @@
         Some(&mut self.entries[index].1)
     }
 
+    /// The value of a key, which is inserted with its default if it is missing.
+    pub(super) fn get_or_default(&mut self, key: K) -> &mut V
+    where
+        V: Default,
+    {
+        let index = self.find(key).unwrap_or_else(|index| {
+            self.entries.insert(index, (key, V::default()));
+            index
+        });
+        &mut self.entries[index].1
+    }
+
     pub(super) fn insert(&mut self, key: K, value: V) {
         match self.find(key) {
             Ok(index) => self.entries[index].1 = value,
--- a/crates/decision/src/agent/tests/settling.rs
+++ b/crates/decision/src/agent/tests/settling.rs
@@ -28,6 +28,16 @@
     fleet.send_packet(to, copy)
 }
 
+/// Retires two of three upstreams, ends their agents as planned and lets the third one settle.
+fn end_two_of_three(fleet: &mut Fleet, spec: &mut Spec) {
+    retire(spec, 2, &[0, 1]);
+    (0..3).for_each(|index| fleet.install(index, spec));
+    fleet.advance(500);
+    fleet.end(0);
+    fleet.end(1);
+    fleet.advance(5_000);
+}
+
 /// An opening runs with the votes of two agents, which then end as planned. The third one does not
 /// know of it until it reads their records.
 fn ran_before_witnesses_ended(prepare: Prepare) -> [Outcome; 2] {
@@ -36,12 +46,7 @@
     let first = send_copy(&mut fleet, 0, &[2]);
     fleet.cut_off.clear();
     fleet.advance(3_000);
-    retire(&mut spec, 2, &[0, 1]);
-    (0..3).for_each(|index| fleet.install(index, &spec));
-    fleet.advance(500);
-    fleet.end(0);
-    fleet.end(1);
-    fleet.advance(5_000);
+    end_two_of_three(&mut fleet, &mut spec);
     [first, send_copy(&mut fleet, 2, &[0, 1])]
 }
 
@@ -102,12 +107,7 @@
     send_copy(&mut fleet, 2, &[0, 1]);
     let first = send_copy(&mut fleet, 0, &[2]);
     fleet.cut_off.clear();
-    retire(&mut spec, 2, &[0, 1]);
-    (0..3).for_each(|index| fleet.install(index, &spec));
-    fleet.advance(500);
-    fleet.end(0);
-    fleet.end(1);
-    fleet.advance(5_000);
+    end_two_of_three(&mut fleet, &mut spec);
     [first, send_copy(&mut fleet, 2, &[0, 1])]
 }
 
@@ -223,12 +223,7 @@
         fleet.handle_event(witness, Event::Message { from, message });
     }
     fleet.messages.clear();
-    retire(&mut spec, 2, &[0, 1]);
-    (0..3).for_each(|index| fleet.install(index, &spec));
-    fleet.advance(500);
-    fleet.end(0);
-    fleet.end(1);
-    fleet.advance(5_000);
+    end_two_of_three(&mut fleet, &mut spec);
     let outcome = fleet.send(2, flow(1), opening(1));
     assert!(matches!(outcome, Outcome::Dropped(_)), "{outcome:?}");
     assert_delivers(&mut fleet, 2, 2..20);
