Let a deployment's settings ask for two mechanisms

Deployments whose contracts name them will get placement by expected delay and admission under overload; all others are served as before. Both are still without effect.

--- a/crates/steering/src/policy/mod.rs
+++ b/crates/steering/src/policy/mod.rs
@@ -1,5 +1,5 @@
 //! The set of active mechanisms. All are active unless one is switched off by name to measure its
-//! effect.
+//! effect, except for those that a deployment's settings have to ask for.
 
 /// The mechanisms of balancers and agents that can be switched off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,12 +37,16 @@
     pub rotation: bool,
     /// Bodies are dropped before a balancer's link is full.
     pub link: bool,
+    /// New flows go where their first request is expected to be answered soonest. Off by default.
+    pub delay_placement: bool,
+    /// Upstreams whose callers already give up take no further flows. Off by default.
+    pub overload_admission: bool,
 }
 
 type Field = fn(&mut Policy) -> &mut bool;
 
 /// Names of the mechanisms.
-const FIELDS: [(&str, Field); 16] = [
+const FIELDS: [(&str, Field); 18] = [
     ("waiting", |policy| &mut policy.waiting),
     ("deadline_order", |policy| &mut policy.deadline_order),
     ("priority", |policy| &mut policy.priority),
@@ -59,6 +63,8 @@
     ("lag", |policy| &mut policy.lag),
     ("rotation", |policy| &mut policy.rotation),
     ("link", |policy| &mut policy.link),
+    ("delay_placement", |policy| &mut policy.delay_placement),
+    ("overload_admission", |policy| &mut policy.overload_admission),
 ];
 
 impl Default for Policy {
@@ -80,11 +86,23 @@
             lag: true,
             rotation: true,
             link: true,
+            delay_placement: false,
+            overload_admission: false,
         }
     }
 }
 
 impl Policy {
+    /// All mechanisms, including those that are off by default.
+    ///
+    /// ```
+    /// use steering::policy::Policy;
+    /// assert!(Policy::all().delay_placement && Policy::all().waiting);
+    /// ```
+    pub fn all() -> Self {
+        Self { delay_placement: true, overload_admission: true, ..Self::default() }
+    }
+
     /// The policy without one mechanism; `None` if there is no mechanism of that name.
     ///
     /// ```
