Encode a time-out of six SLOs as the default step

The steps that packets carry are 4, 7 and 10, so 4 was assumed, and requests were dropped after 700 ms although their callers wait 1,200 ms.

Change: a time-out of at least 6 and less than 7 SLOs is encoded as step 0, which every agent takes as 6.

--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -12,7 +12,9 @@
 use crate::history::History;
 use crate::revision::Revision;
 
-pub use routes::{Route, RouteTable, RoutesDelta, Service, Share, WAIT_STEPS_SLOS, wait_slos};
+pub use routes::{
+    Route, RouteTable, RoutesDelta, Service, Share, WAIT_DEFAULT_SLOS, WAIT_STEPS_SLOS, wait_slos,
+};
 
 /// Identity of a service, carried in packets between balancer and agent. An agent whose address
 /// previously belonged to another service thus never delivers packets of that service.
--- a/crates/steering/src/view/routes.rs
+++ b/crates/steering/src/view/routes.rs
@@ -20,20 +20,25 @@
 }
 
 /// How long callers wait before giving up, in multiples of the time within which they expect an
-/// answer; zero if unknown. Steps are used so that most changes of a timeout leave the route
+/// answer; zero stands for [`WAIT_DEFAULT_SLOS`]. Steps are used so that most changes of a timeout leave the route
 /// unchanged, and so that the value fits into two bits of a packet.
 pub const WAIT_STEPS_SLOS: [u8; 4] = [0, 4, 7, 10];
 
+/// How many multiples of that time callers wait if nothing else is stated.
+pub const WAIT_DEFAULT_SLOS: u8 = 6;
+
 /// The largest step that is within a timeout, or the smallest known step if the timeout is shorter.
+/// Zero if the timeout is unknown, and if [`WAIT_DEFAULT_SLOS`] is closer to it than any step.
 ///
 /// ```
 /// use steering::view::wait_slos;
 /// assert_eq!(wait_slos(3_000, 400), 7);
 /// assert_eq!(wait_slos(900, 300), 4);
+/// assert_eq!(wait_slos(1_200, 200), 0);
 /// assert_eq!(wait_slos(0, 300), 0);
 /// ```
 pub fn wait_slos(timeout_ms: u32, slo_ms: u32) -> u8 {
-    if timeout_ms == 0 || slo_ms == 0 {
+    if timeout_ms == 0 || slo_ms == 0 || timeout_ms / slo_ms == u32::from(WAIT_DEFAULT_SLOS) {
         return 0;
     }
     let [_, shortest, ..] = WAIT_STEPS_SLOS;
@@ -50,7 +55,8 @@
     pub shares: Arc<[Share]>,
     /// Time within which callers expect an answer; zero if unknown.
     pub slo_ms: u32,
-    /// How many multiples of `slo_ms` callers wait before they give up, one of [`WAIT_STEPS_SLOS`].
+    /// How many multiples of `slo_ms` callers wait before they give up, one of [`WAIT_STEPS_SLOS`];
+    /// zero stands for [`WAIT_DEFAULT_SLOS`].
     pub wait_slos: u8,
     /// Whether the route's requests take precedence over others to the same services.
     pub urgent: bool,
