Count only requests that the upstream processes

Cause: callers end their flows while their requests are queued beside a busy upstream. The FIN went to the upstream, the request was released after it, and the upstream discarded it without an answer. It stayed counted for 3 s and blocked a slot. A request that was dropped by time was queued again as a new one when its packet was retransmitted.

Change: the FIN is followed at once by the queued packets, which are not counted, nor is later data of the flow. A new opening on the same ports starts afresh. The age of a request counts from its first packet or from the opening. An abandoned request stays queued for 3 s without being released and absorbs retransmissions.

--- a/crates/settings/src/codes/table.rs
+++ b/crates/settings/src/codes/table.rs
@@ -249,6 +249,9 @@
     TURNED_AWAY = 2221, "turned_away", Packets,
         "An opening reached an upstream that is leaving or whose availability zone is closed, and was returned.",
         "None briefly after the change; if it persists, a balancer has an outdated view.";
+    ABANDONED = 2224, "abandoned", Packets,
+        "The caller of a request gave up while the request was queued at the agent for a free slot of the upstream.",
+        "Add upstreams if this persists; it is expected for some seconds after an outage or a burst of requests.";
     BAD_ARGUMENTS = 3001, "bad_arguments", Start,
         "The command line of the process is wrong.",
         "See `--help`.";
--- a/crates/steering/src/side/flow.rs
+++ b/crates/steering/src/side/flow.rs
@@ -16,6 +16,13 @@
     pub(super) report_to: Option<Ipv4Addr>,
     /// The flow's opening, until the first request on the flow is answered.
     pub(super) opening: Option<Opening>,
+    /// Sequence number of the flow's opening, if that was seen.
+    pub(super) opening_sequence: Option<u32>,
+    /// The arrival of the latest request, until a request on the flow is answered.
+    pub(super) arrival: Option<Arrival>,
+    /// Whether the caller has ended the flow by a packet without data. It awaits no answer, and
+    /// the upstream discards the flow's requests without processing them.
+    pub(super) ended: bool,
     /// Whether the flow's requests take precedence over others.
     pub(super) urgent: bool,
     /// Sequence numbers that the upstream has sent on the flow; `None` if it may not hold the flow.
@@ -43,6 +50,19 @@
     }
 }
 
+/// The arrival of a request, from which its age counts.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Arrival {
+    /// When the first packet of the request was seen.
+    pub(super) first_ms: Millis,
+    /// Whether the request's caller was found to have given up while it was queued.
+    pub(super) given_up: bool,
+    /// Sequence number after the request's data, by which the request is identified.
+    next_sequence: u32,
+    /// Whether the last packet of the request was seen.
+    complete: bool,
+}
+
 /// Range of sequence numbers that an upstream has sent on a flow.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SentRange {
@@ -58,6 +78,72 @@
 }
 
 impl Flow {
+    /// How long the caller has been waiting for the answer to the latest request.
+    pub(super) fn request_age_ms(&self, now_ms: Millis) -> Millis {
+        let opening_ms = self.opening.map_or(0, |opening| opening.elapsed_ms(now_ms));
+        let request_ms = self.arrival.map_or(0, |seen| now_ms.saturating_sub(seen.first_ms));
+        opening_ms.max(request_ms)
+    }
+
+    /// Notes request data. A retransmitted packet does not make a request younger, nor does a
+    /// packet that belongs to a request of several packets or to a queued one.
+    pub(super) fn note_arrival(
+        &mut self,
+        now_ms: Millis,
+        segment: &Segment,
+        complete: bool,
+        queued: bool,
+    ) {
+        let next_sequence = segment.next_sequence();
+        if self.has_seen(segment) {
+            return;
+        }
+        match &mut self.arrival {
+            Some(known) if (next_sequence.wrapping_sub(known.next_sequence) as i32) <= 0 => {}
+            Some(known) if !known.complete || (queued && !known.given_up) => {
+                known.next_sequence = next_sequence;
+                known.complete = complete;
+            }
+            known => {
+                // The opening shows only how long the first request on the flow has been awaited.
+                if known.is_some() {
+                    self.opening = None;
+                }
+                let first_ms = now_ms;
+                self.arrival = Some(Arrival { first_ms, given_up: false, next_sequence, complete });
+            }
+        }
+    }
+
+    /// Whether an opening belongs to another flow than the one known so far: the caller has ended
+    /// that one, or the opening is not a copy of its opening.
+    pub(super) fn is_ended_or_other(&self, opening: &Segment) -> bool {
+        let is_other = |sequence| sequence != opening.sequence;
+        self.ended || self.opening_sequence.is_some_and(is_other)
+    }
+
+    /// Notes an opening. If it opens another flow on the same ports, nothing of the former one
+    /// counts for it. Returns whether a request of the former flow was in progress.
+    pub(super) fn note_opening(
+        &mut self,
+        now_ms: Millis,
+        segment: &Segment,
+        copy: u32,
+        is_other_flow: bool,
+    ) -> bool {
+        let opening = Opening { seen_ms: now_ms, age_ms: opening_age_ms(copy) };
+        self.opening_sequence = Some(segment.sequence);
+        self.next_sequence = None;
+        if !is_other_flow {
+            self.opening.get_or_insert(opening);
+            return false;
+        }
+        self.opening = Some(opening);
+        self.arrival = None;
+        self.ended = false;
+        self.busy_since_ms.take().is_some()
+    }
+
     /// Extends the range of sent numbers by a packet from the upstream.
     ///
     /// An agent that did not see the opening has seen neither the packets that were in flight
@@ -92,7 +178,7 @@
 }
 
 /// How long ago the caller sent the first copy of its opening, given the copy that has arrived.
-pub(super) fn opening_age_ms(copy: u32) -> Millis {
+fn opening_age_ms(copy: u32) -> Millis {
     let last = OPENING_OFFSETS_MS.len() - 1;
     OPENING_OFFSETS_MS[usize::try_from(copy).map_or(last, |copy| copy.min(last))]
 }
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -5,25 +5,27 @@
 mod flow;
 mod pending_replies;
 mod queue;
+mod request;
 mod service_time;
 mod slowdown;
 mod types;
 mod votes;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::Ipv4Addr;
 
 use crate::flow::{FlowKey, Millis, Segment, SegmentKind};
 use crate::policy::Policy;
 use crate::view::ServiceStamp;
 use admission::{Admission, Refusal};
-use flow::{Flow, Opening, opening_age_ms};
+use flow::Flow;
 use pending_replies::PendingReplies;
-use queue::{Queue, Times};
+use queue::Queue;
 use service_time::ServiceTime;
 pub use slowdown::{SlowdownChange, SlowdownDetector};
 pub use types::{
-    Answer, AnswerOutcome, Delivery, ForwardMetadata, PacketOutcome, Released, Report,
+    Answer, AnswerOutcome, Delivery, ForwardMetadata, GivenUp, GivenUpBy, PacketOutcome, Released,
+    Report,
 };
 
 /// An upstream that has left packets unanswered for this long, and has sent no other packet, counts
@@ -56,8 +58,6 @@
 /// Time within which callers expect an answer if the balancer does not know it: the shortest known
 /// for any caller.
 const SLO_DEFAULT_MS: Millis = 150;
-/// How many multiples of that time callers wait if the balancer does not know it.
-const WAIT_DEFAULT_SLOS: u8 = 6;
 /// Mean service times that must be left before the caller gives up when a queued request is passed
 /// on. A request that its caller abandons occupies a slot for nothing.
 const RESERVED_SERVICE_TIMES: Millis = 3;
@@ -70,6 +70,9 @@
     policy: Policy,
     flows: HashMap<FlowKey, Flow>,
     queue: Queue,
+    given_up: VecDeque<GivenUp>,
+    /// When a caller was last found to have given up on a queued request.
+    last_given_up_ms: Option<Millis>,
     service_time: ServiceTime,
     pending_replies: PendingReplies,
     admission: Admission,
@@ -94,6 +97,8 @@
             policy,
             flows: HashMap::new(),
             queue: Queue::default(),
+            given_up: VecDeque::new(),
+            last_given_up_ms: None,
             service_time: ServiceTime::default(),
             pending_replies: PendingReplies::default(),
             admission: Admission::default(),
@@ -195,40 +200,6 @@
         is_conclusive.then(|| sent.covers(segment.acknowledged))
     }
 
-    /// Removes the next queued request that may go to the upstream now, if any.
-    pub fn next_released(&mut self, now_ms: Millis) -> Option<Released> {
-        let closing = self.queue.take_closing(now_ms);
-        let waiting = if let Some(closing) = closing {
-            closing
-        } else if self.unresponsive_for(now_ms).is_some() {
-            // An unresponsive upstream frees no slots. Pass the packets on, so that the balancers
-            // learn that it does not respond.
-            self.queue.take_any()?
-        } else if self.has_slot() {
-            if self.policy.deadline_order {
-                self.queue.take_next(now_ms)?
-            } else {
-                self.queue.take_any()?
-            }
-        } else {
-            return None;
-        };
-        if let Some(flow) = self.flows.get_mut(&waiting.flow) {
-            flow.next_sequence = Some(waiting.next_sequence);
-            if flow.busy_since_ms.replace(now_ms).is_none() {
-                self.busy += 1;
-            }
-        }
-        let waited_ms = waiting.waited_ms(now_ms);
-        Some(Released { packets: waiting.packets, waited_ms })
-    }
-
-    /// Removes the oldest queued request, whatever the state of the upstream, and returns its
-    /// packets. A process that exits must not keep them.
-    pub fn take_any_queued(&mut self) -> Option<Vec<Box<[u8]>>> {
-        self.queue.take_any().map(|waiting| waiting.packets)
-    }
-
     /// Handles a packet that the upstream returned: the upstream is running and does not hold the
     /// flow.
     ///
@@ -262,6 +233,7 @@
         let service_time_ms = started_ms.map(|started_ms| now_ms.saturating_sub(started_ms));
         if let Some(service_time_ms) = service_time_ms {
             flow.opening = None;
+            flow.arrival = None;
             self.service_time.record(service_time_ms);
             self.busy = self.busy.saturating_sub(1);
         }
@@ -299,7 +271,7 @@
 
     /// Whether anything is pending, so that the process must not sleep for long.
     pub fn has_pending_work(&self) -> bool {
-        self.unanswered > 0 || self.queue.len() > 0 || !self.pending_replies.is_empty()
+        self.unanswered > 0 || !self.queue.is_empty() || !self.pending_replies.is_empty()
     }
 
     /// Number of requests in progress.
@@ -320,6 +292,7 @@
         }
         self.last_running_ms = now_ms;
         self.admission.start_counting(now_ms);
+        self.note_abandoned(now_ms);
         if now_ms.saturating_sub(self.last_sweep_ms) >= SWEEP_INTERVAL_MS {
             self.sweep(now_ms);
         }
@@ -329,7 +302,6 @@
     /// requests would be queued beside an idle upstream.
     fn sweep(&mut self, now_ms: Millis) {
         self.last_sweep_ms = now_ms;
-        self.queue.drop_abandoned(now_ms);
         self.flows.retain(|_, flow| now_ms.saturating_sub(flow.seen_ms) < FLOW_IDLE_TIMEOUT_MS);
         for flow in self.flows.values_mut() {
             if flow.busy_since_ms.is_some_and(|since| now_ms.saturating_sub(since) >= BUSY_MAX_MS) {
@@ -377,59 +349,22 @@
         }
         match segment.kind {
             SegmentKind::Opening { copy } => {
-                let opening = Opening { seen_ms: now_ms, age_ms: opening_age_ms(copy) };
-                flow.opening.get_or_insert(opening);
                 flow.urgent = metadata.urgent && self.policy.priority;
-                flow.next_sequence = None;
+                let is_other_flow = flow.is_ended_or_other(segment);
+                let was_busy = flow.note_opening(now_ms, segment, copy, is_other_flow);
+                if is_other_flow {
+                    self.busy = self.busy.saturating_sub(u32::from(was_busy));
+                    self.drop_request(now_ms, segment.flow);
+                }
             }
-            SegmentKind::Later => {}
+            SegmentKind::Later => self.note_request(now_ms, segment),
             SegmentKind::Reset => {
+                self.drop_request(now_ms, segment.flow);
                 self.forget(segment.flow);
             }
         }
     }
 
-    /// Queues request data if no slot is free. Returns whether the data is queued.
-    fn enqueue_if_no_slot(
-        &mut self,
-        now_ms: Millis,
-        segment: &Segment,
-        bytes: &[u8],
-        metadata: &ForwardMetadata,
-    ) -> bool {
-        if !self.policy.waiting || !self.is_request_data(segment) {
-            return false;
-        }
-        if self.queue.append(segment, bytes) {
-            return true;
-        }
-        let flow = self.flows.get(&segment.flow);
-        if flow.is_some_and(|flow| flow.has_seen(segment)) {
-            return false;
-        }
-        if flow.is_none_or(|flow| flow.sent.is_none()) {
-            return false;
-        }
-        let in_progress = flow.is_some_and(|flow| flow.busy_since_ms.is_some());
-        if in_progress || self.has_slot() || !self.queue.has_room() {
-            return false;
-        }
-        let opening = flow.and_then(|flow| flow.opening);
-        let elapsed_ms = opening.map_or(0, |opening| opening.elapsed_ms(now_ms));
-        let slo_ms =
-            if metadata.slo_ms == 0 { SLO_DEFAULT_MS } else { Millis::from(metadata.slo_ms) };
-        let wait_slos =
-            if metadata.wait_slos == 0 { WAIT_DEFAULT_SLOS } else { metadata.wait_slos };
-        let needed_ms = self.service_time.mean_or_zero_ms() + NETWORK_DELAY_MS + elapsed_ms;
-        let start_by_ms = slo_ms.checked_sub(needed_ms).map(|left_ms| now_ms + left_ms);
-        let reserved_ms = RESERVED_SERVICE_TIMES * self.service_time.mean_or_zero_ms();
-        let left_ms = (slo_ms * Millis::from(wait_slos)).saturating_sub(elapsed_ms + reserved_ms);
-        let urgent = flow.is_some_and(|flow| flow.urgent);
-        let times = Times { now_ms, start_by_ms, abandoned_from_ms: now_ms + left_ms };
-        self.queue.push(segment, bytes, times, urgent);
-        true
-    }
-
     fn take_report(&mut self, key: FlowKey) -> Option<Report> {
         let balancer = self.flows.get_mut(&key)?.report_to.take()?;
         Some(Report { balancer, busy: self.busy_saturated(), opening_sequence: None })
@@ -439,29 +374,6 @@
         u8::try_from(self.busy).unwrap_or(u8::MAX)
     }
 
-    fn has_slot(&self) -> bool {
-        self.slots == 0 || self.busy < u32::from(self.slots) + REQUESTS_BEYOND_SLOTS
-    }
-
-    fn start_request(&mut self, now_ms: Millis, segment: &Segment) {
-        let counts = self.is_request_data(segment);
-        let Some(flow) = self.flows.get_mut(&segment.flow) else { return };
-        if !counts || flow.has_seen(segment) {
-            return;
-        }
-        flow.record_data(segment);
-        if flow.busy_since_ms.is_none() {
-            flow.busy_since_ms = Some(now_ms);
-            self.busy += 1;
-        }
-    }
-
-    /// Whether the upstream starts processing a request with this packet.
-    fn is_request_data(&self, segment: &Segment) -> bool {
-        let is_continued = self.policy.upload_accounting && segment.data_bytes >= FULL_PACKET_BYTES;
-        segment.kind == SegmentKind::Later && segment.data_bytes > 0 && !is_continued
-    }
-
     fn forget(&mut self, key: FlowKey) {
         self.queue.remove_flow(key);
         let flow = self.flows.remove(&key);
--- a/crates/steering/src/side/types.rs
+++ b/crates/steering/src/side/types.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 
+use super::queue::QueuedRequest;
 use crate::flow::{FlowKey, Millis};
 use crate::view::ServiceStamp;
 
@@ -105,6 +106,38 @@
     pub packets: Vec<Box<[u8]>>,
     /// How long it was queued.
     pub waited_ms: Millis,
+    /// Whether its caller has ended the flow in the meantime, so that the upstream will not process
+    /// it.
+    pub ended: bool,
+}
+
+/// How the caller of a queued request was found to have given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GivenUpBy {
+    /// The caller ended, reset or replaced the flow.
+    End,
+    /// The caller's time-out has passed.
+    Time,
+}
+
+/// A queued request whose caller gave up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GivenUp {
+    /// Its flow.
+    pub flow: FlowKey,
+    /// Its first packet.
+    pub packet: Box<[u8]>,
+    /// How long it was queued.
+    pub waited_ms: Millis,
+    /// How the caller was found to have given up.
+    pub by: GivenUpBy,
+}
+
+impl GivenUp {
+    pub(super) fn new(now_ms: Millis, request: &QueuedRequest, by: GivenUpBy) -> Self {
+        let packet = request.packets.first().cloned().unwrap_or_default();
+        Self { flow: request.flow, packet, waited_ms: request.waited_ms(now_ms), by }
+    }
 }
 
 /// Report to a balancer, sent in addition to the packet that goes to the caller.
