Stop counting requests that an upstream must have lost while others wait

An upstream that crashes, or discards requests whose callers have gone, never answers them. Now they count for ten mean service times while others are queued, once the service time is known.

--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -82,6 +82,7 @@
     unanswered_since_ms: Millis,
     last_running_ms: Millis,
     last_sweep_ms: Millis,
+    last_reclaim_ms: Millis,
 }
 
 impl AgentCore {
@@ -108,6 +109,7 @@
             unanswered_since_ms: 0,
             last_running_ms: 0,
             last_sweep_ms: 0,
+            last_reclaim_ms: 0,
         }
     }
 
@@ -296,6 +298,7 @@
         if now_ms.saturating_sub(self.last_sweep_ms) >= SWEEP_INTERVAL_MS {
             self.sweep(now_ms);
         }
+        self.reclaim_places(now_ms);
     }
 
     /// Removes idle flows, and requests whose answers were lost. If these stayed counted, other
--- a/crates/steering/src/side/request.rs
+++ b/crates/steering/src/side/request.rs
@@ -3,14 +3,14 @@
 //!
 //! A request counts as in progress only if the upstream processes it. An upstream that knows that
 //! the caller has ended the flow discards the flow's requests without an answer. If these were
-//! counted, each would block a slot for [`BUSY_MAX_MS`](super::BUSY_MAX_MS), other callers would
+//! counted, each would block a slot for [`BUSY_MAX_MS`], other callers would
 //! give up in the meantime, and the blocking would outlast the load.
 
 use super::queue::Times;
 use super::types::{ForwardMetadata, GivenUp, GivenUpBy, Released};
 use super::{
-    AgentCore, FULL_PACKET_BYTES, NETWORK_DELAY_MS, REQUESTS_BEYOND_SLOTS, RESERVED_SERVICE_TIMES,
-    SLO_DEFAULT_MS,
+    AgentCore, BUSY_MAX_MS, FULL_PACKET_BYTES, NETWORK_DELAY_MS, REQUESTS_BEYOND_SLOTS,
+    RESERVED_SERVICE_TIMES, SLO_DEFAULT_MS,
 };
 use crate::flow::{FlowKey, Millis, Segment, SegmentKind};
 use crate::view::WAIT_DEFAULT_SLOS;
@@ -19,6 +19,14 @@
 /// each packet, so that there are no more than the queue has requests.
 const GIVEN_UP_MAX: usize = 1_024;
 
+/// While requests are queued, one counts as in progress for at most this many mean service times.
+/// The longest requests take about six; an upstream that discards a request sends no answer.
+const BUSY_MAX_SERVICE_TIMES: Millis = 10;
+/// Shortest such time. A fast upstream may pause for this long.
+const BUSY_MIN_MS: Millis = 300;
+/// Interval between two checks for requests that no longer count as in progress.
+const RECLAIM_INTERVAL_MS: Millis = 50;
+
 impl AgentCore {
     /// Removes the next queued request that may go to the upstream now, if any.
     pub fn next_released(&mut self, now_ms: Millis) -> Option<Released> {
@@ -183,6 +191,28 @@
         self.last_given_up_ms = Some(now_ms);
     }
 
+    /// Stops counting requests that must have been answered or discarded by now.
+    ///
+    /// If a crashed upstream loses as many requests as it has slots, or discards them because their
+    /// callers have gone, no further request would reach it until [`BUSY_MAX_MS`]
+    /// have passed, although it is idle. Before the first answer nothing is known of the upstream's
+    /// service time, and it may simply be slow.
+    pub(super) fn reclaim_places(&mut self, now_ms: Millis) {
+        let is_due = now_ms.saturating_sub(self.last_reclaim_ms) >= RECLAIM_INTERVAL_MS;
+        if !is_due || self.has_slot() || self.queue.is_empty() {
+            return;
+        }
+        self.last_reclaim_ms = now_ms;
+        let Some(mean_ms) = self.service_time.mean_ms() else { return };
+        let max_ms = (BUSY_MAX_SERVICE_TIMES * mean_ms).clamp(BUSY_MIN_MS, BUSY_MAX_MS);
+        for flow in self.flows.values_mut() {
+            let is_over = |since_ms: &mut Millis| now_ms.saturating_sub(*since_ms) >= max_ms;
+            if flow.busy_since_ms.take_if(is_over).is_some() {
+                self.busy = self.busy.saturating_sub(1);
+            }
+        }
+    }
+
     pub(super) fn has_slot(&self) -> bool {
         self.slots == 0 || self.busy < u32::from(self.slots) + REQUESTS_BEYOND_SLOTS
     }
--- a/crates/steering/tests/side_requests.rs
+++ b/crates/steering/tests/side_requests.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::agent::{answer, deliver, open_flow, opening_answer};
+use common::agent::{answer, deliver, new_agent, open_flow, opening_answer};
 use common::{SERVICE, closing, data, opening};
 use rstest::rstest;
 use steering::flow::{Millis, Segment, SegmentKind};
@@ -243,3 +243,25 @@
     }
     assert_eq!(given_up(&mut agent).len(), 1);
 }
+
+/// An upstream that crashes or discards requests never answers them. An agent that counted them for
+/// seconds would hold back the requests queued beside an idle upstream.
+#[rstest]
+#[case::still_counted(399, false)]
+#[case::counted_no_longer(400, true)]
+fn next_released_after_lost_answers(#[case] after_ms: Millis, #[case] released: bool) {
+    let mut agent = new_agent();
+    open_flow(&mut agent, 0, 0);
+    deliver(&mut agent, 0, &data(0, 1), 1);
+    agent.on_answer(40, answer(0));
+    for number in 1..=3 {
+        open_flow(&mut agent, 100, number);
+        deliver(&mut agent, 100, &data(number, 1), 1);
+    }
+    for now_ms in (110..100 + after_ms).step_by(40) {
+        agent.on_tick(now_ms);
+        assert!(agent.next_released(now_ms).is_none(), "released after {} ms", now_ms - 100);
+    }
+    agent.on_tick(100 + after_ms);
+    assert_eq!(agent.next_released(100 + after_ms).is_some(), released);
+}
