Place new flows by their expected delay if a deployment asks for it

Cause: a report states only the requests in progress, which the slots limit. An upstream that is slow, or has a long queue, looks like any other under load, and gets as many flows.

Change: with delay_placement, agents add the length of the queue and the mean service time to their reports. Balancers compare the expected delay of a new request in steps of an eighth of the SLO, and compare ranks 4 to 6 as well if the first three would answer too late. Typical values of a service stand in for what is not known; they are computed at most every 50 ms and service, since nearly every placement needs them and a pass for each would double its cost. Without the mechanism, reports and placements are as before.

--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -163,8 +163,9 @@
 
     fn send_report(&mut self, upstream: usize, report: &Report, packet: Packet) {
         let balancer = balancer_index(report.balancer);
-        let Report { busy, opening_sequence, .. } = *report;
-        self.send_reply(balancer, upstream, Verdict::Held { busy, opening_sequence }, packet);
+        let Report { busy, opening_sequence, load, .. } = *report;
+        let verdict = Verdict::Held { busy, opening_sequence, load };
+        self.send_reply(balancer, upstream, verdict, packet);
     }
 
     pub(super) fn send_reply(
--- a/crates/fuzzing/src/direct/world/timeline/text.rs
+++ b/crates/fuzzing/src/direct/world/timeline/text.rs
@@ -4,7 +4,7 @@
 
 use steering::edge::{Action, Destination, Verdict};
 use steering::flow::{Segment, SegmentKind};
-use steering::side::{Delivery, PacketOutcome, Report};
+use steering::side::{Delivery, LoadEstimate, PacketOutcome, Report};
 
 use super::super::{Packet, SERVICES, balancer_index, endpoint, upstream_of};
 use super::entry::{Entry, Intake, List, Received, Subject};
@@ -183,9 +183,13 @@
 impl Display for VerdictText {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         match self.0 {
-            Verdict::Held { busy, opening_sequence } => {
+            Verdict::Held { busy, opening_sequence, load } => {
                 let opening = if opening_sequence.is_some() { ", to an opening" } else { "" };
-                write!(f, "Held ({busy} busy{opening})")
+                write!(f, "Held ({busy} busy{opening}")?;
+                if let Some(LoadEstimate { queued, service_time_ms }) = load {
+                    write!(f, ", {queued} queued, {service_time_ms} ms per request")?;
+                }
+                f.write_str(")")
             }
             Verdict::WrongService { service } => {
                 let service = SERVICES.iter().position(|stamp| *stamp == service);
--- a/crates/steering/src/edge/loads.rs
+++ b/crates/steering/src/edge/loads.rs
@@ -2,12 +2,18 @@
 
 use std::net::Ipv4Addr;
 
+use super::delay::{ExpectedDelay, KnownLoad, ReportedServiceTime, TypicalLoad};
+use super::typical::TypicalLoads;
 use crate::flow::Millis;
 use crate::policy::Policy;
-use crate::view::{Upstream, View, ZoneStamp};
+use crate::side::LoadEstimate;
+use crate::view::{ServiceStamp, Upstream, View, ZoneStamp};
 
 /// A load report expires after this time; requests take tens of milliseconds.
 const REPORT_TTL_MS: Millis = 500;
+/// A reported service time expires after this time. It changes more slowly than counts of requests,
+/// and most upstreams send a balancer less than one report in 500 ms.
+const SERVICE_TIME_TTL_MS: Millis = 10_000;
 /// First time for which an upstream that left an opening unanswered is skipped. It doubles each
 /// time, so that an upstream that is gone costs little. Agents that were killed are back within
 /// half a second: if they were skipped for longer, the other upstreams would take all of the load
@@ -29,8 +35,13 @@
     /// The upstream's incarnation; the entry is discarded when it changes.
     born_ms: u64,
     busy: u32,
+    queued: u32,
     placed: u32,
     updated_ms: Millis,
+    /// Whether the counts come from a report; otherwise, only placements are known.
+    reported: bool,
+    service_time: Option<ReportedServiceTime>,
+    service_time_at_ms: Millis,
     suspect_until_ms: Millis,
     suspect_backoff_ms: Millis,
     /// Until when it takes no openings because it is cold.
@@ -46,6 +57,8 @@
     policy: Policy,
     /// The balancer's own availability zone.
     zone: ZoneStamp,
+    typical: TypicalLoads,
+    placed_beyond_ranks: u64,
 }
 
 impl LoadTable {
@@ -64,16 +77,25 @@
         self.policy.zone_affinity && upstream.zone != self.zone
     }
 
-    /// Records a report that `busy` requests are in progress.
+    /// Records a report that `busy` requests are in progress, and the estimate in it.
     pub(super) fn record_report(
         &mut self,
         now_ms: Millis,
         view: &View,
         address: Ipv4Addr,
         busy: u8,
+        estimate: Option<LoadEstimate>,
     ) {
+        let cold = view.upstream_at(address).is_some_and(|upstream| upstream.is_cold(now_ms));
+        let LoadEstimate { queued, service_time_ms } = estimate.unwrap_or_default();
         let load = self.entry(view, address);
+        if service_time_ms > 0 {
+            load.service_time = Some(ReportedServiceTime { mean_ms: service_time_ms, cold });
+            load.service_time_at_ms = now_ms;
+        }
         load.busy = u32::from(busy);
+        load.queued = u32::from(queued);
+        load.reported = true;
         load.placed = 0;
         load.updated_ms = now_ms;
         load.suspect_until_ms = 0;
@@ -85,6 +107,8 @@
         let load = self.entry(view, address);
         if now_ms.saturating_sub(load.updated_ms) >= REPORT_TTL_MS {
             load.busy = 0;
+            load.queued = 0;
+            load.reported = false;
             load.placed = 0;
             load.updated_ms = now_ms;
         }
@@ -144,6 +168,60 @@
         fresh.map_or(0, |load| load.busy + load.placed) * weight
     }
 
+    /// Whether upstreams are compared by their expected delay.
+    pub(super) fn knows_delays(&self) -> bool {
+        self.policy.load && self.policy.delay_placement
+    }
+
+    /// The delay that a new request is expected to have at an upstream.
+    pub(super) fn expected_delay(
+        &self,
+        now_ms: Millis,
+        upstream: &Upstream,
+        typical: TypicalLoad,
+        slo_ms: u32,
+    ) -> ExpectedDelay {
+        let known = self.find(upstream).map_or(KnownLoad::default(), |load| load.known(now_ms));
+        let is_cold = upstream.is_cold(now_ms);
+        let cold_weight =
+            if is_cold { f64::from(COLD_WEIGHT) / f64::from(WARM_WEIGHT) } else { 1.0 };
+        ExpectedDelay::new(known, typical, upstream.slots, cold_weight, slo_ms)
+    }
+
+    /// Typical values of a service, which stand in for what is not known of its upstreams.
+    pub(super) fn typical_load(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        service: ServiceStamp,
+    ) -> TypicalLoad {
+        let Self { loads, typical, .. } = self;
+        typical.get(now_ms, service, || {
+            // Both lists are sorted by address.
+            let mut loads = loads.iter().peekable();
+            view.upstreams_of(service).iter().filter_map(move |upstream| {
+                while loads.next_if(|load| load.address < upstream.address).is_some() {}
+                let load = loads.next_if(|load| load.address == upstream.address)?;
+                (load.born_ms == upstream.born_ms).then(|| load.known(now_ms))
+            })
+        })
+    }
+
+    /// Smallest and largest service time that was known at the latest placements.
+    pub(super) fn service_time_range_ms(&self, now_ms: Millis) -> Option<(u16, u16)> {
+        self.typical.service_time_range_ms(now_ms)
+    }
+
+    /// Counts a flow that was placed beyond the first ranks.
+    pub(super) fn count_placement_beyond_ranks(&mut self) {
+        self.placed_beyond_ranks += 1;
+    }
+
+    /// Number of flows that were placed beyond the first ranks.
+    pub(super) fn placed_beyond_ranks(&self) -> u64 {
+        self.placed_beyond_ranks
+    }
+
     fn find(&self, upstream: &Upstream) -> Option<&Load> {
         let key = |load: &Load| load.address;
         let index = self.loads.binary_search_by_key(&upstream.address, key).ok()?;
@@ -156,8 +234,12 @@
             address,
             born_ms,
             busy: 0,
+            queued: 0,
             placed: 0,
             updated_ms: 0,
+            reported: false,
+            service_time: None,
+            service_time_at_ms: 0,
             suspect_until_ms: 0,
             suspect_backoff_ms: 0,
             rate_limited_until_ms: 0,
@@ -176,3 +258,16 @@
         &mut self.loads[index]
     }
 }
+
+impl Load {
+    /// What is known at present.
+    fn known(&self, now_ms: Millis) -> KnownLoad {
+        let is_fresh = now_ms.saturating_sub(self.updated_ms) < REPORT_TTL_MS;
+        let has_service_time = now_ms.saturating_sub(self.service_time_at_ms) < SERVICE_TIME_TTL_MS;
+        KnownLoad {
+            requests: (is_fresh && self.reported).then_some(self.busy + self.queued),
+            placed: if is_fresh { self.placed } else { 0 },
+            service_time: self.service_time.filter(|_| has_service_time),
+        }
+    }
+}
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -7,6 +7,7 @@
 
 mod budget;
 mod candidates;
+mod delay;
 mod flows;
 mod lag;
 mod loads;
@@ -16,6 +17,7 @@
 mod reach;
 mod search;
 mod types;
+mod typical;
 mod visits;
 
 use std::net::Ipv4Addr;
@@ -127,8 +129,8 @@
             self.lag.record(now_ms, round_trip_ms);
         }
         match verdict {
-            Verdict::Held { busy, opening_sequence } => {
-                self.loads.record_report(now_ms, view, from, busy);
+            Verdict::Held { busy, opening_sequence, load } => {
+                self.loads.record_report(now_ms, view, from, busy, load);
                 self.on_held(now_ms, from, opening_sequence, segment.flow);
             }
             Verdict::Alive => {}
@@ -227,9 +229,15 @@
         self.lag.value_ms(now_ms)
     }
 
+    /// Smallest and largest service time that agents have reported, as of the latest placements;
+    /// `None` if none is known.
+    pub fn service_time_range_ms(&self, now_ms: Millis) -> Option<(u16, u16)> {
+        self.loads.service_time_range_ms(now_ms)
+    }
+
     /// What this balancer has done since its start.
     pub fn counters(&self) -> Counters {
-        self.counters
+        Counters { placed_beyond_ranks: self.loads.placed_beyond_ranks(), ..self.counters }
     }
 
     fn handle_reset(
--- a/crates/steering/src/edge/openings.rs
+++ b/crates/steering/src/edge/openings.rs
@@ -47,7 +47,7 @@
             actions.push(Action::Forward { to, wants_report: true, reason: Reason::Known });
             return;
         }
-        let placement = Placement { now_ms, view, loads: &self.loads };
+        let mut placement = Placement { now_ms, view, loads: &mut self.loads };
         let to = match placement.place(service, segment.flow, entry) {
             Ok(to) => to,
             Err(reason) => {
@@ -87,7 +87,7 @@
         if let Some(unresponsive) = entry.target {
             self.loads.record_no_reply(now_ms, view, unresponsive);
         }
-        let placement = Placement { now_ms, view, loads: &self.loads };
+        let mut placement = Placement { now_ms, view, loads: &mut self.loads };
         let Ok(to) = placement.place(service, flow, entry) else { return };
         entry.ask(now_ms, to);
         self.loads.record_placement(now_ms, view, to);
@@ -111,7 +111,7 @@
         }
         entry.record_opening_denial(from, now_ms);
         let Some(service) = service_of(view, flow) else { return };
-        let placement = Placement { now_ms, view, loads: &self.loads };
+        let mut placement = Placement { now_ms, view, loads: &mut self.loads };
         let to = match placement.place(service, flow, entry) {
             Ok(to) => to,
             Err(reason) => {
--- a/crates/steering/src/edge/placement.rs
+++ b/crates/steering/src/edge/placement.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::net::Ipv4Addr;
 
+use super::delay::WIDE_RANKS;
 use super::flows::Entry;
 use super::loads::LoadTable;
 use super::types::Reason;
@@ -25,14 +26,14 @@
 pub(super) struct Placement<'a> {
     pub(super) now_ms: Millis,
     pub(super) view: &'a View,
-    pub(super) loads: &'a LoadTable,
+    pub(super) loads: &'a mut LoadTable,
 }
 
-impl Placement<'_> {
+impl<'a> Placement<'a> {
     /// Chooses the upstream of a new flow among those that did not deny it; upstreams that were
     /// already asked come after all others. If there is none, returns the reason.
     pub(super) fn place(
-        &self,
+        &mut self,
         service: ServiceStamp,
         flow: FlowKey,
         entry: &Entry,
@@ -47,17 +48,54 @@
             (*class, Reverse(rank::score(flow, upstream.address)))
         });
         let first = ranked.first().map(|(class, _)| *class).ok_or(Reason::Unknown)?;
-        let best = ranked
+        let compared: Vec<&Upstream> = ranked
             .into_iter()
-            .take(PLACEMENT_RANKS)
-            .filter(|(class, _)| *class == first)
+            .take(WIDE_RANKS)
+            .take_while(|(class, _)| *class == first)
             .map(|(_, upstream)| upstream)
-            .min_by_key(|upstream| {
-                (self.loads.load(self.now_ms, upstream), self.loads.is_in_other_zone(upstream))
-            });
+            .collect();
+        let narrow = &compared[..compared.len().min(PLACEMENT_RANKS)];
+        if self.loads.knows_delays() {
+            return self.place_by_delay(service, flow, narrow, &compared).ok_or(Reason::Unknown);
+        }
+        let best = narrow.iter().min_by_key(|upstream| {
+            (self.loads.load(self.now_ms, upstream), self.loads.is_in_other_zone(upstream))
+        });
         best.map(|upstream| upstream.address).ok_or(Reason::Unknown)
     }
 
+    /// Chooses the upstream that is expected to answer soonest. The wider selection is compared
+    /// only if none of the narrow one is expected to answer within the SLO.
+    fn place_by_delay(
+        &mut self,
+        service: ServiceStamp,
+        flow: FlowKey,
+        narrow: &[&Upstream],
+        wide: &[&Upstream],
+    ) -> Option<Ipv4Addr> {
+        let typical = self.loads.typical_load(self.now_ms, self.view, service);
+        let slo_ms = self.view.routes.find(flow.endpoint).map_or(0, |route| route.slo_ms);
+        let best_of = |upstreams: &[&Upstream]| {
+            let delay = |upstream: &Upstream| {
+                self.loads.expected_delay(self.now_ms, upstream, typical, slo_ms)
+            };
+            let preference = |(_, upstream): &(usize, &Upstream)| {
+                delay(upstream).preference(slo_ms, self.loads.is_in_other_zone(upstream))
+            };
+            let best = upstreams.iter().copied().enumerate().min_by_key(preference);
+            best.map(|(rank, upstream)| (rank, upstream.address, delay(upstream)))
+        };
+        let (rank, address, delay) = best_of(narrow)?;
+        if !delay.is_late(slo_ms) {
+            return Some(address);
+        }
+        let (rank, address, _) = best_of(wide).unwrap_or((rank, address, delay));
+        if rank >= PLACEMENT_RANKS {
+            self.loads.count_placement_beyond_ranks();
+        }
+        Some(address)
+    }
+
     /// Upstreams that may take the flow at present. Each step removes some; the first step that
     /// removes all of them determines the reason.
     fn eligible_upstreams(
@@ -65,7 +103,7 @@
         service: ServiceStamp,
         flow: FlowKey,
         entry: &Entry,
-    ) -> Result<Vec<&Upstream>, Reason> {
+    ) -> Result<Vec<&'a Upstream>, Reason> {
         let route = self.view.routes.find(flow.endpoint).ok_or(Reason::NoRoute)?;
         let all = self.view.upstreams_of(service).iter().collect();
         let allowed = keep_or_reason(all, Reason::RegionNotAllowed, |upstream| {
@@ -83,7 +121,7 @@
 
     /// The ready upstreams; if there are none, those whose entries lapsed without a drain. All
     /// entries of a service lapse at once only if the list itself is at fault.
-    fn ready_or_missing<'a>(&self, upstreams: Vec<&'a Upstream>) -> Vec<&'a Upstream> {
+    fn ready_or_missing(&self, upstreams: Vec<&'a Upstream>) -> Vec<&'a Upstream> {
         let (ready, others): (Vec<&Upstream>, Vec<&Upstream>) =
             upstreams.into_iter().partition(|upstream| upstream.standing == Standing::Ready);
         if !ready.is_empty() {
--- a/crates/steering/src/edge/types.rs
+++ b/crates/steering/src/edge/types.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 
 use crate::flow::{FlowKey, Millis};
+use crate::side::LoadEstimate;
 use crate::view::{ServiceStamp, View};
 
 /// A view that has not been confirmed for this long does not prove that a flow is lost: this
@@ -20,6 +21,8 @@
         busy: u8,
         /// The sequence number with which the upstream answered an opening, if it answered one.
         opening_sequence: Option<u32>,
+        /// The agent's estimate of its upstream's load, if it states one.
+        load: Option<LoadEstimate>,
     },
     /// The agent is alive and has delivered the packet; its upstream has not answered yet.
     Alive,
@@ -185,4 +188,7 @@
     pub suppressed: u64,
     /// Packets that were returned because the upstream does not hold the flow.
     pub denials: u64,
+    /// Flows that were placed beyond the third rank, because no upstream of the first ranks was
+    /// expected to answer within the SLO.
+    pub placed_beyond_ranks: u64,
 }
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -2,6 +2,7 @@
 //! which go to a caller.
 
 mod admission;
+mod estimate;
 mod flow;
 mod pending_replies;
 mod queue;
@@ -23,7 +24,7 @@
 use service_time::ServiceTime;
 pub use slowdown::{SlowdownChange, SlowdownDetector};
 pub use types::{
-    Answer, AnswerOutcome, Delivery, ForwardMetadata, PacketOutcome, Released, Report,
+    Answer, AnswerOutcome, Delivery, ForwardMetadata, LoadEstimate, PacketOutcome, Released, Report,
 };
 
 /// An upstream that has left packets unanswered for this long, and has sent no other packet, counts
@@ -138,8 +139,11 @@
         self.note_packet(now_ms, segment, metadata);
         let delivery = self.deliver(now_ms, segment, bytes, &metadata);
         let unresponsive = matches!(delivery, Delivery::DeliverUnresponsive { .. });
-        let report =
-            if held.is_some() && !unresponsive { self.take_report(segment.flow) } else { None };
+        let report = if held.is_some() && !unresponsive {
+            self.take_report(now_ms, segment.flow)
+        } else {
+            None
+        };
         if report.is_some() || unresponsive {
             self.pending_replies.resolve(metadata.balancer);
         } else if metadata.wants_report {
@@ -270,12 +274,13 @@
         if answer.last {
             self.forget(answer.flow);
         }
-        let busy = self.busy_saturated();
+        let (busy, load) = (self.busy_saturated(), self.load_estimate(now_ms));
         AnswerOutcome {
             report: balancer.map(|balancer| Report {
                 balancer,
                 busy,
                 opening_sequence: answer.opening.then_some(answer.sequence),
+                load,
             }),
             service_time_ms,
         }
@@ -307,6 +312,11 @@
         self.busy
     }
 
+    /// Mean service time of the upstream; zero before the first answer.
+    pub fn service_time_ms(&self) -> Millis {
+        self.service_time.mean_or_zero_ms()
+    }
+
     /// Number of flows in the table.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
@@ -430,9 +440,15 @@
         true
     }
 
-    fn take_report(&mut self, key: FlowKey) -> Option<Report> {
+    fn take_report(&mut self, now_ms: Millis, key: FlowKey) -> Option<Report> {
         let balancer = self.flows.get_mut(&key)?.report_to.take()?;
-        Some(Report { balancer, busy: self.busy_saturated(), opening_sequence: None })
+        let (busy, load) = (self.busy_saturated(), self.load_estimate(now_ms));
+        Some(Report { balancer, busy, opening_sequence: None, load })
+    }
+
+    fn load_estimate(&self, now_ms: Millis) -> Option<LoadEstimate> {
+        let estimate = || estimate::load_estimate(now_ms, &self.queue, &self.service_time);
+        self.policy.delay_placement.then(estimate)
     }
 
     fn busy_saturated(&self) -> u8 {
--- a/crates/steering/src/side/queue.rs
+++ b/crates/steering/src/side/queue.rs
@@ -138,6 +138,11 @@
         self.requests.retain(|waiting| waiting.flow != flow);
     }
 
+    /// Number of requests whose callers still wait.
+    pub(super) fn awaited(&self, now_ms: Millis) -> usize {
+        self.requests.iter().filter(|waiting| now_ms < waiting.abandoned_from_ms).count()
+    }
+
     pub(super) fn len(&self) -> usize {
         self.requests.len()
     }
--- a/crates/steering/src/side/service_time.rs
+++ b/crates/steering/src/side/service_time.rs
@@ -20,6 +20,11 @@
         *mean_ms += (service_time_ms - *mean_ms) * WEIGHT;
     }
 
+    /// The mean service time; `None` before the first answer.
+    pub(super) fn mean_ms(&self) -> Option<f64> {
+        self.mean_ms
+    }
+
     /// The mean service time; zero before the first answer.
     pub(super) fn mean_or_zero_ms(&self) -> Millis {
         self.mean_ms.unwrap_or_default() as Millis
--- a/crates/steering/src/side/types.rs
+++ b/crates/steering/src/side/types.rs
@@ -107,6 +107,16 @@
     pub waited_ms: Millis,
 }
 
+/// Load of an upstream as its agent estimates it, apart from the requests in progress.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadEstimate {
+    /// Requests that wait in the agent's queue and whose callers still wait.
+    pub queued: u16,
+    /// Mean time from passing a request to the upstream to the first packet of its answer; zero
+    /// until an answer was measured.
+    pub service_time_ms: u16,
+}
+
 /// Report to a balancer, sent in addition to the packet that goes to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -116,4 +126,6 @@
     pub busy: u8,
     /// Sequence number of the upstream's answer to the opening, if the report concerns one.
     pub opening_sequence: Option<u32>,
+    /// Estimate of the upstream's load; `None` unless balancers place by expected delay.
+    pub load: Option<LoadEstimate>,
 }
--- a/crates/steering/tests/edge_bounds.rs
+++ b/crates/steering/tests/edge_bounds.rs
@@ -46,7 +46,7 @@
         if now_ms % (2 * packets_per_reply) < 2
             && let Some(to) = actions.first().and_then(target)
         {
-            let reply = Verdict::Held { busy: 0, opening_sequence: None };
+            let reply = Verdict::Held { busy: 0, opening_sequence: None, load: None };
             sent += verdict(edge, now_ms, view, to, reply, &segment).len();
         }
         if now_ms % 20 == 0 {
@@ -88,7 +88,7 @@
         let to = target(&packet(&mut edge, now_ms, &view, &opening(number, 0))[0]).unwrap();
         awaited.push((now_ms, number, to));
         for (_, number, from) in awaited.extract_if(.., |(at, ..)| *at + round_trip_ms <= now_ms) {
-            let reply = Verdict::Held { busy: 0, opening_sequence: Some(1) };
+            let reply = Verdict::Held { busy: 0, opening_sequence: Some(1), load: None };
             verdict(&mut edge, now_ms, &view, from, reply, &opening(number, 0));
         }
     }
--- a/crates/steering/tests/edge_long_answers.rs
+++ b/crates/steering/tests/edge_long_answers.rs
@@ -180,7 +180,7 @@
             let (holder, found) = &mut searched[index];
             *found |= to == *holder;
             let reply = match to == *holder {
-                true => Verdict::Held { busy: 0, opening_sequence: None },
+                true => Verdict::Held { busy: 0, opening_sequence: None, load: None },
                 false => Verdict::Denied,
             };
             if upstream.standing == Standing::Ready {
--- a/crates/steering/tests/edge_openings.rs
+++ b/crates/steering/tests/edge_openings.rs
@@ -41,7 +41,7 @@
             2,
             &view,
             first,
-            Verdict::Held { busy: 1, opening_sequence: None },
+            Verdict::Held { busy: 1, opening_sequence: None, load: None },
             &opening(1, 0),
         );
     }
@@ -150,7 +150,7 @@
         0,
         &view,
         busy,
-        Verdict::Held { busy: 50, opening_sequence: None },
+        Verdict::Held { busy: 50, opening_sequence: None, load: None },
         &opening(1, 0),
     );
     for number in 2..30 {
@@ -176,7 +176,7 @@
     assert_ne!(first, second);
     let numbers = if expected == 2 { (70_000, u32::MAX) } else { (1_000, 77_000) };
     for (from, number) in [(first, numbers.0), (second, numbers.1)] {
-        let held = Verdict::Held { busy: 0, opening_sequence: Some(number) };
+        let held = Verdict::Held { busy: 0, opening_sequence: Some(number), load: None };
         verdict(&mut edge, 210, &view, from, held, &opening(1, 0));
     }
     let segment = Segment { acknowledged, ..data(1, 2) };
@@ -191,7 +191,7 @@
 fn denied_copy_of_an_opening_does_not_move_the_open_flow() {
     let (mut edge, view) = (Edge::default(), all_ready_view());
     let holder = target(&packet(&mut edge, 0, &view, &opening(1, 0))[0]).unwrap();
-    let held = Verdict::Held { busy: 0, opening_sequence: Some(1_000) };
+    let held = Verdict::Held { busy: 0, opening_sequence: Some(1_000), load: None };
     verdict(&mut edge, 2, &view, holder, held, &opening(1, 0));
     let late = opening(1, 1);
     assert_eq!(target(&packet(&mut edge, 210, &view, &late)[0]), Some(holder));
@@ -245,7 +245,7 @@
 #[case::lagging(60, false)]
 fn opening_is_not_refused_while_lagging(#[case] round_trip_ms: Millis, #[case] refused: bool) {
     let (mut edge, view) = (Edge::default(), all_ready_view());
-    let held = Verdict::Held { busy: 0, opening_sequence: None };
+    let held = Verdict::Held { busy: 0, opening_sequence: None, load: None };
     for number in 10..20 {
         let now_ms = Millis::from(number) * 5;
         let to = target(&packet(&mut edge, now_ms, &view, &opening(number, 0))[0]).unwrap();
--- a/crates/steering/tests/edge_outdated_view.rs
+++ b/crates/steering/tests/edge_outdated_view.rs
@@ -151,7 +151,9 @@
         let service = listed.unwrap().service;
         match (reused, service == to.service) {
             (_, false) => Verdict::WrongService { service },
-            (true, true) if self.held => Verdict::Held { busy: 0, opening_sequence: None },
+            (true, true) if self.held => {
+                Verdict::Held { busy: 0, opening_sequence: None, load: None }
+            }
             (_, true) => Verdict::Denied,
         }
     }
--- a/crates/steering/tests/edge_search.rs
+++ b/crates/steering/tests/edge_search.rs
@@ -26,7 +26,7 @@
         1,
         &view,
         holder,
-        Verdict::Held { busy: 0, opening_sequence: None },
+        Verdict::Held { busy: 0, opening_sequence: None, load: None },
         &data(1, 5),
     );
     let actions = packet(&mut edge, 2, &view, &data(1, 105));
@@ -101,7 +101,7 @@
         151,
         &view,
         holder,
-        Verdict::Held { busy: 1, opening_sequence: None },
+        Verdict::Held { busy: 1, opening_sequence: None, load: None },
         &segment,
     );
     verdict(&mut edge, 152, &view, first, Verdict::Denied, &segment);
@@ -189,7 +189,7 @@
     let dead = target(&packet(&mut Edge::default(), 0, &view, &segment)[0]).unwrap();
     let sent = search(&mut edge, &view, &segment, &[dead], 170);
     let copied = sent.iter().map(|(_, to)| *to).find(|to| *to != dead).unwrap();
-    let found = Verdict::Held { busy: 0, opening_sequence: None };
+    let found = Verdict::Held { busy: 0, opening_sequence: None, load: None };
     verdict(&mut edge, 160, &view, copied, found, &segment);
     assert_eq!(target(&packet(&mut edge, 161, &view, &data(1, 105))[0]), Some(copied));
 }
@@ -202,7 +202,7 @@
     let (mut edge, view) = (Edge::default(), all_ready_view());
     let segment = data(1, 5);
     let holder = target(&packet(&mut edge, 0, &view, &segment)[0]).unwrap();
-    let held = Verdict::Held { busy: 0, opening_sequence: None };
+    let held = Verdict::Held { busy: 0, opening_sequence: None, load: None };
     verdict(&mut edge, 1, &view, holder, held, &segment);
     for now_ms in [4_000, 4_200, 4_600] {
         let actions = packet(&mut edge, now_ms, &view, &data(1, 105));
@@ -219,7 +219,7 @@
     let (mut edge, view) = (Edge::default(), view_of(&[READY; 4]));
     let segment = data(1, 5);
     let unresponsive = target(&packet(&mut edge, 0, &view, &segment)[0]).unwrap();
-    let held = Verdict::Held { busy: 0, opening_sequence: None };
+    let held = Verdict::Held { busy: 0, opening_sequence: None, load: None };
     verdict(&mut edge, 1, &view, unresponsive, held, &segment);
     let copies = [1_000, 1_200, 1_600, 2_400]
         .map(|now_ms| packet(&mut edge, now_ms, &view, &data(1, 105)).len() - 1);
@@ -229,8 +229,8 @@
 /// Operators need to know how long searches are after balancers were replaced: the mean number of
 /// upstreams asked for each flow that is found.
 #[rstest]
-#[case::found_at_the_first(1, Counters { flows_found: 1, upstreams_asked: 1, copies: 0, suppressed: 0, denials: 0 })]
-#[case::found_at_the_third(3, Counters { flows_found: 1, upstreams_asked: 3, copies: 0, suppressed: 0, denials: 2 })]
+#[case::found_at_the_first(1, Counters { flows_found: 1, upstreams_asked: 1, ..Counters::default() })]
+#[case::found_at_the_third(3, Counters { flows_found: 1, upstreams_asked: 3, denials: 2, ..Counters::default() })]
 fn counters_report_the_search_length(#[case] rank: u64, #[case] expected: Counters) {
     let (mut edge, view) = (Edge::default(), all_ready_view());
     let segment = data(1, 5);
@@ -239,7 +239,7 @@
         let next = verdict(&mut edge, 0, &view, asked, Verdict::Denied, &segment);
         asked = target(&next[0]).unwrap();
     }
-    let held = Verdict::Held { busy: 0, opening_sequence: None };
+    let held = Verdict::Held { busy: 0, opening_sequence: None, load: None };
     verdict(&mut edge, 1, &view, asked, held, &segment);
     verdict(&mut edge, 2, &view, asked, held, &segment);
     assert_eq!(edge.counters(), expected);
@@ -330,7 +330,7 @@
     let view = view_of(&[READY; 4]);
     let mut edge = Edge::with_policy(Policy { copies: false, ..Policy::default() });
     let unresponsive = target(&packet(&mut edge, 0, &view, &opening(1, 0))[0]).unwrap();
-    let held = Verdict::Held { busy: 0, opening_sequence: Some(1_000) };
+    let held = Verdict::Held { busy: 0, opening_sequence: Some(1_000), load: None };
     verdict(&mut edge, 1, &view, unresponsive, held, &opening(1, 0));
     let mut reached = Vec::new();
     for now_ms in 1_000..4_000 {
--- a/crates/steering/tests/edge_size.rs
+++ b/crates/steering/tests/edge_size.rs
@@ -58,7 +58,7 @@
         let mut reset_flows: Vec<u16> = Vec::new();
         let known = data(u16::MAX, 1);
         let at = target(&packet(&mut edge, 0, view, &known)[0]).unwrap();
-        let held = Verdict::Held { busy: 0, opening_sequence: None };
+        let held = Verdict::Held { busy: 0, opening_sequence: None, load: None };
         verdict(&mut edge, 0, view, at, held, &known);
         for now_ms in 0..self.duration_ms {
             // The packets of a healthy flow add to the budget for extra packets.
@@ -260,7 +260,7 @@
 fn confirmed_flow_of_a_dead_upstream_is_reset(#[case] repeatable: bool, #[case] reset: bool) {
     let view = view_with(&[READY; 10], repeatable);
     let mut edge = Edge::default();
-    let held = Verdict::Held { busy: 0, opening_sequence: None };
+    let held = Verdict::Held { busy: 0, opening_sequence: None, load: None };
     let mut known: Vec<(u16, Ipv4Addr)> = Vec::new();
     for number in 1..200 {
         let to = target(&packet(&mut edge, 0, &view, &data(number, 5))[0]).unwrap();
--- a/crates/steering/tests/zones.rs
+++ b/crates/steering/tests/zones.rs
@@ -83,7 +83,7 @@
     let before = view_in(&[(A, READY)], &[]);
     let mut edge = Edge::default();
     let holder = target(&packet(&mut edge, 0, &before, &opening(1, 0))[0]).unwrap();
-    let held = Verdict::Held { busy: 0, opening_sequence: Some(1_000) };
+    let held = Verdict::Held { busy: 0, opening_sequence: Some(1_000), load: None };
     verdict(&mut edge, 2, &before, holder, held, &opening(1, 0));
     let mut edge = if known { edge } else { Edge::default() };
     let closed = view_in(&[(A, READY), (B, READY)], &[A]);
@@ -106,7 +106,7 @@
     let mut edge = Edge::default();
     let first = target(&packet(&mut edge, 0, &before, &opening(1, 0))[0]).unwrap();
     if confirmed {
-        let held = Verdict::Held { busy: 0, opening_sequence: Some(1_000) };
+        let held = Verdict::Held { busy: 0, opening_sequence: Some(1_000), load: None };
         verdict(&mut edge, 2, &before, first, held, &opening(1, 0));
     }
     let after = view_in(&upstreams, &[A]);
