Let unknown upstreams count with the mean work, not the mean number

Cause: in replays of a saturating load, an upstream whose counts had expired counted with the mean number of requests. For a slow upstream that is more work than the mean, so that it was not chosen, sent no report, and stayed unknown.

Change: an upstream without a fresh report counts with the mean time of work of those that have one.

--- a/crates/steering/src/edge/delay.rs
+++ b/crates/steering/src/edge/delay.rs
@@ -37,7 +37,12 @@
 /// Values of a service's upstreams, which stand in for what is not known about one of them.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct TypicalLoad {
-    /// Mean of the requests in progress and queued; zero if no upstream has a fresh report.
+    /// Mean of the requests in progress and queued, in requests of the median service time; zero
+    /// if no upstream has a fresh report.
+    ///
+    /// An upstream without a report is taken to have the mean time of work before it. With the
+    /// mean number of requests, a slow one would never be chosen under load, and would therefore
+    /// never report.
     pub(super) requests: f64,
     /// Median of the service times; `None` if none is known.
     pub(super) service_time_ms: Option<u16>,
@@ -48,18 +53,23 @@
 impl TypicalLoad {
     /// Summarizes the upstreams about which something is known.
     pub(super) fn of(known: impl Iterator<Item = KnownLoad>) -> Self {
-        let (mut requests, mut reports, mut times_ms) = (0_u64, 0_u64, Vec::new());
+        let (mut reports, mut times_ms) = (Vec::new(), Vec::new());
         for load in known {
-            if let Some(count) = load.requests {
-                requests += u64::from(count);
-                reports += 1;
-            }
-            times_ms.extend(load.service_time.map(|service_time| service_time.mean_ms));
+            let time_ms = load.service_time.map(|service_time| service_time.mean_ms);
+            reports.extend(load.requests.map(|requests| (requests, time_ms)));
+            times_ms.extend(time_ms);
         }
         let range_ms = times_ms.iter().min().copied().zip(times_ms.iter().max().copied());
         let middle = times_ms.len().saturating_sub(1) / 2;
-        let service_time_ms = range_ms.is_some().then(|| *times_ms.select_nth_unstable(middle).1);
-        Self { requests: requests as f64 / reports.max(1) as f64, service_time_ms, range_ms }
+        let median_ms = range_ms.is_some().then(|| *times_ms.select_nth_unstable(middle).1);
+        let weight = |time_ms: Option<u16>| match (time_ms, median_ms) {
+            (Some(time_ms), Some(median_ms)) => f64::from(time_ms) / f64::from(median_ms),
+            _ => 1.0,
+        };
+        let work: f64 =
+            reports.iter().map(|(requests, time_ms)| f64::from(*requests) * weight(*time_ms)).sum();
+        let requests = work / reports.len().max(1) as f64;
+        Self { requests, service_time_ms: median_ms, range_ms }
     }
 }
 
@@ -94,7 +104,9 @@
         };
         // An upstream with an unknown number of slots processes at least one request at a time.
         let slots = f64::from(slots.max(1));
-        let requests = known.requests.map_or(typical.requests, f64::from);
+        let weight =
+            typical.service_time_ms.map_or(1.0, |median_ms| service_time_ms / f64::from(median_ms));
+        let requests = known.requests.map_or(typical.requests / weight, f64::from);
         let ahead = (requests + f64::from(known.placed) + 1.0 - slots).max(0.0);
         Self { us: (service_time_ms * (1.0 + ahead / slots) * US_PER_MS) as u64 }
     }
