--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -2,6 +2,7 @@
 //! which go to a caller.
 
 mod admission;
+mod estimate;
 mod flow;
 mod pending_replies;
 mod queue;
@@ -24,8 +25,8 @@
 use service_time::ServiceTime;
 pub use slowdown::{SlowdownChange, SlowdownDetector};
 pub use types::{
-    Answer, AnswerOutcome, Delivery, ForwardMetadata, GivenUp, GivenUpBy, PacketOutcome, Released,
-    Report,
+    Answer, AnswerOutcome, Delivery, ForwardMetadata, GivenUp, GivenUpBy, LoadEstimate,
+    PacketOutcome, Released, Report,
 };
 
 /// An upstream that has left packets unanswered for this long, and has sent no other packet, counts
@@ -244,12 +245,13 @@
         if answer.last {
             self.forget(answer.flow);
         }
-        let busy = self.busy_saturated();
+        let (busy, load) = (self.busy_saturated(), self.load_estimate());
         AnswerOutcome {
             report: balancer.map(|balancer| Report {
                 balancer,
                 busy,
                 opening_sequence: answer.opening.then_some(answer.sequence),
+                load,
             }),
             service_time_ms,
         }
@@ -281,6 +283,11 @@
         self.busy
     }
 
+    /// Mean service time of the upstream; zero before the first answer.
+    pub fn service_time_ms(&self) -> Millis {
+        self.service_time.mean_or_zero_ms()
+    }
+
     /// Number of flows in the table.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
@@ -370,7 +377,13 @@
 
     fn take_report(&mut self, key: FlowKey) -> Option<Report> {
         let balancer = self.flows.get_mut(&key)?.report_to.take()?;
-        Some(Report { balancer, busy: self.busy_saturated(), opening_sequence: None })
+        let (busy, load) = (self.busy_saturated(), self.load_estimate());
+        Some(Report { balancer, busy, opening_sequence: None, load })
+    }
+
+    fn load_estimate(&self) -> Option<LoadEstimate> {
+        let estimate = || estimate::load_estimate(&self.queue, &self.service_time);
+        self.policy.delay_placement.then(estimate)
     }
 
     fn busy_saturated(&self) -> u8 {
--- a/crates/steering/src/side/request.rs
+++ b/crates/steering/src/side/request.rs
@@ -204,7 +204,7 @@
         }
         self.last_reclaim_ms = now_ms;
         let Some(mean_ms) = self.service_time.mean_ms() else { return };
-        let max_ms = (BUSY_MAX_SERVICE_TIMES * mean_ms).clamp(BUSY_MIN_MS, BUSY_MAX_MS);
+        let max_ms = (BUSY_MAX_SERVICE_TIMES * mean_ms as Millis).clamp(BUSY_MIN_MS, BUSY_MAX_MS);
         for flow in self.flows.values_mut() {
             let is_over = |since_ms: &mut Millis| now_ms.saturating_sub(*since_ms) >= max_ms;
             if flow.busy_since_ms.take_if(is_over).is_some() {
--- a/crates/steering/src/side/service_time.rs
+++ b/crates/steering/src/side/service_time.rs
@@ -21,12 +21,12 @@
     }
 
     /// The mean service time; `None` before the first answer.
-    pub(super) fn mean_ms(&self) -> Option<Millis> {
-        self.mean_ms.map(|mean_ms| mean_ms as Millis)
+    pub(super) fn mean_ms(&self) -> Option<f64> {
+        self.mean_ms
     }
 
     /// The mean service time; zero before the first answer.
     pub(super) fn mean_or_zero_ms(&self) -> Millis {
-        self.mean_ms().unwrap_or_default()
+        self.mean_ms.unwrap_or_default() as Millis
     }
 }
