Add a fuzzed world with upstreams of few slots and bursts of requests

Cause: no fuzzed world has upstreams that process requests, so nothing checks what agents count and what callers get while requests outnumber the slots.

Change: the world `overloaded` has upstreams of unequal speed with two slots each, callers that give up with a FIN, bursts, and faults; both mechanisms are on. Two new checks: five seconds after the last burst and failure every request is answered, and no agent counts a request that its upstream does not have. The check of needless resets takes effect with the verdict that reports overload.

The first two are expected before the agent passes on requests whose callers have ended their flow.

--- a/crates/fuzzing/src/command.rs
+++ b/crates/fuzzing/src/command.rs
@@ -25,7 +25,7 @@
   --list         only list the episodes that break a promise; shrink and trace none
   --direct N     play N minutes of the direct-return path instead, each from a seed of its own
   --world NAME   the world of these: small (unless given), moving, crowded, crowded-moving,
-                 returning, crowded-returning,
+                 returning, crowded-returning, overloaded,
                  large or long-answers
   --direct-episode S
                  play the minute of seed S in this world; print the time line of the flow with
@@ -123,6 +123,7 @@
         "crowded-moving" => Size::CROWDED_MOVING,
         "returning" => Size::RETURNING,
         "crowded-returning" => Size::CROWDED_RETURNING,
+        "overloaded" => Size::OVERLOADED,
         "large" => Size::LARGE,
         "long-answers" => Size::LONG_ANSWERS,
         other => anyhow::bail!("there is no world {other}"),
--- a/crates/fuzzing/src/direct/caller.rs
+++ b/crates/fuzzing/src/direct/caller.rs
@@ -21,6 +21,8 @@
 const PART_TIMEOUT_MS: u64 = 2_000;
 /// Size of a request.
 const REQUEST_BYTES: u16 = 100;
+/// Time for which a caller that has given up retransmits the end of its flow.
+const LEAVE_MS: u64 = 600;
 
 /// State of a caller's flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +37,8 @@
     Idle,
     /// Has closed the flow; waits for the upstream's confirmation.
     Ending { since_ms: u64, pause_ms: u64 },
+    /// Has given up a request and ended the flow; the end may stay unconfirmed.
+    Leaving { since_ms: u64, pause_ms: u64 },
     /// The flow is closed or abandoned.
     Ended,
 }
@@ -52,6 +56,8 @@
     pub(super) opened_ms: u64,
     /// When the latest packet was sent.
     pub(super) sent_ms: u64,
+    /// Time after which it gives up a request and ends the flow, if it does.
+    timeout_ms: Option<u64>,
     sequence: u32,
     /// Bytes received on this flow in answers that come in parts.
     received_bytes: u32,
@@ -67,18 +73,47 @@
             due_ms: now_ms,
             opened_ms: now_ms,
             sent_ms: now_ms,
+            timeout_ms: None,
             sequence: 1,
             received_bytes: 0,
         }
     }
 
+    /// The caller, which ends its flow if a request is not answered within this time.
+    pub(super) fn with_timeout(self, timeout_ms: u64) -> Self {
+        Self { timeout_ms: Some(timeout_ms), ..self }
+    }
+
+    /// The caller without an open flow; it sends nothing.
+    pub(super) fn park(&mut self) {
+        self.state = State::Ended;
+        self.due_ms = u64::MAX;
+    }
+
     /// Handles the caller's timer; returns the packet that it sends, if any.
     pub(super) fn on_timer(&mut self, now_ms: u64) -> Option<Packet> {
         match self.state {
             State::Opening { since_ms, copies } => self.send_opening(now_ms, since_ms, copies),
+            State::Requesting { since_ms, .. }
+                if self.timeout_ms.is_some_and(|timeout_ms| now_ms - since_ms >= timeout_ms) =>
+            {
+                let packet = self.end(now_ms);
+                self.state = State::Leaving { since_ms: now_ms, pause_ms: RETRANSMIT_MIN_MS };
+                Some(packet)
+            }
+            State::Leaving { since_ms, .. } if now_ms - since_ms >= LEAVE_MS => {
+                self.state = State::Ended;
+                None
+            }
+            State::Leaving { since_ms, pause_ms } => {
+                let pause_ms = self.back_off(now_ms, since_ms, pause_ms)?;
+                self.state = State::Leaving { since_ms, pause_ms };
+                Some(self.last_packet())
+            }
             State::Requesting { since_ms, pause_ms } => {
                 let pause_ms = self.back_off(now_ms, since_ms, pause_ms)?;
                 self.state = State::Requesting { since_ms, pause_ms };
+                self.due_ms = self.before_timeout(self.due_ms, since_ms);
                 Some(self.packet(SegmentKind::Later, self.sequence, REQUEST_BYTES))
             }
             State::Ending { since_ms, pause_ms } => {
@@ -168,10 +203,15 @@
 
     fn send_request(&mut self, now_ms: u64) -> Packet {
         self.state = State::Requesting { since_ms: now_ms, pause_ms: RETRANSMIT_MIN_MS };
-        self.due_ms = now_ms + RETRANSMIT_MIN_MS;
+        self.due_ms = self.before_timeout(now_ms + RETRANSMIT_MIN_MS, now_ms);
         self.packet(SegmentKind::Later, self.sequence, REQUEST_BYTES)
     }
 
+    /// The time, or when the caller gives up a request that it has sent at `since_ms`.
+    fn before_timeout(&self, at_ms: u64, since_ms: u64) -> u64 {
+        self.timeout_ms.map_or(at_ms, |timeout_ms| at_ms.min(since_ms + timeout_ms))
+    }
+
     /// Returns the delay before the same packet is sent again, or `None` if the caller gives up.
     fn back_off(&mut self, now_ms: u64, since_ms: u64, pause_ms: u64) -> Option<u64> {
         if now_ms - since_ms >= REQUEST_TIMEOUT_MS {
--- a/crates/fuzzing/src/direct/mod.rs
+++ b/crates/fuzzing/src/direct/mod.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod plan;
+mod slots;
 mod upstream;
 mod world;
 
@@ -33,6 +34,13 @@
     RegionNotAllowed,
     /// An upstream received an opening long after the route had left its service.
     OpeningAtFormerService,
+    /// A caller gave up a request long after the last burst of requests and the last failure.
+    RequestUnanswered,
+    /// An agent counted a request as in progress that its upstream did not have, long after the last
+    /// burst of requests and the last failure.
+    RequestMiscounted,
+    /// A balancer reset an opening as overloaded that an upstream would have taken.
+    NeedlessReset,
 }
 
 /// A safeguard that is removed, to verify that the promises detect its absence.
--- a/crates/fuzzing/src/direct/plan.rs
+++ b/crates/fuzzing/src/direct/plan.rs
@@ -43,6 +43,8 @@
     LosePower,
     /// The configuration service comes back from an older copy, with or without an outage.
     ReturnStore,
+    /// For some seconds, callers send more requests than the upstreams can process.
+    Burst,
 }
 
 /// Draws whether the configuration service comes back from a copy next.
@@ -67,6 +69,26 @@
     }
 }
 
+/// Draws the next change of a world with bursts of requests. No upstream leaves for long, so that
+/// those that stay can process what is sent between the bursts.
+pub(super) fn draw_burst(rng: &mut impl Rng, balancers: usize, upstreams: usize) -> Change {
+    let balancer = rng.random_range(0..balancers);
+    let upstream = rng.random_range(0..upstreams);
+    match rng.random_range(0..24) {
+        0..=2 => Change::Reshuffle,
+        3..=5 => Change::RestartBalancer(balancer),
+        6..=7 => Change::CutBalancer(balancer),
+        8..=9 => Change::PauseBalancer(balancer),
+        10..=12 => Change::RestartAgent(upstream),
+        13..=14 => Change::CrashUpstream(upstream),
+        15..=16 => Change::CutAgent(upstream),
+        17..=18 => Change::SlowUpstream(upstream),
+        19 => Change::KillInstance(upstream),
+        20 => Change::LoseAllMemory,
+        _ => Change::Burst,
+    }
+}
+
 /// Draws the next change of a world with severe faults.
 pub(super) fn draw_severe(rng: &mut impl Rng, balancers: usize, upstreams: usize) -> Change {
     let upstream = rng.random_range(0..upstreams);
--- a/crates/fuzzing/src/direct/upstream.rs
+++ b/crates/fuzzing/src/direct/upstream.rs
@@ -4,6 +4,7 @@
 
 use steering::flow::{FlowKey, SegmentKind};
 
+use super::slots::Slots;
 use super::world::Packet;
 
 /// Initial sequence number with which an incarnation of an upstream answers openings.
@@ -20,6 +21,8 @@
     Accept,
     /// Answers a request.
     Answer,
+    /// Queues a request until a slot is free.
+    Queue,
     /// Confirms the end of a flow.
     Close,
     /// Consumes the packet without a reply.
@@ -96,6 +99,8 @@
     /// Long answers in progress, and bytes sent on flows that had one.
     answers: BTreeMap<FlowKey, LongAnswer>,
     sent_bytes: BTreeMap<FlowKey, u32>,
+    /// Requests, where upstreams process only a few at a time.
+    pub(super) slots: Slots,
 }
 
 impl Upstream {
@@ -110,6 +115,7 @@
         self.flows.clear();
         self.answers.clear();
         self.sent_bytes.clear();
+        self.slots = Slots::default();
     }
 
     /// Starts a long answer, unless the flow has one in progress.
--- a/crates/fuzzing/src/direct/world/changes.rs
+++ b/crates/fuzzing/src/direct/world/changes.rs
@@ -8,8 +8,8 @@
 use steering::view::RouteTable;
 
 use super::{
-    Balancer, CHANGE_INTERVAL_MS, COLD_MS, EMPTY_PACKET, Entry, Event, SERVICES, SETTLE_MS, SPLITS,
-    Size, TICK_MS, World, ZONES, balancer_index, route, upstream_of,
+    Balancer, CHANGE_INTERVAL_MS, COLD_MS, EMPTY_PACKET, Entry, Event, SERVICES, SPLITS, Size,
+    TICK_MS, World, ZONES, balancer_index, overload, route, upstream_of,
 };
 use crate::direct::upstream::Upstream;
 use crate::direct::{Change, Mutant, plan};
@@ -32,6 +32,7 @@
         for upstream in 0..self.size.upstreams {
             self.tick_agent(upstream);
         }
+        self.check_counts();
     }
 
     fn tick_agent(&mut self, upstream: usize) {
@@ -40,6 +41,7 @@
         for balancer in agent.take_due_replies(self.now_ms) {
             self.send_reply(balancer_index(balancer), upstream, Verdict::Alive, EMPTY_PACKET);
         }
+        self.release_queued(upstream);
     }
 
     fn tick_balancer(&mut self, balancer: usize) {
@@ -82,7 +84,7 @@
     pub(super) fn change(&mut self) {
         let delay_ms = self.rng.random_range(1..2 * CHANGE_INTERVAL_MS);
         // Occasionally leaves the world undisturbed for long enough to check what must recover.
-        let pause_ms = if self.rng.random_bool(0.05) { 2 * SETTLE_MS } else { 0 };
+        let pause_ms = if self.rng.random_bool(0.05) { self.size.pause_ms() } else { 0 };
         self.schedule(delay_ms + pause_ms, Event::Change);
         let Size {
             balancers,
@@ -91,6 +93,7 @@
             moving_routes,
             long_answers,
             store_returns_percent,
+            bursts,
             ..
         } = self.size;
         let moved = if moving_routes { plan::draw_move(&mut self.rng) } else { None };
@@ -99,6 +102,7 @@
             percent => plan::draw_return(&mut self.rng, percent),
         };
         let change = returned.or(moved).unwrap_or_else(|| match (long_answers, severe_faults) {
+            _ if bursts => plan::draw_burst(&mut self.rng, balancers, upstreams),
             (true, _) => plan::draw_planned(&mut self.rng, upstreams),
             (false, true) => plan::draw_severe(&mut self.rng, balancers, upstreams),
             (false, false) => plan::draw(&mut self.rng, balancers, upstreams),
@@ -175,6 +179,7 @@
             Change::CloseZone(zone) => self.close_zone(zone),
             Change::MoveRoute(endpoint) => self.move_route(endpoint),
             Change::ReturnStore => self.lose_store(),
+            Change::Burst => self.start_burst(),
         }
     }
 
@@ -280,7 +285,10 @@
     pub(super) fn start_agent(&mut self, upstream: usize) {
         let unreachable_until_ms = &mut self.unreachable_until_ms[upstream];
         *unreachable_until_ms = (*unreachable_until_ms).max(self.now_ms);
-        self.agents[upstream] = Some(AgentCore::new(SERVICES[self.upstreams[upstream].service]));
+        let service = SERVICES[self.upstreams[upstream].service];
+        let agent = AgentCore::with_policy(service, overload::policy(self.size.bursts));
+        self.agents[upstream] = Some(agent);
+        self.note_started();
         self.note(|world| world.agent_started(upstream));
     }
 
@@ -291,6 +299,7 @@
             self.upstreams[upstream].cold_until_ms = self.now_ms + COLD_MS;
         }
         self.listed[upstream] = Some(self.entry(upstream));
+        self.note_started();
         self.note(|world| world.upstream_started(upstream));
     }
 
--- a/crates/fuzzing/src/direct/world/layout.rs
+++ b/crates/fuzzing/src/direct/world/layout.rs
@@ -5,6 +5,8 @@
 use steering::flow::FlowKey;
 use steering::view::{RegionStamp, Route, ServiceStamp, Share, ZoneStamp};
 
+use super::SETTLE_MS;
+
 /// Size of a world, and the kinds of changes in it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
@@ -25,6 +27,9 @@
     pub(super) store_returns_percent: u8,
     /// Whether balancers often restart when it returns.
     pub(super) restarts_at_returns: bool,
+    /// Whether upstreams process a few requests at a time, and callers at times send more. All
+    /// mechanisms are on.
+    pub(super) bursts: bool,
 }
 
 impl Size {
@@ -39,6 +44,7 @@
         long_answers: false,
         store_returns_percent: 0,
         restarts_at_returns: false,
+        bursts: false,
     };
     /// Like `SMALL`, with routes that change their services.
     pub const MOVING: Self = Self { moving_routes: true, ..Self::SMALL };
@@ -52,6 +58,10 @@
     /// restart.
     pub const CROWDED_RETURNING: Self =
         Self { store_returns_percent: 2, restarts_at_returns: true, ..Self::CROWDED };
+    /// Like `SMALL`, with upstreams of unequal speed and bursts of requests beyond what they can
+    /// process, beside faults.
+    pub const OVERLOADED: Self =
+        Self { callers: 300, severe_faults: true, bursts: true, ..Self::SMALL };
     /// Over a hundred upstreams, with severe faults.
     pub const LARGE: Self = Self {
         balancers: 6,
@@ -63,6 +73,7 @@
         long_answers: false,
         store_returns_percent: 0,
         restarts_at_returns: false,
+        bursts: false,
     };
     /// A large service under planned changes only, with answers in parts.
     pub const LONG_ANSWERS: Self = Self {
@@ -75,9 +86,18 @@
         long_answers: true,
         store_returns_percent: 0,
         restarts_at_returns: false,
+        bursts: false,
     };
 }
 
+impl Size {
+    /// Length of the pauses between changes in which the world settles. After a burst, callers and
+    /// queues need a part of it.
+    pub(super) fn pause_ms(self) -> u64 {
+        if self.bursts { 3 * SETTLE_MS } else { 2 * SETTLE_MS }
+    }
+}
+
 /// Number of services. Initially each has a route of its own.
 pub(in crate::direct) const SERVICES_COUNT: usize = 2;
 pub(super) const SERVICES: [ServiceStamp; SERVICES_COUNT] = [ServiceStamp(1), ServiceStamp(2)];
--- a/crates/fuzzing/src/direct/world/lists.rs
+++ b/crates/fuzzing/src/direct/world/lists.rs
@@ -7,6 +7,7 @@
 use steering::membership::{Membership, UpstreamRecord};
 use steering::view::{Route, RouteTable, Standing, Upstream as Listed, View};
 
+use super::overload::SLOTS;
 use super::{
     Balancer, Event, LIST_DELAY_MAX_MS, SERVICES, UNCONFIGURED_SERVICE, World, address,
     upstream_of, zone_of, zone_stamp,
@@ -27,7 +28,7 @@
             zone: zone_stamp(zone_of(upstream)),
             draining: draining_since_ms.is_some(),
             warmup_left_ms: cold_until_ms.saturating_sub(self.now_ms),
-            slots: 7,
+            slots: if self.size.bursts { SLOTS } else { 7 },
         }
     }
 
--- a/crates/fuzzing/src/direct/world/mod.rs
+++ b/crates/fuzzing/src/direct/world/mod.rs
@@ -5,6 +5,7 @@
 mod checks;
 mod layout;
 mod lists;
+mod overload;
 mod packets;
 mod reports;
 mod store;
@@ -31,6 +32,7 @@
     endpoint_index, region_of, route, upstream_of, zone_of, zone_stamp,
 };
 pub(super) use layout::{SERVICES_COUNT, ZONES};
+use overload::Overload;
 use store::{Answer, Item, ReaderReport, Store};
 use timeline::Entry;
 pub use timeline::Timeline;
@@ -200,6 +202,7 @@
     disturbed_until_ms: u64,
     /// The configuration service, if it comes back from copies.
     store: Option<Store>,
+    overload: Overload,
     /// What has happened, if it is recorded.
     pub(super) timeline: Option<Timeline>,
 }
@@ -207,7 +210,7 @@
 impl World {
     /// Creates an undisturbed world in which all callers open their flows.
     pub fn new(size: Size, seed: u64, mutant: Option<Mutant>) -> Self {
-        let route = |service: usize| route(service, SPLITS[service]);
+        let route = |service: usize| overload::timed(size.bursts, route(service, SPLITS[service]));
         let limited = Service {
             stamp: SERVICES[LIMITED_SERVICE],
             cold_openings_per_ks: COLD_OPENINGS_PER_S * 1_000,
@@ -244,6 +247,7 @@
             ports: 1_024,
             disturbed_until_ms: 0,
             store: None,
+            overload: Overload::default(),
             timeline: None,
         };
         world.populate(seed);
@@ -277,7 +281,11 @@
         }
         for caller in 0..self.size.callers {
             let flow = self.new_flow();
-            self.callers.push(Caller::open(flow, 0));
+            let mut opened = self.new_caller(caller, flow, 0);
+            if self.is_parked(caller) {
+                opened.park();
+            }
+            self.callers.push(opened);
             self.schedule((caller % 24) as u64 * 7, Event::CallerTimer(caller));
         }
         self.schedule(TICK_MS, Event::Tick);
@@ -301,7 +309,7 @@
         };
         let view = self.view_of(&knowledge);
         Balancer {
-            edge: Edge::default(),
+            edge: Edge::with_policy(overload::policy(self.size.bursts)),
             knowledge,
             view,
             is_calling: false,
@@ -385,12 +393,18 @@
             }
             Event::Closed { caller, flow } => {
                 let current = &self.callers[caller];
-                if current.flow == flow && matches!(current.state, State::Ending { .. }) {
+                let is_ending =
+                    matches!(current.state, State::Ending { .. } | State::Leaving { .. });
+                if current.flow == flow && is_ending {
                     self.reopen(caller);
                 }
             }
             Event::SlowAnswer { upstream, incarnation, packet } => {
-                if self.upstreams[upstream].incarnation == incarnation {
+                if self.upstreams[upstream].incarnation != incarnation {
+                    // Restarted meanwhile.
+                } else if self.size.bursts {
+                    self.finish_request(upstream, packet);
+                } else {
                     self.answer_data(upstream, packet);
                 }
             }
@@ -405,6 +419,8 @@
                 }
                 self.note_memory_lost();
                 self.balancers[balancer] = self.new_balancer();
+                self.forget_verdicts(balancer);
+                self.note_started();
                 self.ask_others(balancer);
                 self.note(|world| world.balancer_started(balancer));
             }
@@ -454,12 +470,16 @@
             return;
         }
         let before = self.callers[caller].state;
-        if before == State::Idle && self.size.severe_faults && self.rng.random_bool(0.1) {
+        let closes = self.size.severe_faults && before == State::Idle;
+        if closes && (self.is_parked(caller) || self.rng.random_bool(0.1)) {
             let packet = self.callers[caller].end(self.now_ms);
             self.send(caller, Some(packet));
             return;
         }
         let packet = self.callers[caller].on_timer(self.now_ms);
+        if matches!(self.callers[caller].state, State::Leaving { .. } | State::Ended) {
+            self.check_given_up(caller, before);
+        }
         if self.callers[caller].state == State::Ended {
             self.check_unanswered(caller, before);
             self.reopen(caller);
@@ -494,7 +514,10 @@
     fn reopen_after(&mut self, caller: usize, pause_ms: u64) {
         let flow = self.new_flow();
         self.note(|world| world.caller_left(caller, flow));
-        self.callers[caller] = Caller::open(flow, self.now_ms + pause_ms);
+        self.callers[caller] = self.new_caller(caller, flow, self.now_ms + pause_ms);
+        if self.is_parked(caller) {
+            return self.callers[caller].park();
+        }
         self.schedule(pause_ms, Event::CallerTimer(caller));
     }
 
@@ -508,6 +531,9 @@
         let delay_ms = self.network_delay_ms();
         let balancer = balancer % self.size.balancers;
         self.note(|_| Entry::Sent { balancer, packet });
+        if self.loses_datagram() {
+            return;
+        }
         self.schedule(delay_ms, Event::ToBalancer(balancer, packet));
     }
 
--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -38,7 +38,7 @@
         !up || serves_from_ms > self.now_ms
     }
 
-    fn store_packet(&mut self, packet: Packet) -> [u8; 4] {
+    pub(super) fn store_packet(&mut self, packet: Packet) -> [u8; 4] {
         self.packets.push(packet);
         u32::try_from(self.packets.len() - 1).unwrap_or_default().to_le_bytes()
     }
@@ -53,6 +53,7 @@
         if self.defer(balancer, Event::Reply { balancer, upstream, verdict, packet }) {
             return;
         }
+        self.note_verdict(balancer, upstream, verdict);
         let reply = AgentReply { from: address(upstream), verdict };
         let mut actions = Vec::new();
         let Balancer { edge, view, .. } = &mut self.balancers[balancer];
@@ -67,13 +68,19 @@
                 Action::Forward { reason: Reason::Asked, .. }
                     if self.mutant == Some(Mutant::NeverAsked) => {}
                 Action::Forward { to, wants_report, .. } => {
+                    if self.loses_datagram() {
+                        continue;
+                    }
                     let delay_ms = self.network_delay_ms();
                     self.schedule(
                         delay_ms,
                         Event::ToAgent { balancer, packet, to, report: wants_report },
                     );
                 }
-                Action::Reset { .. } => self.reset(balancer, packet),
+                Action::Reset { reason } => {
+                    self.check_overload_reset(balancer, packet.segment.flow, reason);
+                    self.reset(balancer, packet);
+                }
                 Action::Drop { .. } if self.mutant == Some(Mutant::ResetWithoutProof) => {
                     self.reset(balancer, packet);
                 }
@@ -113,22 +120,23 @@
         if self.is_cut_off(upstream) {
             return;
         }
+        let bytes = self.queued_bytes(balancer, packet);
         let own = SERVICES[self.upstreams[upstream].service];
         let unchecked = self.mutant == Some(Mutant::ServiceNotChecked);
         let Some(agent) = &mut self.agents[upstream] else { return };
         let metadata = ForwardMetadata {
             balancer: balancer_address(balancer),
             service: if unchecked { own } else { to.service },
-            slots: 0,
-            slo_ms: 0,
-            wait_slos: 0,
-            urgent: false,
+            slots: if self.size.bursts { to.slots } else { 0 },
+            slo_ms: to.slo_ms,
+            wait_slos: to.wait_slos,
+            urgent: to.urgent,
             wants_report,
             refuses_new_flows: to.refuses_new_flows,
             limit_per_ks: to.limit_per_ks,
             cold: to.cold,
         };
-        let received = agent.on_packet(self.now_ms, &packet.segment, &[], metadata);
+        let received = agent.on_packet(self.now_ms, &packet.segment, &bytes, metadata);
         self.note(|_| Entry::AtAgent { upstream, balancer, packet, outcome: received });
         if let Some(report) = received.report {
             self.send_report(upstream, &report, packet);
@@ -148,9 +156,9 @@
             Delivery::RateLimited { for_ms } => {
                 self.send_reply(balancer, upstream, Verdict::RateLimited { for_ms }, packet);
             }
-            // Nothing is queued as long as the number of slots is unknown.
             Delivery::Queued => {}
         }
+        self.release_queued(upstream);
     }
 
     /// A running agent replies that it is alive.
@@ -174,7 +182,7 @@
         verdict: Verdict,
         packet: Packet,
     ) {
-        if self.is_cut_off(upstream) {
+        if self.is_cut_off(upstream) || self.loses_datagram() {
             self.note(|_| Entry::ReplyLost { balancer, upstream, verdict, packet });
             return;
         }
@@ -182,10 +190,14 @@
         self.schedule(delay_ms, Event::Reply { balancer, upstream, verdict, packet });
     }
 
-    fn at_upstream(&mut self, upstream: usize, balancer: usize, packet: Packet) {
+    pub(super) fn at_upstream(&mut self, upstream: usize, balancer: usize, packet: Packet) {
         let flow = packet.segment.flow;
         let is_new = !self.upstreams[upstream].has_flow(flow);
-        let reaction = self.upstreams[upstream].receive(&packet);
+        let target = &mut self.upstreams[upstream];
+        let mut reaction = target.receive(&packet);
+        if self.size.bursts {
+            reaction = target.slots.react(reaction, &packet);
+        }
         self.note(|world| world.reaction(upstream, packet, reaction));
         match reaction {
             Reaction::Drop => {}
@@ -206,6 +218,8 @@
                 self.answer(upstream, packet, true);
             }
             Reaction::Close => self.close(upstream, packet),
+            Reaction::Queue => self.start_requests(upstream),
+            Reaction::Answer if self.size.bursts => self.answer_data(upstream, packet),
             Reaction::Answer => self.answer_when_done(upstream, packet),
         }
     }
@@ -369,7 +383,7 @@
     }
 
     /// Whether all balancers know that this upstream accepts new flows.
-    fn accepts_flows(&self, upstream: usize) -> bool {
+    pub(super) fn accepts_flows(&self, upstream: usize) -> bool {
         let target = &self.upstreams[upstream];
         let zone = zone_of(upstream);
         let open_ms = self.now_ms.saturating_sub(self.opened_since_ms[zone]);
@@ -402,7 +416,7 @@
         let Some(caller) = self.callers.iter().position(|caller| caller.flow == flow) else {
             return;
         };
-        if self.is_cut_off(upstream) {
+        if self.is_cut_off(upstream) || self.loses_datagram() {
             return;
         }
         let incarnation = self.upstreams[upstream].incarnation;
--- a/crates/fuzzing/src/direct/world/timeline/text.rs
+++ b/crates/fuzzing/src/direct/world/timeline/text.rs
@@ -104,6 +104,7 @@
                     Reaction::Accept => "accepts",
                     Reaction::Answer if *slow => "will answer slowly",
                     Reaction::Answer => "answers",
+                    Reaction::Queue => "queues it",
                     Reaction::Close => "confirms the end",
                     Reaction::Consume => "does not answer",
                     Reaction::Return => "does not hold the flow",
