--- a/crates/fuzzing/src/direct/caller.rs
+++ b/crates/fuzzing/src/direct/caller.rs
@@ -84,6 +84,11 @@
         Self { timeout_ms: Some(timeout_ms), ..self }
     }
 
+    /// Whether its latest request has this sequence number.
+    pub(super) fn has_latest(&self, sequence: u32) -> bool {
+        self.sequence == sequence
+    }
+
     /// The caller without an open flow; it sends nothing.
     pub(super) fn park(&mut self) {
         self.state = State::Ended;
--- a/crates/fuzzing/src/direct/world/overload.rs
+++ b/crates/fuzzing/src/direct/world/overload.rs
@@ -9,7 +9,7 @@
 use steering::policy::Policy;
 use steering::view::{Route, wait_slos};
 
-use super::{EMPTY_PACKET, Event, Packet, SERVICES, SETTLE_MS, World};
+use super::{Balancer, EMPTY_PACKET, Event, PROPAGATION_MS, Packet, SERVICES, SETTLE_MS, World};
 use crate::direct::Violation;
 use crate::direct::caller::{Caller, State};
 
@@ -185,10 +185,16 @@
         }
     }
 
-    /// Whether all balancers know that an upstream has a free slot. Others are passed over rightly.
+    /// Whether all balancers know that an upstream has a free slot. Others are passed over rightly,
+    /// and a balancer that was paused places many openings at once when it resumes.
     pub(super) fn has_free_slot(&self, upstream: usize) -> bool {
+        if !self.size.bursts {
+            return true;
+        }
         let full_ms = self.overload.full_ms.get(&upstream);
-        full_ms.is_none_or(|full_ms| full_ms + REPORT_TTL_MS <= self.now_ms)
+        let is_free = full_ms.is_none_or(|full_ms| full_ms + REPORT_TTL_MS <= self.now_ms);
+        let knows = |balancer: &Balancer| balancer.paused_until_ms + PROPAGATION_MS <= self.now_ms;
+        is_free && self.balancers.iter().all(knows)
     }
 
     fn is_settled(&self) -> bool {
--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -418,6 +418,11 @@
         let Some(caller) = self.callers.iter().position(|caller| caller.flow == flow) else {
             return;
         };
+        // A repetition of an earlier request may arrive after a pause.
+        let outdated = !opening && !self.callers[caller].has_latest(packet.segment.sequence);
+        if self.size.bursts && outdated {
+            return;
+        }
         if self.is_cut_off(upstream) || self.loses_datagram() {
             return;
         }
