Describe overload and unequal upstreams for operators

Cause: the pages name no way to see or handle either. Run: cargo xtask capacity (regenerates the page).

--- a/xtask/src/capacity/roles/direct.rs
+++ b/xtask/src/capacity/roles/direct.rs
@@ -19,7 +19,9 @@
         name: "Direct path: balancer",
         state: "Routes, the list of upstreams, other balancers, and a table of flows that serves as a cache. Measured \
                 including the callers' packets: these grow with the share of the traffic, the rest with the fleet. The line \
-                is fitted to the busiest process at 30, 100 and 300 instances, which is a reader.",
+                is fitted to the busiest process at 30, 100 and 300 instances, which is a reader. By design, not measured: \
+                `delay_placement` and `overload_admission` keep tens of bytes for each upstream, under 1 MB for 10,000, and send \
+                no message and no longer one.",
         rows: vec![
             row(
                 Bytes,
@@ -51,7 +53,8 @@
 fn agent() -> Role {
     Role {
         name: "Direct path: agent",
-        state: "The flows of its own upstream, and nothing about the fleet: its load falls with its share of the traffic.",
+        state: "The flows of its own upstream, and nothing about the fleet: its load falls with its share of the traffic. \
+                By design, not measured: at most 1,024 queued requests, and a few bytes for each flow and for the upstream's state.",
         rows: vec![
             row(
                 Bytes,
