Count an upstream as passed over by time too in the overloaded world

Change: where bursts are on, openings must also have passed over the upstream for a second. The other worlds are as before.

--- a/crates/fuzzing/src/direct/world/overload.rs
+++ b/crates/fuzzing/src/direct/world/overload.rs
@@ -47,10 +47,19 @@
     told_until_ms: BTreeMap<(usize, usize), u64>,
     /// When all slots of an upstream were last taken.
     full_ms: BTreeMap<usize, u64>,
+    /// Since when openings have passed over each upstream.
+    passed_over_since_ms: BTreeMap<usize, u64>,
     /// Whether wrong counts were reported since the last disturbance.
     miscount_reported: bool,
 }
 
+impl Overload {
+    /// Notes the first opening that passes over an upstream.
+    pub(super) fn note_passed_over(&mut self, now_ms: u64, upstream: usize) {
+        self.passed_over_since_ms.insert(upstream, now_ms);
+    }
+}
+
 /// How long an agent has said that its upstream takes no openings because it is overloaded.
 ///
 /// No verdict says so yet.
@@ -197,6 +206,14 @@
         is_free && self.balancers.iter().all(knows)
     }
 
+    /// Whether openings have passed over an upstream for longer than balancers remember anything about
+    /// its load. In a burst, hundreds of openings may come in less time.
+    pub(super) fn is_passed_over_for_long(&self, upstream: usize) -> bool {
+        let since_ms = self.overload.passed_over_since_ms.get(&upstream);
+        let for_ms = since_ms.map_or(0, |since_ms| self.now_ms - since_ms);
+        !self.size.bursts || for_ms >= 2 * REPORT_TTL_MS
+    }
+
     fn is_settled(&self) -> bool {
         self.now_ms.saturating_sub(self.disturbed_until_ms) >= SETTLE_MS
     }
