Return openings to balancers while callers of an upstream give up

Cause: nothing is refused for overload. Callers whose opening reaches an upstream where requests already fail are queued, and fail by their time-out (docs/design/load-decisions.md, part 3). Change: with the mechanism overload_admission, an agent returns first copies of openings while it is overloaded, and balancers place them on other upstreams, or reset them if all upstreams are overloaded and none can have received the opening. Codes 2222 and 2223, gauge 'overloaded'.

--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -148,6 +148,9 @@
             Delivery::RateLimited { for_ms } => {
                 self.send_reply(balancer, upstream, Verdict::RateLimited { for_ms }, packet);
             }
+            Delivery::Overloaded { for_ms } => {
+                self.send_reply(balancer, upstream, Verdict::Overloaded { for_ms }, packet);
+            }
             // Nothing is queued as long as the number of slots is unknown.
             Delivery::Queued => {}
         }
--- a/crates/fuzzing/src/direct/world/timeline/text.rs
+++ b/crates/fuzzing/src/direct/world/timeline/text.rs
@@ -192,6 +192,7 @@
                 write!(f, "WrongService (runs service {})", service.unwrap_or(SERVICES.len()))
             }
             Verdict::RateLimited { for_ms } => write!(f, "RateLimited (for {for_ms} ms)"),
+            Verdict::Overloaded { for_ms } => write!(f, "Overloaded (for {for_ms} ms)"),
             Verdict::Unresponsive { for_ms } => write!(f, "Unresponsive (for {for_ms} ms)"),
             other => write!(f, "{other:?}"),
         }
@@ -231,6 +232,7 @@
         Delivery::NotHeld => f.write_str("returns it, acknowledges another upstream")?,
         Delivery::NotAccepting => f.write_str("returns it, accepts no new flows")?,
         Delivery::RateLimited { for_ms } => write!(f, "returns it, full for {for_ms} ms")?,
+        Delivery::Overloaded { for_ms } => write!(f, "returns it, overloaded for {for_ms} ms")?,
         Delivery::Queued => f.write_str("queues it")?,
     }
     let Some(Report { balancer, busy, .. }) = outcome.report else { return Ok(()) };
--- a/crates/settings/src/codes/table.rs
+++ b/crates/settings/src/codes/table.rs
@@ -249,6 +249,12 @@
     TURNED_AWAY = 2221, "turned_away", Packets,
         "An opening reached an upstream that is leaving or whose availability zone is closed, and was returned.",
         "None briefly after the change; if it persists, a balancer has an outdated view.";
+    OVERLOADED = 2222, "overloaded", Packets,
+        "Callers of the upstream beside this agent are giving up, and an opening was returned.",
+        "None if other upstreams have room; otherwise add upstreams.";
+    REJECTED_OVERLOAD = 2223, "rejected_overload", Packets,
+        "All upstreams that could take the opening are overloaded; the caller's connection was reset.",
+        "Add upstreams, or reduce the load.";
     BAD_ARGUMENTS = 3001, "bad_arguments", Start,
         "The command line of the process is wrong.",
         "See `--help`.";
--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -39,6 +39,10 @@
     pub(super) sequence: Option<u32>,
     /// Until when the opening may be reset if every upstream denies it.
     pub(super) resettable_until_ms: Millis,
+    /// Upstreams that refused the opening because they are overloaded.
+    pub(super) overload_refusals: u8,
+    /// Whether an upstream that counts as denying the opening has received it nevertheless.
+    pub(super) delivered_unanswered: bool,
     /// Upstreams that do not hold the flow, or did not take its opening, sorted.
     denials: Vec<Ipv4Addr>,
     /// Those among them that did not get the packet, because it was addressed to another service
@@ -102,6 +106,21 @@
         self.push_denial(address, now_ms);
     }
 
+    /// Whether an upstream may have opened the flow: it got the opening and did not return it.
+    pub(super) fn may_be_open(&self) -> bool {
+        let has_returned = |address| self.denials.binary_search(&address).is_ok();
+        self.delivered_unanswered || !self.visits.addresses().all(has_returned)
+    }
+
+    /// Clears refusals by overloaded upstreams. Their agents take later copies of an opening, which
+    /// can no longer be reset.
+    pub(super) fn forget_overload_refusals(&mut self) {
+        if std::mem::take(&mut self.overload_refusals) > 0 {
+            self.clear_denials();
+            self.resettable_until_ms = 0;
+        }
+    }
+
     /// Records that the upstream at `address` does not hold the flow.
     pub(super) fn record_denial(&mut self, address: Ipv4Addr, now_ms: Millis) {
         self.forget_opening_denials();
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -11,6 +11,7 @@
 mod lag;
 mod loads;
 mod openings;
+mod overload;
 mod pending;
 mod placement;
 mod reach;
@@ -30,6 +31,7 @@
 use flows::FlowTable;
 use lag::Lag;
 use loads::LoadTable;
+use overload::{OverloadTable, Probes};
 use pending::PendingTable;
 pub use pending::{PENDING_BYTES_MAX, RETRANSMIT_AFTER_MS};
 use reach::Reach;
@@ -54,6 +56,8 @@
     policy: Policy,
     flows: FlowTable,
     loads: LoadTable,
+    overload: OverloadTable,
+    probes: Probes,
     pending: PendingTable,
     lag: Lag,
     budget: Budget,
@@ -139,8 +143,21 @@
                 self.loads.record_rate_limit(now_ms, view, from, for_ms);
                 self.on_denied(now_ms, view, reply, segment, actions);
             }
+            Verdict::Overloaded { for_ms } if self.policy.overload_admission => {
+                if self.record_overload(now_ms, view, reply, for_ms, segment) {
+                    self.on_denied(now_ms, view, reply, segment, actions);
+                }
+            }
+            // Without the mechanism, it counts as the limit that earlier releases take it for.
+            Verdict::Overloaded { for_ms } => {
+                self.loads.record_rate_limit(now_ms, view, from, for_ms);
+                self.on_denied(now_ms, view, reply, segment, actions);
+            }
             Verdict::Unresponsive { for_ms } => {
                 self.loads.record_no_reply(now_ms, view, from);
+                if let Some(entry) = self.flows.get(segment.flow) {
+                    entry.delivered_unanswered = true;
+                }
                 if for_ms >= UNRESPONSIVE_AS_DENIAL_MS || segment.kind != SegmentKind::Later {
                     self.on_denied(now_ms, view, reply, segment, actions);
                 }
--- a/crates/steering/src/edge/openings.rs
+++ b/crates/steering/src/edge/openings.rs
@@ -41,21 +41,28 @@
             let in_time = first && !queued && !lagging;
             entry.resettable_until_ms = if in_time { now_ms + CALLER_RETRANSMIT_MS } else { 0 };
         }
+        if segment.kind != (SegmentKind::Opening { copy: 0 }) {
+            entry.forget_overload_refusals();
+        }
         let already_sent = entry.target.is_some();
         if let (Some(to), true) = (entry.target, entry.confirmed) {
             let to = Destination::of(now_ms, view, segment.flow, to, service);
             actions.push(Action::Forward { to, wants_report: true, reason: Reason::Known });
             return;
         }
-        let placement = Placement { now_ms, view, loads: &self.loads };
-        let to = match placement.place(service, segment.flow, entry) {
+        let placement = Placement { now_ms, view, loads: &self.loads, overload: &self.overload };
+        let to = match self.probes.place(&placement, service, segment.flow, entry) {
             Ok(to) => to,
             Err(reason) => {
-                actions.push(if is_final(reason) {
+                let action = if is_final(reason) {
                     reject(now_ms, entry, reason)
                 } else {
                     Action::Drop { reason: Reason::Unknown }
-                });
+                };
+                if action == (Action::Reset { reason: Reason::Overloaded }) {
+                    self.pending.remove(segment.flow);
+                }
+                actions.push(action);
                 return;
             }
         };
@@ -87,8 +94,8 @@
         if let Some(unresponsive) = entry.target {
             self.loads.record_no_reply(now_ms, view, unresponsive);
         }
-        let placement = Placement { now_ms, view, loads: &self.loads };
-        let Ok(to) = placement.place(service, flow, entry) else { return };
+        let placement = Placement { now_ms, view, loads: &self.loads, overload: &self.overload };
+        let Ok(to) = self.probes.place(&placement, service, flow, entry) else { return };
         entry.ask(now_ms, to);
         self.loads.record_placement(now_ms, view, to);
         let to = Destination::of(now_ms, view, flow, to, service);
@@ -111,8 +118,8 @@
         }
         entry.record_opening_denial(from, now_ms);
         let Some(service) = service_of(view, flow) else { return };
-        let placement = Placement { now_ms, view, loads: &self.loads };
-        let to = match placement.place(service, flow, entry) {
+        let placement = Placement { now_ms, view, loads: &self.loads, overload: &self.overload };
+        let to = match self.probes.place(&placement, service, flow, entry) {
             Ok(to) => to,
             Err(reason) => {
                 let reason = if is_final(reason) { reason } else { Reason::Refused };
@@ -132,7 +139,10 @@
 /// Whether an opening that cannot be placed for this reason is rejected without asking any
 /// upstream.
 fn is_final(reason: Reason) -> bool {
-    matches!(reason, Reason::ZoneClosed | Reason::ColdLimit | Reason::RegionNotAllowed)
+    matches!(
+        reason,
+        Reason::ZoneClosed | Reason::ColdLimit | Reason::RegionNotAllowed | Reason::Overloaded
+    )
 }
 
 /// The action for an opening that no upstream takes. A reset is sent only for the first copy of an
--- /dev/null
+++ b/crates/steering/src/edge/overload.rs
@@ -0,0 +1,191 @@
+//! Where an opening goes while upstreams are overloaded.
+//!
+//! The load pattern: for seconds, callers send more than all upstreams can process. Agents whose
+//! callers give up return openings. Such an upstream is skipped for as long as its agent asked for.
+//! If every upstream that may take an opening is overloaded, the opening is reset at once, provided
+//! that no upstream can have received it.
+
+use std::cmp::Reverse;
+use std::net::Ipv4Addr;
+
+use super::Edge;
+use super::flows::Entry;
+use super::placement::{Placement, keep_or_reason};
+use super::types::{AgentReply, Reason};
+use crate::flow::{FlowKey, Millis, Segment, SegmentKind};
+use crate::rank;
+use crate::view::{ServiceStamp, Upstream, View};
+
+/// Longest time for which an agent's refusal keeps openings away from its upstream. It is the same
+/// as for the limit of a warm upstream, for which balancers of earlier releases take the refusal.
+const SKIP_MAX_MS: Millis = 1_000;
+/// While all upstreams of a service are overloaded, an opening that could be reset is sent on this
+/// often, so that the end of the overload is noticed.
+const PROBE_INTERVAL_MS: Millis = 100;
+/// An opening that cannot be reset is sent to overloaded upstreams until this many have refused it.
+/// Agents take its next copy.
+const REFUSALS_MAX: u8 = 3;
+
+#[derive(Clone, Copy, Debug)]
+struct Skip {
+    address: Ipv4Addr,
+    /// The upstream's incarnation; another one is not skipped.
+    born_ms: u64,
+    until_ms: Millis,
+}
+
+/// Until when upstreams get no openings because they are overloaded, sorted by address.
+#[derive(Debug, Default)]
+pub(super) struct OverloadTable {
+    skips: Vec<Skip>,
+}
+
+impl OverloadTable {
+    /// Records that an upstream should get no opening for this long.
+    pub(super) fn record(&mut self, now_ms: Millis, upstream: &Upstream, for_ms: Millis) {
+        let Upstream { address, born_ms, .. } = *upstream;
+        let skip = Skip { address, born_ms, until_ms: now_ms + for_ms.min(SKIP_MAX_MS) };
+        match self.find(address) {
+            Ok(index) => self.skips[index] = skip,
+            Err(_) => {
+                self.skips.retain(|other| other.until_ms > now_ms);
+                let index = self.skips.partition_point(|other| other.address < address);
+                self.skips.insert(index, skip);
+            }
+        }
+    }
+
+    /// Whether an upstream is skipped.
+    pub(super) fn is_overloaded(&self, now_ms: Millis, upstream: &Upstream) -> bool {
+        self.until_ms(upstream) > now_ms
+    }
+
+    fn until_ms(&self, upstream: &Upstream) -> Millis {
+        let skip = self.find(upstream.address).ok().map(|index| self.skips[index]);
+        skip.filter(|skip| skip.born_ms == upstream.born_ms).map_or(0, |skip| skip.until_ms)
+    }
+
+    fn find(&self, address: Ipv4Addr) -> Result<usize, usize> {
+        self.skips.binary_search_by_key(&address, |skip| skip.address)
+    }
+}
+
+/// When openings were last sent to overloaded upstreams of a service, sorted by service.
+#[derive(Debug, Default)]
+pub(super) struct Probes {
+    sent_ms: Vec<(ServiceStamp, Millis)>,
+}
+
+impl Probes {
+    /// Whether a probe is due; if so, it counts as sent.
+    fn take_due(&mut self, now_ms: Millis, service: ServiceStamp) -> bool {
+        match self.sent_ms.binary_search_by_key(&service, |(other, _)| *other) {
+            Ok(index) if now_ms.saturating_sub(self.sent_ms[index].1) < PROBE_INTERVAL_MS => false,
+            Ok(index) => {
+                self.sent_ms[index].1 = now_ms;
+                true
+            }
+            Err(index) => {
+                self.sent_ms.insert(index, (service, now_ms));
+                true
+            }
+        }
+    }
+
+    /// Chooses the upstream of an opening. Returns [`Reason::Overloaded`] if the opening is to be
+    /// rejected; unless the entry allows a reset, it is dropped then.
+    pub(super) fn place(
+        &mut self,
+        placement: &Placement<'_>,
+        service: ServiceStamp,
+        flow: FlowKey,
+        entry: &mut Entry,
+    ) -> Result<Ipv4Addr, Reason> {
+        match placement.place(service, flow, entry) {
+            Err(Reason::Overloaded) => {}
+            Err(Reason::Refused) if entry.overload_refusals > 0 => {}
+            placed => return placed,
+        }
+        if entry.may_be_open() {
+            entry.resettable_until_ms = 0;
+        }
+        let now_ms = placement.now_ms;
+        let Some(next) = placement.where_overload_ends_first(service, flow, entry) else {
+            return Err(Reason::Overloaded);
+        };
+        let sent_on = if now_ms < entry.resettable_until_ms {
+            self.take_due(now_ms, service)
+        } else {
+            entry.overload_refusals < REFUSALS_MAX
+        };
+        if sent_on { Ok(next) } else { Err(Reason::Overloaded) }
+    }
+}
+
+impl Placement<'_> {
+    /// Removes the upstreams that are overloaded, unless the flow is urgent: agents always take
+    /// urgent openings.
+    pub(super) fn without_overloaded<'a>(
+        &self,
+        flow: FlowKey,
+        upstreams: Vec<&'a Upstream>,
+    ) -> Result<Vec<&'a Upstream>, Reason> {
+        let is_urgent = self.view.routes.find(flow.endpoint).is_some_and(|route| route.urgent);
+        if is_urgent {
+            return Ok(upstreams);
+        }
+        keep_or_reason(upstreams, Reason::Overloaded, |upstream| {
+            !self.overload.is_overloaded(self.now_ms, upstream)
+        })
+    }
+
+    /// Of the upstreams that have not denied the opening, the one whose overload ends first;
+    /// upstreams that were already asked, or that did not answer lately, come after all others.
+    fn where_overload_ends_first(
+        &self,
+        service: ServiceStamp,
+        flow: FlowKey,
+        entry: &Entry,
+    ) -> Option<Ipv4Addr> {
+        let open = self.eligible_upstreams(service, flow, entry).ok()?;
+        let first = open.into_iter().min_by_key(|upstream| {
+            let asked = entry.visits.has_asked(upstream.address);
+            let suspect = self.loads.is_suspect(self.now_ms, upstream);
+            let score = Reverse(rank::score(flow, upstream.address));
+            (asked, suspect, self.overload.until_ms(upstream), score)
+        })?;
+        Some(first.address)
+    }
+}
+
+impl Edge {
+    /// Records that an agent returned a packet because its upstream is overloaded. Returns whether
+    /// the packet is an opening that now goes elsewhere.
+    pub(super) fn record_overload(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        reply: AgentReply,
+        for_ms: Millis,
+        segment: &Segment,
+    ) -> bool {
+        if let Some(upstream) = view.upstream_at(reply.from) {
+            self.overload.record(now_ms, upstream, for_ms);
+        }
+        // The reply says nothing about a flow that is open.
+        if !matches!(segment.kind, SegmentKind::Opening { .. }) {
+            return false;
+        }
+        let entry = self.flows.entry(segment.flow, now_ms);
+        if entry.confirmed || entry.sequence.is_some_and(|sequence| sequence != segment.sequence) {
+            return false;
+        }
+        entry.overload_refusals = entry.overload_refusals.saturating_add(1);
+        // Another upstream has the opening already, and is retried until it replies.
+        if entry.target.is_some_and(|target| target != reply.from) {
+            entry.record_opening_denial(reply.from, now_ms);
+            return false;
+        }
+        true
+    }
+}
--- a/crates/steering/src/edge/placement.rs
+++ b/crates/steering/src/edge/placement.rs
@@ -5,6 +5,7 @@
 
 use super::flows::Entry;
 use super::loads::LoadTable;
+use super::overload::OverloadTable;
 use super::types::Reason;
 use crate::flow::{FlowKey, Millis};
 use crate::membership;
@@ -26,6 +27,7 @@
     pub(super) now_ms: Millis,
     pub(super) view: &'a View,
     pub(super) loads: &'a LoadTable,
+    pub(super) overload: &'a OverloadTable,
 }
 
 impl Placement<'_> {
@@ -38,6 +40,7 @@
         entry: &Entry,
     ) -> Result<Ipv4Addr, Reason> {
         let open = self.eligible_upstreams(service, flow, entry)?;
+        let open = self.without_overloaded(flow, open)?;
         let class = |upstream: &Upstream| {
             (entry.visits.has_asked(upstream.address), self.loads.is_suspect(self.now_ms, upstream))
         };
@@ -58,9 +61,9 @@
         best.map(|upstream| upstream.address).ok_or(Reason::Unknown)
     }
 
-    /// Upstreams that may take the flow at present. Each step removes some; the first step that
+    /// Upstreams that may take the flow at present, overloaded or not. Each step removes some; the first step that
     /// removes all of them determines the reason.
-    fn eligible_upstreams(
+    pub(super) fn eligible_upstreams(
         &self,
         service: ServiceStamp,
         flow: FlowKey,
@@ -97,11 +100,11 @@
 }
 
 /// Removes some upstreams; if none is left, returns the reason why nothing can be placed.
-fn keep_or_reason(
-    upstreams: Vec<&Upstream>,
+pub(super) fn keep_or_reason<'a>(
+    upstreams: Vec<&'a Upstream>,
     reason: Reason,
     keep: impl Fn(&Upstream) -> bool,
-) -> Result<Vec<&Upstream>, Reason> {
+) -> Result<Vec<&'a Upstream>, Reason> {
     let none_before = upstreams.is_empty();
     let kept: Vec<&Upstream> = upstreams.into_iter().filter(|upstream| keep(upstream)).collect();
     if kept.is_empty() && !none_before { Err(reason) } else { Ok(kept) }
--- a/crates/steering/src/edge/types.rs
+++ b/crates/steering/src/edge/types.rs
@@ -35,6 +35,11 @@
         /// How long to send it no further opening.
         for_ms: Millis,
     },
+    /// Callers of the upstream are giving up. The packet opens a flow and was not delivered.
+    Overloaded {
+        /// How long to send it no further opening.
+        for_ms: Millis,
+    },
     /// The upstream has not answered anything for this long; the packet was delivered nevertheless.
     Unresponsive {
         /// How long it has been unresponsive.
@@ -88,6 +93,8 @@
     ZoneClosed,
     /// All upstreams that could take the opening are cold and have reached their limit.
     ColdLimit,
+    /// All upstreams that could take the opening are overloaded.
+    Overloaded,
     /// No upstream is in a region that the route allows.
     RegionNotAllowed,
     /// Every upstream that may hold the flow denies it or is unreachable.
--- a/crates/steering/src/edge/visits.rs
+++ b/crates/steering/src/edge/visits.rs
@@ -57,6 +57,11 @@
         index.is_ok_and(|index| std::mem::take(&mut self.visits[index].copied))
     }
 
+    /// The upstreams that got a packet.
+    pub(super) fn addresses(&self) -> impl Iterator<Item = Ipv4Addr> + '_ {
+        self.visits.iter().map(|visit| visit.address)
+    }
+
     /// Number of upstreams that were asked.
     pub(super) fn asked_count(&self) -> u64 {
         self.asked
--- a/crates/steering/src/side/admission.rs
+++ b/crates/steering/src/side/admission.rs
@@ -30,6 +30,8 @@
     NotAccepting,
     /// The upstream is cold and accepts no further opening for this long.
     RateLimited { for_ms: Millis },
+    /// Callers of the upstream are giving up, and it should get no further opening for this long.
+    Overloaded { for_ms: Millis },
 }
 
 /// The balancers' votes on the upstream, and its recent admissions.
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod flow;
+mod overload;
 mod pending_replies;
 mod queue;
 mod service_time;
@@ -18,6 +19,7 @@
 use crate::view::ServiceStamp;
 use admission::{Admission, Refusal};
 use flow::{Flow, Opening, opening_age_ms};
+use overload::Overload;
 use pending_replies::PendingReplies;
 use queue::{Queue, Times};
 use service_time::ServiceTime;
@@ -73,6 +75,9 @@
     service_time: ServiceTime,
     pending_replies: PendingReplies,
     admission: Admission,
+    overload: Overload,
+    /// When the latest packet from the upstream arrived.
+    upstream_active_ms: Millis,
     slots: u8,
     busy: u32,
     unanswered: u32,
@@ -97,6 +102,8 @@
             service_time: ServiceTime::default(),
             pending_replies: PendingReplies::default(),
             admission: Admission::default(),
+            overload: Overload::default(),
+            upstream_active_ms: 0,
             slots: 0,
             busy: 0,
             unanswered: 0,
@@ -125,6 +132,7 @@
         if metadata.slots > 0 {
             self.slots = metadata.slots;
         }
+        self.overload.record_slo(metadata.slo_ms);
         self.admission.record_acceptance_vote(now_ms, &metadata);
         if let Err(refusal) = self.admit(now_ms, segment, &metadata) {
             self.pending_replies.resolve(metadata.balancer);
@@ -161,6 +169,7 @@
         if !is_opening || is_held {
             return Ok(());
         }
+        self.check_overload(now_ms, segment, metadata)?;
         self.admission.admit(now_ms, metadata)
     }
 
@@ -197,8 +206,10 @@
 
     /// Removes the next queued request that may go to the upstream now, if any.
     pub fn next_released(&mut self, now_ms: Millis) -> Option<Released> {
+        self.update_overload(now_ms);
         let closing = self.queue.take_closing(now_ms);
         let waiting = if let Some(closing) = closing {
+            self.note_given_up(now_ms);
             closing
         } else if self.unresponsive_for(now_ms).is_some() {
             // An unresponsive upstream frees no slots. Pass the packets on, so that the balancers
@@ -206,6 +217,7 @@
             self.queue.take_any()?
         } else if self.has_slot() {
             if self.policy.deadline_order {
+                self.drop_abandoned(now_ms);
                 self.queue.take_next(now_ms)?
             } else {
                 self.queue.take_any()?
@@ -329,7 +341,7 @@
     /// requests would be queued beside an idle upstream.
     fn sweep(&mut self, now_ms: Millis) {
         self.last_sweep_ms = now_ms;
-        self.queue.drop_abandoned(now_ms);
+        self.drop_abandoned(now_ms);
         self.flows.retain(|_, flow| now_ms.saturating_sub(flow.seen_ms) < FLOW_IDLE_TIMEOUT_MS);
         for flow in self.flows.values_mut() {
             if flow.busy_since_ms.is_some_and(|since| now_ms.saturating_sub(since) >= BUSY_MAX_MS) {
@@ -357,6 +369,7 @@
             self.admission.suspect_restart(now_ms);
         }
         self.admission.note_upstream_activity(now_ms);
+        self.upstream_active_ms = now_ms;
         self.unanswered = 0;
     }
 
@@ -370,6 +383,7 @@
             self.flows = HashMap::new();
             self.busy = 0;
         }
+        self.note_end_of_queued(now_ms, segment);
         let flow = self.flows.entry(segment.flow).or_default();
         flow.seen_ms = now_ms;
         if metadata.wants_report {
@@ -476,6 +490,7 @@
         match refusal {
             Refusal::NotAccepting => Self::NotAccepting,
             Refusal::RateLimited { for_ms } => Self::RateLimited { for_ms },
+            Refusal::Overloaded { for_ms } => Self::Overloaded { for_ms },
         }
     }
 }
--- a/crates/steering/src/side/queue.rs
+++ b/crates/steering/src/side/queue.rs
@@ -99,7 +99,6 @@
     /// Removes the request to be processed next: the newest that can still be on time, otherwise
     /// the oldest. In both groups, urgent requests take precedence.
     pub(super) fn take_next(&mut self, now_ms: Millis) -> Option<QueuedRequest> {
-        self.drop_abandoned(now_ms);
         let can_be_on_time =
             |waiting: &QueuedRequest| waiting.start_by_ms.is_some_and(|by_ms| now_ms <= by_ms);
         let urgent = |waiting: &QueuedRequest| waiting.urgent;
@@ -129,8 +128,21 @@
     }
 
     /// Drops requests whose callers must have given up, except for those that end their flows.
-    pub(super) fn drop_abandoned(&mut self, now_ms: Millis) {
+    /// Returns how many were dropped.
+    pub(super) fn drop_abandoned(&mut self, now_ms: Millis) -> usize {
+        let before = self.requests.len();
         self.requests.retain(|waiting| waiting.closing || now_ms < waiting.abandoned_from_ms);
+        before - self.requests.len()
+    }
+
+    /// Number of requests whose callers still wait.
+    pub(super) fn awaited(&self, now_ms: Millis) -> usize {
+        self.requests.iter().filter(|waiting| now_ms < waiting.abandoned_from_ms).count()
+    }
+
+    /// Whether a request of this flow is queued.
+    pub(super) fn contains(&self, flow: FlowKey) -> bool {
+        self.requests.iter().any(|waiting| waiting.flow == flow)
     }
 
     /// Drops the request of a flow that the caller has given up.
--- a/crates/steering/src/side/types.rs
+++ b/crates/steering/src/side/types.rs
@@ -59,6 +59,12 @@
         /// How long the limit still applies.
         for_ms: Millis,
     },
+    /// Returns it to the balancer: it opens a flow, and callers give up on requests that are queued
+    /// here.
+    Overloaded {
+        /// How long the balancer should send no further opening.
+        for_ms: Millis,
+    },
     /// Queues it here until the upstream has a free slot.
     Queued,
 }
