Test admission control under overload, and mend what the tests showed

Cause: in the replayed load, an upstream whose callers had not given up yet got the openings that all others refused (367 requests passed on beside two slots within 250 ms after a restart), an upstream slower than the SLO refused hardly anything because its queue is emptied at once, and an opening sent twice to one upstream was reset after one refusal. Change: an agent also refuses openings once its queue takes longer than its callers' time-out, and while a single request takes longer than the SLO and no slot is free. Duplicated openings are not reset as overloaded. Tests replay the load through real agents and a real balancer.

--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -41,8 +41,10 @@
     pub(super) resettable_until_ms: Millis,
     /// Upstreams that refused the opening because they are overloaded.
     pub(super) overload_refusals: u8,
-    /// Whether an upstream that counts as denying the opening has received it nevertheless.
-    pub(super) delivered_unanswered: bool,
+    /// Whether the flow may be open although every upstream has denied it: one that counts as
+    /// denying the opening has received it nevertheless, or the opening was sent more than once, and
+    /// one packet may have been refused and another one taken.
+    pub(super) denials_in_doubt: bool,
     /// Upstreams that do not hold the flow, or did not take its opening, sorted.
     denials: Vec<Ipv4Addr>,
     /// Those among them that did not get the packet, because it was addressed to another service
@@ -106,10 +108,10 @@
         self.push_denial(address, now_ms);
     }
 
-    /// Whether an upstream may have opened the flow: it got the opening and did not return it.
+    /// Whether an upstream may have opened the flow.
     pub(super) fn may_be_open(&self) -> bool {
         let has_returned = |address| self.denials.binary_search(&address).is_ok();
-        self.delivered_unanswered || !self.visits.addresses().all(has_returned)
+        self.denials_in_doubt || !self.visits.addresses().all(has_returned)
     }
 
     /// Clears refusals by overloaded upstreams. Their agents take later copies of an opening, which
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -156,7 +156,7 @@
             Verdict::Unresponsive { for_ms } => {
                 self.loads.record_no_reply(now_ms, view, from);
                 if let Some(entry) = self.flows.get(segment.flow) {
-                    entry.delivered_unanswered = true;
+                    entry.denials_in_doubt = true;
                 }
                 if for_ms >= UNRESPONSIVE_AS_DENIAL_MS || segment.kind != SegmentKind::Later {
                     self.on_denied(now_ms, view, reply, segment, actions);
--- a/crates/steering/src/edge/openings.rs
+++ b/crates/steering/src/edge/openings.rs
@@ -45,6 +45,7 @@
             entry.forget_overload_refusals();
         }
         let already_sent = entry.target.is_some();
+        entry.denials_in_doubt |= already_sent;
         if let (Some(to), true) = (entry.target, entry.confirmed) {
             let to = Destination::of(now_ms, view, segment.flow, to, service);
             actions.push(Action::Forward { to, wants_report: true, reason: Reason::Known });
--- a/crates/steering/src/edge/placement.rs
+++ b/crates/steering/src/edge/placement.rs
@@ -100,11 +100,11 @@
 }
 
 /// Removes some upstreams; if none is left, returns the reason why nothing can be placed.
-pub(super) fn keep_or_reason<'a>(
-    upstreams: Vec<&'a Upstream>,
+pub(super) fn keep_or_reason(
+    upstreams: Vec<&Upstream>,
     reason: Reason,
     keep: impl Fn(&Upstream) -> bool,
-) -> Result<Vec<&'a Upstream>, Reason> {
+) -> Result<Vec<&Upstream>, Reason> {
     let none_before = upstreams.is_empty();
     let kept: Vec<&Upstream> = upstreams.into_iter().filter(|upstream| keep(upstream)).collect();
     if kept.is_empty() && !none_before { Err(reason) } else { Ok(kept) }
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -132,7 +132,7 @@
         if metadata.slots > 0 {
             self.slots = metadata.slots;
         }
-        self.overload.record_slo(metadata.slo_ms);
+        self.overload.record_times(&metadata);
         self.admission.record_acceptance_vote(now_ms, &metadata);
         if let Err(refusal) = self.admit(now_ms, segment, &metadata) {
             self.pending_replies.resolve(metadata.balancer);
@@ -206,7 +206,6 @@
 
     /// Removes the next queued request that may go to the upstream now, if any.
     pub fn next_released(&mut self, now_ms: Millis) -> Option<Released> {
-        self.update_overload(now_ms);
         let closing = self.queue.take_closing(now_ms);
         let waiting = if let Some(closing) = closing {
             self.note_given_up(now_ms);
--- a/crates/steering/src/side/overload.rs
+++ b/crates/steering/src/side/overload.rs
@@ -6,7 +6,7 @@
 
 use super::admission::Refusal;
 use super::types::ForwardMetadata;
-use super::{AgentCore, SLO_DEFAULT_MS, UNRESPONSIVE_MS};
+use super::{AgentCore, SLO_DEFAULT_MS, UNRESPONSIVE_MS, WAIT_DEFAULT_SLOS};
 use crate::flow::{Millis, Segment, SegmentKind};
 
 /// An overload ends this long after the last caller has given up.
@@ -14,6 +14,9 @@
 /// Shortest time for which a balancer is told to send no further opening. Within a shorter time, few
 /// requests of the queue can be processed.
 const REFUSAL_MIN_MS: Millis = 50;
+/// Mean service times for which an upstream with one busy slot may send nothing; single service
+/// times differ by half.
+const SILENT_SERVICE_TIMES: Millis = 2;
 
 /// The requests that wait beside an upstream, and how fast it processes them.
 #[derive(Clone, Copy, Debug)]
@@ -22,6 +25,8 @@
     pub(super) queued: usize,
     /// Requests that the upstream processes concurrently; zero if not known.
     pub(super) slots: u8,
+    /// Whether the upstream may get another request at once.
+    pub(super) has_slot: bool,
     /// Mean service time; zero if not known.
     pub(super) service_time_ms: Millis,
 }
@@ -35,54 +40,60 @@
 }
 
 /// Whether the upstream is overloaded.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Overload {
-    /// Time within which callers expect an answer, as last seen; `None` before the first.
-    slo_ms: Option<Millis>,
-    /// Until when the upstream counts as overloaded, unless its queue gets short before that.
-    until_ms: Millis,
+    /// Time within which callers expect an answer, as last seen.
+    slo_ms: Millis,
+    /// Time for which callers wait, as last seen.
+    timeout_ms: Millis,
+    /// When a caller last gave up on a queued request, if any has.
+    given_up_ms: Option<Millis>,
 }
 
-impl Overload {
-    /// Records the SLO that a packet carries; zero if it carries none, as openings do.
-    pub(super) fn record_slo(&mut self, slo_ms: u32) {
-        if slo_ms > 0 {
-            self.slo_ms = Some(Millis::from(slo_ms));
-        }
-    }
-
-    /// Records that the caller of a queued request has given up. The upstream is overloaded if
-    /// requests still wait that it cannot start within the SLO.
-    pub(super) fn record_given_up(&mut self, now_ms: Millis, load: QueueLoad) {
-        if self.exceeds_slo(load) {
-            self.until_ms = now_ms + OVERLOAD_TTL_MS;
-        }
+impl Default for Overload {
+    fn default() -> Self {
+        let timeout_ms = SLO_DEFAULT_MS * Millis::from(WAIT_DEFAULT_SLOS);
+        Self { slo_ms: SLO_DEFAULT_MS, timeout_ms, given_up_ms: None }
     }
+}
 
-    /// Ends the overload if all requests that still wait can be started within the SLO.
-    pub(super) fn update(&mut self, load: QueueLoad) {
-        if !self.exceeds_slo(load) {
-            self.until_ms = 0;
+impl Overload {
+    /// Records the times that a packet carries. Openings carry none.
+    pub(super) fn record_times(&mut self, metadata: &ForwardMetadata) {
+        if metadata.slo_ms > 0 {
+            let wait_slos = [metadata.wait_slos, WAIT_DEFAULT_SLOS];
+            let wait_slos = wait_slos.into_iter().find(|slos| *slos > 0).unwrap_or_default();
+            self.slo_ms = Millis::from(metadata.slo_ms);
+            self.timeout_ms = self.slo_ms * Millis::from(wait_slos);
         }
     }
 
-    /// Whether the upstream may be overloaded, whatever its queue.
-    pub(super) fn is_possible(self, now_ms: Millis) -> bool {
-        now_ms < self.until_ms
+    /// Records that the caller of a queued request has given up.
+    pub(super) fn record_given_up(&mut self, now_ms: Millis) {
+        self.given_up_ms = Some(now_ms);
     }
 
-    /// How long the upstream should get no opening; `None` if it is not overloaded.
+    /// How long the upstream should get no opening; `None` if it is not overloaded. It is while a
+    /// caller has given up lately, or is bound to, and requests wait that cannot be started within
+    /// the SLO.
+    ///
+    /// Without the second condition, an upstream whose callers have not given up yet would get the
+    /// openings that all others refuse, until the time-out of its callers.
     pub(super) fn refuse_for(self, now_ms: Millis, load: QueueLoad) -> Option<Millis> {
-        let overloaded = self.is_possible(now_ms) && self.exceeds_slo(load);
-        overloaded.then(|| load.drain_ms().min(self.slo_ms()).max(REFUSAL_MIN_MS))
+        let is_recent = |at_ms| now_ms.saturating_sub(at_ms) < OVERLOAD_TTL_MS;
+        let given_up = self.given_up_ms.is_some_and(is_recent);
+        let overloaded = (given_up && self.exceeds_slo(load)) || load.drain_ms() > self.timeout_ms;
+        // The queue of an overloaded upstream takes longer than the SLO, which is the limit.
+        overloaded.then(|| self.slo_ms.max(REFUSAL_MIN_MS))
     }
 
+    /// Whether requests wait that cannot be started within the SLO.
+    ///
+    /// Beside an upstream that takes longer than the SLO for a single request, none is left to wait:
+    /// queued requests are given up on at once, because too little time would remain for them.
     fn exceeds_slo(self, load: QueueLoad) -> bool {
-        load.drain_ms() > self.slo_ms()
-    }
-
-    fn slo_ms(self) -> Millis {
-        self.slo_ms.unwrap_or(SLO_DEFAULT_MS)
+        let is_too_slow = !load.has_slot && load.service_time_ms > self.slo_ms;
+        is_too_slow || load.drain_ms() > self.slo_ms
     }
 }
 
@@ -94,7 +105,7 @@
 
     /// Notes that the caller of a queued request has given up.
     pub(super) fn note_given_up(&mut self, now_ms: Millis) {
-        self.overload.record_given_up(now_ms, self.queue_load(now_ms));
+        self.overload.record_given_up(now_ms);
     }
 
     /// Notes that a caller gives up on a queued request, if it does so with this packet.
@@ -111,13 +122,6 @@
         (0..self.queue.drop_abandoned(now_ms)).for_each(|_| self.note_given_up(now_ms));
     }
 
-    /// Ends an overload whose queue has become short.
-    pub(super) fn update_overload(&mut self, now_ms: Millis) {
-        if self.overload.is_possible(now_ms) {
-            self.overload.update(self.queue_load(now_ms));
-        }
-    }
-
     /// Returns an opening to its balancer if the upstream is overloaded, provided that the upstream
     /// cannot have received the opening before.
     ///
@@ -126,36 +130,37 @@
     /// upstream has answered an earlier copy. So are the openings for an upstream that has sent
     /// nothing for a while: only unanswered openings show that it has crashed.
     pub(super) fn check_overload(
-        &mut self,
+        &self,
         now_ms: Millis,
         segment: &Segment,
         metadata: &ForwardMetadata,
     ) -> Result<(), Refusal> {
-        self.update_overload(now_ms);
         let is_first_copy = segment.kind == SegmentKind::Opening { copy: 0 };
         let is_refusable = self.policy.overload_admission
             && is_first_copy
             && !metadata.urgent
             && !self.flows.contains_key(&segment.flow)
-            && now_ms.saturating_sub(self.upstream_active_ms) < UNRESPONSIVE_MS;
+            && now_ms.saturating_sub(self.upstream_active_ms) < self.silence_max_ms();
         match self.refuse_for(now_ms).filter(|_| is_refusable) {
             Some(for_ms) => Err(Refusal::Overloaded { for_ms }),
             None => Ok(()),
         }
     }
 
+    /// Longest time in which a running upstream with requests in progress usually sends nothing.
+    fn silence_max_ms(&self) -> Millis {
+        UNRESPONSIVE_MS + SILENT_SERVICE_TIMES * self.service_time.mean_or_zero_ms()
+    }
+
     fn refuse_for(&self, now_ms: Millis) -> Option<Millis> {
-        // The queue is counted only if the result depends on it.
-        self.overload
-            .is_possible(now_ms)
-            .then(|| self.queue_load(now_ms))
-            .and_then(|load| self.overload.refuse_for(now_ms, load))
+        self.overload.refuse_for(now_ms, self.queue_load(now_ms))
     }
 
     fn queue_load(&self, now_ms: Millis) -> QueueLoad {
         QueueLoad {
             queued: self.queue.awaited(now_ms),
             slots: self.slots,
+            has_slot: self.has_slot(),
             service_time_ms: self.service_time.mean_or_zero_ms(),
         }
     }
--- a/crates/steering/tests/common/mod.rs
+++ b/crates/steering/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub(crate) mod agent;
+pub(crate) mod overload;
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
