--- a/crates/steering/src/edge/placement.rs
+++ b/crates/steering/src/edge/placement.rs
@@ -6,6 +6,7 @@
 use super::delay::WIDE_RANKS;
 use super::flows::Entry;
 use super::loads::LoadTable;
+use super::overload::OverloadTable;
 use super::types::Reason;
 use crate::flow::{FlowKey, Millis};
 use crate::membership;
@@ -27,6 +28,7 @@
     pub(super) now_ms: Millis,
     pub(super) view: &'a View,
     pub(super) loads: &'a mut LoadTable,
+    pub(super) overload: &'a OverloadTable,
 }
 
 impl<'a> Placement<'a> {
@@ -39,6 +41,7 @@
         entry: &Entry,
     ) -> Result<Ipv4Addr, Reason> {
         let open = self.eligible_upstreams(service, flow, entry)?;
+        let open = self.without_overloaded(flow, open)?;
         let class = |upstream: &Upstream| {
             (entry.visits.has_asked(upstream.address), self.loads.is_suspect(self.now_ms, upstream))
         };
@@ -96,9 +99,9 @@
         Some(address)
     }
 
-    /// Upstreams that may take the flow at present. Each step removes some; the first step that
-    /// removes all of them determines the reason.
-    fn eligible_upstreams(
+    /// Upstreams that may take the flow at present, overloaded or not. Each step removes some; the
+    /// first step that removes all of them determines the reason.
+    pub(super) fn eligible_upstreams(
         &self,
         service: ServiceStamp,
         flow: FlowKey,
@@ -135,7 +138,7 @@
 }
 
 /// Removes some upstreams; if none is left, returns the reason why nothing can be placed.
-fn keep_or_reason(
+pub(super) fn keep_or_reason(
     upstreams: Vec<&Upstream>,
     reason: Reason,
     keep: impl Fn(&Upstream) -> bool,
--- /dev/null
+++ b/crates/steering/src/side/overload.rs
@@ -0,0 +1,159 @@
+//! Decides when an agent returns openings because its upstream is overloaded.
+//!
+//! The load pattern: for seconds, callers send more than all upstreams can process. Requests of open
+//! flows cannot be turned away, so they are queued, and their callers give up. Each further flow
+//! adds requests that fail as well. Openings can be refused before anything of their flows has run.
+//!
+//! Of the queued requests, the newest goes first, so that a new one is usually answered in time and
+//! the late ones fail. Refusing openings because of late requests would leave the upstream with
+//! these alone. Openings are refused only while requests that can still be on time fill the SLO.
+
+use super::admission::Refusal;
+use super::types::ForwardMetadata;
+use super::{AgentCore, SLO_DEFAULT_MS, UNRESPONSIVE_MS};
+use crate::flow::{Millis, Segment, SegmentKind};
+use crate::view::WAIT_DEFAULT_SLOS;
+
+/// An overload ends this long after the last caller has given up.
+const OVERLOAD_TTL_MS: Millis = 1_000;
+/// Shortest time for which a balancer is told to send no further opening. Within a shorter time, few
+/// requests of the queue can be processed.
+const REFUSAL_MIN_MS: Millis = 50;
+/// Mean service times for which an upstream with one busy slot may send nothing; single service
+/// times differ by half.
+const SILENT_SERVICE_TIMES: Millis = 2;
+
+/// The requests that wait beside an upstream, and how fast it processes them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct QueueLoad {
+    /// Queued requests that can still be answered in time.
+    pub(super) queued: usize,
+    /// Requests that the upstream processes concurrently; zero if not known.
+    pub(super) slots: u8,
+    /// Whether the upstream may get another request at once.
+    pub(super) has_slot: bool,
+    /// Mean service time; zero if not known.
+    pub(super) service_time_ms: Millis,
+}
+
+impl QueueLoad {
+    /// Time that these requests take; zero if not known.
+    fn drain_ms(self) -> Millis {
+        let work_ms = (self.queued as Millis).saturating_mul(self.service_time_ms);
+        work_ms.checked_div(Millis::from(self.slots)).unwrap_or(0)
+    }
+}
+
+/// Whether the upstream is overloaded.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Overload {
+    /// Time within which callers expect an answer, as last seen.
+    slo_ms: Millis,
+    /// Time for which callers wait, as last seen.
+    timeout_ms: Millis,
+    /// When a caller last gave up on a queued request, if any has.
+    given_up_ms: Option<Millis>,
+}
+
+impl Default for Overload {
+    fn default() -> Self {
+        let timeout_ms = SLO_DEFAULT_MS * Millis::from(WAIT_DEFAULT_SLOS);
+        Self { slo_ms: SLO_DEFAULT_MS, timeout_ms, given_up_ms: None }
+    }
+}
+
+impl Overload {
+    /// Records the times that a packet carries. Openings carry none.
+    pub(super) fn record_times(&mut self, metadata: &ForwardMetadata) {
+        if metadata.slo_ms > 0 {
+            let wait_slos = [metadata.wait_slos, WAIT_DEFAULT_SLOS];
+            let wait_slos = wait_slos.into_iter().find(|slos| *slos > 0).unwrap_or_default();
+            self.slo_ms = Millis::from(metadata.slo_ms);
+            self.timeout_ms = self.slo_ms * Millis::from(wait_slos);
+        }
+    }
+
+    /// Records that the caller of a queued request has given up.
+    pub(super) fn record_given_up(&mut self, now_ms: Millis) {
+        self.given_up_ms = Some(now_ms);
+    }
+
+    /// When a caller last gave up on a queued request.
+    pub(super) fn last_given_up_ms(self) -> Option<Millis> {
+        self.given_up_ms
+    }
+
+    /// How long the upstream should get no opening; `None` if it is not overloaded. It is while a
+    /// caller has given up lately, or is bound to, and requests wait that cannot be started within
+    /// the SLO.
+    ///
+    /// Without the second condition, an upstream whose callers have not given up yet would get the
+    /// openings that all others refuse, until the time-out of its callers.
+    pub(super) fn refuse_for(self, now_ms: Millis, load: QueueLoad) -> Option<Millis> {
+        let is_recent = |at_ms| now_ms.saturating_sub(at_ms) < OVERLOAD_TTL_MS;
+        let given_up = self.given_up_ms.is_some_and(is_recent);
+        let overloaded = (given_up && self.exceeds_slo(load)) || load.drain_ms() > self.timeout_ms;
+        // Requests that fill the SLO keep the upstream busy for half of it; by then, the rest are
+        // late.
+        overloaded.then(|| (self.slo_ms / 4).max(REFUSAL_MIN_MS))
+    }
+
+    /// Whether requests wait that cannot be started within the SLO.
+    ///
+    /// Beside an upstream that takes longer than the SLO for a single request, none is left to wait:
+    /// queued requests are given up on at once, because too little time would remain for them.
+    fn exceeds_slo(self, load: QueueLoad) -> bool {
+        let is_too_slow = !load.has_slot && load.service_time_ms > self.slo_ms;
+        is_too_slow || load.drain_ms() > self.slo_ms
+    }
+}
+
+impl AgentCore {
+    /// Whether this agent returns openings because callers give up on queued requests.
+    pub fn is_overloaded(&self, now_ms: Millis) -> bool {
+        self.policy.overload_admission && self.refuse_for(now_ms).is_some()
+    }
+
+    /// Returns an opening to its balancer if the upstream is overloaded, provided that the upstream
+    /// cannot have received the opening before.
+    ///
+    /// Later copies are always taken. No balancer may reset them, so they would be passed from one
+    /// overloaded upstream to the next; and an agent that has restarted does not know whether its
+    /// upstream has answered an earlier copy. So are the openings for an upstream that has sent
+    /// nothing for a while: only unanswered openings show that it has crashed.
+    pub(super) fn check_overload(
+        &self,
+        now_ms: Millis,
+        segment: &Segment,
+        metadata: &ForwardMetadata,
+    ) -> Result<(), Refusal> {
+        let is_first_copy = segment.kind == SegmentKind::Opening { copy: 0 };
+        let is_refusable = self.policy.overload_admission
+            && is_first_copy
+            && !metadata.urgent
+            && !self.flows.contains_key(&segment.flow)
+            && now_ms.saturating_sub(self.upstream_active_ms) < self.silence_max_ms();
+        match self.refuse_for(now_ms).filter(|_| is_refusable) {
+            Some(for_ms) => Err(Refusal::Overloaded { for_ms }),
+            None => Ok(()),
+        }
+    }
+
+    /// Longest time in which a running upstream with requests in progress usually sends nothing.
+    fn silence_max_ms(&self) -> Millis {
+        UNRESPONSIVE_MS + SILENT_SERVICE_TIMES * self.service_time.mean_or_zero_ms()
+    }
+
+    fn refuse_for(&self, now_ms: Millis) -> Option<Millis> {
+        self.overload.refuse_for(now_ms, self.queue_load(now_ms))
+    }
+
+    fn queue_load(&self, now_ms: Millis) -> QueueLoad {
+        QueueLoad {
+            queued: self.queue.on_time(now_ms),
+            slots: self.slots,
+            has_slot: self.has_slot(),
+            service_time_ms: self.service_time.mean_or_zero_ms(),
+        }
+    }
+}
--- a/crates/steering/src/side/queue.rs
+++ b/crates/steering/src/side/queue.rs
@@ -234,6 +234,11 @@
         self.awaited.len()
     }
 
+    /// Number of awaited requests that can still be on time.
+    pub(super) fn on_time(&self, now_ms: Millis) -> usize {
+        self.start_by.range((now_ms, 0)..).count()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.requests.is_empty()
     }
--- a/crates/steering/src/side/request.rs
+++ b/crates/steering/src/side/request.rs
@@ -70,7 +70,7 @@
 
     /// When a caller was last found to have given up on a queued request.
     pub fn last_given_up_ms(&self) -> Option<Millis> {
-        self.last_given_up_ms
+        self.overload.last_given_up_ms()
     }
 
     /// Number of queued requests whose callers still wait.
@@ -188,7 +188,7 @@
     /// Notes that the caller of a queued request was found to have given up. This is called once
     /// for each request.
     pub(super) fn note_given_up(&mut self, now_ms: Millis) {
-        self.last_given_up_ms = Some(now_ms);
+        self.overload.record_given_up(now_ms);
     }
 
     /// Stops counting requests that must have been answered or discarded by now.
