Judge by all awaited requests whether callers are bound to give up

Cause: an agent that has restarted refused nothing until a caller gave up on a request of its new queue, 1.1 s later. That callers are bound to give up was judged by the requests that can still be on time, which never fill the time-out at four times the capacity.

Change: it is judged by all queued requests whose callers still wait. Openings are still refused only while requests that can be on time fill the SLO.

--- a/crates/steering/src/side/overload.rs
+++ b/crates/steering/src/side/overload.rs
@@ -26,8 +26,10 @@
 /// The requests that wait beside an upstream, and how fast it processes them.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct QueueLoad {
-    /// Queued requests that can still be answered in time.
-    pub(super) queued: usize,
+    /// Queued requests whose callers still wait.
+    pub(super) awaited: usize,
+    /// Those among them that can still be answered in time.
+    pub(super) on_time: usize,
     /// Requests that the upstream processes concurrently; zero if not known.
     pub(super) slots: u8,
     /// Whether the upstream may get another request at once.
@@ -37,9 +39,9 @@
 }
 
 impl QueueLoad {
-    /// Time that these requests take; zero if not known.
-    fn drain_ms(self) -> Millis {
-        let work_ms = (self.queued as Millis).saturating_mul(self.service_time_ms);
+    /// Time that the upstream needs for this many requests; zero if not known.
+    fn time_of(self, requests: usize) -> Millis {
+        let work_ms = (requests as Millis).saturating_mul(self.service_time_ms);
         work_ms.checked_div(Millis::from(self.slots)).unwrap_or(0)
     }
 }
@@ -92,7 +94,8 @@
     pub(super) fn refuse_for(self, now_ms: Millis, load: QueueLoad) -> Option<Millis> {
         let is_recent = |at_ms| now_ms.saturating_sub(at_ms) < OVERLOAD_TTL_MS;
         let given_up = self.given_up_ms.is_some_and(is_recent);
-        let overloaded = (given_up && self.exceeds_slo(load)) || load.drain_ms() > self.timeout_ms;
+        let is_bound_to = load.time_of(load.awaited) > self.timeout_ms;
+        let overloaded = (given_up || is_bound_to) && self.exceeds_slo(load);
         // Requests that fill the SLO keep the upstream busy for half of it; by then, the rest are
         // late.
         overloaded.then(|| (self.slo_ms / 4).max(REFUSAL_MIN_MS))
@@ -104,7 +107,7 @@
     /// queued requests are given up on at once, because too little time would remain for them.
     fn exceeds_slo(self, load: QueueLoad) -> bool {
         let is_too_slow = !load.has_slot && load.service_time_ms > self.slo_ms;
-        is_too_slow || load.drain_ms() > self.slo_ms
+        is_too_slow || load.time_of(load.on_time) > self.slo_ms
     }
 }
 
@@ -150,7 +153,8 @@
 
     fn queue_load(&self, now_ms: Millis) -> QueueLoad {
         QueueLoad {
-            queued: self.queue.on_time(now_ms),
+            awaited: self.queue.awaited(),
+            on_time: self.queue.on_time(now_ms),
             slots: self.slots,
             has_slot: self.has_slot(),
             service_time_ms: self.service_time.mean_or_zero_ms(),
