Leave time for the answer when comparing queued requests with the SLO

Cause: openings were refused once the requests that can be on time take longer than the SLO. A request that waits for all of them has to be answered within the SLO, and those that can be on time have to start one service time before its end.

Change: the service time of the request itself counts too. That covers the upstream that needs longer than the SLO for a single request. An upstream with a free slot is never overloaded.

--- a/crates/steering/src/side/overload.rs
+++ b/crates/steering/src/side/overload.rs
@@ -86,28 +86,28 @@
     }
 
     /// How long the upstream should get no opening; `None` if it is not overloaded. It is while a
-    /// caller has given up lately, or is bound to, and requests wait that cannot be started within
+    /// caller has given up lately, or is bound to, and requests wait that cannot be answered within
     /// the SLO.
     ///
-    /// Without the second condition, an upstream whose callers have not given up yet would get the
-    /// openings that all others refuse, until the time-out of its callers.
+    /// If callers had to give up first, an upstream would get the openings that all others refuse,
+    /// until the time-out of its callers. So would one whose agent has restarted: requests that were
+    /// queued at the former process are not given up on here.
     pub(super) fn refuse_for(self, now_ms: Millis, load: QueueLoad) -> Option<Millis> {
         let is_recent = |at_ms| now_ms.saturating_sub(at_ms) < OVERLOAD_TTL_MS;
-        let given_up = self.given_up_ms.is_some_and(is_recent);
-        let is_bound_to = load.time_of(load.awaited) > self.timeout_ms;
-        let overloaded = (given_up || is_bound_to) && self.exceeds_slo(load);
+        let has_given_up = self.given_up_ms.is_some_and(is_recent);
+        let is_bound_to_give_up = load.time_of(load.awaited) > self.timeout_ms;
+        let is_overloaded = (has_given_up || is_bound_to_give_up) && self.exceeds_slo(load);
         // Requests that fill the SLO keep the upstream busy for half of it; by then, the rest are
         // late.
-        overloaded.then(|| (self.slo_ms / 4).max(REFUSAL_MIN_MS))
+        is_overloaded.then(|| (self.slo_ms / 4).max(REFUSAL_MIN_MS))
     }
 
-    /// Whether requests wait that cannot be started within the SLO.
+    /// Whether a request that has to wait for all those that can be on time would be answered later
+    /// than the SLO.
     ///
-    /// Beside an upstream that takes longer than the SLO for a single request, none is left to wait:
-    /// queued requests are given up on at once, because too little time would remain for them.
+    /// None of these is left beside an upstream that needs longer than the SLO for a single request.
     fn exceeds_slo(self, load: QueueLoad) -> bool {
-        let is_too_slow = !load.has_slot && load.service_time_ms > self.slo_ms;
-        is_too_slow || load.time_of(load.on_time) > self.slo_ms
+        !load.has_slot && load.time_of(load.on_time) + load.service_time_ms > self.slo_ms
     }
 }
 
