--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -156,6 +156,9 @@
             Delivery::RateLimited { for_ms } => {
                 self.send_reply(balancer, upstream, Verdict::RateLimited { for_ms }, packet);
             }
+            Delivery::Overloaded { for_ms } => {
+                self.send_reply(balancer, upstream, Verdict::Overloaded { for_ms }, packet);
+            }
             Delivery::Queued => {}
         }
         self.release_queued(upstream);
@@ -374,7 +377,8 @@
             if self.upstreams[upstream].service != service {
                 continue;
             }
-            let passed_over = upstream != opened && eligible.contains(&upstream);
+            let passed_over =
+                upstream != opened && eligible.contains(&upstream) && self.is_worse_choice(opened);
             let count = &mut self.passed_over[upstream];
             *count = if passed_over { *count + 1 } else { 0 };
             let exceeds = *count > PASSED_OVER_MAX * up;
--- a/crates/steering/src/edge/openings.rs
+++ b/crates/steering/src/edge/openings.rs
@@ -41,21 +41,30 @@
             let in_time = first && !queued && !lagging;
             entry.resettable_until_ms = if in_time { now_ms + CALLER_RETRANSMIT_MS } else { 0 };
         }
+        if segment.kind != (SegmentKind::Opening { copy: 0 }) {
+            entry.forget_overload_refusals();
+        }
         let already_sent = entry.target.is_some();
+        entry.denials_in_doubt |= already_sent;
         if let (Some(to), true) = (entry.target, entry.confirmed) {
             let to = Destination::of(now_ms, view, segment.flow, to, service);
             actions.push(Action::Forward { to, wants_report: true, reason: Reason::Known });
             return;
         }
-        let mut placement = Placement { now_ms, view, loads: &mut self.loads };
-        let to = match placement.place(service, segment.flow, entry) {
+        let mut placement =
+            Placement { now_ms, view, loads: &mut self.loads, overload: &self.overload };
+        let to = match self.probes.place(&mut placement, service, segment.flow, entry) {
             Ok(to) => to,
             Err(reason) => {
-                actions.push(if is_final(reason) {
+                let action = if is_final(reason) {
                     reject(now_ms, entry, reason)
                 } else {
                     Action::Drop { reason: Reason::Unknown }
-                });
+                };
+                if action == (Action::Reset { reason: Reason::Overloaded }) {
+                    self.pending.remove(segment.flow);
+                }
+                actions.push(action);
                 return;
             }
         };
@@ -87,8 +96,9 @@
         if let Some(unresponsive) = entry.target {
             self.loads.record_no_reply(now_ms, view, unresponsive);
         }
-        let mut placement = Placement { now_ms, view, loads: &mut self.loads };
-        let Ok(to) = placement.place(service, flow, entry) else { return };
+        let mut placement =
+            Placement { now_ms, view, loads: &mut self.loads, overload: &self.overload };
+        let Ok(to) = self.probes.place(&mut placement, service, flow, entry) else { return };
         entry.ask(now_ms, to);
         self.loads.record_placement(now_ms, view, to);
         let to = Destination::of(now_ms, view, flow, to, service);
@@ -111,8 +121,9 @@
         }
         entry.record_opening_denial(from, now_ms);
         let Some(service) = service_of(view, flow) else { return };
-        let mut placement = Placement { now_ms, view, loads: &mut self.loads };
-        let to = match placement.place(service, flow, entry) {
+        let mut placement =
+            Placement { now_ms, view, loads: &mut self.loads, overload: &self.overload };
+        let to = match self.probes.place(&mut placement, service, flow, entry) {
             Ok(to) => to,
             Err(reason) => {
                 let reason = if is_final(reason) { reason } else { Reason::Refused };
@@ -132,15 +143,17 @@
 /// Whether an opening that cannot be placed for this reason is rejected without asking any
 /// upstream.
 fn is_final(reason: Reason) -> bool {
-    matches!(reason, Reason::ZoneClosed | Reason::ColdLimit | Reason::RegionNotAllowed)
+    matches!(
+        reason,
+        Reason::ZoneClosed | Reason::ColdLimit | Reason::RegionNotAllowed | Reason::Overloaded
+    )
 }
 
 /// The action for an opening that no upstream takes. A reset is sent only for the first copy of an
-/// opening, if it arrived in time and this balancer did not retransmit it, and only until the
-/// caller does. In all other cases the flow may be open by now.
+/// opening, if it arrived in time and this balancer did not retransmit it, only until the caller
+/// does, and only once. In all other cases the flow may be open by now.
 fn reject(now_ms: Millis, entry: &mut Entry, reason: Reason) -> Action {
-    if now_ms < std::mem::take(&mut entry.resettable_until_ms) {
-        return Action::Reset { reason };
-    }
-    Action::Drop { reason: Reason::Unknown }
+    let may_be_reset = entry.may_be_reset(now_ms);
+    entry.resettable_until_ms = 0;
+    if may_be_reset { Action::Reset { reason } } else { Action::Drop { reason: Reason::Unknown } }
 }
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod estimate;
 mod flow;
+mod overload;
 mod pending_replies;
 mod queue;
 mod request;
@@ -20,6 +21,7 @@
 use crate::view::ServiceStamp;
 use admission::{Admission, Refusal};
 use flow::Flow;
+use overload::Overload;
 use pending_replies::PendingReplies;
 use queue::Queue;
 use service_time::ServiceTime;
@@ -56,9 +58,6 @@
 /// Data bytes of a full packet. A full packet is followed by more data of the same request, with
 /// round trips in between, and the upstream starts processing only with the last packet.
 const FULL_PACKET_BYTES: u16 = 1_200;
-/// Time within which callers expect an answer if the balancer does not know it: the shortest known
-/// for any caller.
-const SLO_DEFAULT_MS: Millis = 150;
 /// Mean service times that must be left before the caller gives up when a queued request is passed
 /// on. A request that its caller abandons occupies a slot for nothing.
 const RESERVED_SERVICE_TIMES: Millis = 3;
@@ -71,12 +70,14 @@
     policy: Policy,
     flows: HashMap<FlowKey, Flow>,
     queue: Queue,
+    /// Notes about queued requests whose callers gave up, until the process reads them.
     given_up: VecDeque<GivenUp>,
-    /// When a caller was last found to have given up on a queued request.
-    last_given_up_ms: Option<Millis>,
     service_time: ServiceTime,
     pending_replies: PendingReplies,
     admission: Admission,
+    overload: Overload,
+    /// When the latest packet from the upstream arrived.
+    upstream_active_ms: Millis,
     slots: u8,
     busy: u32,
     unanswered: u32,
@@ -100,10 +101,11 @@
             flows: HashMap::new(),
             queue: Queue::default(),
             given_up: VecDeque::new(),
-            last_given_up_ms: None,
             service_time: ServiceTime::default(),
             pending_replies: PendingReplies::default(),
             admission: Admission::default(),
+            overload: Overload::default(),
+            upstream_active_ms: 0,
             slots: 0,
             busy: 0,
             unanswered: 0,
@@ -133,6 +135,7 @@
         if metadata.slots > 0 {
             self.slots = metadata.slots;
         }
+        self.overload.record_times(&metadata);
         self.admission.record_acceptance_vote(now_ms, &metadata);
         if let Err(refusal) = self.admit(now_ms, segment, &metadata) {
             self.pending_replies.resolve(metadata.balancer);
@@ -169,6 +172,7 @@
         if !is_opening || is_held {
             return Ok(());
         }
+        self.check_overload(now_ms, segment, metadata)?;
         self.admission.admit(now_ms, metadata)
     }
 
@@ -305,7 +309,7 @@
         if now_ms.saturating_sub(self.last_sweep_ms) >= SWEEP_INTERVAL_MS {
             self.sweep(now_ms);
         }
-        self.reclaim_places(now_ms);
+        self.reclaim_slots(now_ms);
     }
 
     /// Removes idle flows, and requests whose answers were lost. If these stayed counted, other
@@ -339,6 +343,7 @@
             self.admission.suspect_restart(now_ms);
         }
         self.admission.note_upstream_activity(now_ms);
+        self.upstream_active_ms = now_ms;
         self.unanswered = 0;
     }
 
@@ -404,6 +409,7 @@
         match refusal {
             Refusal::NotAccepting => Self::NotAccepting,
             Refusal::RateLimited { for_ms } => Self::RateLimited { for_ms },
+            Refusal::Overloaded { for_ms } => Self::Overloaded { for_ms },
         }
     }
 }
