--- a/crates/fuzzing/src/direct/world/overload.rs
+++ b/crates/fuzzing/src/direct/world/overload.rs
@@ -239,7 +239,7 @@
 
     /// Records what an agent's verdict says to a balancer about further openings.
     pub(super) fn note_verdict(&mut self, balancer: usize, upstream: usize, verdict: Verdict) {
-        if let Verdict::Overloaded { for_ms } = verdict {
+        if let Verdict::Overloaded { for_ms } | Verdict::RateLimited { for_ms } = verdict {
             self.overload.told_until_ms.insert((balancer, upstream), self.now_ms + for_ms);
         }
     }
