Never reset an opening while an upstream has it without a reply

Cause: only openings rejected for overload were checked for upstreams that have not replied. If a second packet of the first copy arrived within 200 ms, and all upstreams were at their limit as cold ones by then, the opening was reset although the upstream that got the first packet may have opened the flow. The new test shows it on the former code.

Change: every rejection requires that all upstreams to which the opening was sent have denied it. Found in review, with two smaller ones in the same function: times of probes were kept for services that no longer exist, and an opening that is reset at once cost a second pass over all upstreams.

--- a/crates/steering/src/edge/flows.rs
+++ b/crates/steering/src/edge/flows.rs
@@ -39,7 +39,7 @@
     pub(super) sequence: Option<u32>,
     /// Until when the opening may be reset if every upstream denies it.
     pub(super) resettable_until_ms: Millis,
-    /// Upstreams that refused the opening because they are overloaded.
+    /// Number of times that an overloaded upstream refused the opening.
     pub(super) overload_refusals: u8,
     /// Whether the flow may be open although every upstream has denied it: one that counts as
     /// denying the opening has received it nevertheless, or the opening was sent more than once, and
@@ -108,10 +108,11 @@
         self.push_denial(address, now_ms);
     }
 
-    /// Whether an upstream may have opened the flow.
-    pub(super) fn may_be_open(&self) -> bool {
-        let has_returned = |address| self.denials.binary_search(&address).is_ok();
-        self.denials_in_doubt || !self.visits.addresses().all(has_returned)
+    /// Whether the opening may be reset if no upstream takes it: every upstream to which it was
+    /// sent has denied it. One that has not replied may have opened the flow.
+    pub(super) fn may_be_reset(&self, now_ms: Millis) -> bool {
+        let has_denied = |address| self.denials.binary_search(&address).is_ok();
+        now_ms < self.resettable_until_ms && self.visits.addresses().all(has_denied)
     }
 
     /// Clears refusals by overloaded upstreams. Their agents take later copies of an opening, which
--- a/crates/steering/src/edge/openings.rs
+++ b/crates/steering/src/edge/openings.rs
@@ -150,11 +150,10 @@
 }
 
 /// The action for an opening that no upstream takes. A reset is sent only for the first copy of an
-/// opening, if it arrived in time and this balancer did not retransmit it, and only until the
-/// caller does. In all other cases the flow may be open by now.
+/// opening, if it arrived in time and this balancer did not retransmit it, only until the caller
+/// does, and only once. In all other cases the flow may be open by now.
 fn reject(now_ms: Millis, entry: &mut Entry, reason: Reason) -> Action {
-    if now_ms < std::mem::take(&mut entry.resettable_until_ms) {
-        return Action::Reset { reason };
-    }
-    Action::Drop { reason: Reason::Unknown }
+    let may_be_reset = entry.may_be_reset(now_ms);
+    entry.resettable_until_ms = 0;
+    if may_be_reset { Action::Reset { reason } } else { Action::Drop { reason: Reason::Unknown } }
 }
--- a/crates/steering/src/edge/overload.rs
+++ b/crates/steering/src/edge/overload.rs
@@ -85,7 +85,11 @@
                 self.sent_ms[index].1 = now_ms;
                 true
             }
-            Err(index) => {
+            Err(_) => {
+                let is_recent =
+                    |sent_ms: Millis| now_ms.saturating_sub(sent_ms) < PROBE_INTERVAL_MS;
+                self.sent_ms.retain(|(_, sent_ms)| is_recent(*sent_ms));
+                let index = self.sent_ms.partition_point(|(other, _)| *other < service);
                 self.sent_ms.insert(index, (service, now_ms));
                 true
             }
@@ -101,24 +105,24 @@
         flow: FlowKey,
         entry: &mut Entry,
     ) -> Result<Ipv4Addr, Reason> {
-        match placement.place(service, flow, entry) {
-            Err(Reason::Overloaded) => {}
-            Err(Reason::Refused) if entry.overload_refusals > 0 => {}
+        let is_denied_by_all = match placement.place(service, flow, entry) {
+            Err(Reason::Overloaded) => false,
+            Err(Reason::Refused) if entry.overload_refusals > 0 => true,
             placed => return placed,
-        }
-        if entry.may_be_open() {
+        };
+        if entry.denials_in_doubt {
             entry.resettable_until_ms = 0;
         }
         let now_ms = placement.now_ms;
-        let Some(next) = placement.where_overload_ends_first(service, flow, entry) else {
-            return Err(Reason::Overloaded);
-        };
-        let sent_on = if now_ms < entry.resettable_until_ms {
+        let sent_on = if is_denied_by_all {
+            false
+        } else if entry.may_be_reset(now_ms) {
             self.take_due(now_ms, service)
         } else {
             entry.overload_refusals < REFUSALS_MAX
         };
-        if sent_on { Ok(next) } else { Err(Reason::Overloaded) }
+        let next = sent_on.then(|| placement.where_overload_ends_first(service, flow, entry));
+        next.flatten().ok_or(Reason::Overloaded)
     }
 }
 
--- a/crates/steering/tests/edge_openings.rs
+++ b/crates/steering/tests/edge_openings.rs
@@ -280,3 +280,20 @@
     let reset = actions.iter().any(|action| matches!(action, Action::Reset { .. }));
     assert_eq!(reset, refused, "{actions:?}");
 }
+
+/// A second packet of the first copy arrives while the first one has no reply, and all upstreams
+/// are at their limit by now. The upstream that got the first packet may have opened the flow, and
+/// a reset would end it.
+#[test]
+fn opening_without_a_reply_is_not_refused() {
+    let (mut edge, view) = (Edge::default(), all_ready_view());
+    packet(&mut edge, 0, &view, &opening(1, 0));
+    let limited = Verdict::RateLimited { for_ms: 500 };
+    for (listed, number) in view.upstreams().iter().zip(100..) {
+        verdict(&mut edge, 1, &view, listed.address, limited, &opening(number, 0));
+    }
+    let other = packet(&mut edge, 2, &view, &opening(2, 0));
+    assert_eq!(other, [Action::Reset { reason: Reason::ColdLimit }]);
+    let again = packet(&mut edge, 2, &view, &opening(1, 0));
+    assert_eq!(again, [Action::Drop { reason: Reason::Unknown }]);
+}
