Share the default times of callers, and bound the cost of overload checks

Cause: review. The SLO and the time-out that hold if a packet states none were worked out in two modules of the agent, and the default SLO stood in the agent and in the balancer. Each opening, also with the mechanism off, counted the queued requests one by one. The field `given_up` had the comment of a removed one, and a method that only called another remained from the merge.

Change: ForwardMetadata gives both times, view::SLO_DEFAULT_MS is used by both sides, the load is computed only for openings that could be refused, and only requests that have newly become late are counted one by one.

--- a/crates/steering/src/edge/delay.rs
+++ b/crates/steering/src/edge/delay.rs
@@ -3,7 +3,7 @@
 //! Load pattern: upstreams of one service differ in speed, and under load requests queue beside
 //! them. The number of requests alone would send the same load to a slow upstream as to a fast one.
 
-use crate::flow::Millis;
+use crate::view::SLO_DEFAULT_MS;
 
 /// Number of first-ranked upstreams that are compared if none of the first
 /// [`super::placement::PLACEMENT_RANKS`] is expected to answer within the SLO. A balancer that does
@@ -12,8 +12,6 @@
 /// Delays are compared in steps of this share of the SLO, because callers do not notice smaller
 /// differences.
 const STEPS_PER_SLO: f64 = 8.0;
-/// SLO of a route that states none: the shortest known for any caller.
-const SLO_DEFAULT_MS: Millis = 150;
 const US_PER_MS: f64 = 1_000.0;
 
 /// A service time that an agent reported.
--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -58,9 +58,6 @@
 /// Data bytes of a full packet. A full packet is followed by more data of the same request, with
 /// round trips in between, and the upstream starts processing only with the last packet.
 const FULL_PACKET_BYTES: u16 = 1_200;
-/// Time within which callers expect an answer if the balancer does not know it: the shortest known
-/// for any caller.
-const SLO_DEFAULT_MS: Millis = 150;
 /// Mean service times that must be left before the caller gives up when a queued request is passed
 /// on. A request that its caller abandons occupies a slot for nothing.
 const RESERVED_SERVICE_TIMES: Millis = 3;
@@ -73,8 +70,8 @@
     policy: Policy,
     flows: HashMap<FlowKey, Flow>,
     queue: Queue,
+    /// Notes about queued requests whose callers gave up, until the process reads them.
     given_up: VecDeque<GivenUp>,
-    /// When a caller was last found to have given up on a queued request.
     service_time: ServiceTime,
     pending_replies: PendingReplies,
     admission: Admission,
@@ -312,7 +309,7 @@
         if now_ms.saturating_sub(self.last_sweep_ms) >= SWEEP_INTERVAL_MS {
             self.sweep(now_ms);
         }
-        self.reclaim_places(now_ms);
+        self.reclaim_slots(now_ms);
     }
 
     /// Removes idle flows, and requests whose answers were lost. If these stayed counted, other
--- a/crates/steering/src/side/overload.rs
+++ b/crates/steering/src/side/overload.rs
@@ -10,9 +10,9 @@
 
 use super::admission::Refusal;
 use super::types::ForwardMetadata;
-use super::{AgentCore, SLO_DEFAULT_MS, UNRESPONSIVE_MS};
+use super::{AgentCore, UNRESPONSIVE_MS};
 use crate::flow::{Millis, Segment, SegmentKind};
-use crate::view::WAIT_DEFAULT_SLOS;
+use crate::view::{SLO_DEFAULT_MS, WAIT_DEFAULT_SLOS};
 
 /// An overload ends this long after the last caller has given up.
 const OVERLOAD_TTL_MS: Millis = 1_000;
@@ -68,10 +68,8 @@
     /// Records the times that a packet carries. Openings carry none.
     pub(super) fn record_times(&mut self, metadata: &ForwardMetadata) {
         if metadata.slo_ms > 0 {
-            let wait_slos = [metadata.wait_slos, WAIT_DEFAULT_SLOS];
-            let wait_slos = wait_slos.into_iter().find(|slos| *slos > 0).unwrap_or_default();
-            self.slo_ms = Millis::from(metadata.slo_ms);
-            self.timeout_ms = self.slo_ms * Millis::from(wait_slos);
+            self.slo_ms = metadata.slo_or_default_ms();
+            self.timeout_ms = metadata.timeout_or_default_ms();
         }
     }
 
@@ -112,7 +110,8 @@
 }
 
 impl AgentCore {
-    /// Whether this agent returns openings because callers give up on queued requests.
+    /// Whether this agent returns openings because callers give up on queued requests, or are bound
+    /// to.
     pub fn is_overloaded(&self, now_ms: Millis) -> bool {
         self.policy.overload_admission && self.refuse_for(now_ms).is_some()
     }
@@ -136,10 +135,10 @@
             && !metadata.urgent
             && !self.flows.contains_key(&segment.flow)
             && now_ms.saturating_sub(self.upstream_active_ms) < self.silence_max_ms();
-        match self.refuse_for(now_ms).filter(|_| is_refusable) {
-            Some(for_ms) => Err(Refusal::Overloaded { for_ms }),
-            None => Ok(()),
+        if !is_refusable {
+            return Ok(());
         }
+        self.refuse_for(now_ms).map_or(Ok(()), |for_ms| Err(Refusal::Overloaded { for_ms }))
     }
 
     /// Longest time in which a running upstream with requests in progress usually sends nothing.
--- a/crates/steering/src/side/queue.rs
+++ b/crates/steering/src/side/queue.rs
@@ -15,7 +15,8 @@
 //! load has ended. It stays here for a while, because its caller may still retransmit it: a
 //! retransmission would otherwise be queued as a new request.
 //!
-//! Every operation takes logarithmic time: under overload, each packet of a caller leads to one.
+//! Every operation takes logarithmic time, apart from requests that have become late or abandoned
+//! since the last one: under overload, each packet of a caller leads to one.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -236,7 +237,8 @@
 
     /// Number of awaited requests that can still be on time.
     pub(super) fn on_time(&self, now_ms: Millis) -> usize {
-        self.start_by.range((now_ms, 0)..).count()
+        // Few have become late since a request was last taken.
+        self.start_by.len() - self.start_by.range(..(now_ms, 0)).count()
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/steering/src/side/request.rs
+++ b/crates/steering/src/side/request.rs
@@ -3,17 +3,16 @@
 //!
 //! A request counts as in progress only if the upstream processes it. An upstream that knows that
 //! the caller has ended the flow discards the flow's requests without an answer. If these were
-//! counted, each would block a slot for [`BUSY_MAX_MS`], other callers would
-//! give up in the meantime, and the blocking would outlast the load.
+//! counted, each would block a slot for [`BUSY_MAX_MS`], other callers would give up in the
+//! meantime, and the blocking would outlast the load.
 
 use super::queue::Times;
 use super::types::{ForwardMetadata, GivenUp, GivenUpBy, Released};
 use super::{
     AgentCore, BUSY_MAX_MS, FULL_PACKET_BYTES, NETWORK_DELAY_MS, REQUESTS_BEYOND_SLOTS,
-    RESERVED_SERVICE_TIMES, SLO_DEFAULT_MS,
+    RESERVED_SERVICE_TIMES,
 };
 use crate::flow::{FlowKey, Millis, Segment, SegmentKind};
-use crate::view::WAIT_DEFAULT_SLOS;
 
 /// Maximum number of kept notes about requests whose callers gave up. The process reads them after
 /// each packet, so that there are no more than the queue has requests.
@@ -114,14 +113,11 @@
     /// was seen, or from the opening if that is older.
     fn times_of_request(&self, now_ms: Millis, key: FlowKey, metadata: &ForwardMetadata) -> Times {
         let elapsed_ms = self.flows.get(&key).map_or(0, |flow| flow.request_age_ms(now_ms));
-        let slo_ms =
-            if metadata.slo_ms == 0 { SLO_DEFAULT_MS } else { Millis::from(metadata.slo_ms) };
-        let wait_slos =
-            if metadata.wait_slos == 0 { WAIT_DEFAULT_SLOS } else { metadata.wait_slos };
         let needed_ms = self.service_time.mean_or_zero_ms() + NETWORK_DELAY_MS + elapsed_ms;
-        let start_by_ms = slo_ms.checked_sub(needed_ms).map(|left_ms| now_ms + left_ms);
+        let start_by_ms =
+            metadata.slo_or_default_ms().checked_sub(needed_ms).map(|left_ms| now_ms + left_ms);
         let reserved_ms = RESERVED_SERVICE_TIMES * self.service_time.mean_or_zero_ms();
-        let left_ms = (slo_ms * Millis::from(wait_slos)).saturating_sub(elapsed_ms + reserved_ms);
+        let left_ms = metadata.timeout_or_default_ms().saturating_sub(elapsed_ms + reserved_ms);
         Times { now_ms, start_by_ms, abandoned_from_ms: now_ms + left_ms }
     }
 
@@ -178,26 +174,22 @@
         self.queue.drop_expired(now_ms);
     }
 
+    /// Records that the caller of a queued request was found to have given up. This is called once
+    /// for each request.
     fn record_given_up(&mut self, now_ms: Millis, note: GivenUp) {
-        self.note_given_up(now_ms);
+        self.overload.record_given_up(now_ms);
         if self.given_up.len() < GIVEN_UP_MAX {
             self.given_up.push_back(note);
         }
     }
 
-    /// Notes that the caller of a queued request was found to have given up. This is called once
-    /// for each request.
-    pub(super) fn note_given_up(&mut self, now_ms: Millis) {
-        self.overload.record_given_up(now_ms);
-    }
-
     /// Stops counting requests that must have been answered or discarded by now.
     ///
     /// If a crashed upstream loses as many requests as it has slots, or discards them because their
-    /// callers have gone, no further request would reach it until [`BUSY_MAX_MS`]
-    /// have passed, although it is idle. Before the first answer nothing is known of the upstream's
-    /// service time, and it may simply be slow.
-    pub(super) fn reclaim_places(&mut self, now_ms: Millis) {
+    /// callers have gone, no further request would reach it until [`BUSY_MAX_MS`] have passed,
+    /// although it is idle. Before the first answer nothing is known of the upstream's service time,
+    /// and it may simply be slow.
+    pub(super) fn reclaim_slots(&mut self, now_ms: Millis) {
         let is_due = now_ms.saturating_sub(self.last_reclaim_ms) >= RECLAIM_INTERVAL_MS;
         if !is_due || self.has_slot() || self.queue.is_empty() {
             return;
--- a/crates/steering/src/side/types.rs
+++ b/crates/steering/src/side/types.rs
@@ -4,7 +4,7 @@
 
 use super::queue::QueuedRequest;
 use crate::flow::{FlowKey, Millis};
-use crate::view::ServiceStamp;
+use crate::view::{SLO_DEFAULT_MS, ServiceStamp, WAIT_DEFAULT_SLOS};
 
 /// Metadata that a balancer sends along with a forwarded packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +33,19 @@
     pub cold: bool,
 }
 
+impl ForwardMetadata {
+    /// Time within which the caller expects an answer.
+    pub(super) fn slo_or_default_ms(&self) -> Millis {
+        if self.slo_ms == 0 { SLO_DEFAULT_MS } else { Millis::from(self.slo_ms) }
+    }
+
+    /// Time for which the caller waits for an answer.
+    pub(super) fn timeout_or_default_ms(&self) -> Millis {
+        let wait_slos = if self.wait_slos == 0 { WAIT_DEFAULT_SLOS } else { self.wait_slos };
+        self.slo_or_default_ms() * Millis::from(wait_slos)
+    }
+}
+
 /// What the agent does with a packet from a balancer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delivery {
--- a/crates/steering/src/view/mod.rs
+++ b/crates/steering/src/view/mod.rs
@@ -13,7 +13,8 @@
 use crate::revision::Revision;
 
 pub use routes::{
-    Route, RouteTable, RoutesDelta, Service, Share, WAIT_DEFAULT_SLOS, WAIT_STEPS_SLOS, wait_slos,
+    Route, RouteTable, RoutesDelta, SLO_DEFAULT_MS, Service, Share, WAIT_DEFAULT_SLOS,
+    WAIT_STEPS_SLOS, wait_slos,
 };
 
 /// Identity of a service, carried in packets between balancer and agent. An agent whose address
--- a/crates/steering/src/view/routes.rs
+++ b/crates/steering/src/view/routes.rs
@@ -7,7 +7,7 @@
 use siphasher::sip::SipHasher13;
 
 use super::{RegionStamp, ServiceStamp};
-use crate::flow::FlowKey;
+use crate::flow::{FlowKey, Millis};
 use crate::rank;
 
 /// A service's share of the flows of a route.
@@ -20,12 +20,15 @@
 }
 
 /// How long callers wait before giving up, in multiples of the time within which they expect an
-/// answer; zero stands for [`WAIT_DEFAULT_SLOS`]. Steps are used so that most changes of a timeout leave the route
-/// unchanged, and so that the value fits into two bits of a packet.
+/// answer; zero stands for [`WAIT_DEFAULT_SLOS`]. Steps are used so that most changes of a timeout
+/// leave the route unchanged, and so that the value fits into two bits of a packet.
 pub const WAIT_STEPS_SLOS: [u8; 4] = [0, 4, 7, 10];
 
 /// How many multiples of that time callers wait if nothing else is stated.
 pub const WAIT_DEFAULT_SLOS: u8 = 6;
+/// Time within which callers expect an answer if their route states none: the shortest known for
+/// any caller.
+pub const SLO_DEFAULT_MS: Millis = 150;
 
 /// The largest step that is within a timeout, or the smallest known step if the timeout is shorter.
 /// Zero if the timeout is unknown, and if [`WAIT_DEFAULT_SLOS`] is closer to it than any step.
