--- a/crates/steering/src/policy/mod.rs
+++ b/crates/steering/src/policy/mod.rs
@@ -112,9 +112,24 @@
     /// assert_eq!(policy.without("luck"), None);
     /// ```
     #[must_use]
-    pub fn without(mut self, name: &str) -> Option<Self> {
+    pub fn without(self, name: &str) -> Option<Self> {
+        self.switched(name, false)
+    }
+
+    /// The policy with one more mechanism; `None` if there is no mechanism of that name.
+    ///
+    /// ```
+    /// use steering::policy::Policy;
+    /// assert!(Policy::default().with("overload_admission").unwrap().overload_admission);
+    /// ```
+    #[must_use]
+    pub fn with(self, name: &str) -> Option<Self> {
+        self.switched(name, true)
+    }
+
+    fn switched(mut self, name: &str, on: bool) -> Option<Self> {
         let (_, field) = FIELDS.iter().find(|(known, _)| *known == name)?;
-        *field(&mut self) = false;
+        *field(&mut self) = on;
         Some(self)
     }
 
