--- a/xtask/src/capacity/roles/direct.rs
+++ b/xtask/src/capacity/roles/direct.rs
@@ -20,8 +20,9 @@
         state: "Routes, the list of upstreams, other balancers, and a table of flows that serves as a cache. Measured \
                 including the callers' packets: these grow with the share of the traffic, the rest with the fleet. The line \
                 is fitted to the busiest process at 30, 100 and 300 instances, which is a reader. By design, not measured: \
-                `delay_placement` and `overload_admission` keep tens of bytes for each upstream, under 1 MB for 10,000, and send \
-                no message and no longer one.",
+                `delay_placement` and `overload_admission` keep tens of bytes for each upstream, under 1 MB for 10,000. The \
+                first sends no message and no longer one; the second, off by default, exchanges a packet with each upstream that \
+                refuses an opening.",
         rows: vec![
             row(
                 Bytes,
