Keep overload refusals in the load table

The times until which overloaded upstreams are skipped stood in a table of their own, beside the load table that already keeps such times by address and incarnation. They are a field of its entries now. No change of behaviour is meant.

--- a/crates/steering/src/edge/loads.rs
+++ b/crates/steering/src/edge/loads.rs
@@ -25,6 +25,9 @@
 /// be cold, and from one that only its agent considers cold.
 const RATE_LIMIT_MAX_MS: Millis = 5_000;
 const RATE_LIMIT_WARM_MAX_MS: Millis = 1_000;
+/// Longest time for which the refusal of an overloaded upstream's agent keeps openings away. It is
+/// the same as for the limit of a warm upstream, for which balancers of earlier releases take it.
+const OVERLOAD_MAX_MS: Millis = RATE_LIMIT_WARM_MAX_MS;
 /// Weight of a cold upstream's load, in halves: it needs 1.6 times as long per request.
 const COLD_WEIGHT: u32 = 3;
 const WARM_WEIGHT: u32 = 2;
@@ -48,6 +51,8 @@
     rate_limited_until_ms: Millis,
     /// Whether the view listed it as cold when the limit was reported.
     rate_limited_while_cold: bool,
+    /// Until when it takes no openings because it is overloaded.
+    overloaded_until_ms: Millis,
 }
 
 /// Loads, sorted by address.
@@ -151,6 +156,28 @@
         self.find(upstream).is_some_and(is_in_force)
     }
 
+    /// Records that an overloaded upstream should get no opening for this long.
+    pub(super) fn record_overload(
+        &mut self,
+        now_ms: Millis,
+        view: &View,
+        address: Ipv4Addr,
+        for_ms: Millis,
+    ) {
+        let until_ms = now_ms + for_ms.min(OVERLOAD_MAX_MS);
+        self.entry(view, address).overloaded_until_ms = until_ms;
+    }
+
+    /// Whether an upstream takes no openings at present because it is overloaded.
+    pub(super) fn is_overloaded(&self, now_ms: Millis, upstream: &Upstream) -> bool {
+        self.overloaded_until_ms(upstream) > now_ms
+    }
+
+    /// Until when an upstream takes no openings because it is overloaded; zero if it never was.
+    pub(super) fn overloaded_until_ms(&self, upstream: &Upstream) -> Millis {
+        self.find(upstream).map_or(0, |load| load.overloaded_until_ms)
+    }
+
     /// Whether an upstream is skipped because it did not answer.
     pub(super) fn is_suspect(&self, now_ms: Millis, upstream: &Upstream) -> bool {
         self.policy.suspicion
@@ -244,6 +271,7 @@
             suspect_backoff_ms: 0,
             rate_limited_until_ms: 0,
             rate_limited_while_cold: false,
+            overloaded_until_ms: 0,
         };
         let index = match self.loads.binary_search_by_key(&address, |load| load.address) {
             Ok(index) => index,
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -33,7 +33,7 @@
 use flows::FlowTable;
 use lag::Lag;
 use loads::LoadTable;
-use overload::{OverloadTable, Probes};
+use overload::Probes;
 use pending::PendingTable;
 pub use pending::{PENDING_BYTES_MAX, RETRANSMIT_AFTER_MS};
 use reach::Reach;
@@ -58,7 +58,6 @@
     policy: Policy,
     flows: FlowTable,
     loads: LoadTable,
-    overload: OverloadTable,
     probes: Probes,
     pending: PendingTable,
     lag: Lag,
--- a/crates/steering/src/edge/openings.rs
+++ b/crates/steering/src/edge/openings.rs
@@ -51,8 +51,7 @@
             actions.push(Action::Forward { to, wants_report: true, reason: Reason::Known });
             return;
         }
-        let mut placement =
-            Placement { now_ms, view, loads: &mut self.loads, overload: &self.overload };
+        let mut placement = Placement { now_ms, view, loads: &mut self.loads };
         let to = match self.probes.place(&mut placement, service, segment.flow, entry) {
             Ok(to) => to,
             Err(reason) => {
@@ -96,8 +95,7 @@
         if let Some(unresponsive) = entry.target {
             self.loads.record_no_reply(now_ms, view, unresponsive);
         }
-        let mut placement =
-            Placement { now_ms, view, loads: &mut self.loads, overload: &self.overload };
+        let mut placement = Placement { now_ms, view, loads: &mut self.loads };
         let Ok(to) = self.probes.place(&mut placement, service, flow, entry) else { return };
         entry.ask(now_ms, to);
         self.loads.record_placement(now_ms, view, to);
@@ -121,8 +119,7 @@
         }
         entry.record_opening_denial(from, now_ms);
         let Some(service) = service_of(view, flow) else { return };
-        let mut placement =
-            Placement { now_ms, view, loads: &mut self.loads, overload: &self.overload };
+        let mut placement = Placement { now_ms, view, loads: &mut self.loads };
         let to = match self.probes.place(&mut placement, service, flow, entry) {
             Ok(to) => to,
             Err(reason) => {
--- a/crates/steering/src/edge/overload.rs
+++ b/crates/steering/src/edge/overload.rs
@@ -16,9 +16,6 @@
 use crate::rank;
 use crate::view::{ServiceStamp, Upstream, View};
 
-/// Longest time for which an agent's refusal keeps openings away from its upstream. It is the same
-/// as for the limit of a warm upstream, for which balancers of earlier releases take the refusal.
-const SKIP_MAX_MS: Millis = 1_000;
 /// While all upstreams of a service are overloaded, an opening that could be reset is sent on this
 /// often, so that the end of the overload is noticed.
 const PROBE_INTERVAL_MS: Millis = 100;
@@ -26,50 +23,6 @@
 /// Agents take its next copy.
 const REFUSALS_MAX: u8 = 3;
 
-#[derive(Clone, Copy, Debug)]
-struct Skip {
-    address: Ipv4Addr,
-    /// The upstream's incarnation; another one is not skipped.
-    born_ms: u64,
-    until_ms: Millis,
-}
-
-/// Until when upstreams get no openings because they are overloaded, sorted by address.
-#[derive(Debug, Default)]
-pub(super) struct OverloadTable {
-    skips: Vec<Skip>,
-}
-
-impl OverloadTable {
-    /// Records that an upstream should get no opening for this long.
-    pub(super) fn record(&mut self, now_ms: Millis, upstream: &Upstream, for_ms: Millis) {
-        let Upstream { address, born_ms, .. } = *upstream;
-        let skip = Skip { address, born_ms, until_ms: now_ms + for_ms.min(SKIP_MAX_MS) };
-        match self.find(address) {
-            Ok(index) => self.skips[index] = skip,
-            Err(_) => {
-                self.skips.retain(|other| other.until_ms > now_ms);
-                let index = self.skips.partition_point(|other| other.address < address);
-                self.skips.insert(index, skip);
-            }
-        }
-    }
-
-    /// Whether an upstream is skipped.
-    pub(super) fn is_overloaded(&self, now_ms: Millis, upstream: &Upstream) -> bool {
-        self.until_ms(upstream) > now_ms
-    }
-
-    fn until_ms(&self, upstream: &Upstream) -> Millis {
-        let skip = self.find(upstream.address).ok().map(|index| self.skips[index]);
-        skip.filter(|skip| skip.born_ms == upstream.born_ms).map_or(0, |skip| skip.until_ms)
-    }
-
-    fn find(&self, address: Ipv4Addr) -> Result<usize, usize> {
-        self.skips.binary_search_by_key(&address, |skip| skip.address)
-    }
-}
-
 /// When openings were last sent to overloaded upstreams of a service, sorted by service.
 #[derive(Debug, Default)]
 pub(super) struct Probes {
@@ -139,7 +92,7 @@
             return Ok(upstreams);
         }
         keep_or_reason(upstreams, Reason::Overloaded, |upstream| {
-            !self.overload.is_overloaded(self.now_ms, upstream)
+            !self.loads.is_overloaded(self.now_ms, upstream)
         })
     }
 
@@ -156,7 +109,7 @@
             let asked = entry.visits.has_asked(upstream.address);
             let suspect = self.loads.is_suspect(self.now_ms, upstream);
             let score = Reverse(rank::score(flow, upstream.address));
-            (asked, suspect, self.overload.until_ms(upstream), score)
+            (asked, suspect, self.loads.overloaded_until_ms(upstream), score)
         })?;
         Some(first.address)
     }
@@ -173,9 +126,7 @@
         for_ms: Millis,
         segment: &Segment,
     ) -> bool {
-        if let Some(upstream) = view.upstream_at(reply.from) {
-            self.overload.record(now_ms, upstream, for_ms);
-        }
+        self.loads.record_overload(now_ms, view, reply.from, for_ms);
         // The reply says nothing about a flow that is open.
         if !matches!(segment.kind, SegmentKind::Opening { .. }) {
             return false;
--- a/crates/steering/src/edge/placement.rs
+++ b/crates/steering/src/edge/placement.rs
@@ -6,7 +6,6 @@
 use super::delay::WIDE_RANKS;
 use super::flows::Entry;
 use super::loads::LoadTable;
-use super::overload::OverloadTable;
 use super::types::Reason;
 use crate::flow::{FlowKey, Millis};
 use crate::membership;
@@ -28,7 +27,6 @@
     pub(super) now_ms: Millis,
     pub(super) view: &'a View,
     pub(super) loads: &'a mut LoadTable,
-    pub(super) overload: &'a OverloadTable,
 }
 
 impl<'a> Placement<'a> {
