--- a/crates/steering/src/side/mod.rs
+++ b/crates/steering/src/side/mod.rs
@@ -317,13 +317,7 @@
     fn sweep(&mut self, now_ms: Millis) {
         self.last_sweep_ms = now_ms;
         self.flows.retain(|_, flow| now_ms.saturating_sub(flow.seen_ms) < FLOW_IDLE_TIMEOUT_MS);
-        for flow in self.flows.values_mut() {
-            if flow.busy_since_ms.is_some_and(|since| now_ms.saturating_sub(since) >= BUSY_MAX_MS) {
-                flow.busy_since_ms = None;
-            }
-        }
-        let busy = self.flows.values().filter(|flow| flow.busy_since_ms.is_some()).count();
-        self.busy = u32::try_from(busy).unwrap_or(u32::MAX);
+        self.expire_requests(now_ms, BUSY_MAX_MS);
     }
 
     /// Counts a packet that awaits an answer, and returns how long the upstream has been
--- a/crates/steering/src/side/request.rs
+++ b/crates/steering/src/side/request.rs
@@ -197,11 +197,16 @@
         self.last_reclaim_ms = now_ms;
         let Some(mean_ms) = self.service_time.mean_ms() else { return };
         let max_ms = (BUSY_MAX_SERVICE_TIMES * mean_ms as Millis).clamp(BUSY_MIN_MS, BUSY_MAX_MS);
+        self.expire_requests(now_ms, max_ms);
+    }
+
+    /// Stops counting requests that have been in progress for this long, and counts the others anew.
+    pub(super) fn expire_requests(&mut self, now_ms: Millis, max_ms: Millis) {
+        let is_over = |since_ms: &mut Millis| now_ms.saturating_sub(*since_ms) >= max_ms;
+        self.busy = 0;
         for flow in self.flows.values_mut() {
-            let is_over = |since_ms: &mut Millis| now_ms.saturating_sub(*since_ms) >= max_ms;
-            if flow.busy_since_ms.take_if(is_over).is_some() {
-                self.busy = self.busy.saturating_sub(1);
-            }
+            flow.busy_since_ms.take_if(is_over);
+            self.busy += u32::from(flow.busy_since_ms.is_some());
         }
     }
 
