Review: variants of the cases, and two more findings as scenarios

Scenarios join, born and agent of the harness aren't cases: they show what the report names besides.

--- a/review/harness/src/late.rs
+++ b/review/harness/src/late.rs
@@ -50,7 +50,7 @@
     for index in 0..SERVERS {
         let begun = Instant::now();
         if trouble {
-            world.restart_agent(&format!("i-a{index}"))?;
+            world.restart_agent(&format!("i-a{index}"), ms(300), |_| {})?;
         }
         world.run_for(ms(1_000).saturating_sub(begun.elapsed()));
     }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -1,6 +1,9 @@
 //! Scenarios of the review's scripts: `review-harness SCENARIO ROOT RECORD`. Exits with 1 if the
 //! rule was broken, 0 if it held, 2 if the case couldn't run. `TROUBLE=0` leaves out the disruption.
 
+mod agent;
+mod born;
+mod join;
 mod late;
 mod packet;
 mod routes;
@@ -25,6 +28,9 @@
     let (root, record) = (PathBuf::from(root), PathBuf::from(record));
     let outcome = match scenario.as_str() {
         "routes" => routes::run(&root, &record, trouble),
+        "agent" => agent::run(&root, &record, trouble),
+        "born" => born::run(&root, &record, trouble),
+        "join" => join::run(&root, &record, trouble),
         "late" => late::run(&root, &record, trouble),
         "stamp" => stamp::run(&root, &record, trouble),
         _ => Err(anyhow::anyhow!("no such scenario")),
--- a/review/harness/src/routes.rs
+++ b/review/harness/src/routes.rs
@@ -43,7 +43,13 @@
     ensure!(all_idle(world), "not all flows opened");
 
     // The first route now leads to the new service. Open flows stay where they are.
-    world.configure(12, &[(0, NEW, "safe"), (1, OLD, "safe")], &[OLD, NEW]);
+    if std::env::var("VARIANT").is_ok_and(|variant| variant == "removed") {
+        // Not part of the case: nothing leads to the old service any more, and the configuration
+        // doesn't name it.
+        world.configure(12, &[(0, NEW, "safe"), (1, NEW, "safe")], &[NEW]);
+    } else {
+        world.configure(12, &[(0, NEW, "safe"), (1, OLD, "safe")], &[OLD, NEW]);
+    }
     world.run_for(4 * second);
     for (index, flow) in flows.iter().enumerate() {
         world.request(*flow, &format!("second-{index}"));
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -83,6 +83,15 @@
     draining: bool,
     slots: usize,
     work: Duration,
+    /// Unix millisecond of its start by the clock of its machine, where the deployment has it.
+    pub born: Option<u64>,
+    /// Since when the store has acknowledged that it drains.
+    draining_since: Option<Instant>,
+}
+
+/// Unix milliseconds now.
+pub fn unix_ms() -> u64 {
+    std::time::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -112,6 +121,8 @@
     packets: SocketAddrV4,
     ready: SocketAddrV4,
     misses: u32,
+    /// Whether the machine belongs to the fleet.
+    member: bool,
 }
 
 /// What happened, as servers and clients saw it.
@@ -125,6 +136,8 @@
     pub reset_open: Vec<(Flow, String)>,
     pub resets: u32,
     pub altered: u32,
+    /// Openings that a draining server took, and how long after the store's ack.
+    pub late_openings: Vec<(Flow, String, Duration)>,
     pub answered: u32,
 }
 
@@ -148,6 +161,8 @@
     next_isn: u32,
     commands: (String, String),
     seqs: HashMap<String, u64>,
+    /// Whether servers state their start in their entries.
+    pub states_born: bool,
 }
 
 impl World {
@@ -186,11 +201,13 @@
             next_isn: 0x1122_3344,
             commands,
             seqs: HashMap::new(),
+            states_born: false,
         };
         let nodes = (0..balancers).map(|index| Node {
             packets: SocketAddrV4::new(world.balancer_ip(index), ports.packets),
             ready: SocketAddrV4::new(world.balancer_ip(index), ports.ready),
             misses: 2,
+            member: true,
         });
         *world.nodes.lock().unwrap() = nodes.collect();
         world.start_probes();
@@ -255,7 +272,7 @@
 
     fn settings(&self, name: &str, ip: Ipv4Addr, side: Option<&str>) -> Value {
         let at = |port| format!("{ip}:{port}");
-        let seeds: Vec<String> = (0..self.balancers.len())
+        let seeds: Vec<String> = (0..self.balancers.len().min(3))
             .map(|index| format!("{}:{}", self.balancer_ip(index), self.ports.control))
             .collect();
         let mut value = json!({
@@ -340,6 +357,21 @@
         self.log(format!("edge-{index} gets {signal}"));
     }
 
+    /// Adds a machine to the fleet, or takes one away.
+    pub fn set_member(&mut self, index: usize, member: bool) {
+        self.nodes.lock().unwrap()[index].member = member;
+    }
+
+    /// Stops a balancer (SIGTERM) and waits until it has ended.
+    pub fn stop_balancer(&mut self, index: usize) {
+        let Some(mut process) = self.balancers[index].take() else { return };
+        let _ = kill(Pid::from_raw(process.child.id() as i32), Signal::SIGTERM);
+        self.log(format!("edge-{index} gets SIGTERM"));
+        let limit = Instant::now() + Duration::from_secs(6);
+        self.run_until(limit, |_| process.child.try_wait().is_ok_and(|status| status.is_some()));
+        self.log(format!("edge-{index} has ended"));
+    }
+
     pub fn ready(&self) -> usize {
         self.nodes.lock().unwrap().iter().filter(|node| node.misses < 2).count()
     }
@@ -363,14 +395,65 @@
             draining: false,
             slots: 7,
             work: Duration::from_millis(20),
+            born: self.states_born.then(unix_ms),
+            draining_since: None,
         });
         self.log(format!("server {id} of {service} starts at {ip}, with its agent"));
         self.publish(id);
         Ok(())
     }
 
+    /// A server crashes and is back after a while, under the id that it had; its agent and its
+    /// machine stay. `born` is the time of the new start by the clock of its machine.
+    pub fn flap_server(
+        &mut self,
+        id: &str,
+        down: Duration,
+        born: impl Fn() -> u64,
+    ) -> anyhow::Result<()> {
+        let index = self.servers.iter().position(|server| server.id == id).context("server")?;
+        let server = self.servers.remove(index);
+        let (ip, service) = (server.ip, server.service.clone());
+        drop(server);
+        self.log(format!("server {id} crashes"));
+        self.run_for(down);
+        let socket = UdpSocket::bind((ip, self.ports.app))?;
+        socket.set_nonblocking(true)?;
+        self.servers.push(Server {
+            id: id.into(),
+            service,
+            ip,
+            socket,
+            flows: HashMap::new(),
+            jobs: Vec::new(),
+            draining: false,
+            slots: 7,
+            work: Duration::from_millis(20),
+            born: Some(born()),
+            draining_since: None,
+        });
+        self.seqs.remove(id);
+        self.log(format!("server {id} starts again under its id"));
+        self.publish(id);
+        Ok(())
+    }
+
+    /// A server reports that it drains.
+    pub fn drain(&mut self, id: &str) {
+        let server = self.servers.iter_mut().find(|server| server.id == id).unwrap();
+        server.draining = true;
+        self.publish(id);
+        let server = self.servers.iter_mut().find(|server| server.id == id).unwrap();
+        server.draining_since = Some(Instant::now());
+    }
+
     /// Stops the agent beside a server (SIGTERM), and starts it again after a short delay.
-    pub fn restart_agent(&mut self, id: &str) -> anyhow::Result<()> {
+    pub fn restart_agent(
+        &mut self,
+        id: &str,
+        delay: Duration,
+        mut meanwhile: impl FnMut(&mut Self),
+    ) -> anyhow::Result<()> {
         let server = self.servers.iter().find(|server| server.id == id).context("server")?;
         let (ip, service) = (server.ip, server.service.clone());
         let mut process = self.agents.remove(&ip).context("agent")?;
@@ -380,7 +463,11 @@
         self.run_until(limit, |_| process.child.try_wait().is_ok_and(|status| status.is_some()));
         let name = process.name.clone();
         drop(process);
-        self.run_for(Duration::from_millis(300));
+        let limit = Instant::now() + delay;
+        self.run_until(limit, |world| {
+            meanwhile(world);
+            false
+        });
         let settings = self.settings(&name, ip, Some(&service));
         let agent = self.launch(&name, &self.commands.1.clone(), &settings)?;
         self.agents.insert(ip, agent);
@@ -397,6 +484,10 @@
             "version": "v1", "capacity": server.slots,
             "state": if server.draining { "draining" } else { "ready" }, "warmupLeftMs": 0,
             "seq": *seq});
+        let mut entry = entry;
+        if let Some(born) = server.born {
+            entry["born"] = born.into();
+        }
         let rev = self.store.put(&format!("servers/{id}"), &entry);
         self.log(format!("store: rev {rev}: servers/{id} = {entry}"));
     }
@@ -468,8 +559,8 @@
     /// over all if fewer than half are.
     pub fn route(&self, flow: Flow) -> SocketAddrV4 {
         let nodes = self.nodes.lock().unwrap();
-        let ready: Vec<&Node> = nodes.iter().filter(|node| node.misses < 2).collect();
-        let all: Vec<&Node> = nodes.iter().collect();
+        let ready: Vec<&Node> = nodes.iter().filter(|node| node.member && node.misses < 2).collect();
+        let all: Vec<&Node> = nodes.iter().filter(|node| node.member).collect();
         let among = if 2 * ready.len() < all.len() { all } else { ready };
         let mut hash = u64::from(flow.0.port()) | u64::from(flow.1.port()) << 16;
         hash ^= u64::from(flow.0.ip().to_bits()) << 32 ^ u64::from(flow.1.ip().to_bits());
@@ -600,6 +691,9 @@
         if packet.has(SYN) {
             self.next_isn = self.next_isn.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
             let isn = self.next_isn;
+            if let (Some(since), false) = (server.draining_since, server.flows.contains_key(&flow)) {
+                self.seen.late_openings.push((flow, server.id.clone(), since.elapsed()));
+            }
             let state = server.flows.entry(flow).or_insert(ServerFlow {
                 open: false,
                 isn,
