--- a/review/harness/src/agent.rs
+++ b/review/harness/src/agent.rs
@@ -31,7 +31,8 @@
     world.first_start_is_over();
     world.run_for(ms(5_000));
     let endpoint = world.endpoint(0);
-    let flows: Vec<usize> = (0..40).map(|index| world.open(endpoint, &format!("f{index}"))).collect();
+    let flows: Vec<usize> =
+        (0..40).map(|index| world.open(endpoint, &format!("f{index}"))).collect();
     let (mut next, mut count) = (Instant::now(), 0);
     let mut traffic = |world: &mut World| {
         if Instant::now() < next {
--- a/review/harness/src/late.rs
+++ b/review/harness/src/late.rs
@@ -22,7 +22,7 @@
 
 fn play(world: &mut World, trouble: bool) -> anyhow::Result<bool> {
     let ms = Duration::from_millis;
-    world.configure(7, &[(0, SERVICE, "safe")], &[SERVICE]);
+    world.configure(7, &[(0, SERVICE, "unsafe")], &[SERVICE]);
     for index in 0..SERVERS {
         world.start_server(&format!("i-a{index}"), index, SERVICE)?;
     }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,8 +3,10 @@
 
 mod agent;
 mod born;
+mod cold;
 mod join;
 mod late;
+mod outage;
 mod packet;
 mod routes;
 mod stamp;
@@ -31,6 +33,8 @@
         "agent" => agent::run(&root, &record, trouble),
         "born" => born::run(&root, &record, trouble),
         "join" => join::run(&root, &record, trouble),
+        "outage" => outage::run(&root, &record, trouble),
+        "cold" => cold::run(&root, &record, trouble),
         "late" => late::run(&root, &record, trouble),
         "stamp" => stamp::run(&root, &record, trouble),
         _ => Err(anyhow::anyhow!("no such scenario")),
--- a/review/harness/src/routes.rs
+++ b/review/harness/src/routes.rs
@@ -22,7 +22,7 @@
 fn play(world: &mut World, trouble: bool) -> anyhow::Result<bool> {
     let second = Duration::from_secs(1);
     // Two routes of two addresses lead to the old service.
-    world.configure(7, &[(0, OLD, "safe"), (1, OLD, "safe")], &[OLD, NEW]);
+    world.configure(7, &[(0, OLD, "unsafe"), (1, OLD, "unsafe")], &[OLD, NEW]);
     for index in 0..3 {
         world.start_server(&format!("i-a{index}"), index, OLD)?;
     }
@@ -39,16 +39,17 @@
     let flows: Vec<usize> =
         (0..FLOWS).map(|index| world.open(endpoint, &format!("first-{index}"))).collect();
     world.run_for(2 * second);
-    let all_idle = |world: &World| flows.iter().all(|flow| world.clients[*flow].phase == Phase::Idle);
+    let all_idle =
+        |world: &World| flows.iter().all(|flow| world.clients[*flow].phase == Phase::Idle);
     ensure!(all_idle(world), "not all flows opened");
 
     // The first route now leads to the new service. Open flows stay where they are.
     if std::env::var("VARIANT").is_ok_and(|variant| variant == "removed") {
         // Not part of the case: nothing leads to the old service any more, and the configuration
         // doesn't name it.
-        world.configure(12, &[(0, NEW, "safe"), (1, NEW, "safe")], &[NEW]);
+        world.configure(12, &[(0, NEW, "unsafe"), (1, NEW, "unsafe")], &[NEW]);
     } else {
-        world.configure(12, &[(0, NEW, "safe"), (1, OLD, "safe")], &[OLD, NEW]);
+        world.configure(12, &[(0, NEW, "unsafe"), (1, OLD, "unsafe")], &[OLD, NEW]);
     }
     world.run_for(4 * second);
     for (index, flow) in flows.iter().enumerate() {
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -20,6 +20,8 @@
     items: BTreeMap<String, Value>,
     history: Vec<(u64, Value)>,
     rev: u64,
+    /// The store is down: it answers every call with 503.
+    down: bool,
 }
 
 #[derive(Clone, Default)]
@@ -65,6 +67,12 @@
         }
     }
 
+    /// Takes the store down (503, "busy"), or brings it back.
+    pub fn set_down(&self, down: bool) {
+        self.state.lock().unwrap().down = down;
+        self.changed.notify_all();
+    }
+
     fn serve_connection(&self, stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
@@ -99,6 +107,9 @@
         let number = |name: &str| field(name).and_then(|text| text.parse::<u64>().ok());
         let prefix = field("prefix").unwrap_or_default();
         let mut state = self.state.lock().unwrap();
+        if state.down {
+            return (503, json!({}));
+        }
         match path {
             "/-/kv-key" => match state.items.get(&field("key").unwrap_or_default()) {
                 Some(item) => {
@@ -125,6 +136,9 @@
                 let wait = Duration::from_millis(number("waitMs").unwrap_or_default().min(30_000));
                 let deadline = Instant::now() + wait;
                 loop {
+                    if state.down {
+                        return (503, json!({}));
+                    }
                     let events: Vec<&Value> = state
                         .history
                         .iter()
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -87,6 +87,12 @@
     pub born: Option<u64>,
     /// Since when the store has acknowledged that it drains.
     draining_since: Option<Instant>,
+    /// Until when it is slow after its start.
+    cold_until: Option<Instant>,
+}
+
+fn left_ms(until: Instant) -> u64 {
+    until.saturating_duration_since(Instant::now()).as_millis() as u64
 }
 
 /// Unix milliseconds now.
@@ -96,9 +102,14 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
-    Opening { copies: u32 },
+    Opening {
+        copies: u32,
+    },
     Idle,
-    Waiting { due: Instant, pause: Duration },
+    Waiting {
+        due: Instant,
+        pause: Duration,
+    },
     /// Over: the system reset it, the server reset it, or it did not open in time.
     Reset,
     ServerReset,
@@ -136,6 +147,8 @@
     pub reset_open: Vec<(Flow, String)>,
     pub resets: u32,
     pub altered: u32,
+    /// Openings that a cold server took, and when.
+    pub cold_openings: Vec<Instant>,
     /// Openings that a draining server took, and how long after the store's ack.
     pub late_openings: Vec<(Flow, String, Duration)>,
     pub answered: u32,
@@ -163,6 +176,8 @@
     seqs: HashMap<String, u64>,
     /// Whether servers state their start in their entries.
     pub states_born: bool,
+    /// How long servers are cold after a start, and what they bear then.
+    pub warmup: Option<(Duration, f64)>,
 }
 
 impl World {
@@ -202,6 +217,7 @@
             commands,
             seqs: HashMap::new(),
             states_born: false,
+            warmup: None,
         };
         let nodes = (0..balancers).map(|index| Node {
             packets: SocketAddrV4::new(world.balancer_ip(index), ports.packets),
@@ -397,6 +413,7 @@
             work: Duration::from_millis(20),
             born: self.states_born.then(unix_ms),
             draining_since: None,
+            cold_until: None,
         });
         self.log(format!("server {id} of {service} starts at {ip}, with its agent"));
         self.publish(id);
@@ -409,14 +426,25 @@
         &mut self,
         id: &str,
         down: Duration,
-        born: impl Fn() -> u64,
+        born: impl FnOnce() -> u64,
+    ) -> anyhow::Result<()> {
+        self.flap_server_under(id, down, born, |_| false)
+    }
+
+    /// The same, while callers go on.
+    pub fn flap_server_under(
+        &mut self,
+        id: &str,
+        down: Duration,
+        born: impl FnOnce() -> u64,
+        meanwhile: impl FnMut(&mut Self) -> bool,
     ) -> anyhow::Result<()> {
         let index = self.servers.iter().position(|server| server.id == id).context("server")?;
         let server = self.servers.remove(index);
         let (ip, service) = (server.ip, server.service.clone());
         drop(server);
         self.log(format!("server {id} crashes"));
-        self.run_for(down);
+        self.run_until(Instant::now() + down, meanwhile);
         let socket = UdpSocket::bind((ip, self.ports.app))?;
         socket.set_nonblocking(true)?;
         self.servers.push(Server {
@@ -429,8 +457,9 @@
             draining: false,
             slots: 7,
             work: Duration::from_millis(20),
-            born: Some(born()),
+            born: self.states_born.then(born),
             draining_since: None,
+            cold_until: self.warmup.map(|(time, _)| Instant::now() + time),
         });
         self.seqs.remove(id);
         self.log(format!("server {id} starts again under its id"));
@@ -482,8 +511,7 @@
         let entry = json!({"service": server.service,
             "address": format!("{}:{}", server.ip, self.ports.app), "zone": "pnw-a",
             "version": "v1", "capacity": server.slots,
-            "state": if server.draining { "draining" } else { "ready" }, "warmupLeftMs": 0,
-            "seq": *seq});
+            "state": if server.draining { "draining" } else { "ready" }, "warmupLeftMs": server.cold_until.map_or(0, left_ms), "seq": *seq});
         let mut entry = entry;
         if let Some(born) = server.born {
             entry["born"] = born.into();
@@ -504,8 +532,13 @@
         let services: Vec<Value> = services
             .iter()
             .map(|name| {
-                json!({"name": name, "healthPath": "/health", "maxConns": 2000, "protocol": "h1",
-                    "tls": false})
+                let mut service = json!({"name": name, "healthPath": "/health", "maxConns": 2000,
+                    "protocol": "h1", "tls": false});
+                if let Some((time, per_s)) = self.warmup {
+                    service["warmupS"] = time.as_secs_f64().into();
+                    service["warmupPerS"] = per_s.into();
+                }
+                service
             })
             .collect();
         let config = json!({"version": version, "routes": routes, "services": services,
@@ -559,7 +592,8 @@
     /// over all if fewer than half are.
     pub fn route(&self, flow: Flow) -> SocketAddrV4 {
         let nodes = self.nodes.lock().unwrap();
-        let ready: Vec<&Node> = nodes.iter().filter(|node| node.member && node.misses < 2).collect();
+        let ready: Vec<&Node> =
+            nodes.iter().filter(|node| node.member && node.misses < 2).collect();
         let all: Vec<&Node> = nodes.iter().filter(|node| node.member).collect();
         let among = if 2 * ready.len() < all.len() { all } else { ready };
         let mut hash = u64::from(flow.0.port()) | u64::from(flow.1.port()) << 16;
@@ -691,7 +725,12 @@
         if packet.has(SYN) {
             self.next_isn = self.next_isn.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
             let isn = self.next_isn;
-            if let (Some(since), false) = (server.draining_since, server.flows.contains_key(&flow)) {
+            let is_cold = server.cold_until.is_some_and(|until| Instant::now() < until);
+            if is_cold && !server.flows.contains_key(&flow) {
+                self.seen.cold_openings.push(Instant::now());
+            }
+            if let (Some(since), false) = (server.draining_since, server.flows.contains_key(&flow))
+            {
                 self.seen.late_openings.push((flow, server.id.clone(), since.elapsed()));
             }
             let state = server.flows.entry(flow).or_insert(ServerFlow {
@@ -757,7 +796,11 @@
             }
         }
         if opened {
-            self.log(format!("flow :{} to {} is open at server {id} of {service}", flow.0.port(), flow.1));
+            self.log(format!(
+                "flow :{} to {} is open at server {id} of {service}",
+                flow.0.port(),
+                flow.1
+            ));
         }
     }
 
@@ -877,9 +920,10 @@
         client.phase = Phase::Reset;
         let waiting = client.request.as_ref().map(|(id, _)| id.clone()).unwrap_or_default();
         self.seen.resets += 1;
-        let holder = self.servers.iter().find(|server| {
-            server.flows.get(&flow).is_some_and(|state| state.open)
-        });
+        let holder = self
+            .servers
+            .iter()
+            .find(|server| server.flows.get(&flow).is_some_and(|state| state.open));
         let port = flow.0.port();
         match holder.map(|server| (server.id.clone(), server.service.clone())) {
             Some((id, service)) => {
