--- a/review/harness-2/src/client.rs
+++ b/review/harness-2/src/client.rs
@@ -8,7 +8,6 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use platform_standins::fabric::Fabric;
 use platform_standins::packet::{ACK, FIN, Packet, RST, SYN, decode, is_system_reset};
 
 use crate::record::{Flow, Record};
@@ -19,6 +18,9 @@
 const RESEND_MAX: Duration = Duration::from_millis(1_600);
 const RETRIES: u32 = 2;
 
+/// Chooses the balancer for a hash.
+pub type Routing = Arc<dyn Fn(u64) -> SocketAddrV4 + Send + Sync>;
+
 #[derive(Clone, Copy)]
 pub struct Kind {
     pub name: &'static str,
@@ -26,6 +28,8 @@
     pub direct: Option<SocketAddrV4>,
     pub endpoint: SocketAddrV4,
     pub safe: bool,
+    /// Requests on one flow of a `safe` kind; zero if the flow stays open.
+    pub per_flow: u32,
     pub clients: u32,
     pub pause: Duration,
     pub budget: Duration,
@@ -41,7 +45,7 @@
     pub fn start(
         address: SocketAddrV4,
         kinds: &[Kind],
-        fabric: Fabric,
+        routing: Routing,
         record: Record,
     ) -> anyhow::Result<Self> {
         let socket = UdpSocket::bind(address)?;
@@ -58,7 +62,7 @@
         let mut worker = Worker {
             socket,
             address: *address.ip(),
-            fabric,
+            routing,
             record,
             clients,
             by_port: HashMap::new(),
@@ -106,6 +110,8 @@
     request: String,
     began: Option<Instant>,
     tries: u32,
+    /// Requests answered on the open flow.
+    answered: u32,
     next: Instant,
 }
 
@@ -122,6 +128,7 @@
             request,
             began: None,
             tries: 0,
+            answered: 0,
             next,
         }
     }
@@ -130,7 +137,7 @@
 struct Worker {
     socket: UdpSocket,
     address: Ipv4Addr,
-    fabric: Fabric,
+    routing: Routing,
     record: Record,
     clients: Vec<Client>,
     by_port: HashMap<u16, usize>,
@@ -169,7 +176,7 @@
         let hash = (u64::from(source.port()) ^ u64::from(destination.port()) << 16)
             .wrapping_mul(0x9e37_79b9_7f4a_7c15)
             >> 24;
-        self.clients[index].kind.direct.unwrap_or_else(|| self.fabric.choose(hash))
+        self.clients[index].kind.direct.unwrap_or_else(|| (self.routing)(hash))
     }
 
     fn tick(&mut self, index: usize) {
@@ -225,6 +232,7 @@
         self.next_port = if self.next_port >= 60_000 { 10_000 } else { self.next_port + 1 };
         client.port = self.next_port;
         client.sequence = (number as u32).wrapping_mul(0x85eb_ca6b);
+        client.answered = 0;
         client.phase = Phase::Opening { at: now, copies: 0 };
         self.by_port.remove(&old);
         self.by_port.insert(self.next_port, index);
@@ -321,7 +329,9 @@
             let own = client.request.clone();
             return self.record.broken("MIXED", format!("{own} is answered by {text}"));
         }
-        let ends = packet.has(FIN) || !client.kind.safe;
+        client.answered += 1;
+        let is_full = client.answered == client.kind.per_flow;
+        let ends = packet.has(FIN) || !client.kind.safe || is_full;
         let expected = client.expected;
         self.send(index, if ends { ACK | FIN } else { ACK }, expected, "");
         let client = &mut self.clients[index];
--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -44,12 +44,14 @@
     edges: Vec<Child>,
     agents: BTreeMap<usize, Child>,
     servers: BTreeMap<usize, Server>,
+    /// The Unix millisecond of the start of each server's boot, by the clock of its machine.
+    born: BTreeMap<usize, i64>,
     boots: u32,
     starts: u32,
     work: Duration,
 }
 
-fn edge_ip(index: u8) -> Ipv4Addr {
+pub fn edge_ip(index: u8) -> Ipv4Addr {
     Ipv4Addr::new(127, 90, 1, 1 + index)
 }
 
@@ -62,8 +64,9 @@
 
 impl Ports {
     /// Six ports that are free on all addresses of the fleet.
-    fn free(servers: usize) -> anyhow::Result<Self> {
-        let ips = (0..EDGES).map(edge_ip).chain((0..servers).map(side_ip));
+    fn free(servers: usize, more: &[Ipv4Addr]) -> anyhow::Result<Self> {
+        let edges = (0..EDGES).map(edge_ip).chain(more.iter().copied());
+        let ips = edges.chain((0..servers).map(side_ip));
         let ips: Vec<Ipv4Addr> = ips.chain([STORE_IP, CLIENTS_IP]).collect();
         let is_free = |port| {
             ips.iter().all(|ip| {
@@ -95,7 +98,19 @@
         servers: usize,
         work: Duration,
     ) -> anyhow::Result<Self> {
-        let ports = Ports::free(servers)?;
+        Self::start_with_spares(root, folder, servers, 0, &[], work)
+    }
+
+    /// The same with so many machines for further servers, and addresses for further balancers.
+    pub fn start_with_spares(
+        root: &Path,
+        folder: &Path,
+        servers: usize,
+        spares: usize,
+        more: &[Ipv4Addr],
+        work: Duration,
+    ) -> anyhow::Result<Self> {
+        let ports = Ports::free(servers + spares, more)?;
         let store = Store::default();
         store.serve(SocketAddrV4::new(STORE_IP, ports.store))?;
         store.put("op/config", &configuration(3, &[], 0));
@@ -114,6 +129,7 @@
             edges: Vec::new(),
             agents: BTreeMap::new(),
             servers: BTreeMap::new(),
+            born: BTreeMap::new(),
             boots: 0,
             starts: 0,
             work,
@@ -151,16 +167,17 @@
             Server::start(self.boots, &name, app, outbound, self.work, self.record.clone())?;
         self.servers.insert(index, server);
         let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as i64;
-        let born = unix_ms + clock_off_ms;
+        self.born.insert(index, unix_ms + clock_off_ms);
         self.record.note(format!(
             "server u{index} starts (boot {}), its machine's clock is off by {clock_off_ms} ms",
             self.boots
         ));
-        self.write_entry(index, "ready", born);
+        self.write_entry(index, "ready");
         Ok(())
     }
 
-    pub fn write_entry(&self, index: usize, state: &str, born: i64) {
+    pub fn write_entry(&self, index: usize, state: &str) {
+        let born = self.born[&index];
         let entry = json!({
             "service": SERVICE,
             "address": SocketAddrV4::new(side_ip(index), self.ports.app).to_string(),
@@ -286,6 +303,22 @@
         command.spawn().with_context(|| format!("cannot start {}", program.display()))
     }
 
+    /// Starts a further balancer, in the zone of the first one.
+    pub fn add_edge(&mut self, ip: Ipv4Addr) -> anyhow::Result<()> {
+        let name = format!("edge-{}", self.edges.len());
+        let mut settings = self.settings(&name, ip, 0);
+        settings["bootstrap"] = false.into();
+        let child = self.launch("edge", &name, &settings)?;
+        self.record.note(format!("balancer {name} ({ip}) starts"));
+        self.edges.push(child);
+        Ok(())
+    }
+
+    /// Where a balancer gets packets, and where it is asked whether it is ready.
+    pub fn addresses_of(&self, ip: Ipv4Addr) -> (SocketAddrV4, SocketAddrV4) {
+        (SocketAddrV4::new(ip, self.ports.datagram), SocketAddrV4::new(ip, self.ports.ready))
+    }
+
     pub fn edge_address(&self, index: usize) -> SocketAddrV4 {
         SocketAddrV4::new(edge_ip(index as u8), self.ports.datagram)
     }
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -5,22 +5,25 @@
 mod client;
 mod fleet;
 mod record;
+mod router;
 mod server;
 mod store;
 
 use std::hash::Hasher as _;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::thread::sleep;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use anyhow::{bail, ensure};
 use nix::sys::signal::Signal;
 
-use client::{Clients, Kind};
-use fleet::{EDGES, Fleet, PLATFORM_ADDRESS, SAFE_PORT, UNSAFE_PORT, configuration};
+use client::{Clients, Kind, Routing};
+use fleet::{EDGES, Fleet, PLATFORM_ADDRESS, SAFE_PORT, UNSAFE_PORT, configuration, edge_ip};
 use record::Record;
+use router::Router;
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -58,6 +61,7 @@
     let record = match case {
         "drain-after-clock-step" => drain_after_clock_step(&root, logs, trouble)?,
         "storm-of-a-large-configuration" => storm_of_a_large_configuration(&root, logs, trouble)?,
+        "balancers-and-servers-added" => balancers_and_servers_added(&root, logs, trouble)?,
         "agents-in-turn" => agents_in_turn(&root, logs, trouble)?,
         _ => bail!("unknown case {case}"),
     };
@@ -80,6 +84,7 @@
     Kind {
         name: if safe { "safe" } else { "unsafe" },
         direct: None,
+        per_flow: 0,
         endpoint: SocketAddrV4::new(PLATFORM_ADDRESS, port),
         safe,
         clients,
@@ -88,10 +93,6 @@
     }
 }
 
-fn unix_ms() -> anyhow::Result<i64> {
-    Ok(SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as i64)
-}
-
 /// A server starts while the time of day of its machine is 2.4 s ahead; it crashes and starts again
 /// under its id, and the clock has jumped back. Six seconds later it is drained as planned.
 fn drain_after_clock_step(root: &Path, logs: &Path, trouble: bool) -> anyhow::Result<Record> {
@@ -102,7 +103,7 @@
     let record = fleet.record.clone();
     let kinds = [kind(UNSAFE_PORT, false, 24, 300, 3_000)];
     let clients =
-        Clients::start(fleet.clients_address(), &kinds, fleet.fabric.clone(), record.clone())?;
+        Clients::start(fleet.clients_address(), &kinds, by_fabric(&fleet), record.clone())?;
     sleep(Duration::from_secs(3));
     // The server crashes, and starts again.
     let off_ms = if trouble { STEP_MS } else { 0 };
@@ -113,12 +114,11 @@
     sleep(Duration::from_millis(1_200));
     fleet.end_server(0);
     sleep(Duration::from_millis(300));
-    let born = unix_ms()?;
     fleet.start_server(0, 0)?;
     sleep(Duration::from_secs(6));
     // Planned: it drains, and serves on for longer than drainTimeoutMs.
     fleet.drain_server(0);
-    fleet.write_entry(0, "draining", born);
+    fleet.write_entry(0, "draining");
     let acked_ms = record.now_ms();
     sleep(SERVED_AFTER_ACK);
     let boot = record
@@ -172,7 +172,7 @@
     let record = fleet.record.clone();
     let kinds = [kind(SAFE_PORT, true, 60, 250, 2_500), kind(UNSAFE_PORT, false, 20, 300, 3_000)];
     let clients =
-        Clients::start(fleet.clients_address(), &kinds, fleet.fabric.clone(), record.clone())?;
+        Clients::start(fleet.clients_address(), &kinds, by_fabric(&fleet), record.clone())?;
     sleep(Duration::from_secs(5));
     for index in 0..SERVERS {
         let began = Instant::now();
@@ -218,7 +218,7 @@
         kinds.extend([probe("new", NEW_PORT), probe("dropped", DROPPED_PORT)]);
     }
     let clients =
-        Clients::start(fleet.clients_address(), &kinds, fleet.fabric.clone(), record.clone())?;
+        Clients::start(fleet.clients_address(), &kinds, by_fabric(&fleet), record.clone())?;
     sleep(Duration::from_secs(4));
     let versions: Vec<_> = (0..25u64)
         .map(|number| {
@@ -239,9 +239,8 @@
     }
     let config_acked_ms = record.now_ms();
     // Planned: a server drains, serves for nine more seconds, and ends.
-    let born = unix_ms()?;
     fleet.drain_server(0);
-    fleet.write_entry(0, "draining", born);
+    fleet.write_entry(0, "draining");
     let drain_acked_ms = record.now_ms();
     sleep(Duration::from_millis(1_200));
     if trouble {
@@ -297,3 +296,68 @@
     hasher.write_u32(edge.ip().to_bits());
     hasher.finish()
 }
+
+fn by_fabric(fleet: &Fleet) -> Routing {
+    let fabric = fleet.fabric.clone();
+    Arc::new(move |hash| fabric.choose(hash))
+}
+
+/// Three balancers are added at the same moment as six servers; all of it is planned.
+fn balancers_and_servers_added(root: &Path, logs: &Path, trouble: bool) -> anyhow::Result<Record> {
+    const SERVERS: usize = 10;
+    const NEW_SERVERS: usize = 6;
+    // The first two rank above all others as readers, the third below the two best of the old ones.
+    let rank_of = |ip: Ipv4Addr| rank(SocketAddrV4::new(ip, 0));
+    let mut old: Vec<u64> = (0..EDGES).map(|index| rank_of(edge_ip(index))).collect();
+    old.sort_unstable();
+    let free = || (10..250).map(|last| Ipv4Addr::new(127, 90, 1, last));
+    let mut added: Vec<Ipv4Addr> = free().filter(|ip| rank_of(*ip) < old[0]).take(2).collect();
+    added.extend(free().find(|ip| rank_of(*ip) > old[1]));
+    ensure!(added.len() == 3, "no addresses for the balancers");
+    let work = Duration::from_millis(30);
+    let mut fleet = Fleet::start_with_spares(root, logs, SERVERS, NEW_SERVERS, &added, work)?;
+    let record = fleet.record.clone();
+    let router = Router::start(
+        &(0..EDGES).map(|index| fleet.addresses_of(edge_ip(index))).collect::<Vec<_>>(),
+    );
+    sleep(Duration::from_millis(1_200));
+    let kinds = [Kind { per_flow: 4, ..kind(SAFE_PORT, true, 160, 60, 2_500) }];
+    let routing: Routing = {
+        let router = router.clone();
+        Arc::new(move |hash| router.choose(hash))
+    };
+    let clients = Clients::start(fleet.clients_address(), &kinds, routing, record.clone())?;
+    sleep(Duration::from_secs(4));
+    for index in SERVERS..SERVERS + NEW_SERVERS {
+        fleet.start_agent(index, false)?;
+    }
+    sleep(Duration::from_secs(1));
+    // The balancers start just after the routers have asked.
+    let asked_at = router.asked_at();
+    while router.asked_at() == asked_at {
+        sleep(Duration::from_millis(1));
+    }
+    let began = router.asked_at();
+    let until = |at_ms: u64| sleep(Duration::from_millis(at_ms).saturating_sub(began.elapsed()));
+    until(30);
+    if trouble {
+        for (number, ip) in added.iter().enumerate() {
+            if number == 2 {
+                sleep(Duration::from_millis(15));
+            }
+            fleet.add_edge(*ip)?;
+            let (packets, ready) = fleet.addresses_of(*ip);
+            router.add(packets, ready);
+        }
+    }
+    for index in 0..NEW_SERVERS {
+        until(250 + 30 * index as u64);
+        fleet.start_server(SERVERS + index, 0)?;
+    }
+    sleep(Duration::from_secs(6));
+    clients.finish();
+    sleep(Duration::from_secs(3));
+    drop(clients);
+    ensure!(!fleet.ended_by_itself(), "a program has ended by itself");
+    Ok(record)
+}
