--- a/review/harness-2/src/client.rs
+++ b/review/harness-2/src/client.rs
@@ -17,6 +17,8 @@
 const RESEND_FIRST: Duration = Duration::from_millis(200);
 const RESEND_MAX: Duration = Duration::from_millis(1_600);
 const RETRIES: u32 = 2;
+/// How far from its last acknowledgement a reset of an open flow may be for a client to heed it.
+const RESET_WINDOW: u32 = 76_800;
 
 /// Chooses the balancer for a hash.
 pub type Routing = Arc<dyn Fn(u64) -> SocketAddrV4 + Send + Sync>;
@@ -255,7 +257,7 @@
         let Some(index) = self.by_port.get(&packet.destination.port()).copied() else { return };
         let flow = self.flow(index);
         if is_system_reset(bytes) {
-            return self.on_reset(index, flow);
+            return self.on_reset(index, flow, packet.sequence);
         }
         if !sum_holds {
             return self.record.broken("MIXED", "a client got a packet that no server wrote so");
@@ -290,7 +292,7 @@
         }
     }
 
-    fn on_reset(&mut self, index: usize, flow: Flow) {
+    fn on_reset(&mut self, index: usize, flow: Flow, sequence: u32) {
         match self.clients[index].phase {
             Phase::Closed => return,
             Phase::Opening { .. } => {
@@ -300,6 +302,10 @@
             }
             Phase::Open | Phase::Waiting { .. } => {}
         }
+        let off = sequence.wrapping_sub(self.clients[index].expected) as i32;
+        if off.unsigned_abs() > RESET_WINDOW {
+            return self.record.count("resets of open flows that clients ignore");
+        }
         let holder = self.record.lock().open.get(&flow).cloned();
         let request = self.clients[index].request.clone();
         match holder {
--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -5,6 +5,8 @@
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context as _, bail, ensure};
@@ -17,12 +19,14 @@
 use crate::server::Server;
 use crate::store::Store;
 
-pub const ZONES: [&str; 3] = ["pnw-a", "pnw-b", "pnw-c"];
+pub const ZONES: [&str; 4] = ["pnw-a", "pnw-b", "pnw-c", "pnw-d"];
 pub const EDGES: u8 = 3;
 pub const UNSAFE_PORT: u16 = 8080;
 pub const SAFE_PORT: u16 = 443;
 pub const PLATFORM_ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 90, 8, 1);
 const SERVICE: &str = "shelf";
+/// Routes that see no traffic, as many as the site has.
+pub const IDLE_ROUTES: u32 = 110;
 
 #[derive(Clone, Copy)]
 struct Ports {
@@ -44,8 +48,7 @@
     edges: Vec<Child>,
     agents: BTreeMap<usize, Child>,
     servers: BTreeMap<usize, Server>,
-    /// The Unix millisecond of the start of each server's boot, by the clock of its machine.
-    born: BTreeMap<usize, i64>,
+    entries: Entries,
     boots: u32,
     starts: u32,
     work: Duration,
@@ -62,6 +65,57 @@
 const STORE_IP: Ipv4Addr = Ipv4Addr::new(127, 90, 3, 1);
 const CLIENTS_IP: Ipv4Addr = Ipv4Addr::new(127, 90, 4, 1);
 
+/// How often a server writes its entry, and how long it is slow after its start.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+const COLD: Duration = Duration::from_secs(2);
+
+/// What a server says of itself in the store.
+struct Entry {
+    address: SocketAddrV4,
+    zone: &'static str,
+    state: &'static str,
+    /// The Unix millisecond of its start, by the clock of its machine.
+    born: i64,
+    cold_until: Instant,
+    seq: u64,
+    next: Instant,
+    written: Value,
+}
+
+type Entries = Arc<Mutex<BTreeMap<usize, Entry>>>;
+
+fn lock(entries: &Entries) -> MutexGuard<'_, BTreeMap<usize, Entry>> {
+    entries.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Writes the entries that are due.
+fn write_due(entries: &Entries, store: &Store) {
+    for (index, entry) in lock(entries).iter_mut() {
+        if entry.next <= Instant::now() {
+            entry.next += HEARTBEAT;
+            entry.write(*index, store);
+        }
+    }
+}
+
+impl Entry {
+    /// The entry changes when more than `seq` changes.
+    fn write(&mut self, index: usize, store: &Store) {
+        self.seq += 1;
+        let left = self.cold_until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let mut value = json!({
+            "service": SERVICE, "address": self.address.to_string(), "zone": self.zone,
+            "version": "v1", "capacity": 7, "state": self.state, "warmupLeftMs": left,
+            "born": self.born,
+        });
+        if value != self.written {
+            self.written = value.clone();
+            value["seq"] = self.seq.into();
+            store.put(&format!("servers/u{index}"), &value);
+        }
+    }
+}
+
 impl Ports {
     /// Six ports that are free on all addresses of the fleet.
     fn free(servers: usize, more: &[Ipv4Addr]) -> anyhow::Result<Self> {
@@ -113,7 +167,7 @@
         let ports = Ports::free(servers + spares, more)?;
         let store = Store::default();
         store.serve(SocketAddrV4::new(STORE_IP, ports.store))?;
-        store.put("op/config", &configuration(3, &[], 0));
+        store.put("op/config", &configuration(3, &[], IDLE_ROUTES));
         let addresses = |index| {
             let at = |port| SocketAddrV4::new(edge_ip(index), port);
             (at(ports.datagram), at(ports.ready))
@@ -129,17 +183,24 @@
             edges: Vec::new(),
             agents: BTreeMap::new(),
             servers: BTreeMap::new(),
-            born: BTreeMap::new(),
+            entries: Entries::default(),
             boots: 0,
             starts: 0,
             work,
         };
+        let (entries, store) = (Arc::clone(&fleet.entries), fleet.store.clone());
+        thread::spawn(move || {
+            loop {
+                write_due(&entries, &store);
+                thread::sleep(Duration::from_millis(50));
+            }
+        });
         for index in 0..servers {
             fleet.start_server(index, 0)?;
             fleet.start_agent(index, true)?;
         }
         for index in 0..EDGES {
-            let settings = fleet.settings(&format!("edge-{index}"), edge_ip(index), index.into());
+            let settings = fleet.settings(&format!("edge-{index}"), edge_ip(index), 0);
             let child = fleet.launch("edge", &format!("edge-{index}"), &settings)?;
             fleet.edges.push(child);
         }
@@ -163,37 +224,48 @@
         let at = |port| SocketAddrV4::new(side_ip(index), port);
         let (app, outbound) = (at(self.ports.app), at(self.ports.outbound));
         let name = format!("u{index}");
-        let server =
-            Server::start(self.boots, &name, app, outbound, self.work, self.record.clone())?;
+        let cold_until = Instant::now() + COLD;
+        let server = Server::start(
+            self.boots,
+            &name,
+            app,
+            outbound,
+            self.work,
+            cold_until,
+            self.record.clone(),
+        )?;
         self.servers.insert(index, server);
         let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as i64;
-        self.born.insert(index, unix_ms + clock_off_ms);
+        let entry = Entry {
+            address: app,
+            zone: ZONES[index % ZONES.len()],
+            state: "ready",
+            born: unix_ms + clock_off_ms,
+            cold_until,
+            seq: 0,
+            next: Instant::now() + HEARTBEAT,
+            written: Value::Null,
+        };
         self.record.note(format!(
             "server u{index} starts (boot {}), its machine's clock is off by {clock_off_ms} ms",
             self.boots
         ));
-        self.write_entry(index, "ready");
+        lock(&self.entries).insert(index, entry);
+        self.write_entry(index);
         Ok(())
     }
 
-    pub fn write_entry(&self, index: usize, state: &str) {
-        let born = self.born[&index];
-        let entry = json!({
-            "service": SERVICE,
-            "address": SocketAddrV4::new(side_ip(index), self.ports.app).to_string(),
-            "zone": ZONES[index % ZONES.len()],
-            "version": "v1",
-            "capacity": 7,
-            "state": state,
-            "warmupLeftMs": 0,
-            "seq": 1,
-            "born": born,
-        });
-        self.store.put(&format!("servers/u{index}"), &entry);
-        self.record.note(format!("store acks servers/u{index}: state {state}, born {born}"));
+    fn write_entry(&self, index: usize) {
+        if let Some(entry) = lock(&self.entries).get_mut(&index) {
+            entry.write(index, &self.store);
+            let Entry { state, born, .. } = entry;
+            self.record.note(format!("store acks servers/u{index}: state {state}, born {born}"));
+        }
     }
 
+    /// The server ends at once, and writes nothing any more.
     pub fn end_server(&mut self, index: usize) {
+        lock(&self.entries).remove(&index);
         self.servers.remove(&index);
     }
 
@@ -202,10 +274,15 @@
         self.record.note(format!("store removes servers/u{index}"));
     }
 
+    /// The server closes each flow after its next response, and the store acks that it drains.
     pub fn drain_server(&self, index: usize) {
         if let Some(server) = self.servers.get(&index) {
             server.drain();
         }
+        if let Some(entry) = lock(&self.entries).get_mut(&index) {
+            entry.state = "draining";
+        }
+        self.write_entry(index);
     }
 
     pub fn start_agent(&mut self, index: usize, bootstrap: bool) -> anyhow::Result<()> {
@@ -253,7 +330,7 @@
             "ip": ip.to_string(),
             "zone": ZONES[zone % ZONES.len()],
             "region": "pnw",
-            "zones": { "pnw-a": "pnw", "pnw-b": "pnw", "pnw-c": "pnw" },
+            "zones": { "pnw-a": "pnw", "pnw-b": "pnw", "pnw-c": "pnw", "pnw-d": "pnw" },
             "listen": { "datagramAddr": at(self.ports.datagram), "ready": at(self.ports.ready) },
             "internalPorts": [self.ports.internal, self.ports.internal],
             "seeds": seeds,
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -21,7 +21,9 @@
 use nix::sys::signal::Signal;
 
 use client::{Clients, Kind, Routing};
-use fleet::{EDGES, Fleet, PLATFORM_ADDRESS, SAFE_PORT, UNSAFE_PORT, configuration, edge_ip};
+use fleet::{
+    EDGES, Fleet, IDLE_ROUTES, PLATFORM_ADDRESS, SAFE_PORT, UNSAFE_PORT, configuration, edge_ip,
+};
 use record::Record;
 use router::Router;
 
@@ -99,7 +101,7 @@
     const STEP_MS: i64 = 2_400;
     const DRAIN_TIMEOUT_MS: u64 = 3_000;
     const SERVED_AFTER_ACK: Duration = Duration::from_millis(9_000);
-    let mut fleet = Fleet::start(root, logs, 4, Duration::from_millis(72))?;
+    let mut fleet = Fleet::start(root, logs, 7, Duration::from_millis(72))?;
     let record = fleet.record.clone();
     let kinds = [kind(UNSAFE_PORT, false, 24, 300, 3_000)];
     let clients =
@@ -118,7 +120,6 @@
     sleep(Duration::from_secs(6));
     // Planned: it drains, and serves on for longer than drainTimeoutMs.
     fleet.drain_server(0);
-    fleet.write_entry(0, "draining");
     let acked_ms = record.now_ms();
     sleep(SERVED_AFTER_ACK);
     let boot = record
@@ -199,14 +200,21 @@
 ) -> anyhow::Result<Record> {
     const NEW_PORT: u16 = 9443;
     const DROPPED_PORT: u16 = 8081;
-    const FURTHER: u32 = 6_400;
+    const STEPS: u32 = 18;
+    const STEP: u32 = 350;
+    const FURTHER: u32 = IDLE_ROUTES + STEPS * STEP;
     const APPLY_MS: u64 = 3_000;
     const DRAIN_TIMEOUT_MS: u64 = 3_000;
-    let mut fleet = Fleet::start(root, logs, 4, Duration::from_millis(72))?;
+    let mut fleet = Fleet::start(root, logs, 7, Duration::from_millis(72))?;
     let record = fleet.record.clone();
-    let first = configuration(7, &[DROPPED_PORT], FURTHER);
-    record.note(format!("op/config has {} bytes from now on", first.to_string().len()));
-    fleet.store.put("op/config", &first);
+    // Before there is traffic, the configuration grows by 350 routes at a time.
+    for step in 1..=STEPS {
+        let further = IDLE_ROUTES + step * STEP;
+        let next = configuration(3 + 2 * u64::from(step), &[DROPPED_PORT], further);
+        record.note(format!("op/config has {} bytes from now on", next.to_string().len()));
+        fleet.store.put("op/config", &next);
+        sleep(Duration::from_millis(400));
+    }
     sleep(Duration::from_secs(3));
     let reader = (0..usize::from(EDGES)).min_by_key(|index| rank(fleet.edge_address(*index)));
     let reader = reader.unwrap_or(0);
@@ -223,7 +231,7 @@
     let versions: Vec<_> = (0..25u64)
         .map(|number| {
             let ports: &[u16] = if number < 24 { &[DROPPED_PORT] } else { &[NEW_PORT] };
-            let version = 10 + 3 * number;
+            let version = 50 + 3 * number + number % 2;
             (version, configuration(version, ports, FURTHER - number as u32))
         })
         .collect();
@@ -240,7 +248,6 @@
     let config_acked_ms = record.now_ms();
     // Planned: a server drains, serves for nine more seconds, and ends.
     fleet.drain_server(0);
-    fleet.write_entry(0, "draining");
     let drain_acked_ms = record.now_ms();
     sleep(Duration::from_millis(1_200));
     if trouble {
@@ -302,10 +309,11 @@
     Arc::new(move |hash| fabric.choose(hash))
 }
 
-/// Three balancers are added at the same moment as six servers; all of it is planned.
+/// Three balancers are added at the same moment as three servers, which come over 1.5 s;
+/// all of it is planned.
 fn balancers_and_servers_added(root: &Path, logs: &Path, trouble: bool) -> anyhow::Result<Record> {
-    const SERVERS: usize = 10;
-    const NEW_SERVERS: usize = 6;
+    const SERVERS: usize = 9;
+    const NEW_SERVERS: usize = 3;
     // The first two rank above all others as readers, the third below the two best of the old ones.
     let rank_of = |ip: Ipv4Addr| rank(SocketAddrV4::new(ip, 0));
     let mut old: Vec<u64> = (0..EDGES).map(|index| rank_of(edge_ip(index))).collect();
@@ -321,7 +329,7 @@
         &(0..EDGES).map(|index| fleet.addresses_of(edge_ip(index))).collect::<Vec<_>>(),
     );
     sleep(Duration::from_millis(1_200));
-    let kinds = [Kind { per_flow: 4, ..kind(SAFE_PORT, true, 160, 60, 2_500) }];
+    let kinds = [Kind { per_flow: 4, ..kind(SAFE_PORT, true, 170, 60, 2_500) }];
     let routing: Routing = {
         let router = router.clone();
         Arc::new(move |hash| router.choose(hash))
@@ -350,8 +358,15 @@
             router.add(packets, ready);
         }
     }
+    // Three configurations, 80 ms apart; each drops an idle route.
+    for number in 0..3 {
+        until(110 + 80 * u64::from(number));
+        let version = 8 + 3 * u64::from(number);
+        fleet.store.put("op/config", &configuration(version, &[], IDLE_ROUTES - 1 - number));
+        record.note(format!("store acks op/config: version {version}"));
+    }
     for index in 0..NEW_SERVERS {
-        until(250 + 30 * index as u64);
+        until(290 + 500 * index as u64);
         fleet.start_server(SERVERS + index, 0)?;
     }
     sleep(Duration::from_secs(6));
--- a/review/harness-2/src/server.rs
+++ b/review/harness-2/src/server.rs
@@ -14,6 +14,8 @@
 
 const SLOTS: usize = 7;
 const QUEUE: usize = 28;
+/// How much longer a request takes just after the start.
+const COLD_FACTOR: f64 = 1.6;
 const CONNECTIONS_MAX: usize = 2_000;
 const RESEND_FIRST: Duration = Duration::from_millis(200);
 const RESEND_MAX: Duration = Duration::from_millis(1_600);
@@ -32,6 +34,7 @@
         app: SocketAddrV4,
         outbound: SocketAddrV4,
         work: Duration,
+        cold_until: Instant,
         record: Record,
     ) -> anyhow::Result<Self> {
         let socket = UdpSocket::bind(app)?;
@@ -43,6 +46,7 @@
             socket,
             outbound,
             work,
+            cold_until,
             record,
             flows: HashMap::new(),
             ended: HashSet::new(),
@@ -91,6 +95,7 @@
     socket: UdpSocket,
     outbound: SocketAddrV4,
     work: Duration,
+    cold_until: Instant,
     record: Record,
     flows: HashMap<Flow, Held>,
     ended: HashSet<Flow>,
@@ -208,11 +213,12 @@
             let work = self.running.swap_remove(index);
             self.respond(work.flow, &format!("200 {}", work.request));
         }
+        let work = if now < self.cold_until { self.work.mul_f64(COLD_FACTOR) } else { self.work };
         while self.running.len() < SLOTS
             && let Some((flow, request)) = self.queue.pop_front()
         {
             self.record.request_runs(&request, &self.name, self.boot);
-            self.running.push(Work { flow, request, ends: now + self.work });
+            self.running.push(Work { flow, request, ends: now + work });
         }
     }
 
