Handle the packets of denied flows again right after the read

Callers of a lost flow heard of it when they repeated their request, up to 200 ms after the read that proved it: the read comes after the last denial, and the packet that had been denied was gone. It is kept now, and handled again when the answer is there. Calls are 200 ms apart in place of 100.

The fuzzed worlds late-lists hand one packet in twenty to any balancer, so that ReadDatedByArrival breaks more of them.

--- a/crates/fuzzing/src/direct/world/callers.rs
+++ b/crates/fuzzing/src/direct/world/callers.rs
@@ -83,7 +83,7 @@
         let port = u64::from(packet.segment.flow.caller.port());
         let balancer = (port.wrapping_mul(0x9e37_79b9).wrapping_add(self.salt) >> 7) as usize;
         let delay_ms = self.network_delay_ms();
-        let balancer = balancer % self.size.balancers;
+        let balancer = self.stray_balancer().unwrap_or(balancer % self.size.balancers);
         self.note(|_| Entry::Sent { balancer, packet });
         if self.loses_datagram() {
             return;
--- a/crates/fuzzing/src/direct/world/layout.rs
+++ b/crates/fuzzing/src/direct/world/layout.rs
@@ -30,7 +30,8 @@
     /// Whether upstreams process a few requests at a time, and callers at times send more. All
     /// mechanisms are on.
     pub(super) bursts: bool,
-    /// Whether balancers at times hear of changes late, above all after their start.
+    /// Whether balancers at times hear of changes late, above all after their start, and the fabric
+    /// hands some packets to any balancer.
     pub(super) late_lists: bool,
 }
 
--- a/crates/fuzzing/src/direct/world/packets.rs
+++ b/crates/fuzzing/src/direct/world/packets.rs
@@ -55,7 +55,9 @@
             return;
         }
         self.note_verdict(balancer, upstream, verdict);
-        let reply = AgentReply { from: address(upstream), verdict, reads_service: true };
+        let from = address(upstream);
+        let bytes = self.store_packet(packet);
+        let reply = AgentReply { from, verdict, reads_service: true, packet: &bytes };
         let mut actions = Vec::new();
         let Balancer { edge, view, .. } = &mut self.balancers[balancer];
         edge.on_agent_reply(self.now_ms, view, reply, &packet.segment, &mut actions);
--- a/crates/fuzzing/src/direct/world/reads.rs
+++ b/crates/fuzzing/src/direct/world/reads.rs
@@ -13,6 +13,8 @@
 const ANSWER_MAX_MS: u64 = 5;
 const SLOW_ANSWER_MAX_MS: u64 = 500;
 const SLOW_ANSWER_EVERY: u64 = 4;
+/// Share of the packets that the fabric hands to any balancer.
+const STRAY_PACKETS_SHARE: f64 = 0.05;
 
 /// The answer to a read that flows in doubt require.
 #[derive(Clone, Debug)]
@@ -91,7 +93,17 @@
         }
     }
 
+    /// Where lists arrive late, the fabric hands some packets to any balancer.
+    pub(super) fn stray_balancer(&mut self) -> Option<usize> {
+        let strays = self.size.late_lists && self.reads_rng.random_bool(STRAY_PACKETS_SHARE);
+        strays.then(|| self.reads_rng.random_range(0..self.size.balancers))
+    }
+
+    /// Delays a balancer's lists, unless they are delayed already.
     pub(super) fn delay_lists(&mut self, balancer: usize) {
+        if self.balancers[balancer].lists_delayed_until_ms > self.now_ms {
+            return;
+        }
         let for_ms = self.reads_rng.random_range(1..LISTS_DELAYED_MAX_MS);
         self.balancers[balancer].lists_delayed_until_ms = self.now_ms + for_ms;
         self.schedule(for_ms, Event::ListArrives(balancer));
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -76,6 +76,8 @@
     /// Flows count as lost only after a read of the configuration service that began at this time
     /// or later.
     read_wanted_ms: Option<Millis>,
+    /// Flows that this read may prove lost.
+    awaiting_read: Vec<FlowKey>,
     last_called_ms: Millis,
     resumed_ms: Millis,
     counters: Counters,
@@ -123,6 +125,9 @@
 
     /// Sets how far the list of upstreams can be trusted to be complete.
     pub fn set_trust(&mut self, trust: Trust) {
+        if trust.current_at_ms > self.trust.current_at_ms {
+            self.awaiting_read.drain(..).for_each(|flow| self.pending.hasten(flow));
+        }
         self.trust = trust;
     }
 
@@ -131,13 +136,13 @@
         &mut self,
         now_ms: Millis,
         view: &View,
-        reply: AgentReply,
+        reply: AgentReply<'_>,
         segment: &Segment,
         actions: &mut Vec<Action>,
     ) {
         self.detect_pause(now_ms);
         let before = actions.len();
-        let AgentReply { from, verdict, reads_service } = reply;
+        let AgentReply { from, verdict, reads_service, .. } = reply;
         self.reach.record_reply(from);
         self.service_readers.record_reply(from, reads_service);
         let entry = self.flows.get(segment.flow);
@@ -365,7 +370,7 @@
         &mut self,
         now_ms: Millis,
         view: &View,
-        reply: AgentReply,
+        reply: AgentReply<'_>,
         segment: &Segment,
         actions: &mut Vec<Action>,
     ) {
--- a/crates/steering/src/edge/pending.rs
+++ b/crates/steering/src/edge/pending.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Makes the packet of a flow due now.
+    pub(super) fn hasten(&mut self, flow: FlowKey) {
+        if let Some(pending) = self.packets.get_mut(&flow) {
+            pending.due_ms = 0;
+        }
+    }
+
     /// The packets that are due; those that are too old are removed.
     pub(super) fn take_due(&mut self, now_ms: Millis) -> Vec<Due> {
         if self.packets.is_empty() {
--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -31,6 +31,10 @@
 /// link.
 const PARALLEL_ASKS_MAX: u64 = 16;
 
+/// Maximum number of flows that are handled again right after a read. All others are when their
+/// callers retransmit.
+const AWAITING_READ_MAX: usize = 4_096;
+
 /// Next step of a search.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
@@ -199,7 +203,9 @@
                 self.forward(now_ms, view, LaterPacket { flow, repeated }, to, actions);
             }
             Step::Wait => actions.push(Action::Drop { reason: Reason::Unknown }),
-            Step::Absent => return self.reset_if_proven_lost(now_ms, view, flow, actions),
+            Step::Absent => {
+                return self.reset_if_proven_lost(now_ms, view, segment, bytes, actions);
+            }
         }
         // Copies are useless once the flow's upstream is known: it is slow, or has failed and lost
         // the flow.
@@ -263,7 +269,9 @@
         // A flow can be given up even if the budget is spent. Probes have a rate limit of their
         // own.
         match step {
-            Step::Absent => self.reset_if_proven_lost(now_ms, view, flow, actions),
+            Step::Absent => {
+                self.reset_if_proven_lost(now_ms, view, &due.segment, &due.packet, actions);
+            }
             Step::Ask(to) if entry.take_search_credit() || self.try_spend_budget() => {
                 self.flows.entry(flow, now_ms).ask(now_ms, to);
                 self.forward_search(now_ms, view, flow, to, actions);
@@ -285,7 +293,7 @@
         &mut self,
         now_ms: Millis,
         view: &View,
-        reply: AgentReply,
+        reply: AgentReply<'_>,
         segment: &Segment,
         actions: &mut Vec<Action>,
     ) {
@@ -320,7 +328,9 @@
                 vec![to]
             }
             Step::Wait => Vec::new(),
-            Step::Absent => return self.reset_if_proven_lost(now_ms, view, flow, actions),
+            Step::Absent => {
+                return self.reset_if_proven_lost(now_ms, view, segment, reply.packet, actions);
+            }
         };
         asked.into_iter().for_each(|to| self.forward_search(now_ms, view, flow, to, actions));
     }
@@ -374,19 +384,29 @@
         }
     }
 
+    /// Resets a flow that all listed upstreams have denied, if that proves that it is lost. If the list
+    /// has to be read first, the packet is kept, and handled again as soon as the answer is there.
     fn reset_if_proven_lost(
         &mut self,
         now_ms: Millis,
         view: &View,
-        flow: FlowKey,
+        segment: &Segment,
+        bytes: &[u8],
         actions: &mut Vec<Action>,
     ) {
+        let flow = segment.flow;
         let sources = Sources { now_ms, view, survey: &self.survey };
         let has_candidates = !sources.candidates(flow).is_empty();
-        let proven = has_candidates
-            && self.is_excluded_elsewhere(now_ms, view, flow)
-            && self.is_list_whole(now_ms, flow);
-        if !proven {
+        let is_excluded = has_candidates && self.is_excluded_elsewhere(now_ms, view, flow);
+        // The flow was open when it was first denied everywhere, and no packet of it that was queued
+        // during a pause has been denied before.
+        let absent_since_ms = self.flows.entry(flow, now_ms).absent_since_ms(now_ms);
+        let open_ms = absent_since_ms.max(self.resumed_ms);
+        let is_whole = self.trust.is_whole_since(open_ms);
+        if is_excluded && !is_whole {
+            self.await_read(now_ms, open_ms, segment, bytes);
+        }
+        if !is_excluded || !is_whole {
             actions.push(Action::Drop { reason: Reason::Unknown });
             return;
         }
@@ -395,18 +415,19 @@
         actions.push(Action::Reset { reason: Reason::Lost });
     }
 
-    /// Whether no upstream that may hold the flow is missing from the list. The flow was open when all
-    /// listed upstreams had denied it, and this process had read no packet of it while it was paused.
-    /// If the list may be older, the configuration service has to be read anew.
-    fn is_list_whole(&mut self, now_ms: Millis, flow: FlowKey) -> bool {
-        let absent_since_ms = self.flows.entry(flow, now_ms).absent_since_ms(now_ms);
-        let open_ms = absent_since_ms.max(self.resumed_ms);
-        let is_whole = self.trust.is_whole_since(open_ms);
-        if !is_whole && now_ms >= self.trust.complete_from_ms {
-            let read_from_ms = open_ms.max(self.trust.complete_from_ms);
-            self.read_wanted_ms = self.read_wanted_ms.max(Some(read_from_ms));
+    /// Asks for a read of the configuration service that shows every upstream which may hold a flow
+    /// that was open at `open_ms`, and keeps the flow's packet. While running upstreams may be missing
+    /// from the list, a read shows nothing.
+    fn await_read(&mut self, now_ms: Millis, open_ms: Millis, segment: &Segment, bytes: &[u8]) {
+        let complete_from_ms = self.trust.complete_from_ms;
+        if now_ms < complete_from_ms {
+            return;
+        }
+        self.read_wanted_ms = self.read_wanted_ms.max(Some(open_ms.max(complete_from_ms)));
+        if self.awaiting_read.len() < AWAITING_READ_MAX {
+            self.awaiting_read.push(segment.flow);
+            self.pending.insert(now_ms, segment, bytes);
         }
-        is_whole
     }
 
     /// Whether the flow is at none of the upstreams that its search does not ask. If their agents
--- a/crates/steering/src/edge/types.rs
+++ b/crates/steering/src/edge/types.rs
@@ -73,7 +73,7 @@
 
 /// An agent's verdict, and the instance that the agent runs on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AgentReply {
+pub struct AgentReply<'a> {
     /// Address of the agent's instance.
     pub from: Ipv4Addr,
     /// The verdict.
@@ -81,6 +81,8 @@
     /// Whether the agent understands packets that state their service. Those of earlier releases
     /// drop them.
     pub reads_service: bool,
+    /// The packet that the reply is about.
+    pub packet: &'a [u8],
 }
 
 /// Why an action was taken, for logs and metrics.
--- a/crates/steering/src/peers/mod.rs
+++ b/crates/steering/src/peers/mod.rs
@@ -75,7 +75,7 @@
 const WANTED_READS_PER_S: usize = 100;
 /// Interval between two such calls of one balancer, however few there are. Each call answers for all
 /// flows that are in doubt when it begins.
-const WANTED_READ_MS: Millis = 100;
+const WANTED_READ_MS: Millis = 200;
 /// Maximum number of balancers remembered.
 const PEERS_MAX: usize = 4_096;
 
@@ -337,7 +337,7 @@
     /// use std::net::Ipv4Addr;
     /// use steering::peers::Peers;
     /// let peers = Peers::new(Ipv4Addr::new(10, 0, 0, 1));
-    /// assert_eq!(peers.wanted_read_interval_ms(0), 100);
+    /// assert_eq!(peers.wanted_read_interval_ms(0), 200);
     /// ```
     pub fn wanted_read_interval_ms(&self, now_ms: Millis) -> Millis {
         let balancers = self.alive(now_ms).count() + 1;
--- a/crates/steering/tests/edge_list_age.rs
+++ b/crates/steering/tests/edge_list_age.rs
@@ -135,3 +135,23 @@
     deny_everywhere(&mut edge, repeated_ms + 200, &view, 1);
     assert_eq!(edge.take_wanted_read(), Some(complete_from_ms));
 }
+
+/// Guards against callers of a lost flow that hear of it only when they repeat their request: the
+/// balancer resets the flow once the answer to the read has arrived, whether it had found the flow
+/// before or not.
+#[rstest]
+#[case::searched(false)]
+#[case::found_before(true)]
+fn lost_flow_is_reset_as_soon_as_the_list_was_read(#[case] found_before: bool) {
+    let view = view_of(&[READY, READY]);
+    let mut edge = edge_with_list_of(SENT_MS - 1);
+    if found_before {
+        let actions = packet(&mut edge, SENT_MS - 50, &view, &data(1, 4));
+        let holder = actions.iter().find_map(target).unwrap();
+        verdict(&mut edge, SENT_MS - 48, &view, holder, HELD, &data(1, 4));
+    }
+    deny_everywhere(&mut edge, SENT_MS, &view, 1);
+    assert_eq!(edge.take_wanted_read(), Some(SENT_MS));
+    edge.set_trust(Trust { current_at_ms: SENT_MS, complete_from_ms: 0 });
+    assert_eq!(tick(&mut edge, SENT_MS + 10, &view), RESET);
+}
