Refuse no late opening on a route that is not known yet

A balancer that was paused, lags, or gets only a copy cannot know whether another one, which knows the route, has opened the flow since. Its reset hits a flow that is not open for the caller yet whatever its number. Such openings are dropped now, as those that all upstreams refuse already were; the first copy, read in time, is still refused at once. Two of three cases of the new test fail without it.

--- a/crates/steering/src/edge/openings.rs
+++ b/crates/steering/src/edge/openings.rs
@@ -22,23 +22,20 @@
         bytes: &[u8],
         actions: &mut Vec<Action>,
     ) {
+        let in_time = self.is_read_in_time(now_ms, segment);
         let Some(service) = service_of(view, segment.flow) else {
-            let known = view.routes.version > 0;
-            actions.push(if known {
+            // Another balancer may know the route, and have opened the flow for an earlier copy.
+            let may_be_reset = view.routes.version > 0 && in_time;
+            actions.push(if may_be_reset {
                 Action::Reset { reason: Reason::NoRoute }
             } else {
                 Action::Drop { reason: Reason::Unknown }
             });
             return;
         };
-        let lagging = self.is_lagging(now_ms);
         let entry = self.flows.entry(segment.flow, now_ms);
         if entry.sequence != Some(segment.sequence) {
             entry.reset_for_opening(segment.sequence);
-            let queued =
-                self.resumed_ms > 0 && now_ms.saturating_sub(self.resumed_ms) < BACKLOG_DRAIN_MS;
-            let first = segment.kind == SegmentKind::Opening { copy: 0 };
-            let in_time = first && !queued && !lagging;
             entry.resettable_until_ms = if in_time { now_ms + CALLER_RETRANSMIT_MS } else { 0 };
         }
         if segment.kind != (SegmentKind::Opening { copy: 0 }) {
@@ -78,6 +75,15 @@
         self.pending.insert(now_ms, segment, bytes);
     }
 
+    /// Whether an opening is the first copy and was read soon after its arrival. The flow of any other
+    /// may be open by now.
+    fn is_read_in_time(&mut self, now_ms: Millis, segment: &Segment) -> bool {
+        let since_resumed_ms = now_ms.saturating_sub(self.resumed_ms);
+        let queued = self.resumed_ms > 0 && since_resumed_ms < BACKLOG_DRAIN_MS;
+        let first = segment.kind == SegmentKind::Opening { copy: 0 };
+        first && !queued && !self.is_lagging(now_ms)
+    }
+
     pub(super) fn retry_opening(
         &mut self,
         now_ms: Millis,
--- a/crates/steering/tests/edge_openings.rs
+++ b/crates/steering/tests/edge_openings.rs
@@ -140,6 +140,30 @@
     assert_eq!(packet(&mut Edge::default(), 0, &view, &segment), [expected]);
 }
 
+/// Guards against the reset of an open flow by a balancer that does not know its route yet: another
+/// one knows the route, and has opened the flow while this one was paused, or for an earlier copy.
+#[rstest]
+#[case::fresh(0, 200, true)]
+#[case::queued_during_a_pause(0, 3, false)]
+#[case::copy(1, 200, false)]
+fn opening_on_an_unknown_route_is_refused_only_while_fresh(
+    #[case] copy: u32,
+    #[case] since_resumed_ms: Millis,
+    #[case] refused: bool,
+) {
+    let (mut edge, view) = (Edge::default(), all_ready_view());
+    tick(&mut edge, 1_000, &view);
+    let resumed_ms = 4_000;
+    for now_ms in (resumed_ms..=resumed_ms + since_resumed_ms).step_by(50) {
+        tick(&mut edge, now_ms, &view);
+    }
+    let endpoint = "198.18.0.9:443".parse().unwrap();
+    let segment = Segment { flow: FlowKey { endpoint, ..flow(1) }, ..opening(1, copy) };
+    let actions = packet(&mut edge, resumed_ms + since_resumed_ms, &view, &segment);
+    let is_reset = actions == [Action::Reset { reason: Reason::NoRoute }];
+    assert_eq!(is_reset, refused, "{actions:?}");
+}
+
 /// Among the first ranks, the least loaded upstream gets the flow.
 #[test]
 fn load_decides_among_the_first_ranks() {
