--- a/crates/fuzzing/src/command.rs
+++ b/crates/fuzzing/src/command.rs
@@ -25,7 +25,7 @@
   --list         only list the episodes that break a promise; shrink and trace none
   --direct N     play N minutes of the direct-return path instead, each from a seed of its own
   --world NAME   the world of these: small (unless given), moving, crowded, crowded-moving,
-                 returning, crowded-returning, overloaded,
+                 returning, crowded-returning, late-lists, crowded-late-lists, overloaded,
                  large or long-answers
   --direct-episode S
                  play the minute of seed S in this world; print the time line of the flow with
--- a/crates/steering/src/edge/mod.rs
+++ b/crates/steering/src/edge/mod.rs
@@ -15,6 +15,7 @@
 mod overload;
 mod pending;
 mod placement;
+mod proof;
 mod reach;
 mod search;
 mod service_readers;
--- a/crates/steering/src/edge/search.rs
+++ b/crates/steering/src/edge/search.rs
@@ -1,9 +1,8 @@
-//! Packets of open flows: where they go, how their upstream is searched for, and when a flow counts
-//! as lost.
+//! Packets of open flows: where they go, and how their upstream is searched for.
 //!
-//! Every upstream that may hold the flow is asked, one after the other, until one answers. A flow
-//! is lost when each of them has denied it or is unreachable for all flows. [`Step::Absent`] is the
-//! proof, and nothing else leads to a reset.
+//! Every upstream that may hold the flow is asked, one after the other, until one answers. When each
+//! of them has denied it or is unreachable for all flows, [`Step::Absent`], it may be lost; see
+//! [`proof`](super::proof).
 
 use std::net::Ipv4Addr;
 
@@ -31,10 +30,6 @@
 /// link.
 const PARALLEL_ASKS_MAX: u64 = 16;
 
-/// Maximum number of flows that are handled again right after a read. All others are when their
-/// callers retransmit.
-const AWAITING_READ_MAX: usize = 4_096;
-
 /// Next step of a search.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
@@ -44,7 +39,7 @@
     Probe(Ipv4Addr),
     /// Wait: all remaining upstreams were asked recently or are unresponsive.
     Wait,
-    /// No upstream holds the flow, provided that the list is complete.
+    /// No listed upstream holds the flow.
     Absent,
 }
 
@@ -384,71 +379,6 @@
         }
     }
 
-    /// Resets a flow that all listed upstreams have denied, if that proves that it is lost. If the list
-    /// has to be read first, the packet is kept, and handled again as soon as the answer is there.
-    fn reset_if_proven_lost(
-        &mut self,
-        now_ms: Millis,
-        view: &View,
-        segment: &Segment,
-        bytes: &[u8],
-        actions: &mut Vec<Action>,
-    ) {
-        let flow = segment.flow;
-        let sources = Sources { now_ms, view, survey: &self.survey };
-        let has_candidates = !sources.candidates(flow).is_empty();
-        let is_excluded = has_candidates && self.is_excluded_elsewhere(now_ms, view, flow);
-        // The flow was open when it was first denied everywhere, and no packet of it that was queued
-        // during a pause has been denied before.
-        let absent_since_ms = self.flows.entry(flow, now_ms).absent_since_ms(now_ms);
-        let open_ms = absent_since_ms.max(self.resumed_ms);
-        let is_whole = self.trust.is_whole_since(open_ms);
-        if is_excluded && !is_whole {
-            self.await_read(now_ms, open_ms, segment, bytes);
-        }
-        if !is_excluded || !is_whole {
-            actions.push(Action::Drop { reason: Reason::Unknown });
-            return;
-        }
-        self.flows.expire_soon(flow, now_ms);
-        self.pending.remove(flow);
-        actions.push(Action::Reset { reason: Reason::Lost });
-    }
-
-    /// Asks for a read of the configuration service that shows every upstream which may hold a flow
-    /// that was open at `open_ms`, and keeps the flow's packet. While running upstreams may be missing
-    /// from the list, a read shows nothing.
-    fn await_read(&mut self, now_ms: Millis, open_ms: Millis, segment: &Segment, bytes: &[u8]) {
-        let complete_from_ms = self.trust.complete_from_ms;
-        if now_ms < complete_from_ms {
-            return;
-        }
-        self.read_wanted_ms = self.read_wanted_ms.max(Some(open_ms.max(complete_from_ms)));
-        if self.awaiting_read.len() < AWAITING_READ_MAX {
-            self.awaiting_read.push(segment.flow);
-            self.pending.insert(now_ms, segment, bytes);
-        }
-    }
-
-    /// Whether the flow is at none of the upstreams that its search does not ask. If their agents
-    /// have not told so yet, they are asked.
-    fn is_excluded_elsewhere(&mut self, now_ms: Millis, view: &View, flow: FlowKey) -> bool {
-        if view.history().is_complete(now_ms) {
-            return true;
-        }
-        let entry = self.flows.entry(flow, now_ms);
-        let sources = Sources { now_ms, view, survey: &self.survey };
-        let mut unasked = sources.unasked(flow);
-        let undelivered = entry.wrong_services().map(|(address, _)| address);
-        unasked.extend(undelivered.filter(|address| sources.may_hold_earlier_flows(*address)));
-        let since_ms = entry.doubted_since_ms(now_ms);
-        let excluded = |address: &&Ipv4Addr| {
-            self.survey.has_told(**address, since_ms)
-                && !self.survey.is_holder(now_ms, flow, **address)
-        };
-        unasked.iter().filter(excluded).count() == unasked.len()
-    }
-
     pub(super) fn service_to_ask(
         &self,
         now_ms: Millis,
