--- a/crates/fuzzing/tests/known_red.rs
+++ b/crates/fuzzing/tests/known_red.rs
@@ -112,3 +112,13 @@
     let outcome = direct::play_at(Size::OVERLOADED, 2_390, 60_000, None);
     assert_eq!(outcome.violations, []);
 }
+
+/// An upstream that has been draining for over three seconds receives an opening, where the
+/// configuration service comes back from a copy while balancers and agents are cut off or paused.
+#[rstest]
+#[case::not_traced(9_700_869)]
+#[case::not_traced_either(9_707_526)]
+fn red_opening_on_leaving_after_a_return(#[case] seed: u64) {
+    let outcome = direct::play_at(Size::CROWDED_RETURNING, seed, 60_000, None);
+    assert_eq!(outcome.violations, []);
+}
