--- a/crates/steering/tests/common/mod.rs
+++ b/crates/steering/tests/common/mod.rs
@@ -145,6 +145,22 @@
     }
 }
 
+/// Lets every upstream that these actions or their consequences ask deny the flow. Returns the actions
+/// that ask none.
+pub(crate) fn deny_all(
+    edge: &mut Edge,
+    now_ms: Millis,
+    view: &View,
+    segment: &Segment,
+    mut actions: Vec<Action>,
+) -> Vec<Action> {
+    while let Some(index) = actions.iter().position(|action| target(action).is_some()) {
+        let to = target(&actions.remove(index)).unwrap();
+        actions.extend(verdict(edge, now_ms, view, to, Verdict::Denied, segment));
+    }
+    actions
+}
+
 /// Lets upstream after upstream deny the flow until `holder` is asked. Returns the number of
 /// upstreams asked, or `None` if the flow was reset instead.
 pub(crate) fn hops_to(
--- a/crates/steering/tests/edge_list_age.rs
+++ b/crates/steering/tests/edge_list_age.rs
@@ -5,7 +5,7 @@
 
 use std::net::Ipv4Addr;
 
-use common::{READY, data, packet, target, tick, upstream, verdict, view_of};
+use common::{READY, data, deny_all, packet, target, tick, upstream, verdict, view_of};
 use rstest::rstest;
 use steering::edge::{Action, Edge, Reason, Trust, Verdict};
 use steering::flow::Millis;
@@ -25,23 +25,9 @@
 /// Sends a packet of the flow, and lets every upstream that is asked deny it. Returns the actions
 /// that ask none.
 fn deny_everywhere(edge: &mut Edge, now_ms: Millis, view: &View, flow: u16) -> Vec<Action> {
-    let actions = packet(edge, now_ms, view, &data(flow, 5));
-    deny_all(edge, now_ms, view, flow, actions)
-}
-
-fn deny_all(
-    edge: &mut Edge,
-    now_ms: Millis,
-    view: &View,
-    flow: u16,
-    mut actions: Vec<Action>,
-) -> Vec<Action> {
     let segment = data(flow, 5);
-    while let Some(index) = actions.iter().position(|action| target(action).is_some()) {
-        let to = target(&actions.remove(index)).unwrap();
-        actions.extend(verdict(edge, now_ms, view, to, Verdict::Denied, &segment));
-    }
-    actions
+    let actions = packet(edge, now_ms, view, &segment);
+    deny_all(edge, now_ms, view, &segment, actions)
 }
 
 /// Lets this much time pass after `now_ms` in which nothing but ticks happens, and returns when it is
@@ -49,7 +35,7 @@
 fn wait(edge: &mut Edge, now_ms: Millis, for_ms: Millis, view: &View) -> Millis {
     for tick_ms in (now_ms..now_ms + for_ms).step_by(20) {
         let actions = tick(edge, tick_ms, view);
-        assert!(!deny_all(edge, tick_ms, view, 1, actions).contains(&RESET[0]));
+        assert!(!deny_all(edge, tick_ms, view, &data(1, 5), actions).contains(&RESET[0]));
     }
     now_ms + for_ms
 }
--- a/crates/steering/tests/edge_survey.rs
+++ b/crates/steering/tests/edge_survey.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use common::agent::{new_agent, open_flow};
-use common::{READY, data, flow, packet, target, tick, upstream, verdict};
+use common::{READY, data, deny_all, flow, packet, tick, upstream, verdict};
 use rstest::rstest;
 use steering::edge::{Action, AgentReply, Edge, Question, Trust, Verdict};
 use steering::flow::Millis;
@@ -292,12 +292,8 @@
     let (view, mut edge) = (view(Former::RoutedElsewhere), Edge::default());
     let deny_everywhere = |edge: &mut Edge, now_ms: Millis| {
         edge.set_trust(Trust { current_at_ms: now_ms, complete_from_ms: 0 });
-        let mut actions = packet(edge, now_ms, &view, &data(1, 5));
-        while let Some(index) = actions.iter().position(|action| target(action).is_some()) {
-            let to = target(&actions.remove(index)).unwrap();
-            actions.extend(verdict(edge, now_ms, &view, to, Verdict::Denied, &data(1, 5)));
-        }
-        actions
+        let actions = packet(edge, now_ms, &view, &data(1, 5));
+        deny_all(edge, now_ms, &view, &data(1, 5), actions)
     };
     let resets = |actions: &[Action]| {
         assert!(!actions.is_empty());
